--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 from statistics import mean
 
+from dandelionreel.backing import NOTHING, Resources
 from dandelionreel.placement import (
     Cell,
     FairQueue,
@@ -24,7 +25,6 @@
     Work,
     task_ids,
 )
-from dandelionreel.platform import NOTHING, Resources
 
 CORES = 32
 MEMORY = 65_536
--- a/dandelionreel/admin/_front.py
+++ b/dandelionreel/admin/_front.py
@@ -18,6 +18,7 @@
     StatusView,
     WorkerView,
 )
+from dandelionreel.backing import StreamReader
 from dandelionreel.callers import CallersFront
 from dandelionreel.contracts import (
     ContractBook,
@@ -37,7 +38,6 @@
     runner_shard,
 )
 from dandelionreel.peers import PeerDirectory
-from dandelionreel.platform import StreamReader
 from dandelionreel.routing import Router, RunnerPool
 from dandelionreel.workers import WorkerFleet
 
--- /dev/null
+++ b/dandelionreel/backing/__init__.py
@@ -0,0 +1,76 @@
+"""The platform: its log, its list of hosts and its workers."""
+
+from dandelionreel.backing._host_watch import HostWatch
+from dandelionreel.backing._hosts import (
+    HostEntry,
+    HostList,
+    HostListError,
+    HostsDone,
+    HttpHostList,
+    StaticHostList,
+)
+from dandelionreel.backing._http_log import AppendBody, AppendDone, HttpLog, ReadDone
+from dandelionreel.backing._log import (
+    LogBatch,
+    LogError,
+    LogService,
+    LogTruncatedError,
+)
+from dandelionreel.backing._memory_log import MemoryLog, MemoryStream
+from dandelionreel.backing._memory_worker import MemoryTask, MemoryWorker
+from dandelionreel.backing._resources import EPSILON, NOTHING, Resources
+from dandelionreel.backing._stream import (
+    Envelope,
+    Folder,
+    Position,
+    StreamReader,
+    StreamWriter,
+)
+from dandelionreel.backing._workers import (
+    ENDED,
+    HttpWorker,
+    LeaseRenewal,
+    TaskList,
+    TaskOrder,
+    TaskStatus,
+    WorkerError,
+    WorkerService,
+)
+
+__all__ = (
+    'ENDED',
+    'EPSILON',
+    'NOTHING',
+    'AppendBody',
+    'AppendDone',
+    'Envelope',
+    'Folder',
+    'HostEntry',
+    'HostList',
+    'HostListError',
+    'HostWatch',
+    'HostsDone',
+    'HttpHostList',
+    'HttpLog',
+    'HttpWorker',
+    'LeaseRenewal',
+    'LogBatch',
+    'LogError',
+    'LogService',
+    'LogTruncatedError',
+    'MemoryLog',
+    'MemoryStream',
+    'MemoryTask',
+    'MemoryWorker',
+    'Position',
+    'ReadDone',
+    'Resources',
+    'StaticHostList',
+    'StreamReader',
+    'StreamWriter',
+    'TaskList',
+    'TaskOrder',
+    'TaskStatus',
+    'WorkerError',
+    'WorkerService',
+)
--- a/dandelionreel/platform/_host_watch.py
+++ b/dandelionreel/backing/_host_watch.py
@@ -2,8 +2,8 @@
 
 import curio
 
+from dandelionreel.backing._hosts import HostEntry, HostList, HostListError
 from dandelionreel.kernel import Clock, Journal, Part, Signal
-from dandelionreel.platform._hosts import HostEntry, HostList, HostListError
 
 
 class HostWatch:
--- a/dandelionreel/platform/_hosts.py
+++ b/dandelionreel/backing/_hosts.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from dandelionreel.backing._resources import NOTHING, Resources
 from dandelionreel.http import Channel, ExchangeError, Request
 from dandelionreel.kernel import Endpoint, PluginKind, StaticHost, plugins
-from dandelionreel.platform._resources import NOTHING, Resources
 
 HTTP_OK = 200
 HTTP_NOT_MODIFIED = 304
--- a/dandelionreel/platform/_http_log.py
+++ b/dandelionreel/backing/_http_log.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
-from dandelionreel.http import Answer, Channel, ExchangeError, Request
-from dandelionreel.kernel import Endpoint, PluginKind, Verdict, plugins
-from dandelionreel.platform._log import (
+from dandelionreel.backing._log import (
     LogBatch,
     LogError,
     LogService,
     LogTruncatedError,
 )
+from dandelionreel.http import Answer, Channel, ExchangeError, Request
+from dandelionreel.kernel import Endpoint, PluginKind, Verdict, plugins
 
 HTTP_OK = 200
 HTTP_GONE = 410
--- a/dandelionreel/platform/_memory_log.py
+++ b/dandelionreel/backing/_memory_log.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 
+from dandelionreel.backing._log import LogBatch, LogService, LogTruncatedError
 from dandelionreel.kernel import Endpoint, PluginKind, Signal, plugins
-from dandelionreel.platform._log import LogBatch, LogService, LogTruncatedError
 
 READ_RECORDS = 500
 
--- a/dandelionreel/platform/_memory_worker.py
+++ b/dandelionreel/backing/_memory_worker.py
@@ -11,10 +11,9 @@
 
 import curio
 
-from dandelionreel.kernel import Clock, PluginKind, Signal, SystemClock, Verdict, plugins
-from dandelionreel.platform._hosts import HostEntry
-from dandelionreel.platform._resources import NOTHING, Resources
-from dandelionreel.platform._workers import (
+from dandelionreel.backing._hosts import HostEntry
+from dandelionreel.backing._resources import NOTHING, Resources
+from dandelionreel.backing._workers import (
     ENDED,
     LeaseRenewal,
     TaskList,
@@ -23,6 +22,7 @@
     WorkerError,
     WorkerService,
 )
+from dandelionreel.kernel import Clock, PluginKind, Signal, SystemClock, Verdict, plugins
 
 MILLISECONDS = 1000
 STEP_SECONDS = 0.2
--- a/dandelionreel/platform/_stream.py
+++ b/dandelionreel/backing/_stream.py
@@ -12,8 +12,8 @@
 import curio
 import msgspec
 
+from dandelionreel.backing._log import LogError, LogService, LogTruncatedError
 from dandelionreel.kernel import Clock, Signal, Verdict
-from dandelionreel.platform._log import LogError, LogService, LogTruncatedError
 
 RETRY_SECONDS = 0.25
 READ_ERROR_SECONDS = 0.25
--- a/dandelionreel/platform/_workers.py
+++ b/dandelionreel/backing/_workers.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
+from dandelionreel.backing._hosts import HostEntry
+from dandelionreel.backing._resources import NOTHING, Resources
 from dandelionreel.http import Answer, Channel, ExchangeError, Request
 from dandelionreel.kernel import PluginKind, Verdict, plugins
-from dandelionreel.platform._hosts import HostEntry
-from dandelionreel.platform._resources import NOTHING, Resources
 
 HTTP_OK = 200
 HTTP_CREATED = 201
--- /dev/null
+++ b/dandelionreel/cell/_advisors.py
@@ -0,0 +1,186 @@
+"""Questions to the policy service, spread over the hosts.
+
+The service takes the calls of one host one after the other, and the questions
+of a busy cell take more than one host's whole time: each host asks one at a
+time, and the most urgent question goes to the next one that is free.
+"""
+
+import heapq
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from dandelionreel.cell._model import StepName
+from dandelionreel.cell._planner import Question
+from dandelionreel.cell._records import Member
+from dandelionreel.cell._services import AdviceError, AdviceService, Permit
+from dandelionreel.kernel import Clock, Journal, Part
+from dandelionreel.peers import (
+    AdviceGiven,
+    AdviceWanted,
+    EchoBook,
+    Frame,
+    Message,
+    PeerError,
+    PeerLink,
+    Traffic,
+)
+
+#: A question may take this many times as long as announced, and so many
+#: seconds more, before it is given up.
+PATIENCE_FACTOR = 2.0
+PATIENCE_SECONDS = 0.4
+#: Seconds for which a peer that did not answer is not asked.
+PEER_QUIET = 2.0
+
+Answered = Callable[[Question, tuple[Permit, ...], float], Awaitable[None]]
+Failed = Callable[[Question], Awaitable[None]]
+
+
+class PeerLinks:
+    """One link to each member."""
+
+    def __init__(self, me: str, clock: Clock) -> None:
+        """Speak as ``me``."""
+        self._me = me
+        self._clock = clock
+        self._echoes = EchoBook()
+        self._traffic = Traffic()
+        self._link_by_address: dict[tuple[str, int], PeerLink] = {}
+
+    async def ask(self, member: Member, message: Message, timeout: float) -> Frame:
+        """Ask a member; raises ``PeerError``."""
+        address = (member.address, member.port)
+        link = self._link_by_address.get(address)
+        if link is None:
+            link = PeerLink(*address, self._me, self._clock, self._echoes, self._traffic)
+            self._link_by_address[address] = link
+        return await link.ask(message, timeout)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for link in self._link_by_address.values():
+            await link.close()
+
+
+class LocalAdvisor:
+    """Puts the questions of this host and of its peers to the policy service."""
+
+    def __init__(self, service: AdviceService | None) -> None:
+        """Ask ``service``; without one every question fails."""
+        self._service = service
+
+    async def answer(self, frame: Frame) -> Message:
+        """Answer a peer."""
+        message: Any = frame.message
+        step = StepName(message.job, message.occurrence, message.step)
+        try:
+            permits = await self.ask(step, message.runners, message.patience)
+        except AdviceError:
+            return AdviceGiven(answered=False)
+        return AdviceGiven(True, tuple((permit.runner, permit.ticket) for permit in permits))
+
+    async def ask(
+        self,
+        step: StepName,
+        runners: tuple[str, ...],
+        patience: float,
+    ) -> tuple[Permit, ...]:
+        """Return the permits; raises ``AdviceError``."""
+        if self._service is None:
+            raise AdviceError('the settings name no policy service')
+        return await self._service.ask(step, runners, patience)
+
+
+class AdvicePool:
+    """Hands questions to whichever host is free."""
+
+    def __init__(
+        self,
+        me: str,
+        members: Callable[[], dict[str, Member]],
+        links: PeerLinks,
+        local: LocalAdvisor,
+        clock: Clock,
+        journal: Journal,
+        answered: Answered,
+        failed: Failed,
+    ) -> None:
+        """Report each answer to ``answered``, each failure to ``failed``."""
+        self._me = me
+        self._members = members
+        self._links = links
+        self._local = local
+        self._clock = clock
+        self._journal = journal
+        self._answered = answered
+        self._failed = failed
+        self._waiting: list[tuple[int, int, Question]] = []
+        self._order = itertools.count()
+        self._busy: set[str] = set()
+        self._quiet_until_by_host: dict[str, float] = {}
+
+    async def ask(self, question: Question) -> None:
+        """Ask as soon as a host is free."""
+        heapq.heappush(self._waiting, (question.priority, next(self._order), question))
+        await self._send()
+
+    async def _send(self) -> None:
+        while self._waiting:
+            host = self._free_host()
+            if host is None:
+                return
+            question = heapq.heappop(self._waiting)[2]
+            self._busy.add(host)
+            await curio.spawn(self._put, host, question, daemon=True)
+
+    def _free_host(self) -> str | None:
+        if self._me not in self._busy:
+            return self._me
+        now = self._clock.monotonic()
+        for host in self._members():
+            if host in self._busy or self._quiet_until_by_host.get(host, 0) > now:
+                continue
+            return host
+        return None
+
+    async def _put(self, host: str, question: Question) -> None:
+        expected = question.decision + question.per_runner * len(question.runners)
+        patience = expected * PATIENCE_FACTOR + PATIENCE_SECONDS
+        try:
+            permits = await self._ask_host(host, question, patience)
+        except (AdviceError, PeerError) as error:
+            self._journal.tell_frequent(
+                Part.PLACEMENT,
+                f'no advice by {host}: {error}.',
+                job=question.step.job,
+            )
+            self._quiet_until_by_host[host] = self._clock.monotonic() + PEER_QUIET
+            await self._failed(question)
+        else:
+            until = self._clock.monotonic() + question.valid
+            await self._answered(question, permits, until)
+        finally:
+            self._busy.discard(host)
+        await self._send()
+
+    async def _ask_host(
+        self,
+        host: str,
+        question: Question,
+        patience: float,
+    ) -> tuple[Permit, ...]:
+        step = question.step
+        if host == self._me:
+            return await self._local.ask(step, question.runners, patience)
+        wanted = AdviceWanted(step.job, step.occurrence, step.step, question.runners, patience)
+        member = self._members().get(host)
+        if member is None:
+            raise AdviceError('the host is not known any more')
+        frame = await self._links.ask(member, wanted, patience + PATIENCE_SECONDS)
+        given = frame.message
+        if not isinstance(given, AdviceGiven) or not given.answered:
+            raise AdviceError('the peer has no answer')
+        return tuple(Permit(runner, ticket) for runner, ticket in given.permits)
--- /dev/null
+++ b/dandelionreel/cell/_cell.py
@@ -0,0 +1,448 @@
+"""The owner's whole knowledge of jobs and runners, and every change to it. No I/O.
+
+The dispatcher reports what it has seen and sends what this decides.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
+from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
+from dandelionreel.cell._records import BookedJob
+from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun
+from dandelionreel.cell._services import (
+    EndedRun,
+    Outcome,
+    RunnerView,
+    RunningTask,
+    StartReply,
+)
+from dandelionreel.cell._tickets import TicketBook
+
+#: Run numbers of one epoch for one task. Numbers of a later owner are higher
+#: than all of an earlier one, so none of them has to be stored.
+RUNS_PER_EPOCH = 1000
+#: Seconds for which a runner that refused a start gets none.
+REFUSED_QUIET = 0.3
+UNHEALTHY_QUIET = 1.0
+#: Share of the gang timeout after which a gang that is not complete is stopped.
+GANG_SHARE = 0.55
+#: How much slower than ours a runner's clock may run.
+CLOCK_DRIFT = 0.02
+
+
+@dataclass
+class ViewEffect:
+    """What a look at a runner has changed."""
+
+    ended: list[tuple[EndedRun, Allocation | None]] = field(default_factory=list)
+    adopted: int = 0
+    lost: list[Allocation] = field(default_factory=list)
+
+
+class Cell:
+    """Jobs by id, runners by id, and the rules between them."""
+
+    def __init__(self, epoch: int, gang_timeout: float) -> None:
+        """Start empty, as the owner with that epoch."""
+        self.epoch = epoch
+        self.configuration: Configuration | None = None
+        self.job_by_id: dict[str, JobRun] = {}
+        self.runner_by_id: dict[str, RunnerState] = {}
+        self.tickets = TicketBook()
+        #: Runners on which tasks of earlier owners may run unseen.
+        self.unseen: set[str] = set()
+        self._gang_timeout = gang_timeout
+        self._stops: list[Allocation] = []
+        self._dirty: set[str] = set()
+
+    # Jobs
+
+    def queue_of(self, job: JobRun) -> Queue | None:
+        """Return the job's queue in the configuration in force."""
+        if self.configuration is None:
+            return None
+        return self.configuration.queue_by_name.get(job.submission.queue)
+
+    def service_of(self, job: JobRun) -> str:
+        """Return the service whose runners run the job."""
+        queue = self.queue_of(job)
+        return job.submission.service if queue is None else queue.service
+
+    def see_job(self, booked: BookedJob, now: float, wall: float, *, former: bool = False) -> None:
+        """Take a job, or the news of one, from the store.
+
+        Tasks of a job that a ``former`` owner knew may run on unseen runners.
+        A job accepted after this owner's claim was never dispatched before: in
+        the log it stands behind the claim, which ended the former owner.
+        """
+        job = self.job_by_id.get(booked.id)
+        if job is None:
+            age = max(0.0, wall - booked.submission.accepted_at)
+            job = JobRun(booked.id, booked.submission, now - age)
+            if booked.progress is not None:
+                job.restore(booked.progress)
+            job.blocked = former and bool(self.unseen)
+            self.job_by_id[booked.id] = job
+        if booked.cancelled and not job.over:
+            self._cancel(job)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a job that the store has dropped."""
+        job = self.job_by_id.pop(job_id, None)
+        if job is not None:
+            self.tickets.drop_job(job_id)
+
+    def take_dirty(self) -> list[JobRun]:
+        """Return the jobs whose progress must be stored, once."""
+        taken = []
+        for job_id in self._dirty:
+            job = self.job_by_id.get(job_id)
+            if job is not None and job.dirty:
+                job.dirty = False
+                taken.append(job)
+        self._dirty.clear()
+        return taken
+
+    def take_stops(self) -> list[Allocation]:
+        """Return the runs that must be told to stop, once."""
+        taken = self._stops
+        self._stops = []
+        return taken
+
+    # Runners
+
+    def see_runners(self, registrations: dict[str, Registration]) -> list[RunnerState]:
+        """Take the list of runners; return those that are new."""
+        fresh = []
+        for runner_id, registration in registrations.items():
+            known = self.runner_by_id.get(runner_id)
+            if known is None:
+                known = RunnerState(registration)
+                self.runner_by_id[runner_id] = known
+                fresh.append(known)
+            known.registration = registration
+            known.listed = True
+        for runner_id, known in self.runner_by_id.items():
+            if runner_id not in registrations:
+                known.listed = False
+        return fresh
+
+    def add_unlisted(self, registration: Registration) -> RunnerState:
+        """Take a runner whose entry has gone, to look at what it still holds."""
+        state = RunnerState(registration)
+        state.listed = False
+        self.runner_by_id[state.id] = state
+        return state
+
+    def runner_ended(self, runner_id: str) -> None:
+        """A runner's life is over: nothing runs there any more."""
+        runner = self.runner_by_id.pop(runner_id, None)
+        self.unseen.discard(runner_id)
+        if runner is None:
+            return
+        for allocation in tuple(runner.allocation_by_run.values()):
+            self._lose(runner, allocation)
+
+    def runner_lapsed(self, runner_id: str) -> None:
+        """Every lease that a runner was granted has run out."""
+        self.unseen.discard(runner_id)
+        runner = self.runner_by_id[runner_id]
+        for allocation in tuple(runner.allocation_by_run.values()):
+            self._lose(runner, allocation)
+
+    # Starts
+
+    def place(
+        self,
+        step: StepRun,
+        task: TaskRun,
+        runner: RunnerState,
+        run: int,
+        now: float,
+        ticket: str,
+        expected: float,
+    ) -> Allocation:
+        """Decide that a task starts on a runner, and count it there."""
+        demand = counted_demand(step)
+        allocation = Allocation(
+            task.name,
+            run,
+            runner.id,
+            demand,
+            now,
+            ticket,
+            expected=expected,
+            checkpoint=task.checkpoint,
+        )
+        runner.hold(allocation)
+        step.place(task, runner.id, run)
+        return allocation
+
+    def next_run(self, tasks: Iterable[TaskRun]) -> int:
+        """Return a run number above all earlier ones of these tasks."""
+        lowest = self.epoch * RUNS_PER_EPOCH
+        return max(lowest, *(task.run for task in tasks)) + 1
+
+    def may_start(self, allocation: Allocation) -> bool:
+        """Return whether the start is still wanted; asked right before it is sent."""
+        if allocation.phase is not Holding.STARTING:
+            return False
+        job = self.job_by_id.get(allocation.task.job)
+        if job is None or job.over:
+            return False
+        runner = self.runner_by_id.get(allocation.runner)
+        return runner is not None and not runner.draining
+
+    def start_answered(self, allocation: Allocation, reply: StartReply, now: float) -> None:
+        """Take a runner's answer to a start."""
+        if reply in {StartReply.STARTED, StartReply.OUTDATED}:
+            self._start_settled(allocation, now)
+            return
+        runner = self.runner_by_id.get(allocation.runner)
+        step = self._step_of(allocation)
+        if runner is not None:
+            if reply is StartReply.UNHEALTHY:
+                runner.quiet_until = now + UNHEALTHY_QUIET
+            elif reply is StartReply.NO_ROOM:
+                runner.quiet_until = now + REFUSED_QUIET
+        if step is not None:
+            if reply is StartReply.NO_TICKET:
+                self.tickets.revoke(step.name, allocation.runner)
+            if reply is StartReply.INVALID:
+                step.not_before = now + UNHEALTHY_QUIET
+        self.withdraw(allocation)
+
+    def withdraw(self, allocation: Allocation) -> None:
+        """Take back a start of which it is known that it does not run."""
+        runner = self.runner_by_id.get(allocation.runner)
+        if runner is not None and (allocation.task, allocation.run) in runner.allocation_by_run:
+            self._lose(runner, allocation)
+
+    def stop(self, allocation: Allocation) -> None:
+        """Have a run stopped; it counts until it is known to be gone."""
+        if allocation.phase is Holding.STOPPING:
+            return
+        allocation.phase = Holding.STOPPING
+        allocation.settled_at = None
+        self._stops.append(allocation)
+
+    def stop_answered(self, allocation: Allocation, now: float) -> None:
+        """The runner has taken the stop: a later look tells when it is gone."""
+        allocation.settled_at = now
+
+    # Looks
+
+    def viewed(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> ViewEffect:
+        """Take all that a runner lists; ``asked`` is when the look was sent."""
+        effect = ViewEffect()
+        runner.note_clock(view.clock, now)
+        runner.answered_at = now
+        runner.suspect = False
+        for ended in view.ended:
+            if ended.number <= runner.noted:
+                continue
+            runner.noted = ended.number
+            effect.ended.append((ended, self._take_end(runner, ended)))
+        listed = set()
+        for running in view.running:
+            listed.add((running.task, running.run))
+            effect.adopted += self._take_running(runner, running, now)
+        for allocation in tuple(runner.allocation_by_run.values()):
+            if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
+                continue
+            # A look that was under way when the order was answered may have
+            # been listed before the order took effect.
+            if asked > allocation.settled_at:
+                effect.lost.append(allocation)
+                self._lose(runner, allocation)
+        self.unseen.discard(runner.id)
+        return effect
+
+    def check_gangs(self, now: float, wall: float) -> list[StepRun]:
+        """Stop the gangs that did not come together in time; return them."""
+        late = [*self._broken_gangs(wall), *self._slow_gangs(now)]
+        for step in late:
+            self._stop_members(step)
+        return late
+
+    def find_allocation(self, task: TaskRun) -> Allocation | None:
+        """Return the allocation of a placed task."""
+        runner = self.runner_by_id.get(task.runner)
+        if runner is None:
+            return None
+        return runner.allocation_by_run.get((task.name, task.run))
+
+    def _broken_gangs(self, wall: float) -> Iterable[StepRun]:
+        """Return gangs of which some members run and others do not."""
+        for job in self.job_by_id.values():
+            if job.over or not job.began or (job.blocked and self.unseen):
+                continue
+            for step in job.ready_steps(wall):
+                if step.step.gang and 0 < step.waiting < len(step.tasks):
+                    yield step
+
+    def _slow_gangs(self, now: float) -> Iterable[StepRun]:
+        """Return gangs with a start that stayed unanswered for too long."""
+        limit = now - self._gang_timeout * GANG_SHARE
+        for runner in self.runner_by_id.values():
+            for allocation in runner.allocation_by_run.values():
+                if allocation.phase is not Holding.STARTING or allocation.placed_at > limit:
+                    continue
+                step = self._step_of(allocation)
+                if step is not None and step.step.gang:
+                    yield step
+
+    def _cancel(self, job: JobRun) -> None:
+        job.cancelled = True
+        job.dirty = True
+        self._dirty.add(job.id)
+        self._stop_job(job)
+
+    def _stop_job(self, job: JobRun) -> None:
+        for runner in self.runner_by_id.values():
+            for allocation in tuple(runner.allocation_by_run.values()):
+                if allocation.task.job == job.id:
+                    self.stop(allocation)
+
+    def _stop_members(self, step: StepRun) -> None:
+        for task in step.tasks:
+            allocation = self.find_allocation(task) if task.phase is Phase.PLACED else None
+            if allocation is not None:
+                self.stop(allocation)
+
+    def _step_of(self, allocation: Allocation) -> StepRun | None:
+        job = self.job_by_id.get(allocation.task.job)
+        return None if job is None else job.find_step(allocation.task)
+
+    def _start_settled(self, allocation: Allocation, now: float) -> None:
+        if allocation.phase is not Holding.STARTING:
+            return
+        allocation.phase = Holding.RUNNING
+        allocation.started_at = now
+        allocation.settled_at = now
+        self._note_began(allocation.task.job)
+
+    def _note_began(self, job_id: str) -> None:
+        job = self.job_by_id.get(job_id)
+        if job is not None and not job.began:
+            job.note_began()
+            self._dirty.add(job.id)
+
+    def _take_end(self, runner: RunnerState, ended: EndedRun) -> Allocation | None:
+        allocation = runner.allocation_by_run.get((ended.task, ended.run))
+        job = self.job_by_id.get(ended.task.job)
+        if allocation is not None:
+            runner.free(allocation)
+        found = None if job is None else job.find(ended.task)
+        if job is None or found is None:
+            return allocation
+        step, task = found
+        if ended.checkpoint and task.phase is not Phase.DONE:
+            task.checkpoint = ended.checkpoint
+        if ended.outcome is Outcome.DONE and not step.step.long_running:
+            self._take_done(job, step, ended)
+            return allocation
+        if ended.outcome is Outcome.FAILED:
+            queue = self.queue_of(job)
+            task.avoid.add(runner.id)
+            job.note_failed(ended.task, ended.run, queue.max_attempts if queue else 1)
+            self._dirty.add(job.id)
+            if job.state is JobState.FAILED:
+                self._stop_job(job)
+        if _is_current(task, runner.id, ended.run):
+            step.release(task)
+            if step.step.gang:
+                self._stop_members(step)
+        return allocation
+
+    def _take_done(self, job: JobRun, step: StepRun, ended: EndedRun) -> None:
+        members = step.tasks if step.step.gang else [step.tasks[ended.task.index]]
+        for member in members:
+            current = self.find_allocation(member) if member.phase is Phase.PLACED else None
+            # Members of the gang that is done end by themselves; a later run
+            # of the same task must not go on.
+            if current is not None and current.run != ended.run:
+                self.stop(current)
+        job.note_done(ended.task)
+        self._dirty.add(job.id)
+
+    def _take_running(self, runner: RunnerState, running: RunningTask, now: float) -> int:
+        allocation = runner.allocation_by_run.get((running.task, running.run))
+        if allocation is None:
+            self._adopt(runner, running, now)
+            return 1
+        allocation.percent = running.percent
+        allocation.gauge = running.gauge
+        allocation.checkpoint = running.checkpoint or allocation.checkpoint
+        self._start_settled(allocation, now)
+        return 0
+
+    def _adopt(self, runner: RunnerState, running: RunningTask, now: float) -> None:
+        """Count a run that an earlier owner started, and keep it if it is wanted."""
+        job = self.job_by_id.get(running.task.job)
+        found = None if job is None else job.find(running.task)
+        demand = Demand() if found is None else counted_demand(found[0])
+        allocation = Allocation(
+            running.task,
+            running.run,
+            runner.id,
+            demand,
+            now,
+            phase=Holding.RUNNING,
+            started_at=now,
+            settled_at=now,
+            percent=running.percent,
+            gauge=running.gauge,
+            checkpoint=running.checkpoint,
+            expected=0.0 if found is None else found[0].step.estimate,
+        )
+        runner.hold(allocation)
+        if job is None or found is None:
+            self.stop(allocation)
+            return
+        step, task = found
+        if job.over or task.phase is Phase.DONE:
+            self.stop(allocation)
+            return
+        if task.phase is Phase.PLACED:
+            if task.run > running.run:
+                self.stop(allocation)
+                return
+            current = self.find_allocation(task)
+            step.release(task)
+            if current is not None:
+                self.stop(current)
+        step.place(task, runner.id, running.run)
+        self._note_began(job.id)
+
+    def _lose(self, runner: RunnerState, allocation: Allocation) -> None:
+        """Drop an allocation that is known to be gone without an end."""
+        runner.free(allocation)
+        job = self.job_by_id.get(allocation.task.job)
+        found = None if job is None else job.find(allocation.task)
+        if found is None:
+            return
+        step, task = found
+        if allocation.checkpoint and task.phase is not Phase.DONE:
+            task.checkpoint = allocation.checkpoint
+        if not _is_current(task, allocation.runner, allocation.run):
+            return
+        step.release(task)
+        if step.step.gang:
+            self._stop_members(step)
+
+
+def counted_demand(step: StepRun) -> Demand:
+    """Return what a task of the step takes from a runner's room.
+
+    Tasks that fill get the processors that others leave, so theirs do not count.
+    """
+    demand = step.step.demand
+    if step.step.fills:
+        return Demand(0, demand.memory_mb, demand.gpu)
+    return demand
+
+
+def _is_current(task: TaskRun, runner: str, run: int) -> bool:
+    return task.phase is Phase.PLACED and task.runner == runner and task.run == run
--- /dev/null
+++ b/dandelionreel/cell/_directory.py
@@ -0,0 +1,139 @@
+"""What every host knows from the store: configuration, runners, jobs."""
+
+from dandelionreel.cell._follower import Folder
+from dandelionreel.cell._model import Configuration, Registration
+from dandelionreel.cell._records import OWNER_KEY, JobBook
+from dandelionreel.cell._services import KeyedRecord, RecordBatch, RecordCodec
+from dandelionreel.kernel import Clock, Journal, Part
+
+NEVER = float('-inf')
+
+
+class ConfigurationFolder(Folder):
+    """Keeps the newest configuration; never an older one after a newer one."""
+
+    def __init__(self, codec: RecordCodec, journal: Journal) -> None:
+        """Start without a configuration."""
+        self._codec = codec
+        self._journal = journal
+        self.current: Configuration | None = None
+
+    def restart(self, snapshot: RecordBatch) -> None:
+        """Take the newest record of each key."""
+        self.fold(snapshot)
+
+    def fold(self, batch: RecordBatch) -> None:
+        """Take the records that follow."""
+        newest = None
+        # Of a storm of versions only the last one is worth decoding.
+        for record in batch.records:
+            if record.key == self._codec.configuration_key and record.content:
+                newest = record.content
+        if newest is not None:
+            self._apply(newest)
+
+    def _apply(self, content: bytes) -> None:
+        try:
+            decoded = self._codec.decode_configuration(content)
+        except ValueError as error:
+            self._journal.tell(Part.CONTRACTS, f'kept the old configuration: {error}.')
+            return
+        if self.current is not None and decoded.version <= self.current.version:
+            return
+        self.current = decoded
+        self._journal.tell(
+            Part.CONTRACTS,
+            'a configuration is in force.',
+            version=decoded.version,
+            queues=len(decoded.queue_by_name),
+        )
+
+
+class RunnersFolder(Folder):
+    """Keeps the registrations of runners, and when one was last seen."""
+
+    def __init__(self, codec: RecordCodec, clock: Clock, journal: Journal) -> None:
+        """Start with no runners."""
+        self._codec = codec
+        self._clock = clock
+        self._journal = journal
+        self.registration_by_id: dict[str, Registration] = {}
+        #: Runners whose entry has gone: their last registration and when.
+        self.gone_by_id: dict[str, tuple[Registration, float]] = {}
+
+    def restart(self, snapshot: RecordBatch) -> None:
+        """Take the newest entries; those that are not among them are gone."""
+        present = {record.key for record in snapshot.records if record.content}
+        for runner in tuple(self.registration_by_id):
+            if runner not in present:
+                self._remove(runner)
+        self.fold(snapshot)
+
+    def fold(self, batch: RecordBatch) -> None:
+        """Take the records that follow."""
+        for record in batch.records:
+            if record.content is None:
+                self._remove(record.key)
+                continue
+            self._take(record)
+
+    def find(self, runner: str) -> Registration | None:
+        """Return the last registration that was seen of a runner."""
+        registration = self.registration_by_id.get(runner)
+        if registration is None and runner in self.gone_by_id:
+            registration, _ = self.gone_by_id[runner]
+        return registration
+
+    def replaced(self, registration: Registration) -> bool:
+        """Return whether another runner has come up at the same address."""
+        return any(
+            other.address == registration.address
+            and other.port == registration.port
+            and other.runner != registration.runner
+            for other in self.registration_by_id.values()
+        )
+
+    def _take(self, record: KeyedRecord) -> None:
+        try:
+            registration = self._codec.decode_registration(record.key, record.content or b'')
+        except ValueError as error:
+            self._journal.tell(Part.WORKERS, f'cannot read the entry of {record.key}: {error}.')
+            return
+        known = self.registration_by_id.get(record.key)
+        if known is None or known.draining != registration.draining:
+            self._journal.tell(
+                Part.WORKERS,
+                f'{record.key} is {"draining" if registration.draining else "ready"}.',
+                runner=record.key,
+                service=registration.service,
+            )
+        self.registration_by_id[record.key] = registration
+        self.gone_by_id.pop(record.key, None)
+
+    def _remove(self, runner: str) -> None:
+        registration = self.registration_by_id.pop(runner, None)
+        if registration is not None:
+            self.gone_by_id[runner] = (registration, self._clock.monotonic())
+            self._journal.tell(Part.WORKERS, f'the entry of {runner} has gone.', runner=runner)
+
+
+class JobFolder(Folder):
+    """Folds the cell's own records and notes when the owner was last heard."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with nothing known."""
+        self._clock = clock
+        self.book = JobBook()
+        self.owner_heard_at = NEVER
+
+    def restart(self, snapshot: RecordBatch) -> None:
+        """Forget, and take the newest record of each key."""
+        self.book.clear()
+        self.book.fold(snapshot.records)
+
+    def fold(self, batch: RecordBatch) -> None:
+        """Take the records that follow."""
+        self.book.fold(batch.records)
+        for record in batch.records:
+            if record.key == OWNER_KEY:
+                self.owner_heard_at = self._clock.monotonic()
--- /dev/null
+++ b/dandelionreel/cell/_election.py
@@ -0,0 +1,159 @@
+"""Who owns the cell: claimed in the store, kept by heartbeats there."""
+
+import os
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import curio
+
+from dandelionreel.cell._directory import JobFolder
+from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._records import OWNER_KEY, Owner, make_record
+from dandelionreel.cell._services import ConflictError, StoreError, Topic, WriterFence
+from dandelionreel.kernel import Clock, Journal, Part, Verdict
+
+#: Seconds between the owner's heartbeats in the store.
+BEAT_SECONDS = 0.4
+#: Seconds without a heartbeat after which the owner is taken for dead. Three
+#: heartbeats and an append whose answer was lost.
+SILENT_SECONDS = 1.6
+#: Seconds of chance added, so that not all hosts claim at once.
+JITTER_SECONDS = 0.3
+#: Seconds within which the claimant must have read up to now.
+FRESH_SECONDS = 1.0
+#: Seconds for which an owner goes on without an answered heartbeat. Long enough
+#: for the usual outages of the store, in which nobody else can claim.
+AUTHORITY_SECONDS = 9.0
+POLL_SECONDS = 0.05
+#: Seconds for the answer to a claim, also from a slow store.
+CLAIM_TIMEOUT = 0.8
+#: Sequence numbers begin anywhere, so that two claims of one epoch are never
+#: taken for the same append.
+INCARNATION_BITS = 48
+SEQUENCE_RANGE = 1_000_000_000
+
+
+@dataclass(frozen=True)
+class Term:
+    """A claim that was won: the epoch, and the place of the next append."""
+
+    epoch: int
+    term: str
+    fence: WriterFence
+    #: When the former owner was last heard of; ``None`` without one.
+    silent_since: float | None
+    released: bool
+    #: Whether the former owner's process is known to have ended.
+    former_ended: bool
+
+
+class Election:
+    """Watches the owner's heartbeats and claims the cell when they stop."""
+
+    def __init__(
+        self,
+        topic: Topic,
+        follower: Follower,
+        folder: JobFolder,
+        host: str,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Claim for ``host``."""
+        self._topic = topic
+        self._follower = follower
+        self._folder = folder
+        self._host = host
+        self._clock = clock
+        self._journal = journal
+        self._suspected = ''
+        self._random = random.Random(f'{host}{clock.monotonic()}{os.getpid()}')
+        #: The name of this process's life: a restarted host is another claimant.
+        self.incarnation = f'{host}/{self._random.getrandbits(INCARNATION_BITS):012x}'
+
+    async def wait_for_term(self, eligible: Callable[[], bool]) -> Term:
+        """Return once this host owns the cell."""
+        while True:
+            await curio.sleep(POLL_SECONDS)
+            if not eligible() or not self._vacant():
+                continue
+            term = await self._claim()
+            if term is not None:
+                return term
+            await curio.sleep(self._random.random() * JITTER_SECONDS)
+
+    def still_owner(self, term: Term) -> bool:
+        """Return whether the newest owner that is known is this term's."""
+        owner = self._folder.book.owner
+        return owner is not None and owner.term == term.term
+
+    def suspect(self, term: str) -> None:
+        """Take the owner with that term for dead before its heartbeats are missed."""
+        self._suspected = term
+
+    def _former_life(self, owner: Owner) -> bool:
+        """Return whether this host's former process, or a later one's, held the cell."""
+        if owner.host == self._host:
+            return owner.term != self.incarnation
+        return self._folder.book.owner_has_ended()
+
+    def _vacant(self) -> bool:
+        now = self._clock.monotonic()
+        if not self._follower.started or self._follower.age(now) > FRESH_SECONDS:
+            return False
+        owner = self._folder.book.owner
+        if owner is None or owner.released:
+            return True
+        if self._former_life(owner) or self._suspected == owner.term:
+            return True
+        heard = max(self._folder.owner_heard_at, self._follower.reached_since)
+        patience = SILENT_SECONDS + self._random.random() * JITTER_SECONDS
+        return now - heard > patience
+
+    async def _claim(self) -> Term | None:
+        former = self._folder.book.owner
+        epoch = former.epoch + 1 if former else 1
+        sequence = self._random.randrange(SEQUENCE_RANGE)
+        claim = make_record(OWNER_KEY, Owner(epoch, self._host, self.incarnation))
+        try:
+            await self._topic.append(
+                [claim],
+                CLAIM_TIMEOUT,
+                WriterFence(epoch, sequence),
+                self._follower.offset,
+            )
+        except ConflictError:
+            return None
+        except StoreError as error:
+            self._journal.tell(Part.OWNERSHIP, f'a claim failed: {error}.', epoch=epoch)
+            if error.verdict is Verdict.NOT_RUN:
+                return None
+            # The claim may have landed although its answer was lost.
+        heard = self._folder.owner_heard_at
+        former_ended = self._folder.book.owner_has_ended() or (
+            former is not None and former.host == self._host
+        )
+        if not await self._read_back(epoch):
+            return None
+        self._journal.tell(
+            Part.OWNERSHIP,
+            'owns the cell.',
+            epoch=epoch,
+            former=former.host if former else '',
+            silent_seconds=round(self._clock.monotonic() - heard, 3),
+        )
+        return Term(
+            epoch,
+            self.incarnation,
+            WriterFence(epoch, sequence + 1),
+            heard if former else None,
+            bool(former and former.released),
+            former_ended,
+        )
+
+    async def _read_back(self, epoch: int) -> bool:
+        """Wait until the claim has been folded, and everything before it."""
+        await self._follower.wait_fresh(self._clock.monotonic(), FRESH_SECONDS)
+        owner = self._folder.book.owner
+        return owner is not None and owner.epoch == epoch and owner.term == self.incarnation
--- /dev/null
+++ b/dandelionreel/cell/_follower.py
@@ -0,0 +1,128 @@
+"""Follows a topic: a snapshot first, then every record in order."""
+
+import abc
+from collections.abc import Callable
+
+import curio
+
+from dandelionreel.cell._services import RecordBatch, RecordsExpired, StoreError, Topic
+from dandelionreel.kernel import Clock, Journal, Part, Signal
+
+#: Seconds between tries while the store is out of reach.
+RETRY_SECONDS = 0.15
+NEVER = float('-inf')
+
+
+class Folder(abc.ABC):
+    """Takes the records of a topic."""
+
+    @abc.abstractmethod
+    def restart(self, snapshot: RecordBatch) -> None:
+        """Forget what was known and take a snapshot."""
+
+    @abc.abstractmethod
+    def fold(self, batch: RecordBatch) -> None:
+        """Take the records that follow."""
+
+
+class Follower:
+    """Keeps a folder up to date with its topic, and knows how fresh it is."""
+
+    def __init__(
+        self,
+        name: str,
+        topic: Topic,
+        folder: Folder,
+        clock: Clock,
+        journal: Journal,
+        wait: float,
+        pause: Callable[[], float],
+    ) -> None:
+        """Wait up to ``wait`` seconds for news, and ``pause()`` between reads.
+
+        The pause gathers the records of a busy topic into fewer reads, each of
+        which is a call to the store that somebody pays for.
+        """
+        self._name = name
+        self._topic = topic
+        self._folder = folder
+        self._clock = clock
+        self._journal = journal
+        self._wait = wait
+        self._pause = pause
+        self._hurried = curio.Event()
+        self._offset: int | None = None
+        #: Everything that was in the topic at this time has been folded.
+        self.fresh_at = NEVER
+        #: Since when reads have been answered without a failure.
+        self.reached_since = NEVER
+        self.lost_at = NEVER
+        self.changed = Signal()
+
+    @property
+    def started(self) -> bool:
+        """Return whether a snapshot has been folded."""
+        return self._offset is not None
+
+    @property
+    def offset(self) -> int:
+        """Return the offset behind the last record folded."""
+        return self._offset or 0
+
+    def age(self, now: float) -> float:
+        """Return the greatest age of what has been folded, in seconds."""
+        return now - self.fresh_at
+
+    async def wait_fresh(self, since: float, patience: float) -> bool:
+        """Wait until all that was in the topic at ``since`` has been folded."""
+        until = self._clock.monotonic() + patience
+        if self.fresh_at < since:
+            await self._hurried.set()
+        while self.fresh_at < since:
+            seen = self.changed.count
+            left = until - self._clock.monotonic()
+            if left <= 0:
+                return False
+            await self.changed.wait(seen, left)
+        return True
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            sent_at = self._clock.monotonic()
+            try:
+                reached = await self._step()
+            except RecordsExpired as error:
+                self._journal.tell(Part.LOG, f'starts again from a snapshot: {error}.')
+                self._offset = None
+                continue
+            except StoreError as error:
+                self._note_loss(error)
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            if self.reached_since == NEVER:
+                self.reached_since = self._clock.monotonic()
+                self._journal.tell(Part.LOG, f'reaches the store: {self._name}.')
+            if reached:
+                self.fresh_at = sent_at
+            await self.changed.notify()
+            await curio.ignore_after(self._pause(), self._hurried.wait)
+            self._hurried.clear()
+
+    async def _step(self) -> bool:
+        """Read once; return whether the end of the topic was reached."""
+        if self._offset is None:
+            snapshot = await self._topic.snapshot()
+            self._folder.restart(snapshot)
+            self._offset = snapshot.next_offset
+            return False
+        batch = await self._topic.read(self._offset, self._wait)
+        self._folder.fold(batch)
+        self._offset = batch.next_offset
+        return batch.reached_end
+
+    def _note_loss(self, error: StoreError) -> None:
+        self.lost_at = self._clock.monotonic()
+        if self.reached_since != NEVER:
+            self._journal.tell(Part.LOG, f'has lost the store: {self._name}: {error}.')
+        self.reached_since = NEVER
--- /dev/null
+++ b/dandelionreel/cell/_ledger.py
@@ -0,0 +1,123 @@
+"""What every runner holds, by run: the only guard against giving it too much.
+
+An allocation lives from the moment that its start is decided until the runner
+has listed its end, its lease has lapsed, or the start was refused: what is
+being stopped, and what may still arrive, counts all the while.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from dandelionreel.cell._model import Demand, Registration, TaskName
+
+NEVER = float('-inf')
+
+
+class Holding(enum.Enum):
+    """Where an allocation stands."""
+
+    STARTING = 'starting'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+
+
+@dataclass
+class Allocation:
+    """One run of a task on one runner; times are monotonic seconds."""
+
+    task: TaskName
+    run: int
+    runner: str
+    demand: Demand
+    placed_at: float
+    ticket: str = ''
+    phase: Holding = Holding.STARTING
+    #: Since when a look that does not list the run proves that it is not there.
+    settled_at: float | None = None
+    #: When it was first known to run.
+    started_at: float | None = None
+    stop_sent: bool = False
+    percent: int = 0
+    gauge: float = 0.0
+    #: How long the task is thought to run, in seconds.
+    expected: float = 0.0
+    checkpoint: str = ''
+
+
+class RunnerState:
+    """One runner: its registration, its clock, its room and its allocations."""
+
+    def __init__(self, registration: Registration) -> None:
+        """Start empty and not yet looked at."""
+        self.id = registration.runner
+        self.registration = registration
+        self.listed = True
+        #: Set once the store says that tasks may run there.
+        self.recorded = False
+        self.used = Demand()
+        self.allocation_by_run: dict[tuple[TaskName, int], Allocation] = {}
+        self.answered_at = NEVER
+        #: Set while looks go unanswered: nothing new is placed there.
+        self.suspect = False
+        #: No start is sent there before then (it refused one).
+        self.quiet_until = NEVER
+        #: The highest end number whose effect stands in the store, and the
+        #: highest one that has been taken into account.
+        self.acknowledged = 0
+        self.noted = 0
+        self._clock = 0.0
+        self._clock_at = NEVER
+        self._lease_until = 0.0
+
+    @property
+    def room(self) -> Demand:
+        """Return what is free."""
+        return self.registration.capacity - self.used
+
+    @property
+    def draining(self) -> bool:
+        """Return whether the runner has said that it will leave."""
+        return self.registration.draining
+
+    def usable(self, now: float) -> bool:
+        """Return whether something may be started there now."""
+        if not self.listed or not self.recorded or self.draining or self.suspect:
+            return False
+        return self.knows_clock() and now >= self.quiet_until
+
+    def hold(self, allocation: Allocation) -> None:
+        """Count an allocation."""
+        self.allocation_by_run[allocation.task, allocation.run] = allocation
+        self.used = self.used + allocation.demand
+
+    def free(self, allocation: Allocation) -> None:
+        """Stop counting an allocation; more than once does no harm."""
+        if self.allocation_by_run.pop((allocation.task, allocation.run), None) is not None:
+            self.used = self.used - allocation.demand
+
+    def note_clock(self, clock: float, now: float) -> None:
+        """Keep the runner's clock as an answer told it; ``now`` is when it came."""
+        self._clock = clock
+        self._clock_at = now
+
+    def knows_clock(self) -> bool:
+        """Return whether leases can be expressed on the runner's clock."""
+        return self._clock_at != NEVER
+
+    def clock_at(self, now: float) -> float:
+        """Return about what the runner's clock shows."""
+        return self._clock + (now - self._clock_at)
+
+    def grant(self, lease_until: float) -> None:
+        """Remember the longest lease that the runner may have been given."""
+        self._lease_until = max(self._lease_until, lease_until)
+
+    def lapsed(self, now: float, drift: float) -> bool:
+        """Return whether every lease granted there has run out for sure.
+
+        The runner's clock has advanced by at least ``1 - drift`` of the time
+        since it was last told, so what it shows is never overestimated.
+        """
+        if not self.knows_clock():
+            return False
+        return self._clock + (now - self._clock_at) * (1 - drift) > self._lease_until
--- /dev/null
+++ b/dandelionreel/cell/_records.py
@@ -0,0 +1,242 @@
+"""The cell's own records, one key a fact, and the book that every host folds them into.
+
+A job stands under three keys, each with one kind of writer: its submission
+(the host that accepted it), its cancellation (any host) and its progress (the
+owner of the cell, fenced by its epoch). So no writer can overwrite what another
+one has written, in whatever order appends land.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from dandelionreel.cell._model import JobSpec, JobState
+from dandelionreel.cell._services import KeyedRecord
+
+OWNER_KEY = 'owner'
+SUBMISSION = 'j/'
+CANCELLATION = 'c/'
+PROGRESS = 'e/'
+MEMBER = 'm/'
+ATTENDED_KEY = 'runners'
+
+
+class Submission(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An accepted job; ``accepted_at`` is wall-clock seconds at that host."""
+
+    queue: str
+    service: str
+    accepted_at: float
+    spec: JobSpec
+
+
+class Cancellation(msgspec.Struct, frozen=True):
+    """A client has cancelled the job."""
+
+    at: float
+
+
+class FailedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that ended ``failed``; kept by run so that one end counts once.
+
+    The runs of a gang share their number and count once, as task 0.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+
+
+class DoneTasks(msgspec.Struct, frozen=True, array_like=True):
+    """Tasks of one step that are done: bit N of ``mask``, in hex, is task N."""
+
+    occurrence: int
+    step: int
+    mask: str
+
+
+class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
+    """How far a job is, as noted by the owner with that epoch."""
+
+    epoch: int
+    state: JobState
+    done: tuple[DoneTasks, ...] = ()
+    failed: tuple[FailedRun, ...] = ()
+    ended_at: float = 0
+
+
+class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Who owns the cell: written at the claim and with every heartbeat.
+
+    ``released`` says that the owner has stopped for good.
+    """
+
+    epoch: int
+    host: str
+    term: str
+    beat: int = 0
+    released: bool = False
+
+
+class Attended(msgspec.Struct, frozen=True):
+    """The runners on which an owner's tasks may run.
+
+    It is stored before the first start on a runner, so a successor waits for
+    the leases of no other runner.
+    """
+
+    epoch: int
+    runners: tuple[str, ...]
+
+
+class Member(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Where a host's daemon listens for its peers; ``incarnation`` names its life."""
+
+    zone: str
+    address: str
+    port: int
+    incarnation: str = ''
+
+
+#: A job that is over shows one of these.
+FINAL_STATES = frozenset((JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED))
+
+_SUBMISSION = msgspec.json.Decoder(Submission)
+_CANCELLATION = msgspec.json.Decoder(Cancellation)
+_PROGRESS = msgspec.json.Decoder(Progress)
+_OWNER = msgspec.json.Decoder(Owner)
+_ATTENDED = msgspec.json.Decoder(Attended)
+_MEMBER = msgspec.json.Decoder(Member)
+
+
+def make_record(key: str, fact: object) -> KeyedRecord:
+    """Return the record that keeps ``fact`` under ``key``."""
+    return KeyedRecord(key, msgspec.json.encode(fact))
+
+
+def make_tombstone(key: str) -> KeyedRecord:
+    """Return the record that drops ``key``."""
+    return KeyedRecord(key, None)
+
+
+@dataclass(frozen=True)
+class BookedJob:
+    """All that stands in the store about one job."""
+
+    id: str
+    submission: Submission
+    cancelled: bool
+    progress: Progress | None
+
+    @property
+    def state(self) -> JobState:
+        """Return what clients are told."""
+        progress = self.progress
+        if progress is not None and progress.state in FINAL_STATES:
+            return progress.state
+        if self.cancelled:
+            return JobState.CANCELLED
+        return JobState.QUEUED if progress is None else progress.state
+
+
+class JobBook:
+    """Jobs, members and the owner, folded from records in log order.
+
+    ``changed`` collects the jobs that were touched since it was last taken.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self.clear()
+
+    def clear(self) -> None:
+        """Forget everything, before a snapshot is folded."""
+        self.submission_by_id: dict[str, Submission] = {}
+        self.cancellation_by_id: dict[str, Cancellation] = {}
+        self.progress_by_id: dict[str, Progress] = {}
+        self.member_by_host: dict[str, Member] = {}
+        self.owner: Owner | None = None
+        self.attended: Attended | None = None
+        self.changed: set[str] = set()
+
+    def take_changed(self) -> set[str]:
+        """Return the jobs that were touched since the last call."""
+        taken = self.changed
+        self.changed = set()
+        return taken
+
+    def find(self, job: str) -> BookedJob | None:
+        """Return what is known of a job, ``None`` when it is not known."""
+        submission = self.submission_by_id.get(job)
+        if submission is None:
+            return None
+        return BookedJob(
+            job,
+            submission,
+            job in self.cancellation_by_id,
+            self.progress_by_id.get(job),
+        )
+
+    def owner_has_ended(self) -> bool:
+        """Return whether another life has begun on the owner's host."""
+        if self.owner is None:
+            return False
+        member = self.member_by_host.get(self.owner.host)
+        return member is not None and member.incarnation not in {'', self.owner.term}
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue are accepted and have not begun."""
+        count = 0
+        for job, submission in self.submission_by_id.items():
+            if submission.queue != queue or job in self.cancellation_by_id:
+                continue
+            if job not in self.progress_by_id:
+                count += 1
+        return count
+
+    def fold(self, records: Iterable[KeyedRecord]) -> None:
+        """Take records in log order."""
+        for record in records:
+            self._fold_one(record)
+
+    def _fold_one(self, record: KeyedRecord) -> None:
+        if record.key == OWNER_KEY:
+            self._fold_owner(record.content)
+            return
+        if record.key == ATTENDED_KEY:
+            if record.content is not None:
+                self.attended = _ATTENDED.decode(record.content)
+            return
+        prefix, name = record.key[:2], record.key[2:]
+        if prefix == SUBMISSION:
+            _keep(self.submission_by_id, name, record.content, _SUBMISSION)
+            self.changed.add(name)
+        elif prefix == CANCELLATION:
+            _keep(self.cancellation_by_id, name, record.content, _CANCELLATION)
+            self.changed.add(name)
+        elif prefix == PROGRESS:
+            _keep(self.progress_by_id, name, record.content, _PROGRESS)
+            self.changed.add(name)
+        elif prefix == MEMBER:
+            _keep(self.member_by_host, name, record.content, _MEMBER)
+
+    def _fold_owner(self, content: bytes | None) -> None:
+        if content is None:
+            return
+        owner = _OWNER.decode(content)
+        if self.owner is None or owner.epoch >= self.owner.epoch:
+            self.owner = owner
+
+
+def _keep(
+    known: dict,
+    name: str,
+    content: bytes | None,
+    decoder: msgspec.json.Decoder,
+) -> None:
+    if content is None:
+        known.pop(name, None)
+        return
+    known[name] = decoder.decode(content)
--- /dev/null
+++ b/dandelionreel/cell/_relay.py
@@ -0,0 +1,89 @@
+"""Clients' requests passed on to a peer, for a host that the store does not serve.
+
+The store may turn single hosts away while it serves the others. Clients that
+hold a connection to such a host would otherwise be refused for as long as that
+lasts.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from dandelionreel.cell._advisors import PeerLinks
+from dandelionreel.cell._records import JobBook, Member
+from dandelionreel.http import Answer, Request
+from dandelionreel.kernel import Clock, Journal, Part, Verdict
+from dandelionreel.peers import Forward, ForwardAnswer, PeerError
+
+#: Seconds for one peer's answer: its append takes some milliseconds, and up to
+#: half a second while the store is slow.
+PEER_PATIENCE = 0.8
+#: Peers that are tried for one request: the owner, then others by chance.
+PEERS_TRIED = 3
+#: Seconds for which a peer that did not answer, or that the store does not
+#: serve either, is not asked.
+PEER_QUIET = 1.0
+
+
+@dataclass(frozen=True)
+class Relayed:
+    """A peer's answer; without one, whether a peer may have acted."""
+
+    answer: Answer | None
+    maybe: bool = False
+
+
+class Relay:
+    """Finds a peer that the store serves."""
+
+    def __init__(
+        self,
+        me: str,
+        book: JobBook,
+        links: PeerLinks,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Pass requests on as the host ``me``."""
+        self._me = me
+        self._book = book
+        self._links = links
+        self._clock = clock
+        self._journal = journal
+        self._quiet_until_by_host: dict[str, float] = {}
+
+    async def forward(self, request: Request, patience: float) -> Relayed:
+        """Return the first answer of a peer that could act on the request."""
+        until = self._clock.monotonic() + patience
+        maybe = False
+        for host, member in self._peers():
+            left = min(PEER_PATIENCE, until - self._clock.monotonic())
+            if left <= 0:
+                break
+            try:
+                frame = await self._links.ask(member, Forward(request, left, 1), left)
+            except PeerError as error:
+                maybe = maybe or error.verdict is not Verdict.NOT_RUN
+                self._avoid(host, f'{error}')
+                continue
+            given = frame.message
+            if isinstance(given, ForwardAnswer) and not given.no_room:
+                return Relayed(given.answer)
+            self._avoid(host, 'the store does not serve it either')
+        return Relayed(None, maybe)
+
+    def _peers(self) -> Iterator[tuple[str, Member]]:
+        now = self._clock.monotonic()
+        hosts = [host for host in self._book.member_by_host if host != self._me]
+        random.shuffle(hosts)
+        owner = self._book.owner
+        if owner is not None and owner.host in hosts:
+            hosts.remove(owner.host)
+            hosts.insert(0, owner.host)
+        usable = [host for host in hosts if self._quiet_until_by_host.get(host, 0) <= now]
+        for host in usable[:PEERS_TRIED]:
+            yield host, self._book.member_by_host[host]
+
+    def _avoid(self, host: str, cause: str) -> None:
+        self._quiet_until_by_host[host] = self._clock.monotonic() + PEER_QUIET
+        self._journal.tell_frequent(Part.PEERS, f'{host} takes no request: {cause}.', peer=host)
--- /dev/null
+++ b/dandelionreel/cell/_runs.py
@@ -0,0 +1,289 @@
+"""One job under way: which of its tasks are done, running or waiting. No I/O."""
+
+import enum
+from dataclasses import dataclass, field
+
+from dandelionreel.cell._model import JobSpec, JobState, Queue, Step, StepName, TaskName
+from dandelionreel.cell._records import DoneTasks, FailedRun, Progress, Submission
+
+HEX = 16
+#: Runners that a question to the policy service names, as objectives count it.
+TYPICAL_QUESTION = 30
+
+
+class Phase(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = 'waiting'
+    PLACED = 'placed'
+    DONE = 'done'
+
+
+@dataclass
+class TaskRun:
+    """One task. While placed, ``run`` on ``runner`` is its only run that counts."""
+
+    name: TaskName
+    phase: Phase = Phase.WAITING
+    run: int = 0
+    runner: str = ''
+    checkpoint: str = ''
+    failures: int = 0
+    #: Runners on which it failed: the next run goes elsewhere if it can.
+    avoid: set[str] = field(default_factory=set)
+
+
+class StepRun:
+    """One step of one occurrence."""
+
+    def __init__(self, name: StepName, step: Step) -> None:
+        """Start with all tasks waiting."""
+        self.name = name
+        self.step = step
+        self.tasks = [
+            TaskRun(TaskName(name.job, name.occurrence, name.step, index))
+            for index in range(step.count)
+        ]
+        self.waiting = step.count
+        self.done = 0
+        #: A start of this step is not tried again before then.
+        self.not_before = 0.0
+        #: Tasks by runner, for the limit of tasks of a step on one runner.
+        self.count_by_runner: dict[str, int] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every task is done."""
+        return self.done == len(self.tasks)
+
+    def place(self, task: TaskRun, runner: str, run: int) -> None:
+        """Note that ``run`` of a waiting task is on its way to ``runner``."""
+        task.phase = Phase.PLACED
+        task.runner = runner
+        task.run = run
+        self.waiting -= 1
+        self.count_by_runner[runner] = self.count_by_runner.get(runner, 0) + 1
+
+    def release(self, task: TaskRun) -> None:
+        """Let a placed task wait again."""
+        self._leave_runner(task)
+        task.phase = Phase.WAITING
+        task.runner = ''
+        self.waiting += 1
+
+    def finish(self, task: TaskRun) -> None:
+        """Note that a task is done, wherever it stood."""
+        if task.phase is Phase.DONE:
+            return
+        if task.phase is Phase.PLACED:
+            self._leave_runner(task)
+        else:
+            self.waiting -= 1
+        task.phase = Phase.DONE
+        task.runner = ''
+        self.done += 1
+
+    def _leave_runner(self, task: TaskRun) -> None:
+        left = self.count_by_runner.get(task.runner, 0) - 1
+        if left > 0:
+            self.count_by_runner[task.runner] = left
+        else:
+            self.count_by_runner.pop(task.runner, None)
+
+
+class JobRun:
+    """One job: its steps by occurrence, failures, and what clients are told.
+
+    ``accepted`` is on this process's monotonic clock, in seconds.
+    """
+
+    def __init__(self, job: str, submission: Submission, accepted: float) -> None:
+        """Start with nothing done."""
+        self.id = job
+        self.submission = submission
+        self.accepted = accepted
+        self.cancelled = False
+        self.began = False
+        self.state = JobState.QUEUED
+        self.ended_at = 0.0
+        self._steps_by_occurrence: dict[int, list[StepRun]] = {}
+        self._done_occurrences = 0
+        self._failed_runs: set[FailedRun] = set()
+        #: Whether the newest progress is not on its way to the store.
+        self.dirty = False
+        #: Where tasks of earlier owners may still run, nothing is started.
+        self.blocked = False
+
+    @property
+    def spec(self) -> JobSpec:
+        """Return what the client handed in."""
+        return self.submission.spec
+
+    @property
+    def over(self) -> bool:
+        """Return whether nothing is to be started any more."""
+        return self.cancelled or self.state in {JobState.COMPLETED, JobState.FAILED}
+
+    def steps(self, occurrence: int) -> list[StepRun]:
+        """Return the steps of one occurrence, made when first asked for."""
+        known = self._steps_by_occurrence.get(occurrence)
+        if known is None:
+            known = [
+                StepRun(StepName(self.id, occurrence, number), step)
+                for number, step in enumerate(self.spec.steps)
+            ]
+            self._steps_by_occurrence[occurrence] = known
+        return known
+
+    def find_step(self, name: TaskName | StepName) -> StepRun | None:
+        """Return the step of a task, ``None`` where the job has no such step."""
+        if not 0 <= name.occurrence < self.spec.occurrences:
+            return None
+        if not 0 <= name.step < len(self.spec.steps):
+            return None
+        return self.steps(name.occurrence)[name.step]
+
+    def find(self, name: TaskName) -> tuple[StepRun, TaskRun] | None:
+        """Return a task with its step, ``None`` where the job has no such task."""
+        step = self.find_step(name)
+        if step is None or not 0 <= name.index < len(step.tasks):
+            return None
+        return step, step.tasks[name.index]
+
+    def due_occurrences(self, wall: float) -> int:
+        """Return how many occurrences have come due at ``wall`` seconds."""
+        if not self.spec.repeat_count:
+            return 1
+        since = wall - self.spec.first_run
+        if since < 0:
+            return 0
+        if not self.spec.interval:
+            return self.spec.occurrences
+        return min(self.spec.occurrences, int(since / self.spec.interval) + 1)
+
+    def occurrence_due(self, occurrence: int) -> float:
+        """Return when an occurrence is due, in wall-clock seconds."""
+        return self.spec.first_run + occurrence * self.spec.interval
+
+    def ready_steps(self, wall: float) -> list[StepRun]:
+        """Return the steps with waiting tasks whose turn has come."""
+        ready = []
+        for occurrence in range(self._done_occurrences, self.due_occurrences(wall)):
+            steps = self.steps(occurrence)
+            for step in steps:
+                if not step.waiting:
+                    continue
+                if all(steps[earlier].complete for earlier in step.step.depends_on):
+                    ready.append(step)
+        return ready
+
+    def note_done(self, name: TaskName) -> None:
+        """Note a task's end as done; a gang's members are done together."""
+        step = self.find_step(name)
+        if step is None or not 0 <= name.index < len(step.tasks):
+            return
+        for task in step.tasks if step.step.gang else (step.tasks[name.index],):
+            step.finish(task)
+        self.dirty = True
+        self._check_complete()
+
+    def note_failed(self, name: TaskName, run: int, most: int) -> None:
+        """Count a failed run once; after ``most`` of them the job has failed."""
+        step = self.find_step(name)
+        if step is None or step.complete:
+            return
+        index = 0 if step.step.gang else name.index
+        failed = FailedRun(name.occurrence, name.step, index, run)
+        if failed in self._failed_runs:
+            return
+        self._failed_runs.add(failed)
+        self.dirty = True
+        task = step.tasks[index]
+        task.failures += 1
+        if task.failures >= most and not step.step.long_running and not self.over:
+            self.state = JobState.FAILED
+
+    def note_began(self) -> None:
+        """Note that a first task runs."""
+        if self.began:
+            return
+        self.began = True
+        self.dirty = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+
+    def restore(self, progress: Progress) -> None:
+        """Take what an earlier owner has noted."""
+        self.began = True
+        self.state = progress.state
+        self.ended_at = progress.ended_at
+        for entry in progress.done:
+            mask = int(entry.mask, HEX)
+            step = self.steps(entry.occurrence)[entry.step]
+            for index, task in enumerate(step.tasks):
+                if mask >> index & 1:
+                    step.finish(task)
+        for failed in progress.failed:
+            self._failed_runs.add(failed)
+            step = self.steps(failed.occurrence)[failed.step]
+            step.tasks[failed.index].failures += 1
+        self._skip_done_occurrences()
+
+    def progress(self, epoch: int, wall: float) -> Progress:
+        """Return what is to be kept in the store."""
+        if self.over and not self.ended_at:
+            self.ended_at = wall
+        done = []
+        # A job that is over needs no more than its state.
+        for occurrence, steps in self._steps_by_occurrence.items():
+            if self.over:
+                break
+            for step in steps:
+                if not step.done:
+                    continue
+                mask = sum(
+                    1 << index for index, task in enumerate(step.tasks) if task.phase is Phase.DONE
+                )
+                done.append(DoneTasks(occurrence, step.name.step, f'{mask:x}'))
+        failed = () if self.over else tuple(sorted(self._failed_runs, key=_failed_order))
+        state = JobState.CANCELLED if self._shows_cancelled() else self.state
+        return Progress(epoch, state, tuple(done), failed, self.ended_at)
+
+    def _shows_cancelled(self) -> bool:
+        return self.cancelled and self.state not in {JobState.COMPLETED, JobState.FAILED}
+
+    def _check_complete(self) -> None:
+        self._skip_done_occurrences()
+        if self._done_occurrences == self.spec.occurrences and not self.over:
+            self.state = JobState.COMPLETED
+
+    def _skip_done_occurrences(self) -> None:
+        while self._done_occurrences < self.spec.occurrences:
+            steps = self._steps_by_occurrence.get(self._done_occurrences)
+            if steps is None or not all(step.complete for step in steps):
+                return
+            self._done_occurrences += 1
+
+
+def _failed_order(failed: FailedRun) -> tuple[int, int, int, int]:
+    return (failed.occurrence, failed.step, failed.index, failed.run)
+
+
+def chain_seconds(spec: JobSpec, seconds_by_step: list[float]) -> float:
+    """Return the longest chain of steps, given how long each one takes."""
+    ends: list[float] = []
+    for step, seconds in zip(spec.steps, seconds_by_step, strict=True):
+        start = max((ends[earlier] for earlier in step.depends_on), default=0.0)
+        ends.append(start + seconds)
+    return max(ends, default=0.0)
+
+
+def objective(queue: Queue | None, spec: JobSpec) -> float:
+    """Return the seconds within which a job counts as served in time."""
+    if queue is None:
+        return chain_seconds(spec, [step.estimate for step in spec.steps])
+    waits = (
+        queue.advice.decision + TYPICAL_QUESTION * queue.advice.per_runner if queue.advice else 0.0
+    )
+    chain = chain_seconds(spec, [step.estimate + waits for step in spec.steps])
+    return queue.slack * chain + queue.latency
--- /dev/null
+++ b/dandelionreel/cell/_tickets.py
@@ -0,0 +1,82 @@
+"""Which runners may run which step, as the policy service has said. No I/O.
+
+The answer for a step never changes, its tickets expire. So the first question
+names all runners that serve, and a later one only those known to be allowed.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from dandelionreel.cell._model import StepName
+from dandelionreel.cell._services import Permit
+
+#: Seconds taken off a ticket's life: the start must arrive before it ends.
+TICKET_MARGIN = 0.15
+
+
+@dataclass
+class StepTickets:
+    """What is known for one step."""
+
+    asked: set[str] = field(default_factory=set)
+    allowed: set[str] = field(default_factory=set)
+    ticket_by_runner: dict[str, str] = field(default_factory=dict)
+    until_by_runner: dict[str, float] = field(default_factory=dict)
+    asking: bool = False
+    not_before: float = 0.0
+
+    def valid(self, now: float) -> dict[str, str]:
+        """Return tickets by runner that a start may carry now."""
+        return {
+            runner: ticket
+            for runner, ticket in self.ticket_by_runner.items()
+            if self.until_by_runner[runner] > now
+        }
+
+
+class TicketBook:
+    """Tickets by step."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._tickets_by_step: dict[StepName, StepTickets] = {}
+
+    def of(self, step: StepName) -> StepTickets:
+        """Return what is known for a step."""
+        known = self._tickets_by_step.get(step)
+        if known is None:
+            known = StepTickets()
+            self._tickets_by_step[step] = known
+        return known
+
+    def note(
+        self,
+        step: StepName,
+        asked: Iterable[str],
+        permits: Iterable[Permit],
+        until: float,
+    ) -> None:
+        """Keep an answer; its tickets are good until then (monotonic seconds)."""
+        known = self.of(step)
+        known.asking = False
+        known.asked.update(asked)
+        for permit in permits:
+            known.allowed.add(permit.runner)
+            known.ticket_by_runner[permit.runner] = permit.ticket
+            known.until_by_runner[permit.runner] = until - TICKET_MARGIN
+
+    def note_failure(self, step: StepName, not_before: float) -> None:
+        """Ask again for the step, but not before then."""
+        known = self.of(step)
+        known.asking = False
+        known.not_before = not_before
+
+    def revoke(self, step: StepName, runner: str) -> None:
+        """Forget a ticket that the runner did not take."""
+        self.of(step).until_by_runner[runner] = 0.0
+
+    def drop_job(self, job: str) -> None:
+        """Forget all steps of a job."""
+        steps = [known for known in self._tickets_by_step if known.job == job]
+        for step in steps:
+            self._tickets_by_step.pop(step)
--- /dev/null
+++ b/dandelionreel/cell/_writer.py
@@ -0,0 +1,197 @@
+"""Group commit: everything that waits goes into one append."""
+
+import enum
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import curio
+
+from dandelionreel.cell._services import (
+    FencedError,
+    KeyedRecord,
+    StoreError,
+    Topic,
+    WriterFence,
+)
+from dandelionreel.kernel import Clock, Journal, Part, Verdict
+
+#: Records of one append: keeps a backlog's append within a few milliseconds.
+RECORDS_PER_APPEND = 200
+#: Bytes of one append, well below what the store takes at once.
+BYTES_PER_APPEND = 1_000_000
+#: Bounds in seconds of how long an append's answer is waited for. The store
+#: answers in 4 ms; slowed 60 times it takes 0.25 s. The wait follows what was
+#: measured, so that a lost answer costs little while the store is quick.
+SHORTEST_TIMEOUT = 0.15
+LONGEST_TIMEOUT = 0.9
+#: The wait is this many times the typical answer, and doubles after each miss.
+TIMEOUT_FACTOR = 8.0
+#: Weight of the newest answer in the typical one.
+NEWEST_WEIGHT = 0.2
+#: Seconds between tries while the store refuses or stays silent.
+RETRY_SECONDS = 0.1
+
+
+class Written(enum.Enum):
+    """What became of records that were to be written."""
+
+    STORED = 'stored'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    FENCED = 'fenced'
+
+
+@dataclass
+class _Entry:
+    records: Sequence[KeyedRecord]
+    until: float
+    maybe: bool = False
+    outcome: Written | None = None
+    event: curio.Event = field(default_factory=curio.Event)
+
+
+class AnswerTimes:
+    """How long answers take, and so how long one is worth waiting for. No I/O."""
+
+    def __init__(self) -> None:
+        """Start with a quick server."""
+        self._typical = SHORTEST_TIMEOUT / TIMEOUT_FACTOR
+        self._stretch = 1.0
+
+    @property
+    def timeout(self) -> float:
+        """Return how long to wait for the next answer, in seconds."""
+        wanted = self._typical * TIMEOUT_FACTOR * self._stretch
+        return min(LONGEST_TIMEOUT, max(SHORTEST_TIMEOUT, wanted))
+
+    def note_answer(self, seconds: float) -> None:
+        """Learn from an answer."""
+        self._typical += NEWEST_WEIGHT * (seconds - self._typical)
+        self._stretch = 1.0
+
+    def note_miss(self) -> None:
+        """Wait longer next time: the server may be slow, not silent."""
+        self._stretch *= 2
+
+
+class GroupWriter:
+    """Appends to one topic, one append at a time.
+
+    Plain writers append records that may be repeated without harm, so an
+    append without an answer is simply sent again. A fenced writer repeats the
+    very same append under the same sequence number: the store answers it as
+    the first time, and refuses it for good once a higher epoch has written.
+    """
+
+    def __init__(
+        self,
+        topic: Topic,
+        clock: Clock,
+        journal: Journal,
+        fence: WriterFence | None = None,
+    ) -> None:
+        """Write to ``topic``; ``fence`` names the next append of a fenced writer."""
+        self._topic = topic
+        self._clock = clock
+        self._journal = journal
+        self._fence = fence
+        self._waiting: deque[_Entry] = deque()
+        self._event = curio.Event()
+        self._times = AnswerTimes()
+        self.fenced = False
+        #: Since when no append has succeeded, infinite while they do.
+        self.failing_since = float('inf')
+        self.failed_at = float('-inf')
+        #: When the latest append that was answered had been sent.
+        self.stored_at = float('-inf')
+
+    async def write(self, records: Sequence[KeyedRecord], patience: float) -> Written:
+        """Append the records within ``patience`` seconds and tell what became of them."""
+        entry = _Entry(records, self._clock.monotonic() + patience)
+        self._waiting.append(entry)
+        await self._event.set()
+        await entry.event.wait()
+        return entry.outcome or Written.UNKNOWN
+
+    async def run(self) -> None:
+        """Append what waits, for ever."""
+        while not self.fenced:
+            await self._event.wait()
+            self._event.clear()
+            while self._waiting and not self.fenced:
+                await self._append(self._take())
+        await self._fail_all()
+
+    def _take(self) -> list[_Entry]:
+        taken: list[_Entry] = []
+        records = 0
+        size = 0
+        while self._waiting and records < RECORDS_PER_APPEND and size < BYTES_PER_APPEND:
+            entry = self._waiting.popleft()
+            taken.append(entry)
+            records += len(entry.records)
+            size += sum(len(record.content or b'') for record in entry.records)
+        return taken
+
+    async def _append(self, entries: list[_Entry]) -> None:
+        while entries:
+            batch = [record for entry in entries for record in entry.records]
+            if not batch:
+                # Only waits for what was written before.
+                await _settle(entries, Written.STORED)
+                return
+            sent_at = self._clock.monotonic()
+            try:
+                await self._topic.append(batch, self._times.timeout, self._fence)
+            except FencedError as error:
+                self._journal.tell(Part.LOG, f'lost the right to write: {error}.')
+                self.fenced = True
+                await _settle(entries, Written.FENCED)
+                return
+            except StoreError as error:
+                self._journal.tell_frequent(
+                    Part.LOG,
+                    f'an append failed: {error}.',
+                    verdict=error.verdict.value,
+                    records=len(batch),
+                )
+                if error.verdict is not Verdict.NOT_RUN:
+                    self._times.note_miss()
+                self.failing_since = min(self.failing_since, sent_at)
+                self.failed_at = self._clock.monotonic()
+                entries = await self._retry(entries, error)
+                continue
+            self._times.note_answer(self._clock.monotonic() - sent_at)
+            self.failing_since = float('inf')
+            self.stored_at = sent_at
+            if self._fence is not None:
+                self._fence = WriterFence(self._fence.epoch, self._fence.sequence + 1)
+            await _settle(entries, Written.STORED)
+            return
+
+    async def _retry(self, entries: list[_Entry], error: StoreError) -> list[_Entry]:
+        """Return the entries that are tried again, after a pause."""
+        now = self._clock.monotonic()
+        kept = []
+        for entry in entries:
+            entry.maybe = entry.maybe or error.verdict is not Verdict.NOT_RUN
+            # What a fenced append holds must stay the same until it is answered.
+            if now < entry.until or self._fence is not None:
+                kept.append(entry)
+                continue
+            entry.outcome = Written.UNKNOWN if entry.maybe else Written.REFUSED
+            await entry.event.set()
+        if kept:
+            await curio.sleep(RETRY_SECONDS)
+        return kept
+
+    async def _fail_all(self) -> None:
+        await _settle(self._waiting, Written.FENCED)
+        self._waiting.clear()
+
+
+async def _settle(entries: Sequence[_Entry] | deque[_Entry], outcome: Written) -> None:
+    for entry in entries:
+        entry.outcome = outcome
+        await entry.event.set()
--- a/dandelionreel/contracts/_book.py
+++ b/dandelionreel/contracts/_book.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from dandelionreel.backing import Position
 from dandelionreel.contracts._document import Contract, stricter
 from dandelionreel.contracts._records import (
     Aborted,
@@ -23,7 +24,6 @@
 )
 from dandelionreel.kernel import Clock
 from dandelionreel.ownership import Ended, Joined, Left, Membership
-from dandelionreel.platform import Position
 
 HISTORY_KEPT = 50
 
--- a/dandelionreel/contracts/_document.py
+++ b/dandelionreel/contracts/_document.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from dandelionreel.platform import Resources
+from dandelionreel.backing import Resources
 
 Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 Positive = Annotated[float, Meta(gt=0, le=1e9)]
--- a/dandelionreel/contracts/_publisher.py
+++ b/dandelionreel/contracts/_publisher.py
@@ -5,6 +5,7 @@
 import curio
 import msgspec
 
+from dandelionreel.backing import LogError, StreamReader, StreamWriter
 from dandelionreel.contracts._book import ContractBook, Outcome, Pending
 from dandelionreel.contracts._document import Contract, ContractError, load_contract
 from dandelionreel.contracts._records import Aborted, Proposed, Staged, Stated
@@ -28,7 +29,6 @@
     PeerError,
     PeerState,
 )
-from dandelionreel.platform import LogError, StreamReader, StreamWriter
 
 ROUND_SECONDS = 0.5
 WRITE_PATIENCE = 5.0
--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -11,6 +11,7 @@
 from curio import socket
 
 from dandelionreel.admin import AdminFront
+from dandelionreel.backing import HostWatch, LogError, StreamReader, StreamWriter
 from dandelionreel.callers import CallersFront, Relay
 from dandelionreel.contracts import ContractBook, ContractPublisher, ContractRecord
 from dandelionreel.http import Server, ServerLimits
@@ -71,7 +72,6 @@
     WorkerReport,
     hash_member,
 )
-from dandelionreel.platform import HostWatch, LogError, StreamReader, StreamWriter
 from dandelionreel.routing import (
     KeyedSends,
     KeyFold,
--- /dev/null
+++ b/dandelionreel/entry_host.py
@@ -0,0 +1,359 @@
+"""One entry host: follows the store, answers clients, and may own the cell."""
+
+import os
+import signal
+import socket as std_socket
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import curio
+from curio import socket
+
+from dandelionreel.cell import Registration, Runner
+from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._election import Election
+from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._front import ClientFront
+from dandelionreel.cell._owner_watch import OwnerWatch
+from dandelionreel.cell._records import MEMBER, Member, make_record
+from dandelionreel.cell._relay import Relay
+from dandelionreel.cell._writer import GroupWriter, Written
+from dandelionreel.entry_metrics import EntryMetrics
+from dandelionreel.http import Answer, Request, Server, ServerLimits
+from dandelionreel.kernel import (
+    Environment,
+    ExitStatus,
+    Journal,
+    LogStream,
+    Part,
+    start_task,
+)
+from dandelionreel.peers import AdviceWanted, EchoBook, Forward, PeerServer, Traffic
+from dandelionreel.platform import (
+    CELL_TOPIC,
+    OPERATOR_TOPIC,
+    RUNNERS_TOPIC,
+    HostSettings,
+    HttpAdvice,
+    HttpRunner,
+    JsonClientCodec,
+    JsonRecordCodec,
+    SettingsError,
+    StoreTopic,
+    load_host_settings,
+)
+
+#: Metrics are served on this port of the host's address (deploy/system.toml).
+METRICS_PORT = 9464
+#: Seconds that a read waits at the store for news. The owner's heartbeats end
+#: most reads of the cell's topic sooner.
+CELL_WAIT = 0.5
+OPERATOR_WAIT = 2.0
+RUNNERS_WAIT = 1.0
+#: Seconds in which records are gathered into one read at the owner: of the
+#: cell's records, which are jobs to start, and of the runners' heartbeats.
+OWNER_CELL_PAUSE = 0.003
+OWNER_RUNNERS_PAUSE = 0.2
+#: The same on the other hosts. There a client that asks for a job that is not
+#: over ends the pause. Without it the reads of nine hosts were 30,000 calls in
+#: 46 s, 0.049 of the day's worth.
+CELL_PAUSE = 0.3
+RUNNERS_PAUSE = 1.0
+OPERATOR_PAUSE = 0.1
+#: Seconds without the store after which a host asks for no new connections.
+UNREADY_SECONDS = 1.5
+#: Seconds between updates of the gauges.
+GAUGE_SECONDS = 1.0
+#: Seconds for which a stopping host still takes connections: the balancer
+#: needs two looks, a second apart, to notice.
+BALANCER_SECONDS = 2.5
+#: Seconds kept free before a stopping host is killed.
+EXIT_MARGIN = 1.0
+POLL_SECONDS = 0.05
+MEMBER_PATIENCE = 5.0
+SIGNAL_BYTES = 64
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+class EntryHost:
+    """Builds all parts of an entry host, runs them, and stops them in order."""
+
+    def __init__(self, settings: HostSettings, settings_path: Path, stdout: int) -> None:
+        """Write logs to the descriptor ``stdout``."""
+        environment = Environment()
+        self._settings = settings
+        self._settings_path = settings_path
+        self._clock = environment.clock
+        self._logs = LogStream(stdout)
+        self._journal = Journal(self._logs, settings.host)
+        self._metrics = EntryMetrics()
+        self._dispatcher: Dispatcher | None = None
+        self._stopping = False
+        self._stop_requested = curio.Event()
+        codec = JsonRecordCodec()
+        self._topics = {
+            name: StoreTopic(name, settings.store)
+            for name in (CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC)
+        }
+        # Claims and the owner's records must not wait behind submissions.
+        self._owner_topic = StoreTopic(CELL_TOPIC, settings.store)
+        self._configuration = ConfigurationFolder(codec, self._journal)
+        self._runners = RunnersFolder(codec, self._clock, self._journal)
+        self._jobs = JobFolder(self._clock)
+        self._cell_follower = self._follow('cell', CELL_TOPIC, self._jobs, CELL_WAIT)
+        self._followers = (
+            self._cell_follower,
+            self._follow('operator', OPERATOR_TOPIC, self._configuration, OPERATOR_WAIT),
+            self._follow('runners', RUNNERS_TOPIC, self._runners, RUNNERS_WAIT),
+        )
+        self._writer = GroupWriter(self._topics[CELL_TOPIC], self._clock, self._journal)
+        self._election = Election(
+            self._owner_topic,
+            self._cell_follower,
+            self._jobs,
+            settings.host,
+            self._clock,
+            self._journal,
+        )
+        self._links = PeerLinks(self._election.incarnation, self._clock)
+        self._advice = HttpAdvice(settings.advice) if settings.advice else None
+        self._advisor = LocalAdvisor(self._advice)
+        self._relay = Relay(
+            settings.host,
+            self._jobs.book,
+            self._links,
+            self._clock,
+            self._journal,
+        )
+        self._watch = OwnerWatch(
+            settings.host,
+            self._jobs.book,
+            self._election,
+            self._journal,
+        )
+        self._front = ClientFront(
+            JsonClientCodec(),
+            self._configuration,
+            self._jobs,
+            self._cell_follower,
+            self._writer,
+            self._relay,
+            self._clock,
+            self._journal,
+            self._metrics.note_answer,
+        )
+        self._callers = Server(
+            self._front.handle,
+            ServerLimits(connections=settings.connections),
+        )
+
+    async def run(self) -> int:
+        """Run until SIGTERM; return the exit status."""
+        self._journal.open()
+        async with AsyncExitStack() as stack:
+            stack.callback(self._journal.close)
+            await self._start(stack)
+            await self._stop_requested.wait()
+            await self._stop()
+        return ExitStatus.SUCCESS
+
+    def _follow(self, name: str, topic: str, folder: Any, wait: float) -> Follower:
+        return Follower(
+            name,
+            self._topics[topic],
+            folder,
+            self._clock,
+            self._journal,
+            wait,
+            lambda: self._pause(topic),
+        )
+
+    def _pause(self, topic: str) -> float:
+        if topic == OPERATOR_TOPIC:
+            return OPERATOR_PAUSE
+        if self._dispatcher is not None:
+            return OWNER_CELL_PAUSE if topic == CELL_TOPIC else OWNER_RUNNERS_PAUSE
+        return CELL_PAUSE if topic == CELL_TOPIC else RUNNERS_PAUSE
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        self._journal.tell(
+            Part.LIFE,
+            'starts.',
+            zone=settings.zone,
+            incarnation=self._election.incarnation,
+        )
+        for topic in (*self._topics.values(), self._owner_topic):
+            stack.push_async_callback(topic.close)
+        stack.push_async_callback(self._links.close)
+        if self._advice is not None:
+            stack.push_async_callback(self._advice.close)
+        await start_task(stack, await _watch_signals(stack, self._take_signal))
+        for follower in self._followers:
+            await start_task(stack, follower.run)
+        await start_task(stack, self._writer.run)
+        await self._listen(stack)
+        for work in (self._join, self._own, self._watch.run, self._update_gauges):
+            await start_task(stack, work)
+
+    async def _listen(self, stack: AsyncExitStack) -> None:
+        settings = self._settings
+        readiness = Server(self._answer_ready)
+        await readiness.start(stack, settings.readiness.host, settings.readiness.port)
+        metrics = Server(self._metrics.handle)
+        await metrics.start(stack, settings.peers.host, METRICS_PORT)
+        peers = PeerServer(
+            self._election.incarnation,
+            self._clock,
+            EchoBook(),
+            self._journal,
+            Traffic(),
+        )
+        peers.answer(Forward, self._front.handle_relayed)
+        peers.answer(AdviceWanted, self._advisor.answer)
+        await peers.start(stack, settings.peers.host, settings.peers.port)
+        await self._callers.start(stack, settings.callers.host, settings.callers.port)
+
+    async def _answer_ready(self, request: Request) -> Answer:
+        return Answer(HTTP_OK if self._is_ready() else HTTP_UNAVAILABLE)
+
+    def _is_ready(self) -> bool:
+        if self._stopping or self._configuration.current is None:
+            return False
+        return self._cell_follower.age(self._clock.monotonic()) < UNREADY_SECONDS
+
+    async def _join(self) -> None:
+        """Tell the other hosts where this one listens for peers."""
+        peers = self._settings.peers
+        member = Member(self._settings.zone, peers.host, peers.port, self._election.incarnation)
+        record = make_record(MEMBER + self._settings.host, member)
+        while await self._writer.write([record], MEMBER_PATIENCE) is not Written.STORED:
+            self._journal.tell(Part.PEERS, 'could not make itself known yet.')
+
+    async def _own(self) -> None:
+        """Own the cell whenever it falls to this host."""
+        settings = self._settings
+        parts = DispatcherParts(
+            topic=self._owner_topic,
+            follower=self._cell_follower,
+            jobs=self._jobs,
+            runners=self._runners,
+            configuration=self._configuration,
+            election=self._election,
+            links=self._links,
+            advisor=self._advisor,
+            make_runner=_make_runner,
+            clock=self._clock,
+            journal=self._journal,
+            host=settings.host,
+            gang_timeout=settings.gang_timeout,
+            longest_lease=settings.longest_lease,
+            status_kept=settings.status_kept,
+        )
+        while True:
+            term = await self._election.wait_for_term(self._may_own)
+            self._dispatcher = Dispatcher(parts, term)
+            try:
+                await self._dispatcher.run()
+            finally:
+                self._dispatcher = None
+
+    def _may_own(self) -> bool:
+        return not self._stopping and all(follower.started for follower in self._followers)
+
+    async def _update_gauges(self) -> None:
+        while True:
+            dispatcher = self._dispatcher
+            self._metrics.update(
+                dispatcher.cell if dispatcher else None,
+                self._cell_follower.age(self._clock.monotonic()),
+                self._logs.dropped,
+            )
+            await curio.sleep(GAUGE_SECONDS)
+
+    async def _take_signal(self, number: int) -> None:
+        if number == signal.SIGHUP:
+            self._reload()
+            return
+        self._stopping = True
+        await self._stop_requested.set()
+
+    def _reload(self) -> None:
+        """Read the settings again; addresses stay those of the start."""
+        try:
+            load_host_settings(self._settings_path)
+        except (SettingsError, OSError) as error:
+            self._journal.tell(Part.LIFE, f'keeps its settings: {error}.')
+            return
+        self._journal.tell(Part.LIFE, 'has read its settings again.')
+
+    async def _stop(self) -> None:
+        """Hand the cell over, let the balancer notice, finish what is in flight."""
+        began = self._clock.monotonic()
+        self._journal.tell(Part.LIFE, 'is stopping; it is not ready any more.')
+        if self._dispatcher is not None:
+            await self._dispatcher.end()
+        last = began + self._settings.grace - EXIT_MARGIN
+        while self._clock.monotonic() < min(last, began + BALANCER_SECONDS):
+            await curio.sleep(POLL_SECONDS)
+        self._callers.finish()
+        while self._callers.busy and self._clock.monotonic() < last:
+            await curio.sleep(POLL_SECONDS)
+        self._journal.tell(Part.LIFE, 'has stopped.', unanswered=self._callers.busy)
+
+
+def _make_runner(registration: Registration) -> Runner:
+    return HttpRunner(registration)
+
+
+async def _watch_signals(stack: AsyncExitStack, take: Any) -> Any:
+    """Return a coroutine function that passes SIGTERM, SIGINT and SIGHUP to ``take``."""
+    reader, writer = std_socket.socketpair()
+    writer.setblocking(False)
+    reading = socket.socket(fileno=reader.detach())
+    stack.push_async_callback(reading.close)
+    stack.callback(writer.close)
+    stack.callback(signal.set_wakeup_fd, signal.set_wakeup_fd(writer.fileno()))
+    watched = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+    for number in watched:
+        stack.callback(signal.signal, number, signal.signal(number, _ignore))
+
+    async def watch() -> None:
+        received = await reading.recv(SIGNAL_BYTES)
+        while received:
+            for number in received:
+                if number in watched:
+                    await take(number)
+            received = await reading.recv(SIGNAL_BYTES)
+
+    return watch
+
+
+def _ignore(number: int, frame: Any) -> None:
+    """Take the signal's default action away; the wake-up descriptor tells of it."""
+
+
+def main(environment: Environment | None = None) -> int:
+    """Run an entry host with the settings file that the environment names."""
+    from dandelionreel.platform import DEFAULT_PATH, SETTINGS_VARIABLE
+
+    environment = environment or Environment(program='dandelionreel-entry')
+    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    try:
+        settings = load_host_settings(path)
+        host = EntryHost(settings, path, environment.stdout.fileno())
+    except OSError as error:
+        environment.tell_error(f'{path}: {error.strerror}; name a readable settings file')
+        return ExitStatus.USAGE
+    except SettingsError as error:
+        environment.tell_error(f'{path}: {error}')
+        return ExitStatus.USAGE
+    try:
+        return curio.run(host.run)
+    except OSError as error:
+        environment.tell_error(f'cannot listen: {error}; free the port or change the settings')
+        return ExitStatus.ERROR
--- /dev/null
+++ b/dandelionreel/entry_metrics.py
@@ -0,0 +1,74 @@
+"""Counters and histograms of an entry host, in the text format of Prometheus."""
+
+import resource
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from dandelionreel.cell import Cell, Holding
+from dandelionreel.http import Answer, Request, control_bytes_by_kind
+
+HTTP_OK = 200
+TEXT_TYPE = 'text/plain; version=0.0.4'
+#: Seconds; the store answers in 4 ms, clients wait 3 s.
+ANSWER_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3)
+
+
+class EntryMetrics:
+    """What one host counts."""
+
+    def __init__(self) -> None:
+        """Keep a registry of its own."""
+        self._registry = CollectorRegistry()
+        self._answers = Counter(
+            'dandelionreel_answers',
+            'Answers to clients.',
+            ('method', 'status'),
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            'dandelionreel_answer_seconds',
+            'Time to answer a client.',
+            ('method',),
+            buckets=ANSWER_BUCKETS,
+            registry=self._registry,
+        )
+        self._owner = self._gauge('owner', 'Whether this host owns the cell.')
+        self._store_age = self._gauge('store_age_seconds', 'Age of what is known of the store.')
+        self._jobs = self._gauge('jobs_under_way', 'Jobs that are not over, at the owner.')
+        self._tasks = self._gauge('tasks', 'Runs held by runners, at the owner.', 'phase')
+        self._dropped = self._gauge('log_lines_dropped', 'Log lines that nobody read in time.')
+        self._bytes = self._gauge('outside_bytes', 'Bytes to and from servers.', 'kind')
+        self._processor = self._gauge('cpu_seconds', 'Processor time of this process.')
+
+    def note_answer(self, method: str, status: int, seconds: float) -> None:
+        """Count an answer to a client."""
+        self._answers.labels(method, str(status)).inc()
+        self._seconds.labels(method).observe(seconds)
+
+    def update(self, cell: Cell | None, store_age: float, dropped: int) -> None:
+        """Set the gauges."""
+        self._owner.set(cell is not None)
+        self._store_age.set(store_age)
+        self._dropped.set(dropped)
+        for kind, count in control_bytes_by_kind.items():
+            self._bytes.labels(kind).set(count)
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self._processor.set(usage.ru_utime + usage.ru_stime)
+        self._update_cell(cell)
+
+    async def handle(self, request: Request) -> Answer:
+        """Serve the text of all metrics."""
+        return Answer(HTTP_OK, (('content-type', TEXT_TYPE),), generate_latest(self._registry))
+
+    def _update_cell(self, cell: Cell | None) -> None:
+        jobs = cell.job_by_id.values() if cell else ()
+        self._jobs.set(sum(not job.over for job in jobs))
+        count_by_phase = dict.fromkeys(Holding, 0)
+        for runner in cell.runner_by_id.values() if cell else ():
+            for allocation in runner.allocation_by_run.values():
+                count_by_phase[allocation.phase] += 1
+        for phase, count in count_by_phase.items():
+            self._tasks.labels(phase.value).set(count)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f'dandelionreel_{name}', text, labels, registry=self._registry)
--- a/dandelionreel/jobs/_book.py
+++ b/dandelionreel/jobs/_book.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from dandelionreel.backing import Position
 from dandelionreel.jobs._records import (
     AttemptEnded,
     AttemptIntent,
@@ -24,7 +25,6 @@
 )
 from dandelionreel.jobs._spec import JobSpec
 from dandelionreel.ownership import DISPATCH_SHARD, ShardFold
-from dandelionreel.platform import Position
 
 
 class JobState(enum.Enum):
--- a/dandelionreel/jobs/_dispatcher.py
+++ b/dandelionreel/jobs/_dispatcher.py
@@ -3,6 +3,7 @@
 Every daemon has one; only the owner of the zone's dispatch shard acts.
 """
 
+from dandelionreel.backing import HostWatch, StreamReader, StreamWriter
 from dandelionreel.contracts import ContractBook
 from dandelionreel.jobs._book import JobBook, JobState
 from dandelionreel.jobs._desk import Desk
@@ -17,7 +18,6 @@
 from dandelionreel.ownership import DISPATCH_SHARD, Authority, ShardFold
 from dandelionreel.peers import WorkerReport
 from dandelionreel.placement import Planner
-from dandelionreel.platform import HostWatch, StreamReader, StreamWriter
 
 ROUND_SECONDS = 0.5
 FOLLOW_SECONDS = 60.0
--- a/dandelionreel/jobs/_feeder.py
+++ b/dandelionreel/jobs/_feeder.py
@@ -1,5 +1,6 @@
 """From the log to the queue: which jobs wait, and which attempts to follow."""
 
+from dandelionreel.backing import HostWatch
 from dandelionreel.contracts import ContractBook
 from dandelionreel.jobs._book import Job, JobBook, JobState, Outcome
 from dandelionreel.jobs._desk import Desk
@@ -7,7 +8,6 @@
 from dandelionreel.jobs._tracks import AttemptTrack, TaskTrack
 from dandelionreel.kernel import Clock, Settings
 from dandelionreel.placement import Terms, Work, task_ids
-from dandelionreel.platform import HostWatch
 
 UNSHELVE_SECONDS = 0.25
 
--- a/dandelionreel/jobs/_intake.py
+++ b/dandelionreel/jobs/_intake.py
@@ -5,6 +5,7 @@
 import msgspec
 import xxhash
 
+from dandelionreel.backing import HostEntry, HostWatch, LogError, StreamReader, StreamWriter
 from dandelionreel.contracts import ContractBook, require_contract
 from dandelionreel.http import Answer, Request, answer_json
 from dandelionreel.jobs._book import OPEN_QUESTIONS, Job, JobBook
@@ -32,7 +33,6 @@
 )
 from dandelionreel.ownership import choose_owner
 from dandelionreel.placement import copies
-from dandelionreel.platform import HostEntry, HostWatch, LogError, StreamReader, StreamWriter
 
 KEY_HEADER = 'idempotency-key'
 ID_BYTES = 8
--- a/dandelionreel/jobs/_keeper.py
+++ b/dandelionreel/jobs/_keeper.py
@@ -2,10 +2,10 @@
 
 import curio
 
+from dandelionreel.backing import LogError, StreamWriter
 from dandelionreel.jobs._book import OPEN_QUESTIONS, Job, JobBook, JobState, keep_record
 from dandelionreel.jobs._dispatcher import Dispatcher
 from dandelionreel.kernel import Clock, Journal, Part, Settings
-from dandelionreel.platform import LogError, StreamWriter
 
 ROUND_SECONDS = 2.0
 WRITE_PATIENCE = 10.0
--- a/dandelionreel/jobs/_mover.py
+++ b/dandelionreel/jobs/_mover.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from dandelionreel.backing import LogError, LogService, StreamReader, StreamWriter
 from dandelionreel.jobs._book import Job, JobBook, JobState
 from dandelionreel.jobs._records import JobAccepted, JobArrived, JobMoved
 from dandelionreel.kernel import (
@@ -23,7 +24,6 @@
     unknown,
 )
 from dandelionreel.ownership import Membership, ShardFold
-from dandelionreel.platform import LogError, LogService, StreamReader, StreamWriter
 
 WRITE_PATIENCE = 10.0
 ROUND_SECONDS = 0.2
--- a/dandelionreel/jobs/_orders.py
+++ b/dandelionreel/jobs/_orders.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from dandelionreel.backing import LogError, StreamWriter
 from dandelionreel.kernel import Clock, Journal, Part, Settings, Signal, Verdict
 from dandelionreel.ownership import ShardFold, worker_shard
 from dandelionreel.peers import (
@@ -12,7 +13,6 @@
     PlaceOrder,
     TaskAction,
 )
-from dandelionreel.platform import LogError, StreamWriter
 from dandelionreel.workers import REFUSED, UNKNOWN, WorkerFleet
 
 #: A stop that was not confirmed is sent again after this long, this often.
--- a/dandelionreel/jobs/_settler.py
+++ b/dandelionreel/jobs/_settler.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from dandelionreel.backing import LogError, StreamWriter
 from dandelionreel.jobs._book import JobBook, JobState, Outcome
 from dandelionreel.jobs._desk import Desk
 from dandelionreel.jobs._metrics import JobMetrics
@@ -11,7 +12,6 @@
 from dandelionreel.jobs._records import AttemptEnded
 from dandelionreel.jobs._tracks import AttemptTrack
 from dandelionreel.kernel import Clock, Journal, Part
-from dandelionreel.platform import LogError, StreamWriter
 from dandelionreel.routing import RetryBudget
 
 #: In a log outage the record of an end waits this long for the log to return.
--- a/dandelionreel/jobs/_shares.py
+++ b/dandelionreel/jobs/_shares.py
@@ -4,10 +4,10 @@
 contract.
 """
 
+from dandelionreel.backing import NOTHING, LogError, StreamWriter
 from dandelionreel.contracts import ContractBook, ShareMoved, ShareWanted
 from dandelionreel.kernel import Clock, Journal, Part, Settings, Signal
 from dandelionreel.placement import Planner
-from dandelionreel.platform import NOTHING, LogError, StreamWriter
 
 #: A zone asks again for the same customer after this long.
 ASK_SECONDS = 5.0
--- a/dandelionreel/jobs/_spec.py
+++ b/dandelionreel/jobs/_spec.py
@@ -5,8 +5,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from dandelionreel.backing import Resources
 from dandelionreel.contracts import TASK_CLASSES, Amounts
-from dandelionreel.platform import Resources
 
 Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 Command = Annotated[str, Meta(min_length=1, max_length=4096)]
--- a/dandelionreel/jobs/_starter.py
+++ b/dandelionreel/jobs/_starter.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from dandelionreel.backing import LogError, StreamReader, StreamWriter
 from dandelionreel.contracts import ContractBook
 from dandelionreel.jobs._book import Job, JobBook, Outcome
 from dandelionreel.jobs._desk import Desk
@@ -13,7 +14,6 @@
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.peers import PlaceOrder
 from dandelionreel.placement import Placement, Running, Work, task_ids
-from dandelionreel.platform import LogError, StreamReader, StreamWriter
 from dandelionreel.workers import REFUSED, STARTED
 
 WRITE_PATIENCE = 10.0
--- a/dandelionreel/kernel/__init__.py
+++ b/dandelionreel/kernel/__init__.py
@@ -4,6 +4,7 @@
 from dandelionreel.kernel._environment import Environment
 from dandelionreel.kernel._exit_status import ExitStatus
 from dandelionreel.kernel._journal import Journal, Part
+from dandelionreel.kernel._log_stream import LogStream
 from dandelionreel.kernel._registry import PluginKind, Registry, UnknownPlugin, plugins
 from dandelionreel.kernel._settings import (
     Endpoint,
@@ -34,6 +35,7 @@
     'ExitStatus',
     'Journal',
     'Limits',
+    'LogStream',
     'Logs',
     'ManualClock',
     'Part',
--- a/dandelionreel/kernel/_journal.py
+++ b/dandelionreel/kernel/_journal.py
@@ -22,11 +22,11 @@
     WORKERS = 'workers'
 
 
-class TextStream(Protocol):
-    """The part of a text stream that the journal needs."""
+class LineStream(Protocol):
+    """The part of a stream, of text or of bytes, that the journal needs."""
 
-    def write(self, text: str) -> Any:
-        """Write the text."""
+    def write(self, line: Any, /) -> Any:
+        """Write the line."""
 
     def flush(self) -> None:
         """Pass what was written on."""
@@ -41,7 +41,7 @@
 
     def __init__(
         self,
-        stream: TextStream,
+        stream: LineStream,
         host: str,
         sample_every: int = 1,
         quiet_parts: Collection[str] = (),
--- a/dandelionreel/life.py
+++ b/dandelionreel/life.py
@@ -4,10 +4,10 @@
 
 import curio
 
+from dandelionreel.backing import LogError, StreamReader, StreamWriter
 from dandelionreel.contracts import ContractBook
 from dandelionreel.kernel import Clock, Journal, Part, Settings
 from dandelionreel.ownership import Claimer, Left
-from dandelionreel.platform import LogError, StreamReader, StreamWriter
 
 POLL_SECONDS = 0.1
 LEFT_PATIENCE = 2.0
--- a/dandelionreel/metrics.py
+++ b/dandelionreel/metrics.py
@@ -7,12 +7,12 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
+from dandelionreel.backing import StreamReader, StreamWriter
 from dandelionreel.http import control_bytes_by_kind
 from dandelionreel.jobs import JobBook, JobState
 from dandelionreel.ownership import Claimer
 from dandelionreel.peers import Traffic
 from dandelionreel.placement import Planner
-from dandelionreel.platform import StreamReader, StreamWriter
 
 PAGE_FIELD = 1
 
--- a/dandelionreel/ownership/_authority.py
+++ b/dandelionreel/ownership/_authority.py
@@ -7,11 +7,11 @@
 import enum
 from dataclasses import dataclass
 
+from dandelionreel.backing import StreamReader
 from dandelionreel.kernel import Clock, Timings
 from dandelionreel.ownership._membership import Membership
 from dandelionreel.ownership._promises import PromiseBook
 from dandelionreel.ownership._shards import ShardClaim, ShardFold
-from dandelionreel.platform import StreamReader
 
 
 class Level(enum.Enum):
--- a/dandelionreel/ownership/_claimer.py
+++ b/dandelionreel/ownership/_claimer.py
@@ -5,13 +5,13 @@
 
 import xxhash
 
+from dandelionreel.backing import LogError, StreamReader, StreamWriter
 from dandelionreel.kernel import Clock, Journal, Limits, Part, Timings, Verdict
 from dandelionreel.ownership._authority import Authority
 from dandelionreel.ownership._membership import Membership, member_keys
 from dandelionreel.ownership._promises import PromiseBook
 from dandelionreel.ownership._records import Alive, Claimed, Kept, Released, ShardEpoch
 from dandelionreel.ownership._shards import ShardClaim, ShardFold
-from dandelionreel.platform import LogError, StreamReader, StreamWriter
 
 ROUND_SECONDS = 0.5
 WRITE_PATIENCE = 5.0
--- a/dandelionreel/ownership/_membership.py
+++ b/dandelionreel/ownership/_membership.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from dandelionreel.backing import Position
 from dandelionreel.kernel import Clock
 from dandelionreel.ownership._records import Alive, Ended, Joined, Left
-from dandelionreel.platform import Position
 
 #: Ended members are remembered so that a late record cannot revive them.
 ENDED_KEPT = 5000
--- a/dandelionreel/ownership/_neighbourhood.py
+++ b/dandelionreel/ownership/_neighbourhood.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from dandelionreel.backing import HostWatch, LogError, StreamWriter
 from dandelionreel.kernel import Clock, Journal, Part, Settings, start_task
 from dandelionreel.ownership._claimer import Neighbours
 from dandelionreel.ownership._membership import Member, Membership
@@ -24,7 +25,6 @@
     Refused,
     hash_member,
 )
-from dandelionreel.platform import HostWatch, LogError, StreamWriter
 
 #: A refusal counts as a proof once it has been met this often in a row.
 PROOF_REFUSALS = 2
--- a/dandelionreel/ownership/_shards.py
+++ b/dandelionreel/ownership/_shards.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
+from dandelionreel.backing import Position
 from dandelionreel.kernel import Clock
 from dandelionreel.ownership._membership import Membership
 from dandelionreel.ownership._records import Claimed, Kept, Released, ShardEpoch
-from dandelionreel.platform import Position
 
 #: What a claim names when its maker knows no claim on the shard.
 UNKNOWN_EPOCH = 0
--- a/dandelionreel/peers/__init__.py
+++ b/dandelionreel/peers/__init__.py
@@ -15,6 +15,8 @@
 from dandelionreel.peers._framing import FRAME_BYTES, FrameStream, Traffic
 from dandelionreel.peers._link import NEVER, EchoBook, PeerError, PeerLink
 from dandelionreel.peers._messages import (
+    AdviceGiven,
+    AdviceWanted,
     ContractState,
     ContractsWanted,
     Done,
@@ -37,6 +39,8 @@
 from dandelionreel.peers._server import PeerServer
 
 __all__ = (
+    'AdviceGiven',
+    'AdviceWanted',
     'FRAME_BYTES',
     'NEVER',
     'NEVER_HEARD',
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -9,8 +9,11 @@
 
 import capnp
 
+from dandelionreel.backing import Resources
 from dandelionreel.http import Answer, Headers, Request
 from dandelionreel.peers._messages import (
+    AdviceGiven,
+    AdviceWanted,
     ContractState,
     ContractsWanted,
     Done,
@@ -29,9 +32,8 @@
     TaskReport,
     WorkerReport,
 )
-from dandelionreel.platform import Resources
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 MILLISECONDS = 1000
 #: Packing replaces zeros by their count; bounds what a frame may unfold to.
 PACKED_FACTOR = 64
@@ -311,6 +313,42 @@
     root.contractsWanted = None
 
 
+def _encode_advice(root: Any, message: AdviceWanted) -> None:
+    root.init('advice').from_dict(
+        {
+            'job': message.job,
+            'occurrence': message.occurrence,
+            'step': message.step,
+            'runners': list(message.runners),
+            'patienceMs': int(message.patience * MILLISECONDS),
+        }
+    )
+
+
+def _read_advice(root: Any) -> AdviceWanted:
+    node = root.advice
+    return AdviceWanted(
+        node.job,
+        node.occurrence,
+        node.step,
+        tuple(node.runners),
+        node.patienceMs / MILLISECONDS,
+    )
+
+
+def _encode_advised(root: Any, message: AdviceGiven) -> None:
+    permits = [{'runner': runner, 'ticket': ticket} for runner, ticket in message.permits]
+    root.init('advised').from_dict({'answered': message.answered, 'permits': permits})
+
+
+def _read_advised(root: Any) -> AdviceGiven:
+    node = root.advised
+    return AdviceGiven(
+        node.answered,
+        tuple((permit.runner, permit.ticket) for permit in node.permits),
+    )
+
+
 def _encode_done(root: Any, message: Done) -> None:
     root.done = None
 
@@ -330,6 +368,8 @@
     WorkerReport: _encode_report,
     ContractState: _encode_contracts,
     ContractsWanted: _encode_wanted,
+    AdviceWanted: _encode_advice,
+    AdviceGiven: _encode_advised,
     Done: _encode_done,
     Refused: _encode_refused,
 }
@@ -345,6 +385,8 @@
     'report': _read_report,
     'contracts': _read_contracts,
     'contractsWanted': lambda root: ContractsWanted(),
+    'advice': _read_advice,
+    'advised': _read_advised,
     'done': lambda root: Done(),
     'refused': lambda root: Refused(root.refused),
 }
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -4,8 +4,8 @@
 
 import xxhash
 
+from dandelionreel.backing import NOTHING, Resources
 from dandelionreel.http import Answer, Request
-from dandelionreel.platform import NOTHING, Resources
 
 
 def hash_member(member: str) -> int:
@@ -153,6 +153,25 @@
     """Asks for the peer's contracts."""
 
 
+@dataclass(frozen=True)
+class AdviceWanted:
+    """Asks a peer to put a question to the policy service, within ``patience`` seconds."""
+
+    job: str
+    occurrence: int
+    step: int
+    runners: tuple[str, ...]
+    patience: float
+
+
+@dataclass(frozen=True)
+class AdviceGiven:
+    """Runners and their tickets; not ``answered`` says that nothing is known."""
+
+    answered: bool
+    permits: tuple[tuple[str, str], ...] = ()
+
+
 @dataclass(frozen=True)
 class Done:
     """The message was taken."""
@@ -176,6 +195,8 @@
     | WorkerReport
     | ContractState
     | ContractsWanted
+    | AdviceWanted
+    | AdviceGiven
     | Done
     | Refused
 )
--- a/dandelionreel/peers/schema.capnp
+++ b/dandelionreel/peers/schema.capnp
@@ -25,9 +25,30 @@
     refused @14 :Text;
     contracts @15 :ContractState;
     contractsWanted @16 :Void;
+    advice @17 :AdviceWanted;
+    advised @18 :AdviceGiven;
   }
 }
 
+struct AdviceWanted {
+  job @0 :Text;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  runners @3 :List(Text);
+  patienceMs @4 :UInt32;
+}
+
+struct Permit {
+  runner @0 :Text;
+  ticket @1 :Text;
+}
+
+struct AdviceGiven {
+  answered @0 :Bool;
+  # The policy service has answered; else nothing is known.
+  permits @1 :List(Permit);
+}
+
 struct Room {
   service @0 :Text;
   freeSlots @1 :UInt32;
--- a/dandelionreel/placement/_cell.py
+++ b/dandelionreel/placement/_cell.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Iterable
 
+from dandelionreel.backing import EPSILON, NOTHING, Resources
 from dandelionreel.placement._work import Running
-from dandelionreel.platform import EPSILON, NOTHING, Resources
 
 #: Consecutive failures of different jobs after which a worker gets no work.
 FAILURES_TO_QUARANTINE = 3
--- a/dandelionreel/placement/_planner.py
+++ b/dandelionreel/placement/_planner.py
@@ -3,13 +3,13 @@
 import heapq
 from collections.abc import Iterator
 
+from dandelionreel.backing import NOTHING
 from dandelionreel.kernel import PluginKind, plugins
 from dandelionreel.placement._cell import Cell, WorkerView
 from dandelionreel.placement._estimate import RunTimes
 from dandelionreel.placement._policy import GANG, GangPolicy, Hold, PlacementPolicy
 from dandelionreel.placement._queue import FairQueue
 from dandelionreel.placement._work import URGENT, Placement, Running, Shape, Work
-from dandelionreel.platform import NOTHING
 
 POLICY_NAMES = ('urgent', 'service', 'batch', GANG)
 
--- a/dandelionreel/placement/_policy.py
+++ b/dandelionreel/placement/_policy.py
@@ -3,10 +3,10 @@
 import abc
 from dataclasses import dataclass
 
+from dandelionreel.backing import EPSILON, Resources
 from dandelionreel.kernel import PluginKind, plugins
 from dandelionreel.placement._cell import Cell, WorkerView
 from dandelionreel.placement._work import BATCH, SERVICE, URGENT, Placement, Running, Work
-from dandelionreel.platform import EPSILON, Resources
 
 #: Workers that one decision looks at; more hardly pack better (docs/MEASUREMENTS.md).
 CANDIDATES = 12
--- a/dandelionreel/placement/_queue.py
+++ b/dandelionreel/placement/_queue.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from dandelionreel.backing import NOTHING, Resources
 from dandelionreel.placement._work import URGENT, Shape, Work
-from dandelionreel.platform import NOTHING, Resources
 
 #: A job goes first once this part of its longest wait is over.
 NEARLY_DUE = 0.8
--- a/dandelionreel/placement/_work.py
+++ b/dandelionreel/placement/_work.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from dandelionreel.platform import Resources
+from dandelionreel.backing import Resources
 
 URGENT = 'urgent'
 SERVICE = 'service'
--- a/dandelionreel/platform/__init__.py
+++ b/dandelionreel/platform/__init__.py
@@ -1,76 +1,40 @@
-"""The platform: its log, its list of hosts and its workers."""
+"""The adapter to the users' platform: its names, formats and calls; it decides nothing."""
 
-from dandelionreel.platform._host_watch import HostWatch
-from dandelionreel.platform._hosts import (
-    HostEntry,
-    HostList,
-    HostListError,
-    HostsDone,
-    HttpHostList,
-    StaticHostList,
+from dandelionreel.platform._advice import HttpAdvice
+from dandelionreel.platform._records import JsonRecordCodec
+from dandelionreel.platform._runners import HttpRunner
+from dandelionreel.platform._settings import (
+    DEFAULT_PATH,
+    SETTINGS_VARIABLE,
+    Address,
+    HostSettings,
+    SettingsError,
+    decode_host_settings,
+    load_host_settings,
 )
-from dandelionreel.platform._http_log import AppendBody, AppendDone, HttpLog, ReadDone
-from dandelionreel.platform._log import (
-    LogBatch,
-    LogError,
-    LogService,
-    LogTruncatedError,
-)
-from dandelionreel.platform._memory_log import MemoryLog, MemoryStream
-from dandelionreel.platform._memory_worker import MemoryTask, MemoryWorker
-from dandelionreel.platform._resources import EPSILON, NOTHING, Resources
-from dandelionreel.platform._stream import (
-    Envelope,
-    Folder,
-    Position,
-    StreamReader,
-    StreamWriter,
-)
-from dandelionreel.platform._workers import (
-    ENDED,
-    HttpWorker,
-    LeaseRenewal,
-    TaskList,
-    TaskOrder,
-    TaskStatus,
-    WorkerError,
-    WorkerService,
+from dandelionreel.platform._store import (
+    CELL_TOPIC,
+    OPERATOR_TOPIC,
+    RUNNERS_TOPIC,
+    StoreTopic,
 )
+from dandelionreel.platform._submissions import JsonClientCodec, decode_submission
 
 __all__ = (
-    'ENDED',
-    'EPSILON',
-    'NOTHING',
-    'AppendBody',
-    'AppendDone',
-    'Envelope',
-    'Folder',
-    'HostEntry',
-    'HostList',
-    'HostListError',
-    'HostWatch',
-    'HostsDone',
-    'HttpHostList',
-    'HttpLog',
-    'HttpWorker',
-    'LeaseRenewal',
-    'LogBatch',
-    'LogError',
-    'LogService',
-    'LogTruncatedError',
-    'MemoryLog',
-    'MemoryStream',
-    'MemoryTask',
-    'MemoryWorker',
-    'Position',
-    'ReadDone',
-    'Resources',
-    'StaticHostList',
-    'StreamReader',
-    'StreamWriter',
-    'TaskList',
-    'TaskOrder',
-    'TaskStatus',
-    'WorkerError',
-    'WorkerService',
+    'CELL_TOPIC',
+    'DEFAULT_PATH',
+    'OPERATOR_TOPIC',
+    'RUNNERS_TOPIC',
+    'SETTINGS_VARIABLE',
+    'Address',
+    'HostSettings',
+    'HttpAdvice',
+    'HttpRunner',
+    'JsonClientCodec',
+    'JsonRecordCodec',
+    'SettingsError',
+    'StoreTopic',
+    'decode_host_settings',
+    'decode_submission',
+    'load_host_settings',
 )
--- /dev/null
+++ b/dandelionreel/platform/_advice.py
@@ -0,0 +1,51 @@
+"""The policy service that says which runners may run a step."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from dandelionreel.cell import AdviceError, AdviceService, Permit, StepName
+from dandelionreel.http import Channel, ExchangeError, Request
+from dandelionreel.platform._settings import Address
+
+#: The service takes at most this many runners in one call.
+RUNNERS_PER_CALL = 100
+HTTP_OK = 200
+
+
+class _Allowed(msgspec.Struct):
+    allowed: list[tuple[str, str]] = []
+
+
+class HttpAdvice(AdviceService):
+    """One connection: the service takes one call at a time from each host."""
+
+    def __init__(self, service: Address) -> None:
+        """Ask the service at that address."""
+        self._channel = Channel(service.host, service.port, 'advice')
+
+    async def ask(
+        self,
+        step: StepName,
+        runners: Sequence[str],
+        timeout: float,
+    ) -> tuple[Permit, ...]:
+        """Return the permits among ``runners``."""
+        fields = {
+            'step': f'{step.job}.{step.occurrence}.{step.step}',
+            'workers': list(runners[:RUNNERS_PER_CALL]),
+        }
+        headers = (('content-type', 'application/json'),)
+        request = Request('POST', '/v1/advise', headers, msgspec.json.encode(fields))
+        try:
+            answer = await self._channel.exchange(request, timeout)
+        except ExchangeError as error:
+            raise AdviceError(f'the policy service is out of reach: {error}') from error
+        if answer.status != HTTP_OK:
+            raise AdviceError(f'the policy service answered {answer.status}')
+        decoded = msgspec.json.decode(answer.body, type=_Allowed)
+        return tuple(Permit(runner, ticket) for runner, ticket in decoded.allowed)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._channel.close()
--- /dev/null
+++ b/dandelionreel/platform/_configuration.py
@@ -0,0 +1,84 @@
+"""The operator's configuration as it stands in the store."""
+
+import msgspec
+
+from dandelionreel.cell import AdvicePolicy, Configuration, Queue, Service
+
+#: The operator's key that holds the newest configuration in full.
+CONFIGURATION_KEY = 'config'
+MILLISECONDS = 1000
+
+
+class _Advice(msgspec.Struct, frozen=True):
+    decision_ms: float = 0
+    period_ms: float = 0
+    valid_ms: float = 2000
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    service: str = ''
+    timeout_ms: float = 3000
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    enforces_capacity: bool = False
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_body_bytes: int = 262_144
+
+
+class _Document(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_DECODER = msgspec.json.Decoder(_Document)
+
+
+def decode_configuration(content: bytes) -> Configuration:
+    """Return the configuration; raises ``ValueError``."""
+    document = _DECODER.decode(content)
+    services = tuple(
+        Service(entry.name, entry.enforces_capacity, entry.standby) for entry in document.services
+    )
+    return Configuration(
+        document.version,
+        tuple(_queue(route) for route in document.routes),
+        services,
+        document.limits.max_body_bytes,
+    )
+
+
+def _queue(route: _Route) -> Queue:
+    advice = None
+    if route.advice is not None:
+        advice = AdvicePolicy(
+            route.advice.decision_ms / MILLISECONDS,
+            route.advice.period_ms / MILLISECONDS,
+            route.advice.valid_ms / MILLISECONDS,
+        )
+    return Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        slack=route.slack_factor,
+        latency=route.target_latency_ms / MILLISECONDS,
+        timeout=route.timeout_ms / MILLISECONDS,
+        advice=advice,
+    )
--- /dev/null
+++ b/dandelionreel/platform/_runners.py
@@ -0,0 +1,211 @@
+"""Runners: starts, stops, looks and pacing over HTTP."""
+
+from typing import Any
+
+import msgspec
+
+from dandelionreel.cell import (
+    Check,
+    EndedRun,
+    Outcome,
+    Registration,
+    Runner,
+    RunnerError,
+    RunnerFenced,
+    RunnerReplaced,
+    RunnerView,
+    RunningTask,
+    StartAnswer,
+    StartOrder,
+    StartReply,
+    TaskName,
+)
+from dandelionreel.http import Answer, Channel, ExchangeError, Request
+from dandelionreel.kernel import Verdict
+
+#: Seconds for an order. A runner answers within milliseconds; a slow link
+#: takes some tens. An order that stays unanswered is simply repeated.
+ORDER_TIMEOUT = 0.4
+#: Seconds beyond the time that a look may wait at the runner.
+LOOK_TIMEOUT = 0.6
+#: Connections for orders to one runner: one unanswered order must not hold up
+#: the starts behind it.
+ORDER_CHANNELS = 3
+
+HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_CONFLICT = 409
+HTTP_REPLACED = 421
+UNHEALTHY = frozenset((429, 503))
+MILLISECONDS = 1000
+
+_REPLY_BY_REASON = {
+    'fence': StartReply.FENCED,
+    'old': StartReply.OUTDATED,
+    'late': StartReply.TOO_LATE,
+    'room': StartReply.NO_ROOM,
+    'ticket': StartReply.NO_TICKET,
+}
+
+
+class _Clock(msgspec.Struct):
+    clock_ms: float | None = None
+    reason: str = ''
+
+
+class _View(msgspec.Struct):
+    clock_ms: float
+    running: list[list[Any]] = []
+    finished: list[list[Any]] = []
+
+
+def encode_task(task: TaskName) -> str:
+    """Return a task's name as runners know it."""
+    return f'{task.job}.{task.occurrence}.{task.step}.{task.index}'
+
+
+def decode_task(text: str) -> TaskName:
+    """Return the task of that name; raises ``ValueError``."""
+    job, occurrence, step, index = text.split('.')
+    return TaskName(job, int(occurrence), int(step), int(index))
+
+
+class HttpRunner(Runner):
+    """One runner, with a connection for looks and a few for orders."""
+
+    def __init__(self, registration: Registration) -> None:
+        """Reach the runner where it registered itself."""
+        self._runner = registration.runner
+        address, port = registration.address, registration.port
+        self._looks = Channel(address, port, 'runner')
+        self._orders = [Channel(address, port, 'runner') for _ in range(ORDER_CHANNELS)]
+        self._next_order = 0
+
+    async def start(self, order: StartOrder, check: Check) -> StartAnswer:
+        """Start a task; ``check`` is asked right before the bytes leave."""
+        fields: dict[str, object] = {
+            'task': encode_task(order.task),
+            'run': order.run,
+            'spec': order.payload,
+            'deadline_ms': int(order.lease_until * MILLISECONDS),
+            'fencing_token': order.epoch,
+        }
+        if order.checkpoint:
+            fields['checkpoint'] = order.checkpoint
+        if order.ticket:
+            fields['ticket'] = order.ticket
+        answer = await self._order('/v1/run-start', fields, check)
+        clock, reason = _read_clock(answer)
+        if answer.status == HTTP_OK:
+            return StartAnswer(StartReply.STARTED, clock)
+        if answer.status == HTTP_CONFLICT:
+            return StartAnswer(_REPLY_BY_REASON.get(reason, StartReply.INVALID), clock)
+        if answer.status == HTTP_REPLACED:
+            return StartAnswer(StartReply.REPLACED, None)
+        if answer.status in UNHEALTHY:
+            return StartAnswer(StartReply.UNHEALTHY, clock)
+        if answer.status == HTTP_BAD_REQUEST:
+            return StartAnswer(StartReply.INVALID, clock)
+        raise RunnerError(f'the runner answered {answer.status}', Verdict.UNKNOWN)
+
+    async def stop(self, task: TaskName, run: int, epoch: int) -> None:
+        """Stop a run."""
+        fields = {'task': encode_task(task), 'run': run, 'fencing_token': epoch}
+        self._check_answer(await self._order('/v1/run-stop', fields))
+
+    async def pace(self, task: TaskName, run: int, percent: int, epoch: int) -> None:
+        """Let a task work at a share of its speed."""
+        fields = {
+            'task': encode_task(task),
+            'run': run,
+            'percent': percent,
+            'fencing_token': epoch,
+        }
+        self._check_answer(await self._order('/v1/pace', fields))
+
+    async def look(
+        self,
+        epoch: int,
+        acknowledged: int,
+        lease_until: float | None,
+        wait: float,
+    ) -> RunnerView:
+        """Renew all leases and list everything."""
+        fields: dict[str, object] = {'fencing_token': epoch, 'acked_through': acknowledged}
+        if lease_until is not None:
+            fields['deadline_ms'] = int(lease_until * MILLISECONDS)
+        if wait:
+            fields['wait_ms'] = int(wait * MILLISECONDS)
+        answer = await self._call(self._looks, '/v1/hold', fields, LOOK_TIMEOUT + wait)
+        self._check_answer(answer)
+        return decode_view(answer.body)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for channel in (self._looks, *self._orders):
+            await channel.close()
+
+    def _check_answer(self, answer: Answer) -> None:
+        if answer.status == HTTP_OK:
+            return
+        if answer.status == HTTP_REPLACED:
+            raise RunnerReplaced(self._runner)
+        if answer.status == HTTP_CONFLICT:
+            _, reason = _read_clock(answer)
+            if reason == 'fence':
+                raise RunnerFenced(self._runner)
+            return
+        raise RunnerError(f'the runner answered {answer.status}', Verdict.NOT_RUN)
+
+    async def _order(self, path: str, fields: dict[str, Any], check: Check | None = None) -> Answer:
+        self._next_order = (self._next_order + 1) % ORDER_CHANNELS
+        channel = self._orders[self._next_order]
+        return await self._call(channel, path, fields, ORDER_TIMEOUT, check)
+
+    async def _call(
+        self,
+        channel: Channel,
+        path: str,
+        fields: dict[str, Any],
+        timeout: float,
+        check: Check | None = None,
+    ) -> Answer:
+        headers = (
+            ('content-type', 'application/json'),
+            ('x-expected-instance', self._runner),
+        )
+        request = Request('POST', path, headers, msgspec.json.encode(fields))
+        try:
+            return await channel.exchange(request, timeout, check)
+        except ExchangeError as error:
+            verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
+            raise RunnerError(f'{error}', verdict) from error
+
+
+def decode_view(raw: bytes) -> RunnerView:
+    """Return what a runner listed; entries that are no tasks are left out."""
+    decoded = msgspec.json.decode(raw, type=_View)
+    running = []
+    for name, run, checkpoint, percent, *gauge in decoded.running:
+        running.append(
+            RunningTask(
+                decode_task(name),
+                run,
+                checkpoint or '',
+                int(percent or 0),
+                float(gauge[0]) if gauge and gauge[0] is not None else 0.0,
+            )
+        )
+    ended = []
+    for number, name, run, outcome, checkpoint in decoded.finished:
+        ended.append(EndedRun(number, decode_task(name), run, Outcome(outcome), checkpoint or ''))
+    return RunnerView(decoded.clock_ms / MILLISECONDS, tuple(running), tuple(ended))
+
+
+def _read_clock(answer: Answer) -> tuple[float | None, str]:
+    try:
+        decoded = msgspec.json.decode(answer.body, type=_Clock)
+    except msgspec.DecodeError:
+        return None, ''
+    clock = None if decoded.clock_ms is None else decoded.clock_ms / MILLISECONDS
+    return clock, decoded.reason
--- /dev/null
+++ b/dandelionreel/platform/_settings.py
@@ -0,0 +1,144 @@
+"""The platform's settings file, decoded into what a host needs to know."""
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+#: Names the environment variable that holds the path of the settings file.
+SETTINGS_VARIABLE = 'DANDELIONREEL_NODE_FILE'
+DEFAULT_PATH = '/etc/dandelionreel/node.toml'
+
+
+class SettingsError(ValueError):
+    """The settings file cannot be used; the message names the field."""
+
+
+@dataclass(frozen=True)
+class Address:
+    """A listening address."""
+
+    host: str
+    port: int
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    frontend: str
+    readiness: str
+
+
+class _Store(msgspec.Struct, frozen=True):
+    address: str
+    record_bytes: int = 262_144
+    request_bytes: int = 2_097_152
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    grace_s: float = 6
+    drain_ms: float = 2000
+    contact_ms: float = 3000
+    max_hold_ms: float = 10_000
+    stop_timeout_ms: float = 200
+    gang_timeout_ms: float = 3000
+    status_s: float = 120
+    remote_factor: float = 2
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_fds: int = 4096
+
+
+class _File(msgspec.Struct, frozen=True):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Store
+    port_range: tuple[int, int]
+    advice: str = ''
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+@dataclass(frozen=True)
+class HostSettings:
+    """One host's place and surroundings; all durations in seconds.
+
+    ``peers`` is where this host's daemon listens for its peers, on the first
+    of the ports that are free for that. ``longest_lease`` is what runners cut
+    leases to; ``remote_factor`` slows tasks away from their data.
+    """
+
+    host: str
+    zone: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+    store: Address
+    record_bytes: int
+    request_bytes: int
+    advice: Address | None
+    grace: float
+    longest_lease: float
+    stop_timeout: float
+    gang_timeout: float
+    status_kept: float
+    remote_factor: float
+    connections: int
+
+
+#: Descriptors that stay free for files, the store, runners and peers.
+RESERVED_DESCRIPTORS = 1200
+FEWEST_CONNECTIONS = 256
+MILLISECONDS = 1000
+
+
+def parse_address(text: str) -> Address:
+    """Return ``host:port`` as an address; raises ``SettingsError``."""
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        raise SettingsError(f'{text!r} is not an address; write it as host:port')
+    return Address(host, int(port))
+
+
+def load_host_settings(path: Path) -> HostSettings:
+    """Read and check the file; raises ``SettingsError`` or ``OSError``."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding='utf-8'))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f'not a TOML file: {error}') from error
+    return decode_host_settings(raw)
+
+
+def decode_host_settings(raw: dict[str, Any]) -> HostSettings:
+    """Check the file's tables; fields that are not known are ignored."""
+    try:
+        decoded = msgspec.convert(raw, _File, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f'{error}') from error
+    bounds = decoded.bounds
+    first_port, last_port = decoded.port_range
+    if last_port <= first_port:
+        raise SettingsError('port_range needs two ports or more')
+    return HostSettings(
+        host=decoded.node,
+        zone=decoded.zone,
+        callers=parse_address(decoded.listen.frontend),
+        readiness=parse_address(decoded.listen.readiness),
+        peers=Address(decoded.ip, first_port),
+        metrics=Address(decoded.ip, first_port + 1),
+        store=parse_address(decoded.platform.address),
+        record_bytes=decoded.platform.record_bytes,
+        request_bytes=decoded.platform.request_bytes,
+        advice=parse_address(decoded.advice) if decoded.advice else None,
+        grace=bounds.grace_s,
+        longest_lease=bounds.max_hold_ms / MILLISECONDS,
+        stop_timeout=bounds.stop_timeout_ms / MILLISECONDS,
+        gang_timeout=bounds.gang_timeout_ms / MILLISECONDS,
+        status_kept=bounds.status_s,
+        remote_factor=bounds.remote_factor,
+        connections=max(FEWEST_CONNECTIONS, decoded.limits.max_fds - RESERVED_DESCRIPTORS),
+    )
--- a/dandelionreel/routing/_keys.py
+++ b/dandelionreel/routing/_keys.py
@@ -11,9 +11,9 @@
 import msgspec
 import xxhash
 
+from dandelionreel.backing import LogError, Position, StreamReader, StreamWriter
 from dandelionreel.http import Request
 from dandelionreel.kernel import Problem, RequestError, Verdict, not_run, unknown
-from dandelionreel.platform import LogError, Position, StreamReader, StreamWriter
 
 NONCE_BYTES = 8
 KEYS_KEPT = 50_000
--- a/dandelionreel/routing/_pool.py
+++ b/dandelionreel/routing/_pool.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from dandelionreel.backing import HostEntry, HostWatch
 from dandelionreel.kernel import Clock, Journal, Part, Settings, Signal
 from dandelionreel.ownership import (
     RUNNER_PREFIX,
@@ -14,7 +15,6 @@
     runner_shard,
 )
 from dandelionreel.peers import ServiceRoom
-from dandelionreel.platform import HostEntry, HostWatch
 from dandelionreel.routing._choice import RunnerChoice
 from dandelionreel.routing._runner import Runner
 
--- a/dandelionreel/routing/_runner.py
+++ b/dandelionreel/routing/_runner.py
@@ -6,6 +6,7 @@
 import curio
 import msgspec
 
+from dandelionreel.backing import HostEntry
 from dandelionreel.http import (
     Answer,
     Connection,
@@ -16,7 +17,6 @@
 )
 from dandelionreel.kernel import Clock
 from dandelionreel.ownership import Grant, Level
-from dandelionreel.platform import HostEntry
 
 SLOTS_PATH = '/.runner/slots'
 HTTP_OK = 200
--- a/dandelionreel/workers/_agent.py
+++ b/dandelionreel/workers/_agent.py
@@ -5,10 +5,7 @@
 
 import curio
 
-from dandelionreel.kernel import Clock, Journal, Part, Settings, Signal, Verdict
-from dandelionreel.ownership import NO_GRANT, Authority, Grant, Level, worker_shard
-from dandelionreel.peers import PlaceAnswer, PlaceOrder, TaskReport, WorkerReport
-from dandelionreel.platform import (
+from dandelionreel.backing import (
     HostEntry,
     LeaseRenewal,
     Resources,
@@ -18,6 +15,9 @@
     WorkerError,
     WorkerService,
 )
+from dandelionreel.kernel import Clock, Journal, Part, Settings, Signal, Verdict
+from dandelionreel.ownership import NO_GRANT, Authority, Grant, Level, worker_shard
+from dandelionreel.peers import PlaceAnswer, PlaceOrder, TaskReport, WorkerReport
 from dandelionreel.workers._ledger import HoldState, Ledger
 
 STARTED = 'started'
--- a/dandelionreel/workers/_fleet.py
+++ b/dandelionreel/workers/_fleet.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from dandelionreel.backing import HostEntry, HostWatch, StreamReader
 from dandelionreel.kernel import (
     Clock,
     Journal,
@@ -39,7 +40,6 @@
     TaskAction,
     WorkerReport,
 )
-from dandelionreel.platform import HostEntry, HostWatch, StreamReader
 from dandelionreel.workers._agent import REFUSED, WorkerAgent
 
 ROUND_SECONDS = 0.25
--- a/dandelionreel/workers/_ledger.py
+++ b/dandelionreel/workers/_ledger.py
@@ -6,8 +6,8 @@
 import enum
 from dataclasses import dataclass, replace
 
+from dandelionreel.backing import NOTHING, Resources, TaskList, TaskStatus
 from dandelionreel.ownership import Grant, Level
-from dandelionreel.platform import NOTHING, Resources, TaskList, TaskStatus
 
 HALF = 0.5
 
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -6,16 +6,7 @@
 import msgspec
 from behave import given, then, when
 
-from dandelionreel.http import Server
-from dandelionreel.kernel import (
-    Endpoint,
-    PluginKind,
-    StaticHost,
-    SystemClock,
-    Verdict,
-    plugins,
-)
-from dandelionreel.platform import (
+from dandelionreel.backing import (
     HostEntry,
     HostListError,
     LeaseRenewal,
@@ -27,6 +18,15 @@
     TaskOrder,
     WorkerError,
 )
+from dandelionreel.http import Server
+from dandelionreel.kernel import (
+    Endpoint,
+    PluginKind,
+    StaticHost,
+    SystemClock,
+    Verdict,
+    plugins,
+)
 from standins._faults import Faults
 from standins._hosts import HostsStandIn
 from standins._log import LogStandIn
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -4,6 +4,16 @@
 import msgspec
 from behave import given, then, when
 
+from dandelionreel.backing import (
+    Envelope,
+    MemoryLog,
+    Position,
+    Resources,
+    StreamReader,
+    TaskList,
+    TaskOrder,
+    TaskStatus,
+)
 from dandelionreel.jobs import AttemptIntent, JobAccepted, JobBook, JobState, load_spec
 from dandelionreel.kernel import ManualClock
 from dandelionreel.ownership import (
@@ -19,16 +29,6 @@
     ShardFold,
 )
 from dandelionreel.peers import hash_member
-from dandelionreel.platform import (
-    Envelope,
-    MemoryLog,
-    Position,
-    Resources,
-    StreamReader,
-    TaskList,
-    TaskOrder,
-    TaskStatus,
-)
 from dandelionreel.routing import part_of_count
 from dandelionreel.workers import HoldState, Ledger
 from features.steps.interface_steps import Number
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,8 +8,8 @@
 import curio
 import msgspec
 
+from dandelionreel.backing import HostEntry
 from dandelionreel.http import Answer, Request, Server, answer_json
-from dandelionreel.platform import HostEntry
 from standins._hosts import HostsStandIn
 from standins._log import LogStandIn
 from standins._plan import Plan
--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -17,8 +17,8 @@
 
 import msgspec
 
+from dandelionreel.backing import HostEntry, Resources
 from dandelionreel.kernel import Endpoint
-from dandelionreel.platform import HostEntry, Resources
 from standins._plan import Plan, RelayPlan
 
 #: Each process that starts cells has loopback addresses of its own, so that
--- a/standins/_hosts.py
+++ b/standins/_hosts.py
@@ -3,8 +3,8 @@
 import msgspec
 import xxhash
 
+from dandelionreel.backing import HostEntry, HostsDone
 from dandelionreel.http import Answer, Request, answer_json
-from dandelionreel.platform import HostEntry, HostsDone
 from standins._faults import FaultSwitch
 
 FAULTS = '/control/faults'
--- a/standins/_log.py
+++ b/standins/_log.py
@@ -2,14 +2,14 @@
 
 import msgspec
 
-from dandelionreel.http import Answer, Request, answer_json
-from dandelionreel.platform import (
+from dandelionreel.backing import (
     AppendBody,
     AppendDone,
     LogTruncatedError,
     MemoryLog,
     ReadDone,
 )
+from dandelionreel.http import Answer, Request, answer_json
 from standins._faults import FaultSwitch
 
 MILLISECONDS = 1000
@@ -30,7 +30,7 @@
 
 
 class LogStandIn(FaultSwitch):
-    """Streams in memory, over the HTTP protocol of ``dandelionreel.platform``."""
+    """Streams in memory, over the HTTP protocol of ``dandelionreel.backing``."""
 
     def __init__(self) -> None:
         """Start with empty streams."""
--- a/standins/_plan.py
+++ b/standins/_plan.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from dandelionreel.platform import HostEntry
+from dandelionreel.backing import HostEntry
 
 
 class RelayPlan(msgspec.Struct, frozen=True):
--- a/standins/_runner.py
+++ b/standins/_runner.py
@@ -10,6 +10,7 @@
 import curio
 import msgspec
 
+from dandelionreel.backing import HostEntry
 from dandelionreel.http import (
     Answer,
     CloseConnection,
@@ -18,7 +19,6 @@
     ServerLimits,
     answer_json,
 )
-from dandelionreel.platform import HostEntry
 from standins._faults import FaultSwitch
 
 FAULTS = '/control/faults'
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -8,9 +8,7 @@
 
 import msgspec
 
-from dandelionreel.http import Answer, Request, Server, answer_json, answer_problem
-from dandelionreel.kernel import Problem
-from dandelionreel.platform import (
+from dandelionreel.backing import (
     NOTHING,
     HostEntry,
     LeaseRenewal,
@@ -20,6 +18,8 @@
     TaskOrder,
     WorkerError,
 )
+from dandelionreel.http import Answer, Request, Server, answer_json, answer_problem
+from dandelionreel.kernel import Problem
 from standins._faults import FaultSwitch
 
 MILLISECONDS = 1000
