Take-overs: runners of a job are stored first, heartbeats adapt, a failing owner asks

Cause: a successor that could not reach one runner left every older job alone for 12 s; an owner that the store turned away was missed only after 1.8 s of silence. Change: the runners of a job stand in the store before its first start there, so only the jobs of an unreachable runner wait; silence is 1.1 s or 2.5 usual gaps between heartbeats; an owner whose appends fail for 0.35 s asks its peers to claim; a host whose appends fail is unready.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -69,20 +69,21 @@
         queue = self.queue_of(job)
         return job.submission.service if queue is None else queue.service
 
-    def see_job(self, booked: BookedJob, now: float, wall: float, *, former: bool = False) -> None:
-        """Take a job, or the news of one, from the store.
+    def is_blocked(self, job: JobRun) -> bool:
+        """Return whether a former owner's tasks of the job may run unseen.
 
-        Tasks of a job that a ``former`` owner knew may run on unseen runners.
-        A job accepted after this owner's claim was never dispatched before: in
-        the log it stands behind the claim, which ended the former owner.
+        Starting one of them elsewhere could make it run twice at once.
         """
+        return not self.unseen.isdisjoint(job.runners)
+
+    def see_job(self, booked: BookedJob, now: float, wall: float) -> None:
+        """Take a job, or the news of one, from the store."""
         job = self.job_by_id.get(booked.id)
         if job is None:
             age = max(0.0, wall - booked.submission.accepted_at)
             job = JobRun(booked.id, booked.submission, now - age)
             if booked.progress is not None:
                 job.restore(booked.progress)
-            job.blocked = former and bool(self.unseen)
             self.job_by_id[booked.id] = job
         if booked.cancelled and not job.over:
             self._cancel(job)
@@ -276,7 +277,7 @@
     def _broken_gangs(self, wall: float) -> Iterable[StepRun]:
         """Return gangs of which some members run and others do not."""
         for job in self.job_by_id.values():
-            if job.over or not job.began or (job.blocked and self.unseen):
+            if job.over or not job.began or self.is_blocked(job):
                 continue
             for step in job.ready_steps(wall):
                 if step.step.gang and 0 < step.waiting < len(step.tasks):
--- a/dandelionreel/cell/_directory.py
+++ b/dandelionreel/cell/_directory.py
@@ -7,6 +7,10 @@
 from dandelionreel.kernel import Clock, Journal, Part
 
 NEVER = float('-inf')
+#: Weight of the newest gap between heartbeats in the usual one, and the longest
+#: gap in seconds that counts: a change of owner is no usual gap.
+GAP_WEIGHT = 0.3
+LONGEST_GAP = 1.0
 
 
 class ConfigurationFolder(Folder):
@@ -125,6 +129,8 @@
         self._clock = clock
         self.book = JobBook()
         self.owner_heard_at = NEVER
+        #: Seconds between two heartbeats, as they usually arrive.
+        self.usual_gap = 0.0
 
     def restart(self, snapshot: RecordBatch) -> None:
         """Forget, and take the newest record of each key."""
@@ -134,6 +140,8 @@
     def fold(self, batch: RecordBatch) -> None:
         """Take the records that follow."""
         self.book.fold(batch.records)
-        for record in batch.records:
-            if record.key == OWNER_KEY:
-                self.owner_heard_at = self._clock.monotonic()
+        if any(record.key == OWNER_KEY for record in batch.records):
+            now = self._clock.monotonic()
+            gap = min(LONGEST_GAP, now - self.owner_heard_at)
+            self.usual_gap += GAP_WEIGHT * (gap - self.usual_gap)
+            self.owner_heard_at = now
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -1,7 +1,7 @@
 """The owner's work for one term: looks, starts, stops, notes. I/O around ``Cell``."""
 
 from collections.abc import Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass
 
 import curio
@@ -21,6 +21,7 @@
     PROGRESS,
     SUBMISSION,
     Attended,
+    Member,
     Owner,
     make_record,
     make_tombstone,
@@ -38,6 +39,7 @@
 )
 from dandelionreel.cell._writer import GroupWriter, Written
 from dandelionreel.kernel import Clock, Journal, Part, Signal, Verdict, start_task
+from dandelionreel.peers import OwnerFailing, PeerError
 
 #: Seconds for which runners keep what runs there without hearing from us. Short
 #: enough to start the tasks of a dead runner elsewhere soon, long enough for a
@@ -52,6 +54,9 @@
 STORE_PATIENCE = 0.06
 #: Seconds without an answer after which nothing new is placed on a runner.
 SUSPECT_SECONDS = 0.8
+#: Seconds in which the runners of a job must be stored before its starts are
+#: given up for now. A slow store takes half a second.
+RECORD_PATIENCE = 0.9
 #: Tries of one start before it is taken back.
 START_TRIES = 4
 RETRY_SECONDS = 0.03
@@ -59,6 +64,10 @@
 ROUND_SECONDS = 0.1
 #: Seconds in which a released cell's last record must be stored.
 RELEASE_PATIENCE = 1.0
+#: Seconds without a successful append after which peers are asked to take
+#: over, and the pause before they are asked again.
+FAILING_SECONDS = 0.35
+ASK_AGAIN = 0.7
 #: Seconds before a question that failed is put again.
 QUESTION_PAUSE = 0.1
 #: Seconds for which a runner that could not be reached gets no start.
@@ -105,6 +114,7 @@
         self._runner_by_id: dict[str, Runner] = {}
         self._lease = min(LEASE_SECONDS, parts.longest_lease)
         self._unseen_until = 0.0
+        self._asked_at = float('-inf')
         self.cell = Cell(term.epoch, parts.gang_timeout)
         self._planner = Planner(self.cell)
         self._pool = AdvicePool(
@@ -158,13 +168,13 @@
             self._expect_former_runs(now)
         parts.jobs.book.take_changed()
         for job_id in tuple(parts.jobs.book.submission_by_id):
-            self._see_job(job_id, former=True)
+            self._see_job(job_id)
 
     def _expect_former_runs(self, now: float) -> None:
         """Remember the runners on which a former owner's tasks may run.
 
         Until each of them has listed its tasks, or all leases there must have
-        run out, no task of an older job is started: it may still run there.
+        run out, the jobs that the store names with it are left alone.
         """
         parts = self._parts
         silent = now - (self._term.silent_since or now)
@@ -231,13 +241,12 @@
                 await self._wake.notify()
             await follower.changed.wait(seen, 1.0)
 
-    def _see_job(self, job_id: str, *, former: bool = False) -> None:
+    def _see_job(self, job_id: str) -> None:
         booked = self._parts.jobs.book.find(job_id)
         if booked is None:
             self.cell.forget_job(job_id)
             return
-        now, wall = self._clock.monotonic(), self._clock.wall()
-        self.cell.see_job(booked, now, wall, former=former)
+        self.cell.see_job(booked, self._clock.monotonic(), self._clock.wall())
 
     async def _rounds(self) -> None:
         """Look after everything that no event announces."""
@@ -246,6 +255,7 @@
                 await self._lose('the store has not answered for too long')
                 return
             now = self._clock.monotonic()
+            await self._ask_for_successor(now)
             self.cell.configuration = self._parts.configuration.current
             await self._see_runners()
             if self.cell.unseen and now > self._unseen_until:
@@ -261,6 +271,30 @@
             await self._wake.notify()
             await curio.sleep(ROUND_SECONDS)
 
+    async def _ask_for_successor(self, now: float) -> None:
+        """Have peers claim the cell while the store serves them and not us.
+
+        Ended by silence alone this took 1.8 s, in which nothing was started.
+        """
+        if now - self._writer.failing_since < FAILING_SECONDS or now < self._asked_at + ASK_AGAIN:
+            return
+        self._asked_at = now
+        self._journal.tell(
+            Part.OWNERSHIP,
+            'asks peers to take over: the store does not serve it.',
+            epoch=self._term.epoch,
+            failing_seconds=round(now - self._writer.failing_since, 3),
+        )
+        book = self._parts.jobs.book
+        for host, member in tuple(book.member_by_host.items()):
+            if host != self._parts.host:
+                await curio.spawn(self._ask_peer, member, daemon=True)
+
+    async def _ask_peer(self, member: Member) -> None:
+        # Whether it was heard shows in the store: no answer needs a line.
+        with suppress(PeerError):
+            await self._parts.links.ask(member, OwnerFailing(self._term.term), ASK_AGAIN)
+
     async def _see_runners(self) -> None:
         folder = self._parts.runners
         fresh = self.cell.see_runners(folder.registration_by_id)
@@ -308,8 +342,7 @@
                 await curio.spawn(self._send_stop, allocation, daemon=True)
             if self._may_act():
                 made = self._planner.plan(self._clock.monotonic(), self._clock.wall())
-                for allocation in made.starts:
-                    await curio.spawn(self._send_start, allocation, daemon=True)
+                await self._send_starts(made.starts)
                 for question in made.questions:
                     await self._pool.ask(question)
             await self._wake.wait(seen, 1.0)
@@ -365,7 +398,8 @@
         if effect.ended or unstored:
             number = state.noted
             task = await curio.spawn(self._acknowledge, state, number, daemon=True)
-            if await curio.ignore_after(STORE_PATIENCE, task.wait) is None and unstored:
+            await curio.ignore_after(STORE_PATIENCE, task.wait)
+            if unstored and state.acknowledged < state.noted:
                 await curio.sleep(RELOOK_SECONDS)
 
     async def _acknowledge(self, state: RunnerState, number: int) -> None:
@@ -449,6 +483,42 @@
 
     # Orders
 
+    async def _send_starts(self, allocations: list[Allocation]) -> None:
+        """Send starts; first store the runners that are new to their jobs.
+
+        Waiting for that append costs each job about 6 ms once, of some 600 ms
+        that the most urgent ones can spare.
+        """
+        unstored: dict[str, list[Allocation]] = {}
+        for allocation in allocations:
+            job = self.cell.job_by_id[allocation.task.job]
+            job.runners.add(allocation.runner)
+            if allocation.runner in job.stored_runners:
+                await curio.spawn(self._send_start, allocation, daemon=True)
+                continue
+            unstored.setdefault(job.id, []).append(allocation)
+        if unstored:
+            await curio.spawn(self._store_and_send, unstored, daemon=True)
+
+    async def _store_and_send(self, allocations_by_job: dict[str, list[Allocation]]) -> None:
+        wall = self._clock.wall()
+        jobs = [self.cell.job_by_id[job_id] for job_id in allocations_by_job]
+        records = []
+        runners_by_job = {}
+        for job in jobs:
+            runners_by_job[job.id] = set(job.runners)
+            records.append(make_record(PROGRESS + job.id, job.progress(self._term.epoch, wall)))
+        writing = await curio.spawn(self._writer.write, records, AUTHORITY_SECONDS, daemon=True)
+        outcome = await curio.ignore_after(RECORD_PATIENCE, writing.join)
+        for job in jobs:
+            if outcome is Written.STORED:
+                job.stored_runners.update(runners_by_job[job.id])
+            for allocation in allocations_by_job[job.id]:
+                if outcome is Written.STORED:
+                    await curio.spawn(self._send_start, allocation, daemon=True)
+                else:
+                    self.cell.withdraw(allocation)
+
     async def _send_start(self, allocation: Allocation) -> None:
         state = self.cell.runner_by_id.get(allocation.runner)
         runner = self._runner_by_id.get(allocation.runner)
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import curio
 
@@ -12,12 +13,13 @@
 from dandelionreel.cell._records import OWNER_KEY, Owner, make_record
 from dandelionreel.cell._services import ConflictError, StoreError, Topic, WriterFence
 from dandelionreel.kernel import Clock, Journal, Part, Verdict
+from dandelionreel.peers import Done, Frame, Message
 
 #: Seconds between the owner's heartbeats in the store.
-BEAT_SECONDS = 0.4
+BEAT_SECONDS = 0.3
 #: Seconds without a heartbeat after which the owner is taken for dead. Three
 #: heartbeats and an append whose answer was lost.
-SILENT_SECONDS = 1.6
+SILENT_SECONDS = 1.1
 #: Seconds of chance added, so that not all hosts claim at once.
 JITTER_SECONDS = 0.3
 #: Seconds within which the claimant must have read up to now.
@@ -28,6 +30,12 @@
 POLL_SECONDS = 0.05
 #: Seconds for the answer to a claim, also from a slow store.
 CLAIM_TIMEOUT = 0.8
+#: Seconds for which word of an owner's trouble counts. Where the store serves
+#: nobody, it must not end in a claim when the store comes back.
+SUSPECTED_SECONDS = 0.8
+#: Heartbeats may come that many times as late as they usually do: a slow store
+#: must not look like a dead owner.
+GAP_FACTOR = 2.5
 #: Sequence numbers begin anywhere, so that two claims of one epoch are never
 #: taken for the same append.
 INCARNATION_BITS = 48
@@ -68,6 +76,7 @@
         self._clock = clock
         self._journal = journal
         self._suspected = ''
+        self._suspected_until = 0.0
         self._random = random.Random(f'{host}{clock.monotonic()}{os.getpid()}')
         #: The name of this process's life: a restarted host is another claimant.
         self.incarnation = f'{host}/{self._random.getrandbits(INCARNATION_BITS):012x}'
@@ -91,6 +100,17 @@
     def suspect(self, term: str) -> None:
         """Take the owner with that term for dead before its heartbeats are missed."""
         self._suspected = term
+        self._suspected_until = self._clock.monotonic() + SUSPECTED_SECONDS
+
+    async def take_failing(self, frame: Frame) -> Message:
+        """Answer an owner that the store does not serve."""
+        failing: Any = frame.message
+        self._journal.tell(Part.OWNERSHIP, f'{frame.sender} asks for a successor.')
+        self.suspect(failing.term)
+        return Done()
+
+    def _is_suspected(self, owner: Owner, now: float) -> bool:
+        return self._suspected == owner.term and now < self._suspected_until
 
     def _former_life(self, owner: Owner) -> bool:
         """Return whether this host's former process, or a later one's, held the cell."""
@@ -105,10 +125,11 @@
         owner = self._folder.book.owner
         if owner is None or owner.released:
             return True
-        if self._former_life(owner) or self._suspected == owner.term:
+        if self._former_life(owner) or self._is_suspected(owner, now):
             return True
         heard = max(self._folder.owner_heard_at, self._follower.reached_since)
-        patience = SILENT_SECONDS + self._random.random() * JITTER_SECONDS
+        silent = max(SILENT_SECONDS, GAP_FACTOR * self._folder.usual_gap)
+        patience = silent + self._random.random() * JITTER_SECONDS
         return now - heard > patience
 
     async def _claim(self) -> Term | None:
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -69,7 +69,7 @@
         """Return the steps whose turn has come, the most urgent first."""
         keyed = []
         for job in self._cell.job_by_id.values():
-            if job.over or (job.blocked and self._cell.unseen):
+            if job.over or self._cell.is_blocked(job):
                 continue
             queue = self._cell.queue_of(job)
             priority = queue.priority if queue else 0
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -58,13 +58,19 @@
 
 
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
-    """How far a job is, as noted by the owner with that epoch."""
+    """How far a job is, as noted by the owner with that epoch.
+
+    ``runners`` are all on which a task of the job may ever have been started:
+    it is stored before the first start there, so a successor that cannot reach
+    some runner knows which jobs to leave alone.
+    """
 
     epoch: int
     state: JobState
     done: tuple[DoneTasks, ...] = ()
     failed: tuple[FailedRun, ...] = ()
     ended_at: float = 0
+    runners: tuple[str, ...] = ()
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -192,7 +198,8 @@
         for job, submission in self.submission_by_id.items():
             if submission.queue != queue or job in self.cancellation_by_id:
                 continue
-            if job not in self.progress_by_id:
+            progress = self.progress_by_id.get(job)
+            if progress is None or progress.state is JobState.QUEUED:
                 count += 1
         return count
 
--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -17,12 +17,12 @@
 
 #: Seconds for one peer's answer: its append takes some milliseconds, and up to
 #: half a second while the store is slow.
-PEER_PATIENCE = 0.8
+PEER_PATIENCE = 0.6
 #: Peers that are tried for one request: the owner, then others by chance.
 PEERS_TRIED = 3
 #: Seconds for which a peer that did not answer, or that the store does not
 #: serve either, is not asked.
-PEER_QUIET = 1.0
+PEER_QUIET = 1.5
 
 
 @dataclass(frozen=True)
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -111,8 +111,10 @@
         self._failed_runs: set[FailedRun] = set()
         #: Whether the newest progress is not on its way to the store.
         self.dirty = False
-        #: Where tasks of earlier owners may still run, nothing is started.
-        self.blocked = False
+        #: Runners on which its tasks may have been started, and those of them
+        #: that the store names.
+        self.runners: set[str] = set()
+        self.stored_runners: set[str] = set()
 
     @property
     def spec(self) -> JobSpec:
@@ -214,7 +216,9 @@
 
     def restore(self, progress: Progress) -> None:
         """Take what an earlier owner has noted."""
-        self.began = True
+        self.began = progress.state is not JobState.QUEUED
+        self.runners.update(progress.runners)
+        self.stored_runners.update(progress.runners)
         self.state = progress.state
         self.ended_at = progress.ended_at
         for entry in progress.done:
@@ -247,7 +251,8 @@
                 done.append(DoneTasks(occurrence, step.name.step, f'{mask:x}'))
         failed = () if self.over else tuple(sorted(self._failed_runs, key=_failed_order))
         state = JobState.CANCELLED if self._shows_cancelled() else self.state
-        return Progress(epoch, state, tuple(done), failed, self.ended_at)
+        runners = () if self.over else tuple(sorted(self.runners))
+        return Progress(epoch, state, tuple(done), failed, self.ended_at, runners)
 
     def _shows_cancelled(self) -> bool:
         return self.cancelled and self.state not in {JobState.COMPLETED, JobState.FAILED}
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -31,7 +31,7 @@
     Part,
     start_task,
 )
-from dandelionreel.peers import AdviceWanted, EchoBook, Forward, PeerServer, Traffic
+from dandelionreel.peers import AdviceWanted, EchoBook, Forward, OwnerFailing, PeerServer, Traffic
 from dandelionreel.platform import (
     CELL_TOPIC,
     OPERATOR_TOPIC,
@@ -60,11 +60,13 @@
 #: The same on the other hosts. There a client that asks for a job that is not
 #: over ends the pause. Without it the reads of nine hosts were 30,000 calls in
 #: 46 s, 0.049 of the day's worth.
-CELL_PAUSE = 0.3
+CELL_PAUSE = 0.2
 RUNNERS_PAUSE = 1.0
 OPERATOR_PAUSE = 0.1
 #: Seconds without the store after which a host asks for no new connections.
 UNREADY_SECONDS = 1.5
+#: The same for failing appends: reads wait longer for their answers.
+UNWRITABLE_SECONDS = 0.4
 #: Seconds between updates of the gauges.
 GAUGE_SECONDS = 1.0
 #: Seconds for which a stopping host still takes connections: the balancer
@@ -214,6 +216,7 @@
             Traffic(),
         )
         peers.answer(Forward, self._front.handle_relayed)
+        peers.answer(OwnerFailing, self._election.take_failing)
         peers.answer(AdviceWanted, self._advisor.answer)
         await peers.start(stack, settings.peers.host, settings.peers.port)
         await self._callers.start(stack, settings.callers.host, settings.callers.port)
@@ -224,7 +227,10 @@
     def _is_ready(self) -> bool:
         if self._stopping or self._configuration.current is None:
             return False
-        return self._cell_follower.age(self._clock.monotonic()) < UNREADY_SECONDS
+        now = self._clock.monotonic()
+        if now - self._writer.failing_since > UNWRITABLE_SECONDS:
+            return False
+        return self._cell_follower.age(now) < UNREADY_SECONDS
 
     async def _join(self) -> None:
         """Tell the other hosts where this one listens for peers."""
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -24,6 +24,7 @@
     Heartbeat,
     HeartbeatAnswer,
     Message,
+    OwnerFailing,
     PlaceAnswer,
     PlaceOrder,
     Refused,
@@ -349,6 +350,10 @@
     )
 
 
+def _encode_owner_failing(root: Any, message: OwnerFailing) -> None:
+    root.ownerFailing = message.term
+
+
 def _encode_done(root: Any, message: Done) -> None:
     root.done = None
 
@@ -370,6 +375,7 @@
     ContractsWanted: _encode_wanted,
     AdviceWanted: _encode_advice,
     AdviceGiven: _encode_advised,
+    OwnerFailing: _encode_owner_failing,
     Done: _encode_done,
     Refused: _encode_refused,
 }
@@ -387,6 +393,7 @@
     'contractsWanted': lambda root: ContractsWanted(),
     'advice': _read_advice,
     'advised': _read_advised,
+    'ownerFailing': lambda root: OwnerFailing(root.ownerFailing),
     'done': lambda root: Done(),
     'refused': lambda root: Refused(root.refused),
 }
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -172,6 +172,13 @@
     permits: tuple[tuple[str, str], ...] = ()
 
 
+@dataclass(frozen=True)
+class OwnerFailing:
+    """The owner of that term asks a peer to take over: the store refuses it."""
+
+    term: str
+
+
 @dataclass(frozen=True)
 class Done:
     """The message was taken."""
@@ -197,6 +204,7 @@
     | ContractsWanted
     | AdviceWanted
     | AdviceGiven
+    | OwnerFailing
     | Done
     | Refused
 )
--- a/dandelionreel/peers/schema.capnp
+++ b/dandelionreel/peers/schema.capnp
@@ -27,6 +27,8 @@
     contractsWanted @16 :Void;
     advice @17 :AdviceWanted;
     advised @18 :AdviceGiven;
+    ownerFailing @19 :Text;
+    # The term of an owner that the store does not serve.
   }
 }
 
