Scenarios on the cell and the store, without processes

Change: 41 scenarios: take-over with an unseen runner, ends counted once, stops and unanswered starts that count, gangs, leases with drift; refusals that are true, late appends of a former owner, two claims at once, expired offsets. A topic in memory refuses, loses, delays and silences appends on request.

--- /dev/null
+++ b/features/cell.feature
@@ -0,0 +1,138 @@
+Feature: The owner's knowledge of jobs and runners
+
+  # A user hands a job in right after the owner died. One runner had crashed for
+  # good a while before. The successor waited for that runner's leases before it
+  # started anything, new work too, and every urgent job of 12 s was late.
+  Scenario: New work after a take-over does not wait for a runner that is gone
+    Given a successor that cannot see the runner w3
+    When a job is handed in
+    Then it starts at once
+
+  # The former owner started a task on a runner that is now cut off. The task
+  # runs on there; started again elsewhere, a settlement would be paid twice.
+  Scenario Outline: A job whose tasks may run unseen is left alone
+    Given a successor that cannot see the runner w3
+    When it takes a job that the store names with <runner>
+    Then it <outcome>
+
+    Examples:
+      | runner | outcome            |
+      | w3     | is left alone      |
+      | w2     | starts at once     |
+
+  Scenario: The job goes on once the runner has listed what it holds
+    Given a successor that cannot see the runner w3
+    When it takes a job that the store names with w3
+    And w3 answers and does not hold the task
+    Then it starts at once
+
+  # A worker starts whatever it is told. A task that is being stopped still has
+  # its processors; giving them away at once would overload the worker.
+  Scenario: A task that is being stopped counts until its end is listed
+    Given a cell with the runners w1
+    And a running job that fills w1
+    When the job is cancelled and another one is handed in
+    Then nothing starts
+    When w1 lists the end of the stopped run
+    Then the other job starts
+
+  # The answer to a start was lost. The start may be carried out seconds later;
+  # the task must not start elsewhere before a stop has forbidden that.
+  Scenario: A start without an answer counts until a stop has been taken
+    Given a cell with the runners w1, w2
+    And a job whose start was not answered and is taken back
+    When the runner is looked at before it has taken the stop
+    Then the task waits for nobody else to run it
+    When the runner takes the stop and is looked at again
+    Then the task starts with a higher run number
+
+  # A look waits at the runner for news. One that was sent before a start was
+  # answered may have been listed before the start took effect.
+  Scenario Outline: A look that does not list a run
+    Given a cell with the runners w1
+    And a running job that fills w1
+    When a look that was sent <when> the start was answered does not list it
+    Then the run <fate>
+
+    Examples:
+      | when   | fate          |
+      | before | is still held |
+      | after  | is lost       |
+
+  # Ends are listed again until they are acknowledged, and again to a successor.
+  # Counted twice, one failure would use up both attempts of a sound job.
+  Scenario: A failed end that is listed to two owners counts once
+    Given a cell with the runners w1
+    And a running job that fills w1
+    When its run fails, and a successor that has read the progress is told the same end
+    Then the job is not failed
+
+  Scenario: A job fails when its attempts are used up
+    Given a cell with the runners w1, w2
+    When a job fails on two runs
+    Then the job is failed
+
+  # A lease lapsed unseen and the task was started again; then the first run's
+  # end arrives as done. The second run must not be allowed to finish as well.
+  Scenario: A task that was done by an earlier run
+    Given a cell with the runners w1, w2
+    And a job that runs for the second time on another runner
+    When the first runner lists the end of the first run as done
+    Then the second run is stopped and the job is complete
+
+  # Gang members wait for each other and give up alone after a while, which
+  # wastes what they hold. All of them start, or none is left waiting.
+  Scenario: A gang of which one start stays unanswered
+    Given a cell with the runners w1, w2
+    And a gang of 4 tasks of 12000 with one start unanswered
+    When the gang's share of the timeout has passed
+    Then its other members are stopped
+
+  Scenario: A gang that does not fit at once
+    Given a cell with the runners w1, w2
+    When a gang of 5 tasks of 12000 is handed in
+    Then nothing starts
+
+  Scenario: Nothing new on a runner that drains
+    Given a cell with the runners w1
+    When w1 drains and a job is handed in
+    Then nothing starts
+
+  # Between the decision and the send the job may be cancelled; a start after
+  # the cancellation was confirmed would surprise whoever cancelled.
+  Scenario: A start is withdrawn when its job is cancelled before it is sent
+    Given a cell with the runners w1
+    When a job is planned and cancelled before its start is sent
+    Then the start may not be sent
+
+  # The runner's clock may be slow by 2%. Its lease has run out only when even
+  # such a clock has passed it.
+  Scenario Outline: When a silent runner's leases have run out
+    Given a lease of 5 s granted to a runner that falls silent
+    When <seconds> s have passed
+    Then the leases have run out: <answer>
+
+    Examples:
+      | seconds | answer |
+      | 5.0     | no     |
+      | 5.05    | no     |
+      | 5.2     | yes    |
+
+  Scenario: Steps wait for the steps that they depend on
+    Given a cell with the runners w1
+    When a job of two steps in a row is handed in
+    Then only the first step starts
+    When the first step is done
+    Then the second step starts
+
+  Scenario Outline: Where a task may run
+    Given a cell with the runners w1, w2
+    When a job with <rule> is handed in
+    Then it holds <counts> on w1 and w2
+
+    Examples:
+      | rule                     | counts |
+      | 4 tasks                  | 4, 0   |
+      | 4 tasks, at most 2 each  | 2, 2   |
+      | 2 tasks that need b      | 0, 2   |
+      | 2 tasks with data at r-2 | 0, 2   |
--- /dev/null
+++ b/features/steps/cell_steps.py
@@ -0,0 +1,292 @@
+"""Steps on the owner's knowledge, without processes."""
+
+from behave import given, then, when
+
+from dandelionreel.cell import Holding, JobState, StartReply
+from dandelionreel.cell._ledger import RunnerState
+from dandelionreel.cell._records import Progress
+from features.cell_parts import SmallCell, make_registration, step, task
+
+FULL = 32_000
+
+
+@given('a successor that cannot see the runner w3')
+def make_successor(context):
+    context.small = SmallCell(epoch=2)
+    context.small.cell.unseen.add('w3')
+    context.small.see_runners()
+
+
+@given('a cell with the runners {names}')
+def make_small_cell(context, names):
+    context.small = SmallCell(tuple(names.split(', ')))
+
+
+@when('a job is handed in')
+def hand_in(context):
+    context.small.add_job('j1', [step()])
+    context.made = context.small.plan()
+
+
+@when('it takes a job that the store names with {runner}')
+def take_job(context, runner):
+    progress = Progress(1, JobState.RUNNING, runners=(runner,))
+    context.small.add_job('j1', [step()], progress=progress)
+    context.made = context.small.plan()
+
+
+@when('w3 answers and does not hold the task')
+def runner_answers(context):
+    small = context.small
+    small.registration_by_id['w3'] = make_registration('w3', port=7)
+    small.see_runners()
+    small.look('w3')
+    context.made = small.plan()
+
+
+@then('it starts at once')
+def starts(context):
+    assert len(context.made.starts) == 1, context.made
+
+
+@then('it is left alone')
+@then('nothing starts')
+def nothing(context):
+    assert not context.made.starts, context.made
+
+
+@given('a running job that fills w1')
+def running_job(context):
+    context.small.add_job('j1', [step(FULL)])
+    context.small.plan()
+    assert context.small.used('w1') == FULL
+
+
+@when('the job is cancelled and another one is handed in')
+def cancel_and_hand_in(context):
+    context.small.cancel('j1')
+    assert context.small.cell.take_stops()
+    context.small.add_job('j2', [step()])
+    context.made = context.small.plan()
+
+
+@when('w1 lists the end of the stopped run')
+def stopped_end(context):
+    run = context.small.runs_on('w1')[0][1]
+    context.small.look('w1', ended=[(1, task('j1'), run, 'stopped')])
+    context.made = context.small.plan()
+
+
+@then('the other job starts')
+def other_starts(context):
+    assert [start.task.job for start in context.made.starts] == ['j2']
+
+
+@given('a job whose start was not answered and is taken back')
+def unanswered(context):
+    context.small.add_job('j1', [step()])
+    context.start = context.small.plan(start=False).starts[0]
+    context.small.cell.stop(context.start)
+
+
+@when('the runner is looked at before it has taken the stop')
+def look_early(context):
+    context.small.now += 1
+    context.small.look(context.start.runner)
+    context.made = context.small.plan()
+
+
+@then('the task waits for nobody else to run it')
+def still_counted(context):
+    assert not context.made.starts
+    assert context.small.runs_on(context.start.runner)
+
+
+@when('the runner takes the stop and is looked at again')
+def stop_taken(context):
+    small = context.small
+    small.cell.stop_answered(context.start, small.now)
+    small.now += 1
+    small.look(context.start.runner)
+    context.made = small.plan()
+
+
+@then('the task starts with a higher run number')
+def higher_run(context):
+    assert context.made.starts[0].run > context.start.run
+
+
+@when('a look that was sent {order} the start was answered does not list it')
+def look_without(context, order):
+    small = context.small
+    small.now += 1
+    asked = small.now - 2 if order == 'before' else small.now
+    small.look('w1', asked=asked)
+
+
+@then('the run {fate}')
+def fate_of_run(context, fate):
+    assert bool(context.small.runs_on('w1')) is (fate == 'is still held')
+
+
+@when('its run fails, and a successor that has read the progress is told the same end')
+def fail_twice(context):
+    small = context.small
+    run = small.runs_on('w1')[0][1]
+    end = (1, task('j1'), run, 'failed')
+    small.look('w1', ended=[end])
+    progress = small.cell.job_by_id['j1'].progress(1, small.now)
+    context.small = SmallCell(('w1',), epoch=2, seen=False)
+    context.small.add_job('j1', [step(FULL)], progress=progress)
+    context.small.look('w1', ended=[end])
+
+
+@when('a job fails on two runs')
+def fail_two_runs(context):
+    small = context.small
+    small.add_job('j1', [step()])
+    for number in (1, 2):
+        start = small.plan().starts[0]
+        small.look(start.runner, ended=[(number, start.task, start.run, 'failed')])
+
+
+@then('the job is failed')
+def job_failed(context):
+    assert context.small.cell.job_by_id['j1'].state is JobState.FAILED
+
+
+@then('the job is not failed')
+def job_not_failed(context):
+    job = context.small.cell.job_by_id['j1']
+    assert job.state is JobState.RUNNING, job.state
+    assert job.steps(0)[0].tasks[0].failures == 1
+
+
+@given('a job that runs for the second time on another runner')
+def second_run(context):
+    small = context.small
+    small.add_job('j1', [step()])
+    context.first = small.plan().starts[0]
+    small.cell.runner_lapsed(context.first.runner)
+    small.cell.runner_by_id[context.first.runner].suspect = True
+    context.second = small.plan().starts[0]
+    assert context.second.runner != context.first.runner
+
+
+@when('the first runner lists the end of the first run as done')
+def first_done(context):
+    first = context.first
+    context.small.look(first.runner, ended=[(1, first.task, first.run, 'done')])
+
+
+@then('the second run is stopped and the job is complete')
+def second_stopped(context):
+    assert context.second.phase is Holding.STOPPING
+    assert context.small.cell.job_by_id['j1'].state is JobState.COMPLETED
+
+
+@given('a gang of {count:d} tasks of {cpu:d} with one start unanswered')
+def gang_unanswered(context, count, cpu):
+    small = context.small
+    small.add_job('j1', [step(cpu, count, gang=True)], queue='gangs')
+    starts = small.plan(start=False).starts
+    assert len(starts) == count
+    assert len({start.run for start in starts}) == 1
+    for start in starts[1:]:
+        small.cell.start_answered(start, StartReply.STARTED, small.now)
+
+
+@when("the gang's share of the timeout has passed")
+def gang_times_out(context):
+    context.small.now += 2
+    context.small.cell.check_gangs(context.small.now, context.small.now)
+
+
+@then('its other members are stopped')
+def gang_stopped(context):
+    assert len(context.small.cell.take_stops()) == 4
+
+
+@when('a gang of {count:d} tasks of {cpu:d} is handed in')
+def hand_in_gang(context, count, cpu):
+    context.small.add_job('j1', [step(cpu, count, gang=True)], queue='gangs')
+    context.made = context.small.plan()
+
+
+@when('w1 drains and a job is handed in')
+def drain_and_hand_in(context):
+    context.small.drain('w1')
+    hand_in(context)
+
+
+@when('a job is planned and cancelled before its start is sent')
+def planned_and_cancelled(context):
+    context.small.add_job('j1', [step()])
+    context.start = context.small.plan(start=False).starts[0]
+    context.small.cancel('j1')
+
+
+@then('the start may not be sent')
+def may_not_send(context):
+    assert not context.small.cell.may_start(context.start)
+
+
+@given('a lease of 5 s granted to a runner that falls silent')
+def grant_lease(context):
+    context.state = RunnerState(make_registration('w1'))
+    context.state.note_clock(500, 1000)
+    context.state.grant(505)
+
+
+@when('{seconds:f} s have passed')
+def time_passes(context, seconds):
+    context.lapsed = context.state.lapsed(1000 + seconds, 0.02)
+
+
+@then('the leases have run out: {answer}')
+def leases_lapsed(context, answer):
+    assert context.lapsed is (answer == 'yes')
+
+
+@when('a job of two steps in a row is handed in')
+def two_steps(context):
+    context.small.add_job('j1', [step(), step(depends_on=(0,))])
+    context.made = context.small.plan()
+
+
+@then('only the first step starts')
+def first_step(context):
+    assert [start.task.step for start in context.made.starts] == [0]
+
+
+@when('the first step is done')
+def first_step_done(context):
+    start = context.made.starts[0]
+    context.small.look(start.runner, ended=[(1, start.task, start.run, 'done')])
+    context.made = context.small.plan()
+
+
+@then('the second step starts')
+def second_step(context):
+    assert [start.task.step for start in context.made.starts] == [1]
+
+
+@when('a job with {rule} is handed in')
+def job_with_rule(context, rule):
+    small = context.small
+    small.registration_by_id['w2'] = make_registration('w2', labels=('b', 'r-2'), port=2)
+    small.see_runners()
+    made = {
+        '4 tasks': step(count=4),
+        '4 tasks, at most 2 each': step(count=4, max_per_runner=2),
+        '2 tasks that need b': step(count=2, required_label='b'),
+        '2 tasks with data at r-2': step(count=2, data_rack='r-2'),
+    }
+    small.add_job('j1', [made[rule]])
+    small.plan()
+
+
+@then('it holds {counts} on w1 and w2')
+def holds(context, counts):
+    found = (len(context.small.runs_on('w1')), len(context.small.runs_on('w2')))
+    assert f'{found[0]}, {found[1]}' == counts, found
--- /dev/null
+++ b/features/steps/store_steps.py
@@ -0,0 +1,264 @@
+"""Steps on the store, with a topic in memory that is told to fail."""
+
+import io
+from contextlib import suppress
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import KeyedRecord, WriterFence
+from dandelionreel.cell._directory import JobFolder
+from dandelionreel.cell._election import Election
+from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._records import (
+    OWNER_KEY,
+    SUBMISSION,
+    JobBook,
+    Owner,
+    make_record,
+)
+from dandelionreel.cell._writer import AnswerTimes, GroupWriter
+from dandelionreel.kernel import Journal, ManualClock, SystemClock
+from standins import MemoryTopic
+
+PATIENCE = 0.35
+#: Seconds that nothing here takes on any machine.
+LONG = 30
+FAULTS = {
+    'succeed': [],
+    'refuse once': ['refuse'],
+    'refuse always': ['refuse'] * 50,
+    'lose once': ['lose'],
+    'lose, then refuse': ['lose', *['refuse'] * 50],
+    'stay silent always': ['silence'] * 50,
+}
+
+
+async def until(done):
+    """Wait until ``done()`` is true."""
+    while not done():
+        await curio.sleep(0.01)
+
+
+def journal():
+    return Journal(io.StringIO(), 'test')
+
+
+class Host:
+    """A host that follows a topic and may claim the cell."""
+
+    def __init__(self, name, topic, clock=None):
+        self.clock = clock or SystemClock()
+        self.folder = JobFolder(self.clock)
+        self.follower = Follower(
+            'cell', topic, self.folder, self.clock, journal(), 0.02, lambda: 0.0
+        )
+        self.election = Election(topic, self.follower, self.folder, name, self.clock, journal())
+
+    async def claim(self, seconds):
+        """Return the term, ``None`` where none was won in time."""
+        return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
+
+
+@given('a store whose appends {faults}')
+def store_with_faults(context, faults):
+    context.topic = MemoryTopic()
+    context.topic.faults.extend(FAULTS[faults])
+
+
+@when('a submission is written')
+def write_submission(context):
+    async def write():
+        writer = GroupWriter(context.topic, SystemClock(), journal())
+        await curio.spawn(writer.run, daemon=True)
+        return await writer.write([KeyedRecord(f'{SUBMISSION}x', b'{}')], PATIENCE)
+
+    context.outcome = curio.run(write)
+
+
+@then('it is {outcome}')
+def outcome_is(context, outcome):
+    assert context.outcome.value == outcome, context.outcome
+
+
+@given('an owner whose last append is late')
+def late_owner(context):
+    context.topic = MemoryTopic()
+    context.topic.faults.append('late')
+
+    async def write():
+        with suppress(Exception):
+            await context.topic.append([KeyedRecord('e/x', b'old')], 0.1, WriterFence(1, 5))
+
+    curio.run(write)
+
+
+@when('a successor has written and the late append lands')
+def successor_writes(context):
+    curio.run(context.topic.append, [KeyedRecord('e/x', b'new')], 0.1, WriterFence(2, 9))
+    context.topic.land()
+
+
+@then('the store holds what the successor wrote')
+def holds_new(context):
+    snapshot = curio.run(context.topic.snapshot)
+    assert [record.content for record in snapshot.records] == [b'new']
+
+
+@given('an owner whose append lost its answer')
+def lost_answer(context):
+    context.topic = MemoryTopic()
+    context.topic.faults.append('lose')
+
+
+@when('it writes again')
+def writes_again(context):
+    async def write():
+        writer = GroupWriter(context.topic, SystemClock(), journal(), WriterFence(1, 77))
+        await curio.spawn(writer.run, daemon=True)
+        for key in ('e/1', 'e/2'):
+            await writer.write([KeyedRecord(key, b'x')], 2.0)
+
+    curio.run(write)
+
+
+@then('every record stands in the store once')
+def once(context):
+    assert [record.key for record in context.topic.records] == ['e/1', 'e/2']
+    assert context.topic.appends == 3
+
+
+@given('two hosts that have read a store without an owner')
+def two_hosts(context):
+    context.topic = MemoryTopic()
+
+
+@when('both claim')
+def both_claim(context):
+    async def claim():
+        hosts = [Host(name, context.topic) for name in ('a', 'b')]
+        for host in hosts:
+            await curio.spawn(host.follower.run, daemon=True)
+        tasks = [await curio.spawn(host.claim, LONG, daemon=True) for host in hosts]
+        while not any(task.terminated for task in tasks):
+            await curio.sleep(0.01)
+        await curio.sleep(0.3)
+        context.terms = [task.result if task.terminated else None for task in tasks]
+        context.books = [host.folder.book for host in hosts]
+
+    curio.run(claim)
+
+
+@then('one of them owns the cell')
+def one_owner(context):
+    won = [term for term in context.terms if term is not None]
+    assert len(won) == 1, context.terms
+    assert {book.owner.term for book in context.books} == {won[0].term}
+
+
+def _topic_with_owner():
+    topic = MemoryTopic()
+    claim = make_record(OWNER_KEY, Owner(1, 'other', 'other/1'))
+    curio.run(topic.append, [claim], 0.1, WriterFence(1, 3))
+    return topic
+
+
+@given('a host that follows an owner while the store is down for 5 s')
+def following_still_host(context):
+    context.topic = _topic_with_owner()
+    context.clock = ManualClock()
+    context.host = Host('a', context.topic, context.clock)
+
+
+@given('a host that follows an owner')
+def following_host(context):
+    context.topic = _topic_with_owner()
+    context.host = Host('a', context.topic)
+
+
+@when('the store is back')
+def store_back(context):
+    async def follow():
+        await curio.spawn(context.host.follower.run, daemon=True)
+        await until(lambda: context.host.follower.started)
+        context.topic.down = True
+        await until(lambda: context.host.follower.lost_at > 0)
+        context.clock.advance(5)
+        context.topic.down = False
+        context.term = await context.host.claim(0.5)
+
+    curio.run(follow)
+
+
+@then('the host does not claim at once')
+def no_claim(context):
+    assert context.term is None
+
+
+@when('the owner asks for a successor')
+def owner_asks(context):
+    async def claim():
+        await curio.spawn(context.host.follower.run, daemon=True)
+        await until(lambda: context.host.follower.started)
+        context.host.election.suspect('other/1')
+        context.term = await context.host.claim(LONG)
+
+    curio.run(claim)
+
+
+@then('the host owns the cell with the next epoch')
+def next_epoch(context):
+    assert context.term is not None
+    assert context.term.epoch == 2
+
+
+@given('a follower that is behind')
+def behind(context):
+    context.topic = MemoryTopic()
+    context.host = Host('a', context.topic)
+    for epoch in (1, 2, 3):
+        claim = make_record(OWNER_KEY, Owner(epoch, 'other', f'other/{epoch}'))
+        curio.run(context.topic.append, [claim], 0.1)
+
+
+@when('the records that it has not read are gone')
+def expired(context):
+    context.topic.first = 2
+
+    async def follow():
+        context.host.follower._offset = 1
+        await curio.spawn(context.host.follower.run, daemon=True)
+        await context.host.follower.wait_fresh(context.host.clock.monotonic(), LONG)
+
+    curio.run(follow)
+
+
+@then('it knows what the newest records say')
+def knows_newest(context):
+    assert context.host.folder.book.owner.epoch == 3
+
+
+@given('the claims of the epochs 1 and 2, and a late heartbeat of epoch 1')
+def claims(context):
+    context.book = JobBook()
+    for epoch, beat in ((1, 0), (2, 0), (1, 5)):
+        context.book.fold([make_record(OWNER_KEY, Owner(epoch, 'h', f'h/{epoch}', beat))])
+
+
+@then('the owner is that of epoch 2')
+def owner_of_epoch(context):
+    assert context.book.owner.epoch == 2
+
+
+@given('answers of {seconds:f} s and then {misses:d} misses')
+def answers(context, seconds, misses):
+    context.times = AnswerTimes()
+    for _ in range(40):
+        context.times.note_answer(seconds)
+    for _ in range(misses):
+        context.times.note_miss()
+
+
+@then('the next one is waited for about {patience:f} s')
+def waited_for(context, patience):
+    assert abs(context.times.timeout - patience) < 0.05, context.times.timeout
--- /dev/null
+++ b/features/store.feature
@@ -0,0 +1,72 @@
+Feature: What stands in the store, under lost answers and late appends
+
+  # A client was told "not accepted" and did not ask again, but the append whose
+  # answer was lost had landed and the job ran. Only a submission of which no
+  # append can have taken place may be called refused.
+  Scenario Outline: What a client is told about its submission
+    Given a store whose appends <faults>
+    When a submission is written
+    Then it is <outcome>
+
+    Examples:
+      | faults                  | outcome |
+      | succeed                 | stored  |
+      | refuse once             | stored  |
+      | refuse always           | refused |
+      | lose once               | stored  |
+      | lose, then refuse       | unknown |
+      | stay silent always      | unknown |
+
+  # The former owner's append was under way when it was replaced, and lands
+  # after its successor's. It must not overwrite what the successor noted.
+  Scenario: A late append of a former owner
+    Given an owner whose last append is late
+    When a successor has written and the late append lands
+    Then the store holds what the successor wrote
+
+  Scenario: An owner whose answer was lost repeats its append without harm
+    Given an owner whose append lost its answer
+    When it writes again
+    Then every record stands in the store once
+
+  # Two hosts miss the owner at the same moment. With two owners of one epoch
+  # both would be obeyed by the workers.
+  Scenario: Two hosts claim at the same moment
+    Given two hosts that have read a store without an owner
+    When both claim
+    Then one of them owns the cell
+
+  # The store was down for everybody. When it is back, the owner's heartbeats
+  # are old, but the owner lives; a claim would only disturb.
+  Scenario: The store comes back
+    Given a host that follows an owner while the store is down for 5 s
+    When the store is back
+    Then the host does not claim at once
+
+  Scenario: A host that is told of a failing owner claims at once
+    Given a host that follows an owner
+    When the owner asks for a successor
+    Then the host owns the cell with the next epoch
+
+  # The history was cut while a host was away. It must start again from a
+  # snapshot, and forget what a snapshot does not hold.
+  Scenario: A follower whose offset has expired
+    Given a follower that is behind
+    When the records that it has not read are gone
+    Then it knows what the newest records say
+
+  Scenario: An older owner's heartbeat does not bring it back
+    Given the claims of the epochs 1 and 2, and a late heartbeat of epoch 1
+    Then the owner is that of epoch 2
+
+  Scenario Outline: How long an answer is waited for
+    Given answers of <seconds> s and then <misses> misses
+    Then the next one is waited for about <patience> s
+
+    Examples:
+      | seconds | misses | patience |
+      | 0.004   | 0      | 0.15     |
+      | 0.004   | 1      | 0.15     |
+      | 0.1     | 0      | 0.8      |
+      | 0.1     | 1      | 0.9      |
+      | 0.25    | 3      | 0.9      |
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -16,8 +16,10 @@
     repeated,
     requests_by_mark,
 )
+from standins._memory_topic import MemoryTopic
 
 __all__ = (
+    'MemoryTopic',
     'FAST_TIMINGS',
     'Cluster',
     'DaemonProcess',
