The owner stores jobs itself; a crashed runner's leases run out; a slow store is not a lost one

Every host passes submissions, cancellations and questions for a state to the owner, which stores the job while it asks for advice; while the store is slow, the job's runners go with it.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -9,7 +9,7 @@
 from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
 from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
 from dandelionreel.cell._records import BookedJob
-from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun
+from dandelionreel.cell._runs import ANY_RUNNER, JobRun, Phase, StepRun, TaskRun
 from dandelionreel.cell._services import (
     EndedRun,
     Outcome,
@@ -74,6 +74,8 @@
 
         Starting one of them elsewhere could make it run twice at once.
         """
+        if ANY_RUNNER in job.runners:
+            return bool(self.unseen)
         return not self.unseen.isdisjoint(job.runners)
 
     def see_job(self, booked: BookedJob, now: float, wall: float) -> None:
@@ -88,6 +90,12 @@
         if booked.cancelled and not job.over:
             self._cancel(job)
 
+    def cancel(self, job_id: str) -> None:
+        """Stop a job whose cancellation stands in the store."""
+        job = self.job_by_id.get(job_id)
+        if job is not None and not job.over:
+            self._cancel(job)
+
     def forget_job(self, job_id: str) -> None:
         """Drop a job that the store has dropped."""
         job = self.job_by_id.pop(job_id, None)
@@ -240,6 +248,7 @@
         runner.note_clock(view.clock, now)
         runner.answered_at = now
         runner.suspect = False
+        runner.missed = False
         for ended in view.ended:
             if ended.number <= runner.noted:
                 continue
--- /dev/null
+++ b/dandelionreel/cell/_desk.py
@@ -0,0 +1,135 @@
+"""What the parts of the dispatcher share for one term, and how they store notes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import curio
+
+from dandelionreel.cell._cell import Cell
+from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell._ledger import RunnerState
+from dandelionreel.cell._model import Registration
+from dandelionreel.cell._records import PROGRESS, Progress, make_record
+from dandelionreel.cell._runs import JobRun
+from dandelionreel.cell._services import KeyedRecord, Runner, Topic
+from dandelionreel.cell._writer import GroupWriter, Written
+from dandelionreel.kernel import Clock, Journal, Part, Signal
+
+#: Seconds for which runners keep what runs there without hearing from us. Short
+#: enough to start the tasks of a dead runner elsewhere soon, long enough for a
+#: new owner to be found meanwhile (about 2 s) and for a short outage.
+LEASE_SECONDS = 5.0
+
+MakeRunner = Callable[[Registration], Runner]
+
+
+@dataclass
+class Note:
+    """Progress of some jobs, on its way to the store."""
+
+    records: list[KeyedRecord] = field(default_factory=list)
+    progress_by_job: dict[JobRun, Progress] = field(default_factory=dict)
+
+
+class Desk:
+    """The cell of one term, the right to act on it, and the way to the store."""
+
+    def __init__(
+        self,
+        term: Term,
+        cell: Cell,
+        topic: Topic,
+        make_runner: MakeRunner,
+        longest_lease: float,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Work under ``term``; leases are cut to ``longest_lease`` seconds."""
+        self.term = term
+        self.cell = cell
+        self.clock = clock
+        self.journal = journal
+        self.lease = min(LEASE_SECONDS, longest_lease)
+        self.writer = GroupWriter(topic, clock, journal, term.fence)
+        self.writer.stored_at = clock.monotonic()
+        #: Notified whenever something may be started or has to be stopped.
+        self.wake = Signal()
+        self.ended = curio.Event()
+        #: Why the term was lost, empty while it was not.
+        self.lost = ''
+        self.runner_by_id: dict[str, Runner] = {}
+        self._make_runner = make_runner
+
+    async def lose(self, cause: str) -> None:
+        """End the term: another host owns the cell, or may."""
+        if not self.lost:
+            self.lost = cause
+        await self.ended.set()
+
+    def may_act(self) -> bool:
+        """Return whether this host may still send anything as the owner.
+
+        A process that was paused or cut off learns late that it was replaced:
+        its orders are then fenced by the runners its successor has reached,
+        and this ends them on those that it has not.
+        """
+        if self.lost or self.writer.fenced:
+            return False
+        return self.clock.monotonic() - self.writer.stored_at < AUTHORITY_SECONDS
+
+    async def write_note(
+        self,
+        note: Note,
+        *others: KeyedRecord,
+        patience: float = AUTHORITY_SECONDS,
+    ) -> Written:
+        """Store a note; what it says is then shown to clients and relied upon."""
+        outcome = await self.writer.write([*others, *note.records], patience)
+        if outcome is Written.STORED:
+            for job, progress in note.progress_by_job.items():
+                job.stored_state = progress.state
+                job.stored_runners.update(progress.runners)
+        return outcome
+
+    def note_progress(self, jobs: list[JobRun]) -> Note:
+        """Return what is to be stored of these jobs."""
+        wall = self.clock.wall()
+        note = Note()
+        for job in jobs:
+            progress = job.progress(self.term.epoch, wall)
+            note.progress_by_job[job] = progress
+            note.records.append(make_record(PROGRESS + job.id, progress))
+            if job.over:
+                self.journal.tell(
+                    Part.JOBS,
+                    f'job {job.id} is {progress.state.value}.',
+                    job=job.id,
+                    queue=job.submission.queue,
+                    seconds=round(self.clock.monotonic() - job.accepted, 3),
+                )
+        return note
+
+    async def flush(self) -> Written:
+        """Store the progress of all jobs that have got on."""
+        return await self.write_note(self.note_progress(self.cell.take_dirty()))
+
+    def end_runner(self, state: RunnerState, cause: str) -> None:
+        """Note that a runner's life is over."""
+        self.journal.tell(
+            Part.WORKERS,
+            f'{state.id} has ended: {cause}.',
+            runner=state.id,
+            tasks=len(state.allocation_by_run),
+        )
+        self.cell.runner_ended(state.id)
+
+    def add_runner(self, state: RunnerState) -> Runner:
+        """Open the way to a runner."""
+        runner = self._make_runner(state.registration)
+        self.runner_by_id[state.id] = runner
+        return runner
+
+    async def close_runners(self) -> None:
+        """Close the ways to all runners."""
+        for runner in self.runner_by_id.values():
+            await runner.close()
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -1,10 +1,12 @@
 """What clients ask: to take a job, to tell its state, to cancel it, to count."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
 from typing import Any
 
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
+from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._model import Configuration, Queue
 from dandelionreel.cell._records import (
@@ -15,7 +17,7 @@
     Submission,
     make_record,
 )
-from dandelionreel.cell._relay import Relay
+from dandelionreel.cell._relay import Relay, Relayed
 from dandelionreel.cell._services import ClientCodec, KeyedRecord, SubmissionError
 from dandelionreel.cell._writer import GroupWriter, Written
 from dandelionreel.http import Answer, Request, answer_problem
@@ -60,6 +62,20 @@
 STORE_CAUSE = 'store-out-of-reach'
 
 
+@dataclass
+class _Effort:
+    """What trying to store something has come to so far."""
+
+    by: str = ''
+    #: Whether an append may have taken place.
+    maybe: bool = False
+
+
+Attempt = Callable[[float, _Effort], Awaitable[Answer | None]]
+AtOwner = Callable[[Dispatcher, float], Awaitable[Written]]
+Forwarder = Callable[[Request, float], Awaitable[Relayed]]
+
+
 class ClientFront:
     """Answers clients from what stands in the store."""
 
@@ -71,6 +87,7 @@
         follower: Follower,
         writer: GroupWriter,
         relay: Relay,
+        owned: Callable[[], Dispatcher | None],
         clock: Clock,
         journal: Journal,
         note_answer: Callable[[str, int, float], None],
@@ -82,6 +99,7 @@
         self._follower = follower
         self._writer = writer
         self._relay = relay
+        self._owned = owned
         self._clock = clock
         self._journal = journal
         self._note_answer = note_answer
@@ -149,7 +167,13 @@
             return _problem(HTTP_BAD_REQUEST, 'bad-job', f'{error}')
         submission = Submission(queue.name, queue.service, self._clock.wall(), spec)
         record = make_record(SUBMISSION + job_id, submission)
-        return await self._store(request, job_id, record, relayed)
+        return await self._store(
+            request,
+            job_id,
+            record,
+            relayed,
+            lambda owner, patience: owner.accept(job_id, submission, patience),
+        )
 
     async def _store(
         self,
@@ -157,38 +181,80 @@
         job_id: str,
         record: KeyedRecord,
         relayed: bool,
+        at_owner: AtOwner,
     ) -> Answer:
-        """Write what a client asked for, here or by a peer, and tell it the truth.
+        """Have the owner store what a client asked for, else do it here or by a peer.
 
         Whoever was told "not accepted" may rely on it. So that is said only
         when no append can have taken place, neither here nor at a peer.
         """
-        began = self._clock.monotonic()
-        patience = self._patience(request)
-        outcome = Written.REFUSED
-        if not self._is_cut_off(began):
-            outcome = await self._writer.write([record], min(patience, OWN_PATIENCE))
-        answer = None
-        maybe = outcome is Written.UNKNOWN
-        if outcome is not Written.STORED and not relayed:
-            passed = await self._relay.forward(request, began + patience - self._clock.monotonic())
-            answer = passed.answer
-            maybe = maybe or passed.maybe
+        until = self._clock.monotonic() + self._patience(request)
+        effort = _Effort()
+        for attempt in self._attempts(request, record, relayed, at_owner):
+            left = until - self._clock.monotonic()
+            if left <= 0:
+                break
+            answer = await attempt(left, effort)
+            if answer is not None and (answer.status not in REFUSALS or not effort.maybe):
+                self._tell(request, job_id, f'{answer.status} by {effort.by}')
+                return answer
         self._tell(
             request,
             job_id,
-            f'{outcome.value} here' if answer is None else f'a peer answered {answer.status}',
-            seconds=round(self._clock.monotonic() - began, 4),
-            store_failing=round(max(0.0, began - self._writer.failing_since), 3),
+            'may be stored' if effort.maybe else 'not stored',
+            store_failing=round(max(0.0, until - self._writer.failing_since), 3),
         )
-        if outcome is Written.STORED:
-            return self._codec.answer_accepted()
-        if answer is not None and (answer.status not in REFUSALS or not maybe):
-            return answer
-        if maybe:
+        if effort.maybe:
             return self._unknown('what was asked for may have been stored')
         return _refuse(STORE_CAUSE, 'the store takes nothing just now; it was not accepted')
 
+    def _attempts(
+        self,
+        request: Request,
+        record: KeyedRecord,
+        relayed: bool,
+        at_owner: AtOwner,
+    ) -> Iterator[Attempt]:
+        """Return the ways to store something, the best one first."""
+        dispatcher = self._owned()
+        if dispatcher is not None:
+
+            async def by_owner(left: float, effort: _Effort) -> Answer | None:
+                effort.by = 'the owner'
+                if dispatcher.store_is_failing:
+                    return None
+                return self._judge(await at_owner(dispatcher, min(left, OWN_PATIENCE)), effort)
+
+            yield by_owner
+        elif not relayed:
+            yield self._pass_on(request, self._relay.forward_to_owner)
+        if not self._is_cut_off(self._clock.monotonic()):
+
+            async def here(left: float, effort: _Effort) -> Answer | None:
+                effort.by = 'this host'
+                outcome = await self._writer.write([record], min(left, OWN_PATIENCE))
+                return self._judge(outcome, effort)
+
+            yield here
+        if not relayed:
+            yield self._pass_on(request, self._relay.forward)
+
+    def _pass_on(self, request: Request, forward: Forwarder) -> Attempt:
+        async def pass_on(left: float, effort: _Effort) -> Answer | None:
+            effort.by = 'a peer'
+            passed = await forward(request, left)
+            effort.maybe = effort.maybe or passed.maybe
+            return passed.answer
+
+        return pass_on
+
+    def _judge(self, outcome: Written, effort: '_Effort') -> Answer | None:
+        """Return the answer to something that was stored, and note what is in doubt."""
+        if outcome is Written.STORED:
+            return self._codec.answer_accepted()
+        effort.maybe = effort.maybe or outcome is not Written.REFUSED
+        return None
+
     def _is_cut_off(self, now: float) -> bool:
         """Return whether an append has just failed and none has succeeded since.
 
@@ -196,7 +262,7 @@
         ``PROBE_SECONDS`` finds out when the store is back.
         """
         writer = self._writer
-        return writer.failing_since < now and now - writer.failed_at < PROBE_SECONDS
+        return writer.in_trouble(now) and now - writer.failed_at < PROBE_SECONDS
 
     async def _state(
         self,
@@ -208,11 +274,17 @@
         booked = self._jobs.book.find(job_id)
         if booked is not None and booked.state in FINAL_STATES:
             return self._codec.answer_state(booked.state)
-        # An unknown job may stand in the store by now; one under way may be
-        # over, and a client counts its wait until it sees that.
+        # A job under way may be over by now, and a client counts its wait until
+        # it sees that; an unknown one may have been stored meanwhile.
+        dispatcher = self._owned()
+        state = dispatcher.state_of(job_id) if dispatcher else None
+        if state is not None:
+            return self._codec.answer_state(state)
         patience = LOOKUP_PATIENCE if booked is None else REFRESH_PATIENCE
-        if self._follower.age(began) > CUT_OFF_AGE and not relayed:
-            passed = await self._relay.forward(request, patience)
+        if dispatcher is None and not relayed:
+            passed = await self._relay.forward_to_owner(request, patience)
+            if passed.answer is None and self._follower.age(began) > CUT_OFF_AGE:
+                passed = await self._relay.forward(request, patience)
             if passed.answer is not None:
                 return passed.answer
         await self._follower.wait_fresh(began - STATE_AGE, patience)
@@ -237,7 +309,13 @@
         if booked.cancelled:
             return self._codec.answer_accepted()
         record = make_record(CANCELLATION + job_id, Cancellation(self._clock.wall()))
-        return await self._store(request, job_id, record, relayed)
+        return await self._store(
+            request,
+            job_id,
+            record,
+            relayed,
+            lambda owner, patience: owner.cancel(job_id, patience),
+        )
 
     def _unknown_job(self, job_id: str, began: float) -> Answer:
         """Say that a job does not exist, but only if all that is stored has been read."""
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -59,6 +59,8 @@
         self.answered_at = NEVER
         #: Set while looks go unanswered: nothing new is placed there.
         self.suspect = False
+        #: Whether the last look was not answered.
+        self.missed = False
         #: No start is sent there before then (it refused one).
         self.quiet_until = NEVER
         #: The highest end number whose effect stands in the store, and the
@@ -108,9 +110,22 @@
         """Return about what the runner's clock shows."""
         return self._clock + (now - self._clock_at)
 
-    def grant(self, lease_until: float) -> None:
-        """Remember the longest lease that the runner may have been given."""
+    def extend_lease(self, now: float, seconds: float) -> float:
+        """Return the end of a new lease on the runner's clock, and count it as granted."""
+        lease_until = self.clock_at(now) + seconds
         self._lease_until = max(self._lease_until, lease_until)
+        return lease_until
+
+    def renew_lease(self, now: float, seconds: float) -> float | None:
+        """Return the lease that a look carries, ``None`` for none.
+
+        A runner that did not answer the last look gets none: each renewal that
+        it may have taken moves the time at which its tasks are surely gone, and
+        a crashed runner's tasks would never start elsewhere.
+        """
+        if not self.knows_clock() or self.missed:
+            return None
+        return self.extend_lease(now, seconds)
 
     def lapsed(self, now: float, drift: float) -> bool:
         """Return whether every lease granted there has run out for sure.
--- /dev/null
+++ b/dandelionreel/cell/_orders.py
@@ -0,0 +1,185 @@
+"""Starts and stops, repeated until it is known what became of them."""
+
+import curio
+
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._ledger import Allocation, RunnerState
+from dandelionreel.cell._services import (
+    Runner,
+    RunnerError,
+    RunnerFenced,
+    RunnerReplaced,
+    StartOrder,
+    StartReply,
+)
+from dandelionreel.cell._writer import Written
+from dandelionreel.kernel import Part, Verdict
+
+#: Seconds in which the runners of a job must be stored before its starts are
+#: given up for now. A slow store takes half a second.
+RECORD_PATIENCE = 0.9
+#: Tries of one start before it is taken back.
+START_TRIES = 4
+RETRY_SECONDS = 0.03
+#: Seconds between tries of one stop.
+RESTOP_SECONDS = 0.2
+#: Seconds for which a runner that could not be reached gets no start.
+UNREACHED_QUIET = 0.3
+
+
+class Orders:
+    """Sends what the planner has decided."""
+
+    def __init__(self, desk: Desk) -> None:
+        """Send on behalf of ``desk``."""
+        self._desk = desk
+
+    async def send_starts(self, allocations: list[Allocation]) -> None:
+        """Send starts; first store the runners that are new to their jobs.
+
+        Waiting for that append costs each job about 6 ms once, of some 600 ms
+        that the most urgent ones can spare.
+        """
+        unstored: dict[str, list[Allocation]] = {}
+        for allocation in allocations:
+            job = self._desk.cell.job_by_id[allocation.task.job]
+            job.runners.add(allocation.runner)
+            if job.may_run_on(allocation.runner):
+                await curio.spawn(self._send_start, allocation, daemon=True)
+                continue
+            unstored.setdefault(job.id, []).append(allocation)
+        if unstored:
+            await curio.spawn(self._store_and_send, unstored, daemon=True)
+
+    async def send_stop(self, allocation: Allocation) -> None:
+        """Repeat a stop until the runner has taken it."""
+        runner = self._desk.runner_by_id.get(allocation.runner)
+        while runner is not None and self._desk.may_act():
+            state = self._desk.cell.runner_by_id.get(allocation.runner)
+            if state is None or (allocation.task, allocation.run) not in state.allocation_by_run:
+                return
+            try:
+                await runner.stop(allocation.task, allocation.run, self._desk.term.epoch)
+            except RunnerError:
+                await curio.sleep(RESTOP_SECONDS)
+                continue
+            except RunnerFenced:
+                await self._desk.lose(f'{allocation.runner} has seen a higher epoch')
+                return
+            except RunnerReplaced:
+                self._desk.end_runner(state, 'another runner answers there')
+                return
+            self._desk.cell.stop_answered(allocation, self._desk.clock.monotonic())
+            return
+
+    async def _store_and_send(self, allocations_by_job: dict[str, list[Allocation]]) -> None:
+        jobs = [self._desk.cell.job_by_id[job_id] for job_id in allocations_by_job]
+        note = self._desk.note_progress(jobs)
+        writing = await curio.spawn(self._desk.write_note, note, daemon=True)
+        outcome = await curio.ignore_after(RECORD_PATIENCE, writing.join)
+        for allocations in allocations_by_job.values():
+            for allocation in allocations:
+                if outcome is Written.STORED:
+                    await curio.spawn(self._send_start, allocation, daemon=True)
+                else:
+                    self._desk.cell.withdraw(allocation)
+
+    async def _send_start(self, allocation: Allocation) -> None:
+        state = self._desk.cell.runner_by_id.get(allocation.runner)
+        runner = self._desk.runner_by_id.get(allocation.runner)
+        job = self._desk.cell.job_by_id.get(allocation.task.job)
+        if state is None or runner is None or job is None:
+            self._desk.cell.withdraw(allocation)
+            return
+        self._desk.journal.tell_frequent(
+            Part.PLACEMENT,
+            f'starts a task on {state.id}.',
+            job=job.id,
+            task=f'{allocation.task.occurrence}.{allocation.task.step}.{allocation.task.index}',
+            run=allocation.run,
+            runner=state.id,
+            waited=round(self._desk.clock.monotonic() - job.accepted, 3),
+            room=state.room.cpu,
+        )
+        maybe_sent = await self._try_start(state, runner, allocation, job.spec.payload)
+        if maybe_sent is None:
+            return
+        if maybe_sent:
+            # The start may still arrive: it counts until a stop has forbidden it.
+            self._desk.cell.stop(allocation)
+        else:
+            state.quiet_until = self._desk.clock.monotonic() + UNREACHED_QUIET
+            self._desk.cell.withdraw(allocation)
+        await self._desk.wake.notify()
+
+    async def _try_start(
+        self,
+        state: RunnerState,
+        runner: Runner,
+        allocation: Allocation,
+        payload: str,
+    ) -> bool | None:
+        """Repeat a start until it is answered; else return whether it may arrive."""
+        maybe_sent = False
+
+        def check() -> bool:
+            return self._desk.may_act() and self._desk.cell.may_start(allocation)
+
+        for _ in range(START_TRIES):
+            try:
+                answer = await runner.start(self._order(state, allocation, payload), check)
+            except RunnerError as error:
+                maybe_sent = maybe_sent or error.verdict is not Verdict.NOT_RUN
+                self._tell_unanswered(allocation, error)
+                if not maybe_sent or not check():
+                    return maybe_sent
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            await self._take_answer(state, allocation, answer.reply)
+            return None
+        return maybe_sent
+
+    def _tell_unanswered(self, allocation: Allocation, error: RunnerError) -> None:
+        self._desk.journal.tell_frequent(
+            Part.PLACEMENT,
+            f'a start was not answered: {error}.',
+            job=allocation.task.job,
+            runner=allocation.runner,
+            run=allocation.run,
+            verdict=error.verdict.value,
+        )
+
+    def _order(self, state: RunnerState, allocation: Allocation, payload: str) -> StartOrder:
+        lease_until = state.extend_lease(self._desk.clock.monotonic(), self._desk.lease)
+        return StartOrder(
+            allocation.task,
+            allocation.run,
+            payload,
+            self._desk.term.epoch,
+            lease_until,
+            allocation.checkpoint,
+            allocation.ticket,
+        )
+
+    async def _take_answer(
+        self,
+        state: RunnerState,
+        allocation: Allocation,
+        reply: StartReply,
+    ) -> None:
+        if reply is StartReply.FENCED:
+            await self._desk.lose(f'{state.id} has seen a higher epoch')
+            return
+        if reply is StartReply.REPLACED:
+            self._desk.end_runner(state, 'another runner answers there')
+        else:
+            self._desk.cell.start_answered(allocation, reply, self._desk.clock.monotonic())
+        if reply is not StartReply.STARTED:
+            self._desk.journal.tell(
+                Part.PLACEMENT,
+                f'a start was refused: {reply.value}.',
+                job=allocation.task.job,
+                runner=state.id,
+                run=allocation.run,
+            )
+            await self._desk.wake.notify()
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -54,7 +54,7 @@
             service = self._cell.service_of(candidate.job)
             runners = runners_by_service.get(service, [])
             allowed = self._allowed(candidate, runners, now, made)
-            if allowed:
+            if allowed and candidate.job.stored:
                 self._place(candidate, allowed, now, made)
         return made
 
--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -1,8 +1,9 @@
-"""Clients' requests passed on to a peer, for a host that the store does not serve.
+"""Clients' requests passed on to a peer.
 
-The store may turn single hosts away while it serves the others. Clients that
-hold a connection to such a host would otherwise be refused for as long as that
-lasts.
+The owner of the cell stores a job and starts it without waiting until it has
+read that another host stored it. And where the store turns single hosts away,
+the others still serve: clients that hold a connection to such a host would
+otherwise be refused for as long as that lasts.
 """
 
 import random
@@ -18,7 +19,7 @@
 #: Seconds for one peer's answer: its append takes some milliseconds, and up to
 #: half a second while the store is slow.
 PEER_PATIENCE = 0.6
-#: Peers that are tried for one request: the owner, then others by chance.
+#: Peers that are tried for one request, in random order.
 PEERS_TRIED = 3
 #: Seconds for which a peer that did not answer, or that the store does not
 #: serve either, is not asked.
@@ -52,11 +53,23 @@
         self._journal = journal
         self._quiet_until_by_host: dict[str, float] = {}
 
+    async def forward_to_owner(self, request: Request, patience: float) -> Relayed:
+        """Return the answer of the cell's owner."""
+        owner = self._book.owner
+        if owner is None or owner.host == self._me or owner.released:
+            return Relayed(None)
+        return await self._forward([owner.host], request, patience)
+
     async def forward(self, request: Request, patience: float) -> Relayed:
         """Return the first answer of a peer that could act on the request."""
+        hosts = [host for host in self._book.member_by_host if host != self._me]
+        random.shuffle(hosts)
+        return await self._forward(hosts, request, patience)
+
+    async def _forward(self, hosts: list[str], request: Request, patience: float) -> Relayed:
         until = self._clock.monotonic() + patience
         maybe = False
-        for host, member in self._peers():
+        for host, member in self._usable(hosts):
             left = min(PEER_PATIENCE, until - self._clock.monotonic())
             if left <= 0:
                 break
@@ -72,15 +85,13 @@
             self._avoid(host, 'the store does not serve it either')
         return Relayed(None, maybe)
 
-    def _peers(self) -> Iterator[tuple[str, Member]]:
+    def _usable(self, hosts: list[str]) -> Iterator[tuple[str, Member]]:
         now = self._clock.monotonic()
-        hosts = [host for host in self._book.member_by_host if host != self._me]
-        random.shuffle(hosts)
-        owner = self._book.owner
-        if owner is not None and owner.host in hosts:
-            hosts.remove(owner.host)
-            hosts.insert(0, owner.host)
-        usable = [host for host in hosts if self._quiet_until_by_host.get(host, 0) <= now]
+        usable = [
+            host
+            for host in hosts
+            if self._quiet_until_by_host.get(host, 0) <= now and host in self._book.member_by_host
+        ]
         for host in usable[:PEERS_TRIED]:
             yield host, self._book.member_by_host[host]
 
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -7,6 +7,8 @@
 from dandelionreel.cell._records import DoneTasks, FailedRun, Progress, Submission
 
 HEX = 16
+#: In a job's runners: its tasks may have been started anywhere.
+ANY_RUNNER = '*'
 #: Runners that a question to the policy service names, as objectives count it.
 TYPICAL_QUESTION = 30
 
@@ -111,6 +113,10 @@
         self._failed_runs: set[FailedRun] = set()
         #: Whether the newest progress is not on its way to the store.
         self.dirty = False
+        #: Whether the store has the submission: nothing starts before.
+        self.stored = True
+        #: What the store says of it, and so what clients are told.
+        self.stored_state = JobState.QUEUED
         #: Runners on which its tasks may have been started, and those of them
         #: that the store names.
         self.runners: set[str] = set()
@@ -121,6 +127,17 @@
         """Return what the client handed in."""
         return self.submission.spec
 
+    @property
+    def shown_state(self) -> JobState:
+        """Return what clients are told: nothing that a crash could take back."""
+        if self.cancelled and self.stored_state not in {JobState.COMPLETED, JobState.FAILED}:
+            return JobState.CANCELLED
+        return self.stored_state
+
+    def may_run_on(self, runner: str) -> bool:
+        """Return whether the store says that its tasks may run on a runner."""
+        return runner in self.stored_runners or ANY_RUNNER in self.stored_runners
+
     @property
     def over(self) -> bool:
         """Return whether nothing is to be started any more."""
@@ -219,6 +236,7 @@
         self.began = progress.state is not JobState.QUEUED
         self.runners.update(progress.runners)
         self.stored_runners.update(progress.runners)
+        self.stored_state = progress.state
         self.state = progress.state
         self.ended_at = progress.ended_at
         for entry in progress.done:
--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/_writer.py
@@ -21,14 +21,18 @@
 #: Bytes of one append, well below what the store takes at once.
 BYTES_PER_APPEND = 1_000_000
 #: Bounds in seconds of how long an append's answer is waited for. The store
-#: answers in 4 ms; slowed 60 times it takes 0.25 s. The wait follows what was
-#: measured, so that a lost answer costs little while the store is quick.
-SHORTEST_TIMEOUT = 0.15
+#: answers in 4 ms; slowed 60 times it takes 0.25 s, and the first slow answer
+#: must not be taken for a lost one. Beyond that the wait follows what was measured.
+SHORTEST_TIMEOUT = 0.3
 LONGEST_TIMEOUT = 0.9
 #: The wait is this many times the typical answer, and doubles after each miss.
 TIMEOUT_FACTOR = 8.0
 #: Weight of the newest answer in the typical one.
 NEWEST_WEIGHT = 0.2
+#: Seconds of refusals, and of silence, after which the store counts as out of
+#: reach. Silence is also what a slow store looks like at first.
+REFUSING_SECONDS = 0.2
+SILENT_SECONDS = 0.8
 #: Seconds between tries while the store refuses or stays silent.
 RETRY_SECONDS = 0.1
 
@@ -59,6 +63,11 @@
         self._typical = SHORTEST_TIMEOUT / TIMEOUT_FACTOR
         self._stretch = 1.0
 
+    @property
+    def typical(self) -> float:
+        """Return how long an answer typically takes, in seconds."""
+        return self._typical
+
     @property
     def timeout(self) -> float:
         """Return how long to wait for the next answer, in seconds."""
@@ -99,6 +108,7 @@
         self._waiting: deque[_Entry] = deque()
         self._event = curio.Event()
         self._times = AnswerTimes()
+        self._refused = False
         self.fenced = False
         #: Since when no append has succeeded, infinite while they do.
         self.failing_since = float('inf')
@@ -106,6 +116,16 @@
         #: When the latest append that was answered had been sent.
         self.stored_at = float('-inf')
 
+    def in_trouble(self, now: float) -> bool:
+        """Return whether the store takes nothing from this host just now."""
+        limit = REFUSING_SECONDS if self._refused else SILENT_SECONDS
+        return now - self.failing_since >= limit
+
+    @property
+    def usual_seconds(self) -> float:
+        """Return how long an append usually takes just now."""
+        return self._times.typical
+
     async def write(self, records: Sequence[KeyedRecord], patience: float) -> Written:
         """Append the records within ``patience`` seconds and tell what became of them."""
         entry = _Entry(records, self._clock.monotonic() + patience)
@@ -156,7 +176,8 @@
                     verdict=error.verdict.value,
                     records=len(batch),
                 )
-                if error.verdict is not Verdict.NOT_RUN:
+                self._refused = error.verdict is Verdict.NOT_RUN
+                if not self._refused:
                     self._times.note_miss()
                 self.failing_since = min(self.failing_since, sent_at)
                 self.failed_at = self._clock.monotonic()
@@ -176,8 +197,9 @@
         kept = []
         for entry in entries:
             entry.maybe = entry.maybe or error.verdict is not Verdict.NOT_RUN
-            # What a fenced append holds must stay the same until it is answered.
-            if now < entry.until or self._fence is not None:
+            # What a fenced append holds must stay the same until it is known
+            # not to have taken place.
+            if now < entry.until or (self._fence is not None and entry.maybe):
                 kept.append(entry)
                 continue
             entry.outcome = Written.UNKNOWN if entry.maybe else Written.REFUSED
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -65,8 +65,6 @@
 OPERATOR_PAUSE = 0.1
 #: Seconds without the store after which a host asks for no new connections.
 UNREADY_SECONDS = 1.5
-#: The same for failing appends: reads wait longer for their answers.
-UNWRITABLE_SECONDS = 0.4
 #: Seconds between updates of the gauges.
 GAUGE_SECONDS = 1.0
 #: Seconds for which a stopping host still takes connections: the balancer
@@ -144,6 +142,7 @@
             self._cell_follower,
             self._writer,
             self._relay,
+            lambda: self._dispatcher,
             self._clock,
             self._journal,
             self._metrics.note_answer,
@@ -228,7 +227,8 @@
         if self._stopping or self._configuration.current is None:
             return False
         now = self._clock.monotonic()
-        if now - self._writer.failing_since > UNWRITABLE_SECONDS:
+        dispatcher = self._dispatcher
+        if self._writer.in_trouble(now) or (dispatcher and dispatcher.store_is_failing):
             return False
         return self._cell_follower.age(now) < UNREADY_SECONDS
 
--- a/features/cell.feature
+++ b/features/cell.feature
@@ -118,6 +118,14 @@
       | 5.05    | no     |
       | 5.2     | yes    |
 
+  # A runner crashed for good. It was looked at again and again, and each look
+  # asked for a longer lease, so its leases never seemed to run out: its tasks
+  # were never started again, and their clients waited to the end of the day.
+  Scenario: A crashed runner is looked at while its leases run out
+    Given a lease of 5 s granted to a runner that falls silent
+    When it is looked at again and again without an answer
+    Then the leases have run out: yes
+
   Scenario: Steps wait for the steps that they depend on
     Given a cell with the runners w1
     When a job of two steps in a row is handed in
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -235,7 +235,7 @@
 def grant_lease(context):
     context.state = RunnerState(make_registration('w1'))
     context.state.note_clock(500, 1000)
-    context.state.grant(505)
+    context.state.extend_lease(1000, 5)
 
 
 @when('{seconds:f} s have passed')
@@ -243,6 +243,17 @@
     context.lapsed = context.state.lapsed(1000 + seconds, 0.02)
 
 
+@when('it is looked at again and again without an answer')
+def look_in_vain(context):
+    state = context.state
+    context.lapsed = False
+    for tenths in range(60):
+        now = 1000 + tenths / 10
+        state.renew_lease(now, 5)
+        state.missed = True
+        context.lapsed = context.lapsed or state.lapsed(now, 0.02)
+
+
 @then('the leases have run out: {answer}')
 def leases_lapsed(context, answer):
     assert context.lapsed is (answer == 'yes')
--- a/features/store.feature
+++ b/features/store.feature
@@ -65,8 +65,8 @@
 
     Examples:
       | seconds | misses | patience |
-      | 0.004   | 0      | 0.15     |
-      | 0.004   | 1      | 0.15     |
+      | 0.004   | 0      | 0.3      |
+      | 0.004   | 1      | 0.3      |
       | 0.1     | 0      | 0.8      |
       | 0.1     | 1      | 0.9      |
       | 0.25    | 3      | 0.9      |
