Tasks are moved away from a draining runner before it is gone

Change: what would not end in time is stopped at once, with its checkpoint; what runs over its estimate 0.7 s before the runner may be gone.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
+from dandelionreel.cell._ledger import Allocation, Holding, RunnerState, expected_end
 from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
 from dandelionreel.cell._records import BookedJob
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun, Phase, StepRun, TaskRun
@@ -27,6 +27,9 @@
 UNHEALTHY_QUIET = 1.0
 #: Share of the gang timeout after which a gang that is not complete is stopped.
 GANG_SHARE = 0.55
+#: Seconds before a draining runner may be gone by which its tasks must have
+#: ended: a stop takes up to 0.4 s and has to be listed.
+EVACUATION_MARGIN = 0.7
 #: How much slower than ours a runner's clock may run.
 CLOCK_DRIFT = 0.02
 
@@ -121,7 +124,11 @@
 
     # Runners
 
-    def see_runners(self, registrations: dict[str, Registration]) -> list[RunnerState]:
+    def see_runners(
+        self,
+        registrations: dict[str, Registration],
+        now: float,
+    ) -> list[RunnerState]:
         """Take the list of runners; return those that are new."""
         fresh = []
         for runner_id, registration in registrations.items():
@@ -130,7 +137,7 @@
                 known = RunnerState(registration)
                 self.runner_by_id[runner_id] = known
                 fresh.append(known)
-            known.registration = registration
+            known.note_registration(registration, now)
             known.listed = True
         for runner_id, known in self.runner_by_id.items():
             if runner_id not in registrations:
@@ -269,6 +276,25 @@
         self.unseen.discard(runner.id)
         return effect
 
+    def evacuate(self, now: float) -> list[Allocation]:
+        """Stop what would not end before its draining runner is gone; return it.
+
+        What runs there when the runner leaves is lost without an end, and can
+        start elsewhere only once its lease has run out.
+        """
+        stopped = []
+        for runner in self.runner_by_id.values():
+            if not runner.draining:
+                continue
+            last = runner.leaves_at - EVACUATION_MARGIN
+            for allocation in tuple(runner.allocation_by_run.values()):
+                if allocation.phase is not Holding.RUNNING:
+                    continue
+                if now >= last or expected_end(allocation, now) > last:
+                    self.stop(allocation)
+                    stopped.append(allocation)
+        return stopped
+
     def check_gangs(self, now: float, wall: float) -> list[StepRun]:
         """Stop the gangs that did not come together in time; return them."""
         late = [*self._broken_gangs(wall), *self._slow_gangs(now)]
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -292,17 +292,29 @@
             await self._see_runners()
             if self.cell.unseen and now > self._unseen_until:
                 self.cell.unseen.clear()
-            for step in self.cell.check_gangs(now, self._clock.wall()):
-                self._journal.tell_frequent(
-                    Part.PLACEMENT,
-                    'stopped a gang that did not come together.',
-                    job=step.name.job,
-                    step=step.name.step,
-                )
+            self._stop_doomed(now)
             await self._drop_old_jobs()
             await self._desk.wake.notify()
             await curio.sleep(ROUND_SECONDS)
 
+    def _stop_doomed(self, now: float) -> None:
+        """Stop gangs that are not complete, and tasks whose runner is leaving."""
+        for step in self.cell.check_gangs(now, self._clock.wall()):
+            self._journal.tell_frequent(
+                Part.PLACEMENT,
+                'stopped a gang that did not come together.',
+                job=step.name.job,
+                step=step.name.step,
+            )
+        for allocation in self.cell.evacuate(now):
+            self._journal.tell_frequent(
+                Part.PLACEMENT,
+                f'moves a task away from {allocation.runner}, which is leaving.',
+                job=allocation.task.job,
+                run=allocation.run,
+                runner=allocation.runner,
+            )
+
     async def _ask_for_successor(self, now: float) -> None:
         """Have peers claim the cell while the store serves them and not us.
 
@@ -329,7 +341,8 @@
 
     async def _see_runners(self) -> None:
         folder = self._parts.runners
-        fresh = self.cell.see_runners(folder.registration_by_id)
+        now = self._clock.monotonic()
+        fresh = self.cell.see_runners(folder.registration_by_id, now)
         for runner_id in self.cell.unseen - self.cell.runner_by_id.keys():
             # Its entry has gone, but it may live and hold tasks.
             registration = folder.find(runner_id)
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -11,6 +11,13 @@
 from dandelionreel.cell._model import Demand, Registration, TaskName
 
 NEVER = float('-inf')
+#: Estimates are guesses; a task that outlives its own is taken to need this
+#: share of it again.
+OVERRUN_SHARE = 0.25
+#: Seconds for which a draining runner stays when it does not say so.
+DRAIN_SECONDS = 2.0
+#: Seconds that the news of a drain may have been under way: a read every 0.2 s.
+ENTRY_AGE = 0.3
 
 
 class Holding(enum.Enum):
@@ -61,6 +68,8 @@
         self.suspect = False
         #: Whether the last look was not answered.
         self.missed = False
+        #: When a draining runner may be gone (monotonic seconds).
+        self.leaves_at = float('inf')
         #: No start is sent there before then (it refused one).
         self.quiet_until = NEVER
         #: The highest end number whose effect stands in the store, and the
@@ -81,6 +90,13 @@
         """Return whether the runner has said that it will leave."""
         return self.registration.draining
 
+    def note_registration(self, registration: Registration, now: float) -> None:
+        """Take what the runner says of itself, and when it will be gone at the earliest."""
+        if registration.draining and not self.registration.draining:
+            stays = DRAIN_SECONDS if registration.remaining is None else registration.remaining
+            self.leaves_at = now + max(0.0, stays - ENTRY_AGE)
+        self.registration = registration
+
     def usable(self, now: float) -> bool:
         """Return whether something may be started there now."""
         if not self.listed or not self.recorded or self.draining or self.suspect:
@@ -136,3 +152,12 @@
         if not self.knows_clock():
             return False
         return self._clock + (now - self._clock_at) * (1 - drift) > self._lease_until
+
+
+def expected_end(allocation: Allocation, now: float) -> float:
+    """Return when a run is thought to end, in monotonic seconds."""
+    if allocation.phase is Holding.STOPPING:
+        return now
+    began = allocation.started_at or allocation.placed_at
+    usual = began + allocation.expected
+    return max(usual, now + OVERRUN_SHARE * allocation.expected)
--- a/dandelionreel/cell/_reservations.py
+++ b/dandelionreel/cell/_reservations.py
@@ -13,15 +13,12 @@
 from dataclasses import dataclass
 
 from dandelionreel.cell._cell import counted_demand
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
+from dandelionreel.cell._ledger import RunnerState, expected_end
 from dandelionreel.cell._model import Demand
 from dandelionreel.cell._runs import StepRun
 
 #: Gangs that reserve at the same time.
 MOST_RESERVING = 4
-#: Estimates are guesses; a task that outlives its own is taken to need this
-#: share of it again.
-OVERRUN_SHARE = 0.25
 #: A task may backfill when it ends before the reservation even if it takes this
 #: many times as long as expected.
 BACKFILL_MARGIN = 1.25
@@ -125,15 +122,6 @@
     return entry[0]
 
 
-def expected_end(allocation: Allocation, now: float) -> float:
-    """Return when a run is thought to end, in monotonic seconds."""
-    if allocation.phase is Holding.STOPPING:
-        return now
-    began = allocation.started_at or allocation.placed_at
-    usual = began + allocation.expected
-    return max(usual, now + OVERRUN_SHARE * allocation.expected)
-
-
 def count_slots(demand: Demand, room: Demand, limit: int = 0) -> int:
     """Return how many tasks of that demand fit into a room; 0 is no ``limit``."""
     counts = []
--- a/features/cell.feature
+++ b/features/cell.feature
@@ -139,6 +139,26 @@
     When w1 drains and a job is handed in
     Then nothing starts
 
+  # A runner said that it would leave in 2 s, and did. The tasks on it were
+  # missed 4 s later, when their leases had run out.
+  Scenario Outline: Tasks on a runner that drains
+    Given a cell with the runners w1
+    And a running task of <seconds> s on w1
+    When w1 drains
+    Then the task is <fate>
+
+    Examples:
+      | seconds | fate      |
+      | 0.5     | left      |
+      | 3       | stopped   |
+
+  Scenario: A task that outlives its estimate is stopped before its runner leaves
+    Given a cell with the runners w1
+    And a running task of 0.5 s on w1
+    When w1 drains
+    And 1.5 s later the task still runs
+    Then the task is stopped
+
   # Between the decision and the send the job may be cancelled; a start after
   # the cancellation was confirmed would surprise whoever cancelled.
   Scenario: A start is withdrawn when its job is cancelled before it is sent
--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -63,14 +63,15 @@
 
     def see_runners(self):
         """Pass the list of runners on."""
-        self.cell.see_runners(self.registration_by_id)
+        self.cell.see_runners(self.registration_by_id, self.now)
         for state in self.cell.runner_by_id.values():
             state.recorded = True
 
     def drain(self, runner):
-        """Let a runner say that it will leave."""
+        """Let a runner say that it will leave, in 2 s at the earliest."""
         self.registration_by_id[runner] = make_registration(runner, draining=True)
         self.see_runners()
+        return self.cell.evacuate(self.now)
 
     def add_job(self, job, steps, queue='urgent', age=0.0, progress=None, cancelled=False):
         """Take a job as the store tells it."""
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -316,6 +316,29 @@
     hand_in(context)
 
 
+@given('a running task of {seconds:g} s on w1')
+def running_task(context, seconds):
+    context.small.add_job('j1', [step(seconds=seconds)])
+    context.start = context.small.plan().starts[0]
+
+
+@when('w1 drains')
+def drains(context):
+    context.small.drain('w1')
+
+
+@when('1.5 s later the task still runs')
+def still_runs(context):
+    context.small.now += 1.5
+    context.small.cell.evacuate(context.small.now)
+
+
+@then('the task is {fate:w}')
+def fate_of_task(context, fate):
+    stopped = context.small.cell.take_stops()
+    assert stopped == ([] if fate == 'left' else [context.start])
+
+
 @when('a job is planned and cancelled before its start is sent')
 def planned_and_cancelled(context):
     context.small.add_job('j1', [step()])
