Entry hosts against a stand-in of the users' platform, as real processes

Change: a store, runners and a policy service that speak the published protocol, told to refuse, lose answers, slow down and crash; 21 scenarios on real hosts: hand-in to end on both kinds of queue, bad input, cancellation, SIGKILL of the owner and of all hosts, SIGTERM, the store down, lost answers, a runner's crash. The runners' records judge (no task twice at once or after its end, no runner overfull).

--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,86 @@
+Feature: Entry hosts on the users' platform
+
+  Real hosts, one process each, against a store, runners and a policy service that
+  speak the platform's protocol. The runners' own records judge.
+
+  Background:
+    Given the platform and 3 entry hosts
+
+  Scenario Outline: A job from hand-in to its end
+    When a job is handed in at the queue <queue>
+    Then every host tells that it is completed
+    And no task ran twice and no runner was overfull
+
+    Examples:
+      | queue   |
+      | plain   |
+      | advised |
+
+  Scenario: Jobs by the dozen
+    When 40 jobs of 3 tasks are handed in all over
+    Then all of them are completed
+    And no task ran twice and no runner was overfull
+
+  Scenario Outline: What cannot be taken is refused with a reason
+    When <method> <path> is asked with <body>
+    Then the answer is <status>
+
+    Examples:
+      | method | path                    | body                                        | status |
+      | POST   | /plain/0123456789abcdef | {"spec":"x"}                                | 400    |
+      | POST   | /plain/0123456789abcdef | not json                                    | 400    |
+      | POST   | /plain/0123456789abcdef | {"spec":"x","steps":[]}                     | 400    |
+      | POST   | /plain/0123456789abcdef | {"spec":"x","steps":[{"count":0}]}          | 400    |
+      | POST   | /plain/0123456789abcdef | {"spec":"x","steps":[{"depends_on":[0]}]}   | 400    |
+      | POST   | /plain/0123456789abcdef | {"spec":"x","steps":[{"cpu":-1}]}           | 400    |
+      | POST   | /plain/xyz              | {"spec":"1 1","steps":[{"count":1}]}        | 400    |
+      | POST   | /nowhere/0123456789abcdef | {"spec":"1 1","steps":[{"count":1}]}      | 404    |
+      | GET    | /plain/0123456789abcdef | nothing                                     | 410    |
+      | DELETE | /plain/0123456789abcdef | nothing                                     | 410    |
+      | GET    | /plain/                 | nothing                                     | 200    |
+
+  # A client cancelled a job and was told so; its task must be stopped, and the
+  # job must not come back, whoever owns the cell.
+  Scenario: A job is cancelled while it runs
+    When a long job is handed in and cancelled once it runs
+    Then every host tells that it is cancelled
+    And its task is stopped
+
+  # The owner's process died while tasks ran. Its successor finds them on the
+  # runners; a task started again would run twice at once.
+  Scenario: The owner is killed while a job runs
+    When a long job is handed in and the owner is killed once it runs
+    Then the other hosts tell that the job is completed
+    And no task ran twice and no runner was overfull
+
+  # All hosts lost power right after the client was told that its job is taken.
+  Scenario: All hosts are killed right after a job was taken
+    When a job is handed in and all hosts are killed and started again
+    Then every host tells that it is completed
+
+  # The store was down. Whoever was told "not accepted" went elsewhere; the job
+  # must not run after all when the store is back.
+  Scenario: The store is down for a while
+    When the store is down while jobs are handed in
+    Then each is refused with a time to come back, and none of them runs
+    When the platform is back
+    Then a new job is completed
+
+  # The store turns one host away and serves the others; its clients must not
+  # be refused for as long as that lasts.
+  Scenario: Answers of the store are lost
+    When 20 jobs are handed in while a third of the store's answers are lost
+    Then all of them are completed
+    And no task ran twice and no runner was overfull
+
+  Scenario: A runner crashes with tasks on it
+    When a long job is handed in and its runner crashes
+    Then every host tells that it is completed
+    And no task ran twice and no runner was overfull
+
+  # A planned stop: the host takes no new work, hands the cell over and finishes
+  # what it has begun to answer.
+  Scenario: The owner is stopped
+    When the owner is stopped while jobs are handed in at the others
+    Then all of them are completed
+    And the stopped host has ended with status 0
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -9,6 +9,7 @@
     exchange,
     wait_until,
 )
+from standins._entry_hosts import EntryHosts, doubled_runs, overfull, wait_for
 from standins._evidence import (
     over_filled,
     over_slots,
@@ -17,19 +18,27 @@
     requests_by_mark,
 )
 from standins._memory_topic import MemoryTopic
+from standins._users_platform import PlatformRunner, Run, UsersPlatform
 
 __all__ = (
     'MemoryTopic',
     'FAST_TIMINGS',
     'Cluster',
     'DaemonProcess',
+    'EntryHosts',
     'Layout',
+    'PlatformRunner',
     'Reply',
+    'Run',
+    'UsersPlatform',
+    'doubled_runs',
     'exchange',
     'over_filled',
+    'overfull',
     'over_slots',
     'overlapping',
     'repeated',
     'requests_by_mark',
+    'wait_for',
     'wait_until',
 )
--- /dev/null
+++ b/standins/_entry_hosts.py
@@ -0,0 +1,197 @@
+"""Real entry hosts as processes, each on a loopback address of its own."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from http.client import HTTPConnection
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from standins._users_platform import Run, UsersPlatform
+
+SETTINGS = """\
+node = "{name}"
+ip = "{address}"
+zone = "north"
+port_range = [{peers}, {last}]
+advice = "127.0.0.1:{advice}"
+[listen]
+frontend = "{address}:{callers}"
+readiness = "{address}:{readiness}"
+[platform]
+address = "127.0.0.1:{store}"
+[bounds]
+grace_s = 4
+"""
+CALLERS_PORT = 7801
+READINESS_PORT = 7802
+PEERS_PORT = 7810
+#: Seconds that nothing here takes on any machine.
+LONG = 60
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A host's answer; status 0 says that there was none."""
+
+    status: int
+    body: dict
+    retry_after: str = ''
+
+
+class EntryHosts:
+    """Starts, signals and asks entry hosts; ends only what it started."""
+
+    def __init__(self, platform: UsersPlatform, count: int = 3, block: int = 1) -> None:
+        """Use the addresses 127.0.``block``.1 and up."""
+        self._platform = platform
+        self._folder = TemporaryDirectory()
+        self.names = [f'entry-{number}' for number in range(1, count + 1)]
+        self._address_by_name = {
+            name: f'127.0.{block}.{number}' for number, name in enumerate(self.names, 1)
+        }
+        self.process_by_name: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str) -> None:
+        """Start a host; its log goes to a file of its own."""
+        folder = Path(self._folder.name)
+        settings = folder / f'{name}.toml'
+        ports = self._platform.port_by_name
+        text = SETTINGS.format(
+            name=name,
+            address=self._address_by_name[name],
+            peers=PEERS_PORT,
+            last=PEERS_PORT + 5,
+            callers=CALLERS_PORT,
+            readiness=READINESS_PORT,
+            store=ports['store'],
+            advice=ports['advice'],
+        )
+        settings.write_text(text)
+        with (folder / f'{name}.log').open('ab') as log:
+            self.process_by_name[name] = subprocess.Popen(
+                [sys.executable, '-m', 'dandelionreel'],
+                env={**os.environ, 'DANDELIONREEL_NODE_FILE': str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, name: str, number: int) -> None:
+        """Send a signal to a host that was started here."""
+        process = self.process_by_name[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a host at once."""
+        self.send(name, signal.SIGKILL)
+        self.process_by_name[name].wait()
+
+    def ask(self, name: str, method: str, path: str, body: object = None, wait: float = 5) -> Reply:
+        """Ask one host as a client does."""
+        connection = HTTPConnection(self._address_by_name[name], CALLERS_PORT, timeout=wait)
+        content = json.dumps(body) if isinstance(body, dict) else body
+        try:
+            connection.request(method, path, content, {'Host': 'desk.example'})
+            answer = connection.getresponse()
+            raw = answer.read()
+            retry_after = answer.getheader('Retry-After') or ''
+        except OSError:
+            return Reply(0, {})
+        finally:
+            connection.close()
+        return Reply(answer.status, json.loads(raw) if raw else {}, retry_after)
+
+    def is_ready(self, name: str) -> bool:
+        """Ask as the balancer does."""
+        connection = HTTPConnection(self._address_by_name[name], READINESS_PORT, timeout=2)
+        try:
+            connection.request('GET', '/v1/readyz')
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def wait_ready(self) -> None:
+        """Wait until all hosts that run are ready."""
+        wait_for(lambda: all(self.is_ready(name) for name in self.process_by_name))
+
+    def owner(self) -> str:
+        """Return the host that owns the cell, by its log."""
+        found = ''
+        newest = 0
+        for name in self.names:
+            for epoch in self._epochs(name):
+                if epoch > newest:
+                    newest, found = epoch, name
+        return found
+
+    def log_of(self, name: str) -> str:
+        """Return what a host has written."""
+        return (Path(self._folder.name) / f'{name}.log').read_text(errors='replace')
+
+    def close(self) -> None:
+        """End all hosts."""
+        for process in self.process_by_name.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self._folder.cleanup()
+
+    def _epochs(self, name: str) -> list[int]:
+        lines = [line for line in self.log_of(name).splitlines() if 'owns the cell' in line]
+        return [json.loads(line)['epoch'] for line in lines]
+
+
+def wait_for(done, patience: float = LONG) -> None:
+    """Wait until ``done()`` is true; raises ``TimeoutError``."""
+    until = time.monotonic() + patience
+    while not done():
+        if time.monotonic() > until:
+            raise TimeoutError('it did not happen')
+        time.sleep(0.05)
+
+
+def doubled_runs(runs: list[Run]) -> list[str]:
+    """Return the tasks that ran twice at once, or again after they were done."""
+    found = []
+    by_task: dict[str, list[Run]] = {}
+    for run in runs:
+        by_task.setdefault(run.task, []).append(run)
+    for task, known in by_task.items():
+        known.sort(key=_began)
+        for earlier, later in zip(known, known[1:], strict=False):
+            still_running = earlier.ended is None or later.began < earlier.ended
+            if still_running or earlier.how == 'done':
+                found.append(task)
+    return found
+
+
+def _began(run: Run) -> float:
+    return run.began
+
+
+def overfull(runs: list[Run], capacity: int = 8000) -> list[str]:
+    """Return the runners that held more than their processors at some time."""
+    found = []
+    now = time.monotonic()
+    runners = {run.runner for run in runs}
+    for runner in runners:
+        changes: list[tuple[float, int, int]] = []
+        for run in runs:
+            if run.runner != runner:
+                continue
+            ended = now if run.ended is None else run.ended
+            changes.extend(((run.began, 1, run.cpu), (ended, 0, -run.cpu)))
+        held = 0
+        for _, _, change in sorted(changes):
+            held += change
+            if held > capacity:
+                found.append(runner)
+                break
+    return found
--- /dev/null
+++ b/standins/_users_platform.py
@@ -0,0 +1,332 @@
+"""The users' platform in one thread: its store, runners and policy service, told to fail.
+
+They speak the published protocol over HTTP, so the real daemons meet them through
+the adapter. Runners keep a record of every run, from which tests judge.
+"""
+
+import base64
+import json
+import random
+import struct
+import threading
+import time
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+import curio
+
+from dandelionreel.http import Answer, CloseConnection, Request, Server, ServerLimits, answer_json
+
+LENGTH = struct.Struct('>I')
+STOP_SECONDS = 0.1
+LOOK_STEP = 0.01
+
+
+@dataclass
+class StoreFaults:
+    """What the store does to calls: shares between 0 and 1, seconds."""
+
+    down: bool = False
+    lose_share: float = 0.0
+    delay: float = 0.0
+    #: Addresses that are turned away.
+    refused_hosts: set[str] = field(default_factory=set)
+
+
+class _Topic:
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.epoch = 0
+        self.next_sequence = 0
+        self.answer_by_sequence: dict[int, dict] = {}
+
+
+class PlatformStore:
+    """Keyed topics with conditional and fenced appends."""
+
+    def __init__(self, seed: int) -> None:
+        """Start empty; lost answers are drawn from ``seed``."""
+        self._topic_by_name: dict[str, _Topic] = {}
+        self._random = random.Random(seed)
+        self.faults = StoreFaults()
+
+    def put(self, topic: str, key: str, fact: object) -> None:
+        """Write as the operator or as a runner does; ``None`` drops the key."""
+        content = b'' if fact is None else json.dumps(fact).encode()
+        self._topic(topic).records.append((key, content))
+
+    async def handle(self, request: Request) -> Answer:
+        """Answer one call, or fail as told."""
+        if self.faults.delay:
+            await curio.sleep(self.faults.delay)
+        if self.faults.down:
+            return Answer(503)
+        answer = await self._answer(request)
+        if request.method == 'POST' and self._random.random() < self.faults.lose_share:
+            raise CloseConnection
+        return answer
+
+    async def _answer(self, request: Request) -> Answer:
+        fields = request.query_by_name
+        topic = self._topic(fields['topic'])
+        if request.path == '/v1/log-append':
+            return self._append(topic, fields, request.body)
+        if request.path == '/v1/log-newest':
+            return self._newest(topic)
+        return await self._read(topic, int(fields['from']), int(fields.get('wait_ms', 0)))
+
+    def _append(self, topic: _Topic, fields: dict[str, str], body: bytes) -> Answer:
+        if 'producer' in fields:
+            epoch, sequence = int(fields['epoch']), int(fields['sequence'])
+            if epoch < topic.epoch:
+                return answer_json({'reason': 'fenced'}, 409)
+            if epoch == topic.epoch and sequence in topic.answer_by_sequence:
+                return answer_json(topic.answer_by_sequence[sequence])
+            if epoch == topic.epoch and sequence != topic.next_sequence:
+                return answer_json({'reason': 'seq'}, 409)
+        if 'at' in fields and int(fields['at']) != len(topic.records):
+            return answer_json({'end': len(topic.records)}, 412)
+        done = {'offset': len(topic.records)}
+        position = 0
+        while position < len(body):
+            length = LENGTH.unpack_from(body, position)[0]
+            record = body[position + 4 : position + 4 + length]
+            topic.records.append((record[1 : 1 + record[0]].decode(), record[1 + record[0] :]))
+            position += 4 + length
+        done['end'] = len(topic.records)
+        if 'producer' in fields:
+            if epoch > topic.epoch:
+                topic.answer_by_sequence.clear()
+            topic.epoch = epoch
+            topic.next_sequence = sequence + 1
+            topic.answer_by_sequence[sequence] = done
+        return answer_json(done)
+
+    def _newest(self, topic: _Topic) -> Answer:
+        newest = {key: (offset, content) for offset, (key, content) in enumerate(topic.records)}
+        entries = [
+            {'key': key, 'value': base64.b64encode(content).decode(), 'offset': offset}
+            for key, (offset, content) in newest.items()
+            if content
+        ]
+        return answer_json({'items': entries, 'has_more': False, 'end': len(topic.records)})
+
+    async def _read(self, topic: _Topic, offset: int, wait_ms: int) -> Answer:
+        until = time.monotonic() + wait_ms / 1000
+        while len(topic.records) <= offset and time.monotonic() < until:
+            await curio.sleep(LOOK_STEP)
+        body = struct.pack('>QQ', len(topic.records), 0)
+        for key, content in topic.records[offset:]:
+            record = bytes([len(key)]) + key.encode() + content
+            body += LENGTH.pack(len(record)) + record
+        return Answer(200, (), body)
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topic_by_name.setdefault(name, _Topic())
+
+
+@dataclass
+class Run:
+    """One run as its runner saw it; times are monotonic seconds."""
+
+    task: str
+    number: int
+    runner: str
+    cpu: int
+    began: float
+    until: float
+    ended: float | None = None
+    how: str = ''
+    stopping: bool = False
+
+
+class PlatformRunner:
+    """Starts what it is told, under a fence and one lease for all of it.
+
+    A task's payload says what it does: ``cpu seconds [fail]``.
+    """
+
+    def __init__(self, name: str, runs: list[Run]) -> None:
+        """Record every run in ``runs``."""
+        self.name = name
+        self.dark = False
+        self._runs = runs
+        self._token = 0
+        self._deadline = 0.0
+        self._run_by_task: dict[str, Run] = {}
+        self._highest: dict[str, int] = {}
+        self._ends: list[list] = []
+        self._next_end = 1
+
+    async def handle(self, request: Request) -> Answer:
+        """Answer one order or look."""
+        if self.dark:
+            raise CloseConnection
+        self.advance()
+        asked = json.loads(request.body)
+        if request.header('x-expected-instance') not in {'', self.name}:
+            return answer_json({}, 421)
+        if asked['fencing_token'] < self._token:
+            return self._refuse('fence')
+        self._token = asked['fencing_token']
+        if request.path == '/v1/run-start':
+            return self._start(asked)
+        if request.path == '/v1/run-stop':
+            return self._stop(asked)
+        return await self._hold(asked)
+
+    def advance(self) -> None:
+        """End what is due: tasks that are done or stopped, and lapsed leases."""
+        now = time.monotonic()
+        for run in tuple(self._run_by_task.values()):
+            lapsed = self._deadline < now and self._deadline < run.until
+            if run.until > now and not lapsed:
+                continue
+            run.ended = min(run.until, self._deadline) if lapsed else run.until
+            run.how = 'lapsed' if lapsed else run.how
+            del self._run_by_task[run.task]
+            self._ends.append([self._next_end, run.task, run.number, run.how, ''])
+            self._next_end += 1
+
+    def crash(self) -> None:
+        """End everything that runs without a trace."""
+        for run in self._run_by_task.values():
+            run.ended = time.monotonic()
+            run.how = 'crashed'
+        self._run_by_task.clear()
+        self.dark = True
+
+    def _start(self, asked: dict) -> Answer:
+        self._deadline = max(self._deadline, asked['deadline_ms'] / 1000)
+        task, number = asked['task'], asked['run']
+        known = self._run_by_task.get(task)
+        if known is not None and known.number == number:
+            return self._ok()
+        if number <= self._highest.get(task, 0):
+            return self._refuse('old')
+        if asked['deadline_ms'] / 1000 < time.monotonic():
+            return self._refuse('late')
+        words = asked['spec'].split()
+        now = time.monotonic()
+        run = Run(task, number, self.name, int(words[0]), now, now + float(words[1]))
+        run.how = 'failed' if 'fail' in words else 'done'
+        self._run_by_task[task] = run
+        self._highest[task] = number
+        self._runs.append(run)
+        return self._ok()
+
+    def _stop(self, asked: dict) -> Answer:
+        task, number = asked['task'], asked['run']
+        self._highest[task] = max(self._highest.get(task, 0), number)
+        run = self._run_by_task.get(task)
+        if run is not None and run.number <= number and not run.stopping:
+            run.stopping = True
+            run.how = 'stopped'
+            run.until = min(run.until, time.monotonic() + STOP_SECONDS)
+        return self._ok()
+
+    async def _hold(self, asked: dict) -> Answer:
+        self._ends = [end for end in self._ends if end[0] > asked['acked_through']]
+        self._deadline = max(self._deadline, asked.get('deadline_ms', 0) / 1000)
+        until = time.monotonic() + asked.get('wait_ms', 0) / 1000
+        while not self._ends and time.monotonic() < until:
+            await curio.sleep(LOOK_STEP)
+            self.advance()
+        running = [[run.task, run.number, '', 0, 0] for run in self._run_by_task.values()]
+        body = {
+            'clock_ms': int(time.monotonic() * 1000),
+            'running': running,
+            'finished': self._ends[:500],
+        }
+        return answer_json(body)
+
+    def _ok(self) -> Answer:
+        return answer_json({'clock_ms': int(time.monotonic() * 1000)})
+
+    def _refuse(self, reason: str) -> Answer:
+        return answer_json({'clock_ms': int(time.monotonic() * 1000), 'reason': reason}, 409)
+
+
+class UsersPlatform:
+    """Store, runners and policy service on one loopback address, in one thread."""
+
+    def __init__(self, runners: int = 3, seed: int = 1) -> None:
+        """Prepare ``runners`` runners of the service ``desk``."""
+        self.store = PlatformStore(seed)
+        self.runs: list[Run] = []
+        self.runners = [PlatformRunner(f'i-{number}', self.runs) for number in range(runners)]
+        self.port_by_name: dict[str, int] = {}
+        self._ready = threading.Event()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=curio.run, args=(self._serve,), daemon=True)
+
+    def start(self) -> None:
+        """Serve until ``stop``; runners register themselves."""
+        self._thread.start()
+        self._ready.wait()
+        for runner in self.runners:
+            self.register(runner)
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stop.set()
+        self._thread.join()
+
+    def register(self, runner: PlatformRunner, *, state: str = 'ready') -> None:
+        """Write a runner's entry."""
+        entry = {
+            'service': 'desk',
+            'address': f'127.0.0.1:{self.port_by_name[runner.name]}',
+            'zone': 'north',
+            'state': state,
+            'capacity': {'cpu': 8000, 'mem_mb': 16384, 'gpu': 0},
+            'labels': ['a', 'r-1'],
+        }
+        self.store.put('keyed.servers', runner.name, entry)
+
+    def configure(self, version: int = 1) -> None:
+        """Write a configuration with one plain queue and one that needs advice."""
+        routes = []
+        for number, name in enumerate(('plain', 'advised')):
+            route = {
+                'name': name,
+                'host': 'desk.example',
+                'path_prefix': f'/{name}/',
+                'service': 'desk',
+                'target_latency_ms': 250,
+                'priority': number,
+                'max_attempts': 2,
+                'slack_factor': 2.0,
+            }
+            if name == 'advised':
+                route['advice'] = {'decision_ms': 5, 'period_ms': 0.1, 'valid_ms': 2000}
+            routes.append(route)
+        services = [{'name': 'desk', 'enforces_capacity': False}]
+        document = {'version': version, 'routes': routes, 'services': services, 'limits': {}}
+        self.store.put('keyed.op', 'config', document)
+
+    def settle(self) -> list[Run]:
+        """Bring every runner up to now and return all runs."""
+        for runner in self.runners:
+            runner.advance()
+        return list(self.runs)
+
+    async def _serve(self) -> None:
+        async with AsyncExitStack() as stack:
+            await self._listen(stack, 'store', self.store.handle)
+            await self._listen(stack, 'advice', self._advise)
+            for runner in self.runners:
+                await self._listen(stack, runner.name, runner.handle)
+            self._ready.set()
+            while not self._stop.is_set():
+                await curio.sleep(0.05)
+
+    async def _listen(self, stack: AsyncExitStack, name: str, handler: object) -> None:
+        server = Server(handler, ServerLimits(idle_seconds=600))
+        await server.start(stack, '127.0.0.1', 0)
+        self.port_by_name[name] = server.port
+
+    async def _advise(self, request: Request) -> Answer:
+        workers = json.loads(request.body)['workers']
+        await curio.sleep(0.005)
+        return answer_json({'allowed': [[worker, f't-{worker}'] for worker in workers]})
