A soak of entry hosts; hosts that write nothing come back after an outage

Change: a failed append tells something for 1.5 s (scenario 'A host that writes nothing after an outage', failed before).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint types format spec spec-traces soak guards examples \
+.PHONY: demo test lint types format spec spec-traces soak platform-soak guards examples \
 	bench-placement bench-requests bench-cell capacity clean
 
 # Run the whole path on loopback, and end.
@@ -56,6 +56,10 @@
 soak: $(STAMP)
 	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
+# Random faults on entry hosts and their platform; SEED and SECONDS may be given.
+platform-soak: $(STAMP)
+	$(BIN)/python -m bench.platform_soak --seed $(SEED) --seconds $(SECONDS)
+
 # What a daemon adds to a request, against calling the runner directly.
 bench-requests: $(STAMP)
 	$(BIN)/python -m bench.requests
--- /dev/null
+++ b/bench/platform_soak.py
@@ -0,0 +1,286 @@
+"""Seeded random faults on entry hosts and their platform: ``make platform-soak``.
+
+Jobs are handed in, asked for and cancelled while hosts are killed, paused and
+stopped, links to the store and to runners are cut in one or both directions, the
+store is down, slow or loses answers, and runners crash and come back. Faults
+overlap. Then all heals, every accepted job must end, and the runners' own records
+and the clients' answers judge.
+"""
+
+import argparse
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from threading import Event, Lock, Timer
+
+from standins import (
+    ANYONE,
+    Cut,
+    Cuts,
+    EntryHosts,
+    PlatformRunner,
+    UsersPlatform,
+    doubled_runs,
+    overfull,
+    wait_for,
+)
+
+CLIENTS = 3
+#: Seconds between faults, and how long one lasts.
+FAULT_GAP = (0.3, 1.5)
+FAULT_LENGTH = (0.3, 4.0)
+DONE = frozenset(('done', 'unread'))
+ENDED = frozenset(('completed', 'failed', 'cancelled'))
+
+
+@dataclass
+class Asked:
+    """One job and what its client was told."""
+
+    path: str
+    tasks: int
+    gang: bool = False
+    accepted: bool = False
+    maybe: bool = False
+    cancelled: bool = False
+
+
+@dataclass
+class Tally:
+    """What a soak has done, and which promises it found broken."""
+
+    asked: list[Asked] = field(default_factory=list)
+    faults: Counter = field(default_factory=Counter)
+    wrong: list[str] = field(default_factory=list)
+
+
+class PlatformSoak:
+    """One run; ``seed`` draws all faults and all work."""
+
+    def __init__(self, seed: int, seconds: float, hosts: int = 3, runners: int = 4) -> None:
+        """Prepare the platform and the hosts."""
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._platform = UsersPlatform(runners, seed)
+        self._hosts = EntryHosts(self._platform, hosts, block=2 + seed % 200)
+        for name in self._hosts.names:
+            self._platform.relay(f'store-{name}', 'store')
+        for runner in self._platform.runners:
+            self._platform.relay(f'relay-{runner.name}', runner.name)
+        self._links = [f'store-{name}' for name in self._hosts.names]
+        self._links += [f'relay-{runner.name}' for runner in self._platform.runners]
+        self._cuts: list[Cut] = []
+        self._lock = Lock()
+        self._over = Event()
+        self._timers: list[Timer] = []
+        self._lives = 0
+        self.tally = Tally()
+
+    def run(self) -> Tally:
+        """Run, heal, judge."""
+        with ExitStack() as stack:
+            self._platform.start()
+            stack.callback(self._platform.stop)
+            self._platform.configure()
+            stack.callback(self._hosts.close)
+            for name in self._hosts.names:
+                self._hosts.start(name)
+            self._hosts.wait_ready()
+            with ThreadPoolExecutor(CLIENTS) as pool:
+                seeds = [self._random.random() for _ in range(CLIENTS)]
+                for number, seed in enumerate(seeds):
+                    pool.submit(self._be_client, number, random.Random(seed))
+                self._break_things()
+                self._over.set()
+            self._heal()
+            self._judge()
+            if self.tally.wrong:
+                for name in self._hosts.names:
+                    sys.stdout.write(f'--- {name}\n{self._hosts.log_of(name)[-200_000:]}')
+        return self.tally
+
+    def _be_client(self, number: int, draw: random.Random) -> None:
+        count = 0
+        while not self._over.is_set():
+            count += 1
+            job = (number << 32) + count
+            queue = draw.choice(('plain', 'advised'))
+            asked = Asked(f'/{queue}/{job:016x}', draw.randint(1, 4))
+            self.tally.asked.append(asked)
+            self._hand_in(asked, draw)
+            if asked.accepted and draw.random() < 0.1:
+                time.sleep(draw.random() * 0.3)
+                host = draw.choice(self._hosts.names)
+                asked.cancelled = self._hosts.ask(host, 'DELETE', asked.path).status == 200
+            time.sleep(draw.random() * 0.3)
+
+    def _hand_in(self, asked: Asked, draw: random.Random) -> None:
+        cpu = draw.choice((500, 1500, 3000))
+        step = {
+            'count': asked.tasks,
+            'cpu': cpu,
+            'mem_mb': 10,
+            'estimate_ms': 200,
+        }
+        if draw.random() < 0.3:
+            asked.gang = True
+            step['gang'] = True
+        body = {'spec': f'{cpu} {draw.uniform(0.05, 0.8):.2f}', 'steps': [step]}
+        for _ in range(4):
+            reply = self._hosts.ask(draw.choice(self._hosts.names), 'POST', asked.path, body)
+            if reply.status == 200:
+                asked.accepted = True
+                return
+            asked.maybe = asked.maybe or reply.status not in {429, 503}
+            time.sleep(0.3)
+
+    def _break_things(self) -> None:
+        until = time.monotonic() + self._seconds
+        faults = (
+            self._kill,
+            self._pause,
+            self._stop,
+            self._store_down,
+            self._store_lossy,
+            self._store_slow,
+            self._cut_link,
+            self._cut_link,
+            self._crash_runner,
+        )
+        while time.monotonic() < until:
+            fault = self._random.choice(faults)
+            self.tally.faults[fault.__name__.strip('_')] += 1
+            fault(self._random.uniform(*FAULT_LENGTH))
+            time.sleep(self._random.uniform(*FAULT_GAP))
+
+    def _later(self, seconds: float, heal: object, *args: object) -> None:
+        timer = Timer(seconds, heal, args)
+        self._timers.append(timer)
+        timer.start()
+
+    def _kill(self, seconds: float) -> None:
+        name = self._random.choice(self._hosts.names)
+        self._hosts.send(name, signal.SIGKILL)
+        self._later(seconds / 4, self._start_again, name)
+
+    def _stop(self, seconds: float) -> None:
+        name = self._random.choice(self._hosts.names)
+        self._hosts.send(name, signal.SIGTERM)
+        self._later(5 + seconds / 4, self._start_again, name)
+
+    def _start_again(self, name: str) -> None:
+        with self._lock:
+            process = self._hosts.process_by_name[name]
+            if process.poll() is not None:
+                self._hosts.start(name)
+
+    def _pause(self, seconds: float) -> None:
+        name = self._random.choice(self._hosts.names)
+        self._hosts.send(name, signal.SIGSTOP)
+        self._later(seconds, self._hosts.send, name, signal.SIGCONT)
+
+    def _store_down(self, seconds: float) -> None:
+        self._platform.store.faults.down = True
+        self._later(seconds / 2, setattr, self._platform.store.faults, 'down', False)
+
+    def _store_lossy(self, seconds: float) -> None:
+        self._platform.store.faults.lose_share = 0.3
+        self._later(seconds, setattr, self._platform.store.faults, 'lose_share', 0.0)
+
+    def _store_slow(self, seconds: float) -> None:
+        self._platform.store.faults.delay = 0.2
+        self._later(seconds, setattr, self._platform.store.faults, 'delay', 0.0)
+
+    def _cut_link(self, seconds: float) -> None:
+        link = self._random.choice(self._links)
+        ways = [Cut(ANYONE, link), Cut(link, ANYONE)]
+        cuts = self._random.choice((ways, ways[:1], ways[1:]))
+        self._change_cuts(cuts, add=True)
+        self._later(seconds, self._change_cuts, cuts)
+
+    def _change_cuts(self, cuts: list[Cut], *, add: bool = False) -> None:
+        with self._lock:
+            for cut in cuts:
+                if add:
+                    self._cuts.append(cut)
+                else:
+                    self._cuts.remove(cut)
+            self._platform.wire.replace(Cuts(tuple(self._cuts)))
+
+    def _crash_runner(self, seconds: float) -> None:
+        runner = self._random.choice(self._platform.runners)
+        if not runner.dark:
+            runner.crash()
+            self._later(seconds, self._revive, runner)
+
+    def _revive(self, runner: PlatformRunner) -> None:
+        with self._lock:
+            self._lives += 1
+            self._platform.store.put('keyed.servers', runner.name, None)
+            runner.revive(f'i-again-{self._lives}')
+            self._platform.register(runner)
+
+    def _heal(self) -> None:
+        for timer in self._timers:
+            timer.join()
+        for name in self._hosts.names:
+            self._start_again(name)
+
+    def _judge(self) -> None:
+        wrong = self.tally.wrong
+        for asked in self.tally.asked:
+            try:
+                wait_for(lambda path=asked.path: self._has_ended(path))
+            except TimeoutError:
+                if asked.accepted:
+                    wrong.append(f'{asked.path} was accepted and has not ended')
+        runs = self._platform.settle()
+        wrong.extend(f'{task} ran twice' for task in doubled_runs(runs))
+        wrong.extend(f'{runner} was overfull' for runner in overfull(runs))
+        jobs = {run.task.split('.')[0] for run in runs}
+        for asked in self.tally.asked:
+            job = asked.path.rpartition('/')[2]
+            if not asked.accepted and not asked.maybe and job in jobs:
+                wrong.append(f'{asked.path} was refused and ran')
+            # An end that its runner took with it may have been noted before.
+            done = {run.task for run in runs if run.how in DONE and run.task.startswith(job)}
+            # The end of one member stands for its gang.
+            wanted = 1 if asked.gang else asked.tasks
+            if asked.accepted and not asked.cancelled and len(done) < wanted:
+                wrong.append(f'{asked.path}: {len(done)} of {asked.tasks} tasks were done')
+
+    def _has_ended(self, path: str) -> bool:
+        """Return whether a host tells an end, or that there is no such job."""
+        for name in self._hosts.names:
+            reply = self._hosts.ask(name, 'GET', path)
+            if reply.status == 410 or reply.body.get('state') in ENDED:
+                return True
+        return False
+
+
+def main() -> int:
+    """Run one seed; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=30)
+    parser.add_argument('--hosts', type=int, default=3)
+    parser.add_argument('--runners', type=int, default=4)
+    options = parser.parse_args()
+    tally = PlatformSoak(options.seed, options.seconds, options.hosts, options.runners).run()
+    accepted = sum(asked.accepted for asked in tally.asked)
+    sys.stdout.write(
+        f'seed {options.seed}: {len(tally.asked)} jobs, {accepted} accepted; '
+        f'faults {dict(tally.faults)}; {len(tally.wrong)} promises broken\n'
+    )
+    for line in tally.wrong:
+        sys.stdout.write(f'  {line}\n')
+    return 1 if tally.wrong else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/_writer.py
@@ -33,6 +33,8 @@
 #: reach. Silence is also what a slow store looks like at first.
 REFUSING_SECONDS = 0.2
 SILENT_SECONDS = 0.8
+#: Seconds for which a failed append tells something about the store.
+MEMORY_SECONDS = 1.5
 #: Seconds between tries while the store refuses or stays silent.
 RETRY_SECONDS = 0.1
 
@@ -117,7 +119,13 @@
         self.stored_at = float('-inf')
 
     def in_trouble(self, now: float) -> bool:
-        """Return whether the store takes nothing from this host just now."""
+        """Return whether the store takes nothing from this host just now.
+
+        A writer that nobody uses any more learns nothing: what it knew of an
+        outage is forgotten, or its host would stay out of rotation for ever.
+        """
+        if now - self.failed_at > MEMORY_SECONDS:
+            return False
         limit = REFUSING_SECONDS if self._failed_fast else SILENT_SECONDS
         return now - self.failing_since >= limit
 
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -250,6 +250,30 @@
     assert context.book.owner.epoch == 2
 
 
+@given('a writer whose appends were refused for a while')
+def refused_writer(context):
+    context.topic = MemoryTopic()
+    context.topic.down = True
+    context.clock = SystemClock()
+
+    async def write():
+        context.writer = GroupWriter(context.topic, context.clock, journal())
+        await curio.spawn(context.writer.run, daemon=True)
+        await context.writer.write([KeyedRecord('j/x', b'x')], PATIENCE)
+
+    curio.run(write)
+
+
+@then('the store counts as out of reach')
+def out_of_reach(context):
+    assert context.writer.in_trouble(context.writer.failed_at)
+
+
+@then('2 s later it does not')
+def not_any_more(context):
+    assert not context.writer.in_trouble(context.writer.failed_at + 2)
+
+
 @given('answers of {seconds:f} s and then {misses:d} misses')
 def answers(context, seconds, misses):
     context.times = AnswerTimes()
--- a/features/store.feature
+++ b/features/store.feature
@@ -59,6 +59,13 @@
     Given the claims of the epochs 1 and 2, and a late heartbeat of epoch 1
     Then the owner is that of epoch 2
 
+  # After an outage of the store most hosts had nothing of their own to write, so
+  # none of their appends succeeded; they stayed out of rotation for the whole day.
+  Scenario: A host that writes nothing after an outage
+    Given a writer whose appends were refused for a while
+    Then the store counts as out of reach
+    And 2 s later it does not
+
   Scenario Outline: How long an answer is waited for
     Given answers of <seconds> s and then <misses> misses
     Then the next one is waited for about <patience> s
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -18,12 +18,16 @@
     requests_by_mark,
 )
 from standins._memory_topic import MemoryTopic
+from standins._relay import ANYONE, Cut, Cuts
 from standins._users_platform import PlatformRunner, Run, UsersPlatform
 
 __all__ = (
+    'ANYONE',
     'MemoryTopic',
     'FAST_TIMINGS',
     'Cluster',
+    'Cut',
+    'Cuts',
     'DaemonProcess',
     'EntryHosts',
     'Layout',
--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -68,7 +68,7 @@
             last=PEERS_PORT + 5,
             callers=CALLERS_PORT,
             readiness=READINESS_PORT,
-            store=ports['store'],
+            store=ports.get(f'store-{name}', ports['store']),
             advice=ports['advice'],
         )
         settings.write_text(text)
--- a/standins/_relay.py
+++ b/standins/_relay.py
@@ -43,6 +43,10 @@
         self._name_by_address = name_by_address
         self._cuts = Cuts()
 
+    def replace(self, cuts: Cuts) -> None:
+        """Put these cuts in force instead of all others."""
+        self._cuts = cuts
+
     def handle(self, request: Request) -> Answer:
         """Replace the cuts by those of the body."""
         self._cuts = msgspec.json.decode(request.body, type=Cuts)
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import random
+import socket
 import struct
 import threading
 import time
@@ -16,6 +17,7 @@
 import curio
 
 from dandelionreel.http import Answer, CloseConnection, Request, Server, ServerLimits, answer_json
+from standins._relay import Relay, Wire
 
 LENGTH = struct.Struct('>I')
 STOP_SECONDS = 0.1
@@ -189,13 +191,27 @@
             self._next_end += 1
 
     def crash(self) -> None:
-        """End everything that runs without a trace."""
+        """End everything that runs without a trace; ends not yet read are lost too."""
+        self.advance()
+        for run in self._runs:
+            if run.runner == self.name and run.task in {end[1] for end in self._ends}:
+                run.how = 'unread'
         for run in self._run_by_task.values():
             run.ended = time.monotonic()
             run.how = 'crashed'
         self._run_by_task.clear()
         self.dark = True
 
+    def revive(self, name: str) -> None:
+        """Come back as another runner, which runs nothing and has seen no token."""
+        self.name = name
+        self._token = 0
+        self._deadline = 0.0
+        self._highest.clear()
+        self._ends.clear()
+        self._next_end = 1
+        self.dark = False
+
     def _start(self, asked: dict) -> Answer:
         self._deadline = max(self._deadline, asked['deadline_ms'] / 1000)
         task, number = asked['task'], asked['run']
@@ -256,6 +272,9 @@
         self.runs: list[Run] = []
         self.runners = [PlatformRunner(f'i-{number}', self.runs) for number in range(runners)]
         self.port_by_name: dict[str, int] = {}
+        self.wire = Wire({})
+        self._place_by_runner: dict[PlatformRunner, str] = {}
+        self._relayed: dict[str, str] = {}
         self._ready = threading.Event()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=curio.run, args=(self._serve,), daemon=True)
@@ -273,10 +292,12 @@
         self._thread.join()
 
     def register(self, runner: PlatformRunner, *, state: str = 'ready') -> None:
-        """Write a runner's entry."""
+        """Write a runner's entry; a relay before it is what others see."""
+        place = self._place_by_runner.setdefault(runner, runner.name)
+        port = self.port_by_name.get(f'relay-{place}', self.port_by_name[place])
         entry = {
             'service': 'desk',
-            'address': f'127.0.0.1:{self.port_by_name[runner.name]}',
+            'address': f'127.0.0.1:{port}',
             'zone': 'north',
             'state': state,
             'capacity': {'cpu': 8000, 'mem_mb': 16384, 'gpu': 0},
@@ -284,6 +305,10 @@
         }
         self.store.put('keyed.servers', runner.name, entry)
 
+    def relay(self, name: str, target: str) -> None:
+        """Put a relay called ``name`` before a server, before ``start``."""
+        self._relayed[name] = target
+
     def configure(self, version: int = 1) -> None:
         """Write a configuration with one plain queue and one that needs advice."""
         routes = []
@@ -317,6 +342,8 @@
             await self._listen(stack, 'advice', self._advise)
             for runner in self.runners:
                 await self._listen(stack, runner.name, runner.handle)
+            for name, target in self._relayed.items():
+                await self._listen_relay(stack, name, target)
             self._ready.set()
             while not self._stop.is_set():
                 await curio.sleep(0.05)
@@ -326,6 +353,14 @@
         await server.start(stack, '127.0.0.1', 0)
         self.port_by_name[name] = server.port
 
+    async def _listen_relay(self, stack: AsyncExitStack, name: str, target: str) -> None:
+        with socket.socket() as free:
+            free.bind(('127.0.0.1', 0))
+            port = free.getsockname()[1]
+        reaches = ('127.0.0.1', self.port_by_name[target])
+        await Relay(self.wire, name, ('127.0.0.1', port), reaches).start(stack)
+        self.port_by_name[name] = port
+
     async def _advise(self, request: Request) -> Answer:
         workers = json.loads(request.body)['workers']
         await curio.sleep(0.005)
