A peer's answer counts only where it holds whoever gives it

Cause (read, not run): a host passes a job on to the owner; an owner cut off from the store may not know a queue that was just added, and its 404 went to the client. So did a 503 for want of a configuration, and a 504 while another host could still store it. Change: 200, 400, 410 and 413 are passed on; after others the host goes on by itself, and remembers a 504 as in doubt.

--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -21,6 +21,9 @@
 PEER_PATIENCE = 0.6
 #: Peers that are tried for one request, in random order.
 PEERS_TRIED = 3
+HTTP_TIMEOUT = 504
+#: Answers that hold whoever gives them: done, bad input, no such job.
+FINAL_STATUSES = frozenset((200, 400, 410, 413))
 #: Seconds for which a peer that did not answer, or that the store does not
 #: serve either, is not asked.
 PEER_QUIET = 1.5
@@ -80,9 +83,14 @@
                 self._avoid(host, f'{error}')
                 continue
             given = frame.message
-            if isinstance(given, ForwardAnswer) and not given.no_room:
-                return Relayed(given.answer)
-            self._avoid(host, 'the store does not serve it either')
+            if not isinstance(given, ForwardAnswer) or given.no_room:
+                self._avoid(host, 'the store does not serve it either')
+                continue
+            if given.answer.status in FINAL_STATUSES:
+                return Relayed(given.answer, maybe)
+            # Its configuration may be older than ours, or it does not know
+            # what became of its append: neither is an answer for the client.
+            maybe = maybe or given.answer.status == HTTP_TIMEOUT
         return Relayed(None, maybe)
 
     def _usable(self, hosts: list[str]) -> Iterator[tuple[str, Member]]:
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -11,14 +11,19 @@
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._records import (
+    MEMBER,
     OWNER_KEY,
     SUBMISSION,
     JobBook,
+    Member,
     Owner,
     make_record,
 )
+from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._writer import AnswerTimes, GroupWriter
+from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Journal, ManualClock, SystemClock
+from dandelionreel.peers import ForwardAnswer, Frame
 from standins import MemoryTopic
 
 PATIENCE = 0.35
@@ -250,6 +255,42 @@
     assert context.book.owner.epoch == 2
 
 
+class OnePeer:
+    """Links to a peer that gives one answer."""
+
+    def __init__(self, status):
+        self._status = status
+
+    async def ask(self, member, message, timeout):
+        answer = ForwardAnswer(Answer(self._status))
+        return Frame(1, 'peer/1', 0, 0, answer)
+
+
+@given('a peer that answers {status:d}')
+def answering_peer(context, status):
+    book = JobBook()
+    book.fold(
+        [
+            make_record(OWNER_KEY, Owner(1, 'peer', 'peer/1')),
+            make_record(f'{MEMBER}peer', Member('north', '127.0.0.1', 1)),
+        ]
+    )
+    context.relay = Relay('me', book, OnePeer(status), SystemClock(), journal())
+
+
+@when('a request is passed on to it')
+def pass_on(context):
+    request = Request('POST', '/new/0123456789abcdef')
+    context.relayed = curio.run(context.relay.forward_to_owner, request, 1.0)
+
+
+@then('the client {outcome}')
+def client_outcome(context, outcome):
+    relayed = context.relayed
+    assert (relayed.answer is not None) is (outcome == 'is told so')
+    assert relayed.maybe is (outcome == 'is left in doubt')
+
+
 @given('a writer whose appends were refused for a while')
 def refused_writer(context):
     context.topic = MemoryTopic()
--- a/features/store.feature
+++ b/features/store.feature
@@ -59,6 +59,22 @@
     Given the claims of the epochs 1 and 2, and a late heartbeat of epoch 1
     Then the owner is that of epoch 2
 
+  # A queue had just been added. The host that a client asked knew it and passed the
+  # job on to the owner, which was cut off from the store and did not; the client
+  # was told that there is no such queue.
+  Scenario Outline: What a peer's answer is worth
+    Given a peer that answers <status>
+    When a request is passed on to it
+    Then the client <outcome>
+
+    Examples:
+      | status | outcome          |
+      | 200    | is told so       |
+      | 410    | is told so       |
+      | 404    | is served here   |
+      | 503    | is served here   |
+      | 504    | is left in doubt |
+
   # After an outage of the store most hosts had nothing of their own to write, so
   # none of their appends succeeded; they stayed out of rotation for the whole day.
   Scenario: A host that writes nothing after an outage
