Taken out: settings, fields and calls that nothing uses; no start follows a release

Read once more: a planned stop releases the cell while starts may be under way; they are not sent any more.

--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -130,9 +130,11 @@
             await self._desk.ended.wait()
             if not self._desk.lost:
                 await self._release()
+                # Starts that are under way must not follow the release.
+                self._desk.lost = 'released'
         self._journal.tell(
             Part.OWNERSHIP,
-            f'does not own the cell any more: {self._desk.lost or "released"}.',
+            f'does not own the cell any more: {self._desk.lost}.',
             epoch=self._desk.term.epoch,
         )
 
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -43,7 +43,6 @@
     settled_at: float | None = None
     #: When it was first known to run.
     started_at: float | None = None
-    stop_sent: bool = False
     percent: int = 0
     gauge: float = 0.0
     #: How long the task is thought to run, in seconds.
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -180,10 +180,6 @@
             return self.spec.occurrences
         return min(self.spec.occurrences, int(since / self.spec.interval) + 1)
 
-    def occurrence_due(self, occurrence: int) -> float:
-        """Return when an occurrence is due, in wall-clock seconds."""
-        return self.spec.first_run + occurrence * self.spec.interval
-
     def ready_steps(self, wall: float) -> list[StepRun]:
         """Return the steps with waiting tasks whose turn has come."""
         ready = []
--- a/dandelionreel/cell/_services.py
+++ b/dandelionreel/cell/_services.py
@@ -223,10 +223,6 @@
     ) -> RunnerView:
         """Renew all leases and list everything, waiting for a new end."""
 
-    @abc.abstractmethod
-    async def pace(self, task: TaskName, run: int, percent: int, epoch: int) -> None:
-        """Let a task work at a share of its speed."""
-
     @abc.abstractmethod
     async def close(self) -> None:
         """Give up connections."""
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -1,4 +1,4 @@
-"""Runners: starts, stops, looks and pacing over HTTP."""
+"""Runners: starts, stops and looks over HTTP."""
 
 from typing import Any
 
@@ -113,16 +113,6 @@
         fields = {'task': encode_task(task), 'run': run, 'fencing_token': epoch}
         self._check_answer(await self._order('/v1/run-stop', fields))
 
-    async def pace(self, task: TaskName, run: int, percent: int, epoch: int) -> None:
-        """Let a task work at a share of its speed."""
-        fields = {
-            'task': encode_task(task),
-            'run': run,
-            'percent': percent,
-            'fencing_token': epoch,
-        }
-        self._check_answer(await self._order('/v1/pace', fields))
-
     async def look(
         self,
         epoch: int,
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -31,19 +31,13 @@
 
 class _Store(msgspec.Struct, frozen=True):
     address: str
-    record_bytes: int = 262_144
-    request_bytes: int = 2_097_152
 
 
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = 6
-    drain_ms: float = 2000
-    contact_ms: float = 3000
     max_hold_ms: float = 10_000
-    stop_timeout_ms: float = 200
     gang_timeout_ms: float = 3000
     status_s: float = 120
-    remote_factor: float = 2
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -68,7 +62,7 @@
 
     ``peers`` is where this host's daemon listens for its peers, on the first
     of the ports that are free for that. ``longest_lease`` is what runners cut
-    leases to; ``remote_factor`` slows tasks away from their data.
+    leases to.
     """
 
     host: str
@@ -78,15 +72,11 @@
     peers: Address
     metrics: Address
     store: Address
-    record_bytes: int
-    request_bytes: int
     advice: Address | None
     grace: float
     longest_lease: float
-    stop_timeout: float
     gang_timeout: float
     status_kept: float
-    remote_factor: float
     connections: int
 
 
@@ -131,14 +121,10 @@
         peers=Address(decoded.ip, first_port),
         metrics=Address(decoded.ip, first_port + 1),
         store=parse_address(decoded.platform.address),
-        record_bytes=decoded.platform.record_bytes,
-        request_bytes=decoded.platform.request_bytes,
         advice=parse_address(decoded.advice) if decoded.advice else None,
         grace=bounds.grace_s,
         longest_lease=bounds.max_hold_ms / MILLISECONDS,
-        stop_timeout=bounds.stop_timeout_ms / MILLISECONDS,
         gang_timeout=bounds.gang_timeout_ms / MILLISECONDS,
         status_kept=bounds.status_s,
-        remote_factor=bounds.remote_factor,
         connections=max(FEWEST_CONNECTIONS, decoded.limits.max_fds - RESERVED_DESCRIPTORS),
     )
