Plans cost what is left to do; small hosts claim later

Cause: a plan looked at every job of the last minutes and computed each objective anew; with 180 waiting jobs on 176 runners it took longer than the pause behind it. And the owner of a grown cell needs up to one core, which hosts of half a core do not have. Change: live jobs apart, objectives kept for each configuration, a rest of 1.5 times what a plan took; a host claims 0.5 s later for each core below one.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -51,6 +51,8 @@
         self.epoch = epoch
         self.configuration: Configuration | None = None
         self.job_by_id: dict[str, JobRun] = {}
+        #: The jobs of which something may still have to start.
+        self.live_by_id: dict[str, JobRun] = {}
         self.runner_by_id: dict[str, RunnerState] = {}
         self.tickets = TicketBook()
         #: Runners on which tasks of earlier owners may run unseen.
@@ -90,6 +92,7 @@
             if booked.progress is not None:
                 job.restore(booked.progress)
             self.job_by_id[booked.id] = job
+            self.live_by_id[booked.id] = job
         if booked.cancelled and not job.over:
             self._cancel(job)
 
@@ -101,10 +104,17 @@
 
     def forget_job(self, job_id: str) -> None:
         """Drop a job that the store has dropped."""
+        self.live_by_id.pop(job_id, None)
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
             self.tickets.drop_job(job_id)
 
+    def drop_over(self) -> None:
+        """Stop looking at jobs that are over, so that a plan costs what is left."""
+        over = [job.id for job in self.live_by_id.values() if job.over]
+        for job_id in over:
+            self.live_by_id.pop(job_id)
+
     def take_dirty(self) -> list[JobRun]:
         """Return the jobs whose progress must be stored, once."""
         taken = []
@@ -311,7 +321,7 @@
 
     def _broken_gangs(self, wall: float) -> Iterable[StepRun]:
         """Return gangs of which some members run and others do not."""
-        for job in self.job_by_id.values():
+        for job in self.live_by_id.values():
             if job.over or not job.began or self.is_blocked(job):
                 continue
             for step in job.ready_steps(wall):
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -51,6 +51,9 @@
 #: Seconds in which news are gathered for one plan: each one looks at all that
 #: waits. A start is later by half of that in the mean.
 PLAN_PAUSE = 0.004
+#: A plan is followed by a rest of this many times what it took: with a long
+#: backlog, plans alone would take the whole processor and orders would wait.
+PLAN_REST = 1.5
 #: Seconds in which a released cell's last record must be stored.
 RELEASE_PATIENCE = 1.0
 #: Seconds before peers are asked again to take over.
@@ -377,12 +380,14 @@
             seen = self._desk.wake.count
             for allocation in self.cell.take_stops():
                 await curio.spawn(self._orders.send_stop, allocation, daemon=True)
+            began = self._clock.monotonic()
             if self._desk.may_act():
                 made = self._planner.plan(self._clock.monotonic(), self._clock.wall())
                 await self._orders.send_starts(made.starts)
                 for question in made.questions:
                     await self._pool.ask(question)
-                await curio.sleep(PLAN_PAUSE)
+                spent = self._clock.monotonic() - began
+                await curio.sleep(max(PLAN_PAUSE, PLAN_REST * spent))
             await self._desk.wake.wait(seen, 1.0)
 
     async def _take_advice(
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -70,8 +70,10 @@
         host: str,
         clock: Clock,
         journal: Journal,
+        handicap: float = 0,
     ) -> None:
-        """Claim for ``host``."""
+        """Claim for ``host``, ``handicap`` seconds later than others would."""
+        self._handicap = handicap
         self._topic = topic
         self._follower = follower
         self._folder = folder
@@ -86,9 +88,15 @@
 
     async def wait_for_term(self, eligible: Callable[[], bool]) -> Term:
         """Return once this host owns the cell."""
+        vacant_since = None
         while True:
             await curio.sleep(POLL_SECONDS)
             if not eligible() or not self._vacant():
+                vacant_since = None
+                continue
+            now = self._clock.monotonic()
+            vacant_since = vacant_since or now
+            if now - vacant_since < self._handicap:
                 continue
             term = await self._claim()
             if term is not None:
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -8,7 +8,7 @@
 from dandelionreel.cell._ledger import Allocation, RunnerState
 from dandelionreel.cell._model import Demand, Queue
 from dandelionreel.cell._reservations import BACKFILL_MARGIN, Reservations, count_slots
-from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun, objective
+from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun
 
 #: A job that is later than this many objectives earns nothing any more.
 LATEST = 3.0
@@ -77,12 +77,13 @@
         that are too late for it.
         """
         keyed = []
-        for job in self._cell.job_by_id.values():
+        self._cell.drop_over()
+        for job in self._cell.live_by_id.values():
             if job.over or self._cell.is_blocked(job):
                 continue
             queue = self._cell.queue_of(job)
             priority = queue.priority if queue else 0
-            allowed = objective(queue, job.spec)
+            allowed = job.objective(queue)
             deadline = job.accepted + allowed
             for step in job.ready_steps(wall):
                 if now < step.not_before:
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -111,6 +111,7 @@
         self._steps_by_occurrence: dict[int, list[StepRun]] = {}
         self._done_occurrences = 0
         self._failed_runs: set[FailedRun] = set()
+        self._objective: tuple[Queue | None, float] | None = None
         #: Whether the newest progress is not on its way to the store.
         self.dirty = False
         #: Whether the store has the submission: nothing starts before.
@@ -169,6 +170,12 @@
             return None
         return step, step.tasks[name.index]
 
+    def objective(self, queue: Queue | None) -> float:
+        """Return the job's objective in seconds, computed once for each configuration."""
+        if self._objective is None or self._objective[0] is not queue:
+            self._objective = (queue, objective(queue, self.spec))
+        return self._objective[1]
+
     def due_occurrences(self, wall: float) -> int:
         """Return how many occurrences have come due at ``wall`` seconds."""
         if not self.spec.repeat_count:
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -48,6 +48,9 @@
 
 #: Metrics are served on this port of the host's address (deploy/system.toml).
 METRICS_PORT = 9464
+#: Seconds by which a host claims later for each core that it has less than one:
+#: the owner of a large cell needs most of a core.
+HANDICAP_SECONDS = 0.5
 #: Seconds that a read waits at the store for news. The owner's heartbeats end
 #: most reads of the cell's topic sooner.
 CELL_WAIT = 0.5
@@ -124,6 +127,7 @@
             settings.host,
             self._clock,
             self._journal,
+            HANDICAP_SECONDS * max(0.0, 1 - settings.cores),
         )
         self._links = PeerLinks(self._election.incarnation, self._clock)
         self._advice = HttpAdvice(settings.advice) if settings.advice else None
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -41,6 +41,8 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
+    cpu_share: float = 1
+    cores: float = 1
     max_fds: int = 4096
 
 
@@ -78,6 +80,7 @@
     gang_timeout: float
     status_kept: float
     connections: int
+    cores: float
 
 
 #: Descriptors that stay free for files, the store, runners and peers.
@@ -126,5 +129,7 @@
         longest_lease=bounds.max_hold_ms / MILLISECONDS,
         gang_timeout=bounds.gang_timeout_ms / MILLISECONDS,
         status_kept=bounds.status_s,
+        # The share of one core, and how many times as fast as one it is.
+        cores=decoded.limits.cpu_share * decoded.limits.cores,
         connections=max(FEWEST_CONNECTIONS, decoded.limits.max_fds - RESERVED_DESCRIPTORS),
     )
