An owner out of touch with the store takes no leases for run out, and starts nothing

The report: the owner c-1 was cut off with its zone at 33.5 s; its successor reached the runner of another zone, renewed its leases and noted the end of a task there (33.64 s); at 40.18 s c-1 took those leases for run out and started the task again in its own zone, which the successor could not reach to fence. Change: leases count as run out only if they had by the time of the latest append that was answered, which proves that there was no successor before; and nothing is started 1.5 s after the latest such append. Scenario 'Leases of a silent runner, at an owner that the store does not answer' fails without it (the two rules are new).

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from dandelionreel.cell._cell import CLOCK_DRIFT, ViewEffect
+from dandelionreel.cell._cell import ViewEffect
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import RunnerState
 from dandelionreel.cell._services import Runner, RunnerError, RunnerFenced, RunnerReplaced
@@ -78,7 +78,7 @@
                 runner=state.id,
                 tasks=len(state.allocation_by_run),
             )
-        if state.allocation_by_run and state.lapsed(now, CLOCK_DRIFT):
+        if state.allocation_by_run and self._desk.leases_ran_out(state):
             self._desk.journal.tell(
                 Part.WORKERS,
                 f'the leases on {state.id} have run out.',
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from dandelionreel.cell._cell import Cell
+from dandelionreel.cell._cell import CLOCK_DRIFT, Cell
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._ledger import RunnerState
 from dandelionreel.cell._model import Registration
@@ -20,6 +20,10 @@
 #: new owner to be found meanwhile (about 2 s) and for a short outage.
 LEASE_SECONDS = 5.0
 
+#: Seconds without an answered append after which nothing is started: a successor
+#: claims after 1.1 s of silence at the earliest, and then looks at the runners.
+START_SECONDS = 1.5
+
 MakeRunner = Callable[[Registration], Runner]
 
 
@@ -77,6 +81,24 @@
             return False
         return self.clock.monotonic() - self.writer.stored_at < AUTHORITY_SECONDS
 
+    def may_start(self) -> bool:
+        """Return whether this host may still start tasks.
+
+        An owner that the store has not answered for a while may have a
+        successor, which reads ends on runners that this host cannot reach.
+        Starting a task again here would run it after such an end was noted.
+        """
+        fresh = self.clock.monotonic() - self.writer.stored_at < START_SECONDS
+        return fresh and self.may_act()
+
+    def leases_ran_out(self, state: RunnerState) -> bool:
+        """Return whether a runner's tasks are gone because nobody renewed them.
+
+        A successor may renew them unseen. The latest append proves that there
+        was none when it was sent, so the leases must have run out by then.
+        """
+        return state.lapsed(self.writer.stored_at, CLOCK_DRIFT)
+
     async def write_note(
         self,
         note: Note,
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -381,7 +381,7 @@
             for allocation in self.cell.take_stops():
                 await curio.spawn(self._orders.send_stop, allocation, daemon=True)
             began = self._clock.monotonic()
-            if self._desk.may_act():
+            if self._desk.may_start():
                 made = self._planner.plan(self._clock.monotonic(), self._clock.wall())
                 await self._orders.send_starts(made.starts)
                 for question in made.questions:
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -123,7 +123,7 @@
         maybe_sent = False
 
         def check() -> bool:
-            return self._desk.may_act() and self._desk.cell.may_start(allocation)
+            return self._desk.may_start() and self._desk.cell.may_start(allocation)
 
         for _ in range(START_TRIES):
             try:
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -6,9 +6,10 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import KeyedRecord, WriterFence
+from dandelionreel.cell import Cell, KeyedRecord, RunnerState, WriterFence
+from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._directory import JobFolder
-from dandelionreel.cell._election import Election
+from dandelionreel.cell._election import Election, Term
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._records import (
     MEMBER,
@@ -24,6 +25,7 @@
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Journal, ManualClock, SystemClock
 from dandelionreel.peers import ForwardAnswer, Frame
+from features.cell_parts import make_registration
 from standins import MemoryTopic
 
 PATIENCE = 0.35
@@ -291,6 +293,30 @@
     assert relayed.maybe is (outcome == 'is left in doubt')
 
 
+@given('a runner whose leases ran out 5 s after its last answer')
+def silent_runner(context):
+    context.clock = ManualClock(1000)
+    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
+    context.desk = Desk(
+        term, Cell(1, 3.0), MemoryTopic(), make_registration, 10.0, context.clock, journal()
+    )
+    context.state = RunnerState(make_registration('w1'))
+    context.state.note_clock(500, 1000)
+    context.state.extend_lease(1000, 5)
+
+
+@when("the owner's last append was answered {seconds:d} s after that answer")
+def last_append(context, seconds):
+    context.desk.writer.stored_at = 1000 + seconds
+
+
+@then('7 s after it the tasks there count as {fate}, and new starts are {starts}')
+def judged_tasks(context, fate, starts):
+    context.clock.now = 1007.0
+    assert context.desk.leases_ran_out(context.state) is (fate == 'gone')
+    assert context.desk.may_start() is (starts == 'allowed')
+
+
 @given('a writer whose appends were refused for a while')
 def refused_writer(context):
     context.topic = MemoryTopic()
--- a/features/store.feature
+++ b/features/store.feature
@@ -75,6 +75,20 @@
       | 503    | is served here   |
       | 504    | is left in doubt |
 
+  # The owner was cut off with its zone, and so from a runner on which a task ran.
+  # Its successor renewed that runner's leases and noted the task's end. The old
+  # owner took the leases for run out and started the task again in its own zone.
+  Scenario Outline: Leases of a silent runner, at an owner that the store does not answer
+    Given a runner whose leases ran out 5 s after its last answer
+    When the owner's last append was answered <seconds> s after that answer
+    Then 7 s after it the tasks there count as <fate>, and new starts are <starts>
+
+    Examples:
+      | seconds | fate | starts    |
+      | 1       | held | forbidden |
+      | 4       | held | forbidden |
+      | 6       | gone | allowed   |
+
   # After an outage of the store most hosts had nothing of their own to write, so
   # none of their appends succeeded; they stayed out of rotation for the whole day.
   Scenario: A host that writes nothing after an outage
