An owner after a killed one waits for the owners before it

Cause (read, not run): a successor waited only for the former owner. Was that one killed right after its claim, the owner before it, cut off, still renews leases for up to 9 s, and its tasks would have been started elsewhere after 5 s. Change: the owner's record says for how long earlier owners may act; a successor waits that long.

--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -8,7 +8,7 @@
 from dandelionreel.cell._advisors import AdvicePool, LocalAdvisor, PeerLinks
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._cell import CLOCK_DRIFT, Cell
-from dandelionreel.cell._desk import LEASE_SECONDS, Desk, MakeRunner, Note
+from dandelionreel.cell._desk import Desk, MakeRunner, Note
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
 from dandelionreel.cell._election import AUTHORITY_SECONDS, BEAT_SECONDS, Election, Term
 from dandelionreel.cell._follower import Follower
@@ -226,8 +226,10 @@
         silent = now - (self._desk.term.silent_since or now)
         ended = self._desk.term.released or self._desk.term.former_ended
         rest = 0.0 if ended else AUTHORITY_SECONDS - silent
-        leases = parts.longest_lease if parts.longest_lease < LEASE_SECONDS else LEASE_SECONDS
-        self._unseen_until = now + max(0.0, rest) + leases * (1 + CLOCK_DRIFT)
+        wait = max(0.0, rest) + self._desk.lease * (1 + CLOCK_DRIFT)
+        # A former owner that was killed may itself have followed one that was cut
+        # off and still renews leases.
+        self._unseen_until = now + max(wait, self._desk.term.unsettled)
         attended = parts.jobs.book.attended
         for runner in attended.runners if attended else ():
             registration = parts.runners.find(runner)
@@ -239,7 +241,14 @@
         stored: frozenset[str] = frozenset()
         while True:
             beat += 1
-            owner = Owner(self._desk.term.epoch, self._parts.host, self._desk.term.term, beat)
+            left = self._unseen_until - self._clock.monotonic() if self.cell.unseen else 0
+            owner = Owner(
+                self._desk.term.epoch,
+                self._parts.host,
+                self._desk.term.term,
+                beat,
+                unsettled=round(max(0.0, left), 2),
+            )
             records = [make_record(OWNER_KEY, owner)]
             attended = frozenset(self.cell.runner_by_id)
             if attended != stored:
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -30,6 +30,10 @@
 #: Seconds for which an owner goes on without an answered heartbeat. Long enough
 #: for the usual outages of the store, in which nobody else can claim.
 AUTHORITY_SECONDS = 9.0
+#: Seconds for which leases last that such an owner granted last, and so for which
+#: a runner that only it reaches may run tasks after its successor's claim: 9 s of
+#: authority and 5 s of lease with 2% drift.
+UNSETTLED_SECONDS = 14.1
 POLL_SECONDS = 0.05
 #: Seconds for the answer to a claim, also from a slow store.
 CLAIM_TIMEOUT = 0.8
@@ -57,6 +61,8 @@
     released: bool
     #: Whether the former owner's process is known to have ended.
     former_ended: bool
+    #: Seconds for which, at its last heartbeat, owners before it might still act.
+    unsettled: float = 0
 
 
 class Election:
@@ -149,7 +155,9 @@
         former = self._folder.book.owner
         epoch = former.epoch + 1 if former else 1
         sequence = self._random.randrange(SEQUENCE_RANGE)
-        claim = make_record(OWNER_KEY, Owner(epoch, self._host, self.incarnation))
+        # Until the first heartbeat tells better, the former owner may act on.
+        owner = Owner(epoch, self._host, self.incarnation, unsettled=UNSETTLED_SECONDS)
+        claim = make_record(OWNER_KEY, owner)
         try:
             await self._topic.append(
                 [claim],
@@ -184,6 +192,7 @@
             heard if former else None,
             bool(former and former.released),
             former_ended,
+            former.unsettled if former else 0,
         )
 
     async def _read_back(self, epoch: int) -> bool:
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -112,7 +112,7 @@
         return answer
 
     async def handle_relayed(self, frame: Frame) -> Message:
-        """Answer a peer that the store does not serve."""
+        """Answer a request that a peer passes on."""
         forward: Any = frame.message
         answer = await self._answer(forward.request, self._clock.monotonic(), relayed=True)
         # The peer may ask another host: the store refuses this one as well.
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -76,7 +76,8 @@
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
     """Who owns the cell: written at the claim and with every heartbeat.
 
-    ``released`` says that the owner has stopped for good.
+    ``released`` says that the owner has stopped for good. ``unsettled`` is for
+    how many seconds more an owner before this one may renew leases unseen.
     """
 
     epoch: int
@@ -84,6 +85,7 @@
     term: str
     beat: int = 0
     released: bool = False
+    unsettled: float = 0
 
 
 class Attended(msgspec.Struct, frozen=True):
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -8,7 +8,8 @@
 
 from dandelionreel.cell import Cell, KeyedRecord, RunnerState, WriterFence
 from dandelionreel.cell._desk import Desk
-from dandelionreel.cell._directory import JobFolder
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
 from dandelionreel.cell._election import Election, Term
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._records import (
@@ -317,6 +318,41 @@
     assert context.desk.may_start() is (starts == 'allowed')
 
 
+@given('a former owner that was killed when earlier owners might act for {unsettled:g} s')
+def killed_owner(context, unsettled):
+    context.term = Term(3, 'me/1', WriterFence(3, 1), 999.0, False, True, unsettled)
+
+
+@when('a host takes over')
+def takes_over(context):
+    clock = ManualClock(1000)
+    host = Host('me', MemoryTopic(), clock)
+    parts = DispatcherParts(
+        topic=MemoryTopic(),
+        follower=host.follower,
+        jobs=host.folder,
+        runners=RunnersFolder(None, clock, journal()),
+        configuration=ConfigurationFolder(None, journal()),
+        election=host.election,
+        links=None,
+        advisor=None,
+        make_runner=make_registration,
+        clock=clock,
+        journal=journal(),
+        host='me',
+        gang_timeout=3.0,
+        longest_lease=10.0,
+        status_kept=120,
+    )
+    context.dispatcher = Dispatcher(parts, context.term)
+    context.dispatcher._begin()
+
+
+@then('it leaves jobs on unseen runners alone for {wait:g} s')
+def leaves_alone(context, wait):
+    assert abs(context.dispatcher._unseen_until - 1000 - wait) < 0.01
+
+
 @given('a writer whose appends were refused for a while')
 def refused_writer(context):
     context.topic = MemoryTopic()
--- a/features/store.feature
+++ b/features/store.feature
@@ -89,6 +89,19 @@
       | 4       | held | forbidden |
       | 6       | gone | allowed   |
 
+  # An owner was cut off with its zone and went on renewing leases there. Its
+  # successor was killed at once. The next owner took that one's end for the end of
+  # all, and started tasks that the first one kept running.
+  Scenario Outline: An owner that follows a killed one
+    Given a former owner that was killed when earlier owners might act for <unsettled> s
+    When a host takes over
+    Then it leaves jobs on unseen runners alone for <wait> s
+
+    Examples:
+      | unsettled | wait |
+      | 0         | 5.1  |
+      | 12        | 12   |
+
   # After an outage of the store most hosts had nothing of their own to write, so
   # none of their appends succeeded; they stayed out of rotation for the whole day.
   Scenario: A host that writes nothing after an outage
