A scenario's story told what another would do

Cause: 'Answers of the store are lost' opened with the story of a host that is turned away. Change: the comment tells of lost answers; steps and assertions are as they were.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -66,8 +66,8 @@
     When the platform is back
     Then a new job is completed
 
-  # The store turns one host away and serves the others; its clients must not
-  # be refused for as long as that lasts.
+  # Appends took place and their answers were lost. Hosts and clients tried again;
+  # each job must still be taken once and run once.
   Scenario: Answers of the store are lost
     When 20 jobs are handed in while a third of the store's answers are lost
     Then all of them are completed
