Model of the cell's ownership, with a mutant for each guard

Cause: the new protocol (fence, deadlines, named runners, waits) had no model; only the earlier one had.

--- a/spec/run.py
+++ b/spec/run.py
@@ -4,12 +4,13 @@
 
 from spec._model import check
 from spec.attempts import ATTEMPTS
+from spec.cell import CELL
 from spec.escrow import ESCROW
 from spec.joining import JOINING
 from spec.ownership import OWNERSHIP
 from spec.publication import PUBLICATION
 
-SPECS = (OWNERSHIP, JOINING, ATTEMPTS, PUBLICATION, ESCROW)
+SPECS = (CELL, OWNERSHIP, JOINING, ATTEMPTS, PUBLICATION, ESCROW)
 
 
 def main() -> int:
