Advice is asked at several hosts at once, and never in vain

Change: a gang asks about all runners that it may need, 45 in a question, all questions at once, and for new tickets of all allowed runners; single tasks ask only about free room, and no more than could use it; a quarter of the hosts stays free for urgent questions; gangs reserve in proportion to the runners.

--- a/dandelionreel/cell/_advisors.py
+++ b/dandelionreel/cell/_advisors.py
@@ -34,6 +34,10 @@
 PATIENCE_SECONDS = 0.4
 #: Seconds for which a peer that did not answer is not asked.
 PEER_QUIET = 2.0
+#: The share of hosts that may be busy with questions that are not urgent. An
+#: urgent one takes 15 ms, but after an outage all hosts were busy with others, of
+#: a second each, and urgent jobs waited 2 s for their turn.
+PATIENT_SHARE = 0.75
 
 Answered = Callable[[Question, tuple[Permit, ...], float], Awaitable[None]]
 Failed = Callable[[Question], Awaitable[None]]
@@ -120,6 +124,8 @@
         self._waiting: list[tuple[int, int, Question]] = []
         self._order = itertools.count()
         self._busy: set[str] = set()
+        #: Hosts that are busy with questions that are not urgent.
+        self._patient: set[str] = set()
         self._quiet_until_by_host: dict[str, float] = {}
 
     async def ask(self, question: Question) -> None:
@@ -129,11 +135,15 @@
 
     async def _send(self) -> None:
         while self._waiting:
-            host = self._free_host()
+            urgent = self._waiting[0][0] == 0
+            most = max(1, int(PATIENT_SHARE * len(self._members())))
+            host = self._free_host() if urgent or len(self._patient) < most else None
             if host is None:
                 return
             question = heapq.heappop(self._waiting)[2]
             self._busy.add(host)
+            if not urgent:
+                self._patient.add(host)
             await curio.spawn(self._put, host, question, daemon=True)
 
     def _free_host(self) -> str | None:
@@ -164,6 +174,7 @@
             await self._answered(question, permits, until)
         finally:
             self._busy.discard(host)
+            self._patient.discard(host)
         await self._send()
 
     async def _ask_host(
--- a/dandelionreel/cell/_inquiries.py
+++ b/dandelionreel/cell/_inquiries.py
@@ -2,9 +2,12 @@
 
 Load pattern: one question takes from 10 ms to a second, and a few more
 milliseconds for each runner that it names; all questions of a busy cell take
-more than one host's whole time. So a question names only as many runners as the
-step is likely to need, those with room first, and tickets that have expired are
-asked for again only when something could start with them.
+more than one host's whole time, and after an outage, with hundreds of steps
+waiting, more than that of all hosts. So a single task's question names only as
+many runners as it is likely to need, those with room first, and none is asked
+beyond what the free room could take. A gang needs seats on many runners at once:
+it asks about all that it may need, a few dozen in each of several questions, so
+that several hosts put them at the same time.
 """
 
 from collections.abc import Iterable
@@ -21,9 +24,14 @@
 #: Runners named at least: a question's fixed time outweighs theirs.
 FEWEST_RUNNERS = 12
 #: The share of runners that is taken to be allowed, and by how much more than
-#: needed is asked for.
+#: needed is asked for. A gang's seats are mostly taken when it asks: the more
+#: runners it may use, the sooner enough of them come free.
 ALLOWED_SHARE = 0.3
 SURPLUS = 1.6
+GANG_SURPLUS = 4.0
+#: Runners in one of a gang's questions. A service needs as long for 70 runners as
+#: for the question itself: with 45 an answer takes 1.6 times the shortest.
+GANG_RUNNERS = 45
 #: Seconds before a reserved time at which its tickets should be there.
 EARLY_SECONDS = 0.25
 
@@ -53,14 +61,25 @@
         step: StepRun,
         runners: Iterable[RunnerState],
         now: float,
-    ) -> Question | None:
-        """Return the question about runners that were not asked for yet."""
+    ) -> list[Question]:
+        """Return the questions about runners that were not asked for yet.
+
+        Nothing is asked for a single task about runners that have no room: its
+        tickets would have expired when they have.
+        """
         known = self._cell.tickets.of(step.name)
         if known.asking or now < known.not_before:
-            return None
+            return []
         demand = counted_demand(step)
-        fresh = [runner for runner in runners if runner.id not in known.asked]
-        fresh.sort(key=lambda runner: -count_slots(demand, runner.room))
+        slotted = [
+            (count_slots(demand, runner.room), runner)
+            for runner in runners
+            if runner.id not in known.asked
+        ]
+        if not step.step.gang:
+            slotted = [entry for entry in slotted if entry[0]]
+        slotted.sort(key=_most_slots)
+        fresh = [runner for _, runner in slotted]
         return self._ask(queue, step, fresh[: self._enough(step)])
 
     def again(
@@ -69,11 +88,11 @@
         step: StepRun,
         runners: Iterable[RunnerState],
         now: float,
-    ) -> Question | None:
+    ) -> list[Question]:
         """Return the question for new tickets of allowed runners with room."""
         known = self._cell.tickets.of(step.name)
         if known.asking or now < known.not_before:
-            return None
+            return []
         demand = counted_demand(step)
         limit = step.step.max_per_runner
         wanted = []
@@ -91,21 +110,29 @@
         step: StepRun,
         reservation: Reservation,
         now: float,
-    ) -> Question | None:
-        """Return the question for a gang's tickets, in time for its seats."""
+    ) -> list[Question]:
+        """Return the questions for a gang's tickets, in time for its seats.
+
+        They name every allowed runner that has room too. Which runners have seats
+        first changes from plan to plan, and with tickets for a few of them a gang
+        asked again and again, 0.5 s each time, while its seats stood empty.
+        """
         known = self._cell.tickets.of(step.name)
         if known.asking or now < known.not_before or queue.advice is None:
-            return None
+            return []
         valid = known.valid(reservation.at)
-        wanted = [
-            self._cell.runner_by_id[runner]
-            for runner in sorted(reservation.runners)
-            if runner not in valid
-        ]
-        if not wanted:
-            return None
+        if reservation.runners <= valid.keys():
+            return []
+        demand = counted_demand(step)
+        wanted = []
+        for runner_id in sorted(known.allowed):
+            runner = self._cell.runner_by_id.get(runner_id)
+            if runner is None or runner_id in valid:
+                continue
+            if runner_id in reservation.runners or count_slots(demand, runner.room):
+                wanted.append(runner)
         if reservation.at - now > _seconds(queue.advice, len(wanted)) + EARLY_SECONDS:
-            return None
+            return []
         return self._ask(queue, step, wanted)
 
     def _enough(self, step: StepRun) -> int:
@@ -117,21 +144,35 @@
         )
         per_runner = max(1, count_slots(demand, capacity, step.step.max_per_runner))
         needed = -(-step.waiting // per_runner)
+        if step.step.gang:
+            return max(FEWEST_RUNNERS, int(needed / ALLOWED_SHARE * GANG_SURPLUS) + 1)
         likely = int(needed / ALLOWED_SHARE * SURPLUS) + 1
         return min(MOST_RUNNERS, max(FEWEST_RUNNERS, likely))
 
-    def _ask(self, queue: Queue, step: StepRun, runners: list[RunnerState]) -> Question | None:
+    def _ask(self, queue: Queue, step: StepRun, runners: list[RunnerState]) -> list[Question]:
         if not runners or queue.advice is None:
-            return None
-        self._cell.tickets.of(step.name).asking = True
-        return Question(
-            step.name,
-            tuple(runner.id for runner in runners[:MOST_RUNNERS]),
-            queue.priority,
-            queue.advice.decision,
-            queue.advice.per_runner,
-            queue.advice.valid,
-        )
+            return []
+        ids = [runner.id for runner in runners]
+        count = -(-len(ids) // (GANG_RUNNERS if step.step.gang else MOST_RUNNERS))
+        # Equal parts: the answers are waited for together.
+        parts = [tuple(ids[number::count]) for number in range(count)]
+        self._cell.tickets.of(step.name).pending += len(parts)
+        advice = queue.advice
+        return [
+            Question(
+                step.name,
+                part,
+                queue.priority,
+                advice.decision,
+                advice.per_runner,
+                advice.valid,
+            )
+            for part in parts
+        ]
+
+
+def _most_slots(entry: tuple[int, RunnerState]) -> int:
+    return -entry[0]
 
 
 def _seconds(advice: AdvicePolicy, runners: int) -> float:
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -13,6 +13,11 @@
 #: A job that is later than this many objectives earns nothing any more.
 LATEST = 3.0
 
+#: Processors for which advice is asked, as a multiple of those that are free: about
+#: half of the runners are allowed. Without a limit every waiting step asked about
+#: the same free room, and most tickets found it taken.
+ASKED_SHARE = 1.5
+
 #: A runner that may take a task, with the ticket that the start carries.
 Seat = tuple[RunnerState, str]
 
@@ -38,7 +43,9 @@
 
     now: float
     runners_by_service: dict[str, dict[str, RunnerState]]
-    reservations: Reservations = field(default_factory=Reservations)
+    reservations: Reservations
+    #: Processors of each service for which single tasks may still ask advice.
+    askable_by_service: dict[str, float]
     made: Plan = field(default_factory=Plan)
 
 
@@ -52,7 +59,10 @@
 
     def plan(self, now: float, wall: float) -> Plan:
         """Place what can be placed, and count it as held."""
-        current = _Round(now, self._usable(now))
+        usable = self._usable(now)
+        count = sum(len(runners) for runners in usable.values())
+        askable = {service: ASKED_SHARE * _free(runners) for service, runners in usable.items()}
+        current = _Round(now, usable, Reservations(count), askable)
         for candidate in self._ordered(now, wall):
             service = self._cell.service_of(candidate.job)
             runners = current.runners_by_service.get(service)
@@ -132,17 +142,18 @@
     ) -> None:
         """Ask for tickets when they would let something start."""
         queue, step = candidate.queue, candidate.step
-        if queue is None or queue.advice is None:
+        service = self._cell.service_of(candidate.job)
+        if queue is None or queue.advice is None or current.askable_by_service[service] <= 0:
             return
+        current.askable_by_service[service] -= step.waiting * counted_demand(step).cpu
         known = self._cell.tickets.of(step.name)
-        question = None
+        questions = []
         if known.asked:
-            question = self._inquiries.again(queue, step, runners.values(), current.now)
-        if question is None:
+            questions = self._inquiries.again(queue, step, runners.values(), current.now)
+        if not questions:
             suiting = [runner for runner in runners.values() if _suits(step, runner)]
-            question = self._inquiries.first(queue, step, suiting, current.now)
-        if question is not None:
-            current.made.questions.append(question)
+            questions = self._inquiries.first(queue, step, suiting, current.now)
+        current.made.questions.extend(questions)
 
     def _place_tasks(self, step: StepRun, seats: list[Seat], current: _Round) -> bool:
         """Place as many tasks as fit; return whether all found a place."""
@@ -203,11 +214,10 @@
         if not current.reservations.full:
             reservation = current.reservations.reserve(step, allowed, current.now)
         if reservation is None:
-            question = self._inquiries.first(queue, step, suiting, current.now)
+            questions = self._inquiries.first(queue, step, suiting, current.now)
         else:
-            question = self._inquiries.reserved(queue, step, reservation, current.now)
-        if question is not None:
-            current.made.questions.append(question)
+            questions = self._inquiries.reserved(queue, step, reservation, current.now)
+        current.made.questions.extend(questions)
 
     def _place_gang(self, step: StepRun, allowed: list[Seat], current: _Round) -> bool:
         for group in _groups(step, allowed):
@@ -227,6 +237,10 @@
         return False
 
 
+def _free(runners: dict[str, RunnerState]) -> float:
+    return sum(runner.room.cpu for runner in runners.values())
+
+
 def _first(keyed: tuple) -> tuple:
     return keyed[0]
 
--- a/dandelionreel/cell/_reservations.py
+++ b/dandelionreel/cell/_reservations.py
@@ -4,8 +4,8 @@
 take every seat the moment it is free. Without reservations the gang waits until
 the load drops. Each waiting gang, in order of urgency, gets the runners on which
 its seats come free first; until then only what ends before that time may start
-there (backfilling). Few gangs reserve at a time: more would idle the runners
-that the first ones do not need yet.
+there (backfilling). Few gangs reserve at a time, in proportion to the runners:
+more would idle those that the first ones do not need yet.
 """
 
 import heapq
@@ -17,8 +17,10 @@
 from dandelionreel.cell._model import Demand
 from dandelionreel.cell._runs import StepRun
 
-#: Gangs that reserve at the same time.
-MOST_RESERVING = 4
+#: Gangs that reserve at the same time: so many, and one for so many runners. With 4
+#: for 176 runners a gang waited behind others whose seats were elsewhere.
+FEWEST_RESERVING = 4
+RUNNERS_PER_RESERVING = 6
 #: A task may backfill when it ends before the reservation even if it takes this
 #: many times as long as expected.
 BACKFILL_MARGIN = 1.25
@@ -36,15 +38,17 @@
 class Reservations:
     """The reservations of one plan."""
 
-    def __init__(self) -> None:
-        """Start with none."""
+    def __init__(self, runners: int = 0) -> None:
+        """Start with none, on that many runners."""
         self._by_runner: dict[str, Reservation] = {}
         self._count = 0
+        self._most = max(FEWEST_RESERVING, runners // RUNNERS_PER_RESERVING)
+        self._ends_by_runner: dict[str, list[tuple[float, Demand]]] = {}
 
     @property
     def full(self) -> bool:
         """Return whether no further gang may reserve."""
-        return self._count >= MOST_RESERVING
+        return self._count >= self._most
 
     def may_start(self, runner: str, step: StepRun, until: float) -> bool:
         """Return whether a task that ends at ``until`` leaves a reservation alone."""
@@ -62,7 +66,7 @@
         Returns ``None`` when it would not fit even if all of them were empty.
         """
         free = [runner for runner in runners if runner.id not in self._by_runner]
-        made = find_seats(step, free, now)
+        made = find_seats(step, free, now, self._ends_by_runner)
         if made is None:
             return None
         self._count += 1
@@ -71,8 +75,16 @@
         return made
 
 
-def find_seats(step: StepRun, runners: list[RunnerState], now: float) -> Reservation | None:
-    """Return when and where all members of a gang fit, by what is expected to end."""
+def find_seats(
+    step: StepRun,
+    runners: list[RunnerState],
+    now: float,
+    ends_by_runner: dict[str, list[tuple[float, Demand]]],
+) -> Reservation | None:
+    """Return when and where all members of a gang fit, by what is expected to end.
+
+    ``ends_by_runner`` is filled in: the ends on a runner are the same for all gangs.
+    """
     demand = counted_demand(step)
     limit = step.step.max_per_runner
     needed = len(step.tasks)
@@ -80,7 +92,9 @@
     seats = 0
     gains: list[tuple[float, str, int]] = []
     for runner in runners:
-        for at, more in _seat_gains(runner, demand, limit, now):
+        if runner.id not in ends_by_runner:
+            ends_by_runner[runner.id] = _expected_ends(runner, now)
+        for at, more in _seat_gains(runner, ends_by_runner[runner.id], demand, limit, now):
             gains.append((at, runner.id, more))
     heapq.heapify(gains)
     while gains:
@@ -92,8 +106,18 @@
     return None
 
 
+def _expected_ends(runner: RunnerState, now: float) -> list[tuple[float, Demand]]:
+    ends = [
+        (expected_end(allocation, now), allocation.demand)
+        for allocation in runner.allocation_by_run.values()
+    ]
+    ends.sort(key=_end)
+    return ends
+
+
 def _seat_gains(
     runner: RunnerState,
+    ends: list[tuple[float, Demand]],
     demand: Demand,
     limit: int,
     now: float,
@@ -104,11 +128,6 @@
     seats = count_slots(demand, room, limit)
     if seats:
         gains.append((now, seats))
-    ends = [
-        (expected_end(allocation, now), allocation.demand)
-        for allocation in runner.allocation_by_run.values()
-    ]
-    ends.sort(key=_end)
     for end, freed in ends:
         room += freed
         more = count_slots(demand, room, limit)
--- a/dandelionreel/cell/_tickets.py
+++ b/dandelionreel/cell/_tickets.py
@@ -22,9 +22,15 @@
     allowed: set[str] = field(default_factory=set)
     ticket_by_runner: dict[str, str] = field(default_factory=dict)
     until_by_runner: dict[str, float] = field(default_factory=dict)
-    asking: bool = False
+    #: Questions that have not been answered yet.
+    pending: int = 0
     not_before: float = 0.0
 
+    @property
+    def asking(self) -> bool:
+        """Return whether an answer is on its way."""
+        return self.pending > 0
+
     def valid(self, now: float) -> dict[str, str]:
         """Return tickets by runner that a start may carry now."""
         return {
@@ -58,7 +64,7 @@
     ) -> None:
         """Keep an answer; its tickets are good until then (monotonic seconds)."""
         known = self.of(step)
-        known.asking = False
+        known.pending = max(0, known.pending - 1)
         known.asked.update(asked)
         for permit in permits:
             known.allowed.add(permit.runner)
@@ -68,7 +74,7 @@
     def note_failure(self, step: StepName, not_before: float) -> None:
         """Ask again for the step, but not before then."""
         known = self.of(step)
-        known.asking = False
+        known.pending = max(0, known.pending - 1)
         known.not_before = not_before
 
     def revoke(self, step: StepName, runner: str) -> None:
--- a/features/cell.feature
+++ b/features/cell.feature
@@ -128,6 +128,40 @@
     Then the question names 12 runners
     And the job starts on the runners that are allowed
 
+  # A gang asked about 49 runners at a time, one question after the other, 1.2 s
+  # each, and found too few seats on those that were allowed: it was late before it
+  # knew enough. It now asks about all that it may need, at several hosts at once.
+  Scenario: A gang puts several questions at the same time
+    Given a cell of 176 runners whose queue asks for advice
+    When a gang of 20 tasks of 9000 asks for tickets
+    Then 3 questions name 94 runners, none of them twice
+    And nothing more is asked until the last answer
+
+  # After an outage hundreds of steps waited while everything was in use. Each of
+  # them asked for tickets again and again, which had expired when room came free,
+  # and urgent jobs waited 2 s for a host that could put their question.
+  Scenario: No question where there is no room
+    Given a cell of 40 runners whose queue asks for advice
+    And tasks of another queue on all of them
+    When a job of 2 tasks is handed in
+    Then nothing is asked
+
+  Scenario: No more questions than the free room can use
+    Given a cell of 40 runners whose queue asks for advice
+    And tasks of another queue on 39 of them
+    When 50 jobs of a task of 8000 are handed in
+    Then 6 questions are asked
+
+  Scenario Outline: Hosts that stay free for urgent questions
+    Given 8 hosts that are slow to answer
+    When 10 questions of priority 1 and then one of priority <priority> are put
+    Then <count> hosts are busy, and the last question is <fate>
+
+    Examples:
+      | priority | count | fate  |
+      | 0        | 7     | put   |
+      | 1        | 6     | kept  |
+
   Scenario: Tickets that have expired are asked for again
     Given a cell of 40 runners whose queue asks for advice
     When a job of 2 tasks is handed in
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -1,13 +1,35 @@
 """Steps on the owner's knowledge, without processes."""
 
+import io
+
+import curio
 from behave import given, then, when
 
-from dandelionreel.cell import Holding, JobState, Permit, StartReply
+from dandelionreel.cell import (
+    EndedRun,
+    Holding,
+    JobState,
+    Outcome,
+    Permit,
+    Question,
+    RunnerView,
+    RunningTask,
+    StartReply,
+    StepName,
+)
+from dandelionreel.cell._advisors import AdvicePool
 from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._records import Progress
+from dandelionreel.cell._records import Member, Progress
+from dandelionreel.kernel import Journal, SystemClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step, task
 
 FULL = 32_000
+#: Seconds that nothing here takes on any machine.
+LONG = 30
+
+
+def journal():
+    return Journal(io.StringIO(), 'test')
 
 
 @given('a successor that cannot see the runner w3')
@@ -235,6 +257,81 @@
     assert started == (['b1'] if outcome == 'starts' else []), started
 
 
+@given('{kind} that fill w1 and w2 for {seconds:g} s')
+def filling_tasks(context, kind, seconds):
+    queue = kind.split()[0]
+    keeps = kind.endswith('with checkpoints')
+    tasks = step(8000, 8, seconds=seconds, checkpointing=keeps)
+    context.small.add_job('f1', [tasks], queue=queue)
+    context.filling = context.small.plan().starts
+    assert len(context.filling) == 8
+
+
+@given('plain tasks with checkpoints that fill both')
+def filling_both(context):
+    filling_tasks(context, 'plain tasks with checkpoints', 4.0)
+
+
+@when('a gang of 2 tasks of 20000 comes after them')
+def gang_handed_in(context):
+    # The cell whose queue asks for advice has no queue of gangs.
+    queue = 'urgent' if 'plain' in context.small.cell.configuration.queue_by_name else 'gangs'
+    context.small.add_job('g1', [step(20_000, 2, gang=True, seconds=2.0)], queue=queue)
+    context.made = context.small.plan()
+
+
+@then('{count:d} of them are stopped')
+def are_stopped(context, count):
+    stopped = context.small.cell.take_stops()
+    assert len(stopped) == count, stopped
+    assert stopped == context.made.preempted
+
+
+@when('the stopped tasks are listed with their checkpoints')
+def stopped_listed(context):
+    small = context.small
+    context.stopped = small.cell.take_stops()
+    for number, victim in enumerate(context.stopped, 1):
+        ended = EndedRun(number, victim.task, victim.run, Outcome.STOPPED, f'saved {number}')
+        kept = [run for run in small.runs_on(victim.runner) if run != (victim.task, victim.run)]
+        listed = tuple(RunningTask(name, run, '', 0, 0.0) for name, run in kept)
+        view = RunnerView(small.now, listed, (ended,))
+        small.cell.viewed(small.cell.runner_by_id[victim.runner], view, small.now, small.now)
+    context.made = small.plan()
+
+
+@then('each stopped task waits with its checkpoint')
+def waits_with_checkpoint(context):
+    job = context.small.cell.job_by_id['f1']
+    for victim in context.stopped:
+        found = job.find(victim.task)
+        assert found[1].checkpoint.startswith('saved'), found
+
+
+@when('it is allowed on both runners by tickets that have expired')
+def expired_on_both(context):
+    small = context.small
+    question = context.made.questions[0]
+    permits = [Permit(runner, 'ticket') for runner in question.runners]
+    small.cell.tickets.note(question.step, question.runners, permits, small.now - 1)
+    context.made = small.plan()
+
+
+@then('nothing is stopped, and new tickets are asked for')
+def nothing_stopped(context):
+    assert not context.small.cell.take_stops()
+    tickets_asked(context)
+
+
+@when('the tickets are there')
+def tickets_there(context):
+    small = context.small
+    question = context.made.questions[0]
+    permits = [Permit(runner, 'ticket') for runner in question.runners]
+    small.cell.tickets.note(question.step, question.runners, permits, small.now + 2)
+    context.made = small.plan()
+
+
 @when('the urgent tasks are done')
 def urgent_done(context):
     small = context.small
@@ -249,10 +346,112 @@
     assert [start.task.job for start in context.made.starts][:2] == ['g1', 'g1']
 
 
-@given('a cell of 40 runners whose queue asks for advice')
-def advised_cell(context):
-    queues = (make_queue('urgent', advice=(0.01, 0.001, 2.0)),)
-    context.small = SmallCell([f'r{number}' for number in range(40)], queues=queues)
+@given('a cell of {count:d} runners whose queue asks for advice')
+def advised_cell(context, count):
+    queues = (make_queue('urgent', advice=(0.01, 0.001, 2.0)), make_queue('plain', 2))
+    context.small = SmallCell([f'r{number}' for number in range(count)], queues=queues)
+
+
+@given('tasks of another queue on all of them')
+def fill_all(context):
+    fill_runners(context, 40)
+
+
+@given('tasks of another queue on {count:d} of them')
+def fill_runners(context, count):
+    context.small.add_job('filling', [step(FULL, count=count)], queue='plain')
+    assert len(context.small.plan().starts) == count
+
+
+@then('nothing is asked')
+def nothing_asked(context):
+    assert not context.made.questions, context.made.questions
+
+
+@when('50 jobs of a task of 8000 are handed in')
+def fifty_jobs(context):
+    for number in range(50):
+        context.small.add_job(f'j{number:02}', [step(8000)])
+    context.made = context.small.plan()
+
+
+@then('{count:d} questions are asked')
+def questions_asked(context, count):
+    assert len(context.made.questions) == count, context.made.questions
+
+
+@when('a gang of 20 tasks of 9000 asks for tickets')
+def gang_asks(context):
+    context.small.add_job('j1', [step(9000, count=20, gang=True)])
+    context.made = context.small.plan()
+
+
+@then('{count:d} questions name {runners:d} runners, none of them twice')
+def questions_name(context, count, runners):
+    named = [runner for question in context.made.questions for runner in question.runners]
+    assert len(context.made.questions) == count, context.made.questions
+    assert len(named) == len(set(named)) == runners, len(named)
+
+
+@then('nothing more is asked until the last answer')
+def nothing_more(context):
+    small = context.small
+    for question in context.made.questions[:-1]:
+        small.cell.tickets.note(question.step, question.runners, [], small.now + 2)
+    assert not small.plan().questions
+    last = context.made.questions[-1]
+    small.cell.tickets.note(last.step, last.runners, [], small.now + 2)
+    assert small.plan().questions
+
+
+@given('8 hosts that are slow to answer')
+def asking_hosts(context):
+    context.hosts = SilentHosts()
+
+
+@when('10 questions of priority 1 and then one of priority {priority:d} are put')
+def put_questions(context, priority):
+    async def put():
+        hosts = {f'h{number}': Member('north', '10.0.0.1', 7) for number in range(8)}
+        pool = AdvicePool(
+            'h0',
+            lambda: hosts,
+            context.hosts,
+            context.hosts,
+            SystemClock(),
+            journal(),
+            no_answer,
+            no_answer,
+        )
+        for number in range(10):
+            await pool.ask(Question(StepName(f'p{number}', 0, 0), ('r1',), 1, 0.2, 0.0, 2.0))
+        await pool.ask(Question(StepName('last', 0, 0), ('r1',), priority, 0.0, 0.0, 2.0))
+        # Every question that has a host has reached it once all tasks have run.
+        await curio.sleep(0)
+        await curio.sleep(0)
+
+    curio.run(put)
+
+
+async def no_answer(*told):
+    """Take an answer; there is none."""
+
+
+@then('{count:d} hosts are busy, and the last question is {fate}')
+def hosts_busy(context, count, fate):
+    assert len(context.hosts.jobs) == count, context.hosts.jobs
+    assert ('last' in context.hosts.jobs) == (fate == 'put'), context.hosts.jobs
+
+
+class SilentHosts:
+    """This host's adviser and its peers' links; none of them ever answers."""
+
+    def __init__(self):
+        self.jobs = []
+
+    async def ask(self, place, wanted, patience):
+        self.jobs.append(place.job if isinstance(place, StepName) else wanted.job)
+        await curio.sleep(LONG)
 
 
 @when('a job of 2 tasks is handed in')
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -11,6 +11,8 @@
     JobSpec,
     JobState,
     KeyedRecord,
+    Runner,
+    RunnerError,
     RunnerState,
     Submission,
     WriterFence,
@@ -20,6 +22,7 @@
 from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
 from dandelionreel.cell._election import Election, Term
 from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import (
     CANCELLATION,
     MEMBER,
@@ -39,7 +42,7 @@
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Journal, ManualClock, SystemClock, Verdict
 from dandelionreel.peers import Done, ForwardAnswer, Frame, PeerError, Refused
-from features.cell_parts import make_registration
+from features.cell_parts import SmallCell, make_registration, step
 from standins import MemoryTopic
 
 PATIENCE = 0.35
@@ -409,6 +412,60 @@
     context.state.extend_lease(1000, 5)
 
 
+class SilentRunner(Runner):
+    """A runner whose link was cut after the bytes had left."""
+
+    async def start(self, order, check):
+        raise RunnerError('no answer in time', Verdict.UNKNOWN)
+
+    async def stop(self, task, run, epoch):
+        raise RunnerError('no answer in time', Verdict.UNKNOWN)
+
+    async def look(self, epoch, acknowledged, lease_until, wait):
+        raise RunnerError('no answer in time', Verdict.UNKNOWN)
+
+    async def close(self):
+        """Nothing is open."""
+
+
+@given('an owner with a runner that does not answer')
+def owner_of_silent(context):
+    context.small = SmallCell(('w1',))
+    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
+    context.desk = Desk(
+        term,
+        context.small.cell,
+        MemoryTopic(),
+        lambda registration: SilentRunner(),
+        10.0,
+        ManualClock(context.small.now),
+        journal(),
+    )
+    context.desk.add_runner(context.small.cell.runner_by_id['w1'])
+
+
+@when('it sends one start there')
+def send_one_start(context):
+    job = context.small.add_job('j1', [step()])
+    job.stored_runners.add('w1')
+    made = context.small.plan(start=False)
+
+    async def send():
+        await Orders(context.desk).send_starts(made.starts)
+        await until(lambda: context.small.cell.runner_by_id['w1'].suspect)
+
+    curio.run(send)
+
+
+@then('the runner gets nothing more until it has answered a look')
+def nothing_until_look(context):
+    small = context.small
+    small.add_job('j2', [step()])
+    assert not small.plan().starts
+    small.look('w1')
+    assert [start.task.job for start in small.plan().starts] == ['j2']
+
+
 @when("the owner's last append was answered {seconds:d} s after that answer")
 def last_append(context, seconds):
     context.desk.writer.stored_at = 1000 + seconds
