--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -3,12 +3,9 @@
 import gc
 import os
 import signal
-import socket as std_socket
 from contextlib import AsyncExitStack, suppress
-from typing import Any
 
 import curio
-from curio import socket
 
 from dandelionreel.admin import AdminFront
 from dandelionreel.backing import HostWatch, LogError, StreamReader, StreamWriter
@@ -35,6 +32,7 @@
     Settings,
     plugins,
     start_task,
+    watch_signals,
     zones_of,
 )
 from dandelionreel.life import InFlight, Life
@@ -89,7 +87,7 @@
 #: How often in a silent period a daemon looks whether it must say it is alive.
 ALIVE_CHECKS = 8
 INCARNATION_BYTES = 3
-SIGNAL_BYTES = 16
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 MILLISECONDS = 1000
 
 CellRecord = MembershipRecord | ContractRecord
@@ -470,9 +468,11 @@
         gc.collect()
         gc.freeze()
 
+    async def _take_signal(self, number: int) -> None:
+        await self._life.request_stop()
+
     async def _serve(self, stack: AsyncExitStack) -> None:
-        wakeup = await _watch_signals(stack, self._life)
-        await start_task(stack, wakeup)
+        await start_task(stack, await watch_signals(stack, STOP_SIGNALS, self._take_signal))
         while not self._life.stopping and not self._was_declared_ended():
             await curio.ignore_after(0.5, self._life.stop_requested.wait)
         if self._was_declared_ended():
@@ -585,32 +585,6 @@
         return
 
 
-async def _watch_signals(stack: AsyncExitStack, life: Life) -> Any:
-    """Return a coroutine function that turns SIGTERM and SIGINT into a stop."""
-    reader, writer = std_socket.socketpair()
-    writer.setblocking(False)
-    reading = socket.socket(fileno=reader.detach())
-    stack.push_async_callback(reading.close)
-    stack.callback(writer.close)
-    former = signal.set_wakeup_fd(writer.fileno())
-    stack.callback(signal.set_wakeup_fd, former)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        stack.callback(signal.signal, number, signal.signal(number, _ignore))
-
-    async def watch() -> None:
-        while True:
-            received = await reading.recv(SIGNAL_BYTES)
-            for number in received:
-                if number in {signal.SIGTERM, signal.SIGINT}:
-                    await life.request_stop()
-
-    return watch
-
-
-def _ignore(number: int, frame: Any) -> None:
-    """Take the signal's default action away; the wake-up descriptor tells of it."""
-
-
 def _make_incarnation(wall: float) -> str:
     """Return a text that sorts after those of earlier starts on the host."""
     return f'{int(wall * MILLISECONDS):013x}{os.urandom(INCARNATION_BYTES).hex()}'
--- a/dandelionreel/kernel/__init__.py
+++ b/dandelionreel/kernel/__init__.py
@@ -18,6 +18,7 @@
     load_settings,
     zones_of,
 )
+from dandelionreel.kernel._signals import watch_signals
 from dandelionreel.kernel._tasks import Signal, start_task
 from dandelionreel.kernel._text import clip
 from dandelionreel.kernel._verdict import (
@@ -58,5 +59,6 @@
     'plugins',
     'start_task',
     'unknown',
+    'watch_signals',
     'zones_of',
 )
