--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -130,6 +130,10 @@
                 answer = await runner.start(self._order(state, allocation, payload), check)
             except RunnerError as error:
                 maybe_sent = maybe_sent or error.verdict is not Verdict.NOT_RUN
+                # Nothing more goes there until it has answered a look: a start that
+                # may have arrived holds its task up until the lease has run out.
+                # Looks alone took 2.1 s to tell that a zone was cut off.
+                state.suspect = True
                 self._tell_unanswered(allocation, error)
                 if not maybe_sent or not check():
                     return maybe_sent
