Runs that are being stopped count for the limit of tasks on a runner

The limit was counted by what tasks say of themselves. A task that an earlier run had done was over at once, while its later run was still being stopped; its place counted as free. The scenario replays that order and failed before.

Change: the limit is counted in the ledger, where a run stands until its end is listed; the second count is gone.

--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -8,7 +8,7 @@
 import enum
 from dataclasses import dataclass
 
-from dandelionreel.cell._model import Demand, Registration, TaskName
+from dandelionreel.cell._model import Demand, Registration, StepName, TaskName
 
 NEVER = float('-inf')
 #: Estimates are guesses; a task that outlives its own is taken to need this
@@ -112,6 +112,15 @@
         if self.allocation_by_run.pop((allocation.task, allocation.run), None) is not None:
             self.used = self.used - allocation.demand
 
+    def count_step(self, step: StepName) -> int:
+        """Return how many runs of a step are held, those being stopped too.
+
+        A task of which an earlier run was done elsewhere is over, while its last
+        run is still being stopped here; another task of the step would be one more
+        than may run together.
+        """
+        return sum(StepName.of(task) == step for task, _ in self.allocation_by_run)
+
     def note_clock(self, clock: float, now: float) -> None:
         """Keep the runner's clock as an answer told it; ``now`` is when it came."""
         self._clock = clock
--- a/dandelionreel/cell/_model.py
+++ b/dandelionreel/cell/_model.py
@@ -86,6 +86,11 @@
     occurrence: int
     step: int
 
+    @classmethod
+    def of(cls, task: 'TaskName') -> 'StepName':
+        """Return the step that a task belongs to."""
+        return cls(task.job, task.occurrence, task.step)
+
 
 @dataclass(frozen=True, order=True)
 class TaskName:
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -324,7 +324,7 @@
     for runner, ticket in seats:
         if not demand.fits(runner.room):
             continue
-        if limit and step.count_by_runner.get(runner.id, 0) >= limit:
+        if limit and runner.count_step(step.name) >= limit:
             continue
         key = (
             runner.id in task.avoid,
@@ -366,6 +366,8 @@
     ordered = sorted(allowed, key=lambda seat: _left_over(demand, seat[0]))
     for runner, ticket in ordered:
         slots = count_slots(demand, runner.room, limit)
+        if limit:
+            slots = min(slots, limit - runner.count_step(step.name))
         seats.extend([(runner, ticket)] * min(slots, needed - len(seats)))
         if len(seats) == needed:
             return seats
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -50,8 +50,6 @@
         self.done = 0
         #: A start of this step is not tried again before then.
         self.not_before = 0.0
-        #: Tasks by runner, for the limit of tasks of a step on one runner.
-        self.count_by_runner: dict[str, int] = {}
 
     @property
     def complete(self) -> bool:
@@ -64,11 +62,9 @@
         task.runner = runner
         task.run = run
         self.waiting -= 1
-        self.count_by_runner[runner] = self.count_by_runner.get(runner, 0) + 1
 
     def release(self, task: TaskRun) -> None:
         """Let a placed task wait again."""
-        self._leave_runner(task)
         task.phase = Phase.WAITING
         task.runner = ''
         self.waiting += 1
@@ -77,21 +73,12 @@
         """Note that a task is done, wherever it stood."""
         if task.phase is Phase.DONE:
             return
-        if task.phase is Phase.PLACED:
-            self._leave_runner(task)
-        else:
+        if task.phase is Phase.WAITING:
             self.waiting -= 1
         task.phase = Phase.DONE
         task.runner = ''
         self.done += 1
 
-    def _leave_runner(self, task: TaskRun) -> None:
-        left = self.count_by_runner.get(task.runner, 0) - 1
-        if left > 0:
-            self.count_by_runner[task.runner] = left
-        else:
-            self.count_by_runner.pop(task.runner, None)
-
 
 class JobRun:
     """One job: its steps by occurrence, failures, and what clients are told.
--- a/features/cell.feature
+++ b/features/cell.feature
@@ -80,6 +80,15 @@
     When the first runner lists the end of the first run as done
     Then the second run is stopped and the job is complete
 
+  # At most one task of a step might run on a runner. A cut had healed: a task turned
+  # out to be done by its first run, and its second one was being stopped, when
+  # another task of the step was started beside it.
+  Scenario: A run that is being stopped counts for the limit of a runner
+    Given a cell with the runners w1, w2
+    And a job of 2 tasks, one on each runner at most, whose first task runs again on w2
+    When w1 lists the end of the first run as done, and the other task is free to start
+    Then it does not start on w2 before the stopped run has ended
+
   # Gang members wait for each other and give up alone after a while, which
   # wastes what they hold. All of them start, or none is left waiting.
   Scenario: A gang of which one start stays unanswered
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -258,6 +258,47 @@
     assert started == (['b1'] if outcome == 'starts' else []), started
 
 
+@given('a job of 2 tasks, one on each runner at most, whose first task runs again on w2')
+def limited_job(context):
+    small = context.small
+    small.add_job('j1', [step(count=2, max_per_runner=1)])
+    small.plan()
+    first = next(start for start in small.allocations if start.task.index == 0)
+    other = next(start for start in small.allocations if start.task.index == 1)
+    context.first_runner, context.second_runner = first.runner, other.runner
+    # The other task ends without success, and a lost run makes room for the first one.
+    small.cell.withdraw(other)
+    small.cell.runner_lapsed(first.runner)
+    small.cell.runner_by_id[first.runner].suspect = True
+    context.first = first
+    again = small.plan().starts
+    assert [start.runner for start in again] == [other.runner], again
+    context.again = again[0]
+
+
+@when('w1 lists the end of the first run as done, and the other task is free to start')
+def first_run_done(context):
+    small = context.small
+    first = context.first
+    if context.again.task == first.task:
+        small.look(first.runner, ended=[(1, first.task, first.run, 'done')])
+    small.cell.runner_by_id[first.runner].suspect = True
+    context.made = small.plan()
+
+
+@then('it does not start on w2 before the stopped run has ended')
+def not_beside(context):
+    small = context.small
+    assert context.again.task == context.first.task, context.again
+    assert not context.made.starts, context.made.starts
+    stopped = small.cell.take_stops()
+    assert stopped == [context.again]
+    ended = [(1, context.again.task, context.again.run, 'stopped')]
+    small.look(context.second_runner, ended=ended)
+    made = small.plan()
+    assert [start.task.index for start in made.starts] == [1], made.starts
+
+
 @given('{kind} that fill w1 and w2 for {seconds:g} s')
 def filling_tasks(context, kind, seconds):
     queue = kind.split()[0]
