A connection is never closed while another task waits on it

Change: such a connection is shut down, which wakes whoever waits, and closed once nobody uses it; links, answering side and channels alike. A job that is forgotten between its plan and its start no longer raises in the planning task.

--- /dev/null
+++ b/bench/replay.py
@@ -0,0 +1,392 @@
+"""Plays drawn arrivals against the cell's own decisions, in virtual time.
+
+``make bench-replay``: the real ``Cell`` and ``Planner`` decide; runners, the policy
+service and the hosts that ask it are played here. Prints, for each policy, what the
+jobs earned, how late they were by kind, and what was thrown away.
+"""
+
+import argparse
+import heapq
+import itertools
+import random
+import sys
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from dandelionreel.cell import (
+    AdvicePolicy,
+    Allocation,
+    BookedJob,
+    Cell,
+    Configuration,
+    Demand,
+    EndedRun,
+    JobSpec,
+    JobState,
+    Outcome,
+    Permit,
+    Planner,
+    Question,
+    Queue,
+    Registration,
+    RunnerView,
+    RunningTask,
+    Service,
+    StartReply,
+    Step,
+    Submission,
+)
+from dandelionreel.cell._advisors import PATIENT_SHARE
+from dandelionreel.cell._preemption import Preemption, RoomMade
+
+#: Seconds: an order's way, a stop, a restart from a checkpoint, and between plans.
+ORDER_SECONDS = 0.004
+STOP_SECONDS = 0.2
+RESTORE_SECONDS = 0.1
+PLAN_SECONDS = 0.01
+CAPACITY = Demand(32_000, 65_536, 0)
+RUNNERS_PER_RACK = 8
+#: A job earns all in time, a fifth up to three objectives, then nothing.
+LATE_WORTH = 0.2
+LATEST = 3.0
+#: A large job earns up to this many times what its kind earns in the mean.
+MOST_WEIGHT = 4.0
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Jobs of one queue; durations in seconds, ``per_second`` arrivals."""
+
+    queue: Queue
+    per_second: float
+    worth: float
+    steps: float
+    width: float
+    cpu: float
+    memory_mb: float
+    seconds: float
+    guess: float
+    allowed: float
+    gang: float = 0
+    saves: float = 0
+    fails: float = 0
+    burst: tuple[float, float, float] = (0, 0, 1)
+
+    def rate(self, now: float) -> float:
+        """Return the arrivals a second, more during the burst."""
+        begins, ends, times = self.burst
+        return self.per_second * (times if begins <= now < ends else 1)
+
+
+def _queue(name: str, priority: int, attempts: int, slack: float, latency: float, *advice: float):
+    policy = AdvicePolicy(*advice)
+    return Queue(name, 'h', f'/{name}/', 'desk', priority, attempts, slack, latency, 3, policy)
+
+
+@dataclass(frozen=True)
+class Load:
+    """A cell and what comes to it."""
+
+    runners: int
+    hosts: int
+    kinds: tuple[Kind, ...]
+
+
+def make_loads() -> dict[str, Load]:
+    """Return the loads by name: nine tenths of the cores in use in the mean."""
+    settle = _queue('settle', 1, 4, 2.2, 1.0, 0.44, 0.0064, 2.0)
+    blend = _queue('blend', 2, 3, 4.0, 3.0, 0.13, 0.0018, 2.0)
+    check = _queue('check', 0, 2, 1.5, 0.25, 0.012, 0.00017, 2.0)
+    quiet = (
+        Kind(settle, 3.0, 8.6, 1.2, 20, 9000, 13_000, 4.0, 0.2, 0.3, 1.0, 0.5, 0.005),
+        Kind(blend, 4.9, 3.2, 1.5, 25, 3500, 5000, 2.7, 0.5, 0.45, 0, 0.8, 0.005),
+        Kind(check, 55, 0.41, 1.0, 3, 5000, 9100, 0.8, 0.9, 0.7, 0.3, 0, 0.05),
+    )
+    bursts = tuple(
+        Kind(**{**vars(kind), 'burst': (5, 9, 2) if kind.queue is settle else (12, 16, 2)})
+        for kind in quiet
+    )
+    return {'quiet': Load(176, 35, quiet), 'bursts': Load(176, 35, bursts)}
+
+
+class FirstCome(Planner):
+    """A baseline: whoever came first is served first."""
+
+    def _ordered(self, now: float, wall: float) -> list:
+        found = super()._ordered(now, wall)
+        found.sort(key=lambda candidate: (candidate.job.accepted, candidate.step.name))
+        return found
+
+
+class NoPreemption(Preemption):
+    """Nothing is stopped for anybody."""
+
+    def find_room(self, *asked: object) -> RoomMade | None:
+        """Return that there is no room."""
+        return None
+
+
+class Patient(Planner):
+    """A baseline: gangs wait until their seats come free."""
+
+    def __init__(self, cell: Cell) -> None:
+        """Place the tasks of that cell."""
+        super().__init__(cell)
+        self._preemption = NoPreemption(cell)
+
+
+POLICIES: dict[str, Callable[[Cell], Planner]] = {
+    'as built': Planner,
+    'no preemption': Patient,
+    'first come, first served': FirstCome,
+}
+
+
+@dataclass
+class Tally:
+    """What became of one kind's jobs."""
+
+    owed: float = 0
+    earned: float = 0
+    jobs: int = 0
+    in_time: int = 0
+    late: int = 0
+    first_waits: list[float] = field(default_factory=list)
+
+
+class Replay:
+    """One policy on one load."""
+
+    def __init__(self, load: Load, policy: Callable[[Cell], Planner], seed: int) -> None:
+        """Draw from ``seed``; the draws do not depend on the policy."""
+        self.load = load
+        self.cell = Cell(1, 3.0)
+        queues = tuple(kind.queue for kind in load.kinds)
+        self.cell.configuration = Configuration(1, queues, (Service('desk', False, False),), 9999)
+        self.planner = policy(self.cell)
+        self.tally_by_queue = {kind.queue.name: Tally() for kind in load.kinds}
+        self.wasted = 0.0
+        self.plan_seconds: list[float] = []
+        self._random = random.Random(seed)
+        self._seed = seed
+        self._now = 0.0
+        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, Question]] = []
+        self._busy = {True: 0, False: 0}
+        self._weight_by_job: dict[str, float] = {}
+        self._begun: set[str] = set()
+        #: Runs at work by runner: when each began, how long it takes, what was saved.
+        self._work: dict[str, dict[tuple, tuple[float, float, float]]] = {}
+        self._ends = itertools.count(1)
+        self._add_runners()
+
+    def play(self, seconds: float) -> None:
+        """Let jobs arrive for that long, and go on until the last objectives are over."""
+        for kind in self.load.kinds:
+            self._later(self._random.expovariate(kind.rate(0)), self._arrive, kind, seconds)
+        self._later(PLAN_SECONDS, self._plan, 3 * seconds)
+        while self._events:
+            self._now, _, act, values = heapq.heappop(self._events)
+            act(*values)
+
+    def _later(self, delay: float, act: Callable[..., None], *values: object) -> None:
+        heapq.heappush(self._events, (self._now + delay, next(self._order), act, values))
+
+    def _add_runners(self) -> None:
+        registrations = {}
+        for number in range(self.load.runners):
+            labels = ('a', f'r-{number // RUNNERS_PER_RACK}')
+            name = f'w{number}'
+            registrations[name] = Registration(
+                name, 'desk', '10.0.0.1', number, 'north', CAPACITY, labels, False
+            )
+            self._work[name] = {}
+        self.cell.see_runners(registrations, 0)
+        for name, state in self.cell.runner_by_id.items():
+            state.recorded = True
+            self._look(name)
+
+    def _look(self, runner: str, *ended: EndedRun) -> None:
+        running = tuple(RunningTask(*run, '', 0, 0) for run in self._work[runner])
+        view = RunnerView(self._now, running, ended)
+        self.cell.viewed(self.cell.runner_by_id[runner], view, self._now, self._now)
+
+    def _arrive(self, kind: Kind, until: float) -> None:
+        if self._now >= until:
+            return
+        steps = tuple(self._draw_steps(kind))
+        work = sum(step.count * step.demand.cpu * step.estimate for step in steps)
+        usual = kind.steps * kind.width * kind.cpu * kind.seconds
+        job_id = f'{next(self._order):016x}'
+        submission = Submission(kind.queue.name, 'desk', self._now, JobSpec('', steps))
+        self.cell.see_job(BookedJob(job_id, submission, False, None), self._now, self._now)
+        weight = kind.worth * min(MOST_WEIGHT, 0.3 + 0.7 * work / usual)
+        self._weight_by_job[job_id] = weight
+        tally = self.tally_by_queue[kind.queue.name]
+        tally.jobs += 1
+        tally.owed += weight
+        self._later(self._random.expovariate(kind.rate(self._now)), self._arrive, kind, until)
+
+    def _draw_steps(self, kind: Kind) -> Iterable[Step]:
+        draw = self._random
+        count = 1 + (draw.random() < kind.steps - 1)
+        for number in range(count):
+            seconds = kind.seconds * draw.lognormvariate(-0.12, 0.5)
+            yield Step(
+                max(1, round(kind.width * draw.lognormvariate(-0.25, 0.7))),
+                Demand(
+                    int(min(CAPACITY.cpu, kind.cpu * draw.lognormvariate(-0.08, 0.4))),
+                    int(min(CAPACITY.memory_mb, kind.memory_mb * draw.lognormvariate(-0.12, 0.5))),
+                    0,
+                ),
+                seconds * draw.uniform(1 - kind.guess / 2, 1 + kind.guess),
+                (number - 1,) if number else (),
+                gang=draw.random() < kind.gang,
+                checkpointing=draw.random() < kind.saves,
+            )
+
+    def _plan(self, until: float) -> None:
+        began = time.perf_counter()
+        made = self.planner.plan(self._now, self._now)
+        self.plan_seconds.append(time.perf_counter() - began)
+        for allocation in self.cell.take_stops():
+            self._later(STOP_SECONDS, self._stop, allocation)
+        for allocation in made.starts:
+            self._later(ORDER_SECONDS, self._start, allocation)
+        for question in made.questions:
+            heapq.heappush(self._waiting, (question.priority, next(self._order), question))
+        self._ask()
+        if self._now < until:
+            self._later(PLAN_SECONDS, self._plan, until)
+
+    def _ask(self) -> None:
+        while self._waiting:
+            urgent = self._waiting[0][0] == 0
+            most = int(PATIENT_SHARE * self.load.hosts)
+            if sum(self._busy.values()) >= self.load.hosts or (
+                not urgent and self._busy[False] >= most
+            ):
+                return
+            question = heapq.heappop(self._waiting)[2]
+            self._busy[urgent] += 1
+            takes = question.advice.decision + question.advice.per_runner * len(question.runners)
+            self._later(takes, self._answer, question, urgent)
+
+    def _answer(self, question: Question, urgent: bool) -> None:
+        self._busy[urgent] -= 1
+        share = self._kind_of(question.step.job).allowed
+        permits = [
+            Permit(runner, 'ticket')
+            for runner in question.runners
+            if random.Random(f'{question.step}{runner}{self._seed}').random() < share
+        ]
+        until = self._now + question.advice.valid
+        self.cell.tickets.note(question.step, question.runners, permits, until)
+        self._ask()
+
+    def _kind_of(self, job_id: str) -> Kind:
+        queue = self.cell.job_by_id[job_id].submission.queue
+        return next(kind for kind in self.load.kinds if kind.queue.name == queue)
+
+    def _start(self, allocation: Allocation) -> None:
+        if not self.cell.may_start(allocation):
+            self.cell.withdraw(allocation)
+            return
+        job = self.cell.job_by_id[allocation.task.job]
+        kind = self._kind_of(job.id)
+        if job.id not in self._begun:
+            self._begun.add(job.id)
+            waits = self.tally_by_queue[kind.queue.name].first_waits
+            waits.append(self._now - job.accepted)
+        step = job.find_step(allocation.task)
+        # Members of a gang end together; else each task has a duration of its own.
+        name = step.name if step.step.gang else allocation.task
+        draw = random.Random(f'{name}{self._seed}')
+        whole = kind.seconds / (1 + kind.guess / 4) if step is None else step.step.estimate
+        whole *= draw.uniform(0.7, 1.2)
+        saved = float(allocation.checkpoint or 0)
+        takes = max(0.01, whole - saved) + (RESTORE_SECONDS if saved else 0)
+        fails = random.Random(f'{name}{allocation.run}{self._seed}').random() < kind.fails
+        run = (allocation.task, allocation.run)
+        self._work[allocation.runner][run] = (self._now, takes, saved)
+        self.cell.start_answered(allocation, StartReply.STARTED, self._now)
+        self._later(takes, self._end, allocation, Outcome.FAILED if fails else Outcome.DONE)
+
+    def _stop(self, allocation: Allocation) -> None:
+        self.cell.stop_answered(allocation, self._now)
+        self._end(allocation, Outcome.STOPPED)
+
+    def _end(self, allocation: Allocation, outcome: Outcome) -> None:
+        run = (allocation.task, allocation.run)
+        work = self._work[allocation.runner].pop(run, None)
+        if work is None:
+            return
+        began, _, saved = work
+        worked = self._now - began
+        job = self.cell.job_by_id.get(allocation.task.job)
+        step = None if job is None else job.find_step(allocation.task)
+        checkpoint = ''
+        if outcome is Outcome.STOPPED and step is not None and step.step.checkpointing:
+            checkpoint = str(saved + worked)
+        elif outcome is not Outcome.DONE:
+            self.wasted += worked * allocation.demand.cpu / 1000
+        ended = EndedRun(next(self._ends), *run, outcome, checkpoint)
+        self._look(allocation.runner, ended)
+        if job is not None and job.state in {JobState.COMPLETED, JobState.FAILED}:
+            self._settle(job.id)
+
+    def _settle(self, job_id: str) -> None:
+        """Count what a job earned, once; one that failed too often earns nothing."""
+        weight = self._weight_by_job.pop(job_id, None)
+        if weight is None:
+            return
+        job = self.cell.job_by_id[job_id]
+        kind = self._kind_of(job_id)
+        tally = self.tally_by_queue[kind.queue.name]
+        took = (self._now - job.accepted) / job.objective(kind.queue)
+        if job.state is JobState.COMPLETED and took <= 1:
+            tally.in_time += 1
+            tally.earned += weight
+        elif job.state is JobState.COMPLETED and took <= LATEST:
+            tally.late += 1
+            tally.earned += weight * LATE_WORTH
+
+
+def tell_result(name: str, replay: Replay) -> None:
+    """Print one policy's table."""
+    tallies = replay.tally_by_queue.values()
+    worth = sum(tally.earned for tally in tallies) / sum(tally.owed for tally in tallies)
+    plans = sorted(replay.plan_seconds)
+    sys.stdout.write(
+        f'{name}: worth {worth:.3f}, {replay.wasted:.0f} core-seconds thrown away, '
+        f'a plan takes {1000 * plans[len(plans) // 2]:.1f} ms, '
+        f'99 of 100 up to {1000 * plans[int(0.99 * len(plans))]:.1f} ms\n'
+    )
+    for queue, tally in replay.tally_by_queue.items():
+        waits = sorted(tally.first_waits) or [0.0]
+        sys.stdout.write(
+            f'    {queue:8} {tally.jobs:5} jobs, {tally.in_time:5} in time, {tally.late:4} late, '
+            f'worth {tally.earned / max(tally.owed, 1e-9):.3f}, first start within '
+            f'{waits[len(waits) // 2]:.2f} s for half, {waits[int(0.95 * len(waits))]:.2f} s '
+            'for 95 of 100\n'
+        )
+
+
+def main() -> int:
+    """Play all policies on one load."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--load', choices=sorted(make_loads()), default='bursts')
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--seed', type=int, default=1)
+    asked = parser.parse_args()
+    for name, policy in POLICIES.items():
+        replay = Replay(make_loads()[asked.load], policy, asked.seed)
+        replay.play(asked.seconds)
+        tell_result(name, replay)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/dandelionreel/cell/_advisors.py
+++ b/dandelionreel/cell/_advisors.py
@@ -65,7 +65,7 @@
 
     async def close(self) -> None:
         """Close all links."""
-        for link in self._link_by_address.values():
+        for link in tuple(self._link_by_address.values()):
             await link.close()
 
 
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -42,7 +42,11 @@
         """
         unstored: dict[str, list[Allocation]] = {}
         for allocation in allocations:
-            job = self._desk.cell.job_by_id[allocation.task.job]
+            job = self._desk.cell.job_by_id.get(allocation.task.job)
+            if job is None:
+                # It was over, and forgotten, before its start could be sent.
+                self._desk.cell.withdraw(allocation)
+                continue
             job.runners.add(allocation.runner)
             if job.may_run_on(allocation.runner):
                 await curio.spawn(self._send_start, allocation, daemon=True)
@@ -73,8 +77,8 @@
             return
 
     async def _store_and_send(self, allocations_by_job: dict[str, list[Allocation]]) -> None:
-        jobs = [self._desk.cell.job_by_id[job_id] for job_id in allocations_by_job]
-        note = self._desk.note_progress(jobs)
+        found = (self._desk.cell.job_by_id.get(job_id) for job_id in allocations_by_job)
+        note = self._desk.note_progress([job for job in found if job is not None])
         writing = await curio.spawn(self._desk.write_note, note, daemon=True)
         outcome = await curio.ignore_after(RECORD_PATIENCE, writing.join)
         for allocations in allocations_by_job.values():
--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -28,7 +28,7 @@
     Server,
     ServerLimits,
 )
-from dandelionreel.http._sockets import connect, listen, use_source
+from dandelionreel.http._sockets import connect, interrupt, listen, use_source
 
 __all__ = (
     'JSON_TYPE',
@@ -54,6 +54,7 @@
     'connect',
     'control_bytes_by_kind',
     'fetch',
+    'interrupt',
     'listen',
     'use_source',
 )
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -7,7 +7,7 @@
 import h11
 
 from dandelionreel.http._messages import Answer, Headers, Request
-from dandelionreel.http._sockets import connect
+from dandelionreel.http._sockets import connect, interrupt
 
 READ_SIZE = 65_536
 #: Asked right before bytes leave: may they?
@@ -103,6 +103,11 @@
         if sock is not None:
             await sock.close()
 
+    async def interrupt(self) -> None:
+        """Let an exchange of another task fail at once, which then closes the socket."""
+        if self._sock is not None:
+            await interrupt(self._sock)
+
     async def _exchange(
         self,
         request: Request,
@@ -211,6 +216,7 @@
         """Remember the server; count traffic under ``kind``."""
         self._connection = Connection(address, port, answer_bytes, kind)
         self._lock = curio.Lock()
+        self._closed = False
 
     async def exchange(
         self,
@@ -234,11 +240,17 @@
         try:
             return await self._exchange(request, timeout, check)
         finally:
+            if self._closed:
+                await self._connection.close()
             await self._lock.release()
 
     async def close(self) -> None:
-        """Close the connection."""
-        await self._connection.close()
+        """Close the connection, or have the exchange under way fail and do so."""
+        self._closed = True
+        if self._lock.locked():
+            await self._connection.interrupt()
+        else:
+            await self._connection.close()
 
     async def _exchange(self, request: Request, timeout: float, check: Check | None) -> Answer:
         idle = self._connection.is_open
--- a/dandelionreel/http/_sockets.py
+++ b/dandelionreel/http/_sockets.py
@@ -1,6 +1,7 @@
 """TCP sockets with the options that bound how long bytes may stay in flight."""
 
 import socket as std_socket
+from contextlib import suppress
 from typing import Any
 
 from curio import socket
@@ -38,6 +39,17 @@
     return sock
 
 
+async def interrupt(sock: Any) -> None:
+    """End a connection on which another task may wait; that task closes it.
+
+    Closed under its feet, the descriptor stays in curio's selector. Once another
+    connection has the same number, the next time-out of the waiting task fails in
+    the selector and ends the whole process. After a shutdown the task wakes up.
+    """
+    with suppress(OSError):
+        await sock.shutdown(std_socket.SHUT_RDWR)
+
+
 def _set_options(sock: Any, user_timeout: float) -> None:
     sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
     sock.setsockopt(
--- a/dandelionreel/peers/_link.py
+++ b/dandelionreel/peers/_link.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from dandelionreel.http import connect
+from dandelionreel.http import connect, interrupt
 from dandelionreel.kernel import Clock, Verdict
 from dandelionreel.peers._codec import FrameError
 from dandelionreel.peers._framing import FrameStream, Traffic
@@ -109,16 +109,24 @@
         return waiting.answer
 
     async def close(self) -> None:
-        """Close the connection and fail what is under way."""
+        """Close the connection and fail what is under way.
+
+        Another task may wait for room to send on it; that one fails first.
+        """
         sock, reader = self._sock, self._reader
         self._sock = self._stream = self._reader = None
-        if sock is not None:
-            await sock.close()
         if reader is not None:
             await reader.cancel(blocking=False)
+        if sock is not None:
+            await interrupt(sock)
+            await curio.spawn(self._close_unused, sock, daemon=True)
         for waiting in tuple(self._waiting_by_exchange.values()):
             await waiting.event.set()
 
+    async def _close_unused(self, sock: Any) -> None:
+        async with self._lock:
+            await sock.close()
+
     def _frame(self, exchange: int, message: Message) -> Frame:
         return Frame(
             exchange,
--- a/dandelionreel/peers/_server.py
+++ b/dandelionreel/peers/_server.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from dandelionreel.http import listen
+from dandelionreel.http import interrupt, listen
 from dandelionreel.kernel import Clock, Journal, Part, start_task
 from dandelionreel.peers._codec import FrameError
 from dandelionreel.peers._framing import FrameStream, Traffic
@@ -79,7 +79,10 @@
             return
         finally:
             self._tasks.discard(await curio.current_task())
-            await client.close()
+            await interrupt(client)
+            # An answer may wait for room to be sent; it fails now.
+            async with lock:
+                await client.close()
 
     async def _spawn_answer(self, stream: FrameStream, lock: Any, frame: Frame) -> None:
         # One slow forward must not hold up the heartbeats behind it.
