A host that is cut off from its peers serves its clients at once

Change: a connection to a peer may take 0.3 s; a peer that does not answer is left out for 1.5 s, twice as long after each further miss, 4 s at most.

Two scenarios, both red before.

--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -25,9 +25,12 @@
 HTTP_TIMEOUT = 504
 #: Answers that hold whoever gives them: done, bad input, no such job.
 FINAL_STATUSES = frozenset((200, 400, 410, 413))
-#: Seconds for which a peer that did not answer, or that the store does not
-#: serve either, is not asked.
+#: Seconds for which a peer that did not answer, or that the store does not serve
+#: either, is not asked; twice as long after each miss that follows, up to the longest.
+#: A host that was cut off from its peers for 12 s made its clients wait a second for
+#: the owner in every 2.5 s.
 PEER_QUIET = 1.5
+LONGEST_QUIET = 4.0
 
 
 @dataclass(frozen=True)
@@ -56,6 +59,7 @@
         self._clock = clock
         self._journal = journal
         self._quiet_until_by_host: dict[str, float] = {}
+        self._misses_by_host: dict[str, int] = {}
 
     async def forward_to_owner(self, request: Request, patience: float) -> Relayed:
         """Return the answer of the cell's owner."""
@@ -92,11 +96,14 @@
                 frame = await self._links.ask(member, Forward(request, left, 1), left)
             except PeerError as error:
                 maybe = maybe or error.verdict is not Verdict.NOT_RUN
-                self._avoid(host, f'{error}')
+                misses = self._misses_by_host.get(host, 0)
+                self._misses_by_host[host] = misses + 1
+                self._avoid(host, f'{error}', min(LONGEST_QUIET, PEER_QUIET * 2**misses))
                 continue
+            self._misses_by_host.pop(host, None)
             given = frame.message
             if not isinstance(given, ForwardAnswer) or given.no_room:
-                self._avoid(host, 'the store does not serve it either')
+                self._avoid(host, 'the store does not serve it either', PEER_QUIET)
                 continue
             if given.answer.status in FINAL_STATUSES:
                 return Relayed(given.answer, maybe)
@@ -115,6 +122,6 @@
         for host in usable[:PEERS_TRIED]:
             yield host, self._book.member_by_host[host]
 
-    def _avoid(self, host: str, cause: str) -> None:
-        self._quiet_until_by_host[host] = self._clock.monotonic() + PEER_QUIET
+    def _avoid(self, host: str, cause: str, seconds: float) -> None:
+        self._quiet_until_by_host[host] = self._clock.monotonic() + seconds
         self._journal.tell_frequent(Part.PEERS, f'{host} takes no request: {cause}.', peer=host)
--- a/dandelionreel/peers/_link.py
+++ b/dandelionreel/peers/_link.py
@@ -11,6 +11,9 @@
 from dandelionreel.peers._messages import Frame, Message
 
 NEVER = -1.0
+#: Seconds for a connection to open. Peers are a few milliseconds away; behind a cut
+#: every request waited as long as it would have for its answer.
+CONNECT_SECONDS = 0.3
 
 
 class PeerError(Exception):
@@ -139,7 +142,10 @@
     async def _open(self, timeout: float) -> FrameStream:
         if self._stream is not None:
             return self._stream
-        sock = await connect(self._address, self._port, timeout)
+        patience = min(timeout, CONNECT_SECONDS)
+        sock = await curio.ignore_after(patience, connect, self._address, self._port, timeout)
+        if sock is None:
+            raise TimeoutError('no connection in time')
         self._sock = sock
         self._stream = FrameStream(sock, self._traffic)
         self._reader = await curio.spawn(self._read, self._stream, daemon=True)
--- a/features/links.feature
+++ b/features/links.feature
@@ -9,6 +9,13 @@
     When a large request is sent to it, and a small one gives up meanwhile
     Then both fail, and the process can ask another peer
 
+  # A host was cut off from its peers and not from its clients. Each client waited a
+  # second for the owner before its job was stored here.
+  Scenario: A peer that no connection reaches
+    Given a peer whose queue of connections is full
+    When a request is sent to it with all the time there is
+    Then it is known not to have run long before that time is over
+
   # The same with a runner that had ended: its connections were closed while a start
   # waited for its answer there.
   Scenario: A channel is closed while a request waits for its answer
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -9,7 +9,7 @@
 from curio import socket
 
 from dandelionreel.http import Answer, Channel, ExchangeError, Request
-from dandelionreel.kernel import Journal, SystemClock
+from dandelionreel.kernel import Journal, SystemClock, Verdict
 from dandelionreel.peers import (
     EchoBook,
     Forward,
@@ -94,6 +94,45 @@
     context.listener.close()
 
 
+@given('a peer whose queue of connections is full')
+def full_queue(context):
+    context.listener = std_socket.create_server(('127.0.0.1', 0), backlog=0)
+    context.port = context.listener.getsockname()[1]
+    context.filling = []
+    for _ in range(3):
+        filling = std_socket.socket()
+        filling.setblocking(False)
+        filling.connect_ex(('127.0.0.1', context.port))
+        context.filling.append(filling)
+
+
+@when('a request is sent to it with all the time there is')
+def unreachable(context):
+    async def ask():
+        link = make_link(context.port)
+        try:
+            await link.ask(Forward(Request('POST', '/x'), LONG, 1), LONG)
+        except PeerError as error:
+            return error
+        finally:
+            await link.close()
+        return None
+
+    async def ask_in_time():
+        # Without a limit of its own a connection would take LONG seconds.
+        return await curio.ignore_after(LONG / 3, ask)
+
+    context.error = curio.run(ask_in_time)
+
+
+@then('it is known not to have run long before that time is over')
+def known_not_run(context):
+    assert context.error is not None
+    assert context.error.verdict is Verdict.NOT_RUN, context.error
+    for sock in (*context.filling, context.listener):
+        sock.close()
+
+
 @when('a channel to it is closed while a request waits')
 def channel_closed(context):
     async def ask():
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -462,6 +462,42 @@
     context.relay = Relay('me', book, OnePeer(status), SystemClock(), journal())
 
 
+class DeafPeer:
+    """Stands for the links: nobody answers; ``asked`` counts the tries."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def ask(self, member, message, timeout):
+        self.asked += 1
+        raise PeerError('no answer in time', Verdict.NOT_RUN)
+
+
+@given('a peer that has not answered {misses:d} requests in a row')
+def deaf_peer(context, misses):
+    answering_peer(context, 200)
+    context.clock = ManualClock(1000)
+    context.links = DeafPeer()
+    context.relay = Relay('me', context.relay._book, context.links, context.clock, journal())
+    for _ in range(misses):
+        context.clock.advance(100)
+        pass_on(context)
+    assert context.links.asked == misses
+
+
+@when('{seconds:g} s later a request comes')
+def request_comes(context, seconds):
+    asked = context.links.asked
+    context.clock.advance(seconds)
+    pass_on(context)
+    context.asked_again = context.links.asked > asked
+
+
+@then('the peer {fate}')
+def peer_fate(context, fate):
+    assert context.asked_again is (fate == 'is asked')
+
+
 @when('a request is passed on to it')
 def pass_on(context):
     request = Request('POST', '/new/0123456789abcdef')
--- a/features/store.feature
+++ b/features/store.feature
@@ -158,6 +158,21 @@
       | 503    | is served here   |
       | 504    | is left in doubt |
 
+  # A host was cut off from its peers for 12 s; in every 2.5 s its clients waited for
+  # the owner once more.
+  Scenario Outline: When a peer that does not answer is asked again
+    Given a peer that has not answered <misses> requests in a row
+    When <seconds> s later a request comes
+    Then the peer <fate>
+
+    Examples:
+      | misses | seconds | fate         |
+      | 1      | 1.4     | is left out  |
+      | 1      | 1.6     | is asked     |
+      | 2      | 2.9     | is left out  |
+      | 2      | 3.1     | is asked     |
+      | 9      | 4.1     | is asked     |
+
   # The owner was cut off with its zone, and so from a runner on which a task ran.
   # Its successor renewed that runner's leases and noted the task's end. The old
   # owner took the leases for run out and started the task again in its own zone.
