--- /dev/null
+++ b/features/steps/advice_steps.py
@@ -0,0 +1,189 @@
+"""Steps on questions to the policy service, and their tickets."""
+
+import io
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import (
+    AdvicePolicy,
+    Permit,
+    Question,
+    StepName,
+)
+from dandelionreel.cell._advisors import AdvicePool
+from dandelionreel.cell._records import Member
+from dandelionreel.kernel import Journal, SystemClock
+from features.cell_parts import SmallCell, make_queue, step
+
+FULL = 32_000
+#: Seconds that nothing here takes on any machine.
+LONG = 30
+
+
+def journal():
+    return Journal(io.StringIO(), 'test')
+
+
+@given('a cell of {count:d} runners whose queue asks for advice')
+def advised_cell(context, count):
+    queues = (make_queue('urgent', advice=(0.01, 0.001, 2.0)), make_queue('plain', 2, slack=4.0))
+    context.small = SmallCell([f'r{number}' for number in range(count)], queues=queues)
+
+
+@given('tasks of another queue on all of them')
+def fill_all(context):
+    fill_runners(context, 40)
+
+
+@given('tasks of another queue on {count:d} of them')
+def fill_runners(context, count):
+    context.small.add_job('filling', [step(FULL, count=count)], queue='plain')
+    assert len(context.small.plan().starts) == count
+
+
+@then('nothing is asked')
+def nothing_asked(context):
+    assert not context.made.questions, context.made.questions
+
+
+@when('50 jobs of a task of 8000 are handed in')
+def fifty_jobs(context):
+    for number in range(50):
+        context.small.add_job(f'j{number:02}', [step(8000)])
+    context.made = context.small.plan()
+
+
+@then('{count:d} questions are asked')
+def questions_asked(context, count):
+    assert len(context.made.questions) == count, context.made.questions
+
+
+@when('a gang of 20 tasks of 9000 asks for tickets')
+def gang_asks(context):
+    context.small.add_job('j1', [step(9000, count=20, gang=True)])
+    context.made = context.small.plan()
+
+
+@then('{count:d} questions name {runners:d} runners, none of them twice')
+def questions_name(context, count, runners):
+    named = [runner for question in context.made.questions for runner in question.runners]
+    assert len(context.made.questions) == count, context.made.questions
+    assert len(named) == len(set(named)) == runners, len(named)
+
+
+@then('nothing more is asked until the last answer')
+def nothing_more(context):
+    small = context.small
+    for question in context.made.questions[:-1]:
+        small.cell.tickets.note(question.step, question.runners, [], small.now + 2)
+    assert not small.plan().questions
+    last = context.made.questions[-1]
+    small.cell.tickets.note(last.step, last.runners, [], small.now + 2)
+    assert small.plan().questions
+
+
+@given('8 hosts that are slow to answer')
+def asking_hosts(context):
+    context.hosts = SilentHosts()
+
+
+@when('10 questions of priority 1 and then one of priority {priority:d} are put')
+def put_questions(context, priority):
+    async def put():
+        hosts = {f'h{number}': Member('north', '10.0.0.1', 7) for number in range(8)}
+        pool = AdvicePool(
+            'h0',
+            lambda: hosts,
+            context.hosts,
+            context.hosts,
+            SystemClock(),
+            journal(),
+            no_answer,
+            no_answer,
+        )
+        policy = AdvicePolicy(0.2, 0.0, 2.0)
+        for number in range(10):
+            await pool.ask(Question(StepName(f'p{number}', 0, 0), ('r1',), 1, policy))
+        await pool.ask(Question(StepName('last', 0, 0), ('r1',), priority, policy))
+        # Every question that has a host has reached it once all tasks have run.
+        await curio.sleep(0)
+        await curio.sleep(0)
+
+    curio.run(put)
+
+
+async def no_answer(*told):
+    """Take an answer; there is none."""
+
+
+@then('{count:d} hosts are busy, and the last question is {fate}')
+def hosts_busy(context, count, fate):
+    assert len(context.hosts.jobs) == count, context.hosts.jobs
+    assert ('last' in context.hosts.jobs) == (fate == 'put'), context.hosts.jobs
+
+
+class SilentHosts:
+    """This host's adviser and its peers' links; none of them ever answers."""
+
+    def __init__(self):
+        self.jobs = []
+
+    async def ask(self, place, wanted, patience):
+        self.jobs.append(place.job if isinstance(place, StepName) else wanted.job)
+        await curio.sleep(LONG)
+
+
+@when('a job of 2 tasks is handed in')
+def two_tasks(context):
+    context.small.add_job('j1', [step(count=2)])
+    context.made = context.small.plan()
+    assert not context.made.starts
+
+
+@then('the question names 12 runners')
+def question_names(context):
+    assert [len(question.runners) for question in context.made.questions] == [12]
+    assert not context.small.plan().questions
+
+
+@then('the job starts on the runners that are allowed')
+def starts_allowed(context):
+    small = context.small
+    question = context.made.questions[0]
+    allowed = question.runners[3]
+    permits = [Permit(allowed, 'ticket')]
+    small.cell.tickets.note(question.step, question.runners, permits, small.now + 2)
+    starts = small.plan().starts
+    assert {(start.runner, start.ticket) for start in starts} == {(allowed, 'ticket')}
+
+
+@when('a gang that was handed in an hour ago waits for tickets that expired')
+def late_gang(context):
+    small = context.small
+    small.add_job('g1', [step(count=2, gang=True)], age=3600)
+    question = small.plan().questions[0]
+    permits = [Permit(runner, 'ticket') for runner in question.runners]
+    small.cell.tickets.note(question.step, question.runners, permits, small.now - 1)
+    context.made = small.plan()
+
+
+@then('new tickets are asked for')
+def tickets_asked(context):
+    assert len(context.made.questions) == 1
+
+
+@when('its tickets expire before it could start')
+def tickets_expire(context):
+    small = context.small
+    question = context.made.questions[0]
+    context.allowed = question.runners[3]
+    permits = [Permit(context.allowed, 'ticket')]
+    small.cell.tickets.note(question.step, question.runners, permits, small.now + 2)
+    small.now += 3
+    context.made = small.plan()
+
+
+@then('the next question names only allowed runners')
+def asks_allowed(context):
+    assert [question.runners for question in context.made.questions] == [(context.allowed,)]
--- /dev/null
+++ b/features/steps/election_steps.py
@@ -0,0 +1,255 @@
+"""Steps on who owns the cell."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import (
+    Cell,
+    WriterFence,
+)
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
+from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._election import Term
+from dandelionreel.cell._records import (
+    MEMBER,
+    OWNER_KEY,
+    JobBook,
+    Member,
+    Owner,
+    make_record,
+)
+from dandelionreel.cell._standing import claim_delay, find_deputy
+from dandelionreel.cell._succession import Succession
+from dandelionreel.kernel import ManualClock
+from dandelionreel.peers import Done, Refused
+from features.cell_parts import make_registration
+from features.store_parts import LONG, Host, journal, until
+from standins import MemoryTopic
+
+
+@given('two hosts that have read a store without an owner')
+def two_hosts(context):
+    context.topic = MemoryTopic()
+
+
+@when('both claim')
+def both_claim(context):
+    async def claim():
+        hosts = [Host(name, context.topic) for name in ('a', 'b')]
+        for host in hosts:
+            await curio.spawn(host.follower.run, daemon=True)
+        tasks = [await curio.spawn(host.claim, LONG, daemon=True) for host in hosts]
+        while not any(task.terminated for task in tasks):
+            await curio.sleep(0.01)
+        await curio.sleep(0.3)
+        context.terms = [task.result if task.terminated else None for task in tasks]
+        context.books = [host.folder.book for host in hosts]
+
+    curio.run(claim)
+
+
+@then('one of them owns the cell')
+def one_owner(context):
+    won = [term for term in context.terms if term is not None]
+    assert len(won) == 1, context.terms
+    assert {book.owner.term for book in context.books} == {won[0].term}
+
+
+def _topic_with_owner():
+    topic = MemoryTopic()
+    claim = make_record(OWNER_KEY, Owner(1, 'other', 'other/1'))
+    curio.run(topic.append, [claim], 0.1, WriterFence(1, 3))
+    return topic
+
+
+@given('a host that follows an owner while the store is down for 5 s')
+def following_still_host(context):
+    context.topic = _topic_with_owner()
+    context.clock = ManualClock()
+    context.host = Host('a', context.topic, context.clock)
+
+
+@given('a host that follows an owner')
+def following_host(context):
+    context.topic = _topic_with_owner()
+    context.host = Host('a', context.topic)
+
+
+@when('the store is back')
+def store_back(context):
+    async def follow():
+        await curio.spawn(context.host.follower.run, daemon=True)
+        await until(lambda: context.host.follower.started)
+        context.topic.down = True
+        await until(lambda: context.host.follower.lost_at > 0)
+        context.clock.advance(5)
+        context.topic.down = False
+        context.term = await context.host.claim(0.5)
+
+    curio.run(follow)
+
+
+@then('the host does not claim at once')
+def no_claim(context):
+    assert context.term is None
+
+
+@when('the owner asks for a successor')
+def owner_asks(context):
+    async def claim():
+        await curio.spawn(context.host.follower.run, daemon=True)
+        await until(lambda: context.host.follower.started)
+        context.host.election.suspect('other/1')
+        context.term = await context.host.claim(LONG)
+
+    curio.run(claim)
+
+
+@then('the host owns the cell with the next epoch')
+def next_epoch(context):
+    assert context.term is not None
+    assert context.term.epoch == 2
+
+
+@given('a host that follows an owner whose heartbeats are missed')
+def following_silent(context):
+    context.topic = _topic_with_owner()
+    member = make_record(f'{MEMBER}other', Member('north', '10.0.0.9', 7))
+    curio.run(context.topic.append, [member], 0.1)
+    context.host = Host('a', context.topic)
+
+
+@when('the owner answers that it {word}')
+def owner_answers(context, word):
+    context.host.word = Done() if word == 'acts' else Refused('does not own the cell')
+
+    async def claim():
+        await curio.spawn(context.host.follower.run, daemon=True)
+        await until(lambda: context.host.follower.started)
+        return await context.host.claim(2.5)
+
+    context.term = curio.run(claim)
+
+
+@then('the host {claims} the cell')
+def claims_or_not(context, claims):
+    assert (context.term is not None) == (claims == 'claims'), context.term
+
+
+@given('a job is stored right before each of the next {count:d} appends')
+def growing(context, count):
+    context.topic.faults.extend(['grow'] * count)
+    context.appends = context.topic.appends
+
+
+@then('{count:d} appends were made')
+def appends_made(context, count):
+    assert context.topic.appends - context.appends == count, context.topic.appends
+
+
+@given('a host of {cores:g} cores that owns the cell')
+def small_owner(context, cores):
+    context.clock = ManualClock(1000)
+    context.host = Host('a', MemoryTopic(), context.clock)
+    context.member_by_host = context.host.folder.book.member_by_host
+    context.member_by_host['a'] = Member('north', '10.0.0.1', 7, cores=cores)
+    term = Term(1, 'a/1', WriterFence(1, 1), None, False, False)
+    context.desk = Desk(
+        term, Cell(1, 3.0), MemoryTopic(), make_registration, 10.0, context.clock, journal()
+    )
+    context.succession = Succession(
+        context.desk, context.host.folder.book, context.host, context.host.election, 'a'
+    )
+
+
+@given('a host of {cores:g} cores that {answers}')
+def other_host(context, cores, answers):
+    context.member_by_host['b'] = Member('north', '10.0.0.2', 7, cores=cores)
+    if answers == 'answers':
+        context.host.word = Refused('does not own the cell')
+
+
+@when('{seconds:d} s have passed since its claim')
+def passed_since_claim(context, seconds):
+    context.clock.advance(seconds)
+    curio.run(context.succession.look, context.clock.monotonic())
+
+
+@then('it {acts} the cell')
+def leaves_or_keeps(context, acts):
+    assert context.desk.ended.is_set() == (acts == 'leaves')
+
+
+@given('the hosts {names}')
+def hosts_of_zones(context, names):
+    context.member_by_host = {}
+    for name in names.split(', '):
+        zone, cores = name.split('-')[0], 2.0 if 'large' in name else 0.5
+        context.member_by_host[name] = Member(zone, '10.0.0.1', 7, cores=cores)
+
+
+@then('after the owner {former} they claim in the order {order}')
+def order_of_claims(context, former, order):
+    hosts = [host for host in context.member_by_host if host != former]
+    hosts.sort(key=lambda host: claim_delay(context.member_by_host, host, former))
+    assert hosts == order.split(', '), hosts
+
+
+@then("{me} has its clients' jobs written by {deputy}, with {avoided} out of reach")
+def written_by(context, me, deputy, avoided):
+    found = find_deputy(context.member_by_host, me, {avoided})
+    assert (found or 'itself') == deputy, found
+
+
+@then('the host owns the cell with epoch {epoch:d}')
+def owns_with_epoch(context, epoch):
+    assert context.term is not None
+    assert context.term.epoch == epoch, context.term
+
+
+@given('the claims of the epochs 1 and 2, and a late heartbeat of epoch 1')
+def claims(context):
+    context.book = JobBook()
+    for epoch, beat in ((1, 0), (2, 0), (1, 5)):
+        context.book.fold([make_record(OWNER_KEY, Owner(epoch, 'h', f'h/{epoch}', beat))])
+
+
+@then('the owner is that of epoch 2')
+def owner_of_epoch(context):
+    assert context.book.owner.epoch == 2
+
+
+@given('a former owner that was killed when earlier owners might act for {unsettled:g} s')
+def killed_owner(context, unsettled):
+    context.term = Term(3, 'me/1', WriterFence(3, 1), 999.0, False, True, unsettled)
+
+
+@when('a host takes over')
+def takes_over(context):
+    clock = ManualClock(1000)
+    host = Host('me', MemoryTopic(), clock)
+    parts = DispatcherParts(
+        topic=MemoryTopic(),
+        follower=host.follower,
+        jobs=host.folder,
+        runners=RunnersFolder(None, clock, journal()),
+        configuration=ConfigurationFolder(None, journal()),
+        election=host.election,
+        links=None,
+        advisor=None,
+        make_runner=make_registration,
+        clock=clock,
+        journal=journal(),
+        host='me',
+        gang_timeout=3.0,
+        longest_lease=10.0,
+        status_kept=120,
+    )
+    context.dispatcher = Dispatcher(parts, context.term)
+    context.dispatcher._begin()
+
+
+@then('it leaves jobs on unseen runners alone for {wait:g} s')
+def leaves_alone(context, wait):
+    assert abs(context.dispatcher._unseen_until - 1000 - wait) < 0.01
--- /dev/null
+++ b/features/steps/gang_steps.py
@@ -0,0 +1,162 @@
+"""Steps on gangs: all or none, and what makes room for them."""
+
+from behave import given, then, when
+
+from dandelionreel.cell import (
+    EndedRun,
+    Outcome,
+    Permit,
+    RunnerView,
+    RunningTask,
+    StartReply,
+)
+from features.cell_parts import step
+
+FULL = 32_000
+#: Seconds that nothing here takes on any machine.
+LONG = 30
+
+
+@given('a gang of {count:d} tasks of {cpu:d} with one start unanswered')
+def gang_unanswered(context, count, cpu):
+    small = context.small
+    small.add_job('j1', [step(cpu, count, gang=True)], queue='gangs')
+    starts = small.plan(start=False).starts
+    assert len(starts) == count
+    assert len({start.run for start in starts}) == 1
+    for start in starts[1:]:
+        small.cell.start_answered(start, StartReply.STARTED, small.now)
+
+
+@when("the gang's share of the timeout has passed")
+def gang_times_out(context):
+    context.small.now += 2
+    context.small.cell.check_gangs(context.small.now, context.small.now)
+
+
+@then('its other members are stopped')
+def gang_stopped(context):
+    assert len(context.small.cell.take_stops()) == 4
+
+
+@when('a gang of {count:d} tasks of {cpu:d} is handed in')
+def hand_in_gang(context, count, cpu):
+    context.small.add_job('j1', [step(cpu, count, gang=True)], queue='gangs')
+    context.made = context.small.plan()
+
+
+@given('urgent tasks that fill w1 for 2 s and half of w2 for 2 s')
+def urgent_tasks(context):
+    small = context.small
+    for job, cpu, runner in (('u1', 16_000, 'w1'), ('u2', 16_000, 'w1'), ('u3', 16_000, 'w2')):
+        small.add_job(job, [step(cpu, seconds=2.0)])
+        assert small.plan().starts[0].runner == runner
+
+
+@when('a gang of 2 tasks of 20000 and a batch task of {seconds:g} s are handed in')
+def gang_and_batch(context, seconds):
+    small = context.small
+    small.add_job('g1', [step(20_000, 2, gang=True, seconds=2.0)], queue='gangs')
+    small.add_job('b1', [step(4000, seconds=seconds)], queue='batch')
+    context.made = small.plan()
+
+
+@then('the batch task {outcome}')
+def batch_outcome(context, outcome):
+    started = [start.task.job for start in context.made.starts]
+    assert started == (['b1'] if outcome == 'starts' else []), started
+
+
+@given('{kind} that fill w1 and w2 for {seconds:g} s')
+def filling_tasks(context, kind, seconds):
+    queue = kind.split()[0]
+    keeps = kind.endswith('with checkpoints')
+    tasks = step(8000, 8, seconds=seconds, checkpointing=keeps)
+    context.small.add_job('f1', [tasks], queue=queue, age=getattr(context, 'age', 0.0))
+    context.filling = context.small.plan().starts
+    assert len(context.filling) == 8
+
+
+@given('a job handed in {age:g} s ago, of {kind}, in all of w1 and w2 for {seconds:g} s')
+def aged_tasks(context, kind, age, seconds):
+    context.age = age
+    filling_tasks(context, kind, seconds)
+
+
+@given('plain tasks with checkpoints that fill both')
+def filling_both(context):
+    filling_tasks(context, 'plain tasks with checkpoints', 4.0)
+
+
+@when('a gang of 2 tasks of 20000 comes after them')
+def gang_handed_in(context):
+    # The cell whose queue asks for advice has no queue of gangs.
+    queue = 'urgent' if 'plain' in context.small.cell.configuration.queue_by_name else 'gangs'
+    context.small.add_job('g1', [step(20_000, 2, gang=True, seconds=2.0)], queue=queue)
+    context.made = context.small.plan()
+
+
+@then('{count:d} of them are stopped')
+def are_stopped(context, count):
+    stopped = context.small.cell.take_stops()
+    assert len(stopped) == count, stopped
+    assert stopped == context.made.preempted
+
+
+@when('the stopped tasks are listed with their checkpoints')
+def stopped_listed(context):
+    small = context.small
+    context.stopped = small.cell.take_stops()
+    for number, victim in enumerate(context.stopped, 1):
+        ended = EndedRun(number, victim.task, victim.run, Outcome.STOPPED, f'saved {number}')
+        kept = [run for run in small.runs_on(victim.runner) if run != (victim.task, victim.run)]
+        listed = tuple(RunningTask(name, run, '', 0, 0.0) for name, run in kept)
+        view = RunnerView(small.now, listed, (ended,))
+        small.cell.viewed(small.cell.runner_by_id[victim.runner], view, small.now, small.now)
+    context.made = small.plan()
+
+
+@then('each stopped task waits with its checkpoint')
+def waits_with_checkpoint(context):
+    job = context.small.cell.job_by_id['f1']
+    for victim in context.stopped:
+        found = job.find(victim.task)
+        assert found[1].checkpoint.startswith('saved'), found
+
+
+@when('it is allowed on both runners by tickets that have expired')
+def expired_on_both(context):
+    small = context.small
+    question = context.made.questions[0]
+    permits = [Permit(runner, 'ticket') for runner in question.runners]
+    small.cell.tickets.note(question.step, question.runners, permits, small.now - 1)
+    context.made = small.plan()
+
+
+@then('nothing is stopped, and new tickets are asked for')
+def nothing_stopped(context):
+    assert not context.small.cell.take_stops()
+    assert len(context.made.questions) == 1
+
+
+@when('the tickets are there')
+def tickets_there(context):
+    small = context.small
+    question = context.made.questions[0]
+    permits = [Permit(runner, 'ticket') for runner in question.runners]
+    small.cell.tickets.note(question.step, question.runners, permits, small.now + 2)
+    context.made = small.plan()
+
+
+@when('the urgent tasks are done')
+def urgent_done(context):
+    small = context.small
+    small.now += 2
+    for number, start in enumerate(small.allocations[:3]):
+        small.look(start.runner, ended=[(number + 1, start.task, start.run, 'done')])
+    context.made = small.plan()
+
+
+@then('the gang starts')
+def gang_starts(context):
+    assert [start.task.job for start in context.made.starts][:2] == ['g1', 'g1']
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,90 @@
+"""Steps on requests that are passed on to a peer."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell._records import (
+    MEMBER,
+    OWNER_KEY,
+    JobBook,
+    Member,
+    Owner,
+    make_record,
+)
+from dandelionreel.cell._relay import Relay
+from dandelionreel.http import Answer, Request
+from dandelionreel.kernel import ManualClock, SystemClock, Verdict
+from dandelionreel.peers import ForwardAnswer, Frame, PeerError
+from features.store_parts import journal
+
+
+class OnePeer:
+    """Links to a peer that gives one answer."""
+
+    def __init__(self, status):
+        self._status = status
+
+    async def ask(self, member, message, timeout):
+        answer = ForwardAnswer(Answer(self._status))
+        return Frame(1, 'peer/1', 0, 0, answer)
+
+
+@given('a peer that answers {status:d}')
+def answering_peer(context, status):
+    book = JobBook()
+    book.fold(
+        [
+            make_record(OWNER_KEY, Owner(1, 'peer', 'peer/1')),
+            make_record(f'{MEMBER}peer', Member('north', '127.0.0.1', 1)),
+        ]
+    )
+    context.relay = Relay('me', book, OnePeer(status), SystemClock(), journal())
+
+
+class DeafPeer:
+    """Stands for the links: nobody answers; ``asked`` counts the tries."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def ask(self, member, message, timeout):
+        self.asked += 1
+        raise PeerError('no answer in time', Verdict.NOT_RUN)
+
+
+@given('a peer that has not answered {misses:d} requests in a row')
+def deaf_peer(context, misses):
+    answering_peer(context, 200)
+    context.clock = ManualClock(1000)
+    context.links = DeafPeer()
+    context.relay = Relay('me', context.relay._book, context.links, context.clock, journal())
+    for _ in range(misses):
+        context.clock.advance(100)
+        pass_on(context)
+    assert context.links.asked == misses
+
+
+@when('{seconds:g} s later a request comes')
+def request_comes(context, seconds):
+    asked = context.links.asked
+    context.clock.advance(seconds)
+    pass_on(context)
+    context.asked_again = context.links.asked > asked
+
+
+@then('the peer {fate}')
+def peer_fate(context, fate):
+    assert context.asked_again is (fate == 'is asked')
+
+
+@when('a request is passed on to it')
+def pass_on(context):
+    request = Request('POST', '/new/0123456789abcdef')
+    context.relayed = curio.run(context.relay.forward_to_owner, request, 1.0)
+
+
+@then('the client {outcome}')
+def client_outcome(context, outcome):
+    relayed = context.relayed
+    assert (relayed.answer is not None) is (outcome == 'is told so')
+    assert relayed.maybe is (outcome == 'is left in doubt')
--- /dev/null
+++ b/features/store_parts.py
@@ -0,0 +1,50 @@
+"""A host that follows a topic and may claim, for scenarios that need no process."""
+
+import io
+
+import curio
+
+from dandelionreel.cell._directory import JobFolder
+from dandelionreel.cell._election import Election
+from dandelionreel.cell._follower import Follower
+from dandelionreel.kernel import Journal, SystemClock, Verdict
+from dandelionreel.peers import Frame, PeerError
+
+#: Seconds that nothing here takes on any machine.
+LONG = 30
+
+
+async def until(done):
+    """Wait until ``done()`` is true."""
+    while not done():
+        await curio.sleep(0.01)
+
+
+def journal():
+    return Journal(io.StringIO(), 'test')
+
+
+class Host:
+    """A host that follows a topic and may claim the cell."""
+
+    def __init__(self, name, topic, clock=None):
+        self.clock = clock or SystemClock()
+        self.folder = JobFolder(self.clock, journal())
+        self.follower = Follower(
+            'cell', topic, self.folder, self.clock, journal(), 0.02, lambda: 0.0
+        )
+        #: What the owner answers when it is asked whether it lives; ``None`` for nothing.
+        self.word = None
+        self.election = Election(
+            topic, self.follower, self.folder, f'{name}/1', self.ask, self.clock, journal()
+        )
+
+    async def ask(self, member, message, timeout):
+        """Answer for a peer."""
+        if self.word is None:
+            raise PeerError('no answer', Verdict.UNKNOWN)
+        return Frame(1, 'peer', 0.0, 0.0, self.word)
+
+    async def claim(self, seconds):
+        """Return the term, ``None`` where none was won in time."""
+        return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
