A cancelled job stays cancelled when its submission lands late

A repetition of the submission that lands after that brings the submission back; an owner that takes over then restored the state "cancelled", but counted as over only what is completed, failed, or has the record.

Change: restoring the state restores the cancellation. The scenario's first row failed before, the other two passed.

--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -230,6 +230,9 @@
         self.stored_runners.update(progress.runners)
         self.stored_state = progress.state
         self.state = progress.state
+        # The cancellation's own record is dropped with the job's end. A submission
+        # that lands late would else bring the job back.
+        self.cancelled = progress.state is JobState.CANCELLED
         self.ended_at = progress.ended_at
         for entry in progress.done:
             mask = int(entry.mask, HEX)
--- a/features/cell.feature
+++ b/features/cell.feature
@@ -26,6 +26,20 @@
     And w3 answers and does not hold the task
     Then it starts at once
 
+  # A client had cancelled its job and been told so. A repetition of its submission,
+  # delayed on the way to the store, landed after the job's end had been stored; the
+  # next owner found the submission and started the job.
+  Scenario Outline: A job that is over, whose submission lands once more
+    Given a cell with the runners w1
+    When it takes a job that the store names as <state>
+    Then nothing starts
+
+    Examples:
+      | state     |
+      | cancelled |
+      | completed |
+      | failed    |
+
   # A worker starts whatever it is told. A task that is being stopped still has
   # its processors; giving them away at once would overload the worker.
   Scenario: A task that is being stopped counts until its end is listed
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -38,6 +38,13 @@
     context.made = context.small.plan()
 
 
+@when('it takes a job that the store names as {state}')
+def take_over_job(context, state):
+    progress = Progress(1, JobState(state), ended_at=5.0)
+    context.small.add_job('j1', [step()], progress=progress)
+    context.made = context.small.plan()
+
+
 @when('w3 answers and does not hold the task')
 def runner_answers(context):
     small = context.small
