Quiet times of peers are doubled as seconds, not as a power of all misses

Cause (reading the diff): 1.5 * 2 ** misses does not fit a float after 1,024 misses, an hour of a dead peer, and every request passed on to it would have failed. Change: the last quiet time is doubled, up to 4 s. The new row of the scenario, 1,100 misses, failed before with OverflowError; times below are the same.

--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -59,7 +59,7 @@
         self._clock = clock
         self._journal = journal
         self._quiet_until_by_host: dict[str, float] = {}
-        self._misses_by_host: dict[str, int] = {}
+        self._quiet_seconds_by_host: dict[str, float] = {}
 
     async def forward_to_owner(self, request: Request, patience: float) -> Relayed:
         """Return the answer of the cell's owner."""
@@ -96,11 +96,9 @@
                 frame = await self._links.ask(member, Forward(request, left, 1), left)
             except PeerError as error:
                 maybe = maybe or error.verdict is not Verdict.NOT_RUN
-                misses = self._misses_by_host.get(host, 0)
-                self._misses_by_host[host] = misses + 1
-                self._avoid(host, f'{error}', min(LONGEST_QUIET, PEER_QUIET * 2**misses))
+                self._avoid(host, f'{error}', self._lengthen_quiet(host))
                 continue
-            self._misses_by_host.pop(host, None)
+            self._quiet_seconds_by_host.pop(host, None)
             given = frame.message
             if not isinstance(given, ForwardAnswer) or given.no_room:
                 self._avoid(host, 'the store does not serve it either', PEER_QUIET)
@@ -122,6 +120,12 @@
         for host in usable[:PEERS_TRIED]:
             yield host, self._book.member_by_host[host]
 
+    def _lengthen_quiet(self, host: str) -> float:
+        """Return for how long a host is left out after one more miss, in seconds."""
+        former = self._quiet_seconds_by_host.get(host, PEER_QUIET / 2)
+        self._quiet_seconds_by_host[host] = min(LONGEST_QUIET, 2 * former)
+        return self._quiet_seconds_by_host[host]
+
     def _avoid(self, host: str, cause: str, seconds: float) -> None:
         self._quiet_until_by_host[host] = self._clock.monotonic() + seconds
         self._journal.tell_frequent(Part.PEERS, f'{host} takes no request: {cause}.', peer=host)
--- a/features/store.feature
+++ b/features/store.feature
@@ -172,6 +172,7 @@
       | 2      | 2.9     | is left out  |
       | 2      | 3.1     | is asked     |
       | 9      | 4.1     | is asked     |
+      | 1100   | 4.1     | is asked     |
 
   # The owner was cut off with its zone, and so from a runner on which a task ran.
   # Its successor renewed that runner's leases and noted the task's end. The old
