--- /dev/null
+++ b/features/succession.feature
@@ -0,0 +1,28 @@
+Feature: What a successor relies on
+
+  # A settlement was paid twice. Its owner was cut off, and went on renewing the leases of
+  # a runner that nobody else reached, where the task was soon done. A host that had started
+  # in the meantime owned the cell next. It had read who the owner was, but had not lived to
+  # hear a heartbeat, so it took the owner to have been silent for ever: it left the task
+  # alone for one lease, 5.1 s, in place of 14.1 s. The runners' record shows both runs:
+  #   31.968 s to 33.810 s  run 4001, started by d-2: done
+  #   39.561 s to 40.649 s  run 5001, started by c-2: stopped
+  Scenario: A host that has just started follows an owner that was cut off
+    Given a host that starts after the owner's last heartbeat
+    When it owns the cell
+    Then it leaves tasks on unseen runners alone until all leases of that owner are over
+
+  # A job was accepted and running; then no host knew it any more (410). Another time a
+  # task that was done, and whose end had been acknowledged, was started again by the next
+  # owner. While a job's runners were on their way to the store, another task noted the
+  # job's progress and was first in the queue: the older record landed last, and stayed.
+  Scenario Outline: A job's progress is noted while a start of it is being stored
+    Given an owner that is about to store the runner of a job's second task
+    When the first task ends <outcome> right then
+    Then the store says that the job is <state> with <done> tasks done
+    And the store names the runner of the second task
+
+    Examples:
+      | outcome | state   | done |
+      | done    | running | 1    |
+      | failed  | failed  | 0    |
