What is stored of a job is made and queued without a pause between the two

Cause: Orders._store_and_send (and a hand-in at a slow store) made a record of the job's progress and left its place in the writer's queue to a task that ran later. A newer record, with an end or the job's last state, could be queued first; the older one landed last, and the store keeps the newest record of a key. Three effects: an acknowledged end was forgotten and the task started again by the next owner; a runner of the job was not named and its tasks not waited for; with the final state's tombstone of the submission in the newer record, no host knew the job any more, and the owner itself dropped it. Ruled out: a follower that had read too little (it says 503 then); tombstones of old jobs (240 s); an unstored end time (each final state has one). Change: Desk.store_progress makes and queues in one step; write_note, note_progress and Note are gone. Progress that the store did not take is stored again with the next.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -126,6 +126,11 @@
         self._dirty.clear()
         return taken
 
+    def note_unstored(self, job: JobRun) -> None:
+        """Have a job's progress stored again: the last time, the store did not take it."""
+        job.dirty = True
+        self._dirty.add(job.id)
+
     def take_stops(self) -> list[Allocation]:
         """Return the runs that must be told to stop, once."""
         taken = self._stops
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -1,7 +1,6 @@
 """What the parts of the dispatcher share for one term, and how they store notes."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import curio
 
@@ -27,14 +26,6 @@
 MakeRunner = Callable[[Registration], Runner]
 
 
-@dataclass
-class Note:
-    """Progress of some jobs, on its way to the store."""
-
-    records: list[KeyedRecord] = field(default_factory=list)
-    progress_by_job: dict[JobRun, Progress] = field(default_factory=dict)
-
-
 class Desk:
     """The cell of one term, the right to act on it, and the way to the store."""
 
@@ -99,41 +90,35 @@
         """
         return state.lapsed(self.writer.stored_at, CLOCK_DRIFT)
 
-    async def write_note(
+    async def store_progress(
         self,
-        note: Note,
+        jobs: list[JobRun],
         *others: KeyedRecord,
         patience: float = AUTHORITY_SECONDS,
     ) -> Written:
-        """Store a note; what it says is then shown to clients and relied upon."""
-        outcome = await self.writer.write([*others, *note.records], patience)
-        if outcome is Written.STORED:
-            for job, progress in note.progress_by_job.items():
+        """Store how far jobs are; that is then shown to clients and relied upon.
+
+        What is stored is made and queued without a pause between the two: the store
+        keeps the newest record of a job, and one that was made earlier and queued
+        later would take back ends that have been acknowledged, the runners of a
+        job, or the job itself (clients were answered 410).
+        """
+        progress_by_job = self._note_progress(jobs)
+        records = list(others)
+        for job, progress in progress_by_job.items():
+            records.extend(make_progress_records(job.id, progress))
+        outcome = await self.writer.write(records, patience)
+        for job, progress in progress_by_job.items():
+            if outcome is Written.STORED:
                 job.stored_state = progress.state
                 job.stored_runners.update(progress.runners)
+            else:
+                self.cell.note_unstored(job)
         return outcome
 
-    def note_progress(self, jobs: list[JobRun]) -> Note:
-        """Return what is to be stored of these jobs."""
-        wall = self.clock.wall()
-        note = Note()
-        for job in jobs:
-            progress = job.progress(self.term.epoch, wall)
-            note.progress_by_job[job] = progress
-            note.records.extend(make_progress_records(job.id, progress))
-            if job.over:
-                self.journal.tell(
-                    Part.JOBS,
-                    f'job {job.id} is {progress.state.value}.',
-                    job=job.id,
-                    queue=job.submission.queue,
-                    seconds=round(self.clock.monotonic() - job.accepted, 3),
-                )
-        return note
-
     async def flush(self) -> Written:
         """Store the progress of all jobs that have got on."""
-        return await self.write_note(self.note_progress(self.cell.take_dirty()))
+        return await self.store_progress(self.cell.take_dirty())
 
     def end_runner(self, state: RunnerState, cause: str) -> None:
         """Note that a runner's life is over."""
@@ -155,3 +140,19 @@
         """Close the ways to all runners."""
         for runner in self.runner_by_id.values():
             await runner.close()
+
+    def _note_progress(self, jobs: list[JobRun]) -> dict[JobRun, Progress]:
+        wall = self.clock.wall()
+        progress_by_job = {}
+        for job in jobs:
+            progress = job.progress(self.term.epoch, wall)
+            progress_by_job[job] = progress
+            if job.over:
+                self.journal.tell(
+                    Part.JOBS,
+                    f'job {job.id} is {progress.state.value}.',
+                    job=job.id,
+                    queue=job.submission.queue,
+                    seconds=round(self.clock.monotonic() - job.accepted, 3),
+                )
+        return progress_by_job
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -8,7 +8,7 @@
 from dandelionreel.cell._advisors import AdvicePool, LocalAdvisor, PeerLinks
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._desk import Desk, MakeRunner, Note
+from dandelionreel.cell._desk import Desk, MakeRunner
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
 from dandelionreel.cell._election import AUTHORITY_SECONDS, BEAT_SECONDS, Election, Term
 from dandelionreel.cell._follower import Follower
@@ -170,13 +170,12 @@
         self.cell.see_job(booked, self._clock.monotonic(), self._clock.wall())
         job = self.cell.job_by_id[job_id]
         job.stored = False
-        records = [make_record(SUBMISSION + job_id, submission)]
-        note = Note()
-        if self._desk.writer.usual_seconds > SLOW_SECONDS:
+        record = make_record(SUBMISSION + job_id, submission)
+        slow = self._desk.writer.usual_seconds > SLOW_SECONDS
+        if slow:
             job.runners.add(ANY_RUNNER)
-            note = self._desk.note_progress([job])
         await self._desk.wake.notify()
-        writing = await curio.spawn(self._finish_accept, job, note, records, daemon=True)
+        writing = await curio.spawn(self._finish_accept, job, record, slow, daemon=True)
         outcome = await curio.ignore_after(patience, writing.join)
         return outcome or Written.UNKNOWN
 
@@ -191,13 +190,9 @@
         job = self.cell.job_by_id.get(job_id)
         return None if job is None or not job.stored else job.shown_state
 
-    async def _finish_accept(
-        self,
-        job: JobRun,
-        note: Note,
-        records: list[KeyedRecord],
-    ) -> Written:
-        outcome = await self._desk.write_note(note, *records, patience=REFUSE_SECONDS)
+    async def _finish_accept(self, job: JobRun, record: KeyedRecord, slow: bool) -> Written:
+        noted = [job] if slow else []
+        outcome = await self._desk.store_progress(noted, record, patience=REFUSE_SECONDS)
         if outcome is Written.STORED:
             job.stored = True
         elif outcome is Written.REFUSED and not job.stored:
@@ -282,8 +277,7 @@
             if attended != stored:
                 fact = Attended(self._desk.term.epoch, tuple(sorted(attended)))
                 records.append(make_record(ATTENDED_KEY, fact))
-            note = self._desk.note_progress(self.cell.take_dirty())
-            outcome = await self._desk.write_note(note, *records)
+            outcome = await self._desk.store_progress(self.cell.take_dirty(), *records)
             if outcome is Written.FENCED:
                 await self._desk.lose('another host has written with a higher epoch')
                 return
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -78,8 +78,8 @@
 
     async def _store_and_send(self, allocations_by_job: dict[str, list[Allocation]]) -> None:
         found = (self._desk.cell.job_by_id.get(job_id) for job_id in allocations_by_job)
-        note = self._desk.note_progress([job for job in found if job is not None])
-        writing = await curio.spawn(self._desk.write_note, note, daemon=True)
+        jobs = [job for job in found if job is not None]
+        writing = await curio.spawn(self._desk.store_progress, jobs, daemon=True)
         outcome = await curio.ignore_after(RECORD_PATIENCE, writing.join)
         for allocations in allocations_by_job.values():
             for allocation in allocations:
