--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -7,8 +7,8 @@
 
 from dandelionreel.cell._advisors import AdvicePool, LocalAdvisor, PeerLinks
 from dandelionreel.cell._attendant import Attendant
-from dandelionreel.cell._cell import CLOCK_DRIFT, Cell
-from dandelionreel.cell._desk import Desk, MakeRunner, Note
+from dandelionreel.cell._cell import Cell
+from dandelionreel.cell._desk import Desk, MakeRunner
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
 from dandelionreel.cell._election import AUTHORITY_SECONDS, BEAT_SECONDS, Election, Term
 from dandelionreel.cell._follower import Follower
@@ -16,6 +16,7 @@
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._planner import Plan, Planner
+from dandelionreel.cell._predecessors import Predecessors
 from dandelionreel.cell._records import (
     ATTENDED_KEY,
     CANCELLATION,
@@ -109,7 +110,7 @@
             parts.election,
             parts.host,
         )
-        self._unseen_until = 0.0
+        self._predecessors = Predecessors(term, self._desk.lease, parts.clock.monotonic())
         self._dropped_at = float('-inf')
         self._planner = Planner(self.cell)
         self._pool = AdvicePool(
@@ -169,13 +170,12 @@
         self.cell.see_job(booked, self._clock.monotonic(), self._clock.wall())
         job = self.cell.job_by_id[job_id]
         job.stored = False
-        records = [make_record(SUBMISSION + job_id, submission)]
-        note = Note()
-        if self._desk.writer.usual_seconds > SLOW_SECONDS:
+        record = make_record(SUBMISSION + job_id, submission)
+        slow = self._desk.writer.usual_seconds > SLOW_SECONDS
+        if slow:
             job.runners.add(ANY_RUNNER)
-            note = self._desk.note_progress([job])
         await self._desk.wake.notify()
-        writing = await curio.spawn(self._finish_accept, job, note, records, daemon=True)
+        writing = await curio.spawn(self._finish_accept, job, record, slow, daemon=True)
         outcome = await curio.ignore_after(patience, writing.join)
         return outcome or Written.UNKNOWN
 
@@ -190,13 +190,9 @@
         job = self.cell.job_by_id.get(job_id)
         return None if job is None or not job.stored else job.shown_state
 
-    async def _finish_accept(
-        self,
-        job: JobRun,
-        note: Note,
-        records: list[KeyedRecord],
-    ) -> Written:
-        outcome = await self._desk.write_note(note, *records, patience=REFUSE_SECONDS)
+    async def _finish_accept(self, job: JobRun, record: KeyedRecord, slow: bool) -> Written:
+        noted = [job] if slow else []
+        outcome = await self._desk.store_progress(noted, record, patience=REFUSE_SECONDS)
         if outcome is Written.STORED:
             job.stored = True
         elif outcome is Written.REFUSED and not job.stored:
@@ -234,25 +230,41 @@
         run out, the jobs that the store names with it are left alone.
         """
         parts = self._parts
-        silent = now - (self._desk.term.silent_since or now)
-        ended = self._desk.term.released or self._desk.term.former_ended
-        rest = 0.0 if ended else AUTHORITY_SECONDS - silent
-        wait = max(0.0, rest) + self._desk.lease * (1 + CLOCK_DRIFT)
-        # A former owner that was killed may itself have followed one that was cut
-        # off and still renews leases.
-        self._unseen_until = now + max(wait, self._desk.term.unsettled)
         attended = parts.jobs.book.attended
         for runner in attended.runners if attended else ():
             registration = parts.runners.find(runner)
             if registration is None or not parts.runners.replaced(registration):
                 self.cell.unseen.add(runner)
+        self._tell_unseen('leaves the tasks of runners alone that it has not seen yet.', now)
+
+    def _give_up_unseen(self, now: float) -> None:
+        """Take the tasks on unseen runners for gone once their leases must be over."""
+        if not self.cell.unseen:
+            return
+        if self._predecessors.look(self._parts.jobs.book, now):
+            self._tell_unseen('finds that the former owner has ended.', now)
+        if now > self._predecessors.until:
+            self._tell_unseen('takes the leases on unseen runners for run out.', now)
+            self.cell.unseen.clear()
+
+    def _tell_unseen(self, sentence: str, now: float) -> None:
+        self._journal.tell(
+            Part.OWNERSHIP,
+            sentence,
+            epoch=self._desk.term.epoch,
+            runners=sorted(self.cell.unseen),
+            seconds=round(self._predecessors.until - now, 3),
+            former_silent=round(self._predecessors.silent, 3),
+            former_ended=self._predecessors.ended,
+            unsettled=self._desk.term.unsettled,
+        )
 
     async def _beat(self) -> None:
         beat = 0
         stored: frozenset[str] = frozenset()
         while True:
             beat += 1
-            left = self._unseen_until - self._clock.monotonic() if self.cell.unseen else 0
+            left = self._predecessors.until - self._clock.monotonic() if self.cell.unseen else 0
             owner = Owner(
                 self._desk.term.epoch,
                 self._parts.host,
@@ -265,8 +277,7 @@
             if attended != stored:
                 fact = Attended(self._desk.term.epoch, tuple(sorted(attended)))
                 records.append(make_record(ATTENDED_KEY, fact))
-            note = self._desk.note_progress(self.cell.take_dirty())
-            outcome = await self._desk.write_note(note, *records)
+            outcome = await self._desk.store_progress(self.cell.take_dirty(), *records)
             if outcome is Written.FENCED:
                 await self._desk.lose('another host has written with a higher epoch')
                 return
@@ -300,11 +311,23 @@
     def _see_job(self, job_id: str) -> None:
         booked = self._parts.jobs.book.find(job_id)
         if booked is None or booked.submission is None:
-            self.cell.forget_job(job_id)
+            self._forget_job(job_id, booked)
             return
         self.cell.see_job(booked, self._clock.monotonic(), self._clock.wall())
         self.cell.job_by_id[job_id].stored = True
 
+    def _forget_job(self, job_id: str, booked: BookedJob | None) -> None:
+        job = self.cell.job_by_id.get(job_id)
+        if job is not None and not job.over:
+            self._journal.tell(
+                Part.JOBS,
+                f'job {job_id} is under way here and over in the store.',
+                job=job_id,
+                state=job.state.value,
+                stored=booked.state.value if booked else None,
+            )
+        self.cell.forget_job(job_id)
+
     async def _rounds(self) -> None:
         """Look after everything that no event announces."""
         while True:
@@ -315,8 +338,7 @@
             await self._succession.look(now)
             self.cell.configuration = self._parts.configuration.current
             await self._see_runners()
-            if self.cell.unseen and now > self._unseen_until:
-                self.cell.unseen.clear()
+            self._give_up_unseen(now)
             self._stop_doomed(now)
             await self._drop_old_jobs()
             await self._desk.wake.notify()
