--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -12,6 +12,7 @@
 from dandelionreel.cell._records import (
     OWNER_KEY,
     SUBMISSION,
+    Attended,
     JobBook,
     Owner,
     make_record,
@@ -76,6 +77,76 @@
     assert context.dispatcher._predecessors.until >= last_lease
 
 
+@given('a successor that waits for the runner w9, whose entry it has never seen')
+def waiting_successor(context):
+    context.topic = MemoryTopic()
+    context.host = Host('me', context.topic)
+    context.host.folder.book.attended = Attended(1, ('w9',))
+    heard = context.host.clock.monotonic()
+    term = Term(2, 'me/1', WriterFence(2, 1), heard, False, False)
+    context.dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
+    context.dispatcher._begin()
+    context.dispatcher.cell.see_runners({'w1': make_registration('w1')}, heard)
+
+
+@when('the successor stores on which runners tasks may run')
+def stores_attended(context):
+    async def beat():
+        desk = context.dispatcher._desk
+        await curio.spawn(desk.writer.run, daemon=True)
+        await curio.spawn(context.dispatcher._beat, daemon=True)
+        await until(lambda: context.topic.records)
+        return await context.topic.snapshot()
+
+    context.book = JobBook()
+    context.book.fold(curio.run(beat).records)
+
+
+@then('w9 is among them')
+def w9_attended(context):
+    assert context.book.attended is not None, 'no runners were stored'
+    assert 'w9' in context.book.attended.runners, context.book.attended
+
+
+class WatchedTopic(MemoryTopic):
+    """Notes what ``ask()`` says whenever an append is on its way."""
+
+    def __init__(self, ask):
+        super().__init__()
+        self.ask = ask
+        self.said = []
+
+    async def append(self, records, timeout, fence=None, expected_end=None):
+        """Append, and ask while the answer is still out."""
+        offset = await super().append(records, timeout, fence, expected_end)
+        await curio.sleep(0)
+        self.said.append(self.ask())
+        return offset
+
+
+@given('an owner whose release is answered late')
+def releasing_owner(context):
+    context.topic = WatchedTopic(lambda: context.dispatcher.acting)
+    host = Host('me', context.topic)
+    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
+    context.dispatcher = make_dispatcher(host, term, context.topic, host.clock)
+
+
+@when('it releases the cell')
+def releases(context):
+    async def release():
+        await curio.spawn(context.dispatcher._desk.writer.run, daemon=True)
+        await context.dispatcher._release()
+
+    curio.run(release)
+
+
+@then('it has no right to act while the release is on its way')
+def no_right(context):
+    assert context.topic.records[-1].key == OWNER_KEY
+    assert context.topic.said[-1] is False, context.topic.said
+
+
 @given("an owner that is about to store the runner of a job's second task")
 def storing_owner(context):
     queues = (make_queue('urgent', attempts=1),)
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -12,6 +12,23 @@
     When it owns the cell
     Then it leaves tasks on unseen runners alone until all leases of that owner are over
 
+  # The successor of that owner is killed in turn. One runner's entry had expired in the
+  # cut, so the successor, which had just started, never knew its address and did not
+  # name it among the runners on which tasks may run. The next owner found no reason to
+  # wait for it, and started its tasks again while the first owner renewed their leases.
+  Scenario: The second successor of an owner that was cut off
+    Given a successor that waits for the runner w9, whose entry it has never seen
+    When the successor stores on which runners tasks may run
+    Then w9 is among them
+
+  # A zone was cut off just as its owner released the cell. The release was stored, its
+  # answer was late, and for 1 s the owner went on starting tasks and renewing leases.
+  # The successor waited for the leases that were granted before the release.
+  Scenario: An owner that releases the cell starts nothing more
+    Given an owner whose release is answered late
+    When it releases the cell
+    Then it has no right to act while the release is on its way
+
   # A job was accepted and running; then no host knew it any more (410). Another time a
   # task that was done, and whose end had been acknowledged, was started again by the next
   # owner. While a job's runners were on their way to the store, another task noted the
