--- /dev/null
+++ b/features/cancelling_parts.py
@@ -0,0 +1,131 @@
+"""A runner in memory that keeps the rules of runners, and an owner's whole term around it."""
+
+from collections import deque
+
+import curio
+
+from dandelionreel.cell import (
+    EndedRun,
+    Outcome,
+    Runner,
+    RunnerError,
+    RunnerFenced,
+    RunnerView,
+    RunningTask,
+    StartAnswer,
+    StartReply,
+    WriterFence,
+)
+from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
+from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._election import Term
+from dandelionreel.kernel import Verdict
+from features.cell_parts import make_registration
+from features.store_parts import Host, journal
+
+#: Seconds that a look may wait here at most, so that scenarios are short.
+LOOK_WAIT = 0.1
+
+
+class MemoryRunner(Runner):
+    """Obeys the highest epoch, remembers stops and drops what nobody renews.
+
+    ``replies`` are taken one for each start: ``None`` loses the answer.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.reached = True
+        self.replies = deque()
+        self.stopped = []
+        self.running = {}
+        self.stopped_at = None
+        self._fence = 0
+        self._ended = []
+
+    async def start(self, order, check):
+        """Answer a start as told, and run it only where that is the answer."""
+        self._reach(order.epoch)
+        reply = self.replies.popleft() if self.replies else StartReply.STARTED
+        if reply is None:
+            raise RunnerError('no answer in time', Verdict.UNKNOWN)
+        if reply is StartReply.STARTED:
+            self.running[order.task, order.run] = order.lease_until
+        return StartAnswer(reply, self.clock.monotonic())
+
+    async def stop(self, task, run, epoch):
+        """Stop a run, and list its end."""
+        self._reach(epoch)
+        self.stopped.append((task, run))
+        if self.running.pop((task, run), None) is not None:
+            self.stopped_at = self.clock.monotonic()
+            number = len(self._ended) + 1
+            self._ended.append(EndedRun(number, task, run, Outcome.STOPPED, ''))
+
+    async def look(self, epoch, acknowledged, lease_until, wait):
+        """Renew all leases, and list everything after a short wait."""
+        self._reach(epoch)
+        for key in self.running if lease_until is not None else ():
+            self.running[key] = max(self.running[key], lease_until)
+        await curio.sleep(min(wait, LOOK_WAIT))
+        self._reach(epoch)
+        now = self.clock.monotonic()
+        self.running = {key: until for key, until in self.running.items() if until > now}
+        running = tuple(RunningTask(task, run, '', 0, 0.0) for task, run in self.running)
+        ended = tuple(end for end in self._ended if end.number > acknowledged)
+        return RunnerView(now, running, ended)
+
+    async def close(self):
+        """Nothing is open."""
+
+    def _reach(self, epoch):
+        if not self.reached:
+            raise RunnerError('no answer in time', Verdict.UNKNOWN)
+        if epoch < self._fence:
+            raise RunnerFenced('w1')
+        self._fence = epoch
+
+
+class SmallOwner:
+    """A host that follows a topic and has won epoch 2 after a silent owner."""
+
+    def __init__(self, topic):
+        self.host = Host('me', topic)
+        self.clock = self.host.clock
+        self.runner = MemoryRunner(self.clock)
+        self.runners = RunnersFolder(None, self.clock, journal())
+        self.registration = make_registration('w1')
+        self.runners.registration_by_id['w1'] = self.registration
+        self._topic = topic
+
+    def remove_entry(self):
+        """Let the runner's entry expire, while the runner lives on."""
+        self.runners.registration_by_id.clear()
+        self.runners.gone_by_id['w1'] = (self.registration, self.clock.monotonic())
+
+    async def begin(self):
+        """Read the store, take over and dispatch in the background."""
+        await curio.spawn(self.host.follower.run, daemon=True)
+        await self.host.follower.wait_fresh(self.clock.monotonic(), 5)
+        term = Term(2, 'me/1', WriterFence(2, 1), self.clock.monotonic(), False, False)
+        self.dispatcher = Dispatcher(self._parts(), term)
+        await curio.spawn(self.dispatcher.run, daemon=True)
+
+    def _parts(self):
+        return DispatcherParts(
+            topic=self._topic,
+            follower=self.host.follower,
+            jobs=self.host.folder,
+            runners=self.runners,
+            configuration=ConfigurationFolder(None, journal()),
+            election=self.host.election,
+            links=None,
+            advisor=None,
+            make_runner=lambda registration: self.runner,
+            clock=self.clock,
+            journal=journal(),
+            host='me',
+            gang_timeout=3.0,
+            longest_lease=10.0,
+            status_kept=120,
+        )
--- /dev/null
+++ b/features/steps/cancelling_steps.py
@@ -0,0 +1,277 @@
+"""Steps on what becomes of the tasks of jobs that are cancelled."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import (
+    JobSpec,
+    JobState,
+    StartReply,
+    Submission,
+    WriterFence,
+)
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._election import Term
+from dandelionreel.cell._orders import Orders
+from dandelionreel.cell._records import (
+    ATTENDED_KEY,
+    CANCELLATION,
+    OWNER_KEY,
+    SUBMISSION,
+    Attended,
+    Cancellation,
+    Owner,
+    Progress,
+    make_progress_records,
+    make_record,
+)
+from dandelionreel.cell._writer import Written
+from dandelionreel.kernel import ManualClock
+from features.cancelling_parts import MemoryRunner, SmallOwner
+from features.cell_parts import SmallCell, step, task
+from features.store_parts import LONG, journal, until
+from standins import MemoryTopic
+
+#: Seconds after which the task of a cancelled job has to be gone.
+STOP_LIMIT = 3.0
+#: Seconds for which a runner is out of reach.
+CUT = 1.5
+#: The run that the former owner had started.
+FORMER_RUN = (task('j1'), 1001)
+#: A lease on the runner's clock that does not end here by itself.
+FOREVER = float('inf')
+SUBMITTED = Submission('urgent', 'desk', 5.0, JobSpec('payload', (step(),)))
+RECORDS_BY_NAME = {
+    'its submission and its cancellation': [
+        make_record(f'{SUBMISSION}j1', SUBMITTED),
+        make_record(f'{CANCELLATION}j1', Cancellation(6.0)),
+    ],
+    'its final state': make_progress_records('j1', Progress(1, JobState.CANCELLED, ended_at=7.0)),
+    'nothing of it': [],
+    'its submission': [make_record(f'{SUBMISSION}j1', SUBMITTED)],
+}
+
+
+def take_stops(context):
+    """Note the runs that are to be stopped, as the dispatcher would send them."""
+    taken = [(stop.task, stop.run) for stop in context.small.cell.take_stops()]
+    context.told = [*getattr(context, 'told', ()), *taken]
+
+
+@when('the job is cancelled and w1 takes the stop')
+def cancel_and_take(context):
+    small = context.small
+    context.start = small.allocations[0]
+    small.cancel('j1')
+    take_stops(context)
+    small.cell.stop_answered(context.start, small.now)
+
+
+@when('a job is planned and cancelled before its start is answered')
+def cancel_unanswered(context):
+    context.small.add_job('j1', [step()])
+    context.start = context.small.plan(start=False).starts[0]
+    context.small.cancel('j1')
+    take_stops(context)
+
+
+@when('w1 takes the stop, and then answers the start')
+def take_then_answer(context):
+    small = context.small
+    small.cell.stop_answered(context.start, small.now)
+    small.cell.start_answered(context.start, StartReply.STARTED, small.now)
+
+
+@when('a look that is sent {seconds:f} s later still lists the run')
+def lists_again(context, seconds):
+    context.small.now += seconds
+    list_run(context)
+
+
+@given('an order to start a job, which was {fate}')
+def start_given_up(context, fate):
+    small = context.small
+    small.add_job('j1', [step()])
+    context.start = small.plan(start=False).starts[0]
+    if fate == 'refused':
+        small.cell.start_answered(context.start, StartReply.NO_ROOM, small.now)
+    else:
+        small.cell.stop(context.start)
+        small.cell.take_stops()
+        small.cell.stop_answered(context.start, small.now)
+        small.now += 1
+        small.look('w1')
+    assert not small.runs_on('w1')
+
+
+@when('the job is cancelled, {forgotten}, and w1 lists the run')
+def late_run(context, forgotten):
+    context.small.cancel('j1')
+    if forgotten == 'is dropped by the store':
+        context.small.cell.forget_job('j1')
+    take_stops(context)
+    list_run(context)
+
+
+@when('the store says that the job is over')
+def over_in_store(context):
+    context.start = context.small.allocations[0]
+    context.small.cell.forget_job('j1')
+    list_run(context)
+
+
+def list_run(context):
+    """Let w1 list the run twice, as looks do that come one after the other."""
+    running = [(context.start.task, context.start.run)]
+    context.small.look('w1', running=running)
+    context.small.look('w1', running=running)
+    take_stops(context)
+
+
+@then('w1 is told to stop it {times}')
+def told_to_stop(context, times):
+    run = (context.start.task, context.start.run)
+    assert context.told == [run] * {'once': 1, 'twice': 2}[times], context.told
+
+
+@when('w1 lists a run of a job that nobody knows')
+def unknown_run(context):
+    context.small.look('w1', running=[FORMER_RUN])
+    (context.unknown,) = context.small.cell.take_stops()
+    context.small.cell.stop_answered(context.unknown, context.small.now)
+
+
+@when('w1 does not list the unknown run any more')
+def unknown_gone(context):
+    context.small.now += 1
+    context.small.look('w1')
+    context.made = context.small.plan()
+
+
+@then('the new job starts')
+def new_job_starts(context):
+    assert len(context.made.starts) == 1, context.made
+    assert context.small.used('w1') == context.made.starts[0].demand.cpu
+
+
+@given('an owner whose start loses its answer and is then refused: {reply}')
+def owner_of_refusing(context, reply):
+    context.small = SmallCell(('w1',))
+    context.runner = MemoryRunner(ManualClock(context.small.now))
+    context.runner.replies.extend((None, StartReply(reply)))
+    context.desk = Desk(
+        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
+        context.small.cell,
+        MemoryTopic(),
+        lambda registration: context.runner,
+        10.0,
+        ManualClock(context.small.now),
+        journal(),
+    )
+    context.desk.add_runner(context.small.cell.runner_by_id['w1'])
+
+
+@when('it has sent the start')
+def send_start(context):
+    job = context.small.add_job('j1', [step()])
+    job.stored_runners.add('w1')
+    made = context.small.plan(start=False)
+    (context.start,) = made.starts
+
+    async def send():
+        await Orders(context.desk).send_starts(made.starts)
+        await until(lambda: not context.runner.replies)
+        await curio.sleep(0)
+
+    curio.run(send)
+
+
+@then('the run counts until the runner has taken a stop')
+def counts_until_stopped(context):
+    small = context.small
+    run = (context.start.task, context.start.run)
+    assert small.runs_on('w1') == (run,), small.runs_on('w1')
+    (stop,) = small.cell.take_stops()
+    curio.run(Orders(context.desk).send_stop, stop)
+    assert context.runner.stopped == [run]
+    small.now += 1
+    small.look('w1')
+    assert not small.runs_on('w1')
+
+
+@given('a runner that runs a task of a cancelled job, {reached}')
+def former_run(context, reached):
+    context.topic = MemoryTopic()
+    context.owner = SmallOwner(context.topic)
+    context.owner.runner.running[FORMER_RUN] = FOREVER
+    context.owner.runner.reached = not reached.startswith('out of reach')
+    if reached == 'whose entry has gone':
+        context.owner.remove_entry()
+
+
+@given('a store that has {record}')
+def store_that_has(context, record):
+    curio.run(append_all, context.topic, RECORDS_BY_NAME[record])
+
+
+async def append_all(topic, records):
+    """Store what a former owner left, and the claim of its successor."""
+    attended = make_record(ATTENDED_KEY, Attended(1, ('w1',)))
+    await topic.append([*records, attended], 0.1, WriterFence(1, 1))
+    claim = make_record(OWNER_KEY, Owner(2, 'me', 'me/1'))
+    await topic.append([claim], 0.1, WriterFence(2, 0))
+
+
+@when('another host takes over')
+def take_over(context):
+    curio.run(take_over_and_wait, context.owner)
+
+
+async def take_over_and_wait(owner):
+    """Dispatch until the task is gone; note how long that took once in reach."""
+    await owner.begin()
+    await wait_until_gone(owner)
+
+
+async def wait_until_gone(owner):
+    """Bring the runner back in reach after the cut, and wait for its task's end."""
+    if not owner.runner.reached:
+        await curio.sleep(CUT)
+        owner.runner.reached = True
+    owner.reached_at = owner.clock.monotonic()
+    await curio.ignore_after(LONG, until, lambda: not owner.runner.running)
+
+
+@then('the task is stopped within 3 s of the runner being in reach')
+def stopped_in_time(context):
+    runner = context.owner.runner
+    assert runner.stopped_at is not None, 'nobody stopped it'
+    took = runner.stopped_at - context.owner.reached_at
+    assert took <= STOP_LIMIT, took
+    assert set(runner.stopped) == {FORMER_RUN}, runner.stopped
+
+
+@given('an owner with a running task on a runner')
+def owner_with_task(context):
+    former_run(context, 'listed')
+    curio.run(append_all, context.topic, RECORDS_BY_NAME['its submission'])
+
+
+@when('the runner is out of reach, the job is cancelled, and 1.5 s pass')
+def cancel_out_of_reach(context):
+    owner = context.owner
+
+    async def cancel():
+        await owner.begin()
+        await until(lambda: adopted(owner))
+        owner.runner.reached = False
+        assert await owner.dispatcher.cancel('j1', LONG) is Written.STORED
+        await wait_until_gone(owner)
+
+    curio.run(cancel)
+
+
+def adopted(owner):
+    """Return whether the owner has found the task that the former one had started."""
+    runner = owner.dispatcher.cell.runner_by_id.get('w1')
+    return runner is not None and FORMER_RUN in runner.allocation_by_run
