A job is stopped at the cost of its own runs

Cause: each cancellation, and each job that failed, went through all runs of all runners. Change: an index of what is held for each job, kept where runs are counted and freed. Conclusion: no change of what is decided.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from dandelionreel.cell._job_runs import JobRuns
 from dandelionreel.cell._ledger import Allocation, Holding, RunnerState, expected_end
 from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
 from dandelionreel.cell._records import BookedJob
@@ -58,6 +59,7 @@
         #: Runners on which tasks of earlier owners may run unseen.
         self.unseen: set[str] = set()
         self._gang_timeout = gang_timeout
+        self._runs = JobRuns()
         self._stops: list[Allocation] = []
         self._dirty: set[str] = set()
 
@@ -202,7 +204,7 @@
             expected=expected,
             checkpoint=task.checkpoint,
         )
-        runner.hold(allocation)
+        self._runs.hold(runner, allocation)
         step.place(task, runner.id, run)
         return allocation
 
@@ -347,10 +349,8 @@
         self._stop_job(job)
 
     def _stop_job(self, job: JobRun) -> None:
-        for runner in self.runner_by_id.values():
-            for allocation in tuple(runner.allocation_by_run.values()):
-                if allocation.task.job == job.id:
-                    self.stop(allocation)
+        for allocation in self._runs.of_job(job.id):
+            self.stop(allocation)
 
     def _stop_members(self, step: StepRun) -> None:
         for task in step.tasks:
@@ -380,7 +380,7 @@
         allocation = runner.allocation_by_run.get((ended.task, ended.run))
         job = self.job_by_id.get(ended.task.job)
         if allocation is not None:
-            runner.free(allocation)
+            self._runs.free(runner, allocation)
         found = None if job is None else job.find(ended.task)
         if job is None or found is None:
             return allocation
@@ -444,7 +444,7 @@
             checkpoint=running.checkpoint,
             expected=0.0 if found is None else found[0].step.estimate,
         )
-        runner.hold(allocation)
+        self._runs.hold(runner, allocation)
         if job is None or found is None:
             self.stop(allocation)
             return
@@ -469,7 +469,7 @@
 
     def _lose(self, runner: RunnerState, allocation: Allocation) -> None:
         """Drop an allocation that is known to be gone without an end."""
-        runner.free(allocation)
+        self._runs.free(runner, allocation)
         job = self.job_by_id.get(allocation.task.job)
         found = None if job is None else job.find(allocation.task)
         if found is None:
