A run that is listed though it should be gone is stopped, and stopped again

Cause: (1) a stop that a runner had answered was never sent again, though later looks still listed the run; it counted as being stopped and went on to its end. (2) A job that the store dropped while its task ran here was forgotten, its task left alone. Change: stops on their way have a module of their own. A look that was sent 0.4 s after the answer to a stop, the longest that a stop takes, and lists the run has it stopped once more; a listed run of a job that is not known is stopped.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -18,6 +18,7 @@
     RunningTask,
     StartReply,
 )
+from dandelionreel.cell._stops import Stops
 from dandelionreel.cell._tickets import TicketBook
 
 #: Run numbers of one epoch for one task. Numbers of a later owner are higher
@@ -60,7 +61,7 @@
         self.unseen: set[str] = set()
         self._gang_timeout = gang_timeout
         self._runs = JobRuns()
-        self._stops: list[Allocation] = []
+        self._stops = Stops()
         self._dirty: set[str] = set()
 
     # Jobs
@@ -135,9 +136,7 @@
 
     def take_stops(self) -> list[Allocation]:
         """Return the runs that must be told to stop, once."""
-        taken = self._stops
-        self._stops = []
-        return taken
+        return self._stops.take()
 
     # Runners
 
@@ -250,11 +249,7 @@
 
     def stop(self, allocation: Allocation) -> None:
         """Have a run stopped; it counts until it is known to be gone."""
-        if allocation.phase is Holding.STOPPING:
-            return
-        allocation.phase = Holding.STOPPING
-        allocation.settled_at = None
-        self._stops.append(allocation)
+        self._stops.order(allocation)
 
     def stop_answered(self, allocation: Allocation, now: float) -> None:
         """The runner has taken the stop: a later look tells when it is gone."""
@@ -277,7 +272,7 @@
         listed = set()
         for running in view.running:
             listed.add((running.task, running.run))
-            effect.adopted += self._take_running(runner, running, now)
+            effect.adopted += self._take_running(runner, running, asked, now)
         for allocation in tuple(runner.allocation_by_run.values()):
             if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
                 continue
@@ -414,7 +409,13 @@
         job.note_done(ended.task)
         self._dirty.add(job.id)
 
-    def _take_running(self, runner: RunnerState, running: RunningTask, now: float) -> int:
+    def _take_running(
+        self,
+        runner: RunnerState,
+        running: RunningTask,
+        asked: float,
+        now: float,
+    ) -> int:
         allocation = runner.allocation_by_run.get((running.task, running.run))
         if allocation is None:
             self._adopt(runner, running, now)
@@ -423,6 +424,11 @@
         allocation.gauge = running.gauge
         allocation.checkpoint = running.checkpoint or allocation.checkpoint
         self._start_settled(allocation, now)
+        self._stops.repeat(allocation, asked)
+        if allocation.task.job not in self.job_by_id:
+            # The store dropped the job while its task runs: no cancellation can reach
+            # the task any more, and it would run to its end.
+            self.stop(allocation)
         return 0
 
     def _adopt(self, runner: RunnerState, running: RunningTask, now: float) -> None:
--- /dev/null
+++ b/dandelionreel/cell/_stops.py
@@ -0,0 +1,45 @@
+"""Which runs must be told to stop, and which of them once more. No I/O."""
+
+from dandelionreel.cell._ledger import Allocation, Holding
+
+#: Seconds that a runner may take over a stop that it has answered, and so may still
+#: list the run: the longest that is granted to runners.
+STOP_SECONDS = 0.4
+
+
+class Stops:
+    """Stops on their way: due, then answered, until a look proves that the run is gone."""
+
+    def __init__(self) -> None:
+        """Start with nothing to stop."""
+        self._due: list[Allocation] = []
+
+    def order(self, allocation: Allocation) -> None:
+        """Have a run stopped; it counts until it is known to be gone."""
+        if allocation.phase is Holding.STOPPING:
+            return
+        allocation.phase = Holding.STOPPING
+        self._send(allocation)
+
+    def repeat(self, allocation: Allocation, asked: float) -> None:
+        """Have a run stopped once more that a look lists long after its stop was taken.
+
+        The stop may have overtaken the start. Such a run counts as being stopped, so
+        nobody would tell the runner again, and it would run to its end. A look that was
+        sent (at ``asked``) when the stop must have taken effect proves that it has not.
+        """
+        if allocation.phase is not Holding.STOPPING or allocation.settled_at is None:
+            return
+        if asked >= allocation.settled_at + STOP_SECONDS:
+            self._send(allocation)
+
+    def take(self) -> list[Allocation]:
+        """Return the runs that must be told to stop, once."""
+        taken = self._due
+        self._due = []
+        return taken
+
+    def _send(self, allocation: Allocation) -> None:
+        # Until the stop is answered, a look that does not list the run proves nothing.
+        allocation.settled_at = None
+        self._due.append(allocation)
