Nothing starts beside a run of which nobody knows what it takes

Cause: of a job that is over the store keeps only its state. A successor that found one of its tasks counted nothing for it, and could start others in its room before it had been stopped: more than the runner has, where runners do not guard their room. Change: a runner that holds such a run gets nothing until the run is gone.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -449,6 +449,7 @@
             gauge=running.gauge,
             checkpoint=running.checkpoint,
             expected=0.0 if found is None else found[0].step.estimate,
+            known=found is not None,
         )
         self._runs.hold(runner, allocation)
         if job is None or found is None:
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -48,6 +48,8 @@
     #: How long the task is thought to run, in seconds.
     expected: float = 0.0
     checkpoint: str = ''
+    #: Whether ``demand`` is what the run takes; of a job that is not known nothing is.
+    known: bool = True
 
 
 class RunnerState:
@@ -71,6 +73,8 @@
         self.leaves_at = float('inf')
         #: No start is sent there before then (it refused one).
         self.quiet_until = NEVER
+        #: Runs held of which nobody knows how much they take.
+        self.unknown = 0
         #: The highest end number whose effect stands in the store, and the
         #: highest one that has been taken into account.
         self.acknowledged = 0
@@ -100,17 +104,23 @@
         """Return whether something may be started there now."""
         if not self.listed or not self.recorded or self.draining or self.suspect:
             return False
+        if self.unknown:
+            # What is being stopped has its room until it is gone. Counted as nothing, it
+            # and what was started beside it took more than the runner has.
+            return False
         return self.knows_clock() and now >= self.quiet_until
 
     def hold(self, allocation: Allocation) -> None:
         """Count an allocation."""
         self.allocation_by_run[allocation.task, allocation.run] = allocation
         self.used = self.used + allocation.demand
+        self.unknown += not allocation.known
 
     def free(self, allocation: Allocation) -> None:
         """Stop counting an allocation; more than once does no harm."""
         if self.allocation_by_run.pop((allocation.task, allocation.run), None) is not None:
             self.used = self.used - allocation.demand
+            self.unknown -= not allocation.known
 
     def count_step(self, step: StepName) -> int:
         """Return how many runs of a step are held, those being stopped too.
