A start that may still arrive counts until a stop has been taken

Cause: the answer to a start was lost and its repetition refused (no room, no ticket, too late, unhealthy). The owner took the task for not started and gave its room away, though the first order may be carried out later: the task runs twice, or after its cancellation until a look finds it. Change: a refusal speaks for one try only; after a try that may have arrived the run is stopped, as where no try is answered, and counts until the stop has been taken.

--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -23,6 +23,16 @@
 RETRY_SECONDS = 0.03
 #: Seconds between tries of one stop.
 RESTOP_SECONDS = 0.2
+#: Answers that speak for one try only: the runner has done nothing with this one.
+REFUSED_REPLIES = frozenset(
+    (
+        StartReply.TOO_LATE,
+        StartReply.NO_ROOM,
+        StartReply.NO_TICKET,
+        StartReply.UNHEALTHY,
+        StartReply.INVALID,
+    )
+)
 #: Seconds for which a runner that could not be reached gets no start.
 UNREACHED_QUIET = 0.3
 
@@ -143,6 +153,11 @@
                     return maybe_sent
                 await curio.sleep(RETRY_SECONDS)
                 continue
+            if maybe_sent and answer.reply in REFUSED_REPLIES:
+                # An earlier try may still be carried out, after this answer: taken for
+                # not started, the task would run here and where it is started next.
+                self._tell_refused(state, allocation, answer.reply)
+                return True
             await self._take_answer(state, allocation, answer.reply)
             return None
         return maybe_sent
@@ -183,11 +198,14 @@
         else:
             self._desk.cell.start_answered(allocation, reply, self._desk.clock.monotonic())
         if reply is not StartReply.STARTED:
-            self._desk.journal.tell(
-                Part.PLACEMENT,
-                f'a start was refused: {reply.value}.',
-                job=allocation.task.job,
-                runner=state.id,
-                run=allocation.run,
-            )
+            self._tell_refused(state, allocation, reply)
             await self._desk.wake.notify()
+
+    def _tell_refused(self, state: RunnerState, allocation: Allocation, reply: StartReply) -> None:
+        self._desk.journal.tell(
+            Part.PLACEMENT,
+            f'a start was refused: {reply.value}.',
+            job=allocation.task.job,
+            runner=state.id,
+            run=allocation.run,
+        )
