A successor names runners that only a former owner has seen; a release ends the right to act

Cause: (1) the record of runners on which tasks may run was made of the runners that the owner knows; one whose entry had gone before a freshly started successor read the entries was dropped from it, so the owner after that one did not wait for its leases. (2) An owner kept its right to act until the answer to its release, for up to 1 s, while its successor counted leases from the release it had read. Change: the record holds the unseen runners as well; the right to act ends before the release is sent.

--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -145,8 +145,6 @@
             await self._desk.ended.wait()
             if not self._desk.lost:
                 await self._release()
-                # Starts that are under way must not follow the release.
-                self._desk.lost = 'released'
         self._journal.tell(
             Part.OWNERSHIP,
             f'does not own the cell any more: {self._desk.lost}.',
@@ -208,7 +206,14 @@
         return outcome
 
     async def _release(self) -> None:
+        """Store that this owner has stopped for good, having stopped before.
+
+        A successor waits for the leases that were granted before it read the
+        release. Its answer may be 1 s late: what was started or renewed meanwhile
+        would run on after the successor has started the task again.
+        """
         await self._desk.flush()
+        self._desk.lost = 'released'
         owner = Owner(self._desk.term.epoch, self._parts.host, self._desk.term.term, released=True)
         await self._desk.writer.write([make_record(OWNER_KEY, owner)], RELEASE_PATIENCE)
 
@@ -273,7 +278,9 @@
                 unsettled=round(max(0.0, left), 2),
             )
             records = [make_record(OWNER_KEY, owner)]
-            attended = frozenset(self.cell.runner_by_id)
+            # Runners that only a former owner has seen are kept for the next one: it
+            # has to wait for them too, should this owner be killed meanwhile.
+            attended = frozenset(self.cell.runner_by_id) | self.cell.unseen
             if attended != stored:
                 fact = Attended(self._desk.term.epoch, tuple(sorted(attended)))
                 records.append(make_record(ATTENDED_KEY, fact))
