The scenario of a stopped owner waits until there is one

Cause: the scenario failed once in platform.feature (20 passed, 1 failed) and once alone, there with KeyError '': it asked for the owner when all hosts were ready. Hosts are ready once they read the store and have a configuration, so the first claim may still be under way. The failure in the full run showed no message, because only assertions were printed. Conclusion: the check is the same; what it needs is now there when it begins.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -185,6 +185,8 @@
 
 @when('the owner is stopped while jobs are handed in at the others')
 def stop_owner(context):
+    # Hosts are ready as soon as they can store jobs, which may be before one of them owns.
+    wait_for(context.hosts.owner)
     context.killed = context.hosts.owner()
     others = [name for name in context.hosts.names if name != context.killed]
     context.hosts.send(context.killed, signal.SIGTERM)
