--- a/features/environment.py
+++ b/features/environment.py
@@ -17,7 +17,7 @@
 
 def after_step(context, step):
     """Tell why a step failed; the progress format does not."""
-    if step.status in {'failed', 'error'}:
+    if step.status.name in {'failed', 'error'}:
         print(f'\n{step.keyword} {step.name}\n{step.error_message}')
 
 
