Word of an earlier life that lands late does not end an owner

Cause: a host's word about itself is a plain append, which a store that loses answers may carry out seconds later. Landing after the word of a later life that owns the cell, it names another life than the owner's: all hosts took the owner for over, and its successor waited for one lease only. Change: both the word and the owner's record carry the offset at which that life first read the topic; only a later one is a proof. A host joins once it has read the topic.

--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -26,7 +26,6 @@
     Attended,
     BookedJob,
     Cancellation,
-    Owner,
     Submission,
     make_record,
     make_tombstone,
@@ -214,7 +213,7 @@
         """
         await self._desk.flush()
         self._desk.lost = 'released'
-        owner = Owner(self._desk.term.epoch, self._parts.host, self._desk.term.term, released=True)
+        owner = self._desk.term.record(released=True)
         await self._desk.writer.write([make_record(OWNER_KEY, owner)], RELEASE_PATIENCE)
 
     def _begin(self) -> None:
@@ -270,13 +269,7 @@
         while True:
             beat += 1
             left = self._predecessors.until - self._clock.monotonic() if self.cell.unseen else 0
-            owner = Owner(
-                self._desk.term.epoch,
-                self._parts.host,
-                self._desk.term.term,
-                beat,
-                unsettled=round(max(0.0, left), 2),
-            )
+            owner = self._desk.term.record(beat, round(max(0.0, left), 2))
             records = [make_record(OWNER_KEY, owner)]
             # Runners that only a former owner has seen are kept for the next one: it
             # has to wait for them too, should this owner be killed meanwhile.
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -98,6 +98,13 @@
     #: Seconds for which, at its last heartbeat, owners before it might still act.
     unsettled: float = 0
     former: Owner | None = None
+    #: The offset at which this life of the host first read the topic.
+    read_from: int = 0
+
+    def record(self, beat: int = 0, unsettled: float = 0, *, released: bool = False) -> Owner:
+        """Return what the store is told about this term."""
+        host = self.term.partition('/')[0]
+        return Owner(self.epoch, host, self.term, beat, released, unsettled, self.read_from)
 
 
 class Election:
@@ -267,6 +274,7 @@
                 former_ended,
                 former.unsettled if former else 0,
                 former,
+                self._follower.read_from,
             )
         self._journal.tell(Part.OWNERSHIP, 'each claim found newer records.', tries=CLAIM_TRIES)
         return None
@@ -287,7 +295,13 @@
         Raises ``ConflictError`` when something else stands there.
         """
         # Until the first heartbeat tells better, the former owner may act on.
-        owner = Owner(fence.epoch, self._host, self.incarnation, unsettled=UNSETTLED_SECONDS)
+        owner = Owner(
+            fence.epoch,
+            self._host,
+            self.incarnation,
+            unsettled=UNSETTLED_SECONDS,
+            read_from=self._follower.read_from,
+        )
         claim = make_record(OWNER_KEY, owner)
         try:
             await self._topic.append([claim], CLAIM_TIMEOUT, fence, self._follower.offset)
--- a/dandelionreel/cell/_follower.py
+++ b/dandelionreel/cell/_follower.py
@@ -52,6 +52,8 @@
         self._pause = pause
         self._hurried = curio.Event()
         self._offset: int | None = None
+        #: Offset behind the first snapshot of this process's life.
+        self.read_from = 0
         #: Everything that was in the topic at this time has been folded.
         self.fresh_at = NEVER
         #: Since when reads have been answered without a failure.
@@ -119,6 +121,7 @@
             snapshot = await self._topic.snapshot()
             self._folder.restart(snapshot)
             self._offset = snapshot.next_offset
+            self.read_from = self.read_from or snapshot.next_offset
             return False
         batch = await self._topic.read(self._offset, self._wait)
         self._folder.fold(batch)
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -80,6 +80,7 @@
 
     ``released`` says that the owner has stopped for good. ``unsettled`` is for
     how many seconds more an owner before this one may renew leases unseen.
+    ``read_from`` is the offset at which this life of the host first read the topic.
     """
 
     epoch: int
@@ -88,6 +89,7 @@
     beat: int = 0
     released: bool = False
     unsettled: float = 0
+    read_from: int = 0
 
 
 class Attended(msgspec.Struct, frozen=True):
@@ -104,7 +106,8 @@
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """Where a host's daemon listens for its peers; ``incarnation`` names its life.
 
-    ``cores`` is its share of a processor, times the speed of one.
+    ``cores`` is its share of a processor, times the speed of one. ``read_from`` is the
+    offset at which that life first read the topic, which orders the lives of a host.
     """
 
     zone: str
@@ -112,6 +115,7 @@
     port: int
     incarnation: str = ''
     cores: float = 1.0
+    read_from: int = 0
 
 
 #: A job that is over shows one of these.
@@ -214,9 +218,16 @@
         return self.owner is not None and self.has_ended(self.owner)
 
     def has_ended(self, owner: Owner) -> bool:
-        """Return whether another life has begun on the host of that owner."""
+        """Return whether a later life has begun on the host of that owner.
+
+        A store that loses answers may carry an append out seconds later, so the word
+        of an earlier life can land after the owner's. Taken for a later one, it would
+        end the wait for a living owner's leases, and its tasks would run twice.
+        """
         member = self.member_by_host.get(owner.host)
-        return member is not None and member.incarnation not in {'', owner.term}
+        if member is None or member.incarnation in {'', owner.term}:
+            return False
+        return member.read_from > owner.read_from
 
     def count_waiting(self, queue: str) -> int:
         """Return how many jobs of a queue are accepted and have not begun."""
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -259,12 +259,15 @@
     async def _join(self) -> None:
         """Tell the other hosts where this one listens for peers."""
         settings = self._settings
+        while not self._cell_follower.started:
+            await curio.sleep(POLL_SECONDS)
         member = Member(
             settings.zone,
             settings.peers.host,
             settings.peers.port,
             self._election.incarnation,
             settings.cores,
+            self._cell_follower.read_from,
         )
         record = make_record(MEMBER + settings.host, member)
         while await self._writer.write([record], MEMBER_PATIENCE) is not Written.STORED:
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -10,10 +10,12 @@
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import (
+    MEMBER,
     OWNER_KEY,
     SUBMISSION,
     Attended,
     JobBook,
+    Member,
     Owner,
     make_record,
 )
@@ -147,6 +149,25 @@
     assert context.topic.said[-1] is False, context.topic.said
 
 
+@given('an owner whose life first read the store at offset {offset:d}')
+def owner_life(context, offset):
+    context.book = JobBook()
+    owner = Term(3, 'other/3', WriterFence(3, 1), None, False, False, read_from=offset).record()
+    member = Member('north', '10.0.0.9', 7, 'other/3', read_from=offset)
+    context.book.fold([make_record(f'{MEMBER}other', member), make_record(OWNER_KEY, owner)])
+
+
+@when('word lands of a life on its host that first read it at offset {offset:d}')
+def word_of_life(context, offset):
+    member = Member('north', '10.0.0.9', 7, 'other/1', read_from=offset)
+    context.book.fold([make_record(f'{MEMBER}other', member)])
+
+
+@then('the owner is taken for {fate}')
+def taken_for(context, fate):
+    assert context.book.owner_has_ended() == (fate == 'over')
+
+
 @given("an owner that is about to store the runner of a job's second task")
 def storing_owner(context):
     queues = (make_queue('urgent', attempts=1),)
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -29,6 +29,21 @@
     When it releases the cell
     Then it has no right to act while the release is on its way
 
+  # A host was killed twice within seconds while the store lost answers, and owned the cell
+  # in its third life. The word of its first life, which had no answer, landed only then.
+  # All others took the third life for over, claimed the cell from a living owner, and
+  # waited for one lease of it where it might renew for 9 s.
+  Scenario Outline: Word of another life on the owner's host
+    Given an owner whose life first read the store at offset 50
+    When word lands of a life on its host that first read it at offset <offset>
+    Then the owner is taken <as>
+
+    Examples:
+      | offset | as         |
+      | 40     | for living |
+      | 50     | for living |
+      | 90     | for over   |
+
   # A job was accepted and running; then no host knew it any more (410). Another time a
   # task that was done, and whose end had been acknowledged, was started again by the next
   # owner. While a job's runners were on their way to the store, another task noted the
