--- a/spec/cell.py
+++ b/spec/cell.py
@@ -37,7 +37,7 @@
     steps: Steps,
     *,
     fences: bool = True,
-    waits: bool = True,
+    wait: int = WAIT,
     stores_first: bool = True,
     starts_expire: bool = True,
 ) -> None:
@@ -52,7 +52,7 @@
         _former_owner(steps, runner, fences, stores_first)
         _runner(steps, runner)
         if now['claimed']:
-            _successor(steps, runner, waits)
+            _successor(steps, runner, wait)
 
 
 def _tick(steps: Steps, starts_expire: bool) -> None:
@@ -99,7 +99,7 @@
         )
 
 
-def _successor(steps: Steps, runner: int, waits: bool) -> None:
+def _successor(steps: Steps, runner: int, wait: int) -> None:
     now = steps.now
     running = bool(now[f'run_{runner}'])
     steps.step(
@@ -109,7 +109,7 @@
         **{f'fence_{runner}': 2, f'seen_{runner}': True},
     )
     known = all(
-        now[f'seen_{other}'] or not now[f'stored_{other}'] or now['waited'] >= WAIT or not waits
+        now[f'seen_{other}'] or not now[f'stored_{other}'] or now['waited'] >= wait
         for other in RUNNERS
     )
     if known and now[f'seen_{runner}'] and not now['followed'] and not now['done']:
@@ -148,7 +148,8 @@
     {'runs once': runs_once, 'not after done': not_after_done},
     {
         'runners take orders of a former owner': {'fences': False},
-        'no wait for unseen runners': {'waits': False},
+        'no wait for unseen runners': {'wait': 0},
+        'one lease as the wait for an owner that may renew': {'wait': LEASE},
         'starts on runners that the store does not name': {'stores_first': False},
         'starts without a deadline': {'starts_expire': False},
     },
