The owner tells once a second why tasks wait

Change: one line a second while tasks wait: tasks by queue, runners usable, draining and silent, free cores, questions that wait, plans and their time, starts. Conclusion: no decision changes.

--- a/dandelionreel/cell/_advisors.py
+++ b/dandelionreel/cell/_advisors.py
@@ -128,6 +128,11 @@
         self._patient: set[str] = set()
         self._quiet_until_by_host: dict[str, float] = {}
 
+    @property
+    def waiting(self) -> int:
+        """Return how many questions wait for a free host."""
+        return len(self._waiting)
+
     async def ask(self, question: Question) -> None:
         """Ask as soon as a host is free."""
         heapq.heappush(self._waiting, (question.priority, next(self._order), question))
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -13,6 +13,7 @@
 from dandelionreel.cell._election import AUTHORITY_SECONDS, BEAT_SECONDS, Election, Term
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._inquiries import Question
+from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._planner import Plan, Planner
@@ -112,6 +113,7 @@
         self._predecessors = Predecessors(term, self._desk.lease, parts.clock.monotonic())
         self._dropped_at = float('-inf')
         self._planner = Planner(self.cell)
+        self._load = LoadReport(self.cell, parts.journal)
         self._pool = AdvicePool(
             parts.host,
             lambda: parts.jobs.book.member_by_host,
@@ -340,6 +342,7 @@
             await self._see_runners()
             self._give_up_unseen(now)
             self._stop_doomed(now)
+            self._load.look(now, self._clock.wall(), self._desk.term.epoch, self._pool.waiting)
             await self._drop_old_jobs()
             await self._desk.wake.notify()
             await curio.sleep(ROUND_SECONDS)
@@ -401,7 +404,8 @@
             began = self._clock.monotonic()
             made = Plan()
             if self._desk.may_start():
-                made = self._planner.plan(self._clock.monotonic(), self._clock.wall())
+                made = self._planner.plan(began, self._clock.wall())
+                self._load.note_plan(made, self._clock.monotonic() - began)
             for allocation in self.cell.take_stops():
                 await curio.spawn(self._orders.send_stop, allocation, daemon=True)
             self._tell_preempted(made)
