What no event announces leaves the dispatcher for a module of its own

A beat that the store had not taken still marked runners as recorded. Run: succession, store and cell features, 114 passed; linters and types clean. Conclusion: no other decision changes.

--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -1,53 +1,44 @@
 """The owner's work for one term, around the decisions of ``Cell`` and ``Planner``."""
 
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 
 import curio
 
-from dandelionreel.cell._advisors import AdvicePool, LocalAdvisor, PeerLinks
-from dandelionreel.cell._attendant import Attendant
+from dandelionreel.cell._advisors import AdvicePool
 from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._desk import Desk, MakeRunner
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
-from dandelionreel.cell._election import AUTHORITY_SECONDS, BEAT_SECONDS, Election, Term
-from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._election import BEAT_SECONDS, Term
 from dandelionreel.cell._inquiries import Question
 from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
+from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._planner import Plan, Planner
-from dandelionreel.cell._predecessors import Predecessors
 from dandelionreel.cell._records import (
     ATTENDED_KEY,
     CANCELLATION,
     OWNER_KEY,
-    PROGRESS,
     SUBMISSION,
     Attended,
     BookedJob,
     Cancellation,
     Submission,
     make_record,
-    make_tombstone,
 )
+from dandelionreel.cell._rounds import Rounds
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun
 from dandelionreel.cell._services import (
     KeyedRecord,
     Permit,
-    Topic,
 )
-from dandelionreel.cell._succession import Succession
 from dandelionreel.cell._writer import Written
-from dandelionreel.kernel import Clock, Journal, Part, start_task
+from dandelionreel.kernel import Part, start_task
 
 #: Typical seconds of an append above which the store counts as slow: a job
 #: would spend too much of its time on one more of them.
 SLOW_SECONDS = 0.05
 #: Seconds of failed appends after which new work is refused at once.
 REFUSE_SECONDS = 0.25
-#: Seconds between looks at the list of runners, at gangs and at old jobs.
-ROUND_SECONDS = 0.1
 #: Seconds in which news are gathered for one plan: each one looks at all that
 #: waits. A start is later by half of that in the mean.
 PLAN_PAUSE = 0.004
@@ -56,33 +47,10 @@
 PLAN_REST = 1.5
 #: Seconds in which a released cell's last record must be stored.
 RELEASE_PATIENCE = 1.0
-#: Seconds between looks for jobs that ended long ago: each one goes through all.
-DROP_SECONDS = 5.0
 #: Seconds before a question that failed is put again.
 QUESTION_PAUSE = 0.1
 
 
-@dataclass(frozen=True)
-class DispatcherParts:
-    """What a dispatcher works with; made once, used for every term."""
-
-    topic: Topic
-    follower: Follower
-    jobs: JobFolder
-    runners: RunnersFolder
-    configuration: ConfigurationFolder
-    election: Election
-    links: PeerLinks
-    advisor: LocalAdvisor
-    make_runner: MakeRunner
-    clock: Clock
-    journal: Journal
-    host: str
-    gang_timeout: float
-    longest_lease: float
-    status_kept: float
-
-
 class Dispatcher:
     """Dispatches for one term and ends with it."""
 
@@ -102,18 +70,7 @@
             parts.journal,
         )
         self._orders = Orders(self._desk)
-        self._attendant = Attendant(self._desk)
-        self._succession = Succession(
-            self._desk,
-            parts.jobs.book,
-            parts.links,
-            parts.election,
-            parts.host,
-        )
-        self._predecessors = Predecessors(term, self._desk.lease, parts.clock.monotonic())
-        self._dropped_at = float('-inf')
         self._planner = Planner(self.cell)
-        self._load = LoadReport(self.cell, parts.journal)
         self._pool = AdvicePool(
             parts.host,
             lambda: parts.jobs.book.member_by_host,
@@ -124,6 +81,8 @@
             self._take_advice,
             self._miss_advice,
         )
+        self._load = LoadReport(self.cell, self._pool, parts.journal)
+        self._rounds = Rounds(parts, self._desk, self._load)
 
     @property
     def acting(self) -> bool:
@@ -140,9 +99,9 @@
         self._begin()
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._desk.close_runners)
-            self._stack = stack
-            for work in (self._desk.writer.run, self._beat, self._feed, self._rounds, self._plan):
+            for work in (self._desk.writer.run, self._beat, self._feed, self._plan):
                 await start_task(stack, work)
+            await start_task(stack, self._rounds.run, stack)
             await self._desk.ended.wait()
             if not self._desk.lost:
                 await self._release()
@@ -221,56 +180,18 @@
     def _begin(self) -> None:
         """Take what the store knows; wait for the runners that may hold more."""
         parts = self._parts
-        now = self._clock.monotonic()
-        self.cell.configuration = parts.configuration.current
-        if self._desk.term.silent_since is not None:
-            self._expect_former_runs(now)
+        self._rounds.begin(self._clock.monotonic())
         parts.jobs.book.take_changed()
         for job_id in tuple(parts.jobs.book.submission_by_id):
             self._see_job(job_id)
 
-    def _expect_former_runs(self, now: float) -> None:
-        """Remember the runners on which a former owner's tasks may run.
-
-        Until each of them has listed its tasks, or all leases there must have
-        run out, the jobs that the store names with it are left alone.
-        """
-        parts = self._parts
-        attended = parts.jobs.book.attended
-        for runner in attended.runners if attended else ():
-            registration = parts.runners.find(runner)
-            if registration is None or not parts.runners.replaced(registration):
-                self.cell.unseen.add(runner)
-        self._tell_unseen('leaves the tasks of runners alone that it has not seen yet.', now)
-
-    def _give_up_unseen(self, now: float) -> None:
-        """Take the tasks on unseen runners for gone once their leases must be over."""
-        if not self.cell.unseen:
-            return
-        if self._predecessors.look(self._parts.jobs.book, now):
-            self._tell_unseen('finds that the former owner has ended.', now)
-        if now > self._predecessors.until:
-            self._tell_unseen('takes the leases on unseen runners for run out.', now)
-            self.cell.unseen.clear()
-
-    def _tell_unseen(self, sentence: str, now: float) -> None:
-        self._journal.tell(
-            Part.OWNERSHIP,
-            sentence,
-            epoch=self._desk.term.epoch,
-            runners=sorted(self.cell.unseen),
-            seconds=round(self._predecessors.until - now, 3),
-            former_silent=round(self._predecessors.silent, 3),
-            former_ended=self._predecessors.ended,
-            unsettled=self._desk.term.unsettled,
-        )
-
     async def _beat(self) -> None:
         beat = 0
         stored: frozenset[str] = frozenset()
         while True:
             beat += 1
-            left = self._predecessors.until - self._clock.monotonic() if self.cell.unseen else 0
+            until = self._rounds.predecessors.until
+            left = until - self._clock.monotonic() if self.cell.unseen else 0
             owner = self._desk.term.record(beat, round(max(0.0, left), 2))
             records = [make_record(OWNER_KEY, owner)]
             # Runners that only a former owner has seen are kept for the next one: it
@@ -283,8 +204,9 @@
             if outcome is Written.FENCED:
                 await self._desk.lose('another host has written with a higher epoch')
                 return
-            stored = attended
-            await self._use_runners(stored)
+            if outcome is Written.STORED:
+                stored = attended
+                await self._use_runners(stored)
             await curio.sleep(BEAT_SECONDS)
 
     async def _use_runners(self, stored: frozenset[str]) -> None:
@@ -330,74 +252,6 @@
             )
         self.cell.forget_job(job_id)
 
-    async def _rounds(self) -> None:
-        """Look after everything that no event announces."""
-        while True:
-            if not self._desk.may_act():
-                await self._desk.lose('the store has not answered for too long')
-                return
-            now = self._clock.monotonic()
-            await self._succession.look(now)
-            self.cell.configuration = self._parts.configuration.current
-            await self._see_runners()
-            self._give_up_unseen(now)
-            self._stop_doomed(now)
-            self._load.look(now, self._clock.wall(), self._desk.term.epoch, self._pool.waiting)
-            await self._drop_old_jobs()
-            await self._desk.wake.notify()
-            await curio.sleep(ROUND_SECONDS)
-
-    def _stop_doomed(self, now: float) -> None:
-        """Stop gangs that are not complete, and tasks whose runner is leaving."""
-        for step in self.cell.check_gangs(now, self._clock.wall()):
-            self._journal.tell_frequent(
-                Part.PLACEMENT,
-                'stopped a gang that did not come together.',
-                job=step.name.job,
-                step=step.name.step,
-            )
-        for allocation in self.cell.evacuate(now):
-            self._journal.tell_frequent(
-                Part.PLACEMENT,
-                f'moves a task away from {allocation.runner}, which is leaving.',
-                job=allocation.task.job,
-                run=allocation.run,
-                runner=allocation.runner,
-            )
-
-    async def _see_runners(self) -> None:
-        folder = self._parts.runners
-        now = self._clock.monotonic()
-        fresh = self.cell.see_runners(folder.registration_by_id, now)
-        for runner_id in self.cell.unseen - self.cell.runner_by_id.keys():
-            # Its entry has gone, but it may live and hold tasks.
-            registration = folder.find(runner_id)
-            if registration is not None:
-                fresh.append(self.cell.add_unlisted(registration))
-        for state in fresh:
-            runner = self._desk.add_runner(state)
-            await start_task(self._stack, self._attendant.attend, state, runner)
-        for state in tuple(self.cell.runner_by_id.values()):
-            if state.listed:
-                continue
-            if folder.replaced(state.registration):
-                self._desk.end_runner(state, 'another runner has come up at its address')
-
-    async def _drop_old_jobs(self) -> None:
-        """Drop the keys of jobs that ended long ago."""
-        now = self._clock.monotonic()
-        if now < self._dropped_at + DROP_SECONDS:
-            return
-        self._dropped_at = now
-        oldest = self._clock.wall() - self._parts.status_kept * 2
-        records: list[KeyedRecord] = []
-        for job_id in self._parts.jobs.book.jobs_ended_before(oldest):
-            records.extend(
-                make_tombstone(key + job_id) for key in (SUBMISSION, CANCELLATION, PROGRESS)
-            )
-        if records:
-            await curio.spawn(self._desk.writer.write, records, AUTHORITY_SECONDS, daemon=True)
-
     async def _plan(self) -> None:
         while True:
             seen = self._desk.wake.count
--- a/dandelionreel/cell/_load_report.py
+++ b/dandelionreel/cell/_load_report.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from dandelionreel.cell._advisors import AdvicePool
 from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._planner import Plan
 from dandelionreel.kernel import Journal, Part
@@ -28,9 +29,10 @@
 class LoadReport:
     """Adds up plans, and tells of them with the state of the cell."""
 
-    def __init__(self, cell: Cell, journal: Journal) -> None:
-        """Look at that cell."""
+    def __init__(self, cell: Cell, pool: AdvicePool, journal: Journal) -> None:
+        """Look at that cell, and at its questions in ``pool``."""
         self._cell = cell
+        self._pool = pool
         self._journal = journal
         self._tally = _Tally()
         self._told_at = float('-inf')
@@ -45,12 +47,13 @@
         tally.stopped += len(made.preempted)
         tally.questions += len(made.questions)
 
-    def look(self, now: float, wall: float, epoch: int, advice_waiting: int) -> None:
+    def look(self, now: float, wall: float, epoch: int) -> None:
         """Tell one line a second, as long as something waits."""
         if now < self._told_at + REPORT_SECONDS:
             return
         self._told_at = now
-        tally, self._tally = self._tally, _Tally()
+        tally = self._tally
+        self._tally = _Tally()
         waiting = self._count_waiting(wall)
         if not waiting:
             return
@@ -68,7 +71,7 @@
             unseen=len(self._cell.unseen),
             cores_free=sum(runner.room.cpu for runner in usable) // MILLI,
             cores=sum(runner.registration.capacity.cpu for runner in usable) // MILLI,
-            advice_waiting=advice_waiting,
+            advice_waiting=self._pool.waiting,
             plans=tally.plans,
             plan_ms=round(MILLI * tally.plan_seconds / max(1, tally.plans), 1),
             longest_plan_ms=round(MILLI * tally.longest_plan, 1),
--- /dev/null
+++ b/dandelionreel/cell/_parts.py
@@ -0,0 +1,32 @@
+"""What an owner works with in every term."""
+
+from dataclasses import dataclass
+
+from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
+from dandelionreel.cell._desk import MakeRunner
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._election import Election
+from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._services import Topic
+from dandelionreel.kernel import Clock, Journal
+
+
+@dataclass(frozen=True)
+class DispatcherParts:
+    """What a dispatcher works with; made once, used for every term."""
+
+    topic: Topic
+    follower: Follower
+    jobs: JobFolder
+    runners: RunnersFolder
+    configuration: ConfigurationFolder
+    election: Election
+    links: PeerLinks
+    advisor: LocalAdvisor
+    make_runner: MakeRunner
+    clock: Clock
+    journal: Journal
+    host: str
+    gang_timeout: float
+    longest_lease: float
+    status_kept: float
--- /dev/null
+++ b/dandelionreel/cell/_rounds.py
@@ -0,0 +1,156 @@
+"""What an owner looks after that no event announces, ten times a second."""
+
+from contextlib import AsyncExitStack
+
+import curio
+
+from dandelionreel.cell._attendant import Attendant
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._election import AUTHORITY_SECONDS
+from dandelionreel.cell._load_report import LoadReport
+from dandelionreel.cell._parts import DispatcherParts
+from dandelionreel.cell._predecessors import Predecessors
+from dandelionreel.cell._records import CANCELLATION, PROGRESS, SUBMISSION, make_tombstone
+from dandelionreel.cell._services import KeyedRecord
+from dandelionreel.cell._succession import Succession
+from dandelionreel.kernel import Part, start_task
+
+#: Seconds between looks at the list of runners, at gangs and at old jobs.
+ROUND_SECONDS = 0.1
+#: Seconds between looks for jobs that ended long ago: each one goes through all.
+DROP_SECONDS = 5.0
+
+
+class Rounds:
+    """Goes round runners, gangs, former owners' tasks and old jobs during one term."""
+
+    def __init__(self, parts: DispatcherParts, desk: Desk, load: LoadReport) -> None:
+        """Look after the cell of ``desk``."""
+        self._parts = parts
+        self._desk = desk
+        self._cell = desk.cell
+        self._load = load
+        self._clock = parts.clock
+        self._journal = parts.journal
+        self._attendant = Attendant(desk)
+        self._succession = Succession(
+            desk,
+            parts.jobs.book,
+            parts.links,
+            parts.election,
+            parts.host,
+        )
+        self.predecessors = Predecessors(desk.term, desk.lease, parts.clock.monotonic())
+        self._dropped_at = float('-inf')
+
+    def begin(self, now: float) -> None:
+        """Take what is known of former owners."""
+        self._cell.configuration = self._parts.configuration.current
+        if self._desk.term.silent_since is not None:
+            self._expect_former_runs(now)
+
+    async def run(self, stack: AsyncExitStack) -> None:
+        """Go round until the term is lost; tasks for new runners end with ``stack``."""
+        while True:
+            if not self._desk.may_act():
+                await self._desk.lose('the store has not answered for too long')
+                return
+            await self._go_round(stack, self._clock.monotonic())
+            await self._desk.wake.notify()
+            await curio.sleep(ROUND_SECONDS)
+
+    async def _go_round(self, stack: AsyncExitStack, now: float) -> None:
+        await self._succession.look(now)
+        self._cell.configuration = self._parts.configuration.current
+        await self._see_runners(stack)
+        self._give_up_unseen(now)
+        self._stop_doomed(now)
+        self._load.look(now, self._clock.wall(), self._desk.term.epoch)
+        await self._drop_old_jobs()
+
+    def _expect_former_runs(self, now: float) -> None:
+        """Remember the runners on which a former owner's tasks may run.
+
+        Until each of them has listed its tasks, or all leases there must have
+        run out, the jobs that the store names with it are left alone.
+        """
+        parts = self._parts
+        attended = parts.jobs.book.attended
+        for runner in attended.runners if attended else ():
+            registration = parts.runners.find(runner)
+            if registration is None or not parts.runners.replaced(registration):
+                self._cell.unseen.add(runner)
+        self._tell_unseen('leaves the tasks of runners alone that it has not seen yet.', now)
+
+    def _give_up_unseen(self, now: float) -> None:
+        """Take the tasks on unseen runners for gone once their leases must be over."""
+        if not self._cell.unseen:
+            return
+        if self.predecessors.look(self._parts.jobs.book, now):
+            self._tell_unseen('finds that the former owner has ended.', now)
+        if now > self.predecessors.until:
+            self._tell_unseen('takes the leases on unseen runners for run out.', now)
+            self._cell.unseen.clear()
+
+    def _tell_unseen(self, sentence: str, now: float) -> None:
+        self._journal.tell(
+            Part.OWNERSHIP,
+            sentence,
+            epoch=self._desk.term.epoch,
+            runners=sorted(self._cell.unseen),
+            seconds=round(self.predecessors.until - now, 3),
+            former_silent=round(self.predecessors.silent, 3),
+            former_ended=self.predecessors.ended,
+            unsettled=self._desk.term.unsettled,
+        )
+
+    def _stop_doomed(self, now: float) -> None:
+        """Stop gangs that are not complete, and tasks whose runner is leaving."""
+        for step in self._cell.check_gangs(now, self._clock.wall()):
+            self._journal.tell_frequent(
+                Part.PLACEMENT,
+                'stopped a gang that did not come together.',
+                job=step.name.job,
+                step=step.name.step,
+            )
+        for allocation in self._cell.evacuate(now):
+            self._journal.tell_frequent(
+                Part.PLACEMENT,
+                f'moves a task away from {allocation.runner}, which is leaving.',
+                job=allocation.task.job,
+                run=allocation.run,
+                runner=allocation.runner,
+            )
+
+    async def _see_runners(self, stack: AsyncExitStack) -> None:
+        folder = self._parts.runners
+        now = self._clock.monotonic()
+        fresh = self._cell.see_runners(folder.registration_by_id, now)
+        for runner_id in self._cell.unseen - self._cell.runner_by_id.keys():
+            # Its entry has gone, but it may live and hold tasks.
+            registration = folder.find(runner_id)
+            if registration is not None:
+                fresh.append(self._cell.add_unlisted(registration))
+        for state in fresh:
+            runner = self._desk.add_runner(state)
+            await start_task(stack, self._attendant.attend, state, runner)
+        for state in tuple(self._cell.runner_by_id.values()):
+            if state.listed:
+                continue
+            if folder.replaced(state.registration):
+                self._desk.end_runner(state, 'another runner has come up at its address')
+
+    async def _drop_old_jobs(self) -> None:
+        """Drop the keys of jobs that ended long ago."""
+        now = self._clock.monotonic()
+        if now < self._dropped_at + DROP_SECONDS:
+            return
+        self._dropped_at = now
+        oldest = self._clock.wall() - self._parts.status_kept * 2
+        records: list[KeyedRecord] = []
+        for job_id in self._parts.jobs.book.jobs_ended_before(oldest):
+            records.extend(
+                make_tombstone(key + job_id) for key in (SUBMISSION, CANCELLATION, PROGRESS)
+            )
+        if records:
+            await curio.spawn(self._desk.writer.write, records, AUTHORITY_SECONDS, daemon=True)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -11,11 +11,12 @@
 from dandelionreel.cell import Registration, Runner
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election, name_incarnation
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._front import ClientFront
 from dandelionreel.cell._owner_watch import OwnerWatch
+from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._records import MEMBER, Member, make_record
 from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._writer import GroupWriter, Written
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -9,8 +9,9 @@
 )
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Term
+from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
@@ -252,4 +253,4 @@
 
 @then('it leaves jobs on unseen runners alone for {wait:g} s')
 def leaves_alone(context, wait):
-    assert abs(context.dispatcher._predecessors.until - 1000 - wait) < 0.01
+    assert abs(context.dispatcher._rounds.predecessors.until - 1000 - wait) < 0.01
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -6,9 +6,10 @@
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._desk import LEASE_SECONDS, Desk
 from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._orders import Orders
+from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
@@ -76,7 +77,7 @@
 def waits_for_all(context):
     # The owner's last append was answered before the host read the store at all.
     last_lease = context.began + AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
-    assert context.dispatcher._predecessors.until >= last_lease
+    assert context.dispatcher._rounds.predecessors.until >= last_lease
 
 
 @given('a successor that waits for the runner w9, whose entry it has never seen')
