A release tells what is still unsettled, and is the owner's last word

Cause: Dispatcher._release wrote no unsettled seconds, so an owner that was rolled while it waited for a cut-off predecessor let the next one wait for a single lease; and heartbeats went on while the release was on its way. Change: heartbeats and release take the seconds from one place; beats end with the term.

--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -174,7 +174,7 @@
         """
         await self._desk.flush()
         self._desk.lost = 'released'
-        owner = self._desk.term.record(released=True)
+        owner = self._desk.term.record(unsettled=self._unsettled(), released=True)
         await self._desk.writer.write([make_record(OWNER_KEY, owner)], RELEASE_PATIENCE)
 
     def _begin(self) -> None:
@@ -185,14 +185,24 @@
         for job_id in tuple(parts.jobs.book.submission_by_id):
             self._see_job(job_id)
 
+    def _unsettled(self) -> float:
+        """Return for how many seconds more earlier owners may renew leases unseen.
+
+        Each word of this owner says so, the last one too: its successor would else
+        wait for one lease of this owner while an earlier one renews on.
+        """
+        if not self.cell.unseen:
+            return 0.0
+        left = self._rounds.predecessors.until - self._clock.monotonic()
+        return round(max(0.0, left), 2)
+
     async def _beat(self) -> None:
+        """Store heartbeats until the term ends; one behind the release would undo it."""
         beat = 0
         stored: frozenset[str] = frozenset()
-        while True:
+        while not self._desk.lost:
             beat += 1
-            until = self._rounds.predecessors.until
-            left = until - self._clock.monotonic() if self.cell.unseen else 0
-            owner = self._desk.term.record(beat, round(max(0.0, left), 2))
+            owner = self._desk.term.record(beat, self._unsettled())
             records = [make_record(OWNER_KEY, owner)]
             # Runners that only a former owner has seen are kept for the next one: it
             # has to wait for them too, should this owner be killed meanwhile.
