--- /dev/null
+++ b/features/steps/claim_steps.py
@@ -0,0 +1,47 @@
+"""Steps on from when a new owner counts its right to act."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import WriterFence
+from dandelionreel.cell._desk import LEASE_SECONDS
+from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell._predecessors import Predecessors
+from features.steps.release_steps import SlowTopic
+from features.steps.succession_steps import DRIFT, make_dispatcher
+from features.store_parts import LONG, Host, until
+
+
+@given('a store that answers a claim {seconds:g} s after it has carried it out')
+def slow_claims(context, seconds):
+    context.topic = SlowTopic()
+    context.topic.delay = seconds
+
+
+@when('a host claims the cell there and is cut off at once')
+def claims_and_is_cut_off(context):
+    async def play():
+        other = Host('other', context.topic)
+        await curio.spawn(other.follower.run, daemon=True)
+        me = Host('me', context.topic)
+        await curio.spawn(me.follower.run, daemon=True)
+        await until(lambda: other.follower.started)
+        term = await me.claim(LONG)
+        return other, me, make_dispatcher(me, term, context.topic, me.clock)
+
+    other, me, dispatcher = curio.run(play)
+    assert other.folder.book.owner.term == 'me/1'
+    # Nothing it sends is answered any more.
+    context.last_lease = (
+        dispatcher._desk.writer.stored_at + AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
+    )
+    now = me.clock.monotonic() + 1.5
+    heard = other.folder.owner_heard_at
+    term = Term(2, 'other/1', WriterFence(2, 1), heard, False, False)
+    context.given_up = Predecessors(term, LEASE_SECONDS, now).until
+
+
+@then('its last leases are over when a successor gives them up')
+def over_when_given_up(context):
+    early = context.last_lease - context.given_up
+    assert early <= 0, f'given up {early:.3f} s too early'
