Starts in doubt, lives at one address and late claims are taken for what they may be

Cause: (1) Orders forgot that an earlier try of a start was unanswered once a later one was refused, and the task started elsewhere; (2) RunnersFolder.replaced looked at addresses only, so the entry of a runner's former life stood for a newer one; (3) a desk counted its authority from its making, up to 1.8 s after the claim that all others count from. Change: a refused start in doubt counts until a stop has forbidden it; of two entries at one address the one written last is the runner that lives; a term carries the time at which its claim was sent.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -221,8 +221,20 @@
         runner = self.runner_by_id.get(allocation.runner)
         return runner is not None and not runner.draining
 
-    def start_answered(self, allocation: Allocation, reply: StartReply, now: float) -> None:
-        """Take a runner's answer to a start."""
+    def start_answered(
+        self,
+        allocation: Allocation,
+        reply: StartReply,
+        now: float,
+        *,
+        in_doubt: bool = False,
+    ) -> None:
+        """Take a runner's answer to a start; ``in_doubt`` after a try without an answer.
+
+        A refusal speaks of its own try only. An earlier one may be carried out
+        seconds later, so the run counts until a stop has forbidden it: the task
+        would else start elsewhere and run twice at once.
+        """
         if reply in {StartReply.STARTED, StartReply.OUTDATED}:
             self._start_settled(allocation, now)
             return
@@ -238,6 +250,9 @@
                 self.tickets.revoke(step.name, allocation.runner)
             if reply is StartReply.INVALID:
                 step.not_before = now + UNHEALTHY_QUIET
+        if in_doubt:
+            self.stop(allocation)
+            return
         self.withdraw(allocation)
 
     def withdraw(self, allocation: Allocation) -> None:
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -46,7 +46,8 @@
         self.journal = journal
         self.lease = min(LEASE_SECONDS, longest_lease)
         self.writer = GroupWriter(topic, clock, journal, term.fence)
-        self.writer.stored_at = clock.monotonic()
+        claimed_at = term.claimed_at
+        self.writer.stored_at = clock.monotonic() if claimed_at is None else claimed_at
         #: Notified whenever something may be started or has to be stopped.
         self.wake = Signal()
         self.ended = curio.Event()
--- a/dandelionreel/cell/_directory.py
+++ b/dandelionreel/cell/_directory.py
@@ -64,6 +64,8 @@
         self.registration_by_id: dict[str, Registration] = {}
         #: Runners whose entry has gone: their last registration and when.
         self.gone_by_id: dict[str, tuple[Registration, float]] = {}
+        #: Where the newest entry of a runner stands in the log.
+        self._offset_by_id: dict[str, int] = {}
 
     def restart(self, snapshot: RecordBatch) -> None:
         """Take the newest entries; those that are not among them are gone."""
@@ -89,11 +91,19 @@
         return registration
 
     def replaced(self, registration: Registration) -> bool:
-        """Return whether another runner has come up at the same address."""
+        """Return whether another runner has come up at the same address since.
+
+        Two runners share an address only as one life after the other, so the one
+        that has written last is the one that lives. The entry of a former life may
+        be listed for some heartbeats more; taken for a new one, it would let the
+        tasks of the living runner start elsewhere at once.
+        """
+        written = self._offset_by_id.get(registration.runner, 0)
         return any(
             other.address == registration.address
             and other.port == registration.port
             and other.runner != registration.runner
+            and self._offset_by_id.get(other.runner, 0) > written
             for other in self.registration_by_id.values()
         )
 
@@ -112,6 +122,7 @@
                 service=registration.service,
             )
         self.registration_by_id[record.key] = registration
+        self._offset_by_id[record.key] = max(record.offset, self._offset_by_id.get(record.key, 0))
         self.gone_by_id.pop(record.key, None)
 
     def _remove(self, runner: str) -> None:
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -100,6 +100,10 @@
     former: Owner | None = None
     #: The offset at which this life of the host first read the topic.
     read_from: int = 0
+    #: When the claim that won was sent, in monotonic seconds; ``None`` for just now.
+    #: All others count its authority from then on: counted from when the answer has
+    #: come, up to 1.8 s later, it would renew leases that a successor gives up.
+    claimed_at: float | None = None
 
     def record(self, beat: int = 0, unsettled: float = 0, *, released: bool = False) -> Owner:
         """Return what the store is told about this term."""
@@ -254,6 +258,7 @@
                 former is not None and former.host == self._host
             )
             fence = self._next_fence(former)
+            claimed_at = self._clock.monotonic()
             try:
                 may_stand = await self._append_claim(fence)
             except ConflictError:
@@ -275,6 +280,7 @@
                 former.unsettled if former else 0,
                 former,
                 self._follower.read_from,
+                claimed_at,
             )
         self._journal.tell(Part.OWNERSHIP, 'each claim found newer records.', tries=CLAIM_TRIES)
         return None
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -143,7 +143,7 @@
                     return maybe_sent
                 await curio.sleep(RETRY_SECONDS)
                 continue
-            await self._take_answer(state, allocation, answer.reply)
+            await self._take_answer(state, allocation, answer.reply, in_doubt=maybe_sent)
             return None
         return maybe_sent
 
@@ -174,6 +174,8 @@
         state: RunnerState,
         allocation: Allocation,
         reply: StartReply,
+        *,
+        in_doubt: bool,
     ) -> None:
         if reply is StartReply.FENCED:
             await self._desk.lose(f'{state.id} has seen a higher epoch')
@@ -181,7 +183,8 @@
         if reply is StartReply.REPLACED:
             self._desk.end_runner(state, 'another runner answers there')
         else:
-            self._desk.cell.start_answered(allocation, reply, self._desk.clock.monotonic())
+            now = self._desk.clock.monotonic()
+            self._desk.cell.start_answered(allocation, reply, now, in_doubt=in_doubt)
         if reply is not StartReply.STARTED:
             self._desk.journal.tell(
                 Part.PLACEMENT,
