--- /dev/null
+++ b/features/steps/given_up_steps.py
@@ -0,0 +1,120 @@
+"""Steps on records that were given up."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import StoreError, WriterFence
+from dandelionreel.cell._attendant import Attendant
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._election import Term
+from dandelionreel.cell._records import JobBook, make_record
+from dandelionreel.kernel import ManualClock, Verdict
+from features.cell_parts import SmallCell, make_registration, step
+from features.steps.succession_steps import make_dispatcher
+from features.store_parts import Host, journal, until
+from standins import MemoryTopic
+
+#: Seconds that each append takes, and whether it is refused after them; then all succeed.
+OUTAGE = ((3.0, True), (0.0, False), (6.5, True))
+
+
+class OutageTopic(MemoryTopic):
+    """Refuses appends as told, each after some seconds of a manual clock."""
+
+    def __init__(self, clock, outage):
+        super().__init__()
+        self.clock = clock
+        self.outage = list(outage)
+        self.under_way = 0
+
+    async def append(self, records, timeout, fence=None, expected_end=None):
+        """Refuse or append."""
+        self.under_way += 1
+        await curio.sleep(0.05)
+        seconds, refused = self.outage.pop(0) if self.outage else (0.0, False)
+        self.clock.advance(seconds)
+        if refused:
+            raise StoreError('down', Verdict.NOT_RUN)
+        return await super().append(records, timeout, fence, expected_end)
+
+
+@given("an owner whose record of a task's end is about to be given up")
+def end_given_up(context):
+    context.small = SmallCell(('w1',))
+    context.small.add_job('j1', [step(count=2)])
+    first, _ = context.small.plan().starts
+    clock = ManualClock(context.small.now)
+    context.topic = OutageTopic(clock, OUTAGE)
+    context.desk = Desk(
+        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
+        context.small.cell,
+        context.topic,
+        make_registration,
+        10.0,
+        clock,
+        journal(),
+    )
+    context.first = first
+    context.state = context.small.cell.runner_by_id['w1']
+
+
+@when('another look at the runner waits for that record')
+def look_waits(context):
+    async def play():
+        desk, topic = context.desk, context.topic
+        await curio.spawn(desk.writer.run, daemon=True)
+        await curio.spawn(desk.writer.write, [make_record('x', 1)], 9.0, daemon=True)
+        await until(lambda: topic.under_way == 1)
+        first = context.first
+        context.small.look('w1', ended=[(1, first.task, first.run, 'done')])
+        attendant = Attendant(desk)
+        await curio.spawn(attendant._acknowledge, context.state, 1, daemon=True)
+        await until(lambda: topic.under_way == 3)
+        topic.outage.extend([(0.0, True)] * 1000)
+        await curio.spawn(attendant._acknowledge, context.state, 1, daemon=True)
+        await curio.sleep(0.4)
+        return (await topic.snapshot()).records
+
+    context.stored = [record.key for record in curio.run(play)]
+
+
+@then('the end is not acknowledged, as the store does not have it')
+def not_acknowledged(context):
+    assert context.desk.may_act()
+    assert 'e/j1' not in context.stored, context.stored
+    assert context.state.acknowledged == 0, 'acknowledged, and stored nowhere'
+
+
+@given('an owner whose heartbeat with a new runner is about to be given up')
+def beat_given_up(context):
+    context.clock = ManualClock()
+    context.topic = OutageTopic(context.clock, OUTAGE)
+    host = Host('me', context.topic, context.clock)
+    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
+    context.dispatcher = make_dispatcher(host, term, context.topic, context.clock)
+    context.dispatcher._begin()
+
+
+@when('the store takes heartbeats again')
+def takes_again(context):
+    async def play():
+        dispatcher, topic = context.dispatcher, context.topic
+        writer = dispatcher._desk.writer
+        await curio.spawn(writer.run, daemon=True)
+        await curio.spawn(writer.write, [make_record('x', 1)], 9.0, daemon=True)
+        await until(lambda: topic.under_way == 1)
+        dispatcher.cell.see_runners({'w1': make_registration('w1')}, context.clock.monotonic())
+        await curio.spawn(dispatcher._beat, daemon=True)
+        await until(lambda: topic.under_way == 6)
+        return await topic.snapshot()
+
+    context.book = JobBook()
+    context.book.fold(curio.run(play).records)
+
+
+@then('tasks are placed on the new runner only if the store names it')
+def named_or_unused(context):
+    assert context.dispatcher._desk.may_act()
+    named = context.book.attended.runners if context.book.attended else ()
+    state = context.dispatcher.cell.runner_by_id['w1']
+    assert 'w1' in named or not state.recorded, f'the store names {named}'
--- /dev/null
+++ b/features/steps/repeat_steps.py
@@ -0,0 +1,65 @@
+"""Steps on a job that is handed in again while a snapshot is read again."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import WriterFence
+from dandelionreel.cell._election import Term
+from dandelionreel.cell._model import JobSpec, JobState
+from dandelionreel.cell._records import (
+    PROGRESS,
+    SUBMISSION,
+    Progress,
+    Submission,
+    make_progress_records,
+    make_record,
+)
+from dandelionreel.cell._services import RecordBatch
+from dandelionreel.cell._writer import Written
+from features.cell_parts import step
+from features.steps.succession_steps import make_dispatcher
+from features.store_parts import Host
+from standins import MemoryTopic
+
+JOB = Submission('urgent', 'desk', 0.0, JobSpec('payload', (step(),)))
+
+
+@given('an owner that has forgotten a job which ended while it read a snapshot')
+def forgotten(context):
+    context.topic = MemoryTopic()
+    context.host = Host('me', context.topic)
+    book = context.host.folder.book
+    running = make_record(f'{PROGRESS}j1', Progress(1, JobState.RUNNING, runners=('w1',)))
+    book.fold([make_record(f'{SUBMISSION}j1', JOB), running])
+    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
+    context.dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
+    context.dispatcher._begin()
+    cell = context.dispatcher.cell
+    job = cell.job_by_id['j1']
+    job.note_done(job.steps(0)[0].tasks[0].name)
+    assert job.state is JobState.COMPLETED
+    # The page with progress was read before the end, the one with submissions after it.
+    context.host.folder.restart(RecordBatch((running,), 1, 1))
+    for job_id in book.take_changed():
+        context.dispatcher._see_job(job_id)
+
+
+@when('the job is handed in again, and then the owner reads its end')
+def handed_in_again(context):
+    async def play():
+        dispatcher = context.dispatcher
+        await curio.spawn(dispatcher._desk.writer.run, daemon=True)
+        return await dispatcher.accept('j1', JOB, 1.0)
+
+    assert curio.run(play) is Written.STORED
+    book = context.host.folder.book
+    book.fold(make_progress_records('j1', Progress(1, JobState.COMPLETED, ended_at=1.0)))
+    book.fold(context.topic.records)
+    for job_id in book.take_changed():
+        context.dispatcher._see_job(job_id)
+
+
+@then('nothing of the job is started again')
+def nothing_again(context):
+    job = context.dispatcher.cell.job_by_id.get('j1')
+    assert job is None or job.over, f'{job.id} is {job.state.value} here and over in the store'
--- /dev/null
+++ b/features/steps/snapshot_steps.py
@@ -0,0 +1,79 @@
+"""Steps on snapshots that are read again."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell._model import JobSpec, JobState
+from dandelionreel.cell._records import (
+    PROGRESS,
+    SUBMISSION,
+    Progress,
+    Submission,
+    make_progress_records,
+    make_record,
+)
+from dandelionreel.cell._services import RecordBatch, RecordsExpired, StoreError
+from dandelionreel.kernel import Verdict
+from features.cell_parts import step
+from features.store_parts import Host, until
+from standins import MemoryTopic
+
+
+class ForgetfulTopic(MemoryTopic):
+    """Forgets its history once, and reads keys in two pages, between which a job ends."""
+
+    forgets = False
+    paged = False
+
+    async def read(self, offset, wait):
+        """Refuse what is forgotten; stay silent after the snapshot."""
+        if self.paged:
+            await curio.sleep(wait)
+            raise StoreError('slow', Verdict.NOT_RUN)
+        if self.forgets:
+            raise RecordsExpired('forgotten')
+        return await super().read(offset, wait)
+
+    async def snapshot(self):
+        """Read ends before and submissions after the job's end."""
+        first = await super().snapshot()
+        if not self.forgets:
+            return first
+        end = Progress(1, JobState.COMPLETED, ended_at=1.0)
+        await self.append(make_progress_records('j1', end), 0.1)
+        second = await super().snapshot()
+        self.paged = True
+        ends = [record for record in first.records if record.key.startswith(PROGRESS)]
+        others = [record for record in second.records if not record.key.startswith(PROGRESS)]
+        return RecordBatch((*ends, *others), first.next_offset, first.next_offset)
+
+
+@given('a host that has read all that stands in the store')
+def has_read(context):
+    context.topic = ForgetfulTopic()
+    context.host = Host('me', context.topic)
+    submission = Submission('urgent', 'desk', 0.0, JobSpec('payload', (step(),)))
+    record = make_record(f'{SUBMISSION}j1', submission)
+    curio.run(context.topic.append, [record], 0.1)
+
+
+@when('the store forgets its history and a job ends while the host reads a snapshot')
+def forgets(context):
+    async def play():
+        host = context.host
+        await curio.spawn(host.follower.run, daemon=True)
+        assert await host.follower.wait_fresh(host.clock.monotonic(), 5.0)
+        assert host.folder.book.find('j1') is not None
+        context.began = host.follower.fresh_at
+        context.topic.forgets = True
+        await until(lambda: context.topic.paged)
+        await curio.sleep(0.01)
+
+    curio.run(play)
+
+
+@then('what it has read does not count as complete before it has read what followed')
+def not_complete(context):
+    known = context.host.folder.book.find('j1')
+    fresh = context.host.follower.fresh_at >= context.began
+    assert known is not None or not fresh, 'counts as read, and the job is not known'
--- /dev/null
+++ b/features/steps/wait_steps.py
@@ -0,0 +1,104 @@
+"""Steps on the wait for former owners' leases, as it takes effect."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import WriterFence
+from dandelionreel.cell._desk import LEASE_SECONDS
+from dandelionreel.cell._directory import JobFolder
+from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell._model import JobSpec, JobState
+from dandelionreel.cell._predecessors import Predecessors
+from dandelionreel.cell._records import (
+    ATTENDED_KEY,
+    OWNER_KEY,
+    PROGRESS,
+    SUBMISSION,
+    Attended,
+    JobBook,
+    Owner,
+    Progress,
+    Submission,
+    make_record,
+)
+from dandelionreel.cell._services import RecordBatch
+from dandelionreel.kernel import ManualClock
+from features.cell_parts import step
+from features.steps.succession_steps import DRIFT, make_dispatcher
+from features.store_parts import LONG, Host, journal
+from standins import MemoryTopic
+
+ALL_LEASES = AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
+
+
+@given('a store with an owner of which a new host has only read, and its job on w9')
+def owner_with_job(context):
+    context.topic = MemoryTopic()
+    submission = Submission('urgent', 'desk', 0.0, JobSpec('payload', (step(),)))
+    records = [
+        make_record(OWNER_KEY, Owner(4, 'other', 'other/1')),
+        make_record(f'{SUBMISSION}j1', submission),
+        make_record(f'{PROGRESS}j1', Progress(4, JobState.RUNNING, runners=('w9',))),
+        make_record(ATTENDED_KEY, Attended(4, ('w9',))),
+    ]
+    curio.run(context.topic.append, records, 0.1, WriterFence(4, 3))
+    context.host = Host('me', context.topic)
+    context.began = context.host.clock.monotonic()
+
+
+@when('that host owns the cell')
+def owns(context):
+    async def claim():
+        await curio.spawn(context.host.follower.run, daemon=True)
+        return await context.host.claim(LONG)
+
+    term = curio.run(claim)
+    context.dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
+    context.dispatcher._begin()
+
+
+@then('the job is left alone for all 14.1 s, and not for longer')
+def left_alone_for_all(context):
+    cell = context.dispatcher.cell
+    job = cell.job_by_id['j1']
+    context.dispatcher._rounds._give_up_unseen(context.began + ALL_LEASES)
+    assert cell.is_blocked(job)
+    context.dispatcher._rounds._give_up_unseen(context.began + ALL_LEASES + LEASE_SECONDS)
+    assert not cell.is_blocked(job)
+
+
+@given('a wait for an owner that was heard of just now')
+def wait_for_owner(context):
+    former = Owner(1, 'other', 'other/1')
+    term = Term(2, 'me/1', WriterFence(2, 1), 1000.0, False, False, former=former)
+    context.wait = Predecessors(term, LEASE_SECONDS, 1000.0)
+    context.until = context.wait.until
+
+
+@when('its successor looks for a proof that it has ended and finds none')
+def no_proof(context):
+    assert not context.wait.look(JobBook(), 1001.0)
+
+
+@then('the wait is as long as before')
+def as_long(context):
+    assert context.wait.until == context.until >= 1000.0 + ALL_LEASES
+
+
+@given('a host that has known the owner for long')
+def known_owner(context):
+    context.clock = ManualClock()
+    context.folder = JobFolder(context.clock, journal())
+    context.folder.restart(RecordBatch((make_record(OWNER_KEY, Owner(1, 'o', 'o/1')),), 1, 1))
+
+
+@when('it reads a snapshot with a later heartbeat of that owner')
+def later_snapshot(context):
+    context.clock.advance(20)
+    record = make_record(OWNER_KEY, Owner(1, 'o', 'o/1', 9))
+    context.folder.restart(RecordBatch((record,), 9, 9))
+
+
+@then('the owner counts as heard of just now')
+def heard_now(context):
+    assert context.folder.owner_heard_at == context.clock.monotonic()
