--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -98,6 +98,17 @@
     #: Seconds for which, at its last heartbeat, owners before it might still act.
     unsettled: float = 0
     former: Owner | None = None
+    #: The offset at which this life of the host first read the topic.
+    read_from: int = 0
+    #: When the claim that won was sent, in monotonic seconds; ``None`` for just now.
+    #: All others count its authority from then on: counted from when the answer has
+    #: come, up to 1.8 s later, it would renew leases that a successor gives up.
+    claimed_at: float | None = None
+
+    def record(self, beat: int = 0, unsettled: float = 0, *, released: bool = False) -> Owner:
+        """Return what the store is told about this term."""
+        host = self.term.partition('/')[0]
+        return Owner(self.epoch, host, self.term, beat, released, unsettled, self.read_from)
 
 
 class Election:
@@ -247,6 +258,7 @@
                 former is not None and former.host == self._host
             )
             fence = self._next_fence(former)
+            claimed_at = self._clock.monotonic()
             try:
                 may_stand = await self._append_claim(fence)
             except ConflictError:
@@ -267,6 +279,8 @@
                 former_ended,
                 former.unsettled if former else 0,
                 former,
+                self._follower.read_from,
+                claimed_at,
             )
         self._journal.tell(Part.OWNERSHIP, 'each claim found newer records.', tries=CLAIM_TRIES)
         return None
@@ -287,7 +301,13 @@
         Raises ``ConflictError`` when something else stands there.
         """
         # Until the first heartbeat tells better, the former owner may act on.
-        owner = Owner(fence.epoch, self._host, self.incarnation, unsettled=UNSETTLED_SECONDS)
+        owner = Owner(
+            fence.epoch,
+            self._host,
+            self.incarnation,
+            unsettled=UNSETTLED_SECONDS,
+            read_from=self._follower.read_from,
+        )
         claim = make_record(OWNER_KEY, owner)
         try:
             await self._topic.append([claim], CLAIM_TIMEOUT, fence, self._follower.offset)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -11,11 +11,12 @@
 from dandelionreel.cell import Registration, Runner
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election, name_incarnation
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._front import ClientFront
 from dandelionreel.cell._owner_watch import OwnerWatch
+from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._records import MEMBER, Member, make_record
 from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._writer import GroupWriter, Written
@@ -259,12 +260,15 @@
     async def _join(self) -> None:
         """Tell the other hosts where this one listens for peers."""
         settings = self._settings
+        while not self._cell_follower.started:
+            await curio.sleep(POLL_SECONDS)
         member = Member(
             settings.zone,
             settings.peers.host,
             settings.peers.port,
             self._election.incarnation,
             settings.cores,
+            self._cell_follower.read_from,
         )
         record = make_record(MEMBER + settings.host, member)
         while await self._writer.write([record], MEMBER_PATIENCE) is not Written.STORED:
--- a/features/cancelling_parts.py
+++ b/features/cancelling_parts.py
@@ -17,8 +17,9 @@
     WriterFence,
 )
 from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
+from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Term
+from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.kernel import Verdict
 from features.cell_parts import make_registration
 from features.store_parts import Host, journal
