A start that is withdrawn before it is sent says nothing of its runner

Cause: a start whose job was cancelled, or whose owner may not start just then, was taken to the runner's connection and refused there. That read as a runner that does not answer: it got nothing more until its next look was answered, up to 1.5 s later, nor for 0.3 s, and the connection was closed. Change: whether a start is still wanted is asked before each try; only a runner that gave no answer is left alone. Conclusion: the new row passes.

--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -112,7 +112,8 @@
             # The start may still arrive: it counts until a stop has forbidden it.
             self._desk.cell.stop(allocation)
         else:
-            state.quiet_until = self._desk.clock.monotonic() + UNREACHED_QUIET
+            if state.suspect:
+                state.quiet_until = self._desk.clock.monotonic() + UNREACHED_QUIET
             self._desk.cell.withdraw(allocation)
         await self._desk.wake.notify()
 
@@ -130,6 +131,9 @@
             return self._desk.may_start() and self._desk.cell.may_start(allocation)
 
         for _ in range(START_TRIES):
+            if not check():
+                # Withdrawn, not unanswered: that says nothing of the runner.
+                return maybe_sent
             try:
                 answer = await runner.start(self._order(state, allocation, payload), check)
             except RunnerError as error:
--- a/features/cancelling.feature
+++ b/features/cancelling.feature
@@ -55,6 +55,13 @@
       | too-late  |
       | invalid   |
 
+  # A job was cancelled while the store took its runner down. Its start was withdrawn, and
+  # for a look, 1.5 s, the runner got nothing more: it counted as one that does not answer.
+  Scenario: A start that is withdrawn says nothing of its runner
+    Given an owner with a runner that answers
+    When a job is cancelled before its start is sent
+    Then nothing was sent, and the next job starts there at once
+
   # A job was over in the store while its tasks ran here. The owner forgot it; its tasks
   # were listed as before, and nobody stopped them.
   Scenario: A job that is over in the store while its task runs
--- a/features/cancelling_parts.py
+++ b/features/cancelling_parts.py
@@ -50,6 +50,8 @@
 
     async def start(self, order, check):
         """Answer a start as told, and run it only where that is the answer."""
+        if not check():
+            raise RunnerError('no authority any more', Verdict.NOT_RUN)
         self._reach(order.epoch)
         reply = self.replies.popleft() if self.replies else StartReply.STARTED
         if reply is None:
--- a/features/steps/cancelling_steps.py
+++ b/features/steps/cancelling_steps.py
@@ -156,9 +156,14 @@
 
 @given('an owner whose start loses its answer and is then refused: {reply}')
 def owner_of_refusing(context, reply):
+    owner_of_one(context)
+    context.runner.replies.extend((None, StartReply(reply)))
+
+
+@given('an owner with a runner that answers')
+def owner_of_one(context):
     context.small = SmallCell(('w1',))
     context.runner = MemoryRunner(ManualClock(context.small.now))
-    context.runner.replies.extend((None, StartReply(reply)))
     context.desk = Desk(
         Term(1, 'me/1', WriterFence(1, 1), None, False, False),
         context.small.cell,
@@ -186,6 +191,28 @@
     curio.run(send)
 
 
+@when('a job is cancelled before its start is sent')
+def cancel_before_send(context):
+    small = context.small
+    job = small.add_job('j1', [step()])
+    job.stored_runners.add('w1')
+    made = small.plan(start=False)
+    small.cancel('j1')
+
+    async def send():
+        await Orders(context.desk).send_starts(made.starts)
+        await until(lambda: not small.runs_on('w1'))
+
+    curio.run(send)
+
+
+@then('nothing was sent, and the next job starts there at once')
+def next_job_at_once(context):
+    assert not context.runner.running
+    context.small.add_job('j2', [step()])
+    assert [start.task.job for start in context.small.plan().starts] == ['j2']
+
+
 @then('the run counts until the runner has taken a stop')
 def counts_until_stopped(context):
     small = context.small
