--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -93,6 +93,8 @@
                 job.restore(booked.progress)
             self.job_by_id[booked.id] = job
             self.live_by_id[booked.id] = job
+        elif job is not None and job.take_end(booked.progress):
+            self._stop_job(job)
         if booked.cancelled:
             self.cancel(booked.id)
 
@@ -107,6 +109,7 @@
         self.live_by_id.pop(job_id, None)
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
+            self._stop_job(job)
             self.tickets.drop_job(job_id)
 
     def drop_over(self) -> None:
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -118,8 +118,14 @@
         return outcome
 
     async def flush(self) -> Written:
-        """Store the progress of all jobs that have got on."""
-        return await self.store_progress(self.cell.take_dirty())
+        """Store the progress of all jobs that have got on, and what is on its way.
+
+        Of a job whose progress is queued already there is nothing more to write; if
+        that is given up meanwhile, an end would be acknowledged that stands nowhere.
+        """
+        given_up = self.writer.given_up
+        outcome = await self.store_progress(self.cell.take_dirty())
+        return outcome if self.writer.given_up == given_up else Written.UNKNOWN
 
     def end_runner(self, state: RunnerState, cause: str) -> None:
         """Note that a runner's life is over."""
--- a/dandelionreel/cell/_follower.py
+++ b/dandelionreel/cell/_follower.py
@@ -66,6 +66,11 @@
         """Return whether a snapshot has been folded."""
         return self._offset is not None
 
+    @property
+    def complete(self) -> bool:
+        """Return whether all that stood in the topic at some time has been folded."""
+        return self.fresh_at != NEVER
+
     @property
     def offset(self) -> int:
         """Return the offset behind the last record folded."""
@@ -101,6 +106,10 @@
             except RecordsExpired as error:
                 self._journal.tell(Part.LOG, f'starts again from a snapshot: {error}.')
                 self._offset = None
+                # Pages of a snapshot are read one after the other: until what followed
+                # has been read too, a job that ended meanwhile is in none of them, and
+                # would count as unknown (clients were answered 410).
+                self.fresh_at = NEVER
                 continue
             except StoreError as error:
                 self._note_loss(error)
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -157,6 +157,11 @@
         job_id: str,
         relayed: bool,
     ) -> Answer:
+        if self._owned() is not None and not self._follower.complete:
+            # A job that is over may not have been read yet, and would run again.
+            now = self._clock.monotonic()
+            if not await self._follower.wait_fresh(now, LOOKUP_PATIENCE):
+                return _refuse(STORE_CAUSE, 'the store cannot be read just now')
         if self._jobs.book.find(job_id) is not None:
             self._tell(request, job_id, 'accepted before')
             return self._codec.answer_accepted()
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass, field
 
 from dandelionreel.cell._model import JobSpec, JobState, Queue, Step, StepName, TaskName
-from dandelionreel.cell._records import DoneTasks, FailedRun, Progress, Submission
+from dandelionreel.cell._records import (
+    FINAL_STATES,
+    DoneTasks,
+    FailedRun,
+    Progress,
+    Submission,
+)
 
 HEX = 16
 #: In a job's runners: its tasks may have been started anywhere.
@@ -246,6 +252,17 @@
             step.tasks[failed.index].failures += 1
         self._skip_done_occurrences()
 
+    def take_end(self, progress: Progress | None) -> bool:
+        """Take a final state that the store has and this job has not; return whether.
+
+        A client repeated its request while this owner had read only a part of what
+        stands in the store, so a job that was over was taken for a new one.
+        """
+        if progress is None or self.over or progress.state not in FINAL_STATES:
+            return False
+        self.restore(progress)
+        return True
+
     def progress(self, epoch: int, wall: float) -> Progress:
         """Return what is to be kept in the store."""
         if self.over and not self.ended_at:
--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/_writer.py
@@ -124,6 +124,8 @@
         self._pause = RETRY_SECONDS
         self._failed_fast = False
         self.fenced = False
+        #: How many writes were given up: their records stand nowhere, or may not.
+        self.given_up = 0
         #: Since when no append has succeeded, infinite while they do.
         self.failing_since = float('inf')
         self.failed_at = float('-inf')
@@ -223,6 +225,7 @@
             if now < entry.until or (self._fence is not None and entry.maybe):
                 kept.append(entry)
                 continue
+            self.given_up += 1
             entry.outcome = Written.UNKNOWN if entry.maybe else Written.REFUSED
             await entry.event.set()
         if kept:
