--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -92,13 +92,16 @@
             self.cell.start_answered(allocation, StartReply.STARTED, self.now)
         return made
 
-    def look(self, runner, running=(), ended=(), asked=None):
-        """Let a runner list runs ``(task, run)`` and ends ``(number, task, run, outcome)``."""
+    def look(self, runner, running=(), ended=(), asked=None, complete=True):
+        """Let a runner list runs ``(task, run)`` and ends ``(number, task, run, outcome)``.
+
+        Without ``complete`` it has more ends than it lists.
+        """
         listed = tuple(RunningTask(name, run, '', 0, 0.0) for name, run in running)
         ends = []
         for number, name, run, how in ended:
             ends.append(EndedRun(number, name, run, Outcome(how), ''))
-        view = RunnerView(self.now, listed, tuple(ends))
+        view = RunnerView(self.now, listed, tuple(ends), complete)
         state = self.cell.runner_by_id[runner]
         return self.cell.viewed(state, view, self.now if asked is None else asked, self.now)
 
--- /dev/null
+++ b/features/ends.feature
@@ -0,0 +1,18 @@
+Feature: More ends than one look lists
+
+  # A runner lists its oldest 500 ends. Of a task whose end was number 501 it listed nothing:
+  # it was neither running nor ended, so the owner took it for gone and started it again.
+  # The next look told that it had been done.
+  Scenario: The end of a task is behind the 500 that a look lists
+    Given a task on w1 that is done there, its end behind 500 others
+    When w1 lists its first 500 ends
+    Then the task is not started again
+
+  Scenario: A successor's first look lists only the first 500 ends
+    Given a successor that waits for w1 with the tasks of a job
+    When w1 lists its first 500 ends
+    Then the task is not started again
+
+  Scenario: How many ends an answer may hold
+    Then an answer with 499 ends counts as complete
+    And an answer with 500 ends counts as cut
