A look that is cut proves nothing about what it does not list; leases last on slow clocks

Cause: Cell.viewed took what a look did not list for gone, though a runner lists 500 ends at most; the wait for a lease was 2% longer than the lease, which leaves out the age of the clock reading by which it was granted. Change: the adapter tells whether a view is complete, and only a complete one proves that a run is gone or a runner seen; one function gives how long a lease may last (5.15 s).

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -294,6 +294,10 @@
         for running in view.running:
             listed.add((running.task, running.run))
             effect.adopted += self._take_running(runner, running, now)
+        if not view.complete:
+            # A run that is not listed may be among the ends that are not: taken for
+            # gone, its task would start again although it is done.
+            return effect
         for allocation in tuple(runner.allocation_by_run.values()):
             if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
                 continue
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -51,8 +51,8 @@
 AUTHORITY_SECONDS = 9.0
 #: Seconds for which leases last that such an owner granted last, and so for which
 #: a runner that only it reaches may run tasks after its successor's claim: 9 s of
-#: authority and 5 s of lease with 2% drift.
-UNSETTLED_SECONDS = 14.1
+#: authority and a lease of 5 s, which lasts 5.15 s on a clock that is 2% slow.
+UNSETTLED_SECONDS = 14.2
 POLL_SECONDS = 0.05
 #: Seconds for the answer to a claim, also from a slow store.
 CLAIM_TIMEOUT = 0.8
--- a/dandelionreel/cell/_predecessors.py
+++ b/dandelionreel/cell/_predecessors.py
@@ -9,6 +9,19 @@
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._records import JobBook
 
+#: Seconds for which a runner's last word of its clock may be old when a lease is
+#: granted by it: a look waits 1.5 s there, and 0.6 s for its answer.
+READING_AGE = 2.2
+
+
+def longest_lease(seconds: float) -> float:
+    """Return for how long a lease may hold on a runner whose clock is slow.
+
+    It ends at a time on the runner's clock, which the owner has extrapolated from
+    its last word of it: both spans pass more slowly there.
+    """
+    return (seconds + READING_AGE * CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
+
 
 class Predecessors:
     """The wait for the leases of all earlier owners, at the start of a term."""
@@ -16,7 +29,7 @@
     def __init__(self, term: Term, lease: float, now: float) -> None:
         """Wait from ``now`` on; earlier owners grant leases of ``lease`` seconds."""
         self._former = term.former
-        self._lease = lease * (1 + CLOCK_DRIFT)
+        self._lease = longest_lease(lease)
         # A former owner that was killed may itself have followed one that was cut
         # off and still renews leases.
         self._earlier_until = now + term.unsettled
--- a/dandelionreel/cell/_services.py
+++ b/dandelionreel/cell/_services.py
@@ -178,11 +178,15 @@
 
 @dataclass(frozen=True)
 class RunnerView:
-    """All that a runner knows; ``clock`` is its own, in seconds."""
+    """What a runner knows; ``clock`` is its own, in seconds.
+
+    It has more ends than it lists unless the view is ``complete``.
+    """
 
     clock: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    complete: bool = True
 
 
 class RunnerError(Exception):
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -32,6 +32,9 @@
 #: the starts behind it.
 ORDER_CHANNELS = 3
 
+#: Ends that a runner lists at most; it has more where it lists as many.
+MOST_ENDS = 500
+
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
@@ -187,9 +190,14 @@
             )
         )
     ended = []
-    for number, name, run, outcome, checkpoint in decoded.finished:
-        ended.append(EndedRun(number, decode_task(name), run, Outcome(outcome), checkpoint or ''))
-    return RunnerView(decoded.clock_ms / MILLISECONDS, tuple(running), tuple(ended))
+    for row in decoded.finished:
+        ended.append(_decode_end(*row))
+    complete = len(ended) < MOST_ENDS
+    return RunnerView(decoded.clock_ms / MILLISECONDS, tuple(running), tuple(ended), complete)
+
+
+def _decode_end(number: int, name: str, run: int, how: str, saved: str | None) -> EndedRun:
+    return EndedRun(number, decode_task(name), run, Outcome(how), saved or '')
 
 
 def _read_clock(answer: Answer) -> tuple[float | None, str]:
