--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -96,6 +96,8 @@
                 job.restore(booked.progress)
             self.job_by_id[booked.id] = job
             self.live_by_id[booked.id] = job
+        elif job is not None and job.take_end(booked.progress):
+            self._stop_job(job)
         if booked.cancelled:
             self.cancel(booked.id)
 
@@ -110,6 +112,7 @@
         self.live_by_id.pop(job_id, None)
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
+            self._stop_job(job)
             self.tickets.drop_job(job_id)
 
     def drop_over(self) -> None:
@@ -288,6 +291,10 @@
         for running in view.running:
             listed.add((running.task, running.run))
             effect.adopted += self._take_running(runner, running, asked, now)
+        if not view.complete:
+            # A run that is not listed may be among the ends that are not: taken for
+            # gone, its task would start again although it is done.
+            return effect
         for allocation in tuple(runner.allocation_by_run.values()):
             if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
                 continue
