--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -447,10 +447,6 @@
         allocation.checkpoint = running.checkpoint or allocation.checkpoint
         self._start_settled(allocation, now)
         self._stops.repeat(allocation, asked)
-        if allocation.task.job not in self.job_by_id:
-            # The store dropped the job while its task runs: no cancellation can reach
-            # the task any more, and it would run to its end.
-            self.stop(allocation)
         return 0
 
     def _adopt(self, runner: RunnerState, running: RunningTask, now: float) -> None:
