Which runner a task gets, in a module of its own

Change: cell/_seating.py has the latter, unchanged. Run: cell.feature, all pass; linters and types clean. Conclusion: no decision changes.

--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -1,20 +1,15 @@
 """Which waiting task starts where, now. No I/O, no clock of its own."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from dandelionreel.cell._cell import Cell, counted_demand
 from dandelionreel.cell._inquiries import Inquiries, Question
 from dandelionreel.cell._ledger import Allocation, RunnerState
-from dandelionreel.cell._model import Demand, Queue
+from dandelionreel.cell._model import Queue
 from dandelionreel.cell._preemption import PATIENCE, STOP_SECONDS, Preemption, RoomMade
-from dandelionreel.cell._reservations import (
-    BACKFILL_MARGIN,
-    Reservation,
-    Reservations,
-    count_slots,
-)
-from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun
+from dandelionreel.cell._reservations import BACKFILL_MARGIN, Reservation, Reservations
+from dandelionreel.cell._runs import JobRun, Phase, StepRun
+from dandelionreel.cell._seating import Seat, choose_seat, group_seats, seat_gang, suits
 
 #: A job that is later than this many objectives earns nothing any more.
 LATEST = 3.0
@@ -26,9 +21,6 @@
 #: the same free room, and most tickets found it taken.
 ASKED_SHARE = 1.5
 
-#: A runner that may take a task, with the ticket that the start carries.
-Seat = tuple[RunnerState, str]
-
 
 @dataclass
 class Plan:
@@ -127,7 +119,7 @@
     ) -> None:
         step = candidate.step
         if candidate.queue is None or candidate.queue.advice is None:
-            seats = [(runner, '') for runner in runners.values() if _suits(step, runner)]
+            seats = [(runner, '') for runner in runners.values() if suits(step, runner)]
         else:
             seats = self._permitted(step, runners, current.now)
         if step.step.gang:
@@ -166,7 +158,7 @@
         if known.asked:
             questions = self._inquiries.again(queue, step, runners.values(), current.now)
         if not questions:
-            suiting = [runner for runner in runners.values() if _suits(step, runner)]
+            suiting = [runner for runner in runners.values() if suits(step, runner)]
             questions = self._inquiries.first(queue, step, suiting, current.now)
         current.made.questions.extend(questions)
 
@@ -182,7 +174,7 @@
         for task in step.tasks if seats else ():
             if task.phase is not Phase.WAITING:
                 continue
-            chosen = _choose(step, task, demand, seats)
+            chosen = choose_seat(step, task, demand, seats)
             if chosen is None:
                 return False
             runner, ticket = chosen
@@ -216,7 +208,7 @@
     ) -> None:
         """Keep room for a gang, and have its tickets ready in time."""
         step, queue = candidate.step, candidate.queue
-        suiting = [runner for runner in runners.values() if _suits(step, runner)]
+        suiting = [runner for runner in runners.values() if suits(step, runner)]
         if queue is None:
             return
         known = self._cell.tickets.of(step.name)
@@ -276,8 +268,8 @@
         current.made.preempted.extend(room.victims)
 
     def _place_gang(self, step: StepRun, allowed: list[Seat], current: _Round) -> bool:
-        for group in _groups(step, allowed):
-            seats = _seat_gang(step, group)
+        for group in group_seats(step, allowed):
+            seats = seat_gang(step, group)
             if seats is None:
                 continue
             run = self._cell.next_run(step.tasks)
@@ -308,67 +300,3 @@
     if end <= accepted + LATEST * allowed:
         return 1
     return USELESS
-
-
-def _suits(step: StepRun, runner: RunnerState) -> bool:
-    required = step.step.required_label
-    return not required or required in runner.registration.labels
-
-
-def _choose(step: StepRun, task: TaskRun, demand: Demand, seats: list[Seat]) -> Seat | None:
-    """Return the runner that is left with the least room, of those that fit."""
-    best = None
-    best_key = None
-    limit = step.step.max_per_runner
-    rack = step.step.data_rack
-    for runner, ticket in seats:
-        if not demand.fits(runner.room):
-            continue
-        if limit and runner.count_step(step.name) >= limit:
-            continue
-        key = (
-            runner.id in task.avoid,
-            bool(rack) and rack not in runner.registration.labels,
-            _left_over(demand, runner),
-        )
-        if best_key is None or key < best_key:
-            best, best_key = (runner, ticket), key
-    return best
-
-
-def _left_over(demand: Demand, runner: RunnerState) -> float:
-    """Return the share of a runner that stays free, processors and memory together."""
-    capacity = runner.registration.capacity
-    room = runner.room
-    return (room.cpu - demand.cpu) / max(1, capacity.cpu) + (
-        room.memory_mb - demand.memory_mb
-    ) / max(1, capacity.memory_mb)
-
-
-def _groups(step: StepRun, allowed: list[Seat]) -> Iterable[list[Seat]]:
-    """Return the sets of runners to try for a gang: single racks first where asked."""
-    if step.step.same_rack:
-        by_rack: dict[str, list[Seat]] = {}
-        for runner, ticket in allowed:
-            rack = runner.registration.labels[-1] if runner.registration.labels else ''
-            by_rack.setdefault(rack, []).append((runner, ticket))
-        yield from sorted(by_rack.values(), key=len)
-    yield allowed
-
-
-def _seat_gang(step: StepRun, allowed: list[Seat]) -> list[Seat] | None:
-    """Return a runner for each member, or ``None`` when not all fit at once."""
-    demand = counted_demand(step)
-    limit = step.step.max_per_runner
-    seats: list[Seat] = []
-    needed = len(step.tasks)
-    # Fullest runners first: what stays free stays together.
-    ordered = sorted(allowed, key=lambda seat: _left_over(demand, seat[0]))
-    for runner, ticket in ordered:
-        slots = count_slots(demand, runner.room, limit)
-        if limit:
-            slots = min(slots, limit - runner.count_step(step.name))
-        seats.extend([(runner, ticket)] * min(slots, needed - len(seats)))
-        if len(seats) == needed:
-            return seats
-    return None
