--- /dev/null
+++ b/features/questions.feature
@@ -0,0 +1,24 @@
+Feature: Questions to the policy service while much waits
+
+  # After an outage of 6 s some 1,100 batch tasks waited for half a minute while a quarter
+  # of the processors stood idle. Their steps asked about runners that gangs had reserved,
+  # and each time found that their tickets were of no use.
+  Scenario: Nothing is asked about runners that a gang has reserved
+    Given a cell of 8 runners, all of them reserved for a gang
+    When batch jobs are handed in that would end after the gang's turn
+    Then nothing is asked
+
+  # All steps asked about the runners with most room: the same dozen. The first to have
+  # its tickets took that room, the others asked again, and smaller rooms stayed empty.
+  Scenario: Steps that wait together ask about different runners
+    Given a cell of 40 runners whose batch queue asks for advice
+    When 3 batch jobs are handed in
+    Then their questions name 24 runners or more
+
+  # While the store was slow, each step of a job that it had not taken yet asked in every
+  # plan for tickets that it had: 1,000 questions a second, and gangs waited 3 s for theirs.
+  Scenario: A job that the store has not taken yet asks once
+    Given a cell of 40 runners whose batch queue asks for advice
+    When a batch job is handed in that the store is slow to take
+    And it has tickets for runners with room
+    Then nothing is asked until they have expired
