Nothing is asked about runners that a gang has reserved

Cause: a step asked about every runner with room, reserved ones too; its tickets (2 s) had expired before it could start there. Change: questions of single tasks name only runners on which the step may start now.

--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -153,12 +153,17 @@
         if queue is None or queue.advice is None or current.askable_by_service[service] <= 0:
             return
         current.askable_by_service[service] -= step.waiting * counted_demand(step).cpu
-        known = self._cell.tickets.of(step.name)
+        # Tickets for a reserved runner would expire before anything may start there.
+        until = current.now + step.step.estimate * BACKFILL_MARGIN
+        suiting = [
+            runner
+            for runner in runners.values()
+            if suits(step, runner) and current.reservations.may_start(runner.id, step, until)
+        ]
         questions = []
-        if known.asked:
-            questions = self._inquiries.again(queue, step, runners.values(), current.now)
+        if self._cell.tickets.of(step.name).asked:
+            questions = self._inquiries.again(queue, step, suiting, current.now)
         if not questions:
-            suiting = [runner for runner in runners.values() if suits(step, runner)]
             questions = self._inquiries.first(queue, step, suiting, current.now)
         current.made.questions.extend(questions)
 
