--- a/Makefile
+++ b/Makefile
@@ -46,8 +46,8 @@
 bench-placement: $(STAMP)
 	$(BIN)/python -m bench.placement
 
-# The cell's decisions against drawn arrivals, beside simpler policies; LOAD is quiet
-# or bursts.
+# The cell's decisions against drawn arrivals, beside simpler policies; LOAD is quiet,
+# bursts or outage.
 LOAD ?= bursts
 bench-replay: $(STAMP)
 	$(BIN)/python -m bench.replay --load $(LOAD) --seconds 20 --seed $(SEED)
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -91,6 +91,8 @@
     runners: int
     hosts: int
     kinds: tuple[Kind, ...]
+    #: Seconds at the beginning in which jobs arrive and nothing starts.
+    outage: float = 0.0
 
 
 def make_loads() -> dict[str, Load]:
@@ -107,7 +109,12 @@
         Kind(**{**vars(kind), 'burst': (5, 9, 2) if kind.queue is settle else (12, 16, 2)})
         for kind in quiet
     )
-    return {'quiet': Load(176, 35, quiet), 'bursts': Load(176, 35, bursts)}
+    return {
+        'quiet': Load(176, 35, quiet),
+        'bursts': Load(176, 35, bursts),
+        # The store is away for 6 s, and a quarter of the hosts for longer.
+        'outage': Load(176, 26, bursts, outage=6.0),
+    }
 
 
 class FirstCome(Planner):
@@ -186,7 +193,7 @@
         """Let jobs arrive for that long, and go on until the last objectives are over."""
         for kind in self.load.kinds:
             self._later(self._random.expovariate(kind.rate(0)), self._arrive, kind, seconds)
-        self._later(PLAN_SECONDS, self._plan, 3 * seconds)
+        self._later(max(PLAN_SECONDS, self.load.outage), self._plan, 3 * seconds)
         while self._events:
             self._now, _, act, values = heapq.heappop(self._events)
             act(*values)
--- a/features/questions.feature
+++ b/features/questions.feature
@@ -22,3 +22,12 @@
     When a batch job is handed in that the store is slow to take
     And it has tickets for runners with room
     Then nothing is asked until they have expired
+
+  # Questions of a second each queued up for free hosts, 60 to 160 of them. Whoever became
+  # more urgent meanwhile waited behind all of them, and a gang's first tickets had expired
+  # when its last ones came.
+  Scenario: No more questions are asked than hosts are free to put
+    Given a cell of 40 runners whose batch queue asks for advice
+    When 10 batch jobs are handed in while 3 hosts are free
+    Then the 3 jobs whose objectives end first ask
+    And an urgent job asks all the same
