Questions that are not urgent are asked only while hosts are free to put them

Change: a plan is told how many such questions find a host at once, and asks no more, in order of urgency; those of the most urgent queues are never held back.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -256,7 +256,9 @@
 
     def _plan(self, until: float) -> None:
         began = time.perf_counter()
-        made = self.planner.plan(self._now, self._now)
+        waiting = sum(priority > 0 for priority, _, _ in self._waiting)
+        free = int(PATIENT_SHARE * self.load.hosts) - self._busy[False] - waiting
+        made = self.planner.plan(self._now, self._now, free)
         self.plan_seconds.append(time.perf_counter() - began)
         for allocation in self.cell.take_stops():
             self._later(STOP_SECONDS, self._stop, allocation)
--- a/dandelionreel/cell/_advisors.py
+++ b/dandelionreel/cell/_advisors.py
@@ -133,6 +133,12 @@
         """Return how many questions wait for a free host."""
         return len(self._waiting)
 
+    @property
+    def free_for_patient(self) -> int:
+        """Return how many more questions that are not urgent find a free host now."""
+        waiting = sum(priority > 0 for priority, _, _ in self._waiting)
+        return self._most_patient() - len(self._patient) - waiting
+
     async def ask(self, question: Question) -> None:
         """Ask as soon as a host is free."""
         heapq.heappush(self._waiting, (question.priority, next(self._order), question))
@@ -141,8 +147,8 @@
     async def _send(self) -> None:
         while self._waiting:
             urgent = self._waiting[0][0] == 0
-            most = max(1, int(PATIENT_SHARE * len(self._members())))
-            host = self._free_host() if urgent or len(self._patient) < most else None
+            allowed = urgent or len(self._patient) < self._most_patient()
+            host = self._free_host() if allowed else None
             if host is None:
                 return
             question = heapq.heappop(self._waiting)[2]
@@ -151,6 +157,9 @@
                 self._patient.add(host)
             await curio.spawn(self._put, host, question, daemon=True)
 
+    def _most_patient(self) -> int:
+        return max(1, int(PATIENT_SHARE * len(self._members())))
+
     def _free_host(self) -> str | None:
         if self._me not in self._busy:
             return self._me
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -268,7 +268,8 @@
             began = self._clock.monotonic()
             made = Plan()
             if self._desk.may_start():
-                made = self._planner.plan(began, self._clock.wall())
+                free = self._pool.free_for_patient
+                made = self._planner.plan(began, self._clock.wall(), free)
                 self._load.note_plan(made, self._clock.monotonic() - began)
             for allocation in self.cell.take_stops():
                 await curio.spawn(self._orders.send_stop, allocation, daemon=True)
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -25,6 +25,9 @@
 #: half of the runners are allowed. Without a limit every waiting step asked about
 #: the same free room, and most tickets found it taken.
 ASKED_SHARE = 1.5
+#: The priority of queues whose questions are never held back: each takes 15 ms.
+URGENT = 0
+INFINITE = float('inf')
 
 
 @dataclass
@@ -57,6 +60,8 @@
     reservations: Reservations
     #: Processors of each service for which single tasks may still ask advice.
     askable_by_service: dict[str, float]
+    #: Questions that are not urgent for which hosts are free.
+    patient_questions: float
     made: Plan = field(default_factory=Plan)
 
 
@@ -69,12 +74,18 @@
         self._inquiries = Inquiries(cell)
         self._preemption = Preemption(cell)
 
-    def plan(self, now: float, wall: float) -> Plan:
-        """Place what can be placed, and count it as held."""
+    def plan(self, now: float, wall: float, patient_questions: float = INFINITE) -> Plan:
+        """Place what can be placed, and count it as held.
+
+        Questions that are not urgent are asked only while hosts are free to put
+        them, so many at a time. Queued up for a host they keep the order of when
+        they were asked, and a gang's first tickets expire before its last ones come
+        (worth 0.012 less in the mean of three replayed outages).
+        """
         usable = self._usable(now)
         count = sum(len(runners) for runners in usable.values())
         askable = {service: ASKED_SHARE * _free(runners) for service, runners in usable.items()}
-        current = _Round(now, usable, Reservations(count), askable)
+        current = _Round(now, usable, Reservations(count), askable, patient_questions)
         for candidate in self._ordered(now, wall):
             service = self._cell.service_of(candidate.job)
             runners = current.runners_by_service.get(service)
@@ -171,6 +182,8 @@
         service = self._cell.service_of(candidate.job)
         if queue is None or queue.advice is None or current.askable_by_service[service] <= 0:
             return
+        if not _may_ask(queue, current):
+            return
         current.askable_by_service[service] -= step.waiting * counted_demand(step).cpu
         # Tickets for a reserved runner would expire before anything may start there.
         until = current.now + step.step.estimate * BACKFILL_MARGIN
@@ -184,7 +197,7 @@
             questions = self._inquiries.again(queue, step, suiting, current.now)
         if not questions:
             questions = self._inquiries.first(queue, step, suiting, current.now)
-        current.made.questions.extend(questions)
+        _put(queue, questions, current)
 
     def _place_tasks(self, step: StepRun, seats: list[Seat], current: _Round) -> bool:
         """Place as many tasks as fit; return whether all found a place."""
@@ -245,11 +258,13 @@
         valid = known.valid(current.now + STOP_SECONDS)
         ready = [runner for runner in allowed if runner.id in valid]
         reservation = self._find_seats(candidate, queue, allowed, ready, current)
+        if not _may_ask(queue, current):
+            return
         if reservation is None:
             questions = self._inquiries.first(queue, step, suiting, current.now)
         else:
             questions = self._inquiries.reserved(queue, step, reservation, current.now)
-        current.made.questions.extend(questions)
+        _put(queue, questions, current)
 
     def _find_seats(
         self,
@@ -313,6 +328,16 @@
     return sum(runner.room.cpu for runner in runners.values())
 
 
+def _may_ask(queue: Queue, current: _Round) -> bool:
+    return queue.priority == URGENT or current.patient_questions > 0
+
+
+def _put(queue: Queue, questions: list[Question], current: _Round) -> None:
+    if queue.priority != URGENT:
+        current.patient_questions -= len(questions)
+    current.made.questions.extend(questions)
+
+
 def _first(keyed: tuple) -> tuple:
     return keyed[0]
 
