One maker of dispatchers for scenarios

Cause: election_steps and succession_steps each built a dispatcher, and other steps took it from one of them. Change: store_parts.make_dispatcher serves all. Conclusion: no check changes.

--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -15,8 +15,7 @@
     make_record,
 )
 from features.cell_parts import make_registration, step
-from features.steps.succession_steps import make_dispatcher
-from features.store_parts import Host
+from features.store_parts import Host, make_dispatcher
 from standins import MemoryTopic
 
 
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -8,8 +8,7 @@
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._predecessors import Predecessors
 from features.steps.release_steps import SlowTopic
-from features.steps.succession_steps import DRIFT, make_dispatcher
-from features.store_parts import LONG, Host, until
+from features.store_parts import DRIFT, LONG, Host, make_dispatcher, until
 
 
 @given('a store that answers a claim {seconds:g} s after it has carried it out')
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -8,10 +8,7 @@
     WriterFence,
 )
 from dandelionreel.cell._desk import Desk
-from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Term
-from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
@@ -25,7 +22,7 @@
 from dandelionreel.kernel import ManualClock
 from dandelionreel.peers import Done, Refused
 from features.cell_parts import make_registration
-from features.store_parts import LONG, Host, journal, until
+from features.store_parts import LONG, Host, journal, make_dispatcher, until
 from standins import MemoryTopic
 
 
@@ -230,24 +227,7 @@
 def takes_over(context):
     clock = ManualClock(1000)
     host = Host('me', MemoryTopic(), clock)
-    parts = DispatcherParts(
-        topic=MemoryTopic(),
-        follower=host.follower,
-        jobs=host.folder,
-        runners=RunnersFolder(None, clock, journal()),
-        configuration=ConfigurationFolder(None, journal()),
-        election=host.election,
-        links=None,
-        advisor=None,
-        make_runner=make_registration,
-        clock=clock,
-        journal=journal(),
-        host='me',
-        gang_timeout=3.0,
-        longest_lease=10.0,
-        status_kept=120,
-    )
-    context.dispatcher = Dispatcher(parts, context.term)
+    context.dispatcher = make_dispatcher(host, context.term, MemoryTopic(), clock)
     context.dispatcher._begin()
 
 
--- a/features/steps/given_up_steps.py
+++ b/features/steps/given_up_steps.py
@@ -10,8 +10,7 @@
 from dandelionreel.cell._records import JobBook, make_record
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
-from features.steps.succession_steps import make_dispatcher
-from features.store_parts import Host, journal, until
+from features.store_parts import Host, journal, make_dispatcher, until
 from standins import MemoryTopic
 
 #: Seconds that each append takes, and whether it is refused after them; then all succeed.
--- a/features/steps/release_steps.py
+++ b/features/steps/release_steps.py
@@ -5,8 +5,7 @@
 
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._records import ATTENDED_KEY, OWNER_KEY, Attended, Owner, make_record
-from features.steps.succession_steps import make_dispatcher
-from features.store_parts import LONG, Host
+from features.store_parts import LONG, Host, make_dispatcher
 from standins import MemoryTopic
 
 SLOW = 0.5
--- a/features/steps/repeat_steps.py
+++ b/features/steps/repeat_steps.py
@@ -17,8 +17,7 @@
 from dandelionreel.cell._services import RecordBatch
 from dandelionreel.cell._writer import Written
 from features.cell_parts import step
-from features.steps.succession_steps import make_dispatcher
-from features.store_parts import Host
+from features.store_parts import Host, make_dispatcher
 from standins import MemoryTopic
 
 JOB = Submission('urgent', 'desk', 0.0, JobSpec('payload', (step(),)))
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -5,11 +5,8 @@
 
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._desk import LEASE_SECONDS, Desk
-from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
@@ -22,34 +19,9 @@
 )
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
-from features.store_parts import LONG, Host, journal, until
+from features.store_parts import DRIFT, LONG, Host, journal, make_dispatcher, until
 from standins import MemoryTopic
 
-#: How much longer than granted a lease may last: the runner's clock may be 2% slow.
-DRIFT = 1.02
-
-
-def make_dispatcher(host, term, topic, clock):
-    """Return the dispatcher of a host that has won ``term``."""
-    parts = DispatcherParts(
-        topic=topic,
-        follower=host.follower,
-        jobs=host.folder,
-        runners=RunnersFolder(None, clock, journal()),
-        configuration=ConfigurationFolder(None, journal()),
-        election=host.election,
-        links=None,
-        advisor=None,
-        make_runner=make_registration,
-        clock=clock,
-        journal=journal(),
-        host='me',
-        gang_timeout=3.0,
-        longest_lease=10.0,
-        status_kept=120,
-    )
-    return Dispatcher(parts, term)
-
 
 @given("a host that starts after the owner's last heartbeat")
 def late_host(context):
--- a/features/steps/wait_steps.py
+++ b/features/steps/wait_steps.py
@@ -24,8 +24,7 @@
 from dandelionreel.cell._services import RecordBatch
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import step
-from features.steps.succession_steps import DRIFT, make_dispatcher
-from features.store_parts import LONG, Host, journal
+from features.store_parts import DRIFT, LONG, Host, journal, make_dispatcher
 from standins import MemoryTopic
 
 ALL_LEASES = AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -4,14 +4,19 @@
 
 import curio
 
-from dandelionreel.cell._directory import JobFolder
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.kernel import Journal, SystemClock, Verdict
 from dandelionreel.peers import Frame, PeerError
+from features.cell_parts import make_registration
 
 #: Seconds that nothing here takes on any machine.
 LONG = 30
+#: How much longer than granted a lease may last: the runner's clock may be 2% slow.
+DRIFT = 1.02
 
 
 async def until(done):
@@ -48,3 +53,25 @@
     async def claim(self, seconds):
         """Return the term, ``None`` where none was won in time."""
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
+
+
+def make_dispatcher(host, term, topic, clock):
+    """Return the dispatcher of a host that has won ``term``."""
+    parts = DispatcherParts(
+        topic=topic,
+        follower=host.follower,
+        jobs=host.folder,
+        runners=RunnersFolder(None, clock, journal()),
+        configuration=ConfigurationFolder(None, journal()),
+        election=host.election,
+        links=None,
+        advisor=None,
+        make_runner=make_registration,
+        clock=clock,
+        journal=journal(),
+        host='me',
+        gang_timeout=3.0,
+        longest_lease=10.0,
+        status_kept=120,
+    )
+    return Dispatcher(parts, term)
