--- /dev/null
+++ b/features/steps/report_steps.py
@@ -0,0 +1,112 @@
+"""Steps on what the owner tells of its load, and CI of known failures."""
+
+import tempfile
+from pathlib import Path
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from dandelionreel.cell._load_report import LoadReport
+from dandelionreel.cell._model import JobState
+from dandelionreel.cell._records import Progress
+from features import run
+from features.cell_parts import SmallCell, step
+
+FULL = 32_000
+
+
+class Lines:
+    """Keeps what a journal would write."""
+
+    def __init__(self):
+        self.told = []
+
+    def tell(self, part, sentence, **fields):
+        """Keep a line."""
+        self.told.append((sentence, fields))
+
+
+def watch(context):
+    context.lines = Lines()
+    context.load = LoadReport(context.small.cell, SimpleNamespace(waiting=0), context.lines)
+
+
+@given('an owner of 2 runners, both full, and a job that waits')
+def full_owner(context):
+    context.small = SmallCell()
+    context.small.add_job('filling', [step(FULL, count=2)], queue='batch')
+    assert len(context.small.plan().starts) == 2
+    context.small.add_job('j1', [step()])
+    watch(context)
+
+
+@given('an owner of 2 runners and a job that may run on one it has not seen')
+def blocked_owner(context):
+    context.small = SmallCell()
+    context.small.cell.unseen.add('w9')
+    progress = Progress(1, JobState.RUNNING, runners=('w9',))
+    context.small.add_job('j1', [step()], progress=progress)
+    watch(context)
+
+
+@given('an owner of 2 runners without jobs')
+def idle_owner(context):
+    context.small = SmallCell()
+    watch(context)
+
+
+@when('it has planned for a second')
+def planned(context):
+    small = context.small
+    for _ in range(10):
+        context.load.note_plan(small.plan(), 0.01)
+        context.load.look(small.now, small.now, 1)
+        small.now += 0.1
+
+
+@then('one line tells that 1 task of urgent waits with {free:d} cores free of {cores:d}')
+def tells_full(context, free, cores):
+    ((_, fields),) = context.lines.told
+    assert fields['waiting'] == {'urgent': 1}, fields
+    assert (fields['cores_free'], fields['cores']) == (free, cores), fields
+
+
+@then('one line tells that 1 task is blocked')
+def tells_blocked(context):
+    ((_, fields),) = context.lines.told
+    assert fields['waiting'] == {'urgent': 1, 'blocked by unseen runners': 1}, fields
+    assert fields['unseen'] == 1, fields
+
+
+@then('it tells nothing of tasks that wait')
+def tells_nothing(context):
+    assert not context.lines.told, context.lines.told
+
+
+@given('a list of known failures of {count:d} lines')
+@given('a list of known failures of {count:d} line')
+def known_failures(context, count):
+    context.folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.known = Path(context.folder) / 'KNOWN-RED.txt'
+    lines = [f'features/a.feature: Scenario {number} | command | seen' for number in range(count)]
+    context.known.write_text('\n'.join(lines) + '\n')
+
+
+@then('it is refused')
+def refused(context):
+    try:
+        run.read_known(context.known)
+    except ValueError as error:
+        assert '4 lines' in f'{error}'
+        return
+    raise AssertionError('four lines were taken')
+
+
+@then('a row of its outline is known, and another scenario is not')
+def row_known(context):
+    known = run.read_known(context.known)
+    place = SimpleNamespace(filename='features/a.feature')
+    row = SimpleNamespace(location=place, name='Scenario 0 -- @1.2 ')
+    other = SimpleNamespace(location=place, name='Scenario 01')
+    assert run.is_known(row, known)
+    assert not run.is_known(other, known)
