--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -1,12 +1,11 @@
 """Which waiting task starts where, now. No I/O, no clock of its own."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from dandelionreel.cell._cell import Cell, counted_demand
 from dandelionreel.cell._inquiries import Inquiries, Question
 from dandelionreel.cell._ledger import Allocation, RunnerState
-from dandelionreel.cell._model import Demand, Queue
+from dandelionreel.cell._model import Queue
 from dandelionreel.cell._preemption import PATIENCE, STOP_SECONDS, Preemption, RoomMade
 from dandelionreel.cell._reservations import (
     BACKFILL_MARGIN,
@@ -14,7 +13,8 @@
     Reservations,
     count_slots,
 )
-from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun
+from dandelionreel.cell._runs import JobRun, Phase, StepRun
+from dandelionreel.cell._seating import Seat, choose_seat, group_seats, seat_gang, suits
 
 #: A job that is later than this many objectives earns nothing any more.
 LATEST = 3.0
@@ -25,9 +25,9 @@
 #: half of the runners are allowed. Without a limit every waiting step asked about
 #: the same free room, and most tickets found it taken.
 ASKED_SHARE = 1.5
-
-#: A runner that may take a task, with the ticket that the start carries.
-Seat = tuple[RunnerState, str]
+#: The priority of queues whose questions are never held back: each takes 15 ms.
+URGENT = 0
+INFINITE = float('inf')
 
 
 @dataclass
@@ -60,6 +60,8 @@
     reservations: Reservations
     #: Processors of each service for which single tasks may still ask advice.
     askable_by_service: dict[str, float]
+    #: Questions that are not urgent for which hosts are free.
+    patient_questions: float
     made: Plan = field(default_factory=Plan)
 
 
@@ -72,12 +74,18 @@
         self._inquiries = Inquiries(cell)
         self._preemption = Preemption(cell)
 
-    def plan(self, now: float, wall: float) -> Plan:
-        """Place what can be placed, and count it as held."""
+    def plan(self, now: float, wall: float, patient_questions: float = INFINITE) -> Plan:
+        """Place what can be placed, and count it as held.
+
+        Questions that are not urgent are asked only while hosts are free to put
+        them, so many at a time. Queued up for a host they keep the order of when
+        they were asked, and a gang's first tickets expire before its last ones come
+        (worth 0.012 less in the mean of three replayed outages).
+        """
         usable = self._usable(now)
         count = sum(len(runners) for runners in usable.values())
         askable = {service: ASKED_SHARE * _free(runners) for service, runners in usable.items()}
-        current = _Round(now, usable, Reservations(count), askable)
+        current = _Round(now, usable, Reservations(count), askable, patient_questions)
         for candidate in self._ordered(now, wall):
             service = self._cell.service_of(candidate.job)
             runners = current.runners_by_service.get(service)
@@ -127,16 +135,30 @@
     ) -> None:
         step = candidate.step
         if candidate.queue is None or candidate.queue.advice is None:
-            seats = [(runner, '') for runner in runners.values() if _suits(step, runner)]
+            seats = [(runner, '') for runner in runners.values() if suits(step, runner)]
         else:
             seats = self._permitted(step, runners, current.now)
         if step.step.gang:
             self._serve_gang(candidate, seats, runners, current)
             return
         placed = candidate.job.stored and self._place_tasks(step, seats, current)
-        if not placed:
+        if not placed and not self._has_seats(step, seats, current):
             self._ask(candidate, runners, current)
 
+    def _has_seats(self, step: StepRun, seats: list[Seat], current: _Round) -> bool:
+        """Return whether tickets and room are there for all that waits of a step.
+
+        So it is for a job that the store is slow to take: each of its steps asked
+        again in every plan, 1,000 times a second for all, and gangs waited 3 s.
+        """
+        demand = counted_demand(step)
+        until = current.now + step.step.estimate * BACKFILL_MARGIN
+        count = 0
+        for runner, _ in seats:
+            if current.reservations.may_start(runner.id, step, until):
+                count += count_slots(demand, runner.room, step.step.max_per_runner)
+        return count >= step.waiting
+
     def _permitted(
         self,
         step: StepRun,
@@ -160,15 +182,22 @@
         service = self._cell.service_of(candidate.job)
         if queue is None or queue.advice is None or current.askable_by_service[service] <= 0:
             return
+        if not _may_ask(queue, current):
+            return
         current.askable_by_service[service] -= step.waiting * counted_demand(step).cpu
-        known = self._cell.tickets.of(step.name)
+        # Tickets for a reserved runner would expire before anything may start there.
+        until = current.now + step.step.estimate * BACKFILL_MARGIN
+        suiting = [
+            runner
+            for runner in runners.values()
+            if suits(step, runner) and current.reservations.may_start(runner.id, step, until)
+        ]
         questions = []
-        if known.asked:
-            questions = self._inquiries.again(queue, step, runners.values(), current.now)
+        if self._cell.tickets.of(step.name).asked:
+            questions = self._inquiries.again(queue, step, suiting, current.now)
         if not questions:
-            suiting = [runner for runner in runners.values() if _suits(step, runner)]
             questions = self._inquiries.first(queue, step, suiting, current.now)
-        current.made.questions.extend(questions)
+        _put(queue, questions, current)
 
     def _place_tasks(self, step: StepRun, seats: list[Seat], current: _Round) -> bool:
         """Place as many tasks as fit; return whether all found a place."""
@@ -182,7 +211,7 @@
         for task in step.tasks if seats else ():
             if task.phase is not Phase.WAITING:
                 continue
-            chosen = _choose(step, task, demand, seats)
+            chosen = choose_seat(step, task, demand, seats)
             if chosen is None:
                 return False
             runner, ticket = chosen
@@ -216,7 +245,7 @@
     ) -> None:
         """Keep room for a gang, and have its tickets ready in time."""
         step, queue = candidate.step, candidate.queue
-        suiting = [runner for runner in runners.values() if _suits(step, runner)]
+        suiting = [runner for runner in runners.values() if suits(step, runner)]
         if queue is None:
             return
         known = self._cell.tickets.of(step.name)
@@ -229,11 +258,13 @@
         valid = known.valid(current.now + STOP_SECONDS)
         ready = [runner for runner in allowed if runner.id in valid]
         reservation = self._find_seats(candidate, queue, allowed, ready, current)
+        if not _may_ask(queue, current):
+            return
         if reservation is None:
             questions = self._inquiries.first(queue, step, suiting, current.now)
         else:
             questions = self._inquiries.reserved(queue, step, reservation, current.now)
-        current.made.questions.extend(questions)
+        _put(queue, questions, current)
 
     def _find_seats(
         self,
@@ -276,8 +307,8 @@
         current.made.preempted.extend(room.victims)
 
     def _place_gang(self, step: StepRun, allowed: list[Seat], current: _Round) -> bool:
-        for group in _groups(step, allowed):
-            seats = _seat_gang(step, group)
+        for group in group_seats(step, allowed):
+            seats = seat_gang(step, group)
             if seats is None:
                 continue
             run = self._cell.next_run(step.tasks)
@@ -297,6 +328,16 @@
     return sum(runner.room.cpu for runner in runners.values())
 
 
+def _may_ask(queue: Queue, current: _Round) -> bool:
+    return queue.priority == URGENT or current.patient_questions > 0
+
+
+def _put(queue: Queue, questions: list[Question], current: _Round) -> None:
+    if queue.priority != URGENT:
+        current.patient_questions -= len(questions)
+    current.made.questions.extend(questions)
+
+
 def _first(keyed: tuple) -> tuple:
     return keyed[0]
 
@@ -308,67 +349,3 @@
     if end <= accepted + LATEST * allowed:
         return 1
     return USELESS
-
-
-def _suits(step: StepRun, runner: RunnerState) -> bool:
-    required = step.step.required_label
-    return not required or required in runner.registration.labels
-
-
-def _choose(step: StepRun, task: TaskRun, demand: Demand, seats: list[Seat]) -> Seat | None:
-    """Return the runner that is left with the least room, of those that fit."""
-    best = None
-    best_key = None
-    limit = step.step.max_per_runner
-    rack = step.step.data_rack
-    for runner, ticket in seats:
-        if not demand.fits(runner.room):
-            continue
-        if limit and runner.count_step(step.name) >= limit:
-            continue
-        key = (
-            runner.id in task.avoid,
-            bool(rack) and rack not in runner.registration.labels,
-            _left_over(demand, runner),
-        )
-        if best_key is None or key < best_key:
-            best, best_key = (runner, ticket), key
-    return best
-
-
-def _left_over(demand: Demand, runner: RunnerState) -> float:
-    """Return the share of a runner that stays free, processors and memory together."""
-    capacity = runner.registration.capacity
-    room = runner.room
-    return (room.cpu - demand.cpu) / max(1, capacity.cpu) + (
-        room.memory_mb - demand.memory_mb
-    ) / max(1, capacity.memory_mb)
-
-
-def _groups(step: StepRun, allowed: list[Seat]) -> Iterable[list[Seat]]:
-    """Return the sets of runners to try for a gang: single racks first where asked."""
-    if step.step.same_rack:
-        by_rack: dict[str, list[Seat]] = {}
-        for runner, ticket in allowed:
-            rack = runner.registration.labels[-1] if runner.registration.labels else ''
-            by_rack.setdefault(rack, []).append((runner, ticket))
-        yield from sorted(by_rack.values(), key=len)
-    yield allowed
-
-
-def _seat_gang(step: StepRun, allowed: list[Seat]) -> list[Seat] | None:
-    """Return a runner for each member, or ``None`` when not all fit at once."""
-    demand = counted_demand(step)
-    limit = step.step.max_per_runner
-    seats: list[Seat] = []
-    needed = len(step.tasks)
-    # Fullest runners first: what stays free stays together.
-    ordered = sorted(allowed, key=lambda seat: _left_over(demand, seat[0]))
-    for runner, ticket in ordered:
-        slots = count_slots(demand, runner.room, limit)
-        if limit:
-            slots = min(slots, limit - runner.count_step(step.name))
-        seats.extend([(runner, ticket)] * min(slots, needed - len(seats)))
-        if len(seats) == needed:
-            return seats
-    return None
