--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -13,6 +13,7 @@
 from dandelionreel.cell._election import AUTHORITY_SECONDS, BEAT_SECONDS, Election, Term
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._inquiries import Question
+from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._planner import Plan, Planner
@@ -26,7 +27,6 @@
     Attended,
     BookedJob,
     Cancellation,
-    Owner,
     Submission,
     make_record,
     make_tombstone,
@@ -113,6 +113,7 @@
         self._predecessors = Predecessors(term, self._desk.lease, parts.clock.monotonic())
         self._dropped_at = float('-inf')
         self._planner = Planner(self.cell)
+        self._load = LoadReport(self.cell, parts.journal)
         self._pool = AdvicePool(
             parts.host,
             lambda: parts.jobs.book.member_by_host,
@@ -214,7 +215,7 @@
         """
         await self._desk.flush()
         self._desk.lost = 'released'
-        owner = Owner(self._desk.term.epoch, self._parts.host, self._desk.term.term, released=True)
+        owner = self._desk.term.record(released=True)
         await self._desk.writer.write([make_record(OWNER_KEY, owner)], RELEASE_PATIENCE)
 
     def _begin(self) -> None:
@@ -270,13 +271,7 @@
         while True:
             beat += 1
             left = self._predecessors.until - self._clock.monotonic() if self.cell.unseen else 0
-            owner = Owner(
-                self._desk.term.epoch,
-                self._parts.host,
-                self._desk.term.term,
-                beat,
-                unsettled=round(max(0.0, left), 2),
-            )
+            owner = self._desk.term.record(beat, round(max(0.0, left), 2))
             records = [make_record(OWNER_KEY, owner)]
             # Runners that only a former owner has seen are kept for the next one: it
             # has to wait for them too, should this owner be killed meanwhile.
@@ -347,6 +342,7 @@
             await self._see_runners()
             self._give_up_unseen(now)
             self._stop_doomed(now)
+            self._load.look(now, self._clock.wall(), self._desk.term.epoch, self._pool.waiting)
             await self._drop_old_jobs()
             await self._desk.wake.notify()
             await curio.sleep(ROUND_SECONDS)
@@ -408,7 +404,8 @@
             began = self._clock.monotonic()
             made = Plan()
             if self._desk.may_start():
-                made = self._planner.plan(self._clock.monotonic(), self._clock.wall())
+                made = self._planner.plan(began, self._clock.wall())
+                self._load.note_plan(made, self._clock.monotonic() - began)
             for allocation in self.cell.take_stops():
                 await curio.spawn(self._orders.send_stop, allocation, daemon=True)
             self._tell_preempted(made)
