--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -93,6 +93,8 @@
                 job.restore(booked.progress)
             self.job_by_id[booked.id] = job
             self.live_by_id[booked.id] = job
+        elif job is not None and job.take_end(booked.progress):
+            self._stop_job(job)
         if booked.cancelled:
             self.cancel(booked.id)
 
@@ -107,6 +109,7 @@
         self.live_by_id.pop(job_id, None)
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
+            self._stop_job(job)
             self.tickets.drop_job(job_id)
 
     def drop_over(self) -> None:
@@ -221,8 +224,20 @@
         runner = self.runner_by_id.get(allocation.runner)
         return runner is not None and not runner.draining
 
-    def start_answered(self, allocation: Allocation, reply: StartReply, now: float) -> None:
-        """Take a runner's answer to a start."""
+    def start_answered(
+        self,
+        allocation: Allocation,
+        reply: StartReply,
+        now: float,
+        *,
+        in_doubt: bool = False,
+    ) -> None:
+        """Take a runner's answer to a start; ``in_doubt`` after a try without an answer.
+
+        A refusal speaks of its own try only. An earlier one may be carried out
+        seconds later, so the run counts until a stop has forbidden it: the task
+        would else start elsewhere and run twice at once.
+        """
         if reply in {StartReply.STARTED, StartReply.OUTDATED}:
             self._start_settled(allocation, now)
             return
@@ -238,6 +253,9 @@
                 self.tickets.revoke(step.name, allocation.runner)
             if reply is StartReply.INVALID:
                 step.not_before = now + UNHEALTHY_QUIET
+        if in_doubt:
+            self.stop(allocation)
+            return
         self.withdraw(allocation)
 
     def withdraw(self, allocation: Allocation) -> None:
@@ -276,6 +294,10 @@
         for running in view.running:
             listed.add((running.task, running.run))
             effect.adopted += self._take_running(runner, running, now)
+        if not view.complete:
+            # A run that is not listed may be among the ends that are not: taken for
+            # gone, its task would start again although it is done.
+            return effect
         for allocation in tuple(runner.allocation_by_run.values()):
             if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
                 continue
