Lines on starts, ends and answers to clients say who knew what, and how old it was

Cause: for a task that was started twice the lines could not tell which owner had started it, what it had last heard, or which task a lost, refused or unanswered start belonged to; that ends had been stored (and could be acknowledged) had no line at all. Change: starts name task, run, epoch, failures, configuration version, and seconds since store and runner last answered; refusals, unanswered starts, lost runs and taken stops name task and epoch; ends name epoch and number; a line for ends that are stored, one for a look; runs that a successor finds are named (40 at most); answers to clients name the owner that the host believes in, and its epoch. A start whose answer took over 0.1 s has a line.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -18,6 +18,8 @@
 STORE_PATIENCE = 0.06
 #: Seconds without an answer after which nothing new is placed on a runner.
 SUSPECT_SECONDS = 0.8
+#: Runs that one line names: at 40 bytes each it stays within 2 KB.
+MOST_NAMED = 40
 
 
 class Attendant:
@@ -26,6 +28,8 @@
     def __init__(self, desk: Desk) -> None:
         """Look on behalf of ``desk``."""
         self._desk = desk
+        #: Jobs with ends that a runner has listed and that are not acknowledged.
+        self._unstored_by_runner: dict[str, set[str]] = {}
 
     async def attend(self, state: RunnerState, runner: Runner) -> None:
         """Look at one runner again and again until it has ended."""
@@ -53,19 +57,60 @@
             return
         now = self._desk.clock.monotonic()
         effect = self._desk.cell.viewed(state, view, asked, now)
-        self._tell_effect(state, effect)
+        self._tell_effect(state, effect, now)
         await self._desk.wake.notify()
         if effect.ended or unstored:
-            number = state.noted
-            task = await curio.spawn(self._acknowledge, state, number, daemon=True)
-            await curio.ignore_after(STORE_PATIENCE, task.wait)
+            await self._store_ends(state, effect)
             if unstored and state.acknowledged < state.noted:
                 await curio.sleep(RELOOK_SECONDS)
 
-    async def _acknowledge(self, state: RunnerState, number: int) -> None:
-        """Let the runner forget its ends once their effect stands in the store."""
-        if await self._desk.flush() is Written.STORED:
+    async def _store_ends(self, state: RunnerState, effect: ViewEffect) -> None:
+        jobs = self._unstored_by_runner.setdefault(state.id, set())
+        jobs.update(ended.task.job for ended, _ in effect.ended)
+        task = await curio.spawn(
+            self._acknowledge,
+            state,
+            state.noted,
+            bool(effect.ended),
+            daemon=True,
+        )
+        await curio.ignore_after(STORE_PATIENCE, task.wait)
+
+    async def _acknowledge(self, state: RunnerState, number: int, fresh: bool) -> None:
+        """Let the runner forget its ends once their effect stands in the store.
+
+        While the store is out this is tried several times a second for each runner:
+        only ``fresh`` ends get a line then, and those that are stored at last.
+        """
+        began = self._desk.clock.monotonic()
+        jobs = sorted(self._unstored_by_runner.get(state.id, ()))
+        outcome = await self._desk.flush()
+        if outcome is Written.STORED:
             state.acknowledged = max(state.acknowledged, number)
+            self._unstored_by_runner.get(state.id, set()).difference_update(jobs)
+        elif not fresh:
+            return
+        if jobs:
+            self._tell_ends(state, number, jobs, outcome, began)
+
+    def _tell_ends(
+        self,
+        state: RunnerState,
+        number: int,
+        jobs: list[str],
+        outcome: Written,
+        began: float,
+    ) -> None:
+        self._desk.journal.tell_frequent(
+            Part.WORKERS,
+            f'ends on {state.id}: {outcome.value}.',
+            runner=state.id,
+            jobs=jobs[:MOST_NAMED],
+            number=number,
+            acknowledged=state.acknowledged,
+            epoch=self._desk.term.epoch,
+            seconds=round(self._desk.clock.monotonic() - began, 3),
+        )
 
     async def _miss_runner(self, state: RunnerState, error: RunnerError) -> None:
         now = self._desk.clock.monotonic()
@@ -77,6 +122,7 @@
                 f'{state.id} does not answer: {error}.',
                 runner=state.id,
                 tasks=len(state.allocation_by_run),
+                epoch=self._desk.term.epoch,
             )
         if state.allocation_by_run and self._desk.leases_ran_out(state):
             self._desk.journal.tell(
@@ -84,6 +130,7 @@
                 f'the leases on {state.id} have run out.',
                 runner=state.id,
                 tasks=len(state.allocation_by_run),
+                epoch=self._desk.term.epoch,
             )
             self._desk.cell.runner_lapsed(state.id)
         if (
@@ -95,7 +142,7 @@
             return
         await curio.sleep(RELOOK_SECONDS)
 
-    def _tell_effect(self, state: RunnerState, effect: ViewEffect) -> None:
+    def _tell_effect(self, state: RunnerState, effect: ViewEffect, now: float) -> None:
         for ended, allocation in effect.ended:
             started = allocation.started_at if allocation else None
             self._desk.journal.tell_frequent(
@@ -103,15 +150,25 @@
                 f'a run has ended {ended.outcome.value}.',
                 runner=state.id,
                 job=ended.task.job,
-                task=f'{ended.task.occurrence}.{ended.task.step}.{ended.task.index}',
+                task=ended.task.label,
                 run=ended.run,
-                seconds=round(self._desk.clock.monotonic() - started, 3) if started else None,
+                epoch=self._desk.term.epoch,
+                number=ended.number,
+                seconds=round(now - started, 3) if started else None,
             )
         if effect.adopted:
+            # A run that was found is counted from the look that listed it.
+            held = state.allocation_by_run.values()
+            found = [one for one in held if one.placed_at == now]
             self._desk.journal.tell(
                 Part.WORKERS,
                 f'found {effect.adopted} tasks on {state.id}.',
                 runner=state.id,
+                epoch=self._desk.term.epoch,
+                found=[
+                    f'{one.task.job}/{one.task.label} {one.run} {one.phase.value}'
+                    for one in found[:MOST_NAMED]
+                ],
             )
         for lost in effect.lost:
             self._desk.journal.tell(
@@ -119,6 +176,8 @@
                 f'{state.id} does not have a run that it should have.',
                 runner=state.id,
                 job=lost.task.job,
+                task=lost.task.label,
                 run=lost.run,
+                epoch=self._desk.term.epoch,
                 phase=lost.phase.value,
             )
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -21,7 +21,7 @@
 from dandelionreel.cell._services import ClientCodec, KeyedRecord, SubmissionError
 from dandelionreel.cell._writer import GroupWriter, Written
 from dandelionreel.http import Answer, Request, answer_problem
-from dandelionreel.kernel import Clock, Journal, Part, Problem, Verdict
+from dandelionreel.kernel import Clock, Journal, Part, Problem, Verdict, seconds_or_none
 from dandelionreel.peers import ForwardAnswer, Frame, Message
 
 #: Ids are chosen by clients.
@@ -333,6 +333,7 @@
             Part.JOBS,
             f'job {job_id} is asked for, not known.',
             job=job_id,
+            **self._knowledge(),
         )
         return self._codec.answer_unknown_job()
 
@@ -358,10 +359,19 @@
             Part.JOBS,
             f'{request.method} {job_id}: {outcome}.',
             job=job_id,
-            book_age=round(self._follower.age(self._clock.monotonic()), 3),
+            **self._knowledge(),
             **fields,
         )
 
+    def _knowledge(self) -> dict[str, Any]:
+        """Return how old what is known here is, in seconds, and who is taken for the owner."""
+        owner = self._jobs.book.owner
+        return {
+            'book_age': seconds_or_none(self._follower.age(self._clock.monotonic())),
+            'owner': owner.host if owner else '',
+            'epoch': owner.epoch if owner else 0,
+        }
+
 
 def _problem(status: int, cause: str, detail: str) -> Answer:
     return answer_problem(Problem(Verdict.NOT_RUN, status, cause, detail))
--- a/dandelionreel/cell/_model.py
+++ b/dandelionreel/cell/_model.py
@@ -101,6 +101,11 @@
     step: int
     index: int
 
+    @property
+    def label(self) -> str:
+        """Return the task within its job, as lines of the log name it."""
+        return f'{self.occurrence}.{self.step}.{self.index}'
+
 
 class JobState(enum.Enum):
     """What clients are told about a job."""
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -1,9 +1,12 @@
 """Starts and stops, repeated until it is known what became of them."""
 
+from typing import Any
+
 import curio
 
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import Allocation, RunnerState
+from dandelionreel.cell._runs import JobRun
 from dandelionreel.cell._services import (
     Runner,
     RunnerError,
@@ -13,7 +16,7 @@
     StartReply,
 )
 from dandelionreel.cell._writer import Written
-from dandelionreel.kernel import Part, Verdict
+from dandelionreel.kernel import Part, Verdict, seconds_or_none
 
 #: Seconds in which the runners of a job must be stored before its starts are
 #: given up for now. A slow store takes half a second.
@@ -25,6 +28,9 @@
 RESTOP_SECONDS = 0.2
 #: Seconds for which a runner that could not be reached gets no start.
 UNREACHED_QUIET = 0.3
+#: Seconds for the answer to a start above which it gets a line: most take a few
+#: milliseconds, and a line for each would double what is told of a start.
+SLOW_ANSWER = 0.1
 
 
 class Orders:
@@ -74,6 +80,11 @@
                 self._desk.end_runner(state, 'another runner answers there')
                 return
             self._desk.cell.stop_answered(allocation, self._desk.clock.monotonic())
+            self._desk.journal.tell_frequent(
+                Part.PLACEMENT,
+                f'{allocation.runner} has taken a stop.',
+                **self._fields(allocation),
+            )
             return
 
     async def _store_and_send(self, allocations_by_job: dict[str, list[Allocation]]) -> None:
@@ -95,16 +106,7 @@
         if state is None or runner is None or job is None:
             self._desk.cell.withdraw(allocation)
             return
-        self._desk.journal.tell_frequent(
-            Part.PLACEMENT,
-            f'starts a task on {state.id}.',
-            job=job.id,
-            task=f'{allocation.task.occurrence}.{allocation.task.step}.{allocation.task.index}',
-            run=allocation.run,
-            runner=state.id,
-            waited=round(self._desk.clock.monotonic() - job.accepted, 3),
-            room=state.room.cpu,
-        )
+        self._tell_start(state, allocation, job)
         maybe_sent = await self._try_start(state, runner, allocation, job.spec.payload)
         if maybe_sent is None:
             return
@@ -116,6 +118,38 @@
             self._desk.cell.withdraw(allocation)
         await self._desk.wake.notify()
 
+    def _fields(self, allocation: Allocation) -> dict[str, Any]:
+        """Return what names a run in a line, and who ordered it."""
+        return {
+            'job': allocation.task.job,
+            'task': allocation.task.label,
+            'run': allocation.run,
+            'epoch': self._desk.term.epoch,
+            'runner': allocation.runner,
+        }
+
+    def _tell_start(self, state: RunnerState, allocation: Allocation, job: JobRun) -> None:
+        """Tell a start with the age of what it rests on.
+
+        ``store_age`` and ``runner_age`` are seconds since the store and the runner last
+        answered; ``version`` is that of the configuration. A task that was started by two
+        owners is traced by what the second one had and had not heard.
+        """
+        now = self._desk.clock.monotonic()
+        found = job.find(allocation.task)
+        configuration = self._desk.cell.configuration
+        self._desk.journal.tell_frequent(
+            Part.PLACEMENT,
+            f'starts a task on {state.id}.',
+            **self._fields(allocation),
+            failures=found[1].failures if found else 0,
+            version=configuration.version if configuration else None,
+            store_age=round(now - self._desk.writer.stored_at, 3),
+            runner_age=seconds_or_none(now - state.answered_at),
+            waited=round(now - job.accepted, 3),
+            room=state.room.cpu,
+        )
+
     async def _try_start(
         self,
         state: RunnerState,
@@ -129,6 +163,7 @@
         def check() -> bool:
             return self._desk.may_start() and self._desk.cell.may_start(allocation)
 
+        began = self._desk.clock.monotonic()
         for _ in range(START_TRIES):
             try:
                 answer = await runner.start(self._order(state, allocation, payload), check)
@@ -143,6 +178,7 @@
                     return maybe_sent
                 await curio.sleep(RETRY_SECONDS)
                 continue
+            self._tell_slow(allocation, answer.reply, self._desk.clock.monotonic() - began)
             await self._take_answer(state, allocation, answer.reply)
             return None
         return maybe_sent
@@ -151,12 +187,19 @@
         self._desk.journal.tell_frequent(
             Part.PLACEMENT,
             f'a start was not answered: {error}.',
-            job=allocation.task.job,
-            runner=allocation.runner,
-            run=allocation.run,
+            **self._fields(allocation),
             verdict=error.verdict.value,
         )
 
+    def _tell_slow(self, allocation: Allocation, reply: StartReply, seconds: float) -> None:
+        if reply is StartReply.STARTED and seconds > SLOW_ANSWER:
+            self._desk.journal.tell_frequent(
+                Part.PLACEMENT,
+                f'{allocation.runner} has taken a start late.',
+                **self._fields(allocation),
+                seconds=round(seconds, 3),
+            )
+
     def _order(self, state: RunnerState, allocation: Allocation, payload: str) -> StartOrder:
         lease_until = state.extend_lease(self._desk.clock.monotonic(), self._desk.lease)
         return StartOrder(
@@ -186,8 +229,6 @@
             self._desk.journal.tell(
                 Part.PLACEMENT,
                 f'a start was refused: {reply.value}.',
-                job=allocation.task.job,
-                runner=state.id,
-                run=allocation.run,
+                **self._fields(allocation),
             )
             await self._desk.wake.notify()
