The tool tells a job's story from the logs of many hosts: dandelionreel explain

Cause: why a job was late, lost or started twice had to be read out of dozens of logs by hand, and which owner had known what was in no one place. Change: package records reads lines (what can't be read is counted), keeps the job's own and a bounded number around them, and puts together runs, waits, second starts with what the starter had written by then, and what the lines don't tell. The command reads files or standard input and writes tables or JSON. What commands return moved to a module of its own. Conclusion: works on logs as they are; where lines are cut or lack fields it says so.

--- a/dandelionreel/cli/_commands.py
+++ b/dandelionreel/cli/_commands.py
@@ -3,7 +3,6 @@
 import getpass
 import os
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 from urllib.parse import urlencode
@@ -13,6 +12,7 @@
 
 from dandelionreel.admin import DrainBody, PublishBody
 from dandelionreel.cli._ask import ToolError, ask, decode
+from dandelionreel.cli._explain import explain_job
 from dandelionreel.cli._options import (
     DEFAULT_ADMIN,
     DEFAULT_CALLERS,
@@ -24,36 +24,15 @@
     WORKER_COLUMNS,
 )
 from dandelionreel.cli._output import write_fields, write_table
+from dandelionreel.cli._shown import Command, Found, Shown, read_file
 from dandelionreel.contracts import ContractError, load_contract
 from dandelionreel.http import VERDICT_HEADER, Request
 from dandelionreel.jobs import CancelBody, JobSpecError, MoveBody, ResolveBody, load_spec
-from dandelionreel.kernel import Environment, ExitStatus, SettingsError, load_settings
+from dandelionreel.kernel import ExitStatus, SettingsError, load_settings
 
 KEY_BYTES = 8
 
 
-@dataclass(frozen=True)
-class Shown:
-    """What a command found, and how people see it."""
-
-    content: Any
-    show: Callable[[Any, Any], None]
-    as_json: bool = False
-
-
-Found = Result[Shown, ToolError]
-Command = Callable[[Environment], Found]
-
-
-def read_file(path: Path) -> Result[bytes, ToolError]:
-    """Return a file's bytes."""
-    try:
-        return Success(path.read_bytes())
-    except OSError as error:
-        message = f'{path}: {error.strerror}; name a readable file'
-        return Failure(ToolError(message, ExitStatus.USAGE))
-
-
 def check_settings(file: Path, *, json: bool = False) -> Command:
     """Check a daemon's settings without starting anything.
 
@@ -374,6 +353,7 @@
     'endpoints': endpoints,
     'drain': drain,
     'call': call,
+    'explain': explain_job,
 }
 
 
--- /dev/null
+++ b/dandelionreel/cli/_explain.py
@@ -0,0 +1,139 @@
+"""The command that tells a job's story from the hosts' logs."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, BinaryIO
+
+from returns.result import Failure, Success
+
+from dandelionreel.cli._ask import ToolError
+from dandelionreel.cli._output import write_table
+from dandelionreel.cli._shown import Command, Found, Shown, unreadable
+from dandelionreel.kernel import Environment, ExitStatus
+from dandelionreel.records import Subject, SubjectError, explain, parse_subject, view_report
+
+STDIN = '-'
+LINE_COLUMNS = ('at', 'host', 'told', 'task', 'run', 'epoch', 'text', 'more')
+RUN_COLUMNS = (
+    'task',
+    'run',
+    'epoch',
+    'owner',
+    'runner',
+    'asked',
+    'ended',
+    'seconds',
+    'outcome',
+    'noted',
+    'knew',
+)
+
+QUOTE_INDENT = '    '
+
+
+def explain_job(job: str, *files: Path, json: bool = False) -> Command:
+    """Tell the story of a job or task from log files of many hosts, or standard input.
+
+    Lines that can't be read are counted and left out.
+
+    :param job: the job's id, or JOB/TASK with a task as lines name it: 0.2.13
+    :param files: the hosts' logs, in any order; - or none for standard input
+    :param json: write JSON
+    """
+    return lambda environment: _explain(job, files, environment, json)
+
+
+def _explain(text: str, files: tuple[Path, ...], environment: Environment, json: bool) -> Found:
+    try:
+        subject = parse_subject(text)
+    except SubjectError as error:
+        return Failure(ToolError(f'{error}', ExitStatus.USAGE))
+    try:
+        report = explain(subject, _open_all(files, environment))
+    except OSError as error:
+        return Failure(unreadable(error.filename or 'standard input', error))
+    if report is None:
+        return Failure(_not_named(subject))
+    return Success(Shown(view_report(report), _write_report, json))
+
+
+def _not_named(subject: Subject) -> ToolError:
+    return ToolError(f'no line names {subject.name}; give the logs of all hosts', ExitStatus.ERROR)
+
+
+def _open_all(files: tuple[Path, ...], environment: Environment) -> Iterator[tuple[str, BinaryIO]]:
+    """Open one file after the other, each closed when the next one's turn comes."""
+    for path in files or (Path(STDIN),):
+        if f'{path}' == STDIN:
+            yield 'standard input', environment.stdin.buffer
+            continue
+        with path.open('rb') as stream:
+            yield f'{path}', stream
+
+
+def _write_report(stream: Any, content: Any) -> None:
+    read = content['read']
+    stream.write(f'{content["subject"]}: seconds since {content["began"]}\n')
+    first = f', the first at {read["first_bad"]}' if read['first_bad'] else ''
+    stream.write(
+        f'read {read["lines"]} lines of {read["files"]} files, {read["bad"]} bad{first}\n',
+    )
+    _write_part(stream, 'timeline', content['timeline'], LINE_COLUMNS)
+    _write_part(stream, 'runs', content['runs'], RUN_COLUMNS)
+    for wait in content['waits']:
+        _write_wait(stream, wait, whole_job='/' not in content['subject'])
+    for again in content['again']:
+        _write_again(stream, again)
+    for sentence in content['not_known']:
+        stream.write(f'\nnot known: {sentence}')
+    stream.write('\n' if content['not_known'] else '')
+
+
+def _write_part(stream: Any, name: str, rows: Any, columns: tuple[str, ...]) -> None:
+    if not rows:
+        return
+    stream.write(f'\n{name}\n')
+    write_table(stream, [_plain_row(row) for row in rows], columns)
+
+
+def _plain_row(row: Any) -> dict[str, Any]:
+    """Return a row with blanks for what is not known, and how often a line was told."""
+    plain = {name: '' if found is None else found for name, found in row.items()}
+    count = row.get('count', 1)
+    if count > 1:
+        plain['text'] = f'{row["text"]} (told {count} times)'
+    return plain
+
+
+def _write_wait(stream: Any, wait: Any, *, whole_job: bool) -> None:
+    others = '' if whole_job else ' (other tasks may have run)'
+    stream.write(f'\nwaited {wait["seconds"]} s, from {wait["since"]} to {wait["until"]}{others}\n')
+    if not wait['causes']:
+        stream.write(f'{QUOTE_INDENT}no line tells why\n')
+    _write_quotes(stream, wait['causes'])
+
+
+def _write_again(stream: Any, again: Any) -> None:
+    earlier = again['earlier']
+    later = again['later']
+    stream.write(f'\ntask {again["task"]}: run {_name_run(earlier)}, then run {_name_run(later)}\n')
+    sign = 'SUSPECT: ' if again['suspect'] else ''
+    stream.write(f'{QUOTE_INDENT}{sign}{again["finding"]}\n')
+    if later['knew']:
+        knew = ', '.join(f'{name} {found}' for name, found in later['knew'].items())
+        stream.write(f'{QUOTE_INDENT}at the start {later["owner"]} knew: {knew}\n')
+    if again['knew']:
+        stream.write(f'{QUOTE_INDENT}what {later["owner"]} had written by then:\n')
+        _write_quotes(stream, again['knew'])
+
+
+def _name_run(run: Any) -> str:
+    owner = run['owner'] or 'an owner that no line names'
+    return f'{run["run"]} on {run["runner"]} by {owner} in epoch {run["epoch"]}'
+
+
+def _write_quotes(stream: Any, lines: Any) -> None:
+    for line in lines:
+        more = ' '.join(f'{name}={found}' for name, found in line['more'].items())
+        stream.write(f'{QUOTE_INDENT}{line["at"]} {line["host"]}: {line["text"]} {more}'.rstrip())
+        stream.write('\n')
--- /dev/null
+++ b/dandelionreel/cli/_shown.py
@@ -0,0 +1,37 @@
+"""What commands return, before it is written."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from dandelionreel.cli._ask import ToolError
+from dandelionreel.kernel import Environment, ExitStatus
+
+
+@dataclass(frozen=True)
+class Shown:
+    """What a command found, and how people see it."""
+
+    content: Any
+    show: Callable[[Any, Any], None]
+    as_json: bool = False
+
+
+Found = Result[Shown, ToolError]
+Command = Callable[[Environment], Found]
+
+
+def read_file(path: Path) -> Result[bytes, ToolError]:
+    """Return a file's bytes."""
+    try:
+        return Success(path.read_bytes())
+    except OSError as error:
+        return Failure(unreadable(path, error))
+
+
+def unreadable(path: Path | str, error: OSError) -> ToolError:
+    """Return what is said of a file that can't be read."""
+    return ToolError(f'{path}: {error.strerror}; name a readable file', ExitStatus.USAGE)
--- /dev/null
+++ b/dandelionreel/records/__init__.py
@@ -0,0 +1,19 @@
+"""The log lines of many hosts, gathered into the story of one job."""
+
+from dandelionreel.records._lines import Tally, read_lines
+from dandelionreel.records._report import Report, explain
+from dandelionreel.records._stages import Stage
+from dandelionreel.records._subject import Subject, SubjectError, parse_subject
+from dandelionreel.records._view import view_report
+
+__all__ = (
+    'Report',
+    'Stage',
+    'Subject',
+    'SubjectError',
+    'Tally',
+    'explain',
+    'parse_subject',
+    'read_lines',
+    'view_report',
+)
--- /dev/null
+++ b/dandelionreel/records/_again.py
@@ -0,0 +1,121 @@
+"""Tasks that were started more than once: what the later starter had been told."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from dandelionreel.records._runs import Run
+from dandelionreel.records._stages import Stage
+from dandelionreel.records._told import Told
+
+#: Lines of one host that are quoted for one start.
+MOST_QUOTED = 6
+#: Stages by which an owner learns that an earlier run is over, or takes it to be.
+LEARNED = frozenset(
+    (
+        Stage.ENDED,
+        Stage.TURNED_AWAY,
+        Stage.MISSING,
+        Stage.LAPSED,
+        Stage.FOUND,
+        Stage.STOPPING,
+        Stage.STOPPED,
+        Stage.UNANSWERED,
+    ),
+)
+#: Stages of those that say that the run is over, or can't go on.
+OVER = frozenset((Stage.ENDED, Stage.TURNED_AWAY, Stage.MISSING, Stage.LAPSED))
+OWNERS = frozenset((Stage.TAKEN_OVER, Stage.OWNERSHIP))
+
+
+@dataclass(frozen=True)
+class Again:
+    """Two runs of a task, one after the other."""
+
+    earlier: Run
+    later: Run
+    #: What is to be thought of it, in one sentence.
+    finding: str
+    #: Whether the lines show no reason for which it might have been started.
+    suspect: bool
+    #: What the later starter was told before, the latest last.
+    knew: tuple[Told, ...]
+
+
+def find_again(runs: Iterable[Run], lines: list[Told]) -> list[Again]:
+    """Return each run with the one before it of the same task; ``lines`` are in order."""
+    found = []
+    earlier: Run | None = None
+    for run in runs:
+        if earlier is not None and earlier.task == run.task:
+            found.append(_compare(earlier, run, lines))
+        earlier = run
+    return found
+
+
+def _compare(earlier: Run, later: Run, lines: list[Told]) -> Again:
+    knew = _known_before(earlier, later, lines)
+    finding, suspect = _judge(earlier, later, knew)
+    return Again(earlier, later, finding, suspect, knew)
+
+
+def _known_before(earlier: Run, later: Run, lines: list[Told]) -> tuple[Told, ...]:
+    """Return what the later run's owner wrote of the earlier one, and of its own term."""
+    at = later.asked_at
+    if at is None:
+        return ()
+    own = [line for line in lines if line.host == later.owner and line.at <= at]
+    of_run = [line for line in own if _tells_of(line, earlier)]
+    of_term = [line for line in own if line.stage in OWNERS][-MOST_QUOTED:]
+    return tuple(sorted([*of_run[-MOST_QUOTED:], *of_term], key=lambda line: line.at))
+
+
+def _tells_of(line: Told, run: Run) -> bool:
+    """Return whether a line is about a run, or about its runner while it was there."""
+    if line.stage not in LEARNED:
+        return False
+    if any(told is line for told in run.told):
+        return True
+    about_runner = line.stage is Stage.LAPSED and line.runner == run.runner
+    return about_runner and line.at >= run.began_at
+
+
+def _judge(earlier: Run, later: Run, knew: tuple[Told, ...]) -> tuple[str, bool]:
+    """Return what the lines say of a second start, and whether it is suspect."""
+    if later.asked_at is None:
+        return 'the later start is in no line that was read', True
+    over = [line for line in knew if _says_over(line)]
+    told = f'{later.owner} had been told' if later.owner else 'its owner had been told'
+    if earlier.outcome == 'done':
+        when = earlier.ended_at or 0.0
+        side = 'before' if when <= later.asked_at else 'after'
+        gap = abs(later.asked_at - when)
+        news = 'it' if over else 'nothing of it'
+        return (
+            f'run {earlier.run} was done, told {gap:.3f} s {side} this start; {told} {news}',
+            True,
+        )
+    if over:
+        age = later.asked_at - over[-1].at
+        return f'{told} {age:.3f} s before: {over[-1].sentence}', False
+    if _gave_up(knew):
+        return f'{told} nothing of run {earlier.run}; it took the leases for run out', True
+    overlap = _overlap(earlier, later)
+    return f'{told} nothing of the end of run {earlier.run}{overlap}', True
+
+
+def _says_over(line: Told) -> bool:
+    never_sent = line.stage is Stage.UNANSWERED and line.more.get('verdict') == 'not_run'
+    return line.stage in OVER or never_sent
+
+
+def _gave_up(knew: tuple[Told, ...]) -> bool:
+    return any('unseen runners for run out' in line.text for line in knew)
+
+
+def _overlap(earlier: Run, later: Run) -> str:
+    if earlier.ended_at is None:
+        return ', of which no line tells'
+    if later.asked_at is not None and earlier.ended_at > later.asked_at:
+        seconds = earlier.ended_at - later.asked_at
+        return f', which was told {seconds:.3f} s later: both may have run'
+    return f', which {earlier.seen_by} had read: {earlier.outcome}'
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -52,6 +52,7 @@
     When a long job is handed in and the owner is killed once it runs
     Then the other hosts tell that the job is completed
     And no task ran twice and no runner was overfull
+    And the logs tell who accepted, started, took over, found, noted and closed it
 
   # All hosts lost power right after the client was told that its job is taken.
   Scenario: All hosts are killed right after a job was taken
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,222 @@
+"""Steps that write small logs and have the tool tell a job's story from them."""
+
+import io
+import json
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from dandelionreel.cli._tool import main
+from dandelionreel.kernel import Environment
+
+JOB = '8b344bac49d1ac6d'
+BASE = 1_770_000_000.0
+GOOD = (
+    (0.0, 'jobs: POST ID: 200 by this host.', {}),
+    (0.2, 'placement: starts a task on r1.', {'task': '0.0.0', 'run': 1, 'runner': 'r1'}),
+    (0.7, 'workers: a run has ended done.', {'task': '0.0.0', 'run': 1, 'runner': 'r1'}),
+    (0.8, 'jobs: job ID is completed.', {}),
+)
+
+
+def line(at, host, text, fields):
+    """Return one line as a host writes it; ``ID`` stands for the job."""
+    written = {'job': 'ID', **fields}
+    if written['job'] is None:
+        del written['job']
+    part = text.partition(':')[0]
+    told = {'host': host, 'text': text, **written, 'timestamp': BASE + at, 'message_type': part}
+    return json.dumps(told).replace('ID', JOB).encode()
+
+
+MIDST = {
+    'a line that is cut': lambda: line(0.5, 'a', 'jobs: cut.', {})[:60],
+    'a line of another program': lambda: b'Traceback (most recent call last):',
+    'bytes that are no text': lambda: bytes(range(256)).replace(b'\n', b''),
+    'a value nested 100000 deep': lambda: deep(100_000),
+    'a value nested 3000 deep': lambda: deep(3000),
+    'a line without a host': lambda: json.dumps({'text': JOB, 'timestamp': 1.0}).encode(),
+    'a time that is no number': lambda: b'{"host": "a", "text": "x", "timestamp": "now"}',
+    'a time beyond all numbers': lambda: b'{"host": "a", "text": "x", "timestamp": 1e999}',
+    'fields of other types': lambda: line(
+        0.5, 'a', 'placement: a start was refused: x.', {'task': 7, 'run': 'x', 'runner': [1]}
+    ),
+    'a line of 5 MB': lambda: line(0.5, 'a', 'x' * 5_000_000, {}),
+    'a field that is no text': lambda: line(0.5, 'a', 'jobs: x.', {'u': 'Q'}).replace(
+        b'"Q"', b'"\xff"'
+    ),
+    'blank lines': lambda: b'\n  \n',
+}
+
+
+def deep(depth):
+    """Return a line with a field of that many lists, one in the other."""
+    text = '[' * depth + ']' * depth
+    return line(0.5, 'a', 'jobs: x.', {'deep': 'Q'}).replace(b'"Q"', text.encode())
+
+
+def _folder(context):
+    if not hasattr(context, 'folder'):
+        context.folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
+    return context.folder
+
+
+def _write(context, name, lines):
+    with (_folder(context) / f'{name}.log').open('ab') as file:
+        for content in lines:
+            file.write(b'  43.6215 ' + name.encode() + b' ' + content + b'\n')
+
+
+def _tell(context, words, stdin=b''):
+    out, err = io.StringIO(), io.StringIO()
+    reader = io.TextIOWrapper(io.BytesIO(stdin))
+    context.status = int(main(words, Environment(stdin=reader, stdout=out, stderr=err)))
+    context.out, context.err = out.getvalue(), err.getvalue()
+
+
+def tell_story(context, subject=JOB):
+    files = [str(path) for path in sorted(_folder(context).glob('*.log'))]
+    _tell(context, ['explain', subject, *files, '--json'])
+    context.story = json.loads(context.out) if not context.status else None
+
+
+@given('logs of hosts a and b')
+def write_logs(context):
+    for row in context.table:
+        told = line(float(row['at']), row['host'], row['text'], json.loads(row['fields']))
+        _write(context, row['host'], [told])
+
+
+@given('a log of a job that went well, with {what} in its midst')
+def write_broken(context, what):
+    lines = [line(at, 'a', text, fields) for at, text, fields in GOOD]
+    folder = _folder(context)
+    content = b'\n'.join([*lines[:2], MIDST[what](), *lines[2:]])
+    (folder / 'a.log').write_bytes(content + b'\n')
+
+
+@given('30 hosts that tell that r1 is draining while a task runs there')
+def write_many(context):
+    _write(context, 'a', [line(at, 'a', text, fields) for at, text, fields in GOOD])
+    for host in range(30):
+        told = line(0.4, f'h{host}', 'workers: r1 is draining.', {'runner': 'r1', 'job': None})
+        _write(context, f'h{host}', [told])
+
+
+@when('its story is told')
+def tell(context):
+    tell_story(context)
+    assert context.status == 0, context.err
+
+
+@when('the tool tells its story from standard input')
+def tell_from_input(context):
+    _tell(context, ['explain', JOB], (_folder(context) / 'a.log').read_bytes())
+
+
+@then('it tells {stages} in this order')
+def check_order(context, stages):
+    wanted = stages.split(', ')
+    told = [row['told'] for row in context.story['timeline']]
+    assert [stage for stage in told if stage in wanted] == wanted, told
+
+
+@then('its run {run:d} was started by {owner} on {runner}, ended {outcome} and was noted')
+def check_run(context, run, owner, runner, outcome):
+    (found,) = context.story['runs']
+    told = (found['run'], found['owner'], found['runner'], found['outcome'])
+    assert told == (run, owner, runner, outcome), found
+    assert found['noted'] is not None and found['ended'] <= found['noted'], found
+
+
+@then('nothing was started again, and nothing is said to be not known')
+def check_whole(context):
+    assert not context.story['again'] and not context.story['not_known'], context.story
+
+
+@then('task {task} is told to be started again, which is {judged}: {words}')
+def check_again(context, task, judged, words):
+    (again,) = context.story['again']
+    assert again['task'] == task and again['suspect'] is (judged == 'suspect'), again
+    assert words in again['finding'], again['finding']
+
+
+@then(
+    'the later start was by {owner} in epoch {epoch:d} at version {version:d}, with what it knew {age:g} s old'
+)
+def check_knowledge(context, owner, epoch, version, age):
+    later = context.story['again'][0]['later']
+    assert (later['owner'], later['epoch']) == (owner, epoch), later
+    assert (later['knew']['version'], later['knew']['store_age']) == (version, age), later
+
+
+@then('{owner} had written {first} and {second} by then')
+def check_written(context, owner, first, second):
+    knew = context.story['again'][0]['knew']
+    assert {row['host'] for row in knew} == {owner}, knew
+    texts = ' '.join(row['text'] for row in knew)
+    assert first in texts and second in texts and 'a run has ended' not in texts, texts
+
+
+@then('the same is told of task {task} alone, and of task {other} nothing')
+def check_task(context, task, other):
+    before = context.story['again']
+    tell_story(context, f'{JOB}/{task}')
+    assert context.story['again'] == before, context.story['again']
+    tell_story(context, f'{JOB}/{other}')
+    assert context.status == 1 and f'{JOB}/{other}' in context.err, context.err
+
+
+@then('{count:d} lines are counted as bad')
+def check_bad(context, count):
+    read = context.story['read']
+    assert read['bad'] == count, read
+    assert bool(read['first_bad'].endswith('a.log:3')) is bool(count), read
+
+
+@then('it was handed in {seconds:g} s before its start, and waited so long')
+def check_handed_in(context, seconds):
+    assert context.story['runs'][0]['asked'] == seconds, context.story['runs']
+    assert [wait['seconds'] for wait in context.story['waits']] == [seconds]
+
+
+@then('it is said that {words}')
+def check_missing(context, words):
+    missing = context.story['not_known']
+    assert any(sentence.startswith(words) for sentence in missing), missing
+
+
+@then('it waited {seconds:g} s, for: {first}, {second}, {host} has lost the store')
+def check_causes(context, seconds, first, second, host):
+    (wait,) = context.story['waits']
+    assert wait['seconds'] == seconds, wait
+    told = [(row['host'], row['text']) for row in wait['causes']]
+    assert first in told[0][1] and second in told[1][1] and len(told) == 3, told
+    assert told[2][0] == host and 'has lost the store' in told[2][1], told
+
+
+@then('one line tells that {runner} is draining, told {count:d} times')
+def check_once(context, runner, count):
+    rows = [row for row in context.story['timeline'] if 'is draining' in row['text']]
+    assert [row['count'] for row in rows] == [count], rows
+
+
+@then('the logs tell who accepted, started, took over, found, noted and closed it')
+def check_real_logs(context):
+    for name in context.hosts.names:
+        (_folder(context) / f'{name}.log').write_text(context.hosts.log_of(name))
+    (path,) = context.path_by_id.values()
+    tell_story(context, path.rpartition('/')[2])
+    assert context.status == 0, context.err
+    told = [row['told'] for row in context.story['timeline']]
+    asked = told.index('asked')
+    assert 'accepted' in told[:asked], told
+    # The job's last state is told as it is made, its ends once they are stored.
+    after = ('taken over', 'found', 'ended', 'closed', 'noted')
+    assert tuple(stage for stage in told[asked:] if stage in after) == after, told
+    (run,) = context.story['runs']
+    assert run['owner'] == context.killed and run['outcome'] == 'done', run
+    assert run['seen_by'] != context.killed and run['noted'] is not None, run
+    assert set(run['knew']) == {'failures', 'version', 'store_age', 'runner_age'}, run
+    assert not context.story['again'] and not context.story['not_known'], context.story
