--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint types format spec spec-traces soak platform-soak guards examples \
-	bench-placement bench-replay bench-requests bench-cell capacity clean
+	bench-placement bench-replay bench-requests bench-cell bench-explain capacity clean
 
 # Run the whole path on loopback, and end.
 demo: $(STAMP)
@@ -74,6 +74,10 @@
 bench-cell: $(STAMP)
 	$(BIN)/python -m bench.cell
 
+# How long the story of a job takes on logs of 100 MB, and how much memory.
+bench-explain: $(STAMP)
+	$(BIN)/python -m bench.explain
+
 # Slopes of the idle cost, the cost at letter 1's size, and docs/capacity.png.
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/bench/explain.py
@@ -0,0 +1,129 @@
+"""How long the story of a job takes on generated logs: ``make bench-explain``.
+
+Three logs of 100 MB: lines of a large site at work, one job's lines only, and one line
+without an end. Each is told by the tool in a process of its own.
+"""
+
+import json
+import random
+import resource
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+BYTES = 100_000_000
+SEED = 7
+HOSTS = [f'entry-{zone}-{number}' for zone in 'abcd' for number in range(1, 10)]
+JOB = '8b344bac49d1ac6d'
+#: One line of so many is cut somewhere.
+CUT_EVERY = 997
+MB = 1_000_000
+
+
+def fields_of(number: int, job: str, runner: str) -> dict[str, object]:
+    """Return what one line of ten tells, in the shapes and shares of real logs."""
+    run = {'job': job, 'task': f'0.1.{number % 50}', 'run': 3001, 'epoch': 3, 'runner': runner}
+    kinds = (
+        ('jobs: POST {job}: 200 by a peer.', {'job': job, 'book_age': 0.2, 'epoch': 3}),
+        ('placement: starts a task on {runner}.', {**run, 'version': 16, 'store_age': 0.01}),
+        ('workers: a run has ended done.', {**run, 'number': number, 'seconds': 1.1}),
+        ('workers: {runner} is ready.', {'runner': runner, 'service': 'desk'}),
+        ('workers: {runner} does not answer: no answer in time.', {'runner': runner, 'tasks': 3}),
+        ('ownership: {runner} is silent in the store; it says that it acts.', {'epoch': number}),
+    )
+    text, fields = kinds[(0, 0, 0, 1, 1, 2, 2, 3, 4, 5)[number % 10]]
+    return {'text': text.format(job=job, runner=runner), **fields}
+
+
+def mixed(one_job: bool) -> Iterator[bytes]:
+    """Return lines of 36 hosts and 3,000 jobs, or of one job, cut ones among them."""
+    chance = random.Random(SEED)
+    jobs = [JOB] if one_job else [JOB, *(f'{chance.getrandbits(64):016x}' for _ in range(2999))]
+    number = 0
+    while True:
+        number += 1
+        runner = f'i-{chance.getrandbits(40):010x}' if number % 5 else 'i-1'
+        told = fields_of(number, chance.choice(jobs), runner)
+        line = json.dumps(
+            {
+                'host': chance.choice(HOSTS),
+                **told,
+                'timestamp': 1.77e9 + number * 0.002,
+                'task_uuid': '53314170-5dc5-47d8-9448-b2ea91dd01be',
+                'task_level': [1],
+                'message_type': told['text'].partition(':')[0],
+            },
+            separators=(',', ':'),
+        ).encode()
+        yield (line if number % CUT_EVERY else line[: chance.randrange(len(line))]) + b'\n'
+
+
+def endless() -> Iterator[bytes]:
+    """Return a line of the job, then one that has no end."""
+    yield next(mixed(one_job=True))
+    while True:
+        yield b'{"host":"a"' * 1000
+
+
+def write(path: Path, chunks: Iterator[bytes]) -> None:
+    """Write chunks up to the size."""
+    left = BYTES
+    with path.open('wb') as file:
+        while left > 0:
+            left -= file.write(next(chunks))
+
+
+def measure(name: str, path: Path) -> None:
+    """Tell the job's story from one log, and write what it took."""
+    began = time.monotonic()
+    done = subprocess.run(
+        [sys.executable, '-m', 'bench.explain', 'tell', JOB, str(path)],
+        stdout=subprocess.PIPE,
+        text=True,
+        check=False,
+    )
+    seconds = time.monotonic() - began
+    head = done.stdout.splitlines()
+    peak, _, read = head[-1].partition(' ') if head else ('?', '', '')
+    sys.stdout.write(
+        f'{name}: {path.stat().st_size / MB:.0f} MB in {seconds:.1f} s, '
+        f'{peak} MB of memory, exit {done.returncode}; {read}\n'
+    )
+
+
+def tell(words: list[str]) -> int:
+    """Run the tool's command here; write the peak of memory and what was read."""
+    from io import StringIO
+
+    from dandelionreel.cli._tool import main as run_tool
+    from dandelionreel.kernel import Environment
+
+    out = StringIO()
+    status = run_tool(['explain', *words], Environment(stdout=out))
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    read = out.getvalue().splitlines()[1:2]
+    sys.stdout.write(f'{peak:.0f} {"".join(read)}\n')
+    return status
+
+
+def main() -> int:
+    """Measure all three logs."""
+    if sys.argv[1:2] == ['tell']:
+        return tell(sys.argv[2:])
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / 'hosts.log'
+        for name, chunks in (
+            ('a site at work', mixed(one_job=False)),
+            ('one job only', mixed(one_job=True)),
+            ('a line without end', endless()),
+        ):
+            write(path, chunks)
+            measure(name, path)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
@@ -71,6 +71,8 @@
     by: str = ''
     #: Whether an append may have taken place.
     maybe: bool = False
+    #: What each attempt came to, for the line of one that was not answered 2xx.
+    tried: list[str] = field(default_factory=list)
 
 
 Attempt = Callable[[float, _Effort], Awaitable[Answer | None]]
@@ -205,6 +207,7 @@
             job_id,
             'may be stored' if effort.maybe else 'not stored',
             store_failing=round(max(0.0, until - self._writer.failing_since), 3),
+            tried=effort.tried,
         )
         if effort.maybe:
             return self._unknown('what was asked for may have been stored')
@@ -224,6 +227,7 @@
             async def by_owner(left: float, effort: _Effort) -> Answer | None:
                 effort.by = 'the owner'
                 if dispatcher.store_is_failing:
+                    effort.tried.append('the owner: its store is failing')
                     return None
                 return self._judge(await at_owner(dispatcher, min(left, OWN_PATIENCE)), effort)
 
@@ -250,6 +254,8 @@
             effort.by = 'a peer'
             passed = await forward(request, left)
             effort.maybe = effort.maybe or passed.maybe
+            status = passed.answer.status if passed.answer else 'none could act'
+            effort.tried.append(f'a peer: {"may have acted" if passed.maybe else status}')
             return passed.answer
 
         return pass_on
@@ -259,6 +265,7 @@
         if outcome is Written.STORED:
             return self._codec.answer_accepted()
         effort.maybe = effort.maybe or outcome is not Written.REFUSED
+        effort.tried.append(f'{effort.by}: {outcome.value}')
         return None
 
     def _is_cut_off(self, now: float) -> bool:
--- a/dandelionreel/cli/_explain.py
+++ b/dandelionreel/cli/_explain.py
@@ -29,6 +29,8 @@
 )
 
 QUOTE_INDENT = '    '
+#: Names of a list that a table shows; JSON has all.
+MOST_LISTED = 3
 
 
 def explain_job(job: str, *files: Path, json: bool = False) -> Command:
@@ -78,12 +80,14 @@
     stream.write(
         f'read {read["lines"]} lines of {read["files"]} files, {read["bad"]} bad{first}\n',
     )
-    _write_part(stream, 'timeline', content['timeline'], LINE_COLUMNS)
+    runners = frozenset(run['runner'] for run in content['runs'])
+    lines = [_shorten(line, runners) for line in content['timeline']]
+    _write_part(stream, 'timeline', lines, LINE_COLUMNS)
     _write_part(stream, 'runs', content['runs'], RUN_COLUMNS)
     for wait in content['waits']:
         _write_wait(stream, wait, whole_job='/' not in content['subject'])
     for again in content['again']:
-        _write_again(stream, again)
+        _write_again(stream, again, runners)
     for sentence in content['not_known']:
         stream.write(f'\nnot known: {sentence}')
     stream.write('\n' if content['not_known'] else '')
@@ -96,6 +100,18 @@
     write_table(stream, [_plain_row(row) for row in rows], columns)
 
 
+def _shorten(line: Any, runners: frozenset[str]) -> Any:
+    """Return a line with its long lists cut, the runners that are asked about left in."""
+    more = {name: found for name, found in line['more'].items() if found is not None}
+    for name, found in more.items():
+        if isinstance(found, list) and len(found) > MOST_LISTED:
+            wanted = [one for one in found if one in runners]
+            others = [one for one in found if one not in runners]
+            shown = ', '.join(f'{one}' for one in [*wanted, *others][:MOST_LISTED])
+            more[name] = f'{shown}, … ({len(found)})'
+    return {**line, 'more': more}
+
+
 def _plain_row(row: Any) -> dict[str, Any]:
     """Return a row with blanks for what is not known, and how often a line was told."""
     plain = {name: '' if found is None else found for name, found in row.items()}
@@ -113,7 +129,7 @@
     _write_quotes(stream, wait['causes'])
 
 
-def _write_again(stream: Any, again: Any) -> None:
+def _write_again(stream: Any, again: Any, runners: frozenset[str]) -> None:
     earlier = again['earlier']
     later = again['later']
     stream.write(f'\ntask {again["task"]}: run {_name_run(earlier)}, then run {_name_run(later)}\n')
@@ -124,7 +140,7 @@
         stream.write(f'{QUOTE_INDENT}at the start {later["owner"]} knew: {knew}\n')
     if again['knew']:
         stream.write(f'{QUOTE_INDENT}what {later["owner"]} had written by then:\n')
-        _write_quotes(stream, again['knew'])
+        _write_quotes(stream, [_shorten(line, runners) for line in again['knew']])
 
 
 def _name_run(run: Any) -> str:
--- a/dandelionreel/records/_again.py
+++ b/dandelionreel/records/_again.py
@@ -24,6 +24,9 @@
 )
 #: Stages of those that say that the run is over, or can't go on.
 OVER = frozenset((Stage.ENDED, Stage.TURNED_AWAY, Stage.MISSING, Stage.LAPSED))
+#: How a new owner tells that it has waited for the leases on runners it can't reach.
+LAPSE = 'takes the leases on unseen runners for run out'
+NEVER_TOLD = ', of which no line tells'
 OWNERS = frozenset((Stage.TAKEN_OVER, Stage.OWNERSHIP))
 
 
@@ -97,10 +100,13 @@
     if over:
         age = later.asked_at - over[-1].at
         return f'{told} {age:.3f} s before: {over[-1].sentence}', False
-    if _gave_up(knew):
-        return f'{told} nothing of run {earlier.run}; it took the leases for run out', True
-    overlap = _overlap(earlier, later)
-    return f'{told} nothing of the end of run {earlier.run}{overlap}', True
+    lapse = _find_lapse(knew, earlier.runner)
+    overlap = _tell_overlap(earlier, later.asked_at)
+    if lapse is not None and not overlap:
+        age = later.asked_at - lapse.at
+        return f'{told} nothing of run {earlier.run}; {age:.3f} s before it {lapse.sentence}', False
+    waited = '' if lapse is None else f'; it {lapse.sentence}'
+    return f'{told} nothing of the end of run {earlier.run}{overlap or NEVER_TOLD}{waited}', True
 
 
 def _says_over(line: Told) -> bool:
@@ -108,14 +114,21 @@
     return line.stage in OVER or never_sent
 
 
-def _gave_up(knew: tuple[Told, ...]) -> bool:
-    return any('unseen runners for run out' in line.text for line in knew)
+def _find_lapse(knew: tuple[Told, ...], runner: str) -> Told | None:
+    """Return where a new owner took the leases on a runner that it had not seen for over."""
+    for line in reversed(knew):
+        if LAPSE not in line.text:
+            continue
+        named = line.more.get('runners')
+        if not isinstance(named, list) or runner in named:
+            return line
+    return None
 
 
-def _overlap(earlier: Run, later: Run) -> str:
+def _tell_overlap(earlier: Run, asked_at: float) -> str:
+    """Return what other hosts read of a run's end, empty where no line tells of one."""
     if earlier.ended_at is None:
-        return ', of which no line tells'
-    if later.asked_at is not None and earlier.ended_at > later.asked_at:
-        seconds = earlier.ended_at - later.asked_at
-        return f', which was told {seconds:.3f} s later: both may have run'
+        return ''
+    if earlier.ended_at > asked_at:
+        return f', told {earlier.ended_at - asked_at:.3f} s later: both may have run'
     return f', which {earlier.seen_by} had read: {earlier.outcome}'
--- a/dandelionreel/records/_gathering.py
+++ b/dandelionreel/records/_gathering.py
@@ -92,14 +92,19 @@
         told = make_told(content)
         if told is None:
             return False
-        found = told.more.get('found')
-        if isinstance(found, list):
-            mine = f'{self.subject.job}/'
-            told.more['found'] = [text for text in found if f'{text}'.startswith(mine)]
-        if self.subject.takes(told.task):
+        if self.subject.takes(told.task) and self._takes_found(told):
             self.told.append(told)
         return True
 
+    def _takes_found(self, told: Told) -> bool:
+        """Leave in a list of runs only those asked about; return whether one is left."""
+        found = told.more.get('found')
+        if not isinstance(found, list):
+            return True
+        mine = f'{self.subject.name} ' if self.subject.task else f'{self.subject.job}/'
+        told.more['found'] = [text for text in found if f'{text}'.startswith(mine)]
+        return bool(told.more['found'])
+
     def _keep_around(self, content: bytes, line: Line) -> None:
         host = '' if line.text.endswith(LISTED) else line.host
         key = (host, line.text, int(line.timestamp // SAME_SECONDS))
--- a/dandelionreel/records/_report.py
+++ b/dandelionreel/records/_report.py
@@ -20,6 +20,7 @@
 #: Stages of lines that are told of a host: shown if the host had to do with the job.
 OF_HOST = frozenset((Stage.STORE, Stage.HOST))
 OF_RUNNER = frozenset((Stage.RUNNER, Stage.LAPSED, Stage.FOUND))
+OF_STORING = frozenset((Stage.NOTED, Stage.UNNOTED))
 OF_OWNER = frozenset((Stage.TAKEN_OVER, Stage.OWNERSHIP))
 
 
@@ -59,6 +60,8 @@
 def _tell(gathering: Gathering, around: list[Told], tally: Tally) -> Report:
     own = sorted(gathering.told, key=_time)
     runs = gather_runs(own, gathering.subject.job)
+    if gathering.subject.task:
+        own = [line for line in own if _of_task(line, runs)]
     lines = sorted([*own, *_choose(own, runs, around)], key=_time)
     began_at = handed_in_at(own, runs)
     return Report(
@@ -73,6 +76,13 @@
     )
 
 
+def _of_task(line: Told, runs: list[Run]) -> bool:
+    """Return whether a line that is told of whole jobs or of any run is about these runs."""
+    if line.stage in OF_STORING or line.run is not None:
+        return any(told is line for run in runs for told in run.told)
+    return True
+
+
 def _choose(own: list[Told], runs: list[Run], around: list[Told]) -> list[Told]:
     """Return the lines that don't name the job and matter to it."""
     first = handed_in_at(own, runs) - MARGIN
@@ -91,6 +101,10 @@
         return True
     if line.stage in OF_HOST:
         return line.host in hosts
+    found = line.more.get('found')
+    if isinstance(found, list) and line.sentence.startswith(f'found {len(found)} '):
+        # All that was found is named, and nothing of it is the job's.
+        return False
     return line.stage in OF_RUNNER and line.runner in runners
 
 
@@ -106,7 +120,7 @@
     if gathering.sampled > 1:
         missing.append(f'only one of {gathering.sampled} lines of the frequent kinds was written')
     if gathering.left_out:
-        missing.append(f'{gathering.left_out} more lines had no room; ask for JOB/TASK')
+        missing.append(f'{gathering.left_out} more lines had no room; give fewer logs, or JOB/TASK')
     return missing
 
 
--- a/dandelionreel/records/_runs.py
+++ b/dandelionreel/records/_runs.py
@@ -122,6 +122,7 @@
             continue
         if run.number is not None and isinstance(upto, int) and run.number <= upto:
             run.noted_at = line.at
+            run.told.append(line)
 
 
 def _seconds(found: Any) -> float | None:
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -51,6 +51,8 @@
       | it may have come  | a  | placement: a start was not answered: x. | {"run": 1001, "runner": "r1", "verdict": "unknown"} | suspect | of which no line tells |
       | another was gone  | a  | workers: the leases on r9 have run out. | {"job": null, "runner": "r9"} | suspect | of which no line tells |
       | another was told  | b  | workers: a run has ended failed.        | {"task": "0.0.0", "run": 1001, "runner": "r1"} | suspect | which b had read |
+      | leases were waited for | a | ownership: takes the leases on unseen runners for run out. | {"job": null, "runners": ["r1"]} | fair | nothing of run 1001; 1.000 s before it takes the leases |
+      | others' were      | a  | ownership: takes the leases on unseen runners for run out. | {"job": null, "runners": ["r9"]} | suspect | of which no line tells |
       | nobody was told   | a  | workers: r1 is draining.                | {"job": null, "runner": "r1"} | suspect | of which no line tells |
 
   # A record that matters is often cut or mixed with other programs' output. One line
@@ -100,6 +102,20 @@
     When its story is told
     Then it waited 4.0 s, for: owns the cell, 0 of 9 runners are allowed, a has lost the store
 
+  Scenario: A new owner finds runs of several jobs on one runner
+    Given logs of hosts a and b
+      | at  | host | text                          | fields                                         |
+      | 0.0 | b    | workers: found 3 tasks on r1. | {"job": null, "runner": "r1", "epoch": 2, "found": ["ID/0.0.0 1001 running", "ff/0.0.0 1001 running", "ID/0.0.1 1002 stopping"]} |
+      | 0.1 | b    | workers: found 1 tasks on r1. | {"job": null, "runner": "r1", "epoch": 2, "found": ["ff/0.0.2 1001 running"]} |
+      | 1.0 | b    | workers: a run has ended done. | {"task": "0.0.0", "run": 1001, "runner": "r1", "number": 4} |
+      | 1.1 | b    | workers: ends on r1: unknown. | {"job": null, "jobs": ["ID"], "runner": "r1", "number": 4} |
+      | 1.2 | b    | workers: a run has ended done. | {"task": "0.0.1", "run": 1002, "runner": "r1", "number": 5} |
+      | 1.3 | b    | workers: ends on r1: stored.  | {"job": null, "jobs": ["ID"], "runner": "r1", "number": 5} |
+    When its story is told
+    Then it tells found, ended, not noted, ended, noted in this order
+    And its runs are 0.0.0 1001 noted 1.3 and 0.0.1 1002 noted 1.3
+    And of task 0.0.1 alone its run is told, found, ended and noted
+
   Scenario: Hosts that all tell the same are told once
     Given 30 hosts that tell that r1 is draining while a task runs there
     When its story is told
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -64,6 +64,7 @@
   Scenario: The store is down for a while
     When the store is down while jobs are handed in
     Then each is refused with a time to come back, and none of them runs
+    And the logs tell for each of them that it was refused, and what was tried
     When the platform is back
     Then a new job is completed
 
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -168,6 +168,20 @@
     assert context.status == 1 and f'{JOB}/{other}' in context.err, context.err
 
 
+@then('its runs are {first} {run:d} noted {at:g} and {second} {other:d} noted {then_at:g}')
+def check_runs(context, first, run, at, second, other, then_at):
+    told = [(row['task'], row['run'], row['noted']) for row in context.story['runs']]
+    assert told == [(first, run, at), (second, other, then_at)], told
+
+
+@then('of task {task} alone its run is told, found, ended and noted')
+def check_alone(context, task):
+    tell_story(context, f'{JOB}/{task}')
+    assert [run['task'] for run in context.story['runs']] == [task], context.story['runs']
+    check_order(context, 'found, ended, noted')
+    assert len(context.story['timeline']) == 3, context.story['timeline']
+
+
 @then('{count:d} lines are counted as bad')
 def check_bad(context, count):
     read = context.story['read']
@@ -204,8 +218,7 @@
 
 @then('the logs tell who accepted, started, took over, found, noted and closed it')
 def check_real_logs(context):
-    for name in context.hosts.names:
-        (_folder(context) / f'{name}.log').write_text(context.hosts.log_of(name))
+    _take_logs(context)
     (path,) = context.path_by_id.values()
     tell_story(context, path.rpartition('/')[2])
     assert context.status == 0, context.err
@@ -220,3 +233,20 @@
     assert run['seen_by'] != context.killed and run['noted'] is not None, run
     assert set(run['knew']) == {'failures', 'version', 'store_age', 'runner_age'}, run
     assert not context.story['again'] and not context.story['not_known'], context.story
+
+
+@then('the logs tell for each of them that it was refused, and what was tried')
+def check_refusals(context):
+    _take_logs(context)
+    for job in range(10, 16):
+        tell_story(context, f'{job:016x}')
+        assert context.status == 0, context.err
+        refused = [row for row in context.story['timeline'] if row['told'] == 'refused']
+        assert refused and not context.story['runs'], context.story
+        assert all(isinstance(row['more']['tried'], list) for row in refused), refused
+        assert any(row['more']['tried'] for row in refused), refused
+
+
+def _take_logs(context):
+    for name in context.hosts.names:
+        (_folder(context) / f'{name}.log').write_text(context.hosts.log_of(name))
