--- /dev/null
+++ b/dandelionreel/cli/_answers.py
@@ -0,0 +1,109 @@
+"""What the tool's commands have in common: check, ask, and how answers are shown."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from dandelionreel.admin import PublishBody
+from dandelionreel.cli._ask import ToolError, ask, decode
+from dandelionreel.cli._options import JOB_COLUMNS
+from dandelionreel.cli._output import write_fields, write_table
+from dandelionreel.cli._shown import Command, Found, Shown
+from dandelionreel.contracts import ContractError, load_contract
+from dandelionreel.http import Request
+from dandelionreel.jobs import JobSpecError, load_spec
+from dandelionreel.kernel import ExitStatus
+
+
+def check(
+    file: Path,
+    text: bytes,
+    load: Callable[[bytes], Any],
+    error_type: type[ValueError],
+    json: bool,
+) -> Found:
+    """Return that a file is good, or why it is not."""
+    try:
+        loaded = load(text)
+    except error_type as error:
+        return Failure(ToolError(f'{file}: {error}', ExitStatus.USAGE))
+    shown = {'file': str(file), 'checked': 'good'}
+    if json:
+        shown['content'] = msgspec.to_builtins(loaded)
+    return Success(Shown(shown, write_fields, json))
+
+
+def publish(
+    file: Path,
+    text: bytes,
+    replaces: int,
+    author: str,
+    admin: str,
+    json: bool,
+) -> Found:
+    """Check a contract and have a daemon publish it."""
+    try:
+        contract = load_contract(text)
+    except ContractError as error:
+        return Failure(ToolError(f'{file}: {error}', ExitStatus.USAGE))
+    body = msgspec.json.encode(PublishBody(msgspec.Raw(text), replaces, author))
+    return post(admin, f'/v1/contracts/{contract.customer}', body).map(
+        lambda content: Shown(content, write_fields, json),
+    )
+
+
+def submit(file: Path, text: bytes, key: str, callers: str, json: bool) -> Found:
+    """Check a job and hand it in."""
+    try:
+        load_spec(text)
+    except JobSpecError as error:
+        return Failure(ToolError(f'{file}: {error}', ExitStatus.USAGE))
+    headers = (('idempotency-key', key), ('content-type', 'application/json'))
+    request = Request('POST', '/v1/jobs', headers, text)
+    return ask(callers, request).map(
+        lambda answer: Shown({**decode(answer), 'key': key}, write_fields, json),
+    )
+
+
+def get(address: str, path: str) -> Result[Any, ToolError]:
+    """Return what a daemon shows at a path."""
+    return ask(address, Request('GET', path)).map(decode)
+
+
+def post(address: str, path: str, body: bytes) -> Result[Any, ToolError]:
+    """Return what a daemon answers to a body."""
+    headers = (('content-type', 'application/json'),)
+    return ask(address, Request('POST', path, headers, body)).map(decode)
+
+
+def page(path: str, show: Callable[[Any, Any], None], admin: str, json: bool) -> Command:
+    """Return the command that shows one page of a daemon."""
+    return lambda environment: get(admin, path).map(
+        lambda content: Shown(content, show, json),
+    )
+
+
+def make_table(columns: tuple[str, ...]) -> Callable[[Any, Any], None]:
+    """Return what writes rows with these columns."""
+    return lambda stream, content: write_table(stream, content, columns)
+
+
+def write_jobs(stream: Any, content: Any) -> None:
+    """Write a page of jobs, and how to go on behind it."""
+    write_table(stream, content['jobs'], JOB_COLUMNS)
+    if content['next_after']:
+        stream.write(f'more: --after {content["next_after"]}\n')
+
+
+def write_contracts(stream: Any, content: Any) -> None:
+    """Write contracts, their shares, and what is pending."""
+    views = content if isinstance(content, list) else [content]
+    for view in views:
+        contract = view['contract'] or {'version': 'none in force'}
+        write_fields(stream, contract)
+        write_fields(stream, {'shares': {part['zone']: part['share'] for part in view['shares']}})
+        if view['pending']:
+            write_fields(stream, {'pending': view['pending']})
--- a/dandelionreel/cli/_commands.py
+++ b/dandelionreel/cli/_commands.py
@@ -2,33 +2,41 @@
 
 import getpass
 import os
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
-from returns.result import Failure, Result, Success
 
-from dandelionreel.admin import DrainBody, PublishBody
-from dandelionreel.cli._ask import ToolError, ask, decode
+from dandelionreel.admin import DrainBody
+from dandelionreel.cli._answers import (
+    check,
+    get,
+    make_table,
+    page,
+    post,
+    publish,
+    submit,
+    write_contracts,
+    write_jobs,
+)
+from dandelionreel.cli._ask import ask
 from dandelionreel.cli._explain import explain_job
 from dandelionreel.cli._options import (
     DEFAULT_ADMIN,
     DEFAULT_CALLERS,
     ENDPOINT_COLUMNS,
     HISTORY_COLUMNS,
-    JOB_COLUMNS,
     MEMBER_COLUMNS,
     SHARD_COLUMNS,
     WORKER_COLUMNS,
 )
-from dandelionreel.cli._output import write_fields, write_table
-from dandelionreel.cli._shown import Command, Found, Shown, read_file
+from dandelionreel.cli._output import write_fields
+from dandelionreel.cli._shown import Command, Shown, read_file
 from dandelionreel.contracts import ContractError, load_contract
 from dandelionreel.http import VERDICT_HEADER, Request
-from dandelionreel.jobs import CancelBody, JobSpecError, MoveBody, ResolveBody, load_spec
-from dandelionreel.kernel import ExitStatus, SettingsError, load_settings
+from dandelionreel.jobs import CancelBody, MoveBody, ResolveBody
+from dandelionreel.kernel import SettingsError, load_settings
 
 KEY_BYTES = 8
 
@@ -40,7 +48,7 @@
     :param json: write JSON
     """
     return lambda environment: read_file(file).bind(
-        lambda text: _checked(file, text, load_settings, SettingsError, json),
+        lambda text: check(file, text, load_settings, SettingsError, json),
     )
 
 
@@ -51,7 +59,7 @@
     :param json: write JSON
     """
     return lambda environment: read_file(file).bind(
-        lambda text: _checked(file, text, load_contract, ContractError, json),
+        lambda text: check(file, text, load_contract, ContractError, json),
     )
 
 
@@ -72,7 +80,7 @@
     :param json: write JSON
     """
     return lambda environment: read_file(file).bind(
-        lambda text: _publish(file, text, replaces, author or getpass.getuser(), admin, json),
+        lambda text: publish(file, text, replaces, author or getpass.getuser(), admin, json),
     )
 
 
@@ -84,8 +92,8 @@
     :param json: write JSON
     """
     path = f'/v1/contracts/{customer}' if customer else '/v1/contracts'
-    return lambda environment: _get(admin, path).map(
-        lambda content: Shown(content, _write_contracts, json),
+    return lambda environment: get(admin, path).map(
+        lambda content: Shown(content, write_contracts, json),
     )
 
 
@@ -96,8 +104,8 @@
     :param admin: IP:PORT of some daemon's admin interface
     :param json: write JSON
     """
-    return lambda environment: _get(admin, f'/v1/contracts/{customer}').map(
-        lambda content: Shown(content['history'], _table(HISTORY_COLUMNS), json),
+    return lambda environment: get(admin, f'/v1/contracts/{customer}').map(
+        lambda content: Shown(content['history'], make_table(HISTORY_COLUMNS), json),
     )
 
 
@@ -116,7 +124,7 @@
     :param json: write JSON
     """
     return lambda environment: read_file(file).bind(
-        lambda text: _submit(file, text, key or os.urandom(KEY_BYTES).hex(), callers, json),
+        lambda text: submit(file, text, key or os.urandom(KEY_BYTES).hex(), callers, json),
     )
 
 
@@ -127,7 +135,7 @@
     :param admin: IP:PORT of some daemon's admin interface
     :param json: write JSON
     """
-    return lambda environment: _get(admin, f'/v1/jobs/{job}').map(
+    return lambda environment: get(admin, f'/v1/jobs/{job}').map(
         lambda content: Shown(content, write_fields, json),
     )
 
@@ -160,8 +168,8 @@
         'limit': str(limit),
     }
     query = urlencode({name: text for name, text in fields.items() if text})
-    return lambda environment: _get(admin, f'/v1/jobs?{query}').map(
-        lambda content: Shown(content, _write_jobs, json),
+    return lambda environment: get(admin, f'/v1/jobs?{query}').map(
+        lambda content: Shown(content, write_jobs, json),
     )
 
 
@@ -173,7 +181,7 @@
     :param json: write JSON
     """
     body = msgspec.json.encode(CancelBody(jobs))
-    return lambda environment: _post(admin, '/v1/jobs/cancel', body).map(
+    return lambda environment: post(admin, '/v1/jobs/cancel', body).map(
         lambda content: Shown(content, write_fields, json),
     )
 
@@ -193,7 +201,7 @@
     :param json: write JSON
     """
     body = msgspec.json.encode(ResolveBody(outcome))
-    return lambda environment: _post(admin, f'/v1/jobs/{job}/resolve', body).map(
+    return lambda environment: post(admin, f'/v1/jobs/{job}/resolve', body).map(
         lambda content: Shown(content, write_fields, json),
     )
 
@@ -215,7 +223,7 @@
     :param json: write JSON
     """
     body = msgspec.json.encode(MoveBody(from_zone, to_zone))
-    return lambda environment: _post(admin, '/v1/jobs/move', body).map(
+    return lambda environment: post(admin, '/v1/jobs/move', body).map(
         lambda content: Shown(content, write_fields, json),
     )
 
@@ -226,7 +234,7 @@
     :param admin: IP:PORT of the daemon's admin interface
     :param json: write JSON
     """
-    return _page('/v1/status', write_fields, admin, json)
+    return page('/v1/status', write_fields, admin, json)
 
 
 def members(*, admin: str = DEFAULT_ADMIN, json: bool = False) -> Command:
@@ -235,7 +243,7 @@
     :param admin: IP:PORT of some daemon's admin interface
     :param json: write JSON
     """
-    return _page('/v1/members', _table(MEMBER_COLUMNS), admin, json)
+    return page('/v1/members', make_table(MEMBER_COLUMNS), admin, json)
 
 
 def shards(*, admin: str = DEFAULT_ADMIN, json: bool = False) -> Command:
@@ -244,7 +252,7 @@
     :param admin: IP:PORT of a daemon of the zone
     :param json: write JSON
     """
-    return _page('/v1/shards', _table(SHARD_COLUMNS), admin, json)
+    return page('/v1/shards', make_table(SHARD_COLUMNS), admin, json)
 
 
 def workers(*, admin: str = DEFAULT_ADMIN, json: bool = False) -> Command:
@@ -253,7 +261,7 @@
     :param admin: IP:PORT of a daemon of the zone
     :param json: write JSON
     """
-    return _page('/v1/workers', _table(WORKER_COLUMNS), admin, json)
+    return page('/v1/workers', make_table(WORKER_COLUMNS), admin, json)
 
 
 def endpoints(*, admin: str = DEFAULT_ADMIN, json: bool = False) -> Command:
@@ -262,7 +270,7 @@
     :param admin: IP:PORT of a daemon of the zone
     :param json: write JSON
     """
-    return _page('/v1/endpoints', _table(ENDPOINT_COLUMNS), admin, json)
+    return page('/v1/endpoints', make_table(ENDPOINT_COLUMNS), admin, json)
 
 
 def drain(*, endpoint: str = '', admin: str = DEFAULT_ADMIN, json: bool = False) -> Command:
@@ -273,7 +281,7 @@
     :param json: write JSON
     """
     body = msgspec.json.encode(DrainBody(endpoint))
-    return lambda environment: _post(admin, '/v1/drain', body).map(
+    return lambda environment: post(admin, '/v1/drain', body).map(
         lambda content: Shown(content, write_fields, json),
     )
 
@@ -355,85 +363,3 @@
     'call': call,
     'explain': explain_job,
 }
-
-
-def _checked(
-    file: Path,
-    text: bytes,
-    load: Callable[[bytes], Any],
-    error_type: type[ValueError],
-    json: bool,
-) -> Found:
-    try:
-        checked = load(text)
-    except error_type as error:
-        return Failure(ToolError(f'{file}: {error}', ExitStatus.USAGE))
-    shown = {'file': str(file), 'checked': 'good'}
-    if json:
-        shown['content'] = msgspec.to_builtins(checked)
-    return Success(Shown(shown, write_fields, json))
-
-
-def _publish(
-    file: Path,
-    text: bytes,
-    replaces: int,
-    author: str,
-    admin: str,
-    json: bool,
-) -> Found:
-    try:
-        contract = load_contract(text)
-    except ContractError as error:
-        return Failure(ToolError(f'{file}: {error}', ExitStatus.USAGE))
-    body = msgspec.json.encode(PublishBody(msgspec.Raw(text), replaces, author))
-    return _post(admin, f'/v1/contracts/{contract.customer}', body).map(
-        lambda content: Shown(content, write_fields, json),
-    )
-
-
-def _submit(file: Path, text: bytes, key: str, callers: str, json: bool) -> Found:
-    try:
-        load_spec(text)
-    except JobSpecError as error:
-        return Failure(ToolError(f'{file}: {error}', ExitStatus.USAGE))
-    headers = (('idempotency-key', key), ('content-type', 'application/json'))
-    request = Request('POST', '/v1/jobs', headers, text)
-    return ask(callers, request).map(
-        lambda answer: Shown({**decode(answer), 'key': key}, write_fields, json),
-    )
-
-
-def _get(address: str, path: str) -> Result[Any, ToolError]:
-    return ask(address, Request('GET', path)).map(decode)
-
-
-def _post(address: str, path: str, body: bytes) -> Result[Any, ToolError]:
-    headers = (('content-type', 'application/json'),)
-    return ask(address, Request('POST', path, headers, body)).map(decode)
-
-
-def _page(path: str, show: Callable[[Any, Any], None], admin: str, json: bool) -> Command:
-    return lambda environment: _get(admin, path).map(
-        lambda content: Shown(content, show, json),
-    )
-
-
-def _table(columns: tuple[str, ...]) -> Callable[[Any, Any], None]:
-    return lambda stream, content: write_table(stream, content, columns)
-
-
-def _write_jobs(stream: Any, content: Any) -> None:
-    write_table(stream, content['jobs'], JOB_COLUMNS)
-    if content['next_after']:
-        stream.write(f'more: --after {content["next_after"]}\n')
-
-
-def _write_contracts(stream: Any, content: Any) -> None:
-    views = content if isinstance(content, list) else [content]
-    for view in views:
-        contract = view['contract'] or {'version': 'none in force'}
-        write_fields(stream, contract)
-        write_fields(stream, {'shares': {part['zone']: part['share'] for part in view['shares']}})
-        if view['pending']:
-            write_fields(stream, {'pending': view['pending']})
