--- a/dandelionreel/cell/__init__.py
+++ b/dandelionreel/cell/__init__.py
@@ -1,7 +1,9 @@
 """One cell: a set of runners and all jobs for them, with one owner that dispatches."""
 
 from dandelionreel.cell._cell import Cell
+from dandelionreel.cell._checks import check_spec
 from dandelionreel.cell._inquiries import Question
+from dandelionreel.cell._job_book import BookedJob, JobBook
 from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
 from dandelionreel.cell._model import (
     AdvicePolicy,
@@ -17,7 +19,7 @@
     TaskName,
 )
 from dandelionreel.cell._planner import Plan, Planner
-from dandelionreel.cell._records import BookedJob, JobBook, Submission
+from dandelionreel.cell._records import Submission
 from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun
 from dandelionreel.cell._services import (
     AdviceError,
@@ -47,6 +49,13 @@
     Topic,
     WriterFence,
 )
+from dandelionreel.cell._unreadable import (
+    NoteUnreadable,
+    Reason,
+    UnreadableError,
+    UnreadableLog,
+    decode_json,
+)
 
 __all__ = (
     'AdviceError',
@@ -68,6 +77,7 @@
     'JobSpec',
     'JobState',
     'KeyedRecord',
+    'NoteUnreadable',
     'Outcome',
     'Permit',
     'Phase',
@@ -75,6 +85,7 @@
     'Planner',
     'Question',
     'Queue',
+    'Reason',
     'RecordBatch',
     'RecordCodec',
     'RecordsExpired',
@@ -99,5 +110,9 @@
     'TaskName',
     'TaskRun',
     'Topic',
+    'UnreadableError',
+    'UnreadableLog',
     'WriterFence',
+    'check_spec',
+    'decode_json',
 )
--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -5,7 +5,13 @@
 from dandelionreel.cell._cell import ViewEffect
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._services import Runner, RunnerError, RunnerFenced, RunnerReplaced
+from dandelionreel.cell._services import (
+    Runner,
+    RunnerError,
+    RunnerFenced,
+    RunnerReplaced,
+    RunnerView,
+)
 from dandelionreel.cell._writer import Written
 from dandelionreel.kernel import Part
 
@@ -38,7 +44,7 @@
     async def _look(self, state: RunnerState, runner: Runner) -> None:
         asked = self._desk.clock.monotonic()
         lease_until = state.renew_lease(asked, self._desk.lease)
-        unstored = state.acknowledged < state.noted
+        unstored = state.acknowledged < state.acknowledgeable
         wait = LOOK_SECONDS if lease_until is not None and not unstored else 0
         try:
             view = await runner.look(self._desk.term.epoch, state.acknowledged, lease_until, wait)
@@ -54,13 +60,18 @@
         now = self._desk.clock.monotonic()
         effect = self._desk.cell.viewed(state, view, asked, now)
         self._tell_effect(state, effect)
+        self._tell_readable(state, view)
         await self._desk.wake.notify()
         if effect.ended or unstored:
-            number = state.noted
+            number = state.acknowledgeable
             task = await curio.spawn(self._acknowledge, state, number, daemon=True)
             await curio.ignore_after(STORE_PATIENCE, task.wait)
-            if unstored and state.acknowledged < state.noted:
+            if unstored and state.acknowledged < state.acknowledgeable:
                 await curio.sleep(RELOOK_SECONDS)
+        if not view.complete or state.acknowledgeable < state.noted:
+            # An end that is not acknowledged is listed at once in every answer: the
+            # looks would follow each other without a pause.
+            await curio.sleep(RELOOK_SECONDS)
 
     async def _acknowledge(self, state: RunnerState, number: int) -> None:
         """Let the runner forget its ends once their effect stands in the store."""
@@ -95,6 +106,19 @@
             return
         await curio.sleep(RELOOK_SECONDS)
 
+    def _tell_readable(self, state: RunnerState, view: RunnerView) -> None:
+        if view.complete is state.readable:
+            return
+        state.readable = view.complete
+        outcome = 'can be read again' if view.complete else 'cannot be read in full'
+        self._desk.journal.tell(
+            Part.WORKERS,
+            f'what {state.id} lists {outcome}.',
+            runner=state.id,
+            readable_through=view.readable_through,
+            tasks=len(state.allocation_by_run),
+        )
+
     def _tell_effect(self, state: RunnerState, effect: ViewEffect) -> None:
         for ended, allocation in effect.ended:
             started = allocation.started_at if allocation else None
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._ledger import Allocation, Holding, RunnerState, expected_end
 from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
-from dandelionreel.cell._records import BookedJob
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun, Phase, StepRun, TaskRun
 from dandelionreel.cell._services import (
     EndedRun,
@@ -57,6 +57,8 @@
         self.tickets = TicketBook()
         #: Runners on which tasks of earlier owners may run unseen.
         self.unseen: set[str] = set()
+        #: Jobs of which something in the store cannot be read.
+        self.unreadable_jobs: set[str] = set()
         self._gang_timeout = gang_timeout
         self._stops: list[Allocation] = []
         self._dirty: set[str] = set()
@@ -84,9 +86,20 @@
         return not self.unseen.isdisjoint(job.runners)
 
     def see_job(self, booked: BookedJob, now: float, wall: float) -> None:
-        """Take a job, or the news of one, from the store."""
+        """Take a job, or the news of one, from the store.
+
+        Nothing is started of a job that cannot be read, unless it is known here. Its
+        ends stay at their runners: acknowledged while nobody can note them, a task that
+        is done would be started again once the job can be read.
+        """
         job = self.job_by_id.get(booked.id)
-        if job is None and booked.submission is not None:
+        if booked.unreadable and job is None:
+            self.unreadable_jobs.add(booked.id)
+        elif booked.id in self.unreadable_jobs:
+            self.unreadable_jobs.remove(booked.id)
+            for runner in self.runner_by_id.values():
+                runner.read_again()
+        if job is None and booked.submission is not None and not booked.unreadable:
             age = max(0.0, wall - booked.submission.accepted_at)
             job = JobRun(booked.id, booked.submission, now - age)
             if booked.progress is not None:
@@ -149,6 +162,10 @@
         for runner_id, registration in registrations.items():
             known = self.runner_by_id.get(runner_id)
             if known is None:
+                # Nothing of ours can be on a runner that was not used, and asking at an
+                # address from an entry that cannot be trusted helps nobody.
+                if not registration.usable:
+                    continue
                 known = RunnerState(registration)
                 self.runner_by_id[runner_id] = known
                 fresh.append(known)
@@ -219,7 +236,7 @@
         if job is None or job.over:
             return False
         runner = self.runner_by_id.get(allocation.runner)
-        return runner is not None and not runner.draining
+        return runner is not None and runner.registration.usable and not runner.draining
 
     def start_answered(self, allocation: Allocation, reply: StartReply, now: float) -> None:
         """Take a runner's answer to a start."""
@@ -267,15 +284,21 @@
         runner.answered_at = now
         runner.suspect = False
         runner.missed = False
+        runner.readable_through = view.readable_through
         for ended in view.ended:
             if ended.number <= runner.noted:
                 continue
             runner.noted = ended.number
+            if ended.task.job in self.unreadable_jobs:
+                runner.keep_end(ended.number)
             effect.ended.append((ended, self._take_end(runner, ended)))
         listed = set()
         for running in view.running:
             listed.add((running.task, running.run))
             effect.adopted += self._take_running(runner, running, now)
+        # A row that cannot be read may be any run's: started elsewhere, it would run twice.
+        if not view.complete:
+            return effect
         for allocation in tuple(runner.allocation_by_run.values()):
             if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
                 continue
--- /dev/null
+++ b/dandelionreel/cell/_checks.py
@@ -0,0 +1,73 @@
+"""Bounds of what a job may ask for, and whether a job's progress belongs to it.
+
+A client's job and a job from the store are checked alike: whatever is accepted can be
+read again, and no count from another writer keeps the owner busy for ever.
+"""
+
+from dandelionreel.cell._model import JobSpec, Step
+from dandelionreel.cell._records import Progress
+from dandelionreel.cell._unreadable import Reason, UnreadableError
+
+MOST_STEPS = 100
+MOST_TASKS = 10_000
+MOST_OCCURRENCES = 10_000
+#: More than any machine has of anything, and some days in seconds for an estimate.
+LARGEST_DEMAND = 2_147_483_648
+LONGEST_ESTIMATE = 1e9
+#: Seconds. Occurrences at shorter intervals are all due at once, and time divided by
+#: a tiny interval is infinite, which has no whole number.
+SHORTEST_INTERVAL = 0.001
+#: Seconds since the epoch, either way: 30,000 years.
+FARTHEST_TIME = 1e12
+HEX = 16
+
+
+def check_spec(spec: JobSpec) -> None:
+    """Raise ``UnreadableError`` for a job that is out of bounds; it says which part."""
+    if not 1 <= len(spec.steps) <= MOST_STEPS:
+        raise _out_of_bounds(f'steps: 1 to {MOST_STEPS} are allowed')
+    if not 0 <= spec.repeat_count <= MOST_OCCURRENCES:
+        raise _out_of_bounds(f'repeat_count: 0 to {MOST_OCCURRENCES} is allowed')
+    if spec.interval < 0 or 0 < spec.interval < SHORTEST_INTERVAL:
+        raise _out_of_bounds('the interval is 0 or a millisecond at least')
+    if max(abs(spec.first_run), spec.interval) > FARTHEST_TIME:
+        raise _out_of_bounds('the first run or the interval is too far away')
+    for number, step in enumerate(spec.steps):
+        _check_step(number, step)
+
+
+def _check_step(number: int, step: Step) -> None:
+    demand = step.demand
+    if not 1 <= step.count <= MOST_TASKS:
+        raise _out_of_bounds(f'step {number}: count must be 1 to {MOST_TASKS}')
+    amounts = (demand.cpu, demand.memory_mb, demand.gpu)
+    if min(*amounts, step.estimate) < 0 or max(amounts) > LARGEST_DEMAND:
+        raise _out_of_bounds(f'step {number}: cpu, mem_mb, gpu or estimate_ms is out of bounds')
+    if step.estimate > LONGEST_ESTIMATE:
+        raise _out_of_bounds(f'step {number}: estimate_ms is out of bounds')
+    for earlier in step.depends_on:
+        # Only earlier steps may be named, so there can be no cycle.
+        if not 0 <= earlier < number:
+            raise _out_of_bounds(f'step {number}: depends_on names {earlier}, no earlier step')
+
+
+def check_progress(progress: Progress, spec: JobSpec) -> None:
+    """Raise ``UnreadableError`` for progress on tasks that the job does not have."""
+    for done in progress.done:
+        step = _find_step(spec, done.occurrence, done.step)
+        if int(done.mask, HEX) >> step.count:
+            raise _out_of_bounds(f'more tasks of step {done.step} are done than it has')
+    for failed in progress.failed:
+        step = _find_step(spec, failed.occurrence, failed.step)
+        if failed.index >= step.count:
+            raise _out_of_bounds(f'step {failed.step} has no task {failed.index}')
+
+
+def _find_step(spec: JobSpec, occurrence: int, number: int) -> Step:
+    if occurrence >= spec.occurrences or number >= len(spec.steps):
+        raise _out_of_bounds(f'the job has no step {number} of occurrence {occurrence}')
+    return spec.steps[number]
+
+
+def _out_of_bounds(message: str) -> UnreadableError:
+    return UnreadableError(Reason.RANGE, message)
--- a/dandelionreel/cell/_directory.py
+++ b/dandelionreel/cell/_directory.py
@@ -1,10 +1,12 @@
-"""What every host knows from the store: configuration, runners, jobs."""
+"""What every host knows from the store: the configuration and the jobs."""
 
 from dandelionreel.cell._follower import Folder
-from dandelionreel.cell._model import Configuration, Registration
-from dandelionreel.cell._records import OWNER_KEY, JobBook
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._model import Configuration
+from dandelionreel.cell._records import OWNER_KEY
 from dandelionreel.cell._services import KeyedRecord, RecordBatch, RecordCodec
-from dandelionreel.kernel import Clock, Journal, Part
+from dandelionreel.cell._unreadable import UnreadableError, UnreadableLog
+from dandelionreel.kernel import Clock, Journal, Part, SystemClock
 
 NEVER = float('-inf')
 #: Weight of the newest gap between heartbeats in the usual one, and the longest
@@ -14,13 +16,24 @@
 
 
 class ConfigurationFolder(Folder):
-    """Keeps the newest configuration; never an older one after a newer one."""
-
-    def __init__(self, codec: RecordCodec, journal: Journal) -> None:
+    """Keeps the newest configuration that can be read; never an older one after it."""
+
+    def __init__(
+        self,
+        codec: RecordCodec,
+        journal: Journal,
+        unreadable: UnreadableLog | None = None,
+    ) -> None:
         """Start without a configuration."""
         self._codec = codec
         self._journal = journal
+        self._unreadable = unreadable or UnreadableLog(
+            'operator', Part.CONTRACTS, SystemClock(), journal
+        )
         self.current: Configuration | None = None
+        #: All services that any configuration read so far has named: jobs of a queue
+        #: that was dropped still run on the runners of theirs.
+        self._services: set[str] = set()
 
     def restart(self, snapshot: RecordBatch) -> None:
         """Take the newest record of each key."""
@@ -28,23 +41,28 @@
 
     def fold(self, batch: RecordBatch) -> None:
         """Take the records that follow."""
-        newest = None
-        # Of a storm of versions only the last one is worth decoding.
+        # All are decoded: the last one may be unreadable, or of another writer and older.
         for record in batch.records:
-            if record.key == self._codec.configuration_key and record.content:
-                newest = record.content
-        if newest is not None:
-            self._apply(newest)
+            if record.key == self._codec.configuration_key and not record.dropped:
+                self._apply(record)
+            elif not record.key and record.error is not None:
+                self._unreadable.refuse('', record.error, 'it is passed over')
 
-    def _apply(self, content: bytes) -> None:
+    def names_service(self, service: str) -> bool:
+        """Return whether a configuration names the service; any one before the first."""
+        return self.current is None or service in self._services
+
+    def _apply(self, record: KeyedRecord) -> None:
         try:
-            decoded = self._codec.decode_configuration(content)
-        except ValueError as error:
-            self._journal.tell(Part.CONTRACTS, f'kept the old configuration: {error}.')
+            decoded = self._decode(record)
+        except UnreadableError as error:
+            self._unreadable.refuse(record.key, error, 'the configuration in force stays')
             return
+        self._unreadable.accept(record.key)
         if self.current is not None and decoded.version <= self.current.version:
             return
         self.current = decoded
+        self._services.update(decoded.services)
         self._journal.tell(
             Part.CONTRACTS,
             'a configuration is in force.',
@@ -52,82 +70,24 @@
             queues=len(decoded.queue_by_name),
         )
 
-
-class RunnersFolder(Folder):
-    """Keeps the registrations of runners, and when one was last seen."""
-
-    def __init__(self, codec: RecordCodec, clock: Clock, journal: Journal) -> None:
-        """Start with no runners."""
-        self._codec = codec
-        self._clock = clock
-        self._journal = journal
-        self.registration_by_id: dict[str, Registration] = {}
-        #: Runners whose entry has gone: their last registration and when.
-        self.gone_by_id: dict[str, tuple[Registration, float]] = {}
-
-    def restart(self, snapshot: RecordBatch) -> None:
-        """Take the newest entries; those that are not among them are gone."""
-        present = {record.key for record in snapshot.records if record.content}
-        for runner in tuple(self.registration_by_id):
-            if runner not in present:
-                self._remove(runner)
-        self.fold(snapshot)
-
-    def fold(self, batch: RecordBatch) -> None:
-        """Take the records that follow."""
-        for record in batch.records:
-            if record.content is None:
-                self._remove(record.key)
-                continue
-            self._take(record)
-
-    def find(self, runner: str) -> Registration | None:
-        """Return the last registration that was seen of a runner."""
-        registration = self.registration_by_id.get(runner)
-        if registration is None and runner in self.gone_by_id:
-            registration, _ = self.gone_by_id[runner]
-        return registration
-
-    def replaced(self, registration: Registration) -> bool:
-        """Return whether another runner has come up at the same address."""
-        return any(
-            other.address == registration.address
-            and other.port == registration.port
-            and other.runner != registration.runner
-            for other in self.registration_by_id.values()
-        )
-
-    def _take(self, record: KeyedRecord) -> None:
-        try:
-            registration = self._codec.decode_registration(record.key, record.content or b'')
-        except ValueError as error:
-            self._journal.tell(Part.WORKERS, f'cannot read the entry of {record.key}: {error}.')
-            return
-        known = self.registration_by_id.get(record.key)
-        if known is None or known.draining != registration.draining:
-            self._journal.tell(
-                Part.WORKERS,
-                f'{record.key} is {"draining" if registration.draining else "ready"}.',
-                runner=record.key,
-                service=registration.service,
-            )
-        self.registration_by_id[record.key] = registration
-        self.gone_by_id.pop(record.key, None)
-
-    def _remove(self, runner: str) -> None:
-        registration = self.registration_by_id.pop(runner, None)
-        if registration is not None:
-            self.gone_by_id[runner] = (registration, self._clock.monotonic())
-            self._journal.tell(Part.WORKERS, f'the entry of {runner} has gone.', runner=runner)
+    def _decode(self, record: KeyedRecord) -> Configuration:
+        if record.error is not None:
+            raise record.error
+        return self._codec.decode_configuration(record.content or b'')
 
 
 class JobFolder(Folder):
     """Folds the cell's own records and notes when the owner was last heard."""
 
-    def __init__(self, clock: Clock, journal: Journal) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        journal: Journal,
+        unreadable: UnreadableLog | None = None,
+    ) -> None:
         """Start with nothing known."""
         self._clock = clock
-        self._journal = journal
+        self._unreadable = unreadable or UnreadableLog('cell', Part.LOG, clock, journal)
         self.book = JobBook()
         #: The owner's last sign of life in the store was no later than that.
         self.owner_heard_at = NEVER
@@ -143,22 +103,38 @@
         its successor would start tasks that still run on runners only it reaches.
         """
         known = self.book.owner
-        self.book.clear()
-        self._fold_book(snapshot.records)
+        self._note_errors(snapshot.records, self.book.restart(snapshot.records))
         if self.book.owner != known:
             self.owner_heard_at = self._clock.monotonic()
 
     def fold(self, batch: RecordBatch) -> None:
-        """Take the records that follow."""
-        self._fold_book(batch.records)
-        if any(record.key == OWNER_KEY for record in batch.records):
-            now = self._clock.monotonic()
+        """Take the records that follow.
+
+        An ownership record that cannot be read is no heartbeat: else another writer
+        could keep a dead owner in office. It is no sign of silence either, so an owner
+        of which nothing else is known counts as heard of just now.
+        """
+        known = self.book.owner
+        errors = self.book.fold(batch.records)
+        self._note_errors(batch.records, errors)
+        now = self._clock.monotonic()
+        if any(
+            record.key == OWNER_KEY and error is None
+            for record, error in zip(batch.records, errors, strict=True)
+        ):
             gap = min(LONGEST_GAP, now - self.owner_heard_at)
             self.usual_gap += GAP_WEIGHT * (gap - self.usual_gap)
             self.owner_heard_at = now
+        elif self.book.owner is not known:
+            self.owner_heard_at = now
 
-    def _fold_book(self, records: tuple[KeyedRecord, ...]) -> None:
-        self.book.fold(records)
-        for key in self.book.unreadable:
-            self._journal.tell_frequent(Part.LOG, f'cannot read the record of {key}.', key=key)
-        self.book.unreadable.clear()
+    def _note_errors(
+        self,
+        records: tuple[KeyedRecord, ...],
+        errors: list[UnreadableError | None],
+    ) -> None:
+        for record, error in zip(records, errors, strict=True):
+            if error is None:
+                self._unreadable.accept(record.key)
+                continue
+            self._unreadable.refuse(record.key, error, 'what is known of it stands')
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -9,10 +9,11 @@
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._desk import Desk, MakeRunner
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._election import AUTHORITY_SECONDS, BEAT_SECONDS, Election, Term
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._inquiries import Question
+from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._planner import Plan, Planner
@@ -24,13 +25,13 @@
     PROGRESS,
     SUBMISSION,
     Attended,
-    BookedJob,
     Cancellation,
     Owner,
     Submission,
     make_record,
     make_tombstone,
 )
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun
 from dandelionreel.cell._services import (
     KeyedRecord,
@@ -230,8 +231,7 @@
         run out, the jobs that the store names with it are left alone.
         """
         parts = self._parts
-        attended = parts.jobs.book.attended
-        for runner in attended.runners if attended else ():
+        for runner in parts.jobs.book.former_runners():
             registration = parts.runners.find(runner)
             if registration is None or not parts.runners.replaced(registration):
                 self.cell.unseen.add(runner)
@@ -310,6 +310,9 @@
 
     def _see_job(self, job_id: str) -> None:
         booked = self._parts.jobs.book.find(job_id)
+        if booked is not None and booked.unreadable:
+            self.cell.see_job(booked, self._clock.monotonic(), self._clock.wall())
+            return
         if booked is None or booked.submission is None:
             self._forget_job(job_id, booked)
             return
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -11,7 +11,7 @@
 
 from dandelionreel.cell._directory import JobFolder
 from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._records import OWNER_KEY, Member, Owner, make_record
+from dandelionreel.cell._records import OWNER_KEY, UNSETTLED_SECONDS, Member, Owner, make_record
 from dandelionreel.cell._services import (
     ConflictError,
     StoreError,
@@ -49,10 +49,6 @@
 #: Seconds for which an owner goes on without an answered heartbeat. Long enough
 #: for the usual outages of the store, in which nobody else can claim.
 AUTHORITY_SECONDS = 9.0
-#: Seconds for which leases last that such an owner granted last, and so for which
-#: a runner that only it reaches may run tasks after its successor's claim: 9 s of
-#: authority and 5 s of lease with 2% drift.
-UNSETTLED_SECONDS = 14.1
 POLL_SECONDS = 0.05
 #: Seconds for the answer to a claim, also from a slow store.
 CLAIM_TIMEOUT = 0.8
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -157,7 +157,8 @@
         job_id: str,
         relayed: bool,
     ) -> Answer:
-        if self._jobs.book.find(job_id) is not None:
+        booked = self._jobs.book.find(job_id)
+        if booked is not None and not booked.may_be_stored_again:
             self._tell(request, job_id, 'accepted before')
             return self._codec.answer_accepted()
         if len(request.body) > configuration.body_bytes:
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -75,6 +75,12 @@
         #: highest one that has been taken into account.
         self.acknowledged = 0
         self.noted = 0
+        #: The highest one that may be acknowledged: no unreadable one is below it.
+        self.readable_through: int | None = None
+        #: The lowest end that must stay at the runner: its job cannot be read.
+        self.kept_end: int | None = None
+        #: Whether all that the last look listed could be read.
+        self.readable = True
         self._clock = 0.0
         self._clock_at = NEVER
         self._lease_until = 0.0
@@ -100,8 +106,29 @@
         """Return whether something may be started there now."""
         if not self.listed or not self.recorded or self.draining or self.suspect:
             return False
+        if not self.registration.usable:
+            return False
         return self.knows_clock() and now >= self.quiet_until
 
+    @property
+    def acknowledgeable(self) -> int:
+        """Return the highest end that may be acknowledged once its effect is stored."""
+        last = self.noted
+        if self.readable_through is not None:
+            last = min(last, self.readable_through)
+        if self.kept_end is not None:
+            last = min(last, self.kept_end - 1)
+        return last
+
+    def keep_end(self, number: int) -> None:
+        """Leave an end, and those behind it, at the runner."""
+        self.kept_end = number if self.kept_end is None else min(self.kept_end, number)
+
+    def read_again(self) -> None:
+        """Take all ends that are still listed into account once more; each counts once."""
+        self.noted = self.acknowledged
+        self.kept_end = None
+
     def hold(self, allocation: Allocation) -> None:
         """Count an allocation."""
         self.allocation_by_run[allocation.task, allocation.run] = allocation
--- a/dandelionreel/cell/_model.py
+++ b/dandelionreel/cell/_model.py
@@ -171,6 +171,12 @@
         for known in self._queues_by_host.values():
             known.sort(key=_prefix_length, reverse=True)
 
+    @property
+    def services(self) -> set[str]:
+        """Return the services that this version names."""
+        routed = {queue.service for queue in self.queue_by_name.values()}
+        return routed | self.service_by_name.keys()
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of that host with the longest prefix of ``path``."""
         for queue in self._queues_by_host.get(host.lower(), ()):
@@ -188,7 +194,9 @@
     """A runner as it describes itself.
 
     ``remaining`` is the least time in seconds that a draining runner will
-    stay, ``None`` while it does not drain.
+    stay, ``None`` while it does not drain. ``usable`` is false while its newest
+    entry cannot be used: the rest is then what the last good one said, by which
+    the runner is looked at and what runs there counts.
     """
 
     runner: str
@@ -200,3 +208,4 @@
     labels: tuple[str, ...]
     draining: bool
     remaining: float | None = None
+    usable: bool = True
--- a/dandelionreel/cell/_owner_watch.py
+++ b/dandelionreel/cell/_owner_watch.py
@@ -9,7 +9,8 @@
 import curio
 
 from dandelionreel.cell._election import Election
-from dandelionreel.cell._records import JobBook, Member, Owner
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._records import Member, Owner
 from dandelionreel.http import connect
 from dandelionreel.kernel import Journal, Part
 
--- a/dandelionreel/cell/_predecessors.py
+++ b/dandelionreel/cell/_predecessors.py
@@ -7,7 +7,7 @@
 
 from dandelionreel.cell._cell import CLOCK_DRIFT
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
-from dandelionreel.cell._records import JobBook
+from dandelionreel.cell._job_book import JobBook
 
 
 class Predecessors:
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -1,4 +1,4 @@
-"""The cell's own records, one key a fact, and the book that every host folds them into.
+"""The cell's own records, one key a fact; every host folds them into its book.
 
 A job stands under three keys, each with one kind of writer: its submission
 (the host that accepted it), its cancellation (any host) and its progress (the
@@ -8,8 +8,7 @@
 took one with a 5 Mbit/s link 13 s.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -23,6 +22,27 @@
 MEMBER = 'm/'
 ATTENDED_KEY = 'runners'
 
+#: Seconds for which leases last that an owner granted last, and so for which a runner
+#: that only it reaches may run tasks after its successor's claim: 9 s of authority and
+#: 5 s of lease with 2% drift. A claim writes it, and so it is taken where the record of
+#: the owner cannot be read.
+UNSETTLED_SECONDS = 14.1
+#: No owner writes more; a wild figure would keep its successor from ever starting tasks.
+LONGEST_UNSETTLED = 60
+#: Whole numbers are exact in JSON up to here. An epoch beyond would outbid every owner.
+LARGEST = 9_007_199_254_740_992
+LAST_PORT = 65_535
+#: More than any host has, in cores.
+MOST_CORES = 100_000
+
+Count = Annotated[int, msgspec.Meta(ge=0, lt=LARGEST)]
+Mask = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{1,4000}$')]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+HostName = Annotated[str, msgspec.Meta(pattern='^[0-9A-Za-z._-]{1,253}$')]
+Port = Annotated[int, msgspec.Meta(ge=1, le=LAST_PORT)]
+Cores = Annotated[float, msgspec.Meta(ge=0, le=MOST_CORES)]
+Unsettled = Annotated[float, msgspec.Meta(ge=0, le=LONGEST_UNSETTLED)]
+
 
 class Submission(msgspec.Struct, frozen=True, omit_defaults=True):
     """An accepted job; ``accepted_at`` is wall-clock seconds at that host."""
@@ -45,18 +65,18 @@
     The runs of a gang share their number and count once, as task 0.
     """
 
-    occurrence: int
-    step: int
-    index: int
-    run: int
+    occurrence: Count
+    step: Count
+    index: Count
+    run: Count
 
 
 class DoneTasks(msgspec.Struct, frozen=True, array_like=True):
     """Tasks of one step that are done: bit N of ``mask``, in hex, is task N."""
 
-    occurrence: int
-    step: int
-    mask: str
+    occurrence: Count
+    step: Count
+    mask: Mask
 
 
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -67,7 +87,7 @@
     some runner knows which jobs to leave alone.
     """
 
-    epoch: int
+    epoch: Count
     state: JobState
     done: tuple[DoneTasks, ...] = ()
     failed: tuple[FailedRun, ...] = ()
@@ -82,12 +102,12 @@
     how many seconds more an owner before this one may renew leases unseen.
     """
 
-    epoch: int
-    host: str
-    term: str
+    epoch: Count
+    host: Text
+    term: Text
     beat: int = 0
     released: bool = False
-    unsettled: float = 0
+    unsettled: Unsettled = 0
 
 
 class Attended(msgspec.Struct, frozen=True):
@@ -97,7 +117,7 @@
     the leases of no other runner.
     """
 
-    epoch: int
+    epoch: Count
     runners: tuple[str, ...]
 
 
@@ -108,22 +128,15 @@
     """
 
     zone: str
-    address: str
-    port: int
+    address: HostName
+    port: Port
     incarnation: str = ''
-    cores: float = 1.0
+    cores: Cores = 1.0
 
 
 #: A job that is over shows one of these.
 FINAL_STATES = frozenset((JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED))
 
-_SUBMISSION = msgspec.json.Decoder(Submission)
-_CANCELLATION = msgspec.json.Decoder(Cancellation)
-_PROGRESS = msgspec.json.Decoder(Progress)
-_OWNER = msgspec.json.Decoder(Owner)
-_ATTENDED = msgspec.json.Decoder(Attended)
-_MEMBER = msgspec.json.Decoder(Member)
-
 
 def make_record(key: str, fact: object) -> KeyedRecord:
     """Return the record that keeps ``fact`` under ``key``."""
@@ -143,137 +156,3 @@
         if progress.state is JobState.CANCELLED:
             records.append(make_tombstone(CANCELLATION + job))
     return records
-
-
-@dataclass(frozen=True)
-class BookedJob:
-    """All that stands in the store about one job; without a submission it is over."""
-
-    id: str
-    submission: Submission | None
-    cancelled: bool
-    progress: Progress | None
-
-    @property
-    def state(self) -> JobState:
-        """Return what clients are told."""
-        progress = self.progress
-        if progress is not None and progress.state in FINAL_STATES:
-            return progress.state
-        if self.cancelled:
-            return JobState.CANCELLED
-        return JobState.QUEUED if progress is None else progress.state
-
-
-class JobBook:
-    """Jobs, members and the owner, folded from records in log order.
-
-    ``changed`` collects the jobs that were touched since it was last taken.
-    """
-
-    def __init__(self) -> None:
-        """Start with nothing known."""
-        self.clear()
-
-    def clear(self) -> None:
-        """Forget everything, before a snapshot is folded."""
-        self.submission_by_id: dict[str, Submission] = {}
-        self.cancellation_by_id: dict[str, Cancellation] = {}
-        self.progress_by_id: dict[str, Progress] = {}
-        self.member_by_host: dict[str, Member] = {}
-        self.owner: Owner | None = None
-        self.attended: Attended | None = None
-        self.changed: set[str] = set()
-        #: Keys of records that could not be read, since they were last taken.
-        self.unreadable: list[str] = []
-
-    def take_changed(self) -> set[str]:
-        """Return the jobs that were touched since the last call."""
-        taken = self.changed
-        self.changed = set()
-        return taken
-
-    def find(self, job: str) -> BookedJob | None:
-        """Return what is known of a job, ``None`` when it is not known."""
-        submission = self.submission_by_id.get(job)
-        progress = self.progress_by_id.get(job)
-        if submission is None and (progress is None or progress.state not in FINAL_STATES):
-            return None
-        return BookedJob(job, submission, job in self.cancellation_by_id, progress)
-
-    def jobs_ended_before(self, wall: float) -> list[str]:
-        """Return the jobs that ended before then, in seconds since the epoch."""
-        return [
-            job
-            for job, progress in self.progress_by_id.items()
-            if progress.state in FINAL_STATES and progress.ended_at < wall
-        ]
-
-    def owner_has_ended(self) -> bool:
-        """Return whether another life has begun on the owner's host."""
-        return self.owner is not None and self.has_ended(self.owner)
-
-    def has_ended(self, owner: Owner) -> bool:
-        """Return whether another life has begun on the host of that owner."""
-        member = self.member_by_host.get(owner.host)
-        return member is not None and member.incarnation not in {'', owner.term}
-
-    def count_waiting(self, queue: str) -> int:
-        """Return how many jobs of a queue are accepted and have not begun."""
-        count = 0
-        for job, submission in self.submission_by_id.items():
-            if submission.queue != queue or job in self.cancellation_by_id:
-                continue
-            progress = self.progress_by_id.get(job)
-            if progress is None or progress.state is JobState.QUEUED:
-                count += 1
-        return count
-
-    def fold(self, records: Iterable[KeyedRecord]) -> None:
-        """Take records in log order."""
-        for record in records:
-            try:
-                self._fold_one(record)
-            except msgspec.DecodeError:
-                # Written by another version: what is known of the key stays.
-                self.unreadable.append(record.key)
-
-    def _fold_one(self, record: KeyedRecord) -> None:
-        if record.key == OWNER_KEY:
-            self._fold_owner(record.content)
-            return
-        if record.key == ATTENDED_KEY:
-            if record.content is not None:
-                self.attended = _ATTENDED.decode(record.content)
-            return
-        prefix, name = record.key[:2], record.key[2:]
-        if prefix == SUBMISSION:
-            _keep(self.submission_by_id, name, record.content, _SUBMISSION)
-            self.changed.add(name)
-        elif prefix == CANCELLATION:
-            _keep(self.cancellation_by_id, name, record.content, _CANCELLATION)
-            self.changed.add(name)
-        elif prefix == PROGRESS:
-            _keep(self.progress_by_id, name, record.content, _PROGRESS)
-            self.changed.add(name)
-        elif prefix == MEMBER:
-            _keep(self.member_by_host, name, record.content, _MEMBER)
-
-    def _fold_owner(self, content: bytes | None) -> None:
-        if content is None:
-            return
-        owner = _OWNER.decode(content)
-        if self.owner is None or owner.epoch >= self.owner.epoch:
-            self.owner = owner
-
-
-def _keep(
-    known: dict,
-    name: str,
-    content: bytes | None,
-    decoder: msgspec.json.Decoder,
-) -> None:
-    if content is None:
-        known.pop(name, None)
-        return
-    known[name] = decoder.decode(content)
--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 
 from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._records import JobBook, Member
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._records import Member
 from dandelionreel.cell._standing import find_deputy
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Clock, Journal, Part, Verdict
--- a/dandelionreel/cell/_services.py
+++ b/dandelionreel/cell/_services.py
@@ -13,6 +13,7 @@
     StepName,
     TaskName,
 )
+from dandelionreel.cell._unreadable import UnreadableError
 from dandelionreel.http import Answer
 from dandelionreel.kernel import Verdict
 
@@ -22,11 +23,21 @@
 
 @dataclass(frozen=True)
 class KeyedRecord:
-    """The content that a key has from ``offset`` on; ``None`` drops the key."""
+    """The content that a key has from ``offset`` on; ``None`` drops the key.
+
+    ``error`` says why already the topic could not read the record; the key is then
+    empty where not even that is known.
+    """
 
     key: str
     content: bytes | None
     offset: int = -1
+    error: UnreadableError | None = None
+
+    @property
+    def dropped(self) -> bool:
+        """Return whether the record drops its key."""
+        return self.content is None and self.error is None
 
 
 @dataclass(frozen=True)
@@ -178,11 +189,18 @@
 
 @dataclass(frozen=True)
 class RunnerView:
-    """All that a runner knows; ``clock`` is its own, in seconds."""
+    """All that a runner knows; ``clock`` is its own, in seconds.
+
+    Some of what it listed may not be readable. The view is then not ``complete``, so
+    that a run that is not in it may still be there; ends above ``readable_through``
+    must not be acknowledged, since the runner would forget one that nobody has read.
+    """
 
     clock: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    complete: bool = True
+    readable_through: int | None = None
 
 
 class RunnerError(Exception):
@@ -293,8 +311,8 @@
 
     @abc.abstractmethod
     def decode_configuration(self, content: bytes) -> Configuration:
-        """Return the configuration; raises ``ValueError``."""
+        """Return the configuration; raises ``UnreadableError``."""
 
     @abc.abstractmethod
     def decode_registration(self, runner: str, content: bytes) -> Registration:
-        """Return a runner's registration; raises ``ValueError``."""
+        """Return a runner's registration; raises ``UnreadableError``."""
--- a/dandelionreel/cell/_succession.py
+++ b/dandelionreel/cell/_succession.py
@@ -7,7 +7,8 @@
 from dandelionreel.cell._advisors import PeerLinks
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Election
-from dandelionreel.cell._records import JobBook, Member
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._records import Member
 from dandelionreel.cell._standing import larger_hosts, rank_hosts
 from dandelionreel.kernel import Part
 from dandelionreel.peers import OwnerAsked, OwnerFailing, PeerError
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -8,9 +8,9 @@
 
 import curio
 
-from dandelionreel.cell import Registration, Runner
+from dandelionreel.cell import Registration, Runner, UnreadableLog
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
 from dandelionreel.cell._election import Election, name_incarnation
 from dandelionreel.cell._follower import Follower
@@ -18,6 +18,7 @@
 from dandelionreel.cell._owner_watch import OwnerWatch
 from dandelionreel.cell._records import MEMBER, Member, make_record
 from dandelionreel.cell._relay import Relay
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.cell._writer import GroupWriter, Written
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.http import Answer, Request, Server, ServerLimits
@@ -111,9 +112,23 @@
         }
         # Claims and the owner's records must not wait behind submissions.
         self._owner_topic = StoreTopic(CELL_TOPIC, settings.store)
-        self._configuration = ConfigurationFolder(codec, self._journal)
-        self._runners = RunnersFolder(codec, self._clock, self._journal)
-        self._jobs = JobFolder(self._clock, self._journal)
+        self._configuration = ConfigurationFolder(
+            codec,
+            self._journal,
+            self._watch_unreadable('operator', Part.CONTRACTS),
+        )
+        self._runners = RunnersFolder(
+            codec,
+            self._clock,
+            self._journal,
+            self._configuration.names_service,
+            self._watch_unreadable('runners', Part.WORKERS),
+        )
+        self._jobs = JobFolder(
+            self._clock,
+            self._journal,
+            self._watch_unreadable('cell', Part.LOG),
+        )
         self._cell_follower = self._follow('cell', CELL_TOPIC, self._jobs, CELL_WAIT)
         self._runners_follower = self._follow(
             'runners',
@@ -191,6 +206,9 @@
             lambda: self._pause(topic),
         )
 
+    def _watch_unreadable(self, topic: str, part: Part) -> UnreadableLog:
+        return UnreadableLog(topic, part, self._clock, self._journal, self._metrics.note_unreadable)
+
     def _pause(self, topic: str) -> float:
         if topic == OPERATOR_TOPIC:
             return OPERATOR_PAUSE
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -32,6 +32,12 @@
             buckets=ANSWER_BUCKETS,
             registry=self._registry,
         )
+        self._unreadable = Counter(
+            'dandelionreel_unreadable_records',
+            'Records in the store that cannot be read.',
+            ('topic', 'reason'),
+            registry=self._registry,
+        )
         self._owner = self._gauge('owner', 'Whether this host owns the cell.')
         self._store_age = self._gauge('store_age_seconds', 'Age of what is known of the store.')
         self._jobs = self._gauge('jobs_under_way', 'Jobs that are not over, at the owner.')
@@ -45,6 +51,10 @@
         self._answers.labels(method, str(status)).inc()
         self._seconds.labels(method).observe(seconds)
 
+    def note_unreadable(self, topic: str, reason: str) -> None:
+        """Count a record in the store that cannot be read."""
+        self._unreadable.labels(topic, reason).inc()
+
     def update(self, cell: Cell | None, store_age: float, dropped: int) -> None:
         """Set the gauges."""
         self._owner.set(cell is not None)
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -57,7 +57,9 @@
             raise ExchangeError('no connection in time', sent=False) from error
         except ConnectionRefusedError as error:
             raise RefusedError('connection refused', sent=False) from error
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # A name or a port that cannot be: a peer's record or a runner's entry may
+            # hold one, and whoever calls there must not fail for it.
             raise ExchangeError(f'no connection: {error}', sent=False) from error
         self._http = h11.Connection(h11.CLIENT)
 
--- a/dandelionreel/platform/_advice.py
+++ b/dandelionreel/platform/_advice.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from dandelionreel.cell import AdviceError, AdviceService, Permit, StepName
+from dandelionreel.cell import (
+    AdviceError,
+    AdviceService,
+    Permit,
+    StepName,
+    UnreadableError,
+    decode_json,
+)
 from dandelionreel.http import Channel, ExchangeError, Request
 from dandelionreel.platform._settings import Address
 
@@ -17,6 +24,9 @@
     allowed: list[tuple[str, str]] = []
 
 
+_ALLOWED = msgspec.json.Decoder(_Allowed)
+
+
 class HttpAdvice(AdviceService):
     """One connection: the service takes one call at a time from each host."""
 
@@ -43,7 +53,10 @@
             raise AdviceError(f'the policy service is out of reach: {error}') from error
         if answer.status != HTTP_OK:
             raise AdviceError(f'the policy service answered {answer.status}')
-        decoded = msgspec.json.decode(answer.body, type=_Allowed)
+        try:
+            decoded = decode_json(_ALLOWED, answer.body)
+        except UnreadableError as error:
+            raise AdviceError(f'the answer cannot be read: {error}') from error
         return tuple(Permit(runner, ticket) for runner, ticket in decoded.allowed)
 
     async def close(self) -> None:
--- a/dandelionreel/platform/_configuration.py
+++ b/dandelionreel/platform/_configuration.py
@@ -1,18 +1,26 @@
 """The operator's configuration as it stands in the store."""
 
+from typing import Annotated
+
 import msgspec
 
-from dandelionreel.cell import AdvicePolicy, Configuration, Queue, Service
+from dandelionreel.cell import AdvicePolicy, Configuration, Queue, Service, decode_json
 
 #: The operator's key that holds the newest configuration in full.
 CONFIGURATION_KEY = 'config'
 MILLISECONDS = 1000
+#: Versions are whole and exact in JSON up to here. An absurd one would keep every later
+#: version from coming into force.
+LARGEST = 9_007_199_254_740_992
+
+Version = Annotated[int, msgspec.Meta(ge=0, lt=LARGEST)]
+Number = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _Advice(msgspec.Struct, frozen=True):
-    decision_ms: float = 0
-    period_ms: float = 0
-    valid_ms: float = 2000
+    decision_ms: Number = 0
+    period_ms: Number = 0
+    valid_ms: Number = 2000
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -20,11 +28,11 @@
     host: str
     path_prefix: str
     service: str = ''
-    timeout_ms: float = 3000
-    target_latency_ms: float = 0
+    timeout_ms: Number = 3000
+    target_latency_ms: Number = 0
     priority: int = 0
     max_attempts: int = 1
-    slack_factor: float = 1
+    slack_factor: Number = 1
     advice: _Advice | None = None
 
 
@@ -39,7 +47,7 @@
 
 
 class _Document(msgspec.Struct, frozen=True):
-    version: int
+    version: Version
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -49,8 +57,8 @@
 
 
 def decode_configuration(content: bytes) -> Configuration:
-    """Return the configuration; raises ``ValueError``."""
-    document = _DECODER.decode(content)
+    """Return the configuration; raises ``UnreadableError``."""
+    document = decode_json(_DECODER, content)
     services = tuple(
         Service(entry.name, entry.enforces_capacity, entry.standby) for entry in document.services
     )
--- a/dandelionreel/platform/_records.py
+++ b/dandelionreel/platform/_records.py
@@ -11,9 +11,9 @@
     configuration_key = CONFIGURATION_KEY
 
     def decode_configuration(self, content: bytes) -> Configuration:
-        """Return the configuration; raises ``ValueError``."""
+        """Return the configuration; raises ``UnreadableError``."""
         return decode_configuration(content)
 
     def decode_registration(self, runner: str, content: bytes) -> Registration:
-        """Return a runner's registration; raises ``ValueError``."""
+        """Return a runner's registration; raises ``UnreadableError``."""
         return decode_registration(runner, content)
--- a/dandelionreel/platform/_registrations.py
+++ b/dandelionreel/platform/_registrations.py
@@ -1,36 +1,61 @@
 """What runners write about themselves in the store."""
 
+from typing import Annotated, Literal
+
 import msgspec
 
-from dandelionreel.cell import Demand, Registration
-from dandelionreel.platform._settings import parse_address
+from dandelionreel.cell import Demand, Reason, Registration, UnreadableError, decode_json
+from dandelionreel.platform._settings import SettingsError, parse_address
 
 MILLISECONDS = 1000
+#: More than any machine has of anything; a larger amount is a mistake, and would let
+#: every task fit.
+LARGEST_AMOUNT = 2_147_483_648
+#: Milliseconds for which a draining runner may say that it stays: a day.
+LONGEST_STAY = 86_400_000
+LONGEST_NAME = 255
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_AMOUNT)]
+Number = Annotated[float, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=LONGEST_NAME)]
 
 
 class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class _Entry(msgspec.Struct, frozen=True):
-    service: str
-    address: str
-    zone: str
-    state: str = 'ready'
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
-    labels: tuple[str, ...] = ()
-    remaining_ms: float | None = None
+    """All that a runner's entry holds; what is not used here is checked all the same.
+
+    An entry with one field missing or wrong was written by something that is no
+    runner, and its other fields are worth no more.
+    """
+
+    service: Name
+    address: Name
+    zone: Name
+    version: str
+    slots: Amount
+    state: Literal['ready', 'draining']
+    cold_left_ms: Number
+    sequence: int
+    capacity: _Capacity
+    labels: tuple[str, ...]
+    remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=LONGEST_STAY)] | None = None
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
 
 
 def decode_registration(runner: str, content: bytes) -> Registration:
-    """Return the runner's registration; raises ``ValueError``."""
-    entry = _DECODER.decode(content)
-    address = parse_address(entry.address)
+    """Return the runner's registration; raises ``UnreadableError``."""
+    entry = decode_json(_DECODER, content)
+    try:
+        address = parse_address(entry.address)
+    except SettingsError as error:
+        raise UnreadableError(Reason.RANGE, f'{error}') from error
     remaining = entry.remaining_ms
     return Registration(
         runner=runner,
@@ -40,6 +65,6 @@
         zone=entry.zone,
         capacity=Demand(entry.capacity.cpu, entry.capacity.mem_mb, entry.capacity.gpu),
         labels=entry.labels,
-        draining=entry.state != 'ready',
+        draining=entry.state == 'draining',
         remaining=None if remaining is None else remaining / MILLISECONDS,
     )
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -6,22 +6,22 @@
 
 from dandelionreel.cell import (
     Check,
-    EndedRun,
-    Outcome,
     Registration,
     Runner,
     RunnerError,
     RunnerFenced,
     RunnerReplaced,
     RunnerView,
-    RunningTask,
     StartAnswer,
     StartOrder,
     StartReply,
     TaskName,
+    UnreadableError,
+    decode_json,
 )
 from dandelionreel.http import Answer, Channel, ExchangeError, Request
 from dandelionreel.kernel import Verdict
+from dandelionreel.platform._views import decode_view
 
 #: Seconds for an order. A runner answers within milliseconds; a slow link
 #: takes some tens. An order that stays unanswered is simply repeated.
@@ -53,10 +53,7 @@
     reason: str = ''
 
 
-class _View(msgspec.Struct):
-    clock_ms: float
-    running: list[list[Any]] = []
-    finished: list[list[Any]] = []
+_CLOCK = msgspec.json.Decoder(_Clock)
 
 
 def encode_task(task: TaskName) -> str:
@@ -64,12 +61,6 @@
     return f'{task.job}.{task.occurrence}.{task.step}.{task.index}'
 
 
-def decode_task(text: str) -> TaskName:
-    """Return the task of that name; raises ``ValueError``."""
-    job, occurrence, step, index = text.split('.')
-    return TaskName(job, int(occurrence), int(step), int(index))
-
-
 class HttpRunner(Runner):
     """One runner, with a connection for looks and a few for orders."""
 
@@ -172,30 +163,11 @@
             raise RunnerError(f'{error}', verdict) from error
 
 
-def decode_view(raw: bytes) -> RunnerView:
-    """Return what a runner listed; entries that are no tasks are left out."""
-    decoded = msgspec.json.decode(raw, type=_View)
-    running = []
-    for name, run, checkpoint, percent, *gauge in decoded.running:
-        running.append(
-            RunningTask(
-                decode_task(name),
-                run,
-                checkpoint or '',
-                int(percent or 0),
-                float(gauge[0]) if gauge and gauge[0] is not None else 0.0,
-            )
-        )
-    ended = []
-    for number, name, run, outcome, checkpoint in decoded.finished:
-        ended.append(EndedRun(number, decode_task(name), run, Outcome(outcome), checkpoint or ''))
-    return RunnerView(decoded.clock_ms / MILLISECONDS, tuple(running), tuple(ended))
-
-
 def _read_clock(answer: Answer) -> tuple[float | None, str]:
     try:
-        decoded = msgspec.json.decode(answer.body, type=_Clock)
-    except msgspec.DecodeError:
+        decoded = decode_json(_CLOCK, answer.body)
+    except UnreadableError:
+        # The status alone says what came of the order.
         return None, ''
     clock = None if decoded.clock_ms is None else decoded.clock_ms / MILLISECONDS
     return clock, decoded.reason
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file, decoded into what a host needs to know."""
 
+import re
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -87,14 +88,25 @@
 RESERVED_DESCRIPTORS = 1200
 FEWEST_CONNECTIONS = 256
 MILLISECONDS = 1000
+#: A name or an IPv4 address.
+HOST_NAME = re.compile('[0-9A-Za-z._-]{1,253}')
+PORT = re.compile('[0-9]{1,5}')
+LAST_PORT = 65_535
 
 
 def parse_address(text: str) -> Address:
-    """Return ``host:port`` as an address; raises ``SettingsError``."""
+    """Return ``host:port`` as an address; raises ``SettingsError``.
+
+    Other digits than ours count as digits to ``str.isdigit``, and a name that is too
+    long or a port that cannot be raises no ``OSError`` where it is connected to.
+    """
     host, _, port = text.rpartition(':')
-    if not host or not port.isdigit():
+    if not HOST_NAME.fullmatch(host) or not PORT.fullmatch(port):
         raise SettingsError(f'{text!r} is not an address; write it as host:port')
-    return Address(host, int(port))
+    number = int(port)
+    if not 0 < number <= LAST_PORT:
+        raise SettingsError(f'{text!r} has no port from 1 to {LAST_PORT}')
+    return Address(host, number)
 
 
 def load_host_settings(path: Path) -> HostSettings:
--- a/dandelionreel/platform/_store.py
+++ b/dandelionreel/platform/_store.py
@@ -1,7 +1,5 @@
 """The platform's metadata store: keyed topics over HTTP."""
 
-import base64
-import struct
 from collections.abc import Sequence
 from urllib.parse import urlencode
 
@@ -15,10 +13,18 @@
     RecordsExpired,
     StoreError,
     Topic,
+    UnreadableError,
     WriterFence,
+    decode_json,
 )
 from dandelionreel.http import Answer, Channel, ExchangeError, Request
 from dandelionreel.kernel import Verdict
+from dandelionreel.platform._framing import (
+    LENGTH,
+    Page,
+    decode_batch,
+    decode_page,
+)
 from dandelionreel.platform._settings import Address
 
 #: The operator's records.
@@ -42,10 +48,6 @@
 NOT_DONE = frozenset((400, 403, 404, 429, 503, 507))
 MILLISECONDS = 1000
 
-LENGTH = struct.Struct('>I')
-#: A read's answer begins with the topic's end and its first kept offset.
-READ_HEAD = struct.Struct('>QQ')
-
 
 class _Appended(msgspec.Struct):
     offset: int = 0
@@ -53,16 +55,7 @@
     reason: str = ''
 
 
-class _Entry(msgspec.Struct, rename={'content': 'value'}):
-    key: str
-    content: str = ''
-    offset: int = -1
-
-
-class _Page(msgspec.Struct, rename={'entries': 'items'}):
-    entries: list[_Entry]
-    end: int
-    has_more: bool = False
+_APPENDED = msgspec.json.Decoder(_Appended)
 
 
 def encode_records(records: Sequence[KeyedRecord]) -> bytes:
@@ -78,26 +71,6 @@
     return bytes(body)
 
 
-def decode_batch(raw: bytes, offset: int) -> RecordBatch:
-    """Return the records of a read that asked for ``offset``."""
-    end, first = READ_HEAD.unpack_from(raw)
-    position = READ_HEAD.size
-    records: list[KeyedRecord] = []
-    while position + LENGTH.size <= len(raw):
-        length = LENGTH.unpack_from(raw, position)[0]
-        position += LENGTH.size
-        records.append(_decode_record(raw[position : position + length], offset + len(records)))
-        position += length
-    return RecordBatch(tuple(records), offset + len(records), max(end, first))
-
-
-def _decode_record(raw: bytes, offset: int) -> KeyedRecord:
-    key_length = raw[0]
-    key = raw[1 : 1 + key_length].decode()
-    content = raw[1 + key_length :]
-    return KeyedRecord(key, content or None, offset)
-
-
 class StoreTopic(Topic):
     """One topic; appends and waiting reads have a connection each.
 
@@ -132,7 +105,7 @@
         )
         answer = await _exchange(self._writes, request, timeout)
         if answer.status == HTTP_OK:
-            return msgspec.json.decode(answer.body, type=_Appended).offset
+            return _decode_appended(answer).offset
         raise _append_error(answer)
 
     async def read(self, offset: int, wait: float) -> RecordBatch:
@@ -156,7 +129,9 @@
         """Return the newest record of each key.
 
         Pages are read one after the other, so the batch goes on from the end
-        that the first page named: what changed meanwhile is read again.
+        that the first page named: what changed meanwhile is read again. A page that
+        ends where it began would be read for ever, and a part of the records is no
+        snapshot: a host would forget the jobs that are missing.
         """
         records: list[KeyedRecord] = []
         end = None
@@ -165,19 +140,20 @@
             page = await self._read_page(last_key)
             if end is None:
                 end = page.end
-            for entry in page.entries:
-                content = base64.b64decode(entry.content)
-                records.append(KeyedRecord(entry.key, content or None, entry.offset))
-            if not page.has_more or not page.entries:
+            records.extend(page.records)
+            if not page.has_more or not page.records:
                 return RecordBatch(tuple(records), end, end)
-            last_key = page.entries[-1].key
+            if page.last_key in {'', last_key}:
+                message = f'pages of {self._name} do not get beyond {last_key!r}'
+                raise StoreError(message, Verdict.NOT_RUN)
+            last_key = page.last_key
 
     async def close(self) -> None:
         """Close both connections."""
         await self._writes.close()
         await self._reads.close()
 
-    async def _read_page(self, last_key: str) -> _Page:
+    async def _read_page(self, last_key: str) -> Page:
         fields: dict[str, object] = {'topic': self._name, 'part': 0}
         if last_key:
             # Misleading name: the page goes on behind this key.
@@ -186,7 +162,7 @@
         answer = await _exchange(self._reads, request, READ_TIMEOUT)
         if answer.status != HTTP_OK:
             raise _read_error(answer)
-        return msgspec.json.decode(answer.body, type=_Page)
+        return decode_page(answer.body)
 
 
 async def _exchange(channel: Channel, request: Request, timeout: float) -> Answer:
@@ -197,11 +173,25 @@
         raise StoreError(f'the store is out of reach: {error}', verdict) from error
 
 
+def _decode_appended(answer: Answer) -> _Appended:
+    try:
+        return decode_json(_APPENDED, answer.body)
+    except UnreadableError as error:
+        raise StoreError(f'the answer cannot be read: {error}', Verdict.UNKNOWN) from error
+
+
+def _read_reason(answer: Answer) -> str:
+    try:
+        return decode_json(_APPENDED, answer.body).reason
+    except UnreadableError as error:
+        return f'no reason that can be read: {error}'
+
+
 def _append_error(answer: Answer) -> StoreError:
     if answer.status == HTTP_PRECONDITION:
         return ConflictError('the topic has grown meanwhile', Verdict.NOT_RUN)
     if answer.status == HTTP_CONFLICT:
-        reason = msgspec.json.decode(answer.body, type=_Appended).reason
+        reason = _read_reason(answer)
         return FencedError(f'another writer was there: {reason}', Verdict.NOT_RUN)
     verdict = Verdict.NOT_RUN if answer.status in NOT_DONE else Verdict.UNKNOWN
     return StoreError(f'the store answered {answer.status}', verdict)
--- a/dandelionreel/platform/_submissions.py
+++ b/dandelionreel/platform/_submissions.py
@@ -2,16 +2,22 @@
 
 import msgspec
 
-from dandelionreel.cell import ClientCodec, Demand, JobSpec, JobState, Step, SubmissionError
+from dandelionreel.cell import (
+    ClientCodec,
+    Demand,
+    JobSpec,
+    JobState,
+    Step,
+    SubmissionError,
+    UnreadableError,
+    check_spec,
+    decode_json,
+)
 from dandelionreel.http import Answer, answer_json
 
 MILLISECONDS = 1000
 HTTP_GONE = 410
 PAYLOAD_BYTES = 4000
-#: Bounds of what one job may ask for; a larger one is refused as bad input.
-MOST_STEPS = 100
-MOST_TASKS = 10_000
-MOST_OCCURRENCES = 10_000
 
 
 class _Step(msgspec.Struct, frozen=True):
@@ -49,37 +55,23 @@
 def decode_submission(body: bytes) -> JobSpec:
     """Return the job that a body describes; raises ``SubmissionError``."""
     try:
-        job = _DECODER.decode(body)
-    except (msgspec.DecodeError, RecursionError) as error:
+        job = decode_json(_DECODER, body)
+    except UnreadableError as error:
         raise SubmissionError(f'{error}') from error
     if len(job.spec.encode()) > PAYLOAD_BYTES:
         raise SubmissionError(f'spec is over {PAYLOAD_BYTES} bytes')
-    if not 1 <= len(job.steps) <= MOST_STEPS:
-        raise SubmissionError(f'steps: 1 to {MOST_STEPS} are allowed')
-    if not 0 <= job.repeat_count <= MOST_OCCURRENCES:
-        raise SubmissionError(f'repeat_count: 0 to {MOST_OCCURRENCES} is allowed')
-    if job.repeat_count and job.interval_ms < 0:
-        raise SubmissionError('interval_ms is negative')
-    for number, step in enumerate(job.steps):
-        _check_step(number, step)
-    return JobSpec(
+    spec = JobSpec(
         payload=job.spec,
         steps=tuple(_step(step) for step in job.steps),
         repeat_count=job.repeat_count,
         first_run=job.first_run_ms / MILLISECONDS,
         interval=job.interval_ms / MILLISECONDS,
     )
-
-
-def _check_step(number: int, step: _Step) -> None:
-    if not 1 <= step.count <= MOST_TASKS:
-        raise SubmissionError(f'step {number}: count must be 1 to {MOST_TASKS}')
-    if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
-        raise SubmissionError(f'step {number}: cpu, mem_mb, gpu and estimate_ms start at 0')
-    for earlier in step.depends_on:
-        # Only earlier steps may be named, so there can be no cycle.
-        if not 0 <= earlier < number:
-            raise SubmissionError(f'step {number}: depends_on names {earlier}, no earlier step')
+    try:
+        check_spec(spec)
+    except UnreadableError as error:
+        raise SubmissionError(f'{error}') from error
+    return spec
 
 
 def _step(step: _Step) -> Step:
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -169,6 +169,7 @@
       | with a number as key    |
       | with half a pair as key |
       | with bad base64         |
+      | with half a pair as value |
       | with a list as value    |
       | with a text as offset   |
       | that is null            |
--- a/features/entry_fuzz.py
+++ b/features/entry_fuzz.py
@@ -118,7 +118,8 @@
         return self.draw.choice(ways)(good)
 
     def cut(self, good):
-        return good[: self.draw.randrange(len(good))]
+        # Cut to nothing it would drop its key, which everybody can read.
+        return good[: self.draw.randrange(1, len(good))]
 
     def flip(self, good):
         changed = bytearray(good)
--- a/features/entry_parts.py
+++ b/features/entry_parts.py
@@ -8,8 +8,16 @@
 
 import msgspec
 
-from dandelionreel.cell import AdvicePolicy, Demand, JobSpec, JobState, Step, Submission
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell import (
+    AdvicePolicy,
+    Demand,
+    JobSpec,
+    JobState,
+    Step,
+    Submission,
+    UnreadableLog,
+)
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._records import (
     Attended,
     Cancellation,
@@ -19,8 +27,9 @@
     Owner,
     Progress,
 )
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.http import Answer
-from dandelionreel.kernel import Journal, ManualClock
+from dandelionreel.kernel import Journal, ManualClock, Part
 from dandelionreel.platform import Address, JsonRecordCodec, StoreTopic
 
 LENGTH = struct.Struct('>I')
@@ -212,9 +221,24 @@
         self.unreadable = Counter()
         journal = ListJournal(self.lines)
         codec = JsonRecordCodec()
-        self.configuration = ConfigurationFolder(codec, journal)
-        self.runners = RunnersFolder(codec, self.clock, journal)
-        self.jobs = JobFolder(self.clock, journal)
+        self.configuration = ConfigurationFolder(
+            codec, journal, self.watch('operator', Part.CONTRACTS, journal)
+        )
+        self.runners = RunnersFolder(
+            codec,
+            self.clock,
+            journal,
+            self.configuration.names_service,
+            self.watch('runners', Part.WORKERS, journal),
+        )
+        self.jobs = JobFolder(self.clock, journal, self.watch('cell', Part.LOG, journal))
+
+    def watch(self, topic, part, journal):
+        return UnreadableLog(topic, part, self.clock, journal, self.note)
+
+    def note(self, topic, reason):
+        """Count as the metrics do."""
+        self.unreadable[topic, reason] += 1
 
     def lines_of(self, runner):
         """Return the lines that name a runner."""
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -8,17 +8,18 @@
     WriterFence,
 )
 from dandelionreel.cell._desk import Desk
-from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
+from dandelionreel.cell._directory import ConfigurationFolder
 from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
 from dandelionreel.cell._election import Term
+from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
-    JobBook,
     Member,
     Owner,
     make_record,
 )
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.cell._standing import claim_delay, find_deputy
 from dandelionreel.cell._succession import Succession
 from dandelionreel.kernel import ManualClock
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -7,7 +7,6 @@
 from behave import given, then, when
 
 from dandelionreel.cell import (
-    Cell,
     Demand,
     JobSpec,
     JobState,
@@ -17,8 +16,9 @@
     StoreError,
     Submission,
     TaskName,
+    WriterFence,
 )
-from dandelionreel.cell._election import SILENT_SECONDS, UNSETTLED_SECONDS, Vacancy
+from dandelionreel.cell._election import SILENT_SECONDS, UNSETTLED_SECONDS, Term, Vacancy
 from dandelionreel.cell._records import DoneTasks, Progress, make_record
 from dandelionreel.kernel import ManualClock
 from dandelionreel.platform._runners import decode_view
@@ -265,6 +265,7 @@
     'with a number as key': {'key': 7, 'value': 'e30=', 'offset': 1},
     'with half a pair as key': {'key': '\ud800', 'value': 'e30=', 'offset': 1},
     'with bad base64': {'key': 'i-3', 'value': '!', 'offset': 1},
+    'with half a pair as value': {'key': 'i-3', 'value': '\ud800', 'offset': 1},
     'with a list as value': {'key': 'i-3', 'value': [], 'offset': 1},
     'with a text as offset': {'key': 'i-3', 'value': 'e30=', 'offset': 'x'},
     'that is null': None,
@@ -380,7 +381,7 @@
 def handed_in_again(context):
     booked = context.host.folder.book.find(JOB)
     # A host that took the job for accepted would not store it again.
-    assert booked is None or booked.unreadable
+    assert booked.may_be_stored_again
     append(context, make_record(f'j/{JOB}', SUBMISSION))
 
 
@@ -393,23 +394,16 @@
 
 def start_term(context):
     """Return the dispatcher of a term that the host begins with what it knows."""
-    host = context.host
-
-    async def claim():
-        host.clock.advance(60)
-        await host.follower.hurry()
-        await curio.spawn(host.follower.run, daemon=True)
-        return await host.claim(5)
-
-    term = curio.run(claim)
-    dispatcher = make_dispatcher(host, term, context.memory, host.clock)
+    clock, former = context.host.clock, context.host.folder.book.owner
+    clock.advance(SILENT_SECONDS)
+    term = Term(9, 'me/1', WriterFence(9, 1), clock.now - 1, False, False, former=former)
+    dispatcher = make_dispatcher(context.host, term, context.memory, clock)
     dispatcher._begin()
     return dispatcher
 
 
 @then('the job is {handled}')
 def handled(context, handled):
-    cell = Cell(9, 3.0)
     booked = context.host.folder.book.find(JOB)
     dispatcher = start_term(context)
     cell = dispatcher.cell
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -3,10 +3,10 @@
 import curio
 from behave import given, then, when
 
+from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
-    JobBook,
     Member,
     Owner,
     make_record,
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -18,13 +18,13 @@
 )
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
+from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import (
     CANCELLATION,
     OWNER_KEY,
     SUBMISSION,
     Cancellation,
-    JobBook,
     Owner,
     Progress,
     make_progress_records,
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -5,17 +5,18 @@
 
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._desk import LEASE_SECONDS, Desk
-from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
+from dandelionreel.cell._directory import ConfigurationFolder
 from dandelionreel.cell._dispatcher import Dispatcher, DispatcherParts
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import (
     OWNER_KEY,
     SUBMISSION,
-    JobBook,
     Owner,
     make_record,
 )
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
 from features.store_parts import LONG, Host, journal, until
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -299,7 +299,11 @@
             'service': 'desk',
             'address': f'127.0.0.1:{port}',
             'zone': 'north',
+            'version': 'v1',
+            'slots': 8,
             'state': state,
+            'cold_left_ms': 0,
+            'sequence': 1,
             'capacity': {'cpu': 8000, 'mem_mb': 16384, 'gpu': 0},
             'labels': ['a', 'r-1'],
         }
