--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -164,7 +164,8 @@
             now = self._clock.monotonic()
             if not await self._follower.wait_fresh(now, LOOKUP_PATIENCE):
                 return _refuse(STORE_CAUSE, 'the store cannot be read just now')
-        if self._jobs.book.find(job_id) is not None:
+        booked = self._jobs.book.find(job_id)
+        if booked is not None and not booked.may_be_stored_again:
             self._tell(request, job_id, 'accepted before')
             return self._codec.answer_accepted()
         if len(request.body) > configuration.body_bytes:
--- a/dandelionreel/cell/_predecessors.py
+++ b/dandelionreel/cell/_predecessors.py
@@ -7,7 +7,7 @@
 
 from dandelionreel.cell._cell import CLOCK_DRIFT
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
-from dandelionreel.cell._records import JobBook
+from dandelionreel.cell._job_book import JobBook
 
 #: Seconds for which a runner's last word of its clock may be old when a lease is
 #: granted by it: a look waits 1.5 s there, and 0.6 s for its answer.
--- a/features/snapshot.feature
+++ b/features/snapshot.feature
@@ -5,6 +5,6 @@
   # its end was among them. A client whose request had waited meanwhile was told that the
   # job does not exist (410), as all had been read 20 ms before the request came.
   Scenario: A host reads a snapshot again that lacks a job which ends meanwhile
-    Given a host that has read all that stands in the store
+    Given a host that knows all that stands in the store
     When the store forgets its history and a job ends while the host reads a snapshot
     Then what it has read does not count as complete before it has read what followed
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -9,10 +9,10 @@
 )
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
+from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
-    JobBook,
     Member,
     Owner,
     make_record,
--- a/features/steps/ends_steps.py
+++ b/features/steps/ends_steps.py
@@ -5,7 +5,7 @@
 
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._records import Progress
-from dandelionreel.platform._runners import decode_view
+from dandelionreel.platform._views import decode_view
 from features.cell_parts import SmallCell, step, task
 
 LISTED = 500
--- a/features/steps/snapshot_steps.py
+++ b/features/steps/snapshot_steps.py
@@ -48,7 +48,7 @@
         return RecordBatch((*ends, *others), first.next_offset, first.next_offset)
 
 
-@given('a host that has read all that stands in the store')
+@given('a host that knows all that stands in the store')
 def has_read(context):
     context.topic = ForgetfulTopic()
     context.host = Host('me', context.topic)
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -4,11 +4,12 @@
 
 import curio
 
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._parts import DispatcherParts
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.kernel import Journal, SystemClock, Verdict
 from dandelionreel.peers import Frame, PeerError
 from features.cell_parts import make_registration
