The stand-ins' store gets another writer, which the soak and two scenarios use

Cause: that bad entries cost nothing had been shown on decoders and folders only, not on hosts at work.

The soak lets it write every now and then; its times are drawn apart, so the other faults of a seed stay what they were.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -2,9 +2,9 @@
 
 Jobs are handed in, asked for and cancelled while hosts are killed, paused and
 stopped, links to the store and to runners are cut in one or both directions, the
-store is down, slow or loses answers, and runners crash and come back. Faults
-overlap. Then all heals, every accepted job must end, and the runners' own records
-and the clients' answers judge.
+store is down, slow or loses answers, runners crash and come back, and another writer
+fills the runners' topic with bad entries. Faults overlap. Then all heals, every
+accepted job must end, and the runners' own records and the clients' answers judge.
 """
 
 import argparse
@@ -68,6 +68,7 @@
 
     def __init__(self, seed: int, seconds: float, hosts: int = 3, runners: int = 4) -> None:
         """Prepare the platform and the hosts."""
+        self._seed = seed
         self._random = random.Random(seed)
         self._seconds = seconds
         self._platform = UsersPlatform(runners, seed)
@@ -95,10 +96,11 @@
             for name in self._hosts.names:
                 self._hosts.start(name)
             self._hosts.wait_ready()
-            with ThreadPoolExecutor(CLIENTS) as pool:
+            with ThreadPoolExecutor(CLIENTS + 1) as pool:
                 seeds = [self._random.random() for _ in range(CLIENTS)]
                 for number, seed in enumerate(seeds):
                     pool.submit(self._be_client, number, random.Random(seed))
+                pool.submit(self._disturb_entries)
                 self._break_things()
                 self._over.set()
             self._heal()
@@ -164,6 +166,20 @@
             fault(self._random.uniform(*FAULT_LENGTH))
             time.sleep(self._random.uniform(*FAULT_GAP))
 
+    def _disturb_entries(self) -> None:
+        """Let another writer write every now and then.
+
+        Its times are drawn apart, so that the other faults of a seed stay what they were.
+        """
+        draw = random.Random(f'{self._seed}/entries')
+        while not self._over.wait(draw.uniform(*FAULT_GAP)):
+            writer = self._platform.make_other_writer(f'{self._seed}/{draw.random()}')
+            writer.start()
+            self._over.wait(draw.uniform(*FAULT_LENGTH))
+            with self._lock:
+                writer.stop()
+            self.tally.faults['other_writer'] += 1
+
     def _later(self, seconds: float, heal: object, *args: object) -> None:
         timer = Timer(seconds, heal, args)
         self._timers.append(timer)
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -84,3 +84,18 @@
     When the owner is stopped while jobs are handed in at the others
     Then all of them are completed
     And the stopped host has ended with status 0
+
+  # Tasks were lost and started twice while some other program wrote into the runners'
+  # topic: entries of runners at work, of runners that do not exist, and bytes that are no
+  # record. The runners' own entries come in between, as their heartbeats do.
+  Scenario: Another writer fills the runners' topic while jobs run
+    When another writer fills the runners' topic while 30 jobs are handed in
+    Then all of them are completed
+    And no task ran twice and no runner was overfull
+    And every host is alive and has counted unreadable records
+
+  # The owner is killed meanwhile: its successor reads the same topic from a snapshot.
+  Scenario: The owner is killed while another writer fills the runners' topic
+    When another writer is at work, and the owner is killed once a long job runs
+    Then the other hosts tell that the job is completed
+    And no task ran twice and no runner was overfull
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -195,3 +195,33 @@
 @then('the stopped host has ended with status 0')
 def ended_well(context):
     assert context.hosts.process_by_name[context.killed].wait(60) == 0
+
+
+def start_writer(context):
+    context.writer = context.platform.make_other_writer('1')
+    context.writer.start()
+    context.stack.callback(context.writer.stop)
+
+
+@when("another writer fills the runners' topic while {count:d} jobs are handed in")
+def hand_in_disturbed(context, count):
+    start_writer(context)
+    for job in range(1, count + 1):
+        hand_in(context, job, task(1500, 0.3, 3), 'advised' if job % 2 else 'plain')
+
+
+@then('every host is alive and has counted unreadable records')
+def alive_and_counted(context):
+    assert context.writer.written > 100, context.writer.written
+    for name, process in context.hosts.process_by_name.items():
+        assert process.poll() is None, f'{name} has ended'
+        log = context.hosts.log_of(name)
+        assert 'Traceback' not in log and 'eliot:traceback' not in log, log[-3000:]
+        counted = 'dandelionreel_unreadable_records_total{reason="syntax",topic="runners"}'
+        assert counted in context.hosts.metrics(name), context.hosts.metrics(name)
+
+
+@when('another writer is at work, and the owner is killed once a long job runs')
+def kill_owner_disturbed(context):
+    start_writer(context)
+    kill_owner(context)
--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -30,6 +30,7 @@
 CALLERS_PORT = 7801
 READINESS_PORT = 7802
 PEERS_PORT = 7810
+METRICS_PORT = 9464
 #: Seconds that nothing here takes on any machine.
 LONG = 60
 
@@ -117,6 +118,15 @@
         finally:
             connection.close()
 
+    def metrics(self, name: str) -> str:
+        """Return what a host serves as metrics."""
+        connection = HTTPConnection(self._address_by_name[name], METRICS_PORT, timeout=5)
+        try:
+            connection.request('GET', '/metrics')
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def wait_ready(self) -> None:
         """Wait until all hosts that run are ready."""
         wait_for(lambda: all(self.is_ready(name) for name in self.process_by_name))
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -17,6 +17,7 @@
 import curio
 
 from dandelionreel.http import Answer, CloseConnection, Request, Server, ServerLimits, answer_json
+from standins._other_writer import OtherWriter
 from standins._relay import Relay, Wire
 
 LENGTH = struct.Struct('>I')
@@ -37,7 +38,8 @@
 
 class _Topic:
     def __init__(self) -> None:
-        self.records: list[tuple[str, bytes]] = []
+        #: Each with the length of its key, its key and its value.
+        self.records: list[bytes] = []
         self.epoch = 0
         self.next_sequence = 0
         self.answer_by_sequence: dict[int, dict] = {}
@@ -55,7 +57,11 @@
     def put(self, topic: str, key: str, fact: object) -> None:
         """Write as the operator or as a runner does; ``None`` drops the key."""
         content = b'' if fact is None else json.dumps(fact).encode()
-        self._topic(topic).records.append((key, content))
+        self.put_raw(topic, bytes([len(key)]) + key.encode() + content)
+
+    def put_raw(self, topic: str, record: bytes) -> None:
+        """Write as another writer may: whatever bytes the record has."""
+        self._topic(topic).records.append(record)
 
     async def handle(self, request: Request) -> Answer:
         """Answer one call, or fail as told."""
@@ -92,8 +98,7 @@
         position = 0
         while position < len(body):
             length = LENGTH.unpack_from(body, position)[0]
-            record = body[position + 4 : position + 4 + length]
-            topic.records.append((record[1 : 1 + record[0]].decode(), record[1 + record[0] :]))
+            topic.records.append(body[position + 4 : position + 4 + length])
             position += 4 + length
         done['end'] = len(topic.records)
         if 'producer' in fields:
@@ -105,9 +110,16 @@
         return answer_json(done)
 
     def _newest(self, topic: _Topic) -> Answer:
-        newest = {key: (offset, content) for offset, (key, content) in enumerate(topic.records)}
+        newest: dict[bytes, tuple[int, bytes]] = {}
+        for offset, record in enumerate(topic.records):
+            length = record[0] if record else 0
+            newest[record[1 : 1 + length]] = (offset, record[1 + length :])
         entries = [
-            {'key': key, 'value': base64.b64encode(content).decode(), 'offset': offset}
+            {
+                'key': key.decode(errors='replace'),
+                'value': base64.b64encode(content).decode(),
+                'offset': offset,
+            }
             for key, (offset, content) in newest.items()
             if content
         ]
@@ -118,8 +130,7 @@
         while len(topic.records) <= offset and time.monotonic() < until:
             await curio.sleep(LOOK_STEP)
         body = struct.pack('>QQ', len(topic.records), 0)
-        for key, content in topic.records[offset:]:
-            record = bytes([len(key)]) + key.encode() + content
+        for record in topic.records[offset:]:
             body += LENGTH.pack(len(record)) + record
         return Answer(200, (), body)
 
@@ -293,9 +304,13 @@
 
     def register(self, runner: PlatformRunner, *, state: str = 'ready') -> None:
         """Write a runner's entry; a relay before it is what others see."""
+        self.store.put('keyed.servers', runner.name, self.entry_of(runner, state))
+
+    def entry_of(self, runner: PlatformRunner, state: str = 'ready') -> dict:
+        """Return a runner's entry."""
         place = self._place_by_runner.setdefault(runner, runner.name)
         port = self.port_by_name.get(f'relay-{place}', self.port_by_name[place])
-        entry = {
+        return {
             'service': 'desk',
             'address': f'127.0.0.1:{port}',
             'zone': 'north',
@@ -307,7 +322,15 @@
             'capacity': {'cpu': 8000, 'mem_mb': 16384, 'gpu': 0},
             'labels': ['a', 'r-1'],
         }
-        self.store.put('keyed.servers', runner.name, entry)
+
+    def make_other_writer(self, seed: str) -> OtherWriter:
+        """Return a writer that fills the runners' topic with bad entries once started."""
+        return OtherWriter(
+            seed,
+            lambda record: self.store.put_raw('keyed.servers', record),
+            lambda: {runner.name: self.entry_of(runner) for runner in self.runners},
+            self._beat,
+        )
 
     def relay(self, name: str, target: str) -> None:
         """Put a relay called ``name`` before a server, before ``start``."""
@@ -340,6 +363,11 @@
             runner.advance()
         return list(self.runs)
 
+    def _beat(self) -> None:
+        for runner in self.runners:
+            if not runner.dark:
+                self.register(runner)
+
     async def _serve(self) -> None:
         async with AsyncExitStack() as stack:
             await self._listen(stack, 'store', self.store.handle)
