--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -1,9 +1,23 @@
 """Steps on runners that share an address."""
 
+from contextlib import AsyncExitStack
+
+import curio
 from behave import given, then, when
 
-from dandelionreel.cell import KeyedRecord, RecordBatch, WriterFence
+from dandelionreel.cell import (
+    Demand,
+    Holding,
+    KeyedRecord,
+    RecordBatch,
+    Runner,
+    RunnerError,
+    RunnerReplaced,
+    WriterFence,
+)
+from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._election import Term
+from dandelionreel.cell._ledger import Allocation
 from dandelionreel.cell._model import JobSpec, JobState
 from dandelionreel.cell._records import (
     ATTENDED_KEY,
@@ -14,8 +28,9 @@
     Submission,
     make_record,
 )
-from features.cell_parts import make_registration, step
-from features.store_parts import Host, make_dispatcher
+from dandelionreel.kernel import Verdict
+from features.cell_parts import make_registration, step, task
+from features.store_parts import LONG, Host, make_dispatcher
 from standins import MemoryTopic
 
 
@@ -60,3 +75,88 @@
 def left_alone(context):
     cell = context.dispatcher.cell
     assert cell.is_blocked(cell.job_by_id['j1']), cell.unseen
+
+
+class Unreachable(Runner):
+    """A runner behind a cut."""
+
+    async def start(self, order, check):
+        raise RunnerError('no answer', Verdict.UNKNOWN)
+
+    async def stop(self, task, run, epoch):
+        raise RunnerError('no answer', Verdict.UNKNOWN)
+
+    async def look(self, epoch, acknowledged, lease_until, wait):
+        await curio.sleep(LONG)
+
+    async def close(self):
+        """Nothing is open."""
+
+
+@given('an owner with a task on w9, which it cannot reach')
+def owner_with_task(context):
+    topic = MemoryTopic()
+    host = Host('me', topic)
+    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
+    context.dispatcher = make_dispatcher(
+        host, term, topic, host.clock, lambda registration: Unreachable()
+    )
+    context.runners = context.dispatcher._parts.runners
+    context.runners._codec = OneAddress()
+    read_entry(context, 'w9', b'{}', 5)
+    cell = context.dispatcher.cell
+    (state,) = cell.see_runners(context.runners.registration_by_id, 0.0)
+    context.task = task('j1')
+    state.hold(Allocation(context.task, 1001, 'w9', Demand(), 0.0, phase=Holding.RUNNING))
+
+
+def read_entry(context, runner, content, offset):
+    context.runners.fold(RecordBatch((KeyedRecord(runner, content, offset),), offset, offset))
+
+
+def go_round(context):
+    async def see_runners():
+        async with AsyncExitStack() as stack:
+            await context.dispatcher._rounds._see_runners(stack)
+
+    curio.run(see_runners)
+
+
+@when('the entry of w9 expires, and one of w8 lands at its address')
+def late_heartbeat(context):
+    read_entry(context, 'w9', None, 6)
+    read_entry(context, 'w8', b'{}', 7)
+    go_round(context)
+
+
+@then('the task still counts on w9')
+def still_counts(context):
+    state = context.dispatcher.cell.runner_by_id.get('w9')
+    assert state is not None, 'w9 counts as ended'
+    assert (context.task, 1001) in state.allocation_by_run
+
+
+@when('another runner answers at the address of w9')
+def another_answers(context):
+    desk = context.dispatcher._desk
+    state = context.dispatcher.cell.runner_by_id['w9']
+
+    async def look():
+        runner = Unreachable()
+        runner.look = replaced_look
+        desk.runner_by_id['w9'] = runner
+        await Attendant(desk).attend(state, runner)
+
+    curio.run(look)
+
+
+async def replaced_look(epoch, acknowledged, lease_until, wait):
+    raise RunnerReplaced('w9')
+
+
+@then('w9 is not taken for a new runner')
+def not_new(context):
+    cell = context.dispatcher.cell
+    assert 'w9' in context.runners.registration_by_id
+    assert not cell.see_runners(context.runners.registration_by_id, 1.0)
+    assert 'w9' not in cell.runner_by_id
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -56,7 +56,7 @@
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
 
 
-def make_dispatcher(host, term, topic, clock):
+def make_dispatcher(host, term, topic, clock, make_runner=make_registration):
     """Return the dispatcher of a host that has won ``term``."""
     parts = DispatcherParts(
         topic=topic,
@@ -67,7 +67,7 @@
         election=host.election,
         links=None,
         advisor=None,
-        make_runner=make_registration,
+        make_runner=make_runner,
         clock=clock,
         journal=journal(),
         host='me',
