Only another runner's answer proves that a runner has ended, no entry does

Cause: RunnersFolder.replaced took an entry at the address of a runner whose own entry had gone for the runner that lives now. A heartbeat of the address's former runner, held up by a cut, can land after it. Ruled out: the lease (it ended 1.4 s after the second start, as granted), a takeover (one owner), a refused start (the first run had begun). Change: replaced is gone; a runner that does not answer is waited for until its leases are over, one whose address answers as another is ended at once, and stays ended while its entry is listed. The scenario that called a good entry at the address a proof now calls it none, like the others: it is the stricter way.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -60,7 +60,7 @@
             await self._desk.lose(f'{state.id} has seen a higher epoch')
             return
         except RunnerReplaced:
-            self._desk.end_runner(state, 'another runner answers there')
+            self._desk.end_runner(state, 'another runner answers there', proven=True)
             return
         except RunnerError as error:
             await self._miss_runner(state, error)
@@ -153,7 +153,7 @@
             and not state.allocation_by_run
             and state.id not in self._desk.cell.unseen
         ):
-            self._desk.end_runner(state, 'its entry has gone and it does not answer')
+            self._desk.end_runner(state, 'its entry has gone and it does not answer', proven=False)
             return
         await curio.sleep(RELOOK_SECONDS)
 
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -61,6 +61,8 @@
         self.unseen: set[str] = set()
         #: Jobs of which something in the store cannot be read.
         self.unreadable_jobs: set[str] = set()
+        #: Runners that are known to have ended.
+        self._dead: set[str] = set()
         self._gang_timeout = gang_timeout
         self._runs = JobRuns()
         self._stops = Stops()
@@ -164,6 +166,8 @@
         """Take the list of runners; return those that are new."""
         fresh = []
         for runner_id, registration in registrations.items():
+            if runner_id in self._dead:
+                continue
             known = self.runner_by_id.get(runner_id)
             if known is None:
                 # Nothing of ours can be on a runner that was not used, and asking at an
@@ -187,8 +191,14 @@
         self.runner_by_id[state.id] = state
         return state
 
-    def runner_ended(self, runner_id: str) -> None:
-        """A runner's life is over: nothing runs there any more."""
+    def runner_ended(self, runner_id: str, *, proven: bool) -> None:
+        """Forget a runner on which nothing runs; one ``proven`` to be dead stays so.
+
+        An id names one life. The entry of a dead one stays listed for some seconds,
+        and would bring it back, to be looked at in vain, ten times a second.
+        """
+        if proven:
+            self._dead.add(runner_id)
         runner = self.runner_by_id.pop(runner_id, None)
         self.unseen.discard(runner_id)
         if runner is not None:
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -127,15 +127,15 @@
         outcome = await self.store_progress(self.cell.take_dirty())
         return outcome if self.writer.given_up == given_up else Written.UNKNOWN
 
-    def end_runner(self, state: RunnerState, cause: str) -> None:
-        """Note that a runner's life is over."""
+    def end_runner(self, state: RunnerState, cause: str, *, proven: bool) -> None:
+        """Note that a runner is gone, and whether its life is ``proven`` to be over."""
         self.journal.tell(
             Part.WORKERS,
             f'{state.id} has ended: {cause}.',
             runner=state.id,
             tasks=len(state.allocation_by_run),
         )
-        self.cell.runner_ended(state.id)
+        self.cell.runner_ended(state.id, proven=proven)
 
     def add_runner(self, state: RunnerState) -> Runner:
         """Open the way to a runner."""
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -77,7 +77,7 @@
                 await self._desk.lose(f'{allocation.runner} has seen a higher epoch')
                 return
             except RunnerReplaced:
-                self._desk.end_runner(state, 'another runner answers there')
+                self._desk.end_runner(state, 'another runner answers there', proven=True)
                 return
             self._desk.cell.stop_answered(allocation, self._desk.clock.monotonic())
             self._desk.journal.tell_frequent(
@@ -228,7 +228,7 @@
             await self._desk.lose(f'{state.id} has seen a higher epoch')
             return
         if reply is StartReply.REPLACED:
-            self._desk.end_runner(state, 'another runner answers there')
+            self._desk.end_runner(state, 'another runner answers there', proven=True)
         else:
             now = self._desk.clock.monotonic()
             self._desk.cell.start_answered(allocation, reply, now, in_doubt=in_doubt)
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -74,11 +74,7 @@
         Until each of them has listed its tasks, or all leases there must have
         run out, the jobs that the store names with it are left alone.
         """
-        parts = self._parts
-        for runner in parts.jobs.book.former_runners():
-            registration = parts.runners.find(runner)
-            if registration is None or not parts.runners.replaced(registration):
-                self._cell.unseen.add(runner)
+        self._cell.unseen.update(self._parts.jobs.book.former_runners())
         self._tell_unseen('leaves the tasks of runners alone that it has not seen yet.', now)
 
     def _give_up_unseen(self, now: float) -> None:
@@ -122,6 +118,12 @@
             )
 
     async def _see_runners(self, stack: AsyncExitStack) -> None:
+        """Attend to new runners, and to those that may hold tasks though their entry has gone.
+
+        An entry of another runner at the same address proves nothing: a heartbeat of a
+        former life can land seconds late, and tasks of the runner at work would be
+        started a second time. Only a look that another runner answers is a proof.
+        """
         folder = self._parts.runners
         now = self._clock.monotonic()
         fresh = self._cell.see_runners(folder.registration_by_id, now)
@@ -133,11 +135,6 @@
         for state in fresh:
             runner = self._desk.add_runner(state)
             await start_task(stack, self._attendant.attend, state, runner)
-        for state in tuple(self._cell.runner_by_id.values()):
-            if state.listed:
-                continue
-            if folder.replaced(state.registration):
-                self._desk.end_runner(state, 'another runner has come up at its address')
 
     async def _drop_old_jobs(self) -> None:
         """Drop the keys of jobs that ended long ago."""
--- a/dandelionreel/cell/_runner_list.py
+++ b/dandelionreel/cell/_runner_list.py
@@ -42,8 +42,6 @@
         self.registration_by_id: dict[str, Registration] = {}
         #: Runners whose entry has gone: their last registration and when.
         self.gone_by_id: dict[str, tuple[Registration, float]] = {}
-        #: Where the newest good entry of a runner stands in the log.
-        self._offset_by_id: dict[str, int] = {}
 
     def restart(self, snapshot: RecordBatch) -> None:
         """Take the newest entries; those that are not among them are gone."""
@@ -65,8 +63,6 @@
                 self._refuse(record.key, error)
                 continue
             self._take(registration)
-            written = self._offset_by_id.get(record.key, 0)
-            self._offset_by_id[record.key] = max(record.offset, written)
 
     def find(self, runner: str) -> Registration | None:
         """Return the last good registration that was seen of a runner."""
@@ -75,25 +71,6 @@
             registration, _ = self.gone_by_id[runner]
         return registration
 
-    def replaced(self, registration: Registration) -> bool:
-        """Return whether another runner has come up at the same address since.
-
-        Only an entry that can be used proves it: taken from any other one, tasks of a
-        runner that is at work would be started a second time. And two runners share an
-        address only as one life after the other, so the one that has written last is
-        the one that lives; the entry of a former life may be listed for some heartbeats
-        more.
-        """
-        place = (registration.address, registration.port)
-        written = self._offset_by_id.get(registration.runner, 0)
-        for other in self.registration_by_id.values():
-            if (other.address, other.port) != place or other.runner == registration.runner:
-                continue
-            later = self._offset_by_id.get(other.runner, 0) > written
-            if later and other.usable and self._names_service(other.service):
-                return True
-        return False
-
     def _decode(self, record: KeyedRecord) -> Registration:
         """Return what an entry says if it can be relied upon."""
         if record.error is not None:
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -114,13 +114,14 @@
   # A host took a settlement's runner for gone while the runner was at work: an entry of a
   # service that does not exist named the runner's address, as if another one had come up
   # there. The settlement was started a second time.
-  Scenario Outline: An entry at the address of a runner proves nothing unless it can be used
+  Scenario Outline: An entry at the address of a runner proves nothing
     Given a runner at work whose own entry has gone
     When another entry at its address has <entry>
-    Then the runner does not count as replaced
+    Then what runs there still counts, and is not started elsewhere
 
     Examples:
       | entry                         |
+      | nothing wrong                 |
       | a service that is not named   |
       | a state that is not named     |
       | a capacity below zero         |
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -179,15 +179,15 @@
 
 @when('another entry at its address has {bad}')
 def other_at_address(context, bad):
-    read_entries(context, ('i-9', BAD_ENTRIES[bad]))
+    content = entry() if bad == 'nothing wrong' else BAD_ENTRIES[bad]
+    read_entries(context, ('i-9', content))
 
 
-@then('the runner does not count as replaced')
-def not_replaced(context):
-    folder = context.reader.runners
-    assert not folder.replaced(folder.find('i-1'))
-    read_entries(context, ('i-9', entry()))
-    assert folder.replaced(folder.find('i-1'))
+@then('what runs there still counts, and is not started elsewhere')
+def counts_here(context):
+    see_entries(context)
+    assert context.small.runs_on('i-1') == (context.run,), context.small.runs_on('i-1')
+    assert not context.small.plan().starts
 
 
 @when('the host starts again from a snapshot')
