A successor's first look at a runner has a line, also when it finds nothing

A look that finds nothing had no line. Change: the first look of a term at a runner on which a former owner's tasks may run tells what it found and that it is the first; the story takes a run that it does not name as gone. One line a runner and take-over.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -5,7 +5,13 @@
 from dandelionreel.cell._cell import ViewEffect
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._services import Runner, RunnerError, RunnerFenced, RunnerReplaced
+from dandelionreel.cell._services import (
+    Runner,
+    RunnerError,
+    RunnerFenced,
+    RunnerReplaced,
+    RunnerView,
+)
 from dandelionreel.cell._writer import Written
 from dandelionreel.kernel import Part
 
@@ -55,15 +61,24 @@
         except RunnerError as error:
             await self._miss_runner(state, error)
             return
-        now = self._desk.clock.monotonic()
-        effect = self._desk.cell.viewed(state, view, asked, now)
-        self._tell_effect(state, effect, now)
+        effect = self._take_view(state, view, asked)
         await self._desk.wake.notify()
         if effect.ended or unstored:
             await self._store_ends(state, effect)
             if unstored and state.acknowledged < state.noted:
                 await curio.sleep(RELOOK_SECONDS)
 
+    def _take_view(self, state: RunnerState, view: RunnerView, asked: float) -> ViewEffect:
+        now = self._desk.clock.monotonic()
+        unseen = state.id in self._desk.cell.unseen
+        effect = self._desk.cell.viewed(state, view, asked, now)
+        self._tell_effect(state, effect, now)
+        # The first look of a term also tells that nothing was found: what an earlier
+        # owner had sent there never came, and may be started elsewhere.
+        if unseen or effect.adopted:
+            self._tell_found(state, effect.adopted, unseen, now)
+        return effect
+
     async def _store_ends(self, state: RunnerState, effect: ViewEffect) -> None:
         jobs = self._unstored_by_runner.setdefault(state.id, set())
         jobs.update(ended.task.job for ended, _ in effect.ended)
@@ -156,20 +171,6 @@
                 number=ended.number,
                 seconds=round(now - started, 3) if started else None,
             )
-        if effect.adopted:
-            # A run that was found is counted from the look that listed it.
-            held = state.allocation_by_run.values()
-            found = [one for one in held if one.placed_at == now]
-            self._desk.journal.tell(
-                Part.WORKERS,
-                f'found {effect.adopted} tasks on {state.id}.',
-                runner=state.id,
-                epoch=self._desk.term.epoch,
-                found=[
-                    f'{one.task.job}/{one.task.label} {one.run} {one.phase.value}'
-                    for one in found[:MOST_NAMED]
-                ],
-            )
         for lost in effect.lost:
             self._desk.journal.tell(
                 Part.WORKERS,
@@ -181,3 +182,21 @@
                 epoch=self._desk.term.epoch,
                 phase=lost.phase.value,
             )
+
+    def _tell_found(self, state: RunnerState, count: int, first: bool, now: float) -> None:
+        """Name the runs of an earlier owner: those that are held since the look at ``now``.
+
+        After the ``first`` look of a term, what it does not name is not on the runner.
+        """
+        found = [one for one in state.allocation_by_run.values() if one.placed_at == now]
+        self._desk.journal.tell(
+            Part.WORKERS,
+            f'found {count} tasks on {state.id}.',
+            runner=state.id,
+            epoch=self._desk.term.epoch,
+            first=first,
+            found=[
+                f'{one.task.job}/{one.task.label} {one.run} {one.phase.value}'
+                for one in found[:MOST_NAMED]
+            ],
+        )
--- a/dandelionreel/records/_again.py
+++ b/dandelionreel/records/_again.py
@@ -24,6 +24,7 @@
 )
 #: Stages of those that say that the run is over, or can't go on.
 OVER = frozenset((Stage.ENDED, Stage.TURNED_AWAY, Stage.MISSING, Stage.LAPSED))
+OF_RUNNER = frozenset((Stage.LAPSED, Stage.FOUND))
 #: How a new owner tells that it has waited for the leases on runners it can't reach.
 LAPSE = 'takes the leases on unseen runners for run out'
 NEVER_TOLD = ', of which no line tells'
@@ -78,7 +79,7 @@
         return False
     if any(told is line for told in run.told):
         return True
-    about_runner = line.stage is Stage.LAPSED and line.runner == run.runner
+    about_runner = line.stage in OF_RUNNER and line.runner == run.runner
     return about_runner and line.at >= run.began_at
 
 
@@ -86,7 +87,7 @@
     """Return what the lines say of a second start, and whether it is suspect."""
     if later.asked_at is None:
         return 'the later start is in no line that was read', True
-    over = [line for line in knew if _says_over(line)]
+    over = [line for line in knew if _says_over(line, earlier)]
     told = f'{later.owner} had been told' if later.owner else 'its owner had been told'
     if earlier.outcome == 'done':
         when = earlier.ended_at or 0.0
@@ -98,8 +99,7 @@
             True,
         )
     if over:
-        age = later.asked_at - over[-1].at
-        return f'{told} {age:.3f} s before: {over[-1].sentence}', False
+        return f'{told} {_quote(over[-1], earlier, later.asked_at)}', False
     lapse = _find_lapse(knew, earlier.runner)
     overlap = _tell_overlap(earlier, later.asked_at)
     if lapse is not None and not overlap:
@@ -109,11 +109,27 @@
     return f'{told} nothing of the end of run {earlier.run}{overlap or NEVER_TOLD}{waited}', True
 
 
-def _says_over(line: Told) -> bool:
+def _quote(line: Told, earlier: Run, asked_at: float) -> str:
+    without = f' Run {earlier.run} was not there.' if line.stage is Stage.FOUND else ''
+    return f'{asked_at - line.at:.3f} s before: {line.sentence}{without}'
+
+
+def _says_over(line: Told, run: Run) -> bool:
+    if line.stage is Stage.FOUND:
+        return _lists_without(line, run)
     never_sent = line.stage is Stage.UNANSWERED and line.more.get('verdict') == 'not_run'
     return line.stage in OVER or never_sent
 
 
+def _lists_without(line: Told, run: Run) -> bool:
+    """Return whether a new owner's first look named all that its runner had, and not the run."""
+    found = line.more.get('found')
+    if line.more.get('first') is not True or not isinstance(found, list):
+        return False
+    whole = line.sentence.startswith(f'found {len(found)} ')
+    return whole and not any(told is line for told in run.told)
+
+
 def _find_lapse(knew: tuple[Told, ...], runner: str) -> Told | None:
     """Return where a new owner took the leases on a runner that it had not seen for over."""
     for line in reversed(knew):
--- a/dandelionreel/records/_report.py
+++ b/dandelionreel/records/_report.py
@@ -101,10 +101,6 @@
         return True
     if line.stage in OF_HOST:
         return line.host in hosts
-    found = line.more.get('found')
-    if isinstance(found, list) and line.sentence.startswith(f'found {len(found)} '):
-        # All that was found is named, and nothing of it is the job's.
-        return False
     return line.stage in OF_RUNNER and line.runner in runners
 
 
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -51,6 +51,12 @@
       | it may have come  | a  | placement: a start was not answered: x. | {"run": 1001, "runner": "r1", "verdict": "unknown"} | suspect | of which no line tells |
       | another was gone  | a  | workers: the leases on r9 have run out. | {"job": null, "runner": "r9"} | suspect | of which no line tells |
       | another was told  | b  | workers: a run has ended failed.        | {"task": "0.0.0", "run": 1001, "runner": "r1"} | suspect | which b had read |
+      | it was not found  | a  | workers: found 1 tasks on r1. | {"job": null, "runner": "r1", "first": true, "found": ["ff/0.0.0 1001 running"]} | fair | found 1 tasks on r1. Run 1001 was not there. |
+      | nothing was found | a  | workers: found 0 tasks on r1. | {"job": null, "runner": "r1", "first": true, "found": []} | fair | found 0 tasks on r1 |
+      | not all was named | a  | workers: found 2 tasks on r1. | {"job": null, "runner": "r1", "first": true, "found": ["ff/0.0.0 1001 running"]} | suspect | of which no line tells |
+      | it was found      | a  | workers: found 1 tasks on r1. | {"job": null, "runner": "r1", "first": true, "found": ["ID/0.0.0 1001 running"]} | suspect | of which no line tells |
+      | a later look had news | a | workers: found 1 tasks on r1. | {"job": null, "runner": "r1", "first": false, "found": ["ff/0.0.0 1001 running"]} | suspect | of which no line tells |
+      | another was empty | a  | workers: found 0 tasks on r9. | {"job": null, "runner": "r9", "first": true, "found": []} | suspect | of which no line tells |
       | leases were waited for | a | ownership: takes the leases on unseen runners for run out. | {"job": null, "runners": ["r1"]} | fair | nothing of run 1001; 1.000 s before it takes the leases |
       | others' were      | a  | ownership: takes the leases on unseen runners for run out. | {"job": null, "runners": ["r9"]} | suspect | of which no line tells |
       | nobody was told   | a  | workers: r1 is draining.                | {"job": null, "runner": "r1"} | suspect | of which no line tells |
@@ -112,9 +118,9 @@
       | 1.2 | b    | workers: a run has ended done. | {"task": "0.0.1", "run": 1002, "runner": "r1", "number": 5} |
       | 1.3 | b    | workers: ends on r1: stored.  | {"job": null, "jobs": ["ID"], "runner": "r1", "number": 5} |
     When its story is told
-    Then it tells found, ended, not noted, ended, noted in this order
+    Then it tells found, found, ended, not noted, ended, noted in this order
     And its runs are 0.0.0 1001 noted 1.3 and 0.0.1 1002 noted 1.3
-    And of task 0.0.1 alone its run is told, found, ended and noted
+    And of task 0.0.1 alone it tells found, found, ended, noted
 
   Scenario: Hosts that all tell the same are told once
     Given 30 hosts that tell that r1 is draining while a task runs there
