--- a/features/entries.feature
+++ b/features/entries.feature
@@ -215,6 +215,7 @@
       | nothing              | j   | no JSON          | queued  | not started |
       | nothing              | j   | nested deeply    | queued  | not started |
       | nothing              | j   | a wild count     | queued  | not started |
+      | nothing              | j   | a tiny interval  | queued    | not started |
       | nothing              | j   | a cycle of steps | queued  | not started |
       | a job                | j   | no JSON          | queued  | started     |
       | a job                | j   | a wild count     | queued  | started     |
@@ -227,6 +228,19 @@
       | a completed job      | e   | no JSON          | completed | not started |
       | nothing              | e   | no JSON          | running | not started |
 
+  # One client's job stopped all others: its occurrences came at an interval so short that
+  # the number of those due was infinite, and each plan ended with an error.
+  Scenario Outline: What no host would read is not accepted
+    When a client hands in a job with <part>
+    Then it is refused as bad input
+
+    Examples:
+      | part                    |
+      | "interval_ms": 1e-300   |
+      | "interval_ms": -1       |
+      | "first_run_ms": -1e300  |
+      | "repeat_count": 100000  |
+
   Scenario Outline: A job's record is unreadable in a snapshot
     Given a host that has read a job under way
     When it starts again from a snapshot in which <key> is <record>
@@ -304,6 +318,15 @@
     Then the ends that can be read count
     And no end from 6 on is acknowledged
 
+  # A successor could not read a job, and had its ends forgotten by the runners. Once the
+  # job could be read, tasks that were done were started again.
+  Scenario: A job cannot be read while its ends are listed
+    Given a successor that cannot read a job's submission
+    When a runner lists an end of the job as done
+    Then no end from 1 on is acknowledged
+    When the job can be read
+    Then the end counts when it is listed again, and may be acknowledged
+
   Scenario: A runner lists nothing that can be read
     Given a runner that runs two tasks
     When it answers a look with no JSON
--- a/features/entry_fuzz.py
+++ b/features/entry_fuzz.py
@@ -16,7 +16,7 @@
 
 from dandelionreel.cell import Cell, RunnerError, StoreError
 from dandelionreel.cell._follower import Follower
-from dandelionreel.platform._runners import decode_view
+from dandelionreel.platform._views import decode_view
 from features.cell_parts import SmallCell
 from features.entry_parts import (
     BAD_FRAMES,
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from dandelionreel.cell import (
+    BookedJob,
     Demand,
     JobSpec,
     JobState,
@@ -15,13 +16,15 @@
     Step,
     StoreError,
     Submission,
+    SubmissionError,
     TaskName,
     WriterFence,
 )
 from dandelionreel.cell._election import SILENT_SECONDS, UNSETTLED_SECONDS, Term, Vacancy
 from dandelionreel.cell._records import DoneTasks, Progress, make_record
 from dandelionreel.kernel import ManualClock
-from dandelionreel.platform._runners import decode_view
+from dandelionreel.platform import decode_submission
+from dandelionreel.platform._views import decode_view
 from features.cell_parts import SmallCell, step
 from features.entry_fuzz import Fuzz, follow
 from features.entry_parts import (
@@ -332,6 +335,9 @@
     'nested deeply': DEEP,
     'a wild count': changed_spec(Step(10**15, Demand(), 1.0)),
     'a cycle of steps': changed_spec(Step(1, Demand(), 1.0, (0,))),
+    'a tiny interval': encode(
+        Submission('urgent', 'desk', 9.0, JobSpec('x', SUBMISSION.spec.steps, 2, 1.0, 1e-300))
+    ),
     'a bad mask': changed_progress(DoneTasks(0, 0, '-x')),
     'a step too many': changed_progress(DoneTasks(0, 9, '1')),
     'an epoch below zero': encode(msgspec.structs.replace(OWNER, epoch=-1)),
@@ -369,6 +375,21 @@
     append(context, KeyedRecord(f'{key}/{JOB}', BAD_RECORDS[record]))
 
 
+@when('a client hands in a job with {part}')
+def hand_in_part(context, part):
+    # Of a field that stands twice the last one counts.
+    context.body = b'{"spec":"x","steps":[{"count":1}],"repeat_count":2,%s}' % part.encode()
+
+
+@then('it is refused as bad input')
+def bad_input(context):
+    try:
+        decode_submission(context.body)
+    except SubmissionError:
+        return
+    raise AssertionError('it was accepted')
+
+
 @when('it starts again from a snapshot in which {key} is {record}')
 def snapshot_with(context, key, record):
     bad = KeyedRecord(f'{key}/{JOB}', BAD_RECORDS[record])
@@ -556,9 +577,36 @@
     assert context.small.cell.job_by_id[JOB].state is JobState.COMPLETED
 
 
-@then('no end from 6 on is acknowledged')
-def not_acknowledged(context):
-    assert context.small.cell.runner_by_id['w1'].acknowledgeable == 5
+@then('no end from {number:d} on is acknowledged')
+def not_acknowledged(context, number):
+    assert context.small.cell.runner_by_id['w1'].acknowledgeable == number - 1
+
+
+@given("a successor that cannot read a job's submission")
+def unreadable_job(context):
+    context.small = SmallCell(('w1',), epoch=2)
+    booked = BookedJob(JOB, None, False, None, submission_unreadable=True)
+    context.small.cell.see_job(booked, context.small.now, context.small.now)
+    assert not context.small.plan().starts
+
+
+@when('a runner lists an end of the job as done')
+def lists_its_end(context):
+    context.ends = [(1, TaskName(JOB, 0, 0, 0), 1001, 'done')]
+    context.small.look('w1', ended=context.ends)
+
+
+@when('the job can be read')
+def job_readable(context):
+    context.small.add_job(JOB, [step()])
+
+
+@then('the end counts when it is listed again, and may be acknowledged')
+def end_counts(context):
+    context.small.look('w1', ended=context.ends)
+    assert context.small.cell.job_by_id[JOB].state is JobState.COMPLETED
+    assert not context.small.plan().starts
+    assert context.small.cell.runner_by_id['w1'].acknowledgeable == 1
 
 
 @when('it answers a look with no JSON')
