--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -8,7 +8,7 @@
 
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._job_runs import JobRuns
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState, expected_end
+from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
 from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun, Phase, StepRun, TaskRun
 from dandelionreel.cell._services import (
@@ -27,11 +27,6 @@
 #: Seconds for which a runner that refused a start gets none.
 REFUSED_QUIET = 0.3
 UNHEALTHY_QUIET = 1.0
-#: Share of the gang timeout after which a gang that is not complete is stopped.
-GANG_SHARE = 0.55
-#: Seconds before a draining runner may be gone by which its tasks must have
-#: ended: a stop takes up to 0.4 s and has to be listed.
-EVACUATION_MARGIN = 0.7
 #: How much slower than ours a runner's clock may run.
 CLOCK_DRIFT = 0.02
 
@@ -63,7 +58,7 @@
         self.unreadable_jobs: set[str] = set()
         #: Runners that are known to have ended.
         self._dead: set[str] = set()
-        self._gang_timeout = gang_timeout
+        self.gang_timeout = gang_timeout
         self._runs = JobRuns()
         self._stops = Stops()
         self._dirty: set[str] = set()
@@ -270,7 +265,7 @@
             self._start_settled(allocation, now)
             return
         runner = self.runner_by_id.get(allocation.runner)
-        step = self._step_of(allocation)
+        step = self.step_of(allocation)
         if runner is not None:
             if reply is StartReply.UNHEALTHY:
                 runner.quiet_until = now + UNHEALTHY_QUIET
@@ -336,32 +331,6 @@
         self.unseen.discard(runner.id)
         return effect
 
-    def evacuate(self, now: float) -> list[Allocation]:
-        """Stop what would not end before its draining runner is gone; return it.
-
-        What runs there when the runner leaves is lost without an end, and can
-        start elsewhere only once its lease has run out.
-        """
-        stopped = []
-        for runner in self.runner_by_id.values():
-            if not runner.draining:
-                continue
-            last = runner.leaves_at - EVACUATION_MARGIN
-            for allocation in tuple(runner.allocation_by_run.values()):
-                if allocation.phase is not Holding.RUNNING:
-                    continue
-                if now >= last or expected_end(allocation, now) > last:
-                    self.stop(allocation)
-                    stopped.append(allocation)
-        return stopped
-
-    def check_gangs(self, now: float, wall: float) -> list[StepRun]:
-        """Stop the gangs that did not come together in time; return them."""
-        late = [*self._broken_gangs(wall), *self._slow_gangs(now)]
-        for step in late:
-            self._stop_members(step)
-        return late
-
     def find_allocation(self, task: TaskRun) -> Allocation | None:
         """Return the allocation of a placed task."""
         runner = self.runner_by_id.get(task.runner)
@@ -369,25 +338,17 @@
             return None
         return runner.allocation_by_run.get((task.name, task.run))
 
-    def _broken_gangs(self, wall: float) -> Iterable[StepRun]:
-        """Return gangs of which some members run and others do not."""
-        for job in self.live_by_id.values():
-            if job.over or not job.began or self.is_blocked(job):
-                continue
-            for step in job.ready_steps(wall):
-                if step.step.gang and 0 < step.waiting < len(step.tasks):
-                    yield step
-
-    def _slow_gangs(self, now: float) -> Iterable[StepRun]:
-        """Return gangs with a start that stayed unanswered for too long."""
-        limit = now - self._gang_timeout * GANG_SHARE
-        for runner in self.runner_by_id.values():
-            for allocation in runner.allocation_by_run.values():
-                if allocation.phase is not Holding.STARTING or allocation.placed_at > limit:
-                    continue
-                step = self._step_of(allocation)
-                if step is not None and step.step.gang:
-                    yield step
+    def step_of(self, allocation: Allocation) -> StepRun | None:
+        """Return the step of an allocation, ``None`` where its job is not known."""
+        job = self.job_by_id.get(allocation.task.job)
+        return None if job is None else job.find_step(allocation.task)
+
+    def stop_members(self, step: StepRun) -> None:
+        """Stop all members of a gang that are placed."""
+        for task in step.tasks:
+            allocation = self.find_allocation(task) if task.phase is Phase.PLACED else None
+            if allocation is not None:
+                self.stop(allocation)
 
     def _cancel(self, job: JobRun) -> None:
         job.cancelled = True
@@ -399,16 +360,6 @@
         for allocation in self._runs.of_job(job.id):
             self.stop(allocation)
 
-    def _stop_members(self, step: StepRun) -> None:
-        for task in step.tasks:
-            allocation = self.find_allocation(task) if task.phase is Phase.PLACED else None
-            if allocation is not None:
-                self.stop(allocation)
-
-    def _step_of(self, allocation: Allocation) -> StepRun | None:
-        job = self.job_by_id.get(allocation.task.job)
-        return None if job is None else job.find_step(allocation.task)
-
     def _start_settled(self, allocation: Allocation, now: float) -> None:
         if allocation.phase is not Holding.STARTING:
             return
@@ -447,7 +398,7 @@
         if _is_current(task, runner.id, ended.run):
             step.release(task)
             if step.step.gang:
-                self._stop_members(step)
+                self.stop_members(step)
         return allocation
 
     def _take_done(self, job: JobRun, step: StepRun, ended: EndedRun) -> None:
@@ -536,7 +487,7 @@
             return
         step.release(task)
         if step.step.gang:
-            self._stop_members(step)
+            self.stop_members(step)
 
 
 def counted_demand(step: StepRun) -> Demand:
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -6,6 +6,7 @@
 
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._doomed import stop_late_gangs, stop_leaving
 from dandelionreel.cell._election import AUTHORITY_SECONDS
 from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._parts import DispatcherParts
@@ -101,14 +102,14 @@
 
     def _stop_doomed(self, now: float) -> None:
         """Stop gangs that are not complete, and tasks whose runner is leaving."""
-        for step in self._cell.check_gangs(now, self._clock.wall()):
+        for step in stop_late_gangs(self._cell, now, self._clock.wall()):
             self._journal.tell_frequent(
                 Part.PLACEMENT,
                 'stopped a gang that did not come together.',
                 job=step.name.job,
                 step=step.name.step,
             )
-        for allocation in self._cell.evacuate(now):
+        for allocation in stop_leaving(self._cell, now):
             self._journal.tell_frequent(
                 Part.PLACEMENT,
                 f'moves a task away from {allocation.runner}, which is leaving.',
--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -20,6 +20,7 @@
     Submission,
     TaskName,
 )
+from dandelionreel.cell._doomed import stop_leaving
 
 GANG_TIMEOUT = 3.0
 START = 1000.0
@@ -71,7 +72,7 @@
         """Let a runner say that it will leave, in 2 s at the earliest."""
         self.registration_by_id[runner] = make_registration(runner, draining=True)
         self.see_runners()
-        return self.cell.evacuate(self.now)
+        return stop_leaving(self.cell, self.now)
 
     def add_job(self, job, steps, queue='urgent', age=0.0, progress=None, cancelled=False):
         """Take a job as the store tells it."""
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -6,6 +6,7 @@
     Holding,
     JobState,
 )
+from dandelionreel.cell._doomed import stop_leaving
 from dandelionreel.cell._ledger import RunnerState
 from dandelionreel.cell._records import Progress
 from features.cell_parts import SmallCell, make_registration, step, task
@@ -256,7 +257,7 @@
 @when('1.5 s later the task still runs')
 def still_runs(context):
     context.small.now += 1.5
-    context.small.cell.evacuate(context.small.now)
+    stop_leaving(context.small.cell, context.small.now)
 
 
 @then('the task is {fate:w}')
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -10,6 +10,7 @@
     RunningTask,
     StartReply,
 )
+from dandelionreel.cell._doomed import stop_late_gangs
 from features.cell_parts import step
 
 FULL = 32_000
@@ -31,7 +32,7 @@
 @when("the gang's share of the timeout has passed")
 def gang_times_out(context):
     context.small.now += 2
-    context.small.cell.check_gangs(context.small.now, context.small.now)
+    stop_late_gangs(context.small.cell, context.small.now, context.small.now)
 
 
 @then('its other members are stopped')
