The first list of runners gets one line, not one for each runner

Change: a host that has just started tells how many runners it has read, in one line. Conclusion: later changes of a runner keep a line each.

--- a/dandelionreel/cell/_runner_list.py
+++ b/dandelionreel/cell/_runner_list.py
@@ -44,15 +44,38 @@
         self.gone_by_id: dict[str, tuple[Registration, float]] = {}
 
     def restart(self, snapshot: RecordBatch) -> None:
-        """Take the newest entries; those that are not among them are gone."""
+        """Take the newest entries; those that are not among them are gone.
+
+        The first ones get one line together: one for each would be 176 lines on each
+        host of a large site, and push out of short logs what was decided last.
+        """
+        first = not self.registration_by_id
         present = {record.key for record in snapshot.records if not record.dropped}
         for runner in tuple(self.registration_by_id):
             if runner not in present:
                 self._remove(runner)
-        self.fold(snapshot)
+        self._read(snapshot, tell_each=not first)
+        if first:
+            known = self.registration_by_id.values()
+            self._journal.tell(
+                Part.WORKERS,
+                'has read the list of runners.',
+                runners=len(known),
+                draining=sum(registration.draining for registration in known),
+            )
 
     def fold(self, batch: RecordBatch) -> None:
         """Take the records that follow."""
+        self._read(batch, tell_each=True)
+
+    def find(self, runner: str) -> Registration | None:
+        """Return the last good registration that was seen of a runner."""
+        registration = self.registration_by_id.get(runner)
+        if registration is None and runner in self.gone_by_id:
+            registration, _ = self.gone_by_id[runner]
+        return registration
+
+    def _read(self, batch: RecordBatch, *, tell_each: bool) -> None:
         for record in batch.records:
             if record.dropped:
                 self._remove(record.key)
@@ -62,14 +85,7 @@
             except UnreadableError as error:
                 self._refuse(record.key, error)
                 continue
-            self._take(registration)
-
-    def find(self, runner: str) -> Registration | None:
-        """Return the last good registration that was seen of a runner."""
-        registration = self.registration_by_id.get(runner)
-        if registration is None and runner in self.gone_by_id:
-            registration, _ = self.gone_by_id[runner]
-        return registration
+            self._take(registration, tell=tell_each)
 
     def _decode(self, record: KeyedRecord) -> Registration:
         """Return what an entry says if it can be relied upon."""
@@ -102,11 +118,11 @@
         if known is not None and known.usable:
             self.registration_by_id[runner] = replace(known, usable=False)
 
-    def _take(self, registration: Registration) -> None:
+    def _take(self, registration: Registration, *, tell: bool) -> None:
         runner = registration.runner
         self._unreadable.accept(runner)
         known = self.registration_by_id.get(runner)
-        if known is None or known.draining != registration.draining:
+        if tell and (known is None or known.draining != registration.draining):
             self._journal.tell(
                 Part.WORKERS,
                 f'{runner} is {"draining" if registration.draining else "ready"}.',
