Real hosts: the owner is killed between a start and its cancellation

Cause: the successor's part in a cancellation was only tested in memory. Change: two rows in platform.feature; the runner's entry stays or has gone. The scenarios in memory use the one maker of dispatchers.

--- a/features/cancelling_parts.py
+++ b/features/cancelling_parts.py
@@ -16,13 +16,11 @@
     StartReply,
     WriterFence,
 )
-from dandelionreel.cell._directory import ConfigurationFolder, RunnersFolder
-from dandelionreel.cell._dispatcher import Dispatcher
+from dandelionreel.cell._directory import RunnersFolder
 from dandelionreel.cell._election import Term
-from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.kernel import Verdict
 from features.cell_parts import make_registration
-from features.store_parts import Host, journal
+from features.store_parts import Host, journal, make_dispatcher
 
 #: Seconds between two looks of the runner itself at what has ended.
 TURN = 0.01
@@ -124,24 +122,12 @@
         await curio.spawn(self.host.follower.run, daemon=True)
         await self.host.follower.wait_fresh(self.clock.monotonic(), 5)
         term = Term(2, 'me/1', WriterFence(2, 1), self.clock.monotonic(), False, False)
-        self.dispatcher = Dispatcher(self._parts(), term)
-        await curio.spawn(self.dispatcher.run, daemon=True)
-
-    def _parts(self):
-        return DispatcherParts(
-            topic=self.topic,
-            follower=self.host.follower,
-            jobs=self.host.folder,
-            runners=self.runners,
-            configuration=ConfigurationFolder(None, journal()),
-            election=self.host.election,
-            links=None,
-            advisor=None,
-            make_runner=lambda registration: self.runner,
-            clock=self.clock,
-            journal=journal(),
-            host='me',
-            gang_timeout=3.0,
-            longest_lease=10.0,
-            status_kept=120,
+        self.dispatcher = make_dispatcher(
+            self.host,
+            term,
+            self.topic,
+            self.clock,
+            self.runners,
+            lambda registration: self.runner,
         )
+        await curio.spawn(self.dispatcher.run, daemon=True)
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -53,6 +53,19 @@
     Then the other hosts tell that the job is completed
     And no task ran twice and no runner was overfull
 
+  # The owner's process died while a task ran, and its client cancelled the job at another
+  # host. No host that lives has started the task, and the runner's entry may have expired
+  # meanwhile; the task must be stopped, not left until its lease ends.
+  Scenario Outline: The owner is killed between a start and its cancellation
+    When the owner is killed while a long job runs on a runner whose entry <entry>
+    And its client cancels the job at another host
+    Then its task is stopped
+
+    Examples:
+      | entry    |
+      | stays    |
+      | has gone |
+
   # All hosts lost power right after the client was told that its job is taken.
   Scenario: All hosts are killed right after a job was taken
     When a job is handed in and all hosts are killed and started again
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -134,6 +134,22 @@
     context.hosts.kill(context.killed)
 
 
+@when('the owner is killed while a long job runs on a runner whose entry {fate}')
+def kill_owner_of_long(context, fate):
+    hand_in_long(context, 30)
+    context.killed = context.hosts.owner()
+    context.hosts.kill(context.killed)
+    if fate == 'has gone':
+        context.platform.store.put('keyed.servers', context.platform.runs[0].runner, None)
+
+
+@when('its client cancels the job at another host')
+def cancel_elsewhere(context):
+    other = next(name for name in context.hosts.names if name != context.killed)
+    path = context.path_by_id[1]
+    wait_for(lambda: context.hosts.ask(other, 'DELETE', path).status == 200)
+
+
 @when('a job is handed in and all hosts are killed and started again')
 def kill_all(context):
     hand_in(context, 1, task())
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -55,18 +55,18 @@
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
 
 
-def make_dispatcher(host, term, topic, clock):
-    """Return the dispatcher of a host that has won ``term``."""
+def make_dispatcher(host, term, topic, clock, runners=None, make_runner=make_registration):
+    """Return the dispatcher of a host that has won ``term``, without runners unless told."""
     parts = DispatcherParts(
         topic=topic,
         follower=host.follower,
         jobs=host.folder,
-        runners=RunnersFolder(None, clock, journal()),
+        runners=runners or RunnersFolder(None, clock, journal()),
         configuration=ConfigurationFolder(None, journal()),
         election=host.election,
         links=None,
         advisor=None,
-        make_runner=make_registration,
+        make_runner=make_runner,
         clock=clock,
         journal=journal(),
         host='me',
