--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -9,6 +9,7 @@
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import BEAT_SECONDS, Term
 from dandelionreel.cell._inquiries import Question
+from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
@@ -20,7 +21,6 @@
     OWNER_KEY,
     SUBMISSION,
     Attended,
-    BookedJob,
     Cancellation,
     Submission,
     make_record,
@@ -244,6 +244,9 @@
 
     def _see_job(self, job_id: str) -> None:
         booked = self._parts.jobs.book.find(job_id)
+        if booked is not None and booked.unreadable:
+            self.cell.see_job(booked, self._clock.monotonic(), self._clock.wall())
+            return
         if booked is None or booked.submission is None:
             self._forget_job(job_id, booked)
             return
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
@@ -21,7 +21,7 @@
 from dandelionreel.cell._services import ClientCodec, KeyedRecord, SubmissionError
 from dandelionreel.cell._writer import GroupWriter, Written
 from dandelionreel.http import Answer, Request, answer_problem
-from dandelionreel.kernel import Clock, Journal, Part, Problem, Verdict
+from dandelionreel.kernel import Clock, Journal, Part, Problem, Verdict, seconds_or_none
 from dandelionreel.peers import ForwardAnswer, Frame, Message
 
 #: Ids are chosen by clients.
@@ -71,6 +71,8 @@
     by: str = ''
     #: Whether an append may have taken place.
     maybe: bool = False
+    #: What each attempt came to, for the line of one that was not answered 2xx.
+    tried: list[str] = field(default_factory=list)
 
 
 Attempt = Callable[[float, _Effort], Awaitable[Answer | None]]
@@ -162,7 +164,8 @@
             now = self._clock.monotonic()
             if not await self._follower.wait_fresh(now, LOOKUP_PATIENCE):
                 return _refuse(STORE_CAUSE, 'the store cannot be read just now')
-        if self._jobs.book.find(job_id) is not None:
+        booked = self._jobs.book.find(job_id)
+        if booked is not None and not booked.may_be_stored_again:
             self._tell(request, job_id, 'accepted before')
             return self._codec.answer_accepted()
         if len(request.body) > configuration.body_bytes:
@@ -210,6 +213,7 @@
             job_id,
             'may be stored' if effort.maybe else 'not stored',
             store_failing=round(max(0.0, until - self._writer.failing_since), 3),
+            tried=effort.tried,
         )
         if effort.maybe:
             return self._unknown('what was asked for may have been stored')
@@ -229,6 +233,7 @@
             async def by_owner(left: float, effort: _Effort) -> Answer | None:
                 effort.by = 'the owner'
                 if dispatcher.store_is_failing:
+                    effort.tried.append('the owner: its store is failing')
                     return None
                 return self._judge(await at_owner(dispatcher, min(left, OWN_PATIENCE)), effort)
 
@@ -255,6 +260,8 @@
             effort.by = 'a peer'
             passed = await forward(request, left)
             effort.maybe = effort.maybe or passed.maybe
+            status = passed.answer.status if passed.answer else 'none could act'
+            effort.tried.append(f'a peer: {"may have acted" if passed.maybe else status}')
             return passed.answer
 
         return pass_on
@@ -264,6 +271,7 @@
         if outcome is Written.STORED:
             return self._codec.answer_accepted()
         effort.maybe = effort.maybe or outcome is not Written.REFUSED
+        effort.tried.append(f'{effort.by}: {outcome.value}')
         return None
 
     def _is_cut_off(self, now: float) -> bool:
@@ -338,6 +346,7 @@
             Part.JOBS,
             f'job {job_id} is asked for, not known.',
             job=job_id,
+            **self._knowledge(),
         )
         return self._codec.answer_unknown_job()
 
@@ -363,10 +372,19 @@
             Part.JOBS,
             f'{request.method} {job_id}: {outcome}.',
             job=job_id,
-            book_age=round(self._follower.age(self._clock.monotonic()), 3),
+            **self._knowledge(),
             **fields,
         )
 
+    def _knowledge(self) -> dict[str, Any]:
+        """Return how old what is known here is, in seconds, and who is taken for the owner."""
+        owner = self._jobs.book.owner
+        return {
+            'book_age': seconds_or_none(self._follower.age(self._clock.monotonic())),
+            'owner': owner.host if owner else '',
+            'epoch': owner.epoch if owner else 0,
+        }
+
 
 def _problem(status: int, cause: str, detail: str) -> Answer:
     return answer_problem(Problem(Verdict.NOT_RUN, status, cause, detail))
--- a/dandelionreel/cell/_parts.py
+++ b/dandelionreel/cell/_parts.py
@@ -4,9 +4,10 @@
 
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
 from dandelionreel.cell._desk import MakeRunner
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.cell._services import Topic
 from dandelionreel.kernel import Clock, Journal
 
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -75,8 +75,7 @@
         run out, the jobs that the store names with it are left alone.
         """
         parts = self._parts
-        attended = parts.jobs.book.attended
-        for runner in attended.runners if attended else ():
+        for runner in parts.jobs.book.former_runners():
             registration = parts.runners.find(runner)
             if registration is None or not parts.runners.replaced(registration):
                 self._cell.unseen.add(runner)
--- a/features/cancelling_parts.py
+++ b/features/cancelling_parts.py
@@ -16,8 +16,8 @@
     StartReply,
     WriterFence,
 )
-from dandelionreel.cell._directory import RunnersFolder
 from dandelionreel.cell._election import Term
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.kernel import Verdict
 from features.cell_parts import make_registration
 from features.store_parts import Host, journal, make_dispatcher
@@ -127,7 +127,7 @@
             term,
             self.topic,
             self.clock,
-            self.runners,
             lambda registration: self.runner,
+            self.runners,
         )
         await curio.spawn(self.dispatcher.run, daemon=True)
--- a/features/steps/given_up_steps.py
+++ b/features/steps/given_up_steps.py
@@ -7,7 +7,10 @@
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
-from dandelionreel.cell._records import JobBook, make_record
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._records import (
+    make_record,
+)
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
 from features.store_parts import Host, journal, make_dispatcher, until
@@ -67,10 +70,10 @@
         first = context.first
         context.small.look('w1', ended=[(1, first.task, first.run, 'done')])
         attendant = Attendant(desk)
-        await curio.spawn(attendant._acknowledge, context.state, 1, daemon=True)
+        await curio.spawn(attendant._acknowledge, context.state, 1, True, daemon=True)
         await until(lambda: topic.under_way == 3)
         topic.outage.extend([(0.0, True)] * 1000)
-        await curio.spawn(attendant._acknowledge, context.state, 1, daemon=True)
+        await curio.spawn(attendant._acknowledge, context.state, 1, True, daemon=True)
         await curio.sleep(0.4)
         return (await topic.snapshot()).records
 
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -6,13 +6,13 @@
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._desk import LEASE_SECONDS, Desk
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
     SUBMISSION,
     Attended,
-    JobBook,
     Member,
     Owner,
     make_record,
--- a/features/steps/wait_steps.py
+++ b/features/steps/wait_steps.py
@@ -7,6 +7,7 @@
 from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._directory import JobFolder
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._model import JobSpec, JobState
 from dandelionreel.cell._predecessors import Predecessors
 from dandelionreel.cell._records import (
@@ -15,7 +16,6 @@
     PROGRESS,
     SUBMISSION,
     Attended,
-    JobBook,
     Owner,
     Progress,
     Submission,
@@ -56,7 +56,7 @@
     context.dispatcher._begin()
 
 
-@then('the job is left alone for all 14.1 s, and not for longer')
+@then('that job stays alone for all 14.1 s, and not for longer')
 def left_alone_for_all(context):
     cell = context.dispatcher.cell
     job = cell.job_by_id['j1']
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -4,11 +4,12 @@
 
 import curio
 
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder, RunnersFolder
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._parts import DispatcherParts
+from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.kernel import Journal, SystemClock, Verdict
 from dandelionreel.peers import Frame, PeerError
 from features.cell_parts import make_registration
@@ -55,7 +56,7 @@
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
 
 
-def make_dispatcher(host, term, topic, clock, runners=None, make_runner=make_registration):
+def make_dispatcher(host, term, topic, clock, make_runner=make_registration, runners=None):
     """Return the dispatcher of a host that has won ``term``, without runners unless told."""
     parts = DispatcherParts(
         topic=topic,
--- a/features/wait.feature
+++ b/features/wait.feature
@@ -4,7 +4,7 @@
   Scenario: A job on a runner that only the former owner reaches
     Given a store with an owner of which a new host has only read, and its job on w9
     When that host owns the cell
-    Then the job is left alone for all 14.1 s, and not for longer
+    Then that job stays alone for all 14.1 s, and not for longer
 
   Scenario: No proof that the former owner has ended
     Given a wait for an owner that was heard of just now
