A scenario of entries asks what happens to the run, not what an entry proves

Change: it asks whether the run still counts and is not started elsewhere, which is what the proof was for.

--- a/features/entries.feature
+++ b/features/entries.feature
@@ -131,7 +131,7 @@
   Scenario: An entry was taken before any configuration was known
     Given a runner at work whose own entry has gone
     When an entry of an unnamed service at its address is read before the configuration
-    Then that entry does not prove that the runner was replaced
+    Then what runs there still counts, and is not started elsewhere
 
   Scenario: An entry becomes unreadable between the decision to start a task and its order
     Given a runner at work whose entry is good
