A stop that is not answered gets a line

Cause: each miss in Orders.send_stop was retried without a word. Change: one line with the run, the runner and the verdict.

--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -70,7 +70,8 @@
                 return
             try:
                 await runner.stop(allocation.task, allocation.run, self._desk.term.epoch)
-            except RunnerError:
+            except RunnerError as error:
+                self._tell_missed_stop(allocation, error)
                 await curio.sleep(RESTOP_SECONDS)
                 continue
             except RunnerFenced:
@@ -87,6 +88,14 @@
             )
             return
 
+    def _tell_missed_stop(self, allocation: Allocation, error: RunnerError) -> None:
+        self._desk.journal.tell_frequent(
+            Part.PLACEMENT,
+            f'a stop was not answered: {error}.',
+            **self._fields(allocation),
+            verdict=error.verdict.value,
+        )
+
     async def _store_and_send(self, allocations_by_job: dict[str, list[Allocation]]) -> None:
         found = (self._desk.cell.job_by_id.get(job_id) for job_id in allocations_by_job)
         jobs = [job for job in found if job is not None]
