A refused connection and a mere answer are no longer enough to move the cell

Cause: OwnerWatch took two refusals for the death of the owner's process, and hosts behind a cut that refuses claimed the cell while heartbeats went on; a hand-over took any answer of a larger host for its being ready. Change: a refusing owner counts as dead only after 0.55 s without a heartbeat; a host that is asked to take over says whether it follows all topics.

--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -55,6 +55,9 @@
 #: Seconds for which word of an owner's trouble counts. Where the store serves
 #: nobody, it must not end in a claim when the store comes back.
 SUSPECTED_SECONDS = 0.8
+#: Seconds without a heartbeat after which an owner whose port refuses connections is
+#: taken for dead: one heartbeat, and a pause between two reads.
+REFUSING_SECONDS = 0.55
 #: Heartbeats may come that many times as late as they usually do: a slow store
 #: must not look like a dead owner.
 GAP_FACTOR = 2.5
@@ -129,6 +132,8 @@
         self._folder = folder
         self._clock = clock
         self._journal = journal
+        self._refusing = ''
+        self._refusing_until = 0.0
         self._suspected = ''
         self._suspected_until = 0.0
         self._alive_until = 0.0
@@ -166,6 +171,16 @@
         self._suspected = term
         self._suspected_until = self._clock.monotonic() + SUSPECTED_SECONDS
 
+    def suspect_refusing(self, term: str) -> None:
+        """Take note that nothing seems to listen at the owner with that term.
+
+        A cut that refuses connections looks the same, so this counts only while no
+        heartbeat is read either: hosts behind such a cut claimed the cell from a
+        living owner again and again.
+        """
+        self._refusing = term
+        self._refusing_until = self._clock.monotonic() + SUSPECTED_SECONDS
+
     async def take_failing(self, frame: Frame) -> Message:
         """Answer an owner that the store does not serve."""
         failing: Any = frame.message
@@ -181,9 +196,14 @@
         """Remember that this host leaves the cell to a larger one."""
         self._handed_over_at = self._clock.monotonic()
 
-    def answer_asked(self, frame: Frame, acting: bool) -> Message:
-        """Answer a peer that misses the heartbeats of a term."""
+    def answer_asked(self, frame: Frame, acting: bool, ready: bool) -> Message:
+        """Answer a peer that misses the heartbeats of a term.
+
+        One that names no term wants to leave the cell to this host, if it is ``ready``.
+        """
         asked: Any = frame.message
+        if not asked.term:
+            return Done() if ready else Refused('cannot own the cell now')
         if acting and asked.term == self.incarnation:
             return Done()
         return Refused('does not own the cell')
@@ -191,6 +211,10 @@
     def _is_suspected(self, owner: Owner, now: float) -> bool:
         return self._suspected == owner.term and now < self._suspected_until
 
+    def _refuses(self, owner: Owner, now: float) -> bool:
+        quiet = now - self._folder.owner_heard_at >= REFUSING_SECONDS
+        return quiet and self._refusing == owner.term and now < self._refusing_until
+
     def _former_life(self, owner: Owner) -> bool:
         """Return whether this host's former process, or a later one's, held the cell."""
         if owner.host == self._host:
@@ -204,7 +228,7 @@
         owner = self._folder.book.owner
         if owner is None or owner.released:
             return Vacancy.VACANT
-        if self._former_life(owner) or self._is_suspected(owner, now):
+        if self._former_life(owner) or self._is_suspected(owner, now) or self._refuses(owner, now):
             return Vacancy.VACANT
         heard = self._folder.owner_heard_at
         silent = max(SILENT_SECONDS, GAP_FACTOR * self._folder.usual_gap)
--- a/dandelionreel/cell/_follower.py
+++ b/dandelionreel/cell/_follower.py
@@ -66,6 +66,11 @@
         """Return whether a snapshot has been folded."""
         return self._offset is not None
 
+    @property
+    def reached(self) -> bool:
+        """Return whether the latest read was answered."""
+        return self.reached_since != NEVER
+
     @property
     def complete(self) -> bool:
         """Return whether all that stood in the topic at some time has been folded."""
--- a/dandelionreel/cell/_succession.py
+++ b/dandelionreel/cell/_succession.py
@@ -11,7 +11,7 @@
 from dandelionreel.cell._records import Member
 from dandelionreel.cell._standing import larger_hosts, rank_hosts
 from dandelionreel.kernel import Part
-from dandelionreel.peers import OwnerAsked, OwnerFailing, PeerError
+from dandelionreel.peers import Done, OwnerAsked, OwnerFailing, PeerError
 
 #: Seconds before peers are asked again to take over, and how many at once: where
 #: the store refuses everybody, each claim adds to what it has to do.
@@ -80,23 +80,34 @@
             return
         members = self._book.member_by_host
         for host in larger_hosts(members, self._host)[:PEERS_ASKED]:
-            try:
-                await self._links.ask(members[host], OwnerAsked(''), HAND_OVER_PATIENCE)
-            except PeerError as error:
-                self._desk.journal.tell(
-                    Part.OWNERSHIP, f'{host} does not take the cell over: {error}.'
-                )
+            if not await self._is_ready(host, members[host]):
                 continue
             self._election.note_hand_over()
             self._desk.journal.tell(
                 Part.OWNERSHIP,
-                f'leaves the cell to larger hosts: {host} lives.',
+                f'leaves the cell to larger hosts: {host} is ready.',
                 epoch=self._desk.term.epoch,
             )
             await self._desk.ended.set()
             return
         self._settled_at = now + SETTLE_SECONDS
 
+    async def _is_ready(self, host: str, member: Member) -> bool:
+        """Return whether a host can own the cell now: one that merely lives may not.
+
+        Just out of a cut, it has yet to read the list of runners, and starts nothing.
+        """
+        try:
+            frame = await self._links.ask(member, OwnerAsked(''), HAND_OVER_PATIENCE)
+        except PeerError as error:
+            cause = f'{error}'
+        else:
+            if isinstance(frame.message, Done):
+                return True
+            cause = 'it is not ready'
+        self._desk.journal.tell(Part.OWNERSHIP, f'{host} does not take the cell over: {cause}.')
+        return False
+
     async def _ask(self, member: Member) -> None:
         # Whether it was heard shows in the store: no answer needs a line.
         with suppress(PeerError):
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -264,7 +264,10 @@
     async def _answer_asked(self, frame: Frame) -> Message:
         dispatcher = self._dispatcher
         acting = dispatcher is not None and dispatcher.acting and not dispatcher.store_is_failing
-        return self._election.answer_asked(frame, acting)
+        ready = self._may_own() and all(
+            follower.complete and follower.reached for follower in self._followers
+        )
+        return self._election.answer_asked(frame, acting, ready)
 
     def _is_ready(self) -> bool:
         if self._stopping or self._configuration.current is None:
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -65,7 +65,7 @@
 
 @when("the owner's port refuses connections")
 def port_refuses(context):
-    context.host.election.suspect('other/1')
+    context.host.election.suspect_refusing('other/1')
 
 
 @then('the cell is {vacancy}')
