--- /dev/null
+++ b/features/steps/entry_record_steps.py
@@ -0,0 +1,259 @@
+"""Steps on the operator's and the cell's own records, where they cannot be read."""
+
+import curio
+import msgspec
+from behave import given, then, when
+
+from dandelionreel.cell import (
+    Demand,
+    JobSpec,
+    JobState,
+    KeyedRecord,
+    Step,
+    Submission,
+    SubmissionError,
+    WriterFence,
+)
+from dandelionreel.cell._election import SILENT_SECONDS, UNSETTLED_SECONDS, Term, Vacancy
+from dandelionreel.cell._records import DoneTasks, Progress, make_record
+from dandelionreel.kernel import ManualClock
+from dandelionreel.platform import decode_submission
+from features.entry_parts import (
+    CONFIGURATION,
+    DEEP,
+    JOB,
+    MEMBER,
+    OWNER,
+    PROGRESS,
+    SUBMISSION,
+    Reader,
+    encode,
+)
+from features.entry_reading import configuration, operator_reads
+from features.steps.succession_steps import make_dispatcher
+from features.store_parts import Host
+from standins import MemoryTopic
+
+
+@given('a host with configuration 3')
+def host_with_configuration(context):
+    context.reader = Reader()
+    operator_reads(context.reader, configuration(version=3))
+
+
+BAD_CONFIGURATIONS = {
+    'no JSON': b'{"version":',
+    'a list': b'[]',
+    'routes that are text': configuration(version=6, routes='all'),
+    'no version': configuration(version=None),
+    'nested deeply': DEEP,
+    'a version below zero': configuration(version=-1),
+    'a version of 400 digits': configuration(version=int('9' * 400)),
+    'a negative timeout': configuration(
+        version=6, routes=[{**CONFIGURATION['routes'][0], 'timeout_ms': -1}]
+    ),
+}
+
+
+@when('it reads configuration 5 and then {record}')
+def reads_configurations(context, record):
+    operator_reads(context.reader, configuration(version=5), BAD_CONFIGURATIONS[record])
+
+
+@then('configuration 5 is in force')
+def in_force(context):
+    assert context.reader.configuration.current.version == 5
+
+
+def changed_spec(*steps):
+    return encode(Submission('urgent', 'desk', 990.0, JobSpec('payload', steps)))
+
+
+def changed_progress(*done):
+    return encode(Progress(4, JobState.RUNNING, done))
+
+
+BAD_RECORDS = {
+    'no JSON': b'{"queue":',
+    'a list': b'[]',
+    'nested deeply': DEEP,
+    'a wild count': changed_spec(Step(10**15, Demand(), 1.0)),
+    'a cycle of steps': changed_spec(Step(1, Demand(), 1.0, (0,))),
+    'a tiny interval': encode(
+        Submission('urgent', 'desk', 9.0, JobSpec('x', SUBMISSION.spec.steps, 2, 1.0, 1e-300))
+    ),
+    'a bad mask': changed_progress(DoneTasks(0, 0, '-x')),
+    'a step too many': changed_progress(DoneTasks(0, 9, '1')),
+    'an epoch below zero': encode(msgspec.structs.replace(OWNER, epoch=-1)),
+    'an epoch of 400 digits': b'{"epoch":' + b'9' * 400 + b',"host":"x","term":"x/1"}',
+    'a host that is a number': b'{"epoch":9,"host":7,"term":"x/1"}',
+    'port 0': encode(msgspec.structs.replace(MEMBER, port=0)),
+    'port 99999': encode(msgspec.structs.replace(MEMBER, port=99999)),
+    'an address of 300 characters': encode(msgspec.structs.replace(MEMBER, address='a' * 300)),
+}
+BEFORE = {
+    'nothing': (),
+    'a job': (make_record(f'j/{JOB}', SUBMISSION),),
+    'a job under way': (make_record(f'j/{JOB}', SUBMISSION), make_record(f'e/{JOB}', PROGRESS)),
+    'a completed job': (make_record(f'e/{JOB}', Progress(4, JobState.COMPLETED, ended_at=9.0)),),
+}
+
+
+@given('a host that has read {before}')
+def has_read(context, before):
+    context.memory = MemoryTopic()
+    context.host = Host('me', context.memory, ManualClock())
+    append(context, *BEFORE[before])
+
+
+def append(context, *records):
+    """Put records into the topic and let the host read all that is new."""
+    if records:
+        curio.run(context.memory.append, records, 0.1)
+    curio.run(context.host.follower._step)
+    curio.run(context.host.follower._step)
+
+
+@when('the record of {key} becomes {record}')
+def record_becomes(context, key, record):
+    append(context, KeyedRecord(f'{key}/{JOB}', BAD_RECORDS[record]))
+
+
+@when('a client hands in a job with {part}')
+def hand_in_part(context, part):
+    # Of a field that stands twice the last one counts.
+    context.body = b'{"spec":"x","steps":[{"count":1}],"repeat_count":2,%s}' % part.encode()
+
+
+@then('it is refused as bad input')
+def bad_input(context):
+    try:
+        decode_submission(context.body)
+    except SubmissionError:
+        return
+    raise AssertionError('it was accepted')
+
+
+@when('it starts again from a snapshot in which {key} is {record}')
+def snapshot_with(context, key, record):
+    bad = KeyedRecord(f'{key}/{JOB}', BAD_RECORDS[record])
+    curio.run(context.memory.append, [bad], 0.1)
+    context.host.follower._offset = None
+    append(context)
+
+
+@when('the same job is handed in again')
+def handed_in_again(context):
+    booked = context.host.folder.book.find(JOB)
+    # A host that took the job for accepted would not store it again.
+    assert booked.may_be_stored_again
+    append(context, make_record(f'j/{JOB}', SUBMISSION))
+
+
+@then('the job is shown as {state}')
+def shown_as(context, state):
+    booked = context.host.folder.book.find(JOB)
+    assert booked is not None, 'the job is not known'
+    assert booked.state is JobState(state), booked
+
+
+def start_term(context):
+    """Return the dispatcher of a term that the host begins with what it knows."""
+    clock, former = context.host.clock, context.host.folder.book.owner
+    clock.advance(SILENT_SECONDS)
+    term = Term(9, 'me/1', WriterFence(9, 1), clock.now - 1, False, False, former=former)
+    dispatcher = make_dispatcher(context.host, term, context.memory, clock)
+    dispatcher._begin()
+    return dispatcher
+
+
+@then('the job is {handled}')
+def handled(context, handled):
+    booked = context.host.folder.book.find(JOB)
+    dispatcher = start_term(context)
+    cell = dispatcher.cell
+    job = cell.job_by_id.get(JOB)
+    startable = job is not None and not job.over and bool(job.ready_steps(context.host.clock.now))
+    assert startable is (handled == 'started'), (booked, job)
+
+
+@given("a host that hears an owner's heartbeats")
+def hears_owner(context):
+    context.memory = MemoryTopic()
+    context.host = Host('me', context.memory, ManualClock())
+    append(context, make_record('owner', OWNER))
+    context.heard = context.host.folder.owner_heard_at
+
+
+@when('the ownership record becomes {record}')
+def owner_becomes(context, record):
+    context.host.clock.advance(0.4)
+    append(context, KeyedRecord('owner', BAD_RECORDS[record]))
+
+
+@then('it does not count as a heartbeat')
+def no_heartbeat(context):
+    assert context.host.folder.owner_heard_at == context.heard
+
+
+@then('the owner is the same as before')
+def same_owner(context):
+    assert context.host.folder.book.owner == OWNER
+    # Nor after the host has had to start again from a snapshot.
+    context.host.follower._offset = None
+    append(context)
+    assert context.host.folder.book.owner == OWNER
+
+
+@then('a host that starts now waits for a heartbeat before it claims')
+def late_host_waits(context):
+    late = Host('late', context.memory, ManualClock())
+    curio.run(late.follower._step)
+    curio.run(late.follower._step)
+    late.follower.fresh_at = late.clock.now
+    late.follower.reached_since = late.clock.now
+    assert late.election._vacancy() is Vacancy.HELD
+    late.clock.advance(SILENT_SECONDS + 0.1)
+    late.follower.fresh_at = late.clock.now
+    assert late.election._vacancy() is Vacancy.SILENT
+    # Whoever claims then has to expect tasks of an owner of which it knows nothing.
+    assert late.folder.book.owner.unsettled == UNSETTLED_SECONDS
+
+
+@given('a job that an owner has started on the runner i-1')
+def started_on(context):
+    context.memory = MemoryTopic()
+    context.host = Host('me', context.memory, ManualClock())
+    job = (make_record(f'j/{JOB}', SUBMISSION), make_record(f'e/{JOB}', PROGRESS))
+    append(context, make_record('owner', OWNER), *job)
+
+
+@when('a host that has read no list takes over, and the list is no JSON')
+def list_unreadable(context):
+    append(context, KeyedRecord('runners', BAD_RECORDS['no JSON']))
+    context.dispatcher = start_term(context)
+
+
+@then('it leaves that job alone until the leases must be over')
+def left_alone(context):
+    cell = context.dispatcher.cell
+    assert cell.is_blocked(cell.job_by_id[JOB])
+    context.dispatcher._rounds._give_up_unseen(context.dispatcher._rounds.predecessors.until + 0.1)
+    assert not cell.is_blocked(cell.job_by_id[JOB])
+
+
+@given('a host that knows a peer')
+def knows_peer(context):
+    context.memory = MemoryTopic()
+    context.host = Host('me', context.memory, ManualClock())
+    append(context, make_record('m/entry-1', MEMBER))
+
+
+@when("the peer's record becomes {record}")
+def peer_becomes(context, record):
+    append(context, KeyedRecord('m/entry-1', BAD_RECORDS[record]))
+
+
+@then('the peer is where it was')
+def peer_is(context):
+    assert context.host.folder.book.member_by_host == {'entry-1': MEMBER}
