--- a/bench/replay.py
+++ b/bench/replay.py
@@ -12,8 +12,9 @@
 import sys
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from bench.replay_report import Tally, tell_result
 from dandelionreel.cell import (
     AdvicePolicy,
     Allocation,
@@ -150,18 +151,6 @@
 }
 
 
-@dataclass
-class Tally:
-    """What became of one kind's jobs."""
-
-    owed: float = 0
-    earned: float = 0
-    jobs: int = 0
-    in_time: int = 0
-    late: int = 0
-    first_waits: list[float] = field(default_factory=list)
-
-
 class Replay:
     """One policy on one load."""
 
@@ -363,26 +352,6 @@
             tally.earned += weight * LATE_WORTH
 
 
-def tell_result(name: str, replay: Replay) -> None:
-    """Print one policy's table."""
-    tallies = replay.tally_by_queue.values()
-    worth = sum(tally.earned for tally in tallies) / sum(tally.owed for tally in tallies)
-    plans = sorted(replay.plan_seconds)
-    sys.stdout.write(
-        f'{name}: worth {worth:.3f}, {replay.wasted:.0f} core-seconds thrown away, '
-        f'a plan takes {1000 * plans[len(plans) // 2]:.1f} ms, '
-        f'99 of 100 up to {1000 * plans[int(0.99 * len(plans))]:.1f} ms\n'
-    )
-    for queue, tally in replay.tally_by_queue.items():
-        waits = sorted(tally.first_waits) or [0.0]
-        sys.stdout.write(
-            f'    {queue:8} {tally.jobs:5} jobs, {tally.in_time:5} in time, {tally.late:4} late, '
-            f'worth {tally.earned / max(tally.owed, 1e-9):.3f}, first start within '
-            f'{waits[len(waits) // 2]:.2f} s for half, {waits[int(0.95 * len(waits))]:.2f} s '
-            'for 95 of 100\n'
-        )
-
-
 def main() -> int:
     """Play all policies on one load."""
     parser = argparse.ArgumentParser(description=__doc__)
