--- a/features/questions.feature
+++ b/features/questions.feature
@@ -31,3 +31,17 @@
     When 10 batch jobs are handed in while 3 hosts are free
     Then the 3 jobs whose objectives end first ask
     And an urgent job asks all the same
+
+  # At the end of a day a step could run, most runners were free, and it never started. The
+  # store had stopped answering; the owner's right to start ended while a plan was being
+  # made, and what the plan had decided was neither sent nor taken back: a task counted as
+  # on its way for ever, a step as waiting for its advice.
+  Scenario Outline: The right to start ends while a plan is made
+    Given an owner that plans <what> as its right to start ends
+    When it has the right to start again
+    Then the task is not left behind
+
+    Examples:
+      | what       |
+      | a start    |
+      | a question |
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -1,9 +1,15 @@
 """Steps on questions to the policy service while much waits."""
 
+import curio
 from behave import given, then, when
 
-from dandelionreel.cell import Permit
+from dandelionreel.cell import Permit, RunnerError, WriterFence
+from dandelionreel.cell._advisors import LocalAdvisor
+from dandelionreel.cell._election import Term
+from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_queue, step
+from features.store_parts import Host, make_dispatcher
+from standins import MemoryTopic
 
 FULL = 32_000
 ADVICE = (0.1, 0.002, 2.0)
@@ -91,3 +97,66 @@
     small.add_job('now', [step()])
     made = small.planner.plan(small.now, small.now, 0)
     assert [question.step.job for question in made.questions] == ['now']
+
+
+class SlowPlanner:
+    """Plans, and lets 2 s pass meanwhile."""
+
+    def __init__(self, planner, clock):
+        self.planner = planner
+        self.clock = clock
+
+    def plan(self, *asked):
+        made = self.planner.plan(*asked)
+        self.clock.advance(2)
+        return made
+
+
+class NoRunner:
+    """A runner that no start must reach."""
+
+    async def start(self, order, check):
+        assert not check()
+        raise RunnerError('not sent', Verdict.NOT_RUN)
+
+
+@given('an owner that plans {what} as its right to start ends')
+def ending_right(context, what):
+    clock = ManualClock()
+    host = Host('me', MemoryTopic(), clock)
+    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
+    context.dispatcher = dispatcher = make_dispatcher(host, term, MemoryTopic(), clock)
+    small = SmallCell(('w1',), queues=(make_queue('urgent', advice=ADVICE), make_queue('plain')))
+    small.now = clock.monotonic()
+    small.look('w1')
+    job = small.add_job('j1', [step()], queue='plain' if what == 'a start' else 'urgent')
+    job.stored_runners.add('w1')
+    dispatcher.cell = dispatcher._desk.cell = small.cell
+    dispatcher._desk.runner_by_id['w1'] = NoRunner()
+    dispatcher._pool._local = LocalAdvisor(None)
+    dispatcher._planner = SlowPlanner(small.planner, clock)
+    context.small = small
+
+
+@when('it has the right to start again')
+def right_again(context):
+    dispatcher = context.dispatcher
+
+    async def plan_once():
+        planning = await curio.spawn(dispatcher._plan)
+        await curio.sleep(0.1)
+        await planning.cancel()
+
+    assert dispatcher._desk.may_start()
+    curio.run(plan_once)
+    assert not dispatcher._desk.may_start()
+
+
+@then('the task is not left behind')
+def not_left(context):
+    small = context.small
+    assert not small.runs_on('w1'), 'its start counts, and was never sent'
+    small.now = context.dispatcher._clock.monotonic() + 1
+    small.look('w1')
+    made = small.planner.plan(small.now, small.now)
+    assert made.starts or made.questions, 'it waits for an answer that nobody asked for'
