What a plan has decided is sent or taken back, whatever became of the right to start

Cause: Dispatcher._plan dropped a plan when the right to start had ended while it was made. Change: one branch; each start asks for the right itself and is taken back without it, and questions are always put.

--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -268,23 +268,34 @@
     async def _plan(self) -> None:
         while True:
             seen = self._desk.wake.count
-            began = self._clock.monotonic()
-            made = Plan()
             if self._desk.may_start():
-                free = self._pool.free_for_patient
-                made = self._planner.plan(began, self._clock.wall(), free)
-                self._load.note_plan(made, self._clock.monotonic() - began)
-            for allocation in self.cell.take_stops():
-                await curio.spawn(self._orders.send_stop, allocation, daemon=True)
-            self._tell_preempted(made)
-            if self._desk.may_start():
-                await self._orders.send_starts(made.starts)
-                for question in made.questions:
-                    await self._pool.ask(question)
-                spent = self._clock.monotonic() - began
-                await curio.sleep(max(PLAN_PAUSE, PLAN_REST * spent))
+                await self._plan_once()
+            else:
+                await self._send_stops()
             await self._desk.wake.wait(seen, 1.0)
 
+    async def _plan_once(self) -> None:
+        """Plan, and send all that was decided, though the right to start may end meanwhile.
+
+        Each start asks for that right itself right before it is sent, and is else taken
+        back. A plan that was dropped left starts counted and answers waited for that
+        nobody had asked for, and their tasks never ran.
+        """
+        began = self._clock.monotonic()
+        made = self._planner.plan(began, self._clock.wall(), self._pool.free_for_patient)
+        self._load.note_plan(made, self._clock.monotonic() - began)
+        await self._send_stops()
+        self._tell_preempted(made)
+        await self._orders.send_starts(made.starts)
+        for question in made.questions:
+            await self._pool.ask(question)
+        spent = self._clock.monotonic() - began
+        await curio.sleep(max(PLAN_PAUSE, PLAN_REST * spent))
+
+    async def _send_stops(self) -> None:
+        for allocation in self.cell.take_stops():
+            await curio.spawn(self._orders.send_stop, allocation, daemon=True)
+
     def _tell_preempted(self, made: Plan) -> None:
         for allocation in made.preempted:
             self._journal.tell_frequent(
