Replay of a cell of six zones that loses its owner and then a zone

Cause: the replay knew one zone without faults, 176 runners. Change: LOAD=zones: 270 runners, wide gangs of 6 s, memory as tight as processors, an owner's take-over of 2 s in a burst of urgent jobs, a zone out of reach for 5.7 s whose leases lapse.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -47,7 +47,10 @@
 RESTORE_SECONDS = 0.1
 PLAN_SECONDS = 0.01
 CAPACITY = Demand(32_000, 65_536, 0)
-RUNNERS_PER_RACK = 8
+#: Seconds that a runner keeps its tasks without a look, and after which the owner takes
+#: them for gone.
+LEASE_SECONDS = 5.0
+LAPSE_SECONDS = 5.15
 #: A job earns all in time, a fifth up to three objectives, then nothing.
 LATE_WORTH = 0.2
 LATEST = 3.0
@@ -85,6 +88,15 @@
     return Queue(name, 'h', f'/{name}/', 'desk', priority, attempts, slack, latency, 3, policy)
 
 
+@dataclass(frozen=True)
+class Cut:
+    """A zone whose runners are out of reach for a while."""
+
+    zone: int
+    begins: float
+    seconds: float
+
+
 @dataclass(frozen=True)
 class Load:
     """A cell and what comes to it."""
@@ -94,6 +106,11 @@
     kinds: tuple[Kind, ...]
     #: Seconds at the beginning in which jobs arrive and nothing starts.
     outage: float = 0.0
+    zones: int = 1
+    per_rack: int = 8
+    cut: Cut | None = None
+    #: When the owner is lost, and for how many seconds nothing is planned then.
+    takeover: tuple[float, float] = (0.0, 0.0)
 
 
 def make_loads() -> dict[str, Load]:
@@ -115,9 +132,24 @@
         'bursts': Load(176, 35, bursts),
         # The store is away for 6 s, and a quarter of the hosts for longer.
         'outage': Load(176, 26, bursts, outage=6.0),
+        'zones': _make_zones_load(),
     }
 
 
+def _make_zones_load() -> Load:
+    """Return a cell of six zones: an owner is lost in a burst, then a zone is cut off."""
+    settle = _queue('settle', 1, 4, 2.2, 1.0, 0.637, 0.0091, 2.0)
+    blend = _queue('blend', 2, 3, 4.0, 3.0, 0.182, 0.0026, 2.0)
+    check = _queue('check', 0, 2, 1.5, 0.25, 0.026, 0.00036, 2.0)
+    kinds = (
+        Kind(settle, 3.6, 5.66, 1.2, 16, 9000, 9400, 6.2, 0.5, 0.3, 1, 0.5, 0.02, (20, 24, 1.8)),
+        Kind(blend, 6.0, 2.12, 1.5, 19, 5500, 7900, 2.7, 0.2, 0.45, 0, 0.8, 0.05),
+        Kind(check, 42, 0.418, 1, 3.1, 7900, 15_000, 1.0, 0.9, 0.7, 0.3, 0, 0.05, (9, 13, 2)),
+    )
+    cut = Cut(zone=5, begins=33.5, seconds=5.7)
+    return Load(270, 97, kinds, 0, 6, 12, cut, takeover=(14.0, 2.0))
+
+
 class FirstCome(Planner):
     """A baseline: whoever came first is served first."""
 
@@ -176,6 +208,8 @@
         #: Runs at work by runner: when each began, how long it takes, what was saved.
         self._work: dict[str, dict[tuple, tuple[float, float, float]]] = {}
         self._ends = itertools.count(1)
+        #: What runners out of reach have ended meanwhile.
+        self._unseen_by_runner: dict[str, list[EndedRun]] = {}
         self._add_runners()
 
     def play(self, seconds: float) -> None:
@@ -183,6 +217,8 @@
         for kind in self.load.kinds:
             self._later(self._random.expovariate(kind.rate(0)), self._arrive, kind, seconds)
         self._later(max(PLAN_SECONDS, self.load.outage), self._plan, 3 * seconds)
+        if self.load.cut is not None:
+            self._later(self.load.cut.begins, self._cut_off, self.load.cut)
         while self._events:
             self._now, _, act, values = heapq.heappop(self._events)
             act(*values)
@@ -193,10 +229,11 @@
     def _add_runners(self) -> None:
         registrations = {}
         for number in range(self.load.runners):
-            labels = ('a', f'r-{number // RUNNERS_PER_RACK}')
+            zone = number * self.load.zones // self.load.runners
+            labels = ('a', f'r-{number // self.load.per_rack}')
             name = f'w{number}'
             registrations[name] = Registration(
-                name, 'desk', '10.0.0.1', number, 'north', CAPACITY, labels, False
+                name, 'desk', '10.0.0.1', number, f'zone-{zone}', CAPACITY, labels, False
             )
             self._work[name] = {}
         self.cell.see_runners(registrations, 0)
@@ -209,6 +246,34 @@
         view = RunnerView(self._now, running, ended)
         self.cell.viewed(self.cell.runner_by_id[runner], view, self._now, self._now)
 
+    def _cut_off(self, cut: Cut) -> None:
+        for state in self.cell.runner_by_id.values():
+            if state.registration.zone == f'zone-{cut.zone}':
+                state.suspect = True
+                self._unseen_by_runner[state.id] = []
+        self._later(LEASE_SECONDS, self._lapse)
+        self._later(LAPSE_SECONDS, self._give_up)
+        self._later(cut.seconds, self._reconnect)
+
+    def _lapse(self) -> None:
+        for runner in self._unseen_by_runner:
+            for run, (began, _, _) in tuple(self._work[runner].items()):
+                allocation = self.cell.runner_by_id[runner].allocation_by_run[run]
+                self.wasted += (self._now - began) * allocation.demand.cpu / 1000
+            self._work[runner].clear()
+
+    def _give_up(self) -> None:
+        for runner in self._unseen_by_runner:
+            self.cell.runner_lapsed(runner)
+
+    def _reconnect(self) -> None:
+        ends_by_runner = self._unseen_by_runner
+        self._unseen_by_runner = {}
+        for runner, ends in ends_by_runner.items():
+            self._look(runner, *ends)
+            for ended in ends:
+                self._settle_if_over(ended.task.job)
+
     def _arrive(self, kind: Kind, until: float) -> None:
         if self._now >= until:
             return
@@ -244,6 +309,10 @@
             )
 
     def _plan(self, until: float) -> None:
+        lost_at, absent = self.load.takeover
+        if lost_at <= self._now < lost_at + absent:
+            self._later(PLAN_SECONDS, self._plan, until)
+            return
         began = time.perf_counter()
         waiting = sum(priority > 0 for priority, _, _ in self._waiting)
         free = int(PATIENT_SHARE * self.load.hosts) - self._busy[False] - waiting
@@ -289,7 +358,7 @@
         return next(kind for kind in self.load.kinds if kind.queue.name == queue)
 
     def _start(self, allocation: Allocation) -> None:
-        if not self.cell.may_start(allocation):
+        if not self.cell.may_start(allocation) or allocation.runner in self._unseen_by_runner:
             self.cell.withdraw(allocation)
             return
         job = self.cell.job_by_id[allocation.task.job]
@@ -331,9 +400,16 @@
         elif outcome is not Outcome.DONE:
             self.wasted += worked * allocation.demand.cpu / 1000
         ended = EndedRun(next(self._ends), *run, outcome, checkpoint)
+        if allocation.runner in self._unseen_by_runner:
+            self._unseen_by_runner[allocation.runner].append(ended)
+            return
         self._look(allocation.runner, ended)
+        self._settle_if_over(allocation.task.job)
+
+    def _settle_if_over(self, job_id: str) -> None:
+        job = self.cell.job_by_id.get(job_id)
         if job is not None and job.state in {JobState.COMPLETED, JobState.FAILED}:
-            self._settle(job.id)
+            self._settle(job_id)
 
     def _settle(self, job_id: str) -> None:
         """Count what a job earned, once; one that failed too often earns nothing."""
