A job that waits behind a failing append is refused in time, not left in doubt

Change: after each failed append, what has waited too long is refused: it was never sent. Test: the scenario with a heartbeat that is refused for 2 s (failed before).

--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/_writer.py
@@ -225,9 +225,8 @@
             if now < entry.until or (self._fence is not None and entry.maybe):
                 kept.append(entry)
                 continue
-            self.given_up += 1
-            entry.outcome = Written.UNKNOWN if entry.maybe else Written.REFUSED
-            await entry.event.set()
+            await self._give_up(entry)
+        await self._drop_overdue(now)
         if kept:
             await curio.sleep(self._pause)
         if self._fence is None:
@@ -235,6 +234,25 @@
             self._pause = longer * (1 - random.random() / 2)
         return kept
 
+    async def _drop_overdue(self, now: float) -> None:
+        """Give up what has waited too long behind an append that fails; it was never sent.
+
+        Until then its clients did not know what became of it, and one that does not know
+        may not ask another host: of each outage's first second, all jobs were lost.
+        """
+        waiting = tuple(self._waiting)
+        self._waiting.clear()
+        for entry in waiting:
+            if now < entry.until:
+                self._waiting.append(entry)
+                continue
+            await self._give_up(entry)
+
+    async def _give_up(self, entry: _Entry) -> None:
+        self.given_up += 1
+        entry.outcome = Written.UNKNOWN if entry.maybe else Written.REFUSED
+        await entry.event.set()
+
     @property
     def _timeout(self) -> float:
         return PLAIN_TIMEOUT if self._fence is None else self._times.timeout
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -30,7 +30,7 @@
     make_progress_records,
     make_record,
 )
-from dandelionreel.cell._writer import AnswerTimes, GroupWriter
+from dandelionreel.cell._writer import AnswerTimes, GroupWriter, Written
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
 from features.store_parts import LONG, Host, journal, until
@@ -68,6 +68,37 @@
     assert context.outcome.value == outcome, context.outcome
 
 
+@given('an owner whose heartbeat the store refuses for 2 s')
+def refused_heartbeat(context):
+    context.topic = MemoryTopic()
+    context.topic.faults.extend(['refuse'] * 20)
+
+
+@when('a job comes that may wait for 0.3 s for its turn')
+def job_behind(context):
+    async def write():
+        writer = GroupWriter(context.topic, SystemClock(), journal(), WriterFence(1, 1))
+        await curio.spawn(writer.run, daemon=True)
+        beat = await curio.spawn(writer.write, [KeyedRecord(OWNER_KEY, b'{}')], LONG)
+        await curio.sleep(0.05)
+        job = [KeyedRecord(f'{SUBMISSION}x', b'{}')]
+        context.outcome = await curio.ignore_after(1, writer.write, job, 0.3)
+        await beat.join()
+        await writer.write([], LONG)
+
+    curio.run(write)
+
+
+@then('its client is told so within 1 s')
+def refused_soon(context):
+    assert context.outcome is Written.REFUSED, context.outcome
+
+
+@then('the store never holds it')
+def never_held(context):
+    assert [record.key for record in context.topic.records] == [OWNER_KEY]
+
+
 @given('an owner whose last append is late')
 def late_owner(context):
     context.topic = MemoryTopic()
--- a/features/store.feature
+++ b/features/store.feature
@@ -17,6 +17,15 @@
       | lose, then refuse       | unknown |
       | stay silent always      | unknown |
 
+  # The store was away for 4 s. The owner's heartbeat was tried again all the while, and
+  # the jobs that came behind it waited: their clients were told after a second that nobody
+  # knows, and could not ask again.
+  Scenario: A job comes while an earlier append is tried again and again
+    Given an owner whose heartbeat the store refuses for 2 s
+    When a job comes that may wait for 0.3 s for its turn
+    Then its client is told so within 1 s
+    And the store never holds it
+
   # The former owner's append was under way when it was replaced, and lands
   # after its successor's. It must not overwrite what the successor noted.
   Scenario: A late append of a former owner
