--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	$(BIN)/python -m bench.placement
 
 # The cell's decisions against drawn arrivals, beside simpler policies; LOAD is quiet,
-# bursts or outage.
+# bursts, outage, zones or backlog.
 LOAD ?= bursts
 bench-replay: $(STAMP)
 	$(BIN)/python -m bench.replay --load $(LOAD) --seconds 20 --seed $(SEED)
--- a/dandelionreel/cell/_standing.py
+++ b/dandelionreel/cell/_standing.py
@@ -23,8 +23,8 @@
 OWNER_CORES = 1.0
 SMALL_DELAY = 0.5
 #: Hosts that keep the list of runners at hand, being those that claim within half a second.
-#: Runners write every 1.5 s: read by all of 97 hosts, 270 of them were nine tenths of what
-#: the store was read for, and at three times that size more than it lets all hosts read.
+#: Runners write every 1.5 s: read by all of 97 hosts, the entries of 270 of them were a
+#: third of the bytes of the store (0.17 and 0.11 GB in 50 s), and they grow with both.
 SUCCESSORS = 9
 
 
