What waits for an append keeps its order while overdue jobs are refused

Cause (last reading of the diff): the queue was emptied and filled again with pauses between; a record queued in one of them went before older ones of its job, and the store keeps the last. Change: overdue entries are taken out in one step, then told. Test: the store's features; no scenario brings the pause about.

--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/_writer.py
@@ -245,12 +245,11 @@
         Until then its clients did not know what became of it, and one that does not know
         may not ask another host: of each outage's first second, all jobs were lost.
         """
-        waiting = tuple(self._waiting)
-        self._waiting.clear()
-        for entry in waiting:
-            if now < entry.until:
-                self._waiting.append(entry)
-                continue
+        overdue = [entry for entry in self._waiting if entry.until <= now]
+        # Taken out without a pause: what is queued meanwhile stays behind all that waits, or
+        # an older record of a job could land behind its newest.
+        self._waiting = deque(entry for entry in self._waiting if now < entry.until)
+        for entry in overdue:
             await self._give_up(entry)
 
     async def _give_up(self, entry: _Entry) -> None:
