A host that cannot tell its place yet reads the list of runners

Change: a host that the others have not heard of yet reads the list, as all did before. Test: "A host that does not know its place yet" (failed before).

--- a/dandelionreel/cell/_standing.py
+++ b/dandelionreel/cell/_standing.py
@@ -42,8 +42,12 @@
 
 
 def is_successor(member_by_host: Mapping[str, Member], me: str) -> bool:
-    """Return whether ``me`` is one of the hosts that claim first."""
-    return me in rank_hosts(member_by_host)[:SUCCESSORS]
+    """Return whether ``me`` is one of the hosts that claim first, or cannot tell yet.
+
+    A host that waited for its place before it read the list of runners did not know where
+    one is whose entry went meanwhile, and could stop nothing there.
+    """
+    return me not in member_by_host or me in rank_hosts(member_by_host)[:SUCCESSORS]
 
 
 def larger_hosts(member_by_host: Mapping[str, Member], me: str) -> list[str]:
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -81,6 +81,12 @@
     context.read = is_successor(members, hosts[place - 1])
 
 
+@given('a host that no other host has heard of')
+def unheard_host(context):
+    members = {f'h{number}': Member('north', '127.0.0.1', 1) for number in range(97)}
+    context.read = is_successor(members, 'new')
+
+
 @then('the list of runners is {fate}')
 def list_is(context, fate):
     assert context.read is (fate == 'read')
--- a/features/store.feature
+++ b/features/store.feature
@@ -30,6 +30,13 @@
       | 10    | 97    | not read     |
       | 8     | 8     | read         |
 
+  # A host was started, and the owner was killed half a second later. The host had not read
+  # the list of runners, as it did not yet know its place. The entry of a runner with a task
+  # that its client cancelled had gone by then: the task ran on until its lease was over.
+  Scenario: A host that does not know its place yet
+    Given a host that no other host has heard of
+    Then the list of runners is read
+
   Scenario: A host that did not keep the list of runners owns the cell
     Given a follower of a topic that is not wanted
     Then nothing is read
