Followers say that they rest; one patience for one question

Change: the follower keeps whether it rests, asked for in one place; ASK_SECONDS is the election's. No behaviour: a host notices that its place has changed when its follower looks, as for reading itself.

--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -27,8 +27,9 @@
 #: Seconds without a heartbeat after which the owner is asked whether it lives.
 #: Two heartbeats and an append whose answer was lost.
 SILENT_SECONDS = 0.9
-#: Seconds for its answer, for which a claim then waits, and for which its word is
-#: taken at all: by then it has itself asked for a successor.
+#: Seconds for the answer of whoever is asked whether it acts (2 ms, up to a tenth of a
+#: second at an owner in a burst), for which a claim then waits, and for which an owner's
+#: word is taken at all: by then it has itself asked for a successor.
 ASK_SECONDS = 0.25
 ALIVE_SECONDS = 0.5
 LONGEST_EXCUSE = 4.0
--- a/dandelionreel/cell/_follower.py
+++ b/dandelionreel/cell/_follower.py
@@ -91,6 +91,8 @@
         self._wait = wait
         self._pause = pause
         self._wanted = wanted
+        #: Whether the topic is left alone because it is not wanted.
+        self.resting = False
         self._hurried = curio.Event()
         self._offset: int | None = None
         self._size = ReadSize()
@@ -147,7 +149,8 @@
     async def run(self) -> None:
         """Follow for ever."""
         while True:
-            if not self._wanted():
+            self.resting = not self._wanted()
+            if self.resting:
                 self._forget()
                 await self._rest(REST_SECONDS)
                 continue
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -134,7 +134,7 @@
         self._reserved_for = gangs
         return True
 
-    def _gang_news(self, step: StepRun) -> '_GangNews':
+    def _gang_news(self, step: StepRun) -> _GangNews:
         return _GangNews(step.name, self._cell.tickets.of(step.name).answers)
 
     def _usable(self, now: float) -> dict[str, dict[str, RunnerState]]:
--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from dandelionreel.cell._advisors import PeerLinks
+from dandelionreel.cell._election import ASK_SECONDS
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._records import Member
 from dandelionreel.cell._standing import find_deputy
@@ -21,9 +22,6 @@
 #: Seconds for one peer's answer: its append takes some milliseconds, and while
 #: the store is slow as long as two of them, one under way and its own.
 PEER_PATIENCE = 1.0
-#: Seconds for a peer's word that it can act, before a request is handed to it. It takes
-#: 2 ms, and up to a tenth of a second at an owner in a burst.
-ASK_SECONDS = 0.25
 #: Peers that are tried for one request, in random order.
 PEERS_TRIED = 3
 #: Methods of requests that may be handed to any number of peers.
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -273,7 +273,7 @@
         dispatcher = self._dispatcher
         acting = dispatcher is not None and dispatcher.acting and not dispatcher.store_is_failing
         ready = self._may_own() and all(
-            follower.complete and follower.reached for follower in self._needed_followers()
+            one.resting or (one.complete and one.reached) for one in self._followers
         )
         return self._election.answer_asked(frame, acting, ready)
 
@@ -345,15 +345,8 @@
                 self._dispatcher = None
 
     def _may_own(self) -> bool:
-        return not self._stopping and all(one.started for one in self._needed_followers())
-
-    def _needed_followers(self) -> list[Follower]:
-        """Return the followers without which this host cannot own the cell.
-
-        A host that does not keep the list of runners reads it once it owns.
-        """
-        resting = () if self._wants_runners() else (self._runners_follower,)
-        return [follower for follower in self._followers if follower not in resting]
+        # A host that does not keep the list of runners reads it once it owns.
+        return not self._stopping and all(one.started or one.resting for one in self._followers)
 
     async def _update_gauges(self) -> None:
         while True:
