--- a/bench/replay.py
+++ b/bench/replay.py
@@ -246,13 +246,12 @@
 
     def _add_runners(self) -> None:
         registrations = {}
-        capacity = self.load.capacity
         for number in range(self.load.runners):
             zone = number * self.load.zones // self.load.runners
             labels = ('a', f'r-{number // self.load.per_rack}')
             name = f'w{number}'
             registrations[name] = Registration(
-                name, 'desk', '10.0.0.1', number, f'zone-{zone}', capacity, labels, False
+                name, 'desk', '10.0.0.1', number, f'zone-{zone}', self.load.capacity, labels, False
             )
             self._work[name] = {}
         self.cell.see_runners(registrations, 0)
@@ -311,19 +310,15 @@
 
     def _draw_steps(self, kind: Kind) -> Iterable[Step]:
         draw = self._random
+        capacity = self.load.capacity
         count = 1 + (draw.random() < kind.steps - 1)
         for number in range(count):
             seconds = kind.seconds * draw.lognormvariate(-0.12, 0.5)
             yield Step(
                 max(1, round(kind.width * draw.lognormvariate(-0.25, 0.7))),
                 Demand(
-                    int(min(self.load.capacity.cpu, kind.cpu * draw.lognormvariate(-0.08, 0.4))),
-                    int(
-                        min(
-                            self.load.capacity.memory_mb,
-                            kind.memory_mb * draw.lognormvariate(-0.12, 0.5),
-                        )
-                    ),
+                    int(min(capacity.cpu, kind.cpu * draw.lognormvariate(-0.08, 0.4))),
+                    int(min(capacity.memory_mb, kind.memory_mb * draw.lognormvariate(-0.12, 0.5))),
                     0,
                 ),
                 seconds * draw.uniform(1 - kind.guess / 2, 1 + kind.guess),
--- a/dandelionreel/cell/_inquiries.py
+++ b/dandelionreel/cell/_inquiries.py
@@ -167,8 +167,8 @@
     """Return an order of runners that differs from step to step, those with room first.
 
     Asked by most room alone, all steps named the same dozen runners: the first to
-    have its tickets took their room, and smaller rooms stayed empty (worth 0.014
-    less in the mean of three replayed outages, with few questions at a time).
+    have its tickets took their room, the others asked again, and smaller rooms stayed
+    empty while tasks waited that fit there.
     """
 
     def place(entry: tuple[int, RunnerState]) -> tuple[int, int]:
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -98,8 +98,8 @@
 
         Questions that are not urgent are asked only while hosts are free to put
         them, so many at a time. Queued up for a host they keep the order of when
-        they were asked, and a gang's first tickets expire before its last ones come
-        (worth 0.012 less in the mean of three replayed outages).
+        they were asked, and a gang's first tickets expire before its last ones come:
+        they have to be asked for once more while its caller waits.
         """
         candidates = self._ordered(now, wall)
         if not candidates:
--- a/dandelionreel/cell/_reservations.py
+++ b/dandelionreel/cell/_reservations.py
@@ -21,7 +21,7 @@
 #: Gangs that reserve at the same time: so many, and one for so many runners. With 4
 #: for 176 runners a gang waited behind others whose seats were elsewhere; with one for
 #: 6, all runners were reserved after an outage, and batch tasks waited beside a quarter
-#: of the processors (worth 0.011 less in the mean of three replays).
+#: of the processors.
 FEWEST_RESERVING = 4
 RUNNERS_PER_RESERVING = 15
 #: A task may backfill when it ends before the reservation even if it takes this
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -72,8 +72,8 @@
 OWNER_CELL_PAUSE = 0.15
 OWNER_RUNNERS_PAUSE = 0.2
 #: The same on the other hosts. There a client that asks for a job that is not
-#: over ends the pause. Without it the reads of nine hosts were 30,000 calls in
-#: 46 s, 0.049 of the day's worth.
+#: over ends the pause. Without it nine hosts made 31,000 calls to the store
+#: in 46 s, with it 9,000.
 CELL_PAUSE = 0.25
 RUNNERS_PAUSE = 2.0
 OPERATOR_PAUSE = 0.1
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -23,8 +23,13 @@
 
     def __init__(self, status):
         self._status = status
+        #: Whether the next question gets no answer.
+        self.deaf = False
 
     async def ask(self, member, message, timeout):
+        if self.deaf:
+            self.deaf = False
+            raise PeerError('no answer in time', Verdict.UNKNOWN)
         if isinstance(message, OwnerAsked):
             return Frame(1, 'peer/1', 0, 0, Done())
         answer = ForwardAnswer(Answer(self._status))
@@ -85,17 +90,8 @@
 
 @given('it is deaf to the next question')
 def deaf_once(context):
-    answering = context.relay._links.ask
     context.relay._links.deaf = True
 
-    async def ask(member, message, timeout):
-        if context.relay._links.deaf:
-            context.relay._links.deaf = False
-            raise PeerError('no answer in time', Verdict.UNKNOWN)
-        return await answering(member, message, timeout)
-
-    context.relay._links.ask = ask
-
 
 @then('no job was handed to it')
 def nothing_handed(context):
--- a/features/steps/release_steps.py
+++ b/features/steps/release_steps.py
@@ -5,7 +5,7 @@
 
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._records import ATTENDED_KEY, OWNER_KEY, Attended, Owner, make_record
-from features.store_parts import LONG, Host, make_dispatcher
+from features.store_parts import Host, make_dispatcher
 from standins import MemoryTopic
 
 SLOW = 0.5
@@ -25,15 +25,13 @@
 @when('it releases the cell to a third owner')
 def releases_to_third(context):
     async def own_and_release():
-        await curio.spawn(context.host.follower.run, daemon=True)
-        term = await context.host.claim(LONG)
+        term = await context.host.own()
         dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
         dispatcher._begin()
         await curio.spawn(dispatcher._desk.writer.run, daemon=True)
         await dispatcher._release()
         third = Host('next', context.topic, context.host.clock)
-        await curio.spawn(third.follower.run, daemon=True)
-        return dispatcher, third, await third.claim(LONG)
+        return dispatcher, third, await third.own()
 
     context.dispatcher, third, term = curio.run(own_and_release)
     assert context.dispatcher.cell.unseen == {'w9'}
@@ -71,8 +69,7 @@
 @when('it is told to end')
 def told_to_end(context):
     async def own_and_end():
-        await curio.spawn(context.host.follower.run, daemon=True)
-        term = await context.host.claim(LONG)
+        term = await context.host.own()
         dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
         context.topic.delay = SLOW
         running = await curio.spawn(dispatcher.run)
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -102,12 +102,12 @@
         return await super().snapshot()
 
 
-@given('a follower of a topic that is not wanted')
-def unwanted(context):
-    context.topic = CountedTopic()
+def make_follower(context, topic, jobs):
+    """Make a follower of a topic in which these jobs stand."""
+    context.topic = topic
     submission = Submission('q', 'desk', 0.0, JobSpec('payload', (step(),)))
-    curio.run(context.topic.append, [make_record(f'{SUBMISSION}x', submission)], LONG)
-    context.wanted = False
+    for job in jobs:
+        curio.run(topic.append, [make_record(f'{SUBMISSION}{job}', submission)], LONG)
     context.folder = JobFolder(SystemClock(), journal())
     context.follower = Follower(
         'cell',
@@ -121,6 +121,12 @@
     )
 
 
+@given('a follower of a topic that is not wanted')
+def unwanted(context):
+    context.wanted = False
+    make_follower(context, CountedTopic(), 'x')
+
+
 @then('nothing is read')
 def nothing_read(context):
     curio.run(curio.ignore_after, 0.05, context.follower.run)
@@ -162,15 +168,9 @@
 
 @given('a follower that has 1 MB to read, and a link on which 0.3 MB come in time')
 def slow_link(context):
-    unwanted(context)
     context.wanted = True
-    context.topic = SlowTopic()
-    context.follower._topic = context.topic
+    make_follower(context, SlowTopic(), [f'{number}' for number in range(20)])
     context.follower._offset = 0
-    for number in range(20):
-        submission = Submission('q', 'desk', 0.0, JobSpec('payload', (step(),)))
-        record = make_record(f'{SUBMISSION}{number}', submission)
-        curio.run(context.topic.append, [record], LONG)
 
 
 @when('it follows')
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -19,7 +19,7 @@
 )
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
-from features.store_parts import DRIFT, LONG, Host, journal, make_dispatcher, until
+from features.store_parts import DRIFT, Host, journal, make_dispatcher, until
 from standins import MemoryTopic
 
 
@@ -34,11 +34,7 @@
 
 @when('it owns the cell')
 def late_host_owns(context):
-    async def claim():
-        await curio.spawn(context.host.follower.run, daemon=True)
-        return await context.host.claim(LONG)
-
-    term = curio.run(claim)
+    term = curio.run(context.host.own)
     assert term.epoch == 5
     host = context.host
     context.dispatcher = make_dispatcher(host, term, context.topic, host.clock)
--- a/features/steps/wait_steps.py
+++ b/features/steps/wait_steps.py
@@ -25,7 +25,7 @@
 from dandelionreel.cell._services import RecordBatch
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import step
-from features.store_parts import DRIFT, LONG, Host, journal, make_dispatcher
+from features.store_parts import DRIFT, Host, journal, make_dispatcher
 from standins import MemoryTopic
 
 ALL_LEASES = AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
@@ -48,11 +48,7 @@
 
 @when('that host owns the cell')
 def owns(context):
-    async def claim():
-        await curio.spawn(context.host.follower.run, daemon=True)
-        return await context.host.claim(LONG)
-
-    term = curio.run(claim)
+    term = curio.run(context.host.own)
     context.dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
     context.dispatcher._begin()
 
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -51,6 +51,11 @@
             raise PeerError('no answer', Verdict.UNKNOWN)
         return Frame(1, 'peer', 0.0, 0.0, self.word)
 
+    async def own(self):
+        """Follow the topic, and return the term once the cell is owned."""
+        await curio.spawn(self.follower.run, daemon=True)
+        return await self.claim(LONG)
+
     async def claim(self, seconds):
         """Return the term, ``None`` where none was won in time."""
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
