Each run that is lost with its runner gets a line, and its place in a job's story

Cause for the change: of the tasks that crash runners, no line told which runs a runner took with it, how long each had been there, and whether the runner was leaving. A run lost with a crashed runner, one lost with its leases and a start that was sent again could not be told apart. Change: one line a run, 40 a runner at the most, with the runner's last answer and the run's age; `explain` shows it as the run's outcome.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -151,14 +151,7 @@
                 epoch=self._desk.term.epoch,
             )
         if state.allocation_by_run and self._desk.leases_ran_out(state):
-            self._desk.journal.tell(
-                Part.WORKERS,
-                f'the leases on {state.id} have run out.',
-                runner=state.id,
-                tasks=len(state.allocation_by_run),
-                epoch=self._desk.term.epoch,
-            )
-            self._desk.cell.runner_lapsed(state.id)
+            self._desk.lapse_runner(state)
         if (
             not state.listed
             and not state.allocation_by_run
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -12,7 +12,7 @@
 from dandelionreel.cell._runs import JobRun
 from dandelionreel.cell._services import KeyedRecord, Runner, Topic
 from dandelionreel.cell._writer import GroupWriter, Written
-from dandelionreel.kernel import Clock, Journal, Part, Signal
+from dandelionreel.kernel import Clock, Journal, Part, Signal, seconds_or_none
 
 #: Seconds for which runners keep what runs there without hearing from us. Long enough for
 #: a zone that is cut off for 6 s, the usual length: looks are 1.5 s apart, and the first one
@@ -25,6 +25,9 @@
 #: claims after 1.1 s of silence at the earliest, and then looks at the runners.
 START_SECONDS = 1.5
 
+#: Lost runs that get a line each when their runner ends: more than one usually holds.
+MOST_TOLD = 40
+
 MakeRunner = Callable[[Registration], Runner]
 
 
@@ -137,8 +140,21 @@
             runner=state.id,
             tasks=len(state.allocation_by_run),
         )
+        self._tell_lost(state)
         self.cell.runner_ended(state.id, proven=proven)
 
+    def lapse_runner(self, state: RunnerState) -> None:
+        """Take all that runs on a silent runner for gone: its leases have run out."""
+        self.journal.tell(
+            Part.WORKERS,
+            f'the leases on {state.id} have run out.',
+            runner=state.id,
+            tasks=len(state.allocation_by_run),
+            epoch=self.term.epoch,
+        )
+        self._tell_lost(state)
+        self.cell.runner_lapsed(state.id)
+
     def add_runner(self, state: RunnerState) -> Runner:
         """Open the way to a runner."""
         runner = self._make_runner(state.registration)
@@ -150,6 +166,28 @@
         for runner in self.runner_by_id.values():
             await runner.close()
 
+    def _tell_lost(self, state: RunnerState) -> None:
+        """Tell what is lost with a runner, and how long each run had been there.
+
+        ``runner_age`` is how long the runner had not answered, ``seconds`` since when the
+        run was placed: a run that was lost as soon as it was placed may be the cause.
+        """
+        now = self.clock.monotonic()
+        for held in tuple(state.allocation_by_run.values())[:MOST_TOLD]:
+            self.journal.tell(
+                Part.WORKERS,
+                f'a run was lost with {state.id}.',
+                runner=state.id,
+                job=held.task.job,
+                task=held.task.label,
+                run=held.run,
+                epoch=self.term.epoch,
+                phase=held.phase.value,
+                draining=state.draining,
+                runner_age=seconds_or_none(now - state.answered_at),
+                seconds=round(now - held.placed_at, 3),
+            )
+
     def _note_progress(self, jobs: list[JobRun]) -> dict[JobRun, Progress]:
         wall = self.clock.wall()
         progress_by_job = {}
--- a/dandelionreel/records/_again.py
+++ b/dandelionreel/records/_again.py
@@ -16,6 +16,7 @@
         Stage.TURNED_AWAY,
         Stage.MISSING,
         Stage.LAPSED,
+        Stage.LOST,
         Stage.FOUND,
         Stage.STOPPING,
         Stage.STOPPED,
@@ -23,7 +24,9 @@
     ),
 )
 #: Stages of those that say that the run is over, or can't go on.
-OVER = frozenset((Stage.ENDED, Stage.TURNED_AWAY, Stage.MISSING, Stage.LAPSED))
+OVER = frozenset(
+    (Stage.ENDED, Stage.TURNED_AWAY, Stage.MISSING, Stage.LAPSED, Stage.LOST),
+)
 OF_RUNNER = frozenset((Stage.LAPSED, Stage.FOUND))
 #: How a new owner tells that it has waited for the leases on runners it can't reach.
 LAPSE = 'takes the leases on unseen runners for run out'
--- a/dandelionreel/records/_runs.py
+++ b/dandelionreel/records/_runs.py
@@ -11,7 +11,11 @@
 #: Runs of one epoch; a run's number tells its owner where a line has no epoch.
 RUNS_PER_EPOCH = 1000
 #: Stages that end what is known of a run, besides its end.
-GONE = frozenset((Stage.MISSING, Stage.TURNED_AWAY))
+OUTCOME_BY_STAGE = {
+    Stage.MISSING: 'not there',
+    Stage.TURNED_AWAY: 'not taken',
+    Stage.LOST: 'lost with its runner',
+}
 #: What a start says of the age of what its owner knew.
 KNOWLEDGE = ('failures', 'version', 'store_age', 'runner_age')
 _FOUND = re.compile(r'(\S+)/(\d+\.\d+\.\d+) (\d+) ')
@@ -109,10 +113,10 @@
         run.seconds = _seconds(line.more.get('seconds'))
         number = line.more.get('number')
         run.number = number if isinstance(number, int) else None
-    elif line.stage in GONE and run.ended_at is None:
+    elif line.stage in OUTCOME_BY_STAGE and run.ended_at is None:
         run.ended_at = line.at
         run.seen_by = line.host
-        run.outcome = 'not there' if line.stage is Stage.MISSING else 'not taken'
+        run.outcome = OUTCOME_BY_STAGE[line.stage]
 
 
 def _take_noted(line: Told, runs: Iterable[Run]) -> None:
--- a/dandelionreel/records/_stages.py
+++ b/dandelionreel/records/_stages.py
@@ -28,6 +28,7 @@
     TAKEN_OVER = 'taken over'
     OWNERSHIP = 'ownership'
     LAPSED = 'lapsed'
+    LOST = 'lost'
     RUNNER = 'runner'
     STORE = 'store'
     HOST = 'host'
@@ -60,6 +61,7 @@
         (r'workers: found \d+ tasks on ', Stage.FOUND),
         (r'workers: the leases on \S+ have run out', Stage.LAPSED),
         (r'workers: \S+ has ended', Stage.LAPSED),
+        ('workers: a run was lost with ', Stage.LOST),
         ('ownership: owns the cell', Stage.TAKEN_OVER),
     )
 )
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -46,6 +46,7 @@
       | cause             | by | text                                    | fields                    | judged  | words                      |
       | it had failed     | a  | workers: a run has ended failed.        | {"task": "0.0.0", "run": 1001, "runner": "r1"} | fair | a run has ended failed |
       | leases ran out    | a  | workers: the leases on r1 have run out. | {"job": null, "runner": "r1"} | fair | leases on r1 have run out |
+      | its runner ended  | a  | workers: a run was lost with r1.        | {"task": "0.0.0", "run": 1001, "runner": "r1", "seconds": 0.4} | fair | a run was lost with r1 |
       | it was refused    | a  | placement: a start was refused: full.   | {"run": 1001, "runner": "r1"} | fair | a start was refused   |
       | it was not sent   | a  | placement: a start was not answered: x. | {"run": 1001, "runner": "r1", "verdict": "not_run"} | fair | was not answered |
       | it may have come  | a  | placement: a start was not answered: x. | {"run": 1001, "runner": "r1", "verdict": "unknown"} | suspect | of which no line tells |
