Crashes of runners are counted under the tasks that ran there, and kept by run

Cause: only ends that a runner lists were counted. A crashed runner lists none; what it held was set to wait again, with no trace in the owner or the store, and started on the next runner as soon as another life answered at the address. Class: a count of what one is told, which forgets what nobody tells. Ruled out: a count that is lost at take-overs (six starts by one owner), a start that is sent again (each run number on another runner).

Change: a run is lost in a crash when another life answers at its runner's address, and the runner had not said that it leaves; each run counts once, in the store before its task starts again. A run whose start was unanswered when the connection broke counts as close: two of these, or three crashes of any kind, and the job has failed. Their starts are stored before they are sent, so a successor counts what its owner could not. A runner whose connection breaks gets nothing new at once. Runs that were well for 20 s count for nothing.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -26,7 +26,9 @@
 RELOOK_SECONDS = 0.2
 #: Seconds that a look waits for its ends to be stored before the next one.
 STORE_PATIENCE = 0.06
-#: Seconds without an answer after which nothing new is placed on a runner.
+#: Seconds without an answer after which nothing new is placed on a runner. One whose
+#: connection breaks gets nothing at once: its process has probably ended, and each start
+#: that is sent in vain holds its task up for the 3 s until it is back.
 SUSPECT_SECONDS = 0.8
 #: Runs that one line names: at 40 bytes each it stays within 2 KB.
 MOST_NAMED = 40
@@ -83,6 +85,7 @@
         unseen = state.id in self._desk.cell.unseen
         effect = self._desk.cell.viewed(state, view, asked, now)
         self._tell_effect(state, effect, now)
+        self._desk.tell_crashes(effect.crashes)
         self._tell_readable(state, view)
         # The first look of a term also tells that nothing was found: what an earlier
         # owner had sent there never came, and may be started elsewhere.
@@ -140,8 +143,9 @@
 
     async def _miss_runner(self, state: RunnerState, error: RunnerError) -> None:
         now = self._desk.clock.monotonic()
+        first = not state.missed
         state.missed = True
-        if not state.suspect and now - state.answered_at > SUSPECT_SECONDS:
+        if not state.suspect and (error.broken or now - state.answered_at > SUSPECT_SECONDS):
             state.suspect = True
             self._desk.journal.tell(
                 Part.WORKERS,
@@ -159,6 +163,9 @@
         ):
             self._desk.end_runner(state, 'its entry has gone and it does not answer', proven=False)
             return
+        if first and error.broken:
+            # Where only the connection was reset, the next look is answered at once.
+            return
         await curio.sleep(RELOOK_SECONDS)
 
     def _tell_readable(self, state: RunnerState, view: RunnerView) -> None:
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -6,9 +6,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from dandelionreel.cell._crashes import Crash
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._job_runs import JobRuns
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
+from dandelionreel.cell._ledger import NEVER, Allocation, Holding, RunnerState
+from dandelionreel.cell._losses import Losses
 from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun, Phase, StepRun, TaskRun
 from dandelionreel.cell._services import (
@@ -38,6 +40,7 @@
     ended: list[tuple[EndedRun, Allocation | None]] = field(default_factory=list)
     adopted: int = 0
     lost: list[Allocation] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
 
     @property
     def is_news(self) -> bool:
@@ -46,7 +49,7 @@
         Most looks only renew leases. A plan after each of them took a third of the
         plans' time at 270 runners.
         """
-        return bool(self.ended or self.adopted or self.lost)
+        return bool(self.ended or self.adopted or self.lost or self.crashes)
 
 
 class Cell:
@@ -69,6 +72,7 @@
         self._dead: set[str] = set()
         self.gang_timeout = gang_timeout
         self._runs = JobRuns()
+        self._losses = Losses(self.live_by_id)
         self._stops = Stops()
         self._dirty: set[str] = set()
 
@@ -195,23 +199,39 @@
         self.runner_by_id[state.id] = state
         return state
 
-    def runner_ended(self, runner_id: str, *, proven: bool) -> None:
+    def runner_ended(self, runner_id: str, *, proven: bool) -> list[Crash]:
         """Forget a runner on which nothing runs; one ``proven`` to be dead stays so.
 
         An id names one life. The entry of a dead one stays listed for some seconds,
-        and would bring it back, to be looked at in vain, ten times a second.
+        and would bring it back, to be looked at in vain, ten times a second. Returns
+        the crashes under its runs: they count before one of the tasks can start again.
         """
         if proven:
             self._dead.add(runner_id)
         runner = self.runner_by_id.pop(runner_id, None)
         self.unseen.discard(runner_id)
-        if runner is not None:
-            self._lose_all(runner)
+        if runner is None:
+            return []
+        crashes = self._losses.note_end(runner) if proven else []
+        self._lose_all(runner)
+        self._take_crashes(crashes)
+        return crashes
 
     def runner_lapsed(self, runner_id: str) -> None:
         """Every lease that a runner was granted has run out."""
         self.unseen.discard(runner_id)
-        self._lose_all(self.runner_by_id[runner_id])
+        runner = self.runner_by_id[runner_id]
+        self._losses.note_lapse(runner)
+        self._lose_all(runner)
+
+    def give_up_unseen(self) -> list[Crash]:
+        """Take what earlier owners started on unseen runners for gone, and its runners too."""
+        crashes = []
+        for runner_id in self.unseen:
+            crashes.extend(self._losses.note_unseen(runner_id))
+        self.unseen.clear()
+        self._take_crashes(crashes)
+        return crashes
 
     # Starts
 
@@ -236,6 +256,7 @@
             ticket,
             expected=expected,
             checkpoint=task.checkpoint,
+            on_trial=task.suspect,
         )
         self._runs.hold(runner, allocation)
         step.place(task, runner.id, run)
@@ -309,6 +330,9 @@
     def viewed(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> ViewEffect:
         """Take all that a runner lists; ``asked`` is when the look was sent."""
         effect = ViewEffect()
+        if runner.answered_at == NEVER or runner.suspect:
+            effect.crashes = self._losses.note_answer(runner)
+            self._take_crashes(effect.crashes)
         runner.note_clock(view.clock, now)
         runner.answered_at = now
         runner.suspect = False
@@ -369,6 +393,18 @@
         for allocation in self._runs.of_job(job.id):
             self.stop(allocation)
 
+    def _take_crashes(self, crashes: list[Crash]) -> None:
+        for crash in crashes:
+            self._dirty.add(crash.task.job)
+            if crash.given_up:
+                self._stop_job(self.job_by_id[crash.task.job])
+
+    def _note_run_over(self, allocation: Allocation) -> None:
+        job = self.job_by_id.get(allocation.task.job)
+        if job is not None:
+            job.note_run_over(allocation.task, allocation.run)
+            self._dirty.add(job.id)
+
     def _start_settled(self, allocation: Allocation, now: float) -> None:
         if allocation.phase is not Holding.STARTING:
             return
@@ -388,6 +424,7 @@
         job = self.job_by_id.get(ended.task.job)
         if allocation is not None:
             self._runs.free(runner, allocation)
+            self._note_run_over(allocation)
         found = None if job is None else job.find(ended.task)
         if job is None or found is None:
             return allocation
@@ -485,6 +522,7 @@
     def _lose(self, runner: RunnerState, allocation: Allocation) -> None:
         """Drop an allocation that is known to be gone without an end."""
         self._runs.free(runner, allocation)
+        self._note_run_over(allocation)
         job = self.job_by_id.get(allocation.task.job)
         found = None if job is None else job.find(allocation.task)
         if found is None:
--- a/dandelionreel/cell/_checks.py
+++ b/dandelionreel/cell/_checks.py
@@ -5,7 +5,7 @@
 """
 
 from dandelionreel.cell._model import JobSpec, Step
-from dandelionreel.cell._records import Progress
+from dandelionreel.cell._records import CrashedRun, FailedRun, Progress, SuspectStart
 from dandelionreel.cell._unreadable import Reason, UnreadableError
 
 MOST_STEPS = 100
@@ -57,10 +57,15 @@
         step = _find_step(spec, done.occurrence, done.step)
         if int(done.mask, HEX) >> step.count:
             raise _out_of_bounds(f'more tasks of step {done.step} are done than it has')
-    for failed in progress.failed:
-        step = _find_step(spec, failed.occurrence, failed.step)
-        if failed.index >= step.count:
-            raise _out_of_bounds(f'step {failed.step} has no task {failed.index}')
+    rows: tuple[FailedRun | CrashedRun | SuspectStart, ...] = (
+        *progress.failed,
+        *progress.crashed,
+        *progress.starts,
+    )
+    for named in rows:
+        step = _find_step(spec, named.occurrence, named.step)
+        if named.index >= step.count:
+            raise _out_of_bounds(f'step {named.step} has no task {named.index}')
 
 
 def _find_step(spec: JobSpec, occurrence: int, number: int) -> Step:
--- /dev/null
+++ b/dandelionreel/cell/_crashes.py
@@ -0,0 +1,139 @@
+"""Which tasks crash the runners that start them, and when such a task is given up. No I/O.
+
+Load pattern: one task crashes each runner that starts it. The runner is back after some
+seconds and lists no end, so by ends alone the task is started for ever: two such tasks took
+130 runners down in 90 s, and one in nine of the jobs beside them was not served. Up to
+eight other tasks lie on a runner when it crashes, and most of them are not the cause;
+racks and zones crash too. What tells them apart is which start was still unanswered when
+the runner's connections broke, and what happens when a suspect is started by itself.
+"""
+
+from dataclasses import dataclass
+
+from dandelionreel.cell._model import TaskName
+from dandelionreel.cell._records import CrashedRun, SuspectStart
+
+#: Crashes right at its start after which a task is given up. The first one may be chance;
+#: behind it the task is started where nothing else starts, so the second one is not.
+CLOSE_LIMIT = 2
+#: Crashes of any kind after which it is: one that crashes its runner late is never caught
+#: at its start. Three runners that crash by chance under one task leave it late for good.
+CRASH_LIMIT = 3
+#: Crashes of any kind after which a task is a suspect, and is started by itself.
+SUSPECT_CRASHES = 2
+#: Seconds that a run must have been well on its runner to be no cause of its crash, and to
+#: clear its task of earlier ones: a service that runs for weeks outlives many runners.
+SOUND_SECONDS = 20.0
+
+_TaskKey = tuple[int, int, int]
+
+
+@dataclass(frozen=True)
+class Crash:
+    """A runner has crashed under a run; ``close`` as ``CrashedRun`` says.
+
+    ``count`` are all crashes under its task, ``given_up`` says whether it was the last one.
+    """
+
+    task: TaskName
+    run: int
+    runner: str
+    close: bool
+    count: int
+    given_up: bool
+
+
+class JobCrashes:
+    """The crashes of runners under one job's tasks, each counted once by its run."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._runs_by_task: dict[_TaskKey, dict[int, CrashedRun]] = {}
+        self._start_by_task: dict[_TaskKey, SuspectStart] = {}
+        #: Whether a runner of the job was lost with a former owner: what it had started
+        #: there, and whether the runner crashed under it, is not known.
+        self.doubtful = False
+
+    @property
+    def crashed(self) -> tuple[CrashedRun, ...]:
+        """Return all runs that count, as they are stored."""
+        found = [run for runs in self._runs_by_task.values() for run in runs.values()]
+        return tuple(sorted(found, key=_order))
+
+    @property
+    def starts(self) -> tuple[SuspectStart, ...]:
+        """Return the starts of suspects that are under way, as they are stored."""
+        return tuple(sorted(self._start_by_task.values(), key=_order))
+
+    def restore(
+        self,
+        crashed: tuple[CrashedRun, ...],
+        starts: tuple[SuspectStart, ...],
+    ) -> None:
+        """Take what an earlier owner has stored."""
+        for run in crashed:
+            self._runs_by_task.setdefault(_key(run), {})[run.run] = run
+        for start in starts:
+            self._start_by_task[_key(start)] = start
+
+    def note(self, task: TaskName, run: int, *, close: bool) -> bool:
+        """Count a crash under a run; return whether it is news."""
+        key = _key(task)
+        runs = self._runs_by_task.setdefault(key, {})
+        if run in runs:
+            return False
+        runs[run] = CrashedRun(*key, run, close)
+        return True
+
+    def clear(self, task: TaskName) -> bool:
+        """Forget the crashes under a task that is no cause of any; return whether it had one."""
+        return bool(self._runs_by_task.pop(_key(task), None))
+
+    def count(self, task: TaskName) -> int:
+        """Return how many runners have crashed under a task."""
+        return len(self._runs_by_task.get(_key(task), ()))
+
+    def is_suspect(self, task: TaskName) -> bool:
+        """Return whether a task may crash the next runner too, and is to start by itself."""
+        return self._count_close(task) > 0 or self.count(task) >= SUSPECT_CRASHES
+
+    def is_given_up(self, task: TaskName) -> bool:
+        """Return whether a task has crashed so many runners that it is not started again."""
+        return self._count_close(task) >= CLOSE_LIMIT or self.count(task) >= CRASH_LIMIT
+
+    def begin(self, task: TaskName, run: int, runner: str) -> bool:
+        """Note a start that is about to be sent; return whether it is to be stored before.
+
+        An owner may be lost between a start and the crash. A successor that finds the
+        runner gone counts the start that stands in the store; else each owner that is lost
+        would give the task one runner more.
+        """
+        key = _key(task)
+        if not self.doubtful and key not in self._runs_by_task:
+            return False
+        self._start_by_task[key] = SuspectStart(*key, run, runner)
+        return True
+
+    def end(self, task: TaskName, run: int) -> bool:
+        """Note that a run has ended, however; return whether its start was stored."""
+        start = self._start_by_task.get(_key(task))
+        if start is None or start.run != run:
+            return False
+        self._start_by_task.pop(_key(task))
+        return True
+
+    def started_on(self, runner: str) -> list[SuspectStart]:
+        """Return the starts on a runner of which the store tells."""
+        return [start for start in self._start_by_task.values() if start.runner == runner]
+
+    def _count_close(self, task: TaskName) -> int:
+        runs = self._runs_by_task.get(_key(task), {})
+        return sum(run.close for run in runs.values())
+
+
+def _key(named: TaskName | CrashedRun | SuspectStart) -> _TaskKey:
+    return named.occurrence, named.step, named.index
+
+
+def _order(named: CrashedRun | SuspectStart) -> tuple[int, int, int, int]:
+    return named.occurrence, named.step, named.index, named.run
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -5,6 +5,7 @@
 import curio
 
 from dandelionreel.cell._cell import CLOCK_DRIFT, Cell
+from dandelionreel.cell._crashes import Crash
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._ledger import RunnerState
 from dandelionreel.cell._model import Registration
@@ -141,7 +142,7 @@
             tasks=len(state.allocation_by_run),
         )
         self._tell_lost(state)
-        self.cell.runner_ended(state.id, proven=proven)
+        self.tell_crashes(self.cell.runner_ended(state.id, proven=proven))
 
     def lapse_runner(self, state: RunnerState) -> None:
         """Take all that runs on a silent runner for gone: its leases have run out."""
@@ -155,6 +156,22 @@
         self._tell_lost(state)
         self.cell.runner_lapsed(state.id)
 
+    def tell_crashes(self, crashes: list[Crash]) -> None:
+        """Tell under which runs a runner has crashed, and which task is given up for it."""
+        for crash in crashes:
+            outcome = 'its job is given up' if crash.given_up else 'it starts again'
+            self.journal.tell(
+                Part.WORKERS,
+                f'{crash.runner} has crashed under a task: {outcome}.',
+                runner=crash.runner,
+                job=crash.task.job,
+                task=crash.task.label,
+                run=crash.run,
+                epoch=self.term.epoch,
+                close=crash.close,
+                crashes=crash.count,
+            )
+
     def add_runner(self, state: RunnerState) -> Runner:
         """Open the way to a runner."""
         runner = self._make_runner(state.registration)
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -18,6 +18,10 @@
 DRAIN_SECONDS = 2.0
 #: Seconds that the news of a drain may have been under way: a read every 0.2 s.
 ENTRY_AGE = 0.3
+#: Seconds that a suspect must have been well on a runner before anything else starts
+#: there. A task that crashes its runner does so within milliseconds of its start; all
+#: that starts beside it meanwhile would be lost with it.
+TRIAL_SECONDS = 0.5
 
 
 class Holding(enum.Enum):
@@ -50,6 +54,17 @@
     checkpoint: str = ''
     #: Whether ``demand`` is what the run takes; of a job that is not known nothing is.
     known: bool = True
+    #: Whether its task is a suspect: nothing else starts there until it has proved well.
+    on_trial: bool = False
+    #: Whether a try of its start may have arrived and was not answered.
+    unanswered: bool = False
+    #: Whether the connection broke while the answer to its first try was out.
+    broken: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the run may have been on its runner."""
+        return self.unanswered or self.started_at is not None
 
 
 class RunnerState:
@@ -87,6 +102,8 @@
         self.kept_end: int | None = None
         #: Whether all that the last look listed could be read.
         self.readable = True
+        #: Runs of suspects that have not proved well yet.
+        self._trials: list[Allocation] = []
         self._clock = 0.0
         self._clock_at = NEVER
         self._lease_until = 0.0
@@ -114,8 +131,22 @@
             # What is being stopped has its room until it is gone. Counted as nothing, it
             # and what was started beside it took more than the runner has.
             return False
+        if self._trials and self._is_on_trial(now):
+            return False
         return self.knows_clock() and now >= self.quiet_until
 
+    def takes(self, *, suspect: bool) -> bool:
+        """Return whether a task may start beside those that were placed in the same plan.
+
+        A suspect starts by itself: of two starts that are under way when the runner
+        crashes, neither could be told to be the cause.
+        """
+        if self._trials:
+            return False
+        if not suspect:
+            return True
+        return all(held.phase is not Holding.STARTING for held in self.allocation_by_run.values())
+
     @property
     def acknowledgeable(self) -> int:
         """Return the highest end that may be acknowledged once its effect is stored."""
@@ -141,6 +172,8 @@
         self.used = self.used + allocation.demand
         self.room = self.room - allocation.demand
         self.unknown += not allocation.known
+        if allocation.on_trial:
+            self._trials.append(allocation)
 
     def free(self, allocation: Allocation) -> None:
         """Stop counting an allocation; more than once does no harm."""
@@ -148,6 +181,8 @@
             self.used = self.used - allocation.demand
             self.room = self.room + allocation.demand
             self.unknown -= not allocation.known
+            if allocation in self._trials:
+                self._trials.remove(allocation)
 
     def count_step(self, step: StepName) -> int:
         """Return how many runs of a step are held, those being stopped too.
@@ -198,6 +233,14 @@
             return False
         return self._clock + (now - self._clock_at) * (1 - drift) > self._lease_until
 
+    def _is_on_trial(self, now: float) -> bool:
+        self._trials = [
+            trial
+            for trial in self._trials
+            if trial.started_at is None or now < trial.started_at + TRIAL_SECONDS
+        ]
+        return bool(self._trials)
+
 
 def expected_end(allocation: Allocation, now: float) -> float:
     """Return when a run is thought to end, in monotonic seconds."""
--- /dev/null
+++ b/dandelionreel/cell/_losses.py
@@ -0,0 +1,119 @@
+"""What is made of runs that were lost with their runner. No I/O.
+
+A crash is told from a cut, a freeze or an expired entry by one proof only: another life
+answers at the runner's address, though the runner had not said that it would leave. Until
+then a lost run may only be out of reach.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from dandelionreel.cell._crashes import SOUND_SECONDS, Crash
+from dandelionreel.cell._ledger import NEVER, Allocation, RunnerState
+from dandelionreel.cell._model import TaskName
+from dandelionreel.cell._records import SuspectStart
+from dandelionreel.cell._runs import JobRun
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class _Lapsed:
+    """A silent runner whose leases ran out, with what it may have taken with it."""
+
+    runner: str
+    answered_at: float
+    runs: tuple[Allocation, ...]
+
+
+class Losses:
+    """Counts the crashes of runners under the tasks of jobs that are not over."""
+
+    def __init__(self, live_by_id: dict[str, JobRun]) -> None:
+        """Count for the jobs of ``live_by_id``, which others keep."""
+        self._live_by_id = live_by_id
+        self._lapsed_by_address: dict[Address, _Lapsed] = {}
+
+    def note_end(self, runner: RunnerState) -> list[Crash]:
+        """Count what a runner took with it whose life is proven to be over."""
+        if runner.draining:
+            return []
+        crashes = self._count(
+            runner.id, runner.answered_at, tuple(runner.allocation_by_run.values())
+        )
+        lapsed = self._lapsed_by_address.get(_address(runner))
+        if lapsed is not None and lapsed.runner == runner.id:
+            crashes.extend(self._count_lapsed(_address(runner)))
+        if runner.answered_at == NEVER:
+            crashes.extend(self.note_unseen(runner.id))
+        return crashes
+
+    def note_lapse(self, runner: RunnerState) -> None:
+        """Keep what was lost with a silent runner until it is known what became of it."""
+        if not runner.draining:
+            runs = tuple(runner.allocation_by_run.values())
+            self._lapsed_by_address[_address(runner)] = _Lapsed(runner.id, runner.answered_at, runs)
+
+    def note_answer(self, runner: RunnerState) -> list[Crash]:
+        """Take a runner's first answer: it lives, and all that was at its address before is over.
+
+        It must answer, an entry is not enough: entries of former lives land late.
+        """
+        lapsed = self._lapsed_by_address.get(_address(runner))
+        if lapsed is None:
+            return []
+        if lapsed.runner == runner.id:
+            # It was only out of reach.
+            self._lapsed_by_address.pop(_address(runner))
+            return []
+        return self._count_lapsed(_address(runner))
+
+    def note_unseen(self, runner_id: str) -> list[Crash]:
+        """Count what a former owner had stored of a runner that this one never reached.
+
+        Other tasks of the jobs that may have run there were perhaps started too, first
+        starts are not stored one by one: from now on theirs are.
+        """
+        crashes: list[Crash] = []
+        for job in self._live_by_id.values():
+            if job.may_run_on(runner_id):
+                job.crashes.doubtful = True
+            for start in job.crashes.started_on(runner_id):
+                crashes.extend(_take(job, _task(job.id, start), start.run, runner_id, close=False))
+        return crashes
+
+    def _count_lapsed(self, address: Address) -> list[Crash]:
+        lapsed = self._lapsed_by_address.pop(address)
+        return self._count(lapsed.runner, lapsed.answered_at, lapsed.runs)
+
+    def _count(
+        self,
+        runner_id: str,
+        answered_at: float,
+        held: Iterable[Allocation],
+    ) -> list[Crash]:
+        crashes: list[Crash] = []
+        for run in held:
+            job = self._live_by_id.get(run.task.job)
+            if job is None or not run.may_have_run:
+                continue
+            if run.started_at is not None and answered_at - run.started_at >= SOUND_SECONDS:
+                job.clear_crashes(run.task)
+                continue
+            crashes.extend(_take(job, run.task, run.run, runner_id, close=run.broken))
+        return crashes
+
+
+def _take(job: JobRun, task: TaskName, run: int, runner: str, *, close: bool) -> list[Crash]:
+    if not job.note_crashed(task, run, close=close):
+        return []
+    count = job.crashes.count(task)
+    return [Crash(task, run, runner, close, count, job.crashes.is_given_up(task))]
+
+
+def _task(job: str, start: SuspectStart) -> TaskName:
+    return TaskName(job, start.occurrence, start.step, start.index)
+
+
+def _address(runner: RunnerState) -> Address:
+    return runner.registration.address, runner.registration.port
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -41,7 +41,7 @@
         self._desk = desk
 
     async def send_starts(self, allocations: list[Allocation]) -> None:
-        """Send starts; first store the runners that are new to their jobs.
+        """Send starts; first store the runners that are new to their jobs, and suspects' starts.
 
         Waiting for that append costs each job about 6 ms once, of some 600 ms
         that the most urgent ones can spare.
@@ -53,11 +53,10 @@
                 # It was over, and forgotten, before its start could be sent.
                 self._desk.cell.withdraw(allocation)
                 continue
-            job.runners.add(allocation.runner)
-            if job.may_run_on(allocation.runner):
-                await curio.spawn(self._send_start, allocation, daemon=True)
+            if job.note_start(allocation.task, allocation.run, allocation.runner):
+                unstored.setdefault(job.id, []).append(allocation)
                 continue
-            unstored.setdefault(job.id, []).append(allocation)
+            await curio.spawn(self._send_start, allocation, daemon=True)
         if unstored:
             await curio.spawn(self._store_and_send, unstored, daemon=True)
 
@@ -115,6 +114,11 @@
         if state is None or runner is None or job is None:
             self._desk.cell.withdraw(allocation)
             return
+        if state.suspect:
+            # It went silent while the start was on its way to the store. Sent in vain, the
+            # start would hold its task up, and count as one that the runner crashed under.
+            self._desk.cell.withdraw(allocation)
+            return
         self._tell_start(state, allocation, job)
         maybe_sent = await self._try_start(state, runner, allocation, job.spec.payload)
         if maybe_sent is None:
@@ -181,7 +185,13 @@
             try:
                 answer = await runner.start(self._order(state, allocation, payload), check)
             except RunnerError as error:
-                maybe_sent = maybe_sent or error.verdict is not Verdict.NOT_RUN
+                arrived = error.verdict is not Verdict.NOT_RUN
+                # Later tries meet connections that the crash has closed before.
+                allocation.broken = allocation.broken or (
+                    arrived and error.broken and not maybe_sent
+                )
+                maybe_sent = maybe_sent or arrived
+                allocation.unanswered = maybe_sent
                 # Nothing more goes there until it has answered a look: a start that
                 # may have arrived holds its task up until the lease has run out.
                 # Looks alone took 2.1 s to tell that a zone was cut off.
@@ -237,6 +247,9 @@
             await self._desk.lose(f'{state.id} has seen a higher epoch')
             return
         if reply is StartReply.REPLACED:
+            if not in_doubt:
+                # It never ran there, so no crash of the runner counts for it.
+                self._desk.cell.withdraw(allocation)
             self._desk.end_runner(state, 'another runner answers there', proven=True)
         else:
             now = self._desk.clock.monotonic()
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -262,6 +262,8 @@
             if task.phase is not Phase.WAITING:
                 continue
             chosen = choose_seat(step, task, demand, seats)
+            if chosen is None and task.suspect:
+                continue
             if chosen is None:
                 return False
             runner, ticket = chosen
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -71,6 +71,29 @@
     run: Count
 
 
+class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run under which its runner has crashed; kept by run so that one loss counts once.
+
+    ``close`` says that the connection broke while the answer to its start was out.
+    """
+
+    occurrence: Count
+    step: Count
+    index: Count
+    run: Count
+    close: bool = False
+
+
+class SuspectStart(msgspec.Struct, frozen=True, array_like=True):
+    """A start of a task under which runners have crashed, or may have; stored before it is sent."""
+
+    occurrence: Count
+    step: Count
+    index: Count
+    run: Count
+    runner: Text
+
+
 class DoneTasks(msgspec.Struct, frozen=True, array_like=True):
     """Tasks of one step that are done: bit N of ``mask``, in hex, is task N."""
 
@@ -93,6 +116,8 @@
     failed: tuple[FailedRun, ...] = ()
     ended_at: float = 0
     runners: tuple[str, ...] = ()
+    crashed: tuple[CrashedRun, ...] = ()
+    starts: tuple[SuspectStart, ...] = ()
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from dandelionreel.cell._crashes import JobCrashes
 from dandelionreel.cell._model import JobSpec, JobState, Queue, Step, StepName, TaskName
 from dandelionreel.cell._records import (
     FINAL_STATES,
@@ -39,6 +40,8 @@
     failures: int = 0
     #: Runners on which it failed: the next run goes elsewhere if it can.
     avoid: set[str] = field(default_factory=set)
+    #: Whether runners have crashed under it so that it may be the cause.
+    suspect: bool = False
 
 
 class StepRun:
@@ -104,6 +107,7 @@
         self._steps_by_occurrence: dict[int, list[StepRun]] = {}
         self._done_occurrences = 0
         self._failed_runs: set[FailedRun] = set()
+        self.crashes = JobCrashes()
         self._objective: tuple[Queue | None, float] | None = None
         #: Whether the newest progress is not on its way to the store.
         self.dirty = False
@@ -220,6 +224,39 @@
         if task.failures >= most and not step.step.long_running and not self.over:
             self.state = JobState.FAILED
 
+    def note_crashed(self, name: TaskName, run: int, *, close: bool) -> bool:
+        """Count a crash of a runner under a run, once; return whether it is news.
+
+        After too many of them the job has failed, also one whose tasks last.
+        """
+        found = self.find(name)
+        if found is None or self.over or found[1].phase is Phase.DONE:
+            return False
+        if not self.crashes.note(name, run, close=close):
+            return False
+        self.dirty = True
+        found[1].suspect = self.crashes.is_suspect(name)
+        if self.crashes.is_given_up(name):
+            self.state = JobState.FAILED
+        return True
+
+    def clear_crashes(self, name: TaskName) -> None:
+        """Forget the crashes under a task that was well for so long that it caused none."""
+        found = self.find(name)
+        if found is not None and self.crashes.clear(name):
+            found[1].suspect = False
+            self.dirty = True
+
+    def note_start(self, name: TaskName, run: int, runner: str) -> bool:
+        """Note a start that is about to be sent; return whether it must be stored before."""
+        self.runners.add(runner)
+        stored = self.may_run_on(runner)
+        return self.crashes.begin(name, run, runner) or not stored
+
+    def note_run_over(self, name: TaskName, run: int) -> None:
+        """Note that a run is known to be over, however it ended."""
+        self.dirty = self.crashes.end(name, run) or self.dirty
+
     def note_began(self) -> None:
         """Note that a first task runs."""
         if self.began:
@@ -250,6 +287,7 @@
             self._failed_runs.add(failed)
             step = self.steps(failed.occurrence)[failed.step]
             step.tasks[failed.index].failures += 1
+        self._restore_crashes(progress)
         self._skip_done_occurrences()
 
     def take_end(self, progress: Progress | None) -> bool:
@@ -281,8 +319,24 @@
                 done.append(DoneTasks(occurrence, step.name.step, f'{mask:x}'))
         failed = () if self.over else tuple(sorted(self._failed_runs, key=_failed_order))
         state = JobState.CANCELLED if self._shows_cancelled() else self.state
-        runners = () if self.over else tuple(sorted(self.runners))
-        return Progress(epoch, state, tuple(done), failed, self.ended_at, runners)
+        if self.over:
+            return Progress(epoch, state, tuple(done), failed, self.ended_at)
+        return Progress(
+            epoch,
+            state,
+            tuple(done),
+            failed,
+            self.ended_at,
+            tuple(sorted(self.runners)),
+            self.crashes.crashed,
+            self.crashes.starts,
+        )
+
+    def _restore_crashes(self, progress: Progress) -> None:
+        self.crashes.restore(progress.crashed, progress.starts)
+        for crashed in progress.crashed:
+            task = self.steps(crashed.occurrence)[crashed.step].tasks[crashed.index]
+            task.suspect = self.crashes.is_suspect(task.name)
 
     def _shows_cancelled(self) -> bool:
         return self.cancelled and self.state not in {JobState.COMPLETED, JobState.FAILED}
--- a/dandelionreel/cell/_services.py
+++ b/dandelionreel/cell/_services.py
@@ -205,12 +205,17 @@
 
 
 class RunnerError(Exception):
-    """A runner gave no usable answer; the verdict says whether it may have acted."""
+    """A runner gave no usable answer; the verdict says whether it may have acted.
 
-    def __init__(self, message: str, verdict: Verdict) -> None:
-        """Keep the message and the verdict."""
+    ``broken`` says that its connection ended while the answer was out, as it does at once
+    when its process ends; else it was silent.
+    """
+
+    def __init__(self, message: str, verdict: Verdict, *, broken: bool = False) -> None:
+        """Keep the message, the verdict and whether the connection broke."""
         super().__init__(message)
         self.verdict = verdict
+        self.broken = broken
 
 
 class RunnerFenced(Exception):
--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP by h11 on both sides, over curio's sockets."""
 
 from dandelionreel.http._client import (
+    BrokenError,
     Channel,
     Connection,
     ExchangeError,
@@ -37,6 +38,7 @@
     'VERDICT_HEADER',
     'Answer',
     'BadMessage',
+    'BrokenError',
     'Channel',
     'CloseConnection',
     'Connection',
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -87,7 +87,7 @@
             raise
         except (OSError, h11.ProtocolError) as error:
             await self.close()
-            raise ExchangeError(f'broken answer: {error}', sent=progress.sent) from error
+            raise BrokenError(f'broken answer: {error}', sent=progress.sent) from error
         except BaseException:
             await self.close()
             raise
@@ -167,6 +167,10 @@
     """Nothing listens there: the process that did has ended."""
 
 
+class BrokenError(ExchangeError):
+    """The connection ended before the whole answer came; a silent one times out instead."""
+
+
 class ForbiddenError(ExchangeError):
     """The right to send had ended by the time that the bytes could leave."""
 
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -19,7 +19,7 @@
     UnreadableError,
     decode_json,
 )
-from dandelionreel.http import Answer, Channel, ExchangeError, Request
+from dandelionreel.http import Answer, BrokenError, Channel, ExchangeError, Request
 from dandelionreel.kernel import Verdict
 from dandelionreel.platform._views import decode_view
 
@@ -160,7 +160,8 @@
             return await channel.exchange(request, timeout, check)
         except ExchangeError as error:
             verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
-            raise RunnerError(f'{error}', verdict) from error
+            broken = isinstance(error, BrokenError)
+            raise RunnerError(f'{error}', verdict, broken=broken) from error
 
 
 def _read_clock(answer: Answer) -> tuple[float | None, str]:
--- a/dandelionreel/records/_stages.py
+++ b/dandelionreel/records/_stages.py
@@ -62,6 +62,7 @@
         (r'workers: the leases on \S+ have run out', Stage.LAPSED),
         (r'workers: \S+ has ended', Stage.LAPSED),
         ('workers: a run was lost with ', Stage.LOST),
+        (r'workers: \S+ has crashed under a task', Stage.LOST),
         ('ownership: owns the cell', Stage.TAKEN_OVER),
     )
 )
--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -9,7 +9,7 @@
   # soon as the crashed one was back: 130 runners in 90 s. The start of its seventh run
   # still said "failures": 0.
   Scenario: A task crashes each runner that starts it
-    Given the platform and 3 entry hosts
+    Given 3 entry hosts on a platform whose runners may crash
     When a job whose task crashes its runner is handed in, and 6 others
     Then every host tells that it is failed
     And 2 or 3 runners have crashed under its task
@@ -20,7 +20,7 @@
   # stored is lost with it, and a successor that counts from nothing starts the task on one
   # runner after the other, as long as owners die.
   Scenario: Owners die one after the other as runners crash under a task
-    Given the platform and 3 entry hosts
+    Given 3 entry hosts on a platform whose runners may crash
     When a job whose task crashes its runner is handed in, and 0 others
     And the owner is killed 3 times, each time once another runner has crashed
     Then every host tells that it is failed
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -1,11 +1,18 @@
 """Steps on tasks that crash the runners they are started on."""
 
-from behave import then, when
+from behave import given, then, when
 
-from features.steps.platform_steps import DONE, hand_in, task, wait_state
+from features.steps.platform_steps import DONE, hand_in, start_hosts, task, wait_state
 from standins import wait_for
 
 CULPRIT = 1
+#: Addresses that no other feature uses.
+BLOCK = 251
+
+
+@given('{count:d} entry hosts on a platform whose runners may crash')
+def start_crashing(context, count):
+    start_hosts(context, count, BLOCK)
 
 
 def crashed_runs(context):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -17,11 +17,16 @@
 
 @given('the platform and {count:d} entry hosts')
 def start_platform(context, count):
+    start_hosts(context, count)
+
+
+def start_hosts(context, count, block=1):
+    """Start a platform and hosts; features that run at the same time need other blocks."""
     context.platform = UsersPlatform()
     context.platform.start()
     context.stack.callback(context.platform.stop)
     context.platform.configure()
-    context.hosts = EntryHosts(context.platform, count)
+    context.hosts = EntryHosts(context.platform, count, block)
     context.stack.callback(context.hosts.close)
     for name in context.hosts.names:
         context.hosts.start(name)
