A start that its runner has no room for any more is not sent

Cause: room was looked at when a task was placed. The start then waits for the store, up to 0.9 s, and for tries; the runner's entry may meanwhile say that its room has shrunk. Class: a copy that is older than the act that rests on it. Change: asked right before each send, the runner must have room for all that it holds. What runs over its room goes on: it is not stopped for it.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -275,7 +275,11 @@
         if job is None or job.over:
             return False
         runner = self.runner_by_id.get(allocation.runner)
-        return runner is not None and runner.registration.usable and not runner.draining
+        if runner is None or not runner.registration.usable or runner.draining:
+            return False
+        # A start may wait for the store for a second after it was placed. Its runner's
+        # room may have shrunk meanwhile, and it would take more than it has.
+        return runner.has_room_for(allocation)
 
     def start_answered(
         self,
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -147,6 +147,18 @@
             return True
         return all(held.phase is not Holding.STARTING for held in self.allocation_by_run.values())
 
+    def has_room_for(self, allocation: Allocation) -> bool:
+        """Return whether the runner has room for all that it holds, as far as a run takes it.
+
+        Its room may have shrunk since the run was placed there.
+        """
+        room, demand = self.room, allocation.demand
+        return (
+            (room.cpu >= 0 or not demand.cpu)
+            and (room.memory_mb >= 0 or not demand.memory_mb)
+            and (room.gpu >= 0 or not demand.gpu)
+        )
+
     @property
     def acknowledgeable(self) -> int:
         """Return the highest end that may be acknowledged once its effect is stored."""
--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -16,6 +16,14 @@
       | 16000 | is not sent  |
       | 0     | is not sent  |
 
+  # Two starts wait for the store as their runner's room shrinks to that of one of them.
+  Scenario: One of two starts still fits
+    Given a cell with the runners w1
+    And a task of 14000 is decided to start on w1
+    And a task of 14000 is decided to start on w1
+    When w1 says that it has 16000
+    Then one of the two is sent and the other one starts elsewhere later
+
   Scenario Outline: What runs over a room that has shrunk
     Given a cell with the runners w1
     And a task of 20000 runs on w1
