A lost owner's crashes: doubt is stored with the runners; model, scenarios, guards

Cause: the model of what owners count (spec/crashes.py) did not hold at first: an owner that had learned a crash and was lost before its next append left a successor that counted from nothing, and a successor's own doubt was lost with it. Change: doubt is part of a job's progress, which the same append stores as the list of attended runners; of runners that are never reached only those whose entry has gone count. Eight guards more in `make guards`, whose list named two modules that had moved: it could not run at all.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -31,14 +31,14 @@
 GUARDS = (
     Guard(
         'repeats are folded once',
-        'platform/_stream.py',
+        'backing/_stream.py',
         'if self.has_seen(envelope.writer, envelope.number):',
         'if False:',
         'parts.feature:TWICE',
     ),
     Guard(
         'claims wait until a truncated log is covered',
-        'platform/_stream.py',
+        'backing/_stream.py',
         'return self._clock.wall() - self._first_wall >= seconds',
         'return True',
         'parts.feature:MIDDLE',
@@ -102,7 +102,7 @@
     ),
     Guard(
         'a leaving endpoint gets nothing new',
-        'platform/_hosts.py',
+        'backing/_hosts.py',
         "return self.state == 'live'",
         'return True',
         'requests.feature:LEAVES',
@@ -128,6 +128,62 @@
         '            chosen = chosen[:1] * work.tasks\n            if chosen:\n',
         'work.feature:GANG',
     ),
+    Guard(
+        'a runner that says that it leaves has not crashed',
+        'cell/_losses.py',
+        'if runner.draining:',
+        'if False:',
+        'losses.feature:PROOF',
+    ),
+    Guard(
+        'leases that run out are no crash',
+        'cell/_cell.py',
+        'self._losses.note_lapse(runner)',
+        'self._losses.note_end(runner)',
+        'losses.feature:PROOF',
+    ),
+    Guard(
+        'a run that its runner never had counts for nothing',
+        'cell/_losses.py',
+        'or not run.may_have_run',
+        '',
+        'losses.feature:NEVER HAD',
+    ),
+    Guard(
+        'a run that was well for long counts for nothing',
+        'cell/_losses.py',
+        '>= SOUND_SECONDS',
+        '>= 1e9',
+        'losses.feature:NEVER HAD',
+    ),
+    Guard(
+        'a crash counts once',
+        'cell/_crashes.py',
+        'if run in runs:',
+        'if False:',
+        'losses.feature:ONCE',
+    ),
+    Guard(
+        'suspects start by themselves',
+        'cell/_ledger.py',
+        'if self._trials:',
+        'if False:',
+        'losses.feature:SUSPECTS',
+    ),
+    Guard(
+        'first starts of a lost owner raise doubt',
+        'cell/_losses.py',
+        'job.note_doubt()',
+        'pass',
+        'losses.feature:SUCCESSOR',
+    ),
+    Guard(
+        'room is looked at before each send',
+        'cell/_cell.py',
+        'return runner.has_room_for(allocation)',
+        'return True',
+        'capacity.feature:ROOM',
+    ),
 )
 WORDS = {
     'TWICE': 'stands twice',
@@ -142,6 +198,12 @@
     'LEAVES': 'An endpoint leaves',
     'EACH OTHER': 'lose each other',
     'GANG': 'A gang starts',
+    'PROOF': 'What proves that a runner',
+    'NEVER HAD': 'Which runs a runner',
+    'ONCE': 'several exchanges tell',
+    'SUSPECTS': 'Suspects start',
+    'SUCCESSOR': 'What a successor knows',
+    'ROOM': 'between a decision',
     'RENEW': 'An owner dies while the log is out',
 }
 
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -3,7 +3,7 @@
 The dispatcher reports what it has seen and sends what this decides.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from dandelionreel.cell._crashes import Crash
@@ -72,9 +72,9 @@
         self._dead: set[str] = set()
         self.gang_timeout = gang_timeout
         self._runs = JobRuns()
-        self._losses = Losses(self.live_by_id)
         self._stops = Stops()
         self._dirty: set[str] = set()
+        self._losses = Losses(self.live_by_id, self._dirty)
 
     # Jobs
 
@@ -192,6 +192,21 @@
                 known.listed = False
         return fresh
 
+    def note_last_words(
+        self,
+        find_registration: Callable[[str], Registration | None],
+        now: float,
+    ) -> None:
+        """Take what runners whose entries have gone said last: that they leave, for instance.
+
+        Read together with the removal, the word would be missed, and a runner that left as
+        it had said would count as crashed.
+        """
+        for known in self.runner_by_id.values():
+            last = None if known.listed else find_registration(known.id)
+            if last is not None:
+                known.note_registration(last, now)
+
     def add_unlisted(self, registration: Registration) -> RunnerState:
         """Take a runner whose entry has gone, to look at what it still holds."""
         state = RunnerState(registration)
@@ -225,9 +240,15 @@
         self._lose_all(runner)
 
     def give_up_unseen(self) -> list[Crash]:
-        """Take what earlier owners started on unseen runners for gone, and its runners too."""
+        """Take what earlier owners started on unseen runners for gone.
+
+        One whose entry is still there is only out of reach.
+        """
         crashes = []
         for runner_id in self.unseen:
+            known = self.runner_by_id.get(runner_id)
+            if known is not None and known.listed:
+                continue
             crashes.extend(self._losses.note_unseen(runner_id))
         self.unseen.clear()
         self._take_crashes(crashes)
@@ -399,7 +420,6 @@
 
     def _take_crashes(self, crashes: list[Crash]) -> None:
         for crash in crashes:
-            self._dirty.add(crash.task.job)
             if crash.given_up:
                 self._stop_job(self.job_by_id[crash.task.job])
 
--- a/dandelionreel/cell/_losses.py
+++ b/dandelionreel/cell/_losses.py
@@ -29,9 +29,13 @@
 class Losses:
     """Counts the crashes of runners under the tasks of jobs that are not over."""
 
-    def __init__(self, live_by_id: dict[str, JobRun]) -> None:
-        """Count for the jobs of ``live_by_id``, which others keep."""
+    def __init__(self, live_by_id: dict[str, JobRun], dirty: set[str]) -> None:
+        """Count for the jobs of ``live_by_id``; add those that have to be stored to ``dirty``.
+
+        Others keep both.
+        """
         self._live_by_id = live_by_id
+        self._dirty = dirty
         self._lapsed_by_address: dict[Address, _Lapsed] = {}
 
     def note_end(self, runner: RunnerState) -> list[Crash]:
@@ -71,15 +75,18 @@
     def note_unseen(self, runner_id: str) -> list[Crash]:
         """Count what a former owner had stored of a runner that this one never reached.
 
-        Other tasks of the jobs that may have run there were perhaps started too, first
-        starts are not stored one by one: from now on theirs are.
+        Its life is over, or its entry has gone. Other tasks of the jobs that may have run
+        there were perhaps started too, first starts are not stored one by one: from now
+        on theirs are.
         """
         crashes: list[Crash] = []
         for job in self._live_by_id.values():
             if job.may_run_on(runner_id):
-                job.crashes.doubtful = True
+                job.note_doubt()
+                self._dirty.add(job.id)
             for start in job.crashes.started_on(runner_id):
-                crashes.extend(_take(job, _task(job.id, start), start.run, runner_id, close=False))
+                task = _task(job.id, start)
+                crashes.extend(self._take(job, task, start.run, runner_id, close=False))
         return crashes
 
     def _count_lapsed(self, address: Address) -> list[Crash]:
@@ -99,16 +106,25 @@
                 continue
             if run.started_at is not None and answered_at - run.started_at >= SOUND_SECONDS:
                 job.clear_crashes(run.task)
+                self._dirty.add(job.id)
                 continue
-            crashes.extend(_take(job, run.task, run.run, runner_id, close=run.broken))
+            crashes.extend(self._take(job, run.task, run.run, runner_id, close=run.broken))
         return crashes
 
-
-def _take(job: JobRun, task: TaskName, run: int, runner: str, *, close: bool) -> list[Crash]:
-    if not job.note_crashed(task, run, close=close):
-        return []
-    count = job.crashes.count(task)
-    return [Crash(task, run, runner, close, count, job.crashes.is_given_up(task))]
+    def _take(
+        self,
+        job: JobRun,
+        task: TaskName,
+        run: int,
+        runner: str,
+        *,
+        close: bool,
+    ) -> list[Crash]:
+        if not job.note_crashed(task, run, close=close):
+            return []
+        self._dirty.add(job.id)
+        count = job.crashes.count(task)
+        return [Crash(task, run, runner, close, count, job.crashes.is_given_up(task))]
 
 
 def _task(job: str, start: SuspectStart) -> TaskName:
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -107,7 +107,7 @@
 
     ``runners`` are all on which a task of the job may ever have been started:
     it is stored before the first start there, so a successor that cannot reach
-    some runner knows which jobs to leave alone.
+    some runner knows which jobs to leave alone. ``doubtful`` as ``JobCrashes`` says.
     """
 
     epoch: Count
@@ -118,6 +118,7 @@
     runners: tuple[str, ...] = ()
     crashed: tuple[CrashedRun, ...] = ()
     starts: tuple[SuspectStart, ...] = ()
+    doubtful: bool = False
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -128,7 +128,7 @@
         folder = self._parts.runners
         now = self._clock.monotonic()
         fresh = self._cell.see_runners(folder.registration_by_id, now)
-        self._note_last_words(now)
+        self._cell.note_last_words(folder.find, now)
         for runner_id in self._cell.unseen - self._cell.runner_by_id.keys():
             # Its entry has gone, but it may live and hold tasks.
             registration = folder.find(runner_id)
@@ -138,19 +138,6 @@
             runner = self._desk.add_runner(state)
             await start_task(stack, self._attendant.attend, state, runner)
 
-    def _note_last_words(self, now: float) -> None:
-        """Take what runners whose entries have gone said last: that they leave, for instance.
-
-        Read together with the removal, the word would be missed, and a runner that left as
-        it had said would count as crashed.
-        """
-        for state in self._cell.runner_by_id.values():
-            if state.listed:
-                continue
-            registration = self._parts.runners.find(state.id)
-            if registration is not None:
-                state.note_registration(registration, now)
-
     async def _drop_old_jobs(self) -> None:
         """Drop the keys of jobs that ended long ago."""
         now = self._clock.monotonic()
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -240,6 +240,11 @@
             self.state = JobState.FAILED
         return True
 
+    def note_doubt(self) -> None:
+        """Note that runners may have crashed under its tasks, of which nothing is known."""
+        self.dirty = self.dirty or not self.crashes.doubtful
+        self.crashes.doubtful = True
+
     def clear_crashes(self, name: TaskName) -> None:
         """Forget the crashes under a task that was well for so long that it caused none."""
         found = self.find(name)
@@ -330,10 +335,12 @@
             tuple(sorted(self.runners)),
             self.crashes.crashed,
             self.crashes.starts,
+            self.crashes.doubtful,
         )
 
     def _restore_crashes(self, progress: Progress) -> None:
         self.crashes.restore(progress.crashed, progress.starts)
+        self.crashes.doubtful = progress.doubtful
         for crashed in progress.crashed:
             task = self.steps(crashed.occurrence)[crashed.step].tasks[crashed.index]
             task.suspect = self.crashes.is_suspect(task.name)
--- /dev/null
+++ b/features/steps/loss_steps.py
@@ -0,0 +1,365 @@
+"""Steps on runs that are lost with their runner, without processes."""
+
+from dataclasses import replace
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import StartReply, WriterFence
+from dandelionreel.cell._attendant import Attendant
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._election import Term
+from dandelionreel.cell._ledger import TRIAL_SECONDS
+from dandelionreel.cell._losses import Losses
+from dandelionreel.cell._model import JobState
+from dandelionreel.cell._orders import Orders
+from dandelionreel.cell._records import CrashedRun, Progress, SuspectStart
+from dandelionreel.cell._services import RunnerError, StartAnswer
+from dandelionreel.kernel import ManualClock, Verdict
+from features.cell_parts import SmallCell, make_registration, step, task
+from features.store_parts import journal
+from standins import MemoryTopic
+
+LONG_WELL = 30
+EARLIER_RUN = 7
+
+
+def make_owner(context, runners=('w1',), progress=None, **fields):
+    """Make an owner that has placed the one task of a job on w1."""
+    context.small = SmallCell(runners, **fields)
+    context.job = context.small.add_job('j1', [step(seconds=60)], progress=progress)
+    (context.start,) = context.small.plan(start=False).starts
+    assert context.start.runner == 'w1', context.start
+
+
+def start_well(context):
+    small = context.small
+    small.cell.start_answered(context.start, StartReply.STARTED, small.now)
+
+
+def another_answers(context):
+    context.small.cell.runner_ended('w1', proven=True)
+
+
+def next_life_answers(context):
+    """Another life registers at w1's address and answers its first look."""
+    small = context.small
+    port = small.registration_by_id.pop('w1').port
+    small.registration_by_id['w1+'] = make_registration('w1+', port=port)
+    small.see_runners()
+    small.look('w1+')
+
+
+@given('an owner with a task that runs on w1')
+def running(context):
+    make_owner(context)
+    start_well(context)
+
+
+@when("another life answers at w1's address")
+def replaced(context):
+    another_answers(context)
+
+
+@when("another life answers at w1's address, to a look, a start and a stop")
+def replaced_thrice(context):
+    state = context.small.cell.runner_by_id['w1']
+    losses = Losses(context.small.cell.live_by_id, set())
+    assert len(losses.note_end(state)) == 1
+    assert not losses.note_end(state)
+    another_answers(context)
+    another_answers(context)
+
+
+@when('the leases on w1 run out')
+def lapse(context):
+    context.small.now += 10
+    context.small.cell.runner_by_id['w1'].suspect = True
+    context.small.cell.runner_lapsed('w1')
+
+
+@when('the leases on w1 run out, then w1 answers')
+def lapse_then_answer(context):
+    lapse(context)
+    context.small.look('w1')
+    next_life_answers(context)
+
+
+@when('the leases on w1 run out, then another life answers')
+def lapse_then_next(context):
+    lapse(context)
+    context.small.cell.runner_ended('w1', proven=False)
+    next_life_answers(context)
+
+
+@when('the leases on w1 run out, then another life is listed')
+def lapse_then_listed(context):
+    lapse(context)
+    port = context.small.registration_by_id['w1'].port
+    context.small.registration_by_id['w1+'] = make_registration('w1+', port=port)
+    context.small.see_runners()
+
+
+@when('w1 says that it leaves, then another life answers')
+def leaves(context):
+    context.small.drain('w1')
+    another_answers(context)
+
+
+@when('w1 says that it leaves as its entry goes, then another answers')
+def leaves_unheard(context):
+    small = context.small
+    last = replace(small.registration_by_id.pop('w1'), draining=True)
+    small.see_runners()
+    small.cell.note_last_words({'w1': last}.get, small.now)
+    another_answers(context)
+
+
+@then('the task waits with {count:d} crashes')
+def waits(context, count):
+    found = context.job.find(task('j1'))
+    assert context.job.state is not JobState.FAILED
+    assert not found[1].runner, found
+    assert context.job.crashes.count(task('j1')) == count, context.job.crashes.crashed
+
+
+@then('the task waits with {count:d} crashes, {close:d} of them close')
+def waits_close(context, count, close):
+    waits(context, count)
+    assert sum(run.close for run in context.job.crashes.crashed) == close
+
+
+@given('an owner with a task whose start on w1 {became}')
+def start_became(context, became):
+    make_owner(context)
+    start = context.start
+    start.unanswered = became in {'broke its connection', 'was met with silence'}
+    start.broken = became == 'broke its connection'
+    if became.startswith('was answered'):
+        start_well(context)
+    if 'stop' in became:
+        context.small.cell.stop(start)
+    if '30 s' in became:
+        context.small.now += LONG_WELL
+        context.small.look('w1', running=[(start.task, start.run)])
+
+
+@given('an owner with a task under which {before}')
+def crashed_before(context, before):
+    count = int(before[0]) if before[0].isdigit() else 0
+    close = 'closely' in before
+    crashed = tuple(CrashedRun(0, 0, 0, EARLIER_RUN + number, close) for number in range(count))
+    make_owner(context, progress=Progress(1, JobState.RUNNING, crashed=crashed))
+    context.start.unanswered = context.start.broken = 'broke w1' in before
+    if not context.start.broken:
+        start_well(context)
+    if '30 s' in before:
+        context.small.now += LONG_WELL
+        context.small.look('w1', running=[(context.start.task, context.start.run)])
+
+
+@when("its job is {over}, and another life answers at w1's address")
+def over_before(context, over):
+    if over == 'cancelled':
+        context.small.cancel('j1')
+    else:
+        # Listed by a former owner's runner: the run on w1 is still being stopped.
+        context.job.note_done(task('j1'))
+    another_answers(context)
+
+
+@then('its job is told as {state}')
+def job_state(context, state):
+    assert context.job.progress(1, 0.0).state is JobState(state), context.job.state
+
+
+@given('an owner with 3 runners, of which w1 and w2 have work')
+def busy_owner(context):
+    context.small = SmallCell(('w1', 'w2', 'w3', 'w4'))
+    context.small.add_job('j1', [step(9000, seconds=60)])
+    context.small.add_job('j2', [step(8000, seconds=60)])
+    context.small.plan()
+    for number, runner in enumerate(('w1', 'w2')):
+        start = context.small.allocations[number]
+        if start.runner != runner:
+            context.small.cell.runner_by_id[runner].hold(replace(start, runner=runner))
+
+
+@when('two tasks break the connection of a fourth runner, which comes back')
+def two_break(context):
+    small = context.small
+    keep = {name: small.registration_by_id.pop(name) for name in ('w1', 'w2', 'w3')}
+    small.see_runners()
+    context.jobs = [small.add_job(f's{number}', [step()]) for number in (1, 2)]
+    starts = small.plan(start=False).starts
+    assert [start.runner for start in starts] == ['w4', 'w4'], starts
+    for start in starts:
+        start.unanswered = start.broken = True
+    small.registration_by_id.update(keep)
+    small.registration_by_id.pop('w4')
+    small.see_runners()
+    small.cell.runner_ended('w4', proven=True)
+    small.add_job('other', [step(count=4, seconds=60)])
+    context.starts = small.plan(start=False).starts
+
+
+@then('one of them starts on the empty runner, and nothing else starts there')
+def one_alone(context):
+    context.runner_by_job = {start.task.job: start.runner for start in context.starts}
+    assert 'w3' in {context.runner_by_job['s1'], context.runner_by_job['s2']}
+    assert sum(start.runner == 'w3' for start in context.starts) == 1, context.starts
+
+
+@then('the other one starts on another runner')
+def other_elsewhere(context):
+    assert context.runner_by_job['s1'] != context.runner_by_job['s2']
+    suspects = {context.runner_by_job['s1'], context.runner_by_job['s2']}
+    others = [start.runner for start in context.starts if start.task.job == 'other']
+    assert suspects.isdisjoint(others), context.starts
+
+
+@then('half a second later other tasks start beside them')
+def beside(context):
+    small = context.small
+    for start in context.starts:
+        small.cell.start_answered(start, StartReply.STARTED, small.now)
+    small.now += TRIAL_SECONDS / 2
+    small.add_job('late', [step(30_000)])
+    small.add_job('beside', [step(20_000)])
+    assert not any(start.runner == 'w3' for start in small.plan().starts)
+    small.now += TRIAL_SECONDS / 2
+    assert [start.task.job for start in small.plan().starts if start.runner == 'w3']
+
+
+@given('a successor of an owner that had stored {stored}')
+def successor(context, stored):
+    crashed, starts = (CrashedRun(0, 0, 0, EARLIER_RUN),), ()
+    if 'first' in stored:
+        crashed = ()
+    else:
+        run = EARLIER_RUN if 'as counted' in stored else EARLIER_RUN + 1
+        starts = (SuspectStart(0, 0, 0, run, 'w2' if 'w2' in stored else 'w1'),)
+    progress = Progress(1, JobState.RUNNING, (), (), 0, ('w1', 'w2'), crashed, starts)
+    context.small = SmallCell(('w1', 'w2'), epoch=2, seen=False)
+    context.small.cell.unseen.add('w1')
+    context.job = context.small.add_job('j1', [step()], progress=progress)
+
+
+@when("it finds that another life answers at w1's address")
+def finds_replaced(context):
+    another_answers(context)
+
+
+@when('the leases on w1 must have run out and its entry {entry}')
+def unseen_given_up(context, entry):
+    if entry == 'has gone':
+        context.small.registration_by_id.pop('w1')
+        context.small.see_runners()
+    context.small.cell.give_up_unseen()
+
+
+@then('it counts {count:d} crashes under the task')
+def counts(context, count):
+    assert context.job.crashes.count(task('j1')) == count, context.job.crashes.crashed
+    if count > 1:
+        assert context.job in context.small.cell.take_dirty()
+
+
+@then('it stores the next start before it is sent')
+def stores_start(context):
+    small = context.small
+    small.look('w2')
+    (start,) = small.plan().starts
+    assert context.job.note_start(start.task, start.run, start.runner)
+    stored = context.job.progress(2, 0.0)
+    assert SuspectStart(0, 0, 0, start.run, start.runner) in stored.starts, stored
+    small.look('w2', ended=[(1, start.task, start.run, 'stopped')])
+    assert not context.job.crashes.starts, 'a run that has ended is still stored'
+
+
+@given('an owner with a task whose runner is stored')
+def stored_runner(context):
+    make_owner(context)
+    context.job.stored_runners.add('w1')
+
+
+@then('its start is sent without another append')
+def without_append(context):
+    assert not context.job.note_start(context.start.task, context.start.run, 'w1')
+
+
+class CountingRunner:
+    """Takes all starts."""
+
+    def __init__(self):
+        self.starts = 0
+
+    async def start(self, order, check):
+        """Answer as started."""
+        self.starts += 1
+        return StartAnswer(StartReply.STARTED, None)
+
+
+class BreakingRunner:
+    """Breaks the connection of each look."""
+
+    async def look(self, epoch, acknowledged, lease_until, wait):
+        """Break it."""
+        raise RunnerError('broken answer', Verdict.UNKNOWN, broken=True)
+
+
+def make_desk(context):
+    return Desk(
+        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
+        context.small.cell,
+        MemoryTopic(),
+        make_registration,
+        10.0,
+        ManualClock(context.small.now),
+        journal(),
+    )
+
+
+@given('an owner with a decided start on w1')
+def decided_start(context):
+    make_owner(context)
+    context.job.stored_runners.add('w1')
+
+
+@when('w1 falls silent before the start is sent')
+def falls_silent(context):
+    desk = make_desk(context)
+    context.runner = desk.runner_by_id['w1'] = CountingRunner()
+    context.small.cell.runner_by_id['w1'].suspect = True
+
+    async def send():
+        await Orders(desk).send_starts([context.start])
+        await curio.sleep(0.05)
+
+    curio.run(send)
+
+
+@then('no start is sent to w1, and the task waits')
+def not_sent(context):
+    assert context.runner.starts == 0
+    waits(context, 0)
+
+
+@given('an owner that looks at w1')
+def looking(context):
+    context.small = SmallCell(('w1',))
+
+
+@when('the connection of the look breaks')
+def look_breaks(context):
+    desk = make_desk(context)
+    state = context.small.cell.runner_by_id['w1']
+    curio.run(Attendant(desk)._look, state, BreakingRunner())
+
+
+@then('nothing is placed on w1 until a look is answered')
+def nothing_placed(context):
+    context.small.add_job('j1', [step()])
+    assert not context.small.plan().starts
+    context.small.look('w1')
+    assert len(context.small.plan().starts) == 1
