Nothing is started by an old list of runners; crashed runs are a metric

Cause: found by asking for each copy of a runner's room how old it may be when a start is sent. A host that can append and not read, or that has just begun to own and has not read the list again since it last did, starts by what runners said long ago: over room that has shrunk, or on one that leaves. Class: a copy older than the act that rests on it, as with starts that waited for the store. Change: a start needs a list that was whole 2.5 s ago at the most; one line when that begins and ends. Conclusion: room, drains and labels are now 2.5 s old at the most in any start.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -71,6 +71,8 @@
         #: Runners that are known to have ended.
         self._dead: set[str] = set()
         self.gang_timeout = gang_timeout
+        #: Runs under which a runner has crashed, in this term.
+        self.crashed_runs = 0
         self._runs = JobRuns()
         self._stops = Stops()
         self._dirty: set[str] = set()
@@ -419,6 +421,7 @@
             self.stop(allocation)
 
     def _take_crashes(self, crashes: list[Crash]) -> None:
+        self.crashed_runs += len(crashes)
         for crash in crashes:
             if crash.given_up:
                 self._stop_job(self.job_by_id[crash.task.job])
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -26,12 +26,23 @@
 #: claims after 1.1 s of silence at the earliest, and then looks at the runners.
 START_SECONDS = 1.5
 
+#: Seconds that the list of runners may be old when a start is sent. A runner whose room
+#: shrinks, or that leaves, says so within 1.5 s, and nobody may overfill it 4.5 s after;
+#: a host that could still append but not read would start by what it read long ago.
+LIST_SECONDS = 2.5
+
 #: Lost runs that get a line each when their runner ends: more than one usually holds.
 MOST_TOLD = 40
 
+ListAge = Callable[[], float]
 MakeRunner = Callable[[Registration], Runner]
 
 
+def always_fresh() -> float:
+    """Return the age of a list of runners that never gets old."""
+    return 0.0
+
+
 class Desk:
     """The cell of one term, the right to act on it, and the way to the store."""
 
@@ -44,8 +55,12 @@
         longest_lease: float,
         clock: Clock,
         journal: Journal,
+        list_age: ListAge = always_fresh,
     ) -> None:
-        """Work under ``term``; leases are cut to ``longest_lease`` seconds."""
+        """Work under ``term``; leases are cut to ``longest_lease`` seconds.
+
+        ``list_age`` tells how old the list of runners is, in seconds.
+        """
         self.term = term
         self.cell = cell
         self.clock = clock
@@ -60,6 +75,7 @@
         #: Why the term was lost, empty while it was not.
         self.lost = ''
         self.runner_by_id: dict[str, Runner] = {}
+        self.list_age = list_age
         self._make_runner = make_runner
 
     async def lose(self, cause: str) -> None:
@@ -87,7 +103,11 @@
         Starting a task again here would run it after such an end was noted.
         """
         fresh = self.clock.monotonic() - self.writer.stored_at < START_SECONDS
-        return fresh and self.may_act()
+        return fresh and self.knows_runners() and self.may_act()
+
+    def knows_runners(self) -> bool:
+        """Return whether the list of runners is new enough to start by it."""
+        return self.list_age() < LIST_SECONDS
 
     def leases_ran_out(self, state: RunnerState) -> bool:
         """Return whether a runner's tasks are gone because nobody renewed them.
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -68,6 +68,7 @@
             parts.longest_lease,
             parts.clock,
             parts.journal,
+            parts.list_age,
         )
         self._orders = Orders(self._desk)
         self._planner = Planner(self.cell)
--- a/dandelionreel/cell/_parts.py
+++ b/dandelionreel/cell/_parts.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
-from dandelionreel.cell._desk import MakeRunner
+from dandelionreel.cell._desk import ListAge, MakeRunner, always_fresh
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._follower import Follower
@@ -31,3 +31,5 @@
     gang_timeout: float
     longest_lease: float
     status_kept: float
+    #: How old the list of runners is, in seconds.
+    list_age: ListAge = always_fresh
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -14,7 +14,7 @@
 from dandelionreel.cell._records import CANCELLATION, PROGRESS, SUBMISSION, make_tombstone
 from dandelionreel.cell._services import KeyedRecord
 from dandelionreel.cell._succession import Succession
-from dandelionreel.kernel import Part, start_task
+from dandelionreel.kernel import Part, seconds_or_none, start_task
 
 #: Seconds between looks at the list of runners, at gangs and at old jobs.
 ROUND_SECONDS = 0.1
@@ -43,6 +43,7 @@
         )
         self.predecessors = Predecessors(desk.term, desk.lease, parts.clock.monotonic())
         self._dropped_at = float('-inf')
+        self._knew_runners = True
 
     def begin(self, now: float) -> None:
         """Take what is known of former owners."""
@@ -63,12 +64,26 @@
     async def _go_round(self, stack: AsyncExitStack, now: float) -> None:
         await self._succession.look(now)
         self._cell.configuration = self._parts.configuration.current
+        self._tell_list_age()
         await self._see_runners(stack)
         self._give_up_unseen(now)
         self._stop_doomed(now)
         self._load.look(now, self._clock.wall(), self._desk.term.epoch)
         await self._drop_old_jobs()
 
+    def _tell_list_age(self) -> None:
+        knows = self._desk.knows_runners()
+        if knows is self._knew_runners:
+            return
+        self._knew_runners = knows
+        outcome = 'starts tasks again' if knows else 'starts nothing'
+        self._journal.tell(
+            Part.PLACEMENT,
+            f'{outcome}, by the age of the list of runners.',
+            epoch=self._desk.term.epoch,
+            list_age=seconds_or_none(self._desk.list_age()),
+        )
+
     def _expect_former_runs(self, now: float) -> None:
         """Remember the runners on which a former owner's tasks may run.
 
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -333,6 +333,7 @@
             gang_timeout=settings.gang_timeout,
             longest_lease=settings.longest_lease,
             status_kept=settings.status_kept,
+            list_age=lambda: self._runners_follower.age(self._clock.monotonic()),
         )
         while True:
             term = await self._election.wait_for_term(self._may_own)
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -42,6 +42,9 @@
         self._store_age = self._gauge('store_age_seconds', 'Age of what is known of the store.')
         self._jobs = self._gauge('jobs_under_way', 'Jobs that are not over, at the owner.')
         self._tasks = self._gauge('tasks', 'Runs held by runners, at the owner.', 'phase')
+        self._crashed = self._gauge(
+            'crashed_runs', 'Runs under which a runner has crashed, in this term of the owner.'
+        )
         self._dropped = self._gauge('log_lines_dropped', 'Log lines that nobody read in time.')
         self._bytes = self._gauge('outside_bytes', 'Bytes to and from servers.', 'kind')
         self._processor = self._gauge('cpu_seconds', 'Processor time of this process.')
@@ -73,6 +76,7 @@
     def _update_cell(self, cell: Cell | None) -> None:
         jobs = cell.job_by_id.values() if cell else ()
         self._jobs.set(sum(not job.over for job in jobs))
+        self._crashed.set(cell.crashed_runs if cell else 0)
         count_by_phase = dict.fromkeys(Holding, 0)
         for runner in cell.runner_by_id.values() if cell else ():
             for allocation in runner.allocation_by_run.values():
--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -55,3 +55,15 @@
   Scenario: A successor finds a runner over its room
     Given a successor that finds a task of 20000 on w1, which says that it has 16000
     Then the task goes on, and a task of 4000 does not start
+
+  # The store answered a host's appends and not its reads. Runners that had shrunk or were
+  # leaving had said so, and the host went on starting tasks by what it had read before.
+  Scenario Outline: The list of runners is old
+    Given an owner whose list of runners is <age> seconds old
+    Then it <outcome>
+
+    Examples:
+      | age | outcome                |
+      | 0.3 | may start tasks        |
+      | 2.4 | may start tasks        |
+      | 2.6 | may not, and says so   |
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -2,8 +2,14 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import Demand
+from dandelionreel.cell import Demand, WriterFence
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._election import Term
+from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_registration, step, task
+from features.steps.report_steps import Lines
+from features.store_parts import Host, journal, make_dispatcher
+from standins import MemoryTopic
 
 MEMORY = 65_536
 
@@ -104,3 +110,39 @@
     job = add(context, cpu)
     context.small.look('w1', running=[(task(job), 1001)])
     assert context.small.used('w1') == cpu
+
+
+@given('an owner whose list of runners is {age:g} seconds old')
+def old_list(context, age):
+    context.small = SmallCell(('w1',))
+    context.desk = Desk(
+        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
+        context.small.cell,
+        MemoryTopic(),
+        make_registration,
+        10.0,
+        ManualClock(context.small.now),
+        journal(),
+        lambda: age,
+    )
+
+
+@then('it may start tasks')
+def may_start(context):
+    assert context.desk.may_start()
+
+
+@then('it may not, and says so')
+def may_not(context):
+    assert not context.desk.may_start()
+    assert context.desk.may_act(), 'it must renew leases all the same'
+    lines = Lines()
+    host = Host('me', MemoryTopic())
+    dispatcher = make_dispatcher(host, context.desk.term, host.follower, host.clock)
+    rounds = dispatcher._rounds
+    rounds._desk, rounds._journal = context.desk, lines
+    rounds._tell_list_age()
+    rounds._tell_list_age()
+    assert lines.told == [
+        ('starts nothing, by the age of the list of runners.', {'epoch': 1, 'list_age': 2.6})
+    ]
