The product's own jobs: a job lost with its workers again and again is parked

An attempt of an idempotent job that lapses with its worker counts for nothing, so a limit of three tries is never reached by a job that crashes each worker. Class: a count of what one is told. Change: the third loss in a row within ten minutes, and each after it, is written as a failure; the book folds records as before, so members of both versions agree. Non- idempotent jobs were never started again. Looked at besides: requests that endpoints fail under have a budget of retries, questions to the policy service a pause, starts four tries. Conclusion: tries are limited also where nobody reports the end.

--- a/dandelionreel/jobs/_settler.py
+++ b/dandelionreel/jobs/_settler.py
@@ -7,6 +7,7 @@
 from dandelionreel.backing import LogError, StreamWriter
 from dandelionreel.jobs._book import JobBook, JobState, Outcome
 from dandelionreel.jobs._desk import Desk
+from dandelionreel.jobs._lapses import judge_lapse
 from dandelionreel.jobs._metrics import JobMetrics
 from dandelionreel.jobs._orders import Orders
 from dandelionreel.jobs._records import AttemptEnded
@@ -85,7 +86,7 @@
                 self._orders.stop_later(self._desk.epoch, task.worker, task.task_id)
 
     async def _settle(self, track: AttemptTrack, epoch: int) -> None:
-        outcome = track.outcome()
+        outcome = self._judge(track)
         record = AttemptEnded(track.job, track.number, epoch, outcome.value)
         self._journal.tell_frequent(
             Part.JOBS,
@@ -106,6 +107,13 @@
         self._metrics.ended(track.customer, outcome.value)
         await self._desk.wake.notify()
 
+    def _judge(self, track: AttemptTrack) -> Outcome:
+        job = self._jobs.get(track.job)
+        if job is None:
+            return track.outcome()
+        earlier = [attempt for attempt in job.attempts if attempt.number < track.number]
+        return judge_lapse(track.outcome(), earlier, self._clock.wall())
+
     def _plan_retry(self, track: AttemptTrack, outcome: Outcome) -> None:
         """Set when the next attempt may come: backoff with full jitter, in budget."""
         if outcome in {Outcome.NOT_STARTED, Outcome.SUCCEEDED, Outcome.STOPPED}:
