The answer of a life that is over is not taken any more; a soak that crashes and shrinks

A look was under way when another exchange met the runner's next life; its answer was then taken into a runner that nobody attends to any more, and what it listed counted as running there. The stand-in made it likely: its looks outlived the crash of their runner and listed the next life's runs, which no connection does; that is mended too. Change: the answer of a look counts only while its runner is attended to. Conclusion: a fault of ours, though made visible by the stand-in.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -67,6 +67,10 @@
         except RunnerError as error:
             await self._miss_runner(state, error)
             return
+        if self._desk.cell.runner_by_id.get(state.id) is not state:
+            # Another exchange has met the next life at its address meanwhile. Taken for
+            # found there, its runs would be under way for ever: nobody looks there again.
+            return
         was_usable = state.usable(asked)
         effect = self._take_view(state, view, asked)
         if effect.is_news or not was_usable:
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -108,6 +108,14 @@
     When w1 falls silent before the start is sent
     Then no start is sent to w1, and the task waits
 
+  # A look had been under way for seconds when another exchange met the runner's next life.
+  # Its answer came after that, the runs that it lists were taken for found on a runner that
+  # nobody attends to any more, and their job was under way for ever.
+  Scenario: The answer of a life that is over comes late
+    Given an owner with a task that runs on w1
+    When a look at w1 is answered after another life was met there
+    Then the task waits with 1 crashes
+
   Scenario: A runner's connection breaks
     Given an owner that looks at w1
     When the connection of the look breaks
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -5,7 +5,7 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import StartReply, WriterFence
+from dandelionreel.cell import RunnerView, RunningTask, StartReply, WriterFence
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
@@ -314,6 +314,27 @@
         raise RunnerError('broken answer', Verdict.UNKNOWN, broken=True)
 
 
+class LateRunner:
+    """Answers a look for a life that another exchange has found to be over meanwhile."""
+
+    def __init__(self, context):
+        self.context = context
+
+    async def look(self, epoch, acknowledged, lease_until, wait):
+        """List what ran before."""
+        start = self.context.start
+        another_answers(self.context)
+        listed = RunningTask(start.task, start.run, '', 0, 0.0)
+        return RunnerView(self.context.small.now, (listed,), ())
+
+
+@when('a look at w1 is answered after another life was met there')
+def late_answer(context):
+    desk = make_desk(context)
+    state = context.small.cell.runner_by_id['w1']
+    curio.run(Attendant(desk)._look, state, LateRunner(context))
+
+
 def make_desk(context):
     return Desk(
         Term(1, 'me/1', WriterFence(1, 1), None, False, False),
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -9,7 +9,14 @@
     exchange,
     wait_until,
 )
-from standins._entry_hosts import EntryHosts, doubled_runs, overfull, wait_for
+from standins._entry_hosts import (
+    EntryHosts,
+    crashes_by_task,
+    doubled_runs,
+    overfull,
+    started_over,
+    wait_for,
+)
 from standins._evidence import (
     over_filled,
     over_slots,
@@ -35,6 +42,7 @@
     'Reply',
     'Run',
     'UsersPlatform',
+    'crashes_by_task',
     'doubled_runs',
     'exchange',
     'over_filled',
@@ -43,6 +51,7 @@
     'overlapping',
     'repeated',
     'requests_by_mark',
+    'started_over',
     'wait_for',
     'wait_until',
 )
--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -6,12 +6,13 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from dataclasses import dataclass
 from http.client import HTTPConnection
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from standins._users_platform import Run, UsersPlatform
+from standins._users_platform import Room, Run, UsersPlatform
 
 SETTINGS = """\
 node = "{name}"
@@ -33,6 +34,9 @@
 METRICS_PORT = 9464
 #: Seconds that nothing here takes on any machine.
 LONG = 60
+#: Seconds after which no start may rest on the room that a runner had before: 3 s in touch
+#: and one heartbeat of 1.5 s.
+ROOM_SECONDS = 4.5
 
 
 @dataclass(frozen=True)
@@ -186,6 +190,39 @@
     return run.began
 
 
+def crashes_by_task(runs: list[Run]) -> dict[str, int]:
+    """Return how many runners have crashed under each task."""
+    return Counter(run.task for run in runs if run.how == 'crashed')
+
+
+def started_over(runs: list[Run], rooms_by_runner: dict[str, list[Room]]) -> list[str]:
+    """Return the starts that brought a runner over the room that it had said for long."""
+    found = []
+    for run in runs:
+        held = sum(
+            other.cpu
+            for other in runs
+            if other.runner == run.runner
+            and other.began <= run.began
+            and (other.ended is None or other.ended > run.began)
+        )
+        if held > _room_at(rooms_by_runner[run.runner], run.began):
+            found.append(f'{run.task} on {run.runner}')
+    return found
+
+
+def _room_at(rooms: list[Room], at: float) -> int:
+    """Return the most that a runner has said within the time that hosts have to hear it."""
+    said = rooms[0][1]
+    recent = []
+    for since, cpu in rooms:
+        if since <= at - ROOM_SECONDS:
+            said = cpu
+        elif since <= at:
+            recent.append(cpu)
+    return max([said, *recent])
+
+
 def overfull(runs: list[Run], capacity: int = 8000) -> list[str]:
     """Return the runners that held more than their processors at some time."""
     found = []
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -145,6 +145,10 @@
         return self._topic_by_name.setdefault(name, _Topic())
 
 
+#: Since when a runner has so many processors: monotonic seconds, thousandths.
+Room = tuple[float, int]
+
+
 @dataclass
 class Run:
     """One run as its runner saw it; times are monotonic seconds."""
@@ -172,8 +176,8 @@
         """Record every run in ``runs``."""
         self.name = name
         self.dark = False
-        #: What the runner says that it has, and since when: monotonic seconds, processors.
-        self.rooms: list[tuple[float, int]] = [(0.0, FULL_CPU)]
+        #: What the runner has said that it has, the latest last.
+        self.rooms: list[Room] = [(0.0, FULL_CPU)]
         #: Called with the runner once it has crashed under a task.
         self.on_crash: Callable[[PlatformRunner], Awaitable[None]] | None = None
         self._runs = runs
@@ -291,8 +295,12 @@
         self._ends = [end for end in self._ends if end[0] > asked['acked_through']]
         self._deadline = max(self._deadline, asked.get('deadline_ms', 0) / 1000)
         until = time.monotonic() + asked.get('wait_ms', 0) / 1000
+        life = self.name
         while not self._ends and time.monotonic() < until:
             await curio.sleep(LOOK_STEP)
+            if self.dark or self.name != life:
+                # A crash ends all connections; the next life answers no look at this one.
+                raise CloseConnection
             self.advance()
         running = [[run.task, run.number, '', 0, 0] for run in self._run_by_task.values()]
         body = {
@@ -322,6 +330,8 @@
         self._place_by_runner: dict[PlatformRunner, str] = {}
         self._relayed: dict[str, str] = {}
         self._lives = 0
+        #: By every name that a runner had.
+        self.rooms_by_name: dict[str, list[Room]] = {}
         for runner in self.runners:
             runner.on_crash = self._bring_back
         self._ready = threading.Event()
@@ -342,6 +352,7 @@
 
     def register(self, runner: PlatformRunner, *, state: str = 'ready') -> None:
         """Write a runner's entry; a relay before it is what others see."""
+        self.rooms_by_name[runner.name] = runner.rooms
         self.store.put('keyed.servers', runner.name, self.entry_of(runner, state))
 
     def entry_of(self, runner: PlatformRunner, state: str = 'ready') -> dict:
