A gang of which one start is taken back is stopped whole, at once

Cause: found by asking what a gang does whose member crashes its runner. The start that was not answered was ordered to stop, which ends its waiting for an answer; the others were looked for only beside starts that still wait. They stayed at work until the runner was back after 3.3 s, and gave up alone at 3 s. Class: a state that two places read differently. Change: whatever takes a start back that may still arrive stops the whole gang. Conclusion: mended by reading, not seen.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -3,7 +3,7 @@
 The dispatcher reports what it has seen and sends what this decides.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from dandelionreel.cell._crashes import Crash
@@ -194,21 +194,6 @@
                 known.listed = False
         return fresh
 
-    def note_last_words(
-        self,
-        find_registration: Callable[[str], Registration | None],
-        now: float,
-    ) -> None:
-        """Take what runners whose entries have gone said last: that they leave, for instance.
-
-        Read together with the removal, the word would be missed, and a runner that left as
-        it had said would count as crashed.
-        """
-        for known in self.runner_by_id.values():
-            last = None if known.listed else find_registration(known.id)
-            if last is not None:
-                known.note_registration(last, now)
-
     def add_unlisted(self, registration: Registration) -> RunnerState:
         """Take a runner whose entry has gone, to look at what it still holds."""
         state = RunnerState(registration)
@@ -334,10 +319,21 @@
             if reply is StartReply.INVALID:
                 step.not_before = now + UNHEALTHY_QUIET
         if in_doubt:
-            self.stop(allocation)
+            self.take_back(allocation)
             return
         self.withdraw(allocation)
 
+    def take_back(self, allocation: Allocation) -> None:
+        """Take back a start that may still arrive: it counts until a stop has forbidden it.
+
+        A gang cannot come together any more. Its other members would wait for as long as
+        the runner is silent, and give up by themselves.
+        """
+        self.stop(allocation)
+        step = self.step_of(allocation)
+        if step is not None and step.step.gang:
+            self.stop_members(step)
+
     def withdraw(self, allocation: Allocation) -> None:
         """Take back a start of which it is known that it does not run."""
         runner = self.runner_by_id.get(allocation.runner)
--- a/dandelionreel/cell/_losses.py
+++ b/dandelionreel/cell/_losses.py
@@ -5,12 +5,12 @@
 then a lost run may only be out of reach.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from dandelionreel.cell._crashes import SOUND_SECONDS, Crash
 from dandelionreel.cell._ledger import NEVER, Allocation, RunnerState
-from dandelionreel.cell._model import TaskName
+from dandelionreel.cell._model import Registration, TaskName
 from dandelionreel.cell._records import SuspectStart
 from dandelionreel.cell._runs import JobRun
 
@@ -127,6 +127,22 @@
         return [Crash(task, run, runner, close, count, job.crashes.is_given_up(task))]
 
 
+def note_last_words(
+    runners: Iterable[RunnerState],
+    find_registration: Callable[[str], Registration | None],
+    now: float,
+) -> None:
+    """Take what runners whose entries have gone said last: that they leave, for instance.
+
+    Read together with the removal, the word would be missed, and a runner that left as it
+    had said would count as crashed.
+    """
+    for runner in runners:
+        last = None if runner.listed else find_registration(runner.id)
+        if last is not None:
+            runner.note_registration(last, now)
+
+
 def _task(job: str, start: SuspectStart) -> TaskName:
     return TaskName(job, start.occurrence, start.step, start.index)
 
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -124,8 +124,7 @@
         if maybe_sent is None:
             return
         if maybe_sent:
-            # The start may still arrive: it counts until a stop has forbidden it.
-            self._desk.cell.stop(allocation)
+            self._desk.cell.take_back(allocation)
         else:
             if state.suspect:
                 state.quiet_until = self._desk.clock.monotonic() + UNREACHED_QUIET
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -9,6 +9,7 @@
 from dandelionreel.cell._doomed import stop_late_gangs, stop_leaving
 from dandelionreel.cell._election import AUTHORITY_SECONDS
 from dandelionreel.cell._load_report import LoadReport
+from dandelionreel.cell._losses import note_last_words
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._predecessors import Predecessors
 from dandelionreel.cell._records import CANCELLATION, PROGRESS, SUBMISSION, make_tombstone
@@ -143,7 +144,7 @@
         folder = self._parts.runners
         now = self._clock.monotonic()
         fresh = self._cell.see_runners(folder.registration_by_id, now)
-        self._cell.note_last_words(folder.find, now)
+        note_last_words(self._cell.runner_by_id.values(), folder.find, now)
         for runner_id in self._cell.unseen - self._cell.runner_by_id.keys():
             # Its entry has gone, but it may live and hold tasks.
             registration = folder.find(runner_id)
--- a/features/cell.feature
+++ b/features/cell.feature
@@ -111,6 +111,14 @@
     When the gang's share of the timeout has passed
     Then its other members are stopped
 
+  # One member crashed its runner as it started. Its start was taken back, the others were
+  # left at work for the 3.3 s until the runner was back, and gave up alone before.
+  Scenario: A gang of which one start is taken back
+    Given a cell with the runners w1, w2
+    And a gang of 4 tasks of 12000 with one start unanswered
+    When that start is taken back as nobody knows whether it arrived
+    Then its other members are stopped
+
   Scenario: A gang that does not fit at once
     Given a cell with the runners w1, w2
     When a gang of 5 tasks of 12000 is handed in
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -25,6 +25,7 @@
     starts = small.plan(start=False).starts
     assert len(starts) == count
     assert len({start.run for start in starts}) == 1
+    context.unanswered = starts[0]
     for start in starts[1:]:
         small.cell.start_answered(start, StartReply.STARTED, small.now)
 
@@ -35,6 +36,12 @@
     stop_late_gangs(context.small.cell, context.small.now, context.small.now)
 
 
+@when('that start is taken back as nobody knows whether it arrived')
+def gang_taken_back(context):
+    small = context.small
+    small.cell.start_answered(context.unanswered, StartReply.NO_ROOM, small.now, in_doubt=True)
+
+
 @then('its other members are stopped')
 def gang_stopped(context):
     assert len(context.small.cell.take_stops()) == 4
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -10,7 +10,7 @@
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._ledger import TRIAL_SECONDS
-from dandelionreel.cell._losses import Losses
+from dandelionreel.cell._losses import Losses, note_last_words
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import CrashedRun, Progress, SuspectStart
@@ -111,7 +111,7 @@
     small = context.small
     last = replace(small.registration_by_id.pop('w1'), draining=True)
     small.see_runners()
-    small.cell.note_last_words({'w1': last}.get, small.now)
+    note_last_words(small.cell.runner_by_id.values(), {'w1': last}.get, small.now)
     another_answers(context)
 
 
