--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -44,7 +44,8 @@
 
 @then('its other members are stopped')
 def gang_stopped(context):
-    assert len(context.small.cell.take_stops()) == 4
+    stopped = context.small.cell.take_stops()
+    assert len(stopped) == 4, stopped
 
 
 @when('a gang of {count:d} tasks of {cpu:d} is handed in')
