A quarantined task, not a suspect: that word is a runner's already

Cause: read as a newcomer would, 'suspect' named a runner that does not answer and a task that may crash its runner. Change: tasks are quarantined, their stored starts are StoredStart; names only.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -164,11 +164,11 @@
         'losses.feature:ONCE',
     ),
     Guard(
-        'suspects start by themselves',
+        'quarantined tasks start by themselves',
         'cell/_ledger.py',
-        'if self._trials:',
+        'if self._quarantined:',
         'if False:',
-        'losses.feature:SUSPECTS',
+        'losses.feature:QUARANTINE',
     ),
     Guard(
         'first starts of a lost owner raise doubt',
@@ -201,7 +201,7 @@
     'PROOF': 'What proves that a runner',
     'NEVER HAD': 'Which runs a runner',
     'ONCE': 'several exchanges tell',
-    'SUSPECTS': 'Suspects start',
+    'QUARANTINE': 'Quarantined tasks',
     'SUCCESSOR': 'What a successor knows',
     'ROOM': 'between a decision',
     'RENEW': 'An owner dies while the log is out',
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -264,7 +264,7 @@
             ticket,
             expected=expected,
             checkpoint=task.checkpoint,
-            on_trial=task.suspect,
+            quarantined=task.quarantined,
         )
         self._runs.hold(runner, allocation)
         step.place(task, runner.id, run)
--- a/dandelionreel/cell/_checks.py
+++ b/dandelionreel/cell/_checks.py
@@ -5,7 +5,7 @@
 """
 
 from dandelionreel.cell._model import JobSpec, Step
-from dandelionreel.cell._records import CrashedRun, FailedRun, Progress, SuspectStart
+from dandelionreel.cell._records import CrashedRun, FailedRun, Progress, StoredStart
 from dandelionreel.cell._unreadable import Reason, UnreadableError
 
 MOST_STEPS = 100
@@ -57,7 +57,7 @@
         step = _find_step(spec, done.occurrence, done.step)
         if int(done.mask, HEX) >> step.count:
             raise _out_of_bounds(f'more tasks of step {done.step} are done than it has')
-    rows: tuple[FailedRun | CrashedRun | SuspectStart, ...] = (
+    rows: tuple[FailedRun | CrashedRun | StoredStart, ...] = (
         *progress.failed,
         *progress.crashed,
         *progress.starts,
--- a/dandelionreel/cell/_crashes.py
+++ b/dandelionreel/cell/_crashes.py
@@ -5,13 +5,13 @@
 130 runners down in 90 s, and one in nine of the jobs beside them was not served. Up to
 eight other tasks lie on a runner when it crashes, and most of them are not the cause;
 racks and zones crash too. What tells them apart is which start was still unanswered when
-the runner's connections broke, and what happens when a suspect is started by itself.
+the runner's connections broke, and what happens when a task is started by itself.
 """
 
 from dataclasses import dataclass
 
 from dandelionreel.cell._model import TaskName
-from dandelionreel.cell._records import CrashedRun, SuspectStart
+from dandelionreel.cell._records import CrashedRun, StoredStart
 
 #: Crashes right at its start after which a task is given up. The first one may be chance;
 #: behind it the task is started where nothing else starts, so the second one is not.
@@ -19,8 +19,8 @@
 #: Crashes of any kind after which it is: one that crashes its runner late is never caught
 #: at its start. Three runners that crash by chance under one task leave it late for good.
 CRASH_LIMIT = 3
-#: Crashes of any kind after which a task is a suspect, and is started by itself.
-SUSPECT_CRASHES = 2
+#: Crashes of any kind after which a task is quarantined.
+QUARANTINE_CRASHES = 2
 #: Seconds that a run must have been well on its runner to be no cause of its crash, and to
 #: clear its task of earlier ones: a service that runs for weeks outlives many runners.
 SOUND_SECONDS = 20.0
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         """Start with none."""
         self._runs_by_task: dict[_TaskKey, dict[int, CrashedRun]] = {}
-        self._start_by_task: dict[_TaskKey, SuspectStart] = {}
+        self._start_by_task: dict[_TaskKey, StoredStart] = {}
         #: Whether a runner of the job was lost with a former owner: what it had started
         #: there, and whether the runner crashed under it, is not known.
         self.doubtful = False
@@ -61,14 +61,14 @@
         return tuple(sorted(found, key=_order))
 
     @property
-    def starts(self) -> tuple[SuspectStart, ...]:
-        """Return the starts of suspects that are under way, as they are stored."""
+    def starts(self) -> tuple[StoredStart, ...]:
+        """Return the starts under way that are stored one by one."""
         return tuple(sorted(self._start_by_task.values(), key=_order))
 
     def restore(
         self,
         crashed: tuple[CrashedRun, ...],
-        starts: tuple[SuspectStart, ...],
+        starts: tuple[StoredStart, ...],
     ) -> None:
         """Take what an earlier owner has stored."""
         for run in crashed:
@@ -93,9 +93,9 @@
         """Return how many runners have crashed under a task."""
         return len(self._runs_by_task.get(_key(task), ()))
 
-    def is_suspect(self, task: TaskName) -> bool:
-        """Return whether a task may crash the next runner too, and is to start by itself."""
-        return self._count_close(task) > 0 or self.count(task) >= SUSPECT_CRASHES
+    def is_quarantined(self, task: TaskName) -> bool:
+        """Return whether a task is to start by itself, as it may crash the next runner too."""
+        return self._count_close(task) > 0 or self.count(task) >= QUARANTINE_CRASHES
 
     def is_given_up(self, task: TaskName) -> bool:
         """Return whether a task has crashed so many runners that it is not started again."""
@@ -111,7 +111,7 @@
         key = _key(task)
         if not self.doubtful and key not in self._runs_by_task:
             return False
-        self._start_by_task[key] = SuspectStart(*key, run, runner)
+        self._start_by_task[key] = StoredStart(*key, run, runner)
         return True
 
     def end(self, task: TaskName, run: int) -> bool:
@@ -122,7 +122,7 @@
         self._start_by_task.pop(_key(task))
         return True
 
-    def started_on(self, runner: str) -> list[SuspectStart]:
+    def started_on(self, runner: str) -> list[StoredStart]:
         """Return the starts on a runner of which the store tells."""
         return [start for start in self._start_by_task.values() if start.runner == runner]
 
@@ -131,9 +131,9 @@
         return sum(run.close for run in runs.values())
 
 
-def _key(named: TaskName | CrashedRun | SuspectStart) -> _TaskKey:
+def _key(named: TaskName | CrashedRun | StoredStart) -> _TaskKey:
     return named.occurrence, named.step, named.index
 
 
-def _order(named: CrashedRun | SuspectStart) -> tuple[int, int, int, int]:
+def _order(named: CrashedRun | StoredStart) -> tuple[int, int, int, int]:
     return named.occurrence, named.step, named.index, named.run
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -18,10 +18,10 @@
 DRAIN_SECONDS = 2.0
 #: Seconds that the news of a drain may have been under way: a read every 0.2 s.
 ENTRY_AGE = 0.3
-#: Seconds that a suspect must have been well on a runner before anything else starts
+#: Seconds that a quarantined task must have been well on a runner before anything else starts
 #: there. A task that crashes its runner does so within milliseconds of its start; all
 #: that starts beside it meanwhile would be lost with it.
-TRIAL_SECONDS = 0.5
+QUARANTINE_SECONDS = 0.5
 
 
 class Holding(enum.Enum):
@@ -54,8 +54,8 @@
     checkpoint: str = ''
     #: Whether ``demand`` is what the run takes; of a job that is not known nothing is.
     known: bool = True
-    #: Whether its task is a suspect: nothing else starts there until it has proved well.
-    on_trial: bool = False
+    #: Whether nothing else starts there until it has proved well.
+    quarantined: bool = False
     #: Whether a try of its start may have arrived and was not answered.
     unanswered: bool = False
     #: Whether the connection broke while the answer to its first try was out.
@@ -102,8 +102,8 @@
         self.kept_end: int | None = None
         #: Whether all that the last look listed could be read.
         self.readable = True
-        #: Runs of suspects that have not proved well yet.
-        self._trials: list[Allocation] = []
+        #: Quarantined runs that have not proved well yet.
+        self._quarantined: list[Allocation] = []
         self._clock = 0.0
         self._clock_at = NEVER
         self._lease_until = 0.0
@@ -131,19 +131,19 @@
             # What is being stopped has its room until it is gone. Counted as nothing, it
             # and what was started beside it took more than the runner has.
             return False
-        if self._trials and self._is_on_trial(now):
+        if self._quarantined and self._in_quarantine(now):
             return False
         return self.knows_clock() and now >= self.quiet_until
 
-    def takes(self, *, suspect: bool) -> bool:
+    def takes(self, *, quarantined: bool) -> bool:
         """Return whether a task may start beside those that were placed in the same plan.
 
-        A suspect starts by itself: of two starts that are under way when the runner
+        A quarantined task starts by itself: of two starts that are under way when the runner
         crashes, neither could be told to be the cause.
         """
-        if self._trials:
+        if self._quarantined:
             return False
-        if not suspect:
+        if not quarantined:
             return True
         return all(held.phase is not Holding.STARTING for held in self.allocation_by_run.values())
 
@@ -184,8 +184,8 @@
         self.used = self.used + allocation.demand
         self.room = self.room - allocation.demand
         self.unknown += not allocation.known
-        if allocation.on_trial:
-            self._trials.append(allocation)
+        if allocation.quarantined:
+            self._quarantined.append(allocation)
 
     def free(self, allocation: Allocation) -> None:
         """Stop counting an allocation; more than once does no harm."""
@@ -193,8 +193,8 @@
             self.used = self.used - allocation.demand
             self.room = self.room + allocation.demand
             self.unknown -= not allocation.known
-            if allocation in self._trials:
-                self._trials.remove(allocation)
+            if allocation in self._quarantined:
+                self._quarantined.remove(allocation)
 
     def count_step(self, step: StepName) -> int:
         """Return how many runs of a step are held, those being stopped too.
@@ -245,13 +245,13 @@
             return False
         return self._clock + (now - self._clock_at) * (1 - drift) > self._lease_until
 
-    def _is_on_trial(self, now: float) -> bool:
-        self._trials = [
-            trial
-            for trial in self._trials
-            if trial.started_at is None or now < trial.started_at + TRIAL_SECONDS
+    def _in_quarantine(self, now: float) -> bool:
+        self._quarantined = [
+            held
+            for held in self._quarantined
+            if held.started_at is None or now < held.started_at + QUARANTINE_SECONDS
         ]
-        return bool(self._trials)
+        return bool(self._quarantined)
 
 
 def expected_end(allocation: Allocation, now: float) -> float:
--- a/dandelionreel/cell/_losses.py
+++ b/dandelionreel/cell/_losses.py
@@ -11,7 +11,7 @@
 from dandelionreel.cell._crashes import SOUND_SECONDS, Crash
 from dandelionreel.cell._ledger import NEVER, Allocation, RunnerState
 from dandelionreel.cell._model import Registration, TaskName
-from dandelionreel.cell._records import SuspectStart
+from dandelionreel.cell._records import StoredStart
 from dandelionreel.cell._runs import JobRun
 
 Address = tuple[str, int]
@@ -143,7 +143,7 @@
             runner.note_registration(last, now)
 
 
-def _task(job: str, start: SuspectStart) -> TaskName:
+def _task(job: str, start: StoredStart) -> TaskName:
     return TaskName(job, start.occurrence, start.step, start.index)
 
 
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -41,7 +41,9 @@
         self._desk = desk
 
     async def send_starts(self, allocations: list[Allocation]) -> None:
-        """Send starts; first store the runners that are new to their jobs, and suspects' starts.
+        """Send starts; first store the runners that are new to their jobs.
+
+        Starts of tasks under which runners have crashed are stored one by one.
 
         Waiting for that append costs each job about 6 ms once, of some 600 ms
         that the most urgent ones can spare.
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -262,7 +262,7 @@
             if task.phase is not Phase.WAITING:
                 continue
             chosen = choose_seat(step, task, demand, seats)
-            if chosen is None and task.suspect:
+            if chosen is None and task.quarantined:
                 continue
             if chosen is None:
                 return False
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -84,7 +84,7 @@
     close: bool = False
 
 
-class SuspectStart(msgspec.Struct, frozen=True, array_like=True):
+class StoredStart(msgspec.Struct, frozen=True, array_like=True):
     """A start of a task under which runners have crashed, or may have; stored before it is sent."""
 
     occurrence: Count
@@ -117,7 +117,7 @@
     ended_at: float = 0
     runners: tuple[str, ...] = ()
     crashed: tuple[CrashedRun, ...] = ()
-    starts: tuple[SuspectStart, ...] = ()
+    starts: tuple[StoredStart, ...] = ()
     doubtful: bool = False
 
 
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -40,8 +40,8 @@
     failures: int = 0
     #: Runners on which it failed: the next run goes elsewhere if it can.
     avoid: set[str] = field(default_factory=set)
-    #: Whether runners have crashed under it so that it may be the cause.
-    suspect: bool = False
+    #: Whether it starts by itself: runners have crashed under it, and it may be the cause.
+    quarantined: bool = False
 
 
 class StepRun:
@@ -235,7 +235,7 @@
         if not self.crashes.note(name, run, close=close):
             return False
         self.dirty = True
-        found[1].suspect = self.crashes.is_suspect(name)
+        found[1].quarantined = self.crashes.is_quarantined(name)
         if self.crashes.is_given_up(name):
             self.state = JobState.FAILED
         return True
@@ -249,7 +249,7 @@
         """Forget the crashes under a task that was well for so long that it caused none."""
         found = self.find(name)
         if found is not None and self.crashes.clear(name):
-            found[1].suspect = False
+            found[1].quarantined = False
             self.dirty = True
 
     def note_start(self, name: TaskName, run: int, runner: str) -> bool:
@@ -343,7 +343,7 @@
         self.crashes.doubtful = progress.doubtful
         for crashed in progress.crashed:
             task = self.steps(crashed.occurrence)[crashed.step].tasks[crashed.index]
-            task.suspect = self.crashes.is_suspect(task.name)
+            task.quarantined = self.crashes.is_quarantined(task.name)
 
     def _shows_cancelled(self) -> bool:
         return self.cancelled and self.state not in {JobState.COMPLETED, JobState.FAILED}
--- a/dandelionreel/cell/_seating.py
+++ b/dandelionreel/cell/_seating.py
@@ -21,20 +21,20 @@
 def choose_seat(step: StepRun, task: TaskRun, demand: Demand, seats: list[Seat]) -> Seat | None:
     """Return the runner that is left with the least room, of those that fit.
 
-    A suspect goes where the least is lost with it.
+    One that is quarantined goes where the least is lost with it.
     """
     best = None
     best_key = None
     limit = step.step.max_per_runner
     rack = step.step.data_rack
     for runner, ticket in seats:
-        if not demand.fits(runner.room) or not runner.takes(suspect=task.suspect):
+        if not demand.fits(runner.room) or not runner.takes(quarantined=task.quarantined):
             continue
         if limit and runner.count_step(step.name) >= limit:
             continue
         key = (
             runner.id in task.avoid,
-            runner.used.cpu if task.suspect else 0,
+            runner.used.cpu if task.quarantined else 0,
             bool(rack) and rack not in runner.registration.labels,
             _left_over(demand, runner),
         )
@@ -67,13 +67,13 @@
     """Return a runner for each member, or ``None`` when not all fit at once."""
     demand = counted_demand(step)
     limit = step.step.max_per_runner
-    suspect = any(task.suspect for task in step.tasks)
+    quarantined = any(task.quarantined for task in step.tasks)
     seats: list[Seat] = []
     needed = len(step.tasks)
     # Fullest runners first: what stays free stays together.
     ordered = sorted(allowed, key=lambda seat: _left_over(demand, seat[0]))
     for runner, ticket in ordered:
-        if not runner.takes(suspect=suspect):
+        if not runner.takes(quarantined=quarantined):
             continue
         slots = count_slots(demand, runner.room, limit)
         if limit:
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -66,7 +66,7 @@
 
   # Two tasks were under way when a runner crashed. Started together again, neither could be
   # told to be the cause, and all that ran beside them was lost with the next runner.
-  Scenario: Suspects start by themselves, where the least is lost
+  Scenario: Quarantined tasks start by themselves, where the least is lost
     Given an owner with 3 runners, of which w1 and w2 have work
     When two tasks break the connection of a fourth runner, which comes back
     Then one of them starts on the empty runner, and nothing else starts there
@@ -83,12 +83,12 @@
     Examples:
       | stored                             | count |
       | the runner of a first start        | 0     |
-      | a suspect's start on w1            | 2     |
-      | a suspect's start on w1 as counted | 1     |
-      | a suspect's start on w2            | 1     |
+      | a quarantined start on w1            | 2     |
+      | a quarantined start on w1 as counted | 1     |
+      | a quarantined start on w2            | 1     |
 
-  Scenario Outline: A successor that never reaches the runner of a suspect
-    Given a successor of an owner that had stored a suspect's start on w1
+  Scenario Outline: A successor that never reaches the runner of a quarantined task
+    Given a successor of an owner that had stored a quarantined start on w1
     When the leases on w1 must have run out and its entry <entry>
     Then it counts <count> crashes under the task
 
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -9,11 +9,11 @@
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
-from dandelionreel.cell._ledger import TRIAL_SECONDS
+from dandelionreel.cell._ledger import QUARANTINE_SECONDS
 from dandelionreel.cell._losses import Losses, note_last_words
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._records import CrashedRun, Progress, SuspectStart
+from dandelionreel.cell._records import CrashedRun, Progress, StoredStart
 from dandelionreel.cell._services import RunnerError, StartAnswer
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step, task
@@ -219,10 +219,10 @@
     assert context.runner_by_job['s1'] != context.runner_by_job['s2']
     others = [start.runner for start in context.starts if start.task.job == 'other']
     assert others == ['w1'], context.starts
-    assert suspects_of(context) == {'w2', 'w3'}, context.starts
+    assert quarantined_on(context) == {'w2', 'w3'}, context.starts
 
 
-def suspects_of(context):
+def quarantined_on(context):
     return {context.runner_by_job['s1'], context.runner_by_job['s2']}
 
 
@@ -231,10 +231,10 @@
     small = context.small
     for start in context.starts:
         small.cell.start_answered(start, StartReply.STARTED, small.now)
-    small.now += TRIAL_SECONDS / 2
+    small.now += QUARANTINE_SECONDS / 2
     assert not small.plan().starts
-    small.now += TRIAL_SECONDS / 2
-    assert {start.runner for start in small.plan().starts} == suspects_of(context)
+    small.now += QUARANTINE_SECONDS / 2
+    assert {start.runner for start in small.plan().starts} == quarantined_on(context)
 
 
 @given('a successor of an owner that had stored {stored}')
@@ -244,7 +244,7 @@
         crashed = ()
     else:
         run = EARLIER_RUN if 'as counted' in stored else EARLIER_RUN + 1
-        starts = (SuspectStart(0, 0, 0, run, 'w2' if 'w2' in stored else 'w1'),)
+        starts = (StoredStart(0, 0, 0, run, 'w2' if 'w2' in stored else 'w1'),)
     progress = Progress(1, JobState.RUNNING, (), (), 0, ('w1', 'w2'), crashed, starts)
     context.small = SmallCell(('w1', 'w2'), epoch=2, seen=False)
     context.small.cell.unseen.add('w1')
@@ -278,7 +278,7 @@
     (start,) = small.plan().starts
     assert context.job.note_start(start.task, start.run, start.runner)
     stored = context.job.progress(2, 0.0)
-    assert SuspectStart(0, 0, 0, start.run, start.runner) in stored.starts, stored
+    assert StoredStart(0, 0, 0, start.run, start.runner) in stored.starts, stored
     small.look('w2', ended=[(1, start.task, start.run, 'stopped')])
     assert not context.job.crashes.starts, 'a run that has ended is still stored'
 
--- a/spec/crashes.py
+++ b/spec/crashes.py
@@ -175,7 +175,7 @@
     {
         'runs lost with their runner are not counted': {'counts': False},
         'the runners that are gone are stored without the counts': {'stores_together': False},
-        'starts of suspects are not stored': {'stores_starts': False},
+        'starts after a crash are not stored': {'stores_starts': False},
         'first starts of a lost owner raise no doubt': {'doubts': False},
         'one crash counts with each look': {'counts_by_run': False},
         'leases that run out count as a crash': {'proves': False},
