A start tells how many runners have crashed under its task

Cause: its line said "failures": 0 after six crashes; an on-call engineer read it as a first try. Change: one field more, which explain shows with what the owner knew.

--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -31,7 +31,7 @@
 #: a host that could still append but not read would start by what it read long ago.
 LIST_SECONDS = 2.5
 
-#: Lost runs that get a line each when their runner ends: more than one usually holds.
+#: Lost runs that get a line each when their runner ends: several times what one holds.
 MOST_TOLD = 40
 
 ListAge = Callable[[], float]
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -18,9 +18,9 @@
 DRAIN_SECONDS = 2.0
 #: Seconds that the news of a drain may have been under way: a read every 0.2 s.
 ENTRY_AGE = 0.3
-#: Seconds that a quarantined task must have been well on a runner before anything else starts
-#: there. A task that crashes its runner does so within milliseconds of its start; all
-#: that starts beside it meanwhile would be lost with it.
+#: Seconds that a quarantined task must have been well on a runner before anything else
+#: starts there. A task that crashes its runner does so within milliseconds of its start;
+#: all that starts beside it meanwhile would be lost with it.
 QUARANTINE_SECONDS = 0.5
 
 
@@ -138,8 +138,8 @@
     def takes(self, *, quarantined: bool) -> bool:
         """Return whether a task may start beside those that were placed in the same plan.
 
-        A quarantined task starts by itself: of two starts that are under way when the runner
-        crashes, neither could be told to be the cause.
+        A quarantined task starts by itself: of two starts that are under way when the
+        runner crashes, neither could be told to be the cause.
         """
         if self._quarantined:
             return False
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -158,6 +158,7 @@
             f'starts a task on {state.id}.',
             **self._fields(allocation),
             failures=found[1].failures if found else 0,
+            crashes=job.crashes.count(allocation.task),
             version=configuration.version if configuration else None,
             store_age=round(now - self._desk.writer.stored_at, 3),
             runner_age=seconds_or_none(now - state.answered_at),
--- a/dandelionreel/records/_runs.py
+++ b/dandelionreel/records/_runs.py
@@ -17,7 +17,7 @@
     Stage.LOST: 'lost with its runner',
 }
 #: What a start says of the age of what its owner knew.
-KNOWLEDGE = ('failures', 'version', 'store_age', 'runner_age')
+KNOWLEDGE = ('failures', 'crashes', 'version', 'store_age', 'runner_age')
 _FOUND = re.compile(r'(\S+)/(\d+\.\d+\.\d+) (\d+) ')
 
 
