--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -231,7 +231,7 @@
     (run,) = context.story['runs']
     assert run['owner'] == context.killed and run['outcome'] == 'done', run
     assert run['seen_by'] != context.killed and run['noted'] is not None, run
-    assert set(run['knew']) == {'failures', 'version', 'store_age', 'runner_age'}, run
+    assert set(run['knew']) == {'failures', 'crashes', 'version', 'store_age', 'runner_age'}, run
     assert not context.story['again'] and not context.story['not_known'], context.story
 
 
