A runner over its room hides nothing of others, and stands for none of them

Cause: found by asking for each place that reads a runner's room what a shrunk one does there. What tasks may still ask advice for was the sum of all rooms, so a runner that held more than it has took the difference away from the others; and how many runners a step asks about was worked out from the first one in the list. Change: missing room counts as none; the middle one of all runners stands for them.

--- a/dandelionreel/cell/_inquiries.py
+++ b/dandelionreel/cell/_inquiries.py
@@ -16,7 +16,7 @@
 
 from dandelionreel.cell._cell import Cell, counted_demand
 from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._model import AdvicePolicy, Queue, StepName
+from dandelionreel.cell._model import AdvicePolicy, Demand, Queue, StepName
 from dandelionreel.cell._reservations import Reservation, count_slots
 from dandelionreel.cell._runs import StepRun
 
@@ -137,17 +137,25 @@
     def _enough(self, step: StepRun) -> int:
         """Return how many runners are likely to hold the whole step."""
         demand = counted_demand(step)
-        capacity = next(
-            (runner.registration.capacity for runner in self._cell.runner_by_id.values()),
-            demand,
-        )
-        per_runner = max(1, count_slots(demand, capacity, step.step.max_per_runner))
+        per_runner = max(1, self._usual_slots(demand, step.step.max_per_runner))
         needed = -(-step.waiting // per_runner)
         if step.step.gang:
             return max(FEWEST_RUNNERS, int(needed / ALLOWED_SHARE * GANG_SURPLUS) + 1)
         likely = int(needed / ALLOWED_SHARE * SURPLUS) + 1
         return min(MOST_RUNNERS, max(FEWEST_RUNNERS, likely))
 
+    def _usual_slots(self, demand: Demand, limit: int) -> int:
+        """Return how many tasks the middle one of all runners takes when it is empty.
+
+        Any one of them may have shrunk: a first one without room had gangs ask about
+        24 runners where 14 are likely to be enough, each of which takes the service time.
+        """
+        slots = sorted(
+            count_slots(demand, runner.registration.capacity, limit)
+            for runner in self._cell.runner_by_id.values()
+        )
+        return slots[len(slots) // 2] if slots else 1
+
     def _ask(self, queue: Queue, step: StepRun, runners: list[RunnerState]) -> list[Question]:
         if not runners or queue.advice is None:
             return []
--- a/dandelionreel/cell/_load_report.py
+++ b/dandelionreel/cell/_load_report.py
@@ -69,7 +69,7 @@
             draining=sum(runner.draining for runner in runners),
             suspect=sum(runner.suspect for runner in runners),
             unseen=len(self._cell.unseen),
-            cores_free=sum(runner.room.cpu for runner in usable) // MILLI,
+            cores_free=sum(max(0, runner.room.cpu) for runner in usable) // MILLI,
             cores=sum(runner.registration.capacity.cpu for runner in usable) // MILLI,
             advice_waiting=self._pool.waiting,
             plans=tally.plans,
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -391,7 +391,8 @@
 
 
 def _free(runners: dict[str, RunnerState]) -> float:
-    return sum(runner.room.cpu for runner in runners.values())
+    """Return the free processors; a runner over its room takes none away from others."""
+    return sum(max(0, runner.room.cpu) for runner in runners.values())
 
 
 def _may_ask(queue: Queue, current: _Round) -> bool:
--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -67,3 +67,18 @@
       | 0.3 | may start tasks        |
       | 2.4 | may start tasks        |
       | 2.6 | may not, and says so   |
+
+  # A runner had shrunk under what it holds. Its missing room was taken off what others had
+  # free, so the policy service was asked about nothing, and tasks waited beside free runners.
+  Scenario: A runner over its room does not hide what others have free
+    Given a cell with the runners w1, w2 whose queue needs advice
+    And w1 has 0 and is found with a task of 32000
+    When a task of 4000 needs advice
+    Then advice is asked for it about w2
+
+  # The first runner in the list stood for all. As it had shrunk to nothing, a gang asked
+  # about all runners in place of those that it was likely to need, and waited for the answer.
+  Scenario: One runner that has shrunk does not stand for all
+    Given a cell with 24 runners whose queue needs advice, of which the first has no room
+    When a gang of 4 tasks of 8000 needs advice
+    Then advice is asked for it about fewer than 24 runners
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -6,7 +6,7 @@
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
 from dandelionreel.kernel import ManualClock
-from features.cell_parts import SmallCell, make_registration, step, task
+from features.cell_parts import SmallCell, make_queue, make_registration, step, task
 from features.steps.report_steps import Lines
 from features.store_parts import Host, journal, make_dispatcher
 from standins import MemoryTopic
@@ -146,3 +146,52 @@
     assert lines.told == [
         ('starts nothing, by the age of the list of runners.', {'epoch': 1, 'list_age': 2.6})
     ]
+
+
+def make_advised(context, runners):
+    queue = make_queue('urgent', advice=(0.01, 0.001, 2.0))
+    context.small = SmallCell(runners, queues=(queue,))
+
+
+@given('a cell with the runners w1, w2 whose queue needs advice')
+def advised_pair(context):
+    make_advised(context, ('w1', 'w2'))
+
+
+@given('w1 has {room:d} and is found with a task of {cpu:d}')
+def runs_over(context, room, cpu):
+    small = context.small
+    job = add(context, cpu)
+    small.look('w1', running=[(task(job), 1)])
+    resize(context, 'w1', room)
+    assert small.cell.runner_by_id['w1'].room.cpu < 0
+
+
+@when('a task of {cpu:d} needs advice')
+def advised_task(context, cpu):
+    add(context, cpu)
+    context.questions = context.small.plan().questions
+
+
+@then('advice is asked for it about w2')
+def asked_about(context):
+    (question,) = context.questions
+    assert 'w2' in question.runners, question
+
+
+@given('a cell with 24 runners whose queue needs advice, of which the first has no room')
+def advised_many(context):
+    make_advised(context, tuple(f'w{number}' for number in range(24)))
+    resize(context, 'w0', 0)
+
+
+@when('a gang of {count:d} tasks of {cpu:d} needs advice')
+def advised_gang(context, count, cpu):
+    context.small.add_job('gang', [step(cpu, count, gang=True)])
+    context.questions = context.small.plan().questions
+
+
+@then('advice is asked for it about fewer than {count:d} runners')
+def asked_fewer(context, count):
+    asked = {runner for question in context.questions for runner in question.runners}
+    assert 0 < len(asked) < count, sorted(asked)
