--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -2,13 +2,11 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import Demand, WriterFence
-from dandelionreel.cell._desk import Desk
-from dandelionreel.cell._election import Term
+from dandelionreel.cell import Demand
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step, task
 from features.steps.report_steps import Lines
-from features.store_parts import Host, journal, make_dispatcher
+from features.store_parts import Host, make_desk, make_dispatcher
 from standins import MemoryTopic
 
 MEMORY = 65_536
@@ -115,15 +113,8 @@
 @given('an owner whose list of runners is {age:g} seconds old')
 def old_list(context, age):
     context.small = SmallCell(('w1',))
-    context.desk = Desk(
-        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
-        context.small.cell,
-        MemoryTopic(),
-        make_registration,
-        10.0,
-        ManualClock(context.small.now),
-        journal(),
-        lambda: age,
+    context.desk = make_desk(
+        context.small.cell, ManualClock(context.small.now), list_age=lambda: age
     )
 
 
--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -3,15 +3,12 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import StartReply, WriterFence
-from dandelionreel.cell._desk import Desk
-from dandelionreel.cell._election import Term
+from dandelionreel.cell import StartReply
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._services import RunnerError, StartAnswer
 from dandelionreel.kernel import ManualClock, Verdict
-from features.cell_parts import SmallCell, make_registration, step
-from features.store_parts import journal, until
-from standins import MemoryTopic
+from features.cell_parts import SmallCell, step
+from features.store_parts import make_desk, until
 
 
 class DoubtfulRunner:
@@ -37,15 +34,7 @@
     (context.start,) = context.small.plan(start=False).starts
     context.job.runners.add(context.start.runner)
     context.job.stored_runners.update(('w1', 'w2'))
-    context.desk = Desk(
-        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
-        context.small.cell,
-        MemoryTopic(),
-        make_registration,
-        10.0,
-        ManualClock(context.small.now),
-        journal(),
-    )
+    context.desk = make_desk(context.small.cell, ManualClock(context.small.now))
 
 
 @when('its second try is refused as {reply}')
--- a/features/steps/given_up_steps.py
+++ b/features/steps/given_up_steps.py
@@ -5,7 +5,6 @@
 
 from dandelionreel.cell import StoreError, WriterFence
 from dandelionreel.cell._attendant import Attendant
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._records import (
@@ -13,7 +12,7 @@
 )
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
-from features.store_parts import Host, journal, make_dispatcher, until
+from features.store_parts import Host, make_desk, make_dispatcher, until
 from standins import MemoryTopic
 
 #: Seconds that each append takes, and whether it is refused after them; then all succeed.
@@ -47,15 +46,7 @@
     first, _ = context.small.plan().starts
     clock = ManualClock(context.small.now)
     context.topic = OutageTopic(clock, OUTAGE)
-    context.desk = Desk(
-        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
-        context.small.cell,
-        context.topic,
-        make_registration,
-        10.0,
-        clock,
-        journal(),
-    )
+    context.desk = make_desk(context.small.cell, clock, context.topic)
     context.first = first
     context.state = context.small.cell.runner_by_id['w1']
 
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -5,10 +5,8 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import RunnerView, RunningTask, StartReply, WriterFence
+from dandelionreel.cell import RunnerView, RunningTask, StartReply
 from dandelionreel.cell._attendant import Attendant
-from dandelionreel.cell._desk import Desk
-from dandelionreel.cell._election import Term
 from dandelionreel.cell._ledger import QUARANTINE_SECONDS
 from dandelionreel.cell._losses import Losses, note_last_words
 from dandelionreel.cell._model import JobState
@@ -17,8 +15,7 @@
 from dandelionreel.cell._services import RunnerError, StartAnswer
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step, task
-from features.store_parts import journal
-from standins import MemoryTopic
+from features.store_parts import make_desk
 
 LONG_WELL = 30
 EARLIER_RUN = 7
@@ -330,21 +327,13 @@
 
 @when('a look at w1 is answered after another life was met there')
 def late_answer(context):
-    desk = make_desk(context)
+    desk = own_desk(context)
     state = context.small.cell.runner_by_id['w1']
     curio.run(Attendant(desk)._look, state, LateRunner(context))
 
 
-def make_desk(context):
-    return Desk(
-        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
-        context.small.cell,
-        MemoryTopic(),
-        make_registration,
-        10.0,
-        ManualClock(context.small.now),
-        journal(),
-    )
+def own_desk(context):
+    return make_desk(context.small.cell, ManualClock(context.small.now))
 
 
 @given('an owner with a decided start on w1')
@@ -355,7 +344,7 @@
 
 @when('w1 falls silent before the start is sent')
 def falls_silent(context):
-    desk = make_desk(context)
+    desk = own_desk(context)
     context.runner = desk.runner_by_id['w1'] = CountingRunner()
     context.small.cell.runner_by_id['w1'].suspect = True
 
@@ -379,7 +368,7 @@
 
 @when('the connection of the look breaks')
 def look_breaks(context):
-    desk = make_desk(context)
+    desk = own_desk(context)
     state = context.small.cell.runner_by_id['w1']
     curio.run(Attendant(desk)._look, state, BreakingRunner())
 
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -4,15 +4,18 @@
 
 import curio
 
+from dandelionreel.cell import WriterFence
+from dandelionreel.cell._desk import Desk, always_fresh
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
-from dandelionreel.cell._election import Election
+from dandelionreel.cell._election import Election, Term
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.kernel import Journal, SystemClock, Verdict
 from dandelionreel.peers import Frame, PeerError
 from features.cell_parts import make_registration
+from standins import MemoryTopic
 
 #: Seconds that nothing here takes on any machine.
 LONG = 30
@@ -61,6 +64,20 @@
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
 
 
+def make_desk(cell, clock, topic=None, list_age=always_fresh):
+    """Return the desk of an owner of epoch 1 that has acted from the beginning."""
+    return Desk(
+        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
+        cell,
+        topic or MemoryTopic(),
+        make_registration,
+        10.0,
+        clock,
+        journal(),
+        list_age,
+    )
+
+
 def make_dispatcher(host, term, topic, clock, make_runner=make_registration, runners=None):
     """Return the dispatcher of a host that has won ``term``, without runners unless told."""
     parts = DispatcherParts(
