--- a/features/steps/cancelling_steps.py
+++ b/features/steps/cancelling_steps.py
@@ -10,8 +10,6 @@
     Submission,
     WriterFence,
 )
-from dandelionreel.cell._desk import Desk
-from dandelionreel.cell._election import Term
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import (
     ATTENDED_KEY,
@@ -29,7 +27,7 @@
 from dandelionreel.kernel import ManualClock
 from features.cancelling_parts import MemoryRunner, SmallOwner
 from features.cell_parts import SmallCell, step, task
-from features.store_parts import LONG, journal, until
+from features.store_parts import LONG, make_desk, until
 from standins import MemoryTopic
 
 #: Seconds after which the task of a cancelled job has to be gone.
@@ -164,14 +162,10 @@
 def owner_of_one(context):
     context.small = SmallCell(('w1',))
     context.runner = MemoryRunner(ManualClock(context.small.now))
-    context.desk = Desk(
-        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
+    context.desk = make_desk(
         context.small.cell,
-        MemoryTopic(),
-        lambda registration: context.runner,
-        10.0,
         ManualClock(context.small.now),
-        journal(),
+        make_runner=lambda registration: context.runner,
     )
     context.desk.add_runner(context.small.cell.runner_by_id['w1'])
 
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -18,9 +18,7 @@
     Submission,
     WriterFence,
 )
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._directory import JobFolder
-from dandelionreel.cell._election import Term
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._orders import Orders
@@ -39,7 +37,7 @@
 from dandelionreel.cell._writer import AnswerTimes, GroupWriter, Written
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
-from features.store_parts import LONG, Host, journal, until
+from features.store_parts import LONG, Host, journal, make_desk, until
 from standins import MemoryTopic
 
 PATIENCE = 0.35
@@ -381,10 +379,7 @@
 @given('a runner whose leases ran out 5 s after its last answer')
 def silent_runner(context):
     context.clock = ManualClock(1000)
-    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
-    context.desk = Desk(
-        term, Cell(1, 3.0), MemoryTopic(), make_registration, 10.0, context.clock, journal()
-    )
+    context.desk = make_desk(Cell(1, 3.0), context.clock)
     context.state = RunnerState(make_registration('w1'))
     context.state.note_clock(500, 1000)
     context.state.extend_lease(1000, 5)
@@ -409,15 +404,10 @@
 @given('an owner with a runner that does not answer')
 def owner_of_silent(context):
     context.small = SmallCell(('w1',))
-    term = Term(1, 'me/1', WriterFence(1, 1), None, False, False)
-    context.desk = Desk(
-        term,
+    context.desk = make_desk(
         context.small.cell,
-        MemoryTopic(),
-        lambda registration: SilentRunner(),
-        10.0,
         ManualClock(context.small.now),
-        journal(),
+        make_runner=lambda registration: SilentRunner(),
     )
     context.desk.add_runner(context.small.cell.runner_by_id['w1'])
 
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from dandelionreel.cell import WriterFence
-from dandelionreel.cell._desk import LEASE_SECONDS, Desk
+from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._orders import Orders
@@ -19,7 +19,7 @@
 )
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
-from features.store_parts import DRIFT, Host, journal, make_dispatcher, until
+from features.store_parts import DRIFT, Host, make_desk, make_dispatcher, until
 from standins import MemoryTopic
 
 
@@ -148,15 +148,7 @@
     context.small.cell.withdraw(context.second)
     (context.second,) = context.small.plan(start=False).starts
     context.topic = MemoryTopic()
-    context.desk = Desk(
-        Term(1, 'me/1', WriterFence(1, 1), None, False, False),
-        context.small.cell,
-        context.topic,
-        make_registration,
-        10.0,
-        ManualClock(context.small.now),
-        journal(),
-    )
+    context.desk = make_desk(context.small.cell, ManualClock(context.small.now), context.topic)
 
 
 @when('the first task ends {outcome} right then')
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -64,13 +64,13 @@
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
 
 
-def make_desk(cell, clock, topic=None, list_age=always_fresh):
+def make_desk(cell, clock, topic=None, make_runner=make_registration, list_age=always_fresh):
     """Return the desk of an owner of epoch 1 that has acted from the beginning."""
     return Desk(
         Term(1, 'me/1', WriterFence(1, 1), None, False, False),
         cell,
         topic or MemoryTopic(),
-        make_registration,
+        make_runner,
         10.0,
         clock,
         journal(),
