A review of the logs tells which jobs were not in time, and why

'dandelionreel review' reads all hosts' logs and gives each job that was late, too late, refused or left open one reason, the one that took most of its time. For it, lines of hand-in tell their queue and how long the request took, a job's last line its objective, a start and a silent runner their zone. No decision changes.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -155,6 +155,7 @@
                 Part.WORKERS,
                 f'{state.id} does not answer: {error}.',
                 runner=state.id,
+                zone=state.registration.zone,
                 tasks=len(state.allocation_by_run),
                 epoch=self._desk.term.epoch,
             )
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -238,5 +238,6 @@
                     job=job.id,
                     queue=job.submission.queue,
                     seconds=round(self.clock.monotonic() - job.accepted, 3),
+                    objective=round(job.objective(self.cell.queue_of(job)), 3),
                 )
         return progress_by_job
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -183,6 +183,7 @@
             record,
             relayed,
             lambda owner, patience: owner.accept(job_id, submission, patience),
+            queue=queue.name,
         )
 
     async def _store(
@@ -192,13 +193,15 @@
         record: KeyedRecord,
         relayed: bool,
         at_owner: AtOwner,
+        **fields: str,
     ) -> Answer:
         """Have the owner store what a client asked for, else do it here or by a peer.
 
         Whoever was told "not accepted" may rely on it. So that is said only
         when no append can have taken place, neither here nor at a peer.
         """
-        until = self._clock.monotonic() + self._patience(request)
+        began = self._clock.monotonic()
+        until = began + self._patience(request)
         effort = _Effort()
         for attempt in self._attempts(request, record, relayed, at_owner):
             left = until - self._clock.monotonic()
@@ -206,12 +209,20 @@
                 break
             answer = await attempt(left, effort)
             if answer is not None and (answer.status not in REFUSALS or not effort.maybe):
-                self._tell(request, job_id, f'{answer.status} by {effort.by}')
+                self._tell(
+                    request,
+                    job_id,
+                    f'{answer.status} by {effort.by}',
+                    **fields,
+                    seconds=round(self._clock.monotonic() - began, 3),
+                )
                 return answer
         self._tell(
             request,
             job_id,
             'may be stored' if effort.maybe else 'not stored',
+            **fields,
+            seconds=round(self._clock.monotonic() - began, 3),
             store_failing=round(max(0.0, until - self._writer.failing_since), 3),
             tried=effort.tried,
         )
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -157,6 +157,7 @@
             Part.PLACEMENT,
             f'starts a task on {state.id}.',
             **self._fields(allocation),
+            zone=state.registration.zone,
             failures=found[1].failures if found else 0,
             crashes=job.crashes.count(allocation.task),
             version=configuration.version if configuration else None,
--- a/dandelionreel/cli/_commands.py
+++ b/dandelionreel/cli/_commands.py
@@ -32,6 +32,7 @@
     WORKER_COLUMNS,
 )
 from dandelionreel.cli._output import write_fields
+from dandelionreel.cli._review import review_jobs
 from dandelionreel.cli._shown import Command, Shown, read_file
 from dandelionreel.contracts import ContractError, load_contract
 from dandelionreel.http import VERDICT_HEADER, Request
@@ -362,4 +363,5 @@
     'drain': drain,
     'call': call,
     'explain': explain_job,
+    'review': review_jobs,
 }
--- a/dandelionreel/cli/_explain.py
+++ b/dandelionreel/cli/_explain.py
@@ -51,7 +51,7 @@
     except SubjectError as error:
         return Failure(ToolError(f'{error}', ExitStatus.USAGE))
     try:
-        report = explain(subject, _open_all(files, environment))
+        report = explain(subject, open_all(files, environment))
     except OSError as error:
         return Failure(unreadable(error.filename or 'standard input', error))
     if report is None:
@@ -63,8 +63,11 @@
     return ToolError(f'no line names {subject.name}; give the logs of all hosts', ExitStatus.ERROR)
 
 
-def _open_all(files: tuple[Path, ...], environment: Environment) -> Iterator[tuple[str, BinaryIO]]:
-    """Open one file after the other, each closed when the next one's turn comes."""
+def open_all(files: tuple[Path, ...], environment: Environment) -> Iterator[tuple[str, BinaryIO]]:
+    """Open one file after the other, each closed when the next one's turn comes.
+
+    Standard input stands for ``-``, and for no file at all. Raises ``OSError``.
+    """
     for path in files or (Path(STDIN),):
         if f'{path}' == STDIN:
             yield 'standard input', environment.stdin.buffer
