Model: jobs shown as complete before the store knows it

What was weighed: shown by the owner alone on what it has seen listed (taken back when owner and runner are lost together), shown once a peer has taken the word, or once all have (a zone that is cut off would end it). Chosen: one peer at least, told to the nine that claim first; a new owner looks at the runners and asks these peers, and a peer that was asked believes no earlier owner any more.

--- a/spec/run.py
+++ b/spec/run.py
@@ -6,13 +6,14 @@
 from spec.attempts import ATTEMPTS
 from spec.cancelling import CANCELLING
 from spec.cell import CELL
+from spec.completions import COMPLETIONS
 from spec.crashes import CRASHES
 from spec.escrow import ESCROW
 from spec.joining import JOINING
 from spec.ownership import OWNERSHIP
 from spec.publication import PUBLICATION
 
-SPECS = (CELL, CANCELLING, CRASHES, OWNERSHIP, JOINING, ATTEMPTS, PUBLICATION, ESCROW)
+SPECS = (CELL, CANCELLING, COMPLETIONS, CRASHES, OWNERSHIP, JOINING, ATTEMPTS, PUBLICATION, ESCROW)
 
 
 def main() -> int:
