Jobs are shown as complete once peers know it, before the store does

Ruled out: states lost on the way (hosts pass the question to the owner, which answered 'running'). A new owner asks the same hosts before it starts anything again that had begun.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -2,9 +2,9 @@
 
 import curio
 
-from dandelionreel.cell._cell import ViewEffect
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import Holding, RunnerState
+from dandelionreel.cell._looks import ViewEffect
 from dandelionreel.cell._services import (
     Runner,
     RunnerError,
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -4,23 +4,16 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from dandelionreel.cell._crashes import Crash
+from dandelionreel.cell._holdings import Holdings
 from dandelionreel.cell._job_book import BookedJob
-from dandelionreel.cell._job_runs import JobRuns
-from dandelionreel.cell._ledger import NEVER, Allocation, Holding, RunnerState
+from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
+from dandelionreel.cell._looks import Looks, ViewEffect
 from dandelionreel.cell._losses import Losses
-from dandelionreel.cell._model import Configuration, Demand, JobState, Queue, Registration
-from dandelionreel.cell._runs import ANY_RUNNER, JobRun, Phase, StepRun, TaskRun
-from dandelionreel.cell._services import (
-    EndedRun,
-    Outcome,
-    RunnerView,
-    RunningTask,
-    StartReply,
-)
-from dandelionreel.cell._stops import Stops
+from dandelionreel.cell._model import Configuration, Queue, Registration
+from dandelionreel.cell._runs import ANY_RUNNER, JobRun, StepRun, TaskRun, counted_demand
+from dandelionreel.cell._services import RunnerView, StartReply
 from dandelionreel.cell._tickets import TicketBook
 
 #: Run numbers of one epoch for one task. Numbers of a later owner are higher
@@ -33,25 +26,6 @@
 CLOCK_DRIFT = 0.02
 
 
-@dataclass
-class ViewEffect:
-    """What a look at a runner has changed."""
-
-    ended: list[tuple[EndedRun, Allocation | None]] = field(default_factory=list)
-    adopted: int = 0
-    lost: list[Allocation] = field(default_factory=list)
-    crashes: list[Crash] = field(default_factory=list)
-
-    @property
-    def is_news(self) -> bool:
-        """Return whether something may start or has to stop because of it.
-
-        Most looks only renew leases. A plan after each of them took a third of the
-        plans' time at 270 runners.
-        """
-        return bool(self.ended or self.adopted or self.lost or self.crashes)
-
-
 class Cell:
     """Jobs by id, runners by id, and the rules between them."""
 
@@ -59,10 +33,10 @@
         """Start empty, as the owner with that epoch."""
         self.epoch = epoch
         self.configuration: Configuration | None = None
-        self.job_by_id: dict[str, JobRun] = {}
-        #: The jobs of which something may still have to start.
-        self.live_by_id: dict[str, JobRun] = {}
-        self.runner_by_id: dict[str, RunnerState] = {}
+        self._holdings = Holdings()
+        self.job_by_id = self._holdings.job_by_id
+        self.live_by_id = self._holdings.live_by_id
+        self.runner_by_id = self._holdings.runner_by_id
         self.tickets = TicketBook()
         #: Runners on which tasks of earlier owners may run unseen.
         self.unseen: set[str] = set()
@@ -71,12 +45,13 @@
         #: Runners that are known to have ended.
         self._dead: set[str] = set()
         self.gang_timeout = gang_timeout
+        #: Whether peers may know jobs to be complete that are not here: nothing that has
+        #: begun starts again before they have been asked.
+        self.awaits_word = False
         #: Runs under which a runner has crashed, in this term.
         self.crashed_runs = 0
-        self._runs = JobRuns()
-        self._stops = Stops()
-        self._dirty: set[str] = set()
-        self._losses = Losses(self.live_by_id, self._dirty)
+        self._losses = Losses(self.live_by_id, self._holdings.dirty)
+        self._looks = Looks(self._holdings, self._losses, self.unreadable_jobs, self.queue_of)
 
     # Jobs
 
@@ -96,6 +71,8 @@
 
         Starting one of them elsewhere could make it run twice at once.
         """
+        if self.awaits_word and job.runners:
+            return True
         if ANY_RUNNER in job.runners:
             return bool(self.unseen)
         return not self.unseen.isdisjoint(job.runners)
@@ -122,7 +99,7 @@
             self.job_by_id[booked.id] = job
             self.live_by_id[booked.id] = job
         elif job is not None and job.take_end(booked.progress):
-            self._stop_job(job)
+            self._holdings.stop_job(job.id)
         if booked.cancelled:
             self.cancel(booked.id)
 
@@ -132,12 +109,24 @@
         if job is not None and not job.over:
             self._cancel(job)
 
+    def take_complete(self, jobs: Iterable[str]) -> list[str]:
+        """Take the word of former owners that jobs are complete; return those that were not."""
+        taken = []
+        for job_id in jobs:
+            job = self.job_by_id.get(job_id)
+            if job is None or not job.note_complete():
+                continue
+            self._holdings.dirty.add(job_id)
+            self._holdings.stop_job(job.id)
+            taken.append(job_id)
+        return taken
+
     def forget_job(self, job_id: str) -> None:
         """Drop a job that the store has dropped."""
         self.live_by_id.pop(job_id, None)
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
-            self._stop_job(job)
+            self._holdings.stop_job(job.id)
             self.tickets.drop_job(job_id)
 
     def drop_over(self) -> None:
@@ -149,22 +138,22 @@
     def take_dirty(self) -> list[JobRun]:
         """Return the jobs whose progress must be stored, once."""
         taken = []
-        for job_id in self._dirty:
+        for job_id in self._holdings.dirty:
             job = self.job_by_id.get(job_id)
             if job is not None and job.dirty:
                 job.dirty = False
                 taken.append(job)
-        self._dirty.clear()
+        self._holdings.dirty.clear()
         return taken
 
     def note_unstored(self, job: JobRun) -> None:
         """Have a job's progress stored again: the last time, the store did not take it."""
         job.dirty = True
-        self._dirty.add(job.id)
+        self._holdings.dirty.add(job.id)
 
     def take_stops(self) -> list[Allocation]:
         """Return the runs that must be told to stop, once."""
-        return self._stops.take()
+        return self._holdings.take_stops()
 
     # Runners
 
@@ -215,7 +204,7 @@
         if runner is None:
             return []
         crashes = self._losses.note_end(runner) if proven else []
-        self._lose_all(runner)
+        self._holdings.lose_all(runner)
         self._take_crashes(crashes)
         return crashes
 
@@ -224,7 +213,7 @@
         self.unseen.discard(runner_id)
         runner = self.runner_by_id[runner_id]
         self._losses.note_lapse(runner)
-        self._lose_all(runner)
+        self._holdings.lose_all(runner)
 
     def give_up_unseen(self) -> list[Crash]:
         """Take what earlier owners started on unseen runners for gone.
@@ -266,7 +255,7 @@
             checkpoint=task.checkpoint,
             quarantined=task.quarantined,
         )
-        self._runs.hold(runner, allocation)
+        self._holdings.hold(runner, allocation)
         step.place(task, runner.id, run)
         return allocation
 
@@ -304,7 +293,7 @@
         would else start elsewhere and run twice at once.
         """
         if reply in {StartReply.STARTED, StartReply.OUTDATED}:
-            self._start_settled(allocation, now)
+            self._holdings.settle_start(allocation, now)
             return
         runner = self.runner_by_id.get(allocation.runner)
         step = self.step_of(allocation)
@@ -338,11 +327,11 @@
         """Take back a start of which it is known that it does not run."""
         runner = self.runner_by_id.get(allocation.runner)
         if runner is not None and (allocation.task, allocation.run) in runner.allocation_by_run:
-            self._lose(runner, allocation)
+            self._holdings.lose(runner, allocation)
 
     def stop(self, allocation: Allocation) -> None:
         """Have a run stopped; it counts until it is known to be gone."""
-        self._stops.order(allocation)
+        self._holdings.stop(allocation)
 
     def stop_answered(self, allocation: Allocation, now: float) -> None:
         """The runner has taken the stop: a later look tells when it is gone."""
@@ -352,224 +341,28 @@
 
     def viewed(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> ViewEffect:
         """Take all that a runner lists; ``asked`` is when the look was sent."""
-        effect = ViewEffect()
-        if runner.answered_at == NEVER or runner.suspect:
-            effect.crashes = self._losses.note_answer(runner)
-            self._take_crashes(effect.crashes)
-        runner.note_clock(view.clock, now)
-        runner.answered_at = now
-        runner.suspect = False
-        runner.missed = False
-        runner.readable_through = view.readable_through
-        for ended in view.ended:
-            if ended.number <= runner.noted:
-                continue
-            runner.noted = ended.number
-            if ended.task.job in self.unreadable_jobs:
-                runner.keep_end(ended.number)
-            effect.ended.append((ended, self._take_end(runner, ended)))
-        listed = set()
-        for running in view.running:
-            listed.add((running.task, running.run))
-            effect.adopted += self._take_running(runner, running, asked, now)
-        if not view.complete:
-            # A run that is not listed may be among the ends that are not, or its row may
-            # not be readable: taken for gone, its task would start again.
-            return effect
-        for allocation in tuple(runner.allocation_by_run.values()):
-            if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
-                continue
-            # A look that was under way when the order was answered may have
-            # been listed before the order took effect.
-            if asked > allocation.settled_at:
-                effect.lost.append(allocation)
-                self._lose(runner, allocation)
-        self.unseen.discard(runner.id)
+        effect = self._looks.take(runner, view, asked, now)
+        self._take_crashes(effect.crashes)
+        if view.complete:
+            self.unseen.discard(runner.id)
         return effect
 
-    def find_allocation(self, task: TaskRun) -> Allocation | None:
-        """Return the allocation of a placed task."""
-        runner = self.runner_by_id.get(task.runner)
-        if runner is None:
-            return None
-        return runner.allocation_by_run.get((task.name, task.run))
-
     def step_of(self, allocation: Allocation) -> StepRun | None:
         """Return the step of an allocation, ``None`` where its job is not known."""
-        job = self.job_by_id.get(allocation.task.job)
-        return None if job is None else job.find_step(allocation.task)
+        return self._holdings.step_of(allocation)
 
     def stop_members(self, step: StepRun) -> None:
         """Stop all members of a gang that are placed."""
-        for task in step.tasks:
-            allocation = self.find_allocation(task) if task.phase is Phase.PLACED else None
-            if allocation is not None:
-                self.stop(allocation)
+        self._holdings.stop_members(step)
 
     def _cancel(self, job: JobRun) -> None:
         job.cancelled = True
         job.dirty = True
-        self._dirty.add(job.id)
-        self._stop_job(job)
-
-    def _stop_job(self, job: JobRun) -> None:
-        for allocation in self._runs.of_job(job.id):
-            self.stop(allocation)
+        self._holdings.dirty.add(job.id)
+        self._holdings.stop_job(job.id)
 
     def _take_crashes(self, crashes: list[Crash]) -> None:
         self.crashed_runs += len(crashes)
         for crash in crashes:
             if crash.given_up:
-                self._stop_job(self.job_by_id[crash.task.job])
-
-    def _note_run_over(self, allocation: Allocation) -> None:
-        job = self.job_by_id.get(allocation.task.job)
-        if job is not None:
-            job.note_run_over(allocation.task, allocation.run)
-            self._dirty.add(job.id)
-
-    def _start_settled(self, allocation: Allocation, now: float) -> None:
-        if allocation.phase is not Holding.STARTING:
-            return
-        allocation.phase = Holding.RUNNING
-        allocation.started_at = now
-        allocation.settled_at = now
-        self._note_began(allocation.task.job)
-
-    def _note_began(self, job_id: str) -> None:
-        job = self.job_by_id.get(job_id)
-        if job is not None and not job.began:
-            job.note_began()
-            self._dirty.add(job.id)
-
-    def _take_end(self, runner: RunnerState, ended: EndedRun) -> Allocation | None:
-        allocation = runner.allocation_by_run.get((ended.task, ended.run))
-        job = self.job_by_id.get(ended.task.job)
-        if allocation is not None:
-            self._runs.free(runner, allocation)
-            self._note_run_over(allocation)
-        found = None if job is None else job.find(ended.task)
-        if job is None or found is None:
-            return allocation
-        step, task = found
-        if ended.checkpoint and task.phase is not Phase.DONE:
-            task.checkpoint = ended.checkpoint
-        if ended.outcome is Outcome.DONE and not step.step.long_running:
-            self._take_done(job, step, ended)
-            return allocation
-        if ended.outcome is Outcome.FAILED:
-            queue = self.queue_of(job)
-            task.avoid.add(runner.id)
-            job.note_failed(ended.task, ended.run, queue.max_attempts if queue else 1)
-            self._dirty.add(job.id)
-            if job.state is JobState.FAILED:
-                self._stop_job(job)
-        if _is_current(task, runner.id, ended.run):
-            step.release(task)
-            if step.step.gang:
-                self.stop_members(step)
-        return allocation
-
-    def _take_done(self, job: JobRun, step: StepRun, ended: EndedRun) -> None:
-        members = step.tasks if step.step.gang else [step.tasks[ended.task.index]]
-        for member in members:
-            current = self.find_allocation(member) if member.phase is Phase.PLACED else None
-            # Members of the gang that is done end by themselves; a later run
-            # of the same task must not go on.
-            if current is not None and current.run != ended.run:
-                self.stop(current)
-        job.note_done(ended.task)
-        self._dirty.add(job.id)
-
-    def _take_running(
-        self,
-        runner: RunnerState,
-        running: RunningTask,
-        asked: float,
-        now: float,
-    ) -> int:
-        allocation = runner.allocation_by_run.get((running.task, running.run))
-        if allocation is None:
-            self._adopt(runner, running, now)
-            return 1
-        allocation.percent = running.percent
-        allocation.gauge = running.gauge
-        allocation.checkpoint = running.checkpoint or allocation.checkpoint
-        self._start_settled(allocation, now)
-        self._stops.repeat(allocation, asked)
-        return 0
-
-    def _adopt(self, runner: RunnerState, running: RunningTask, now: float) -> None:
-        """Count a run that an earlier owner started, and keep it if it is wanted."""
-        job = self.job_by_id.get(running.task.job)
-        found = None if job is None else job.find(running.task)
-        demand = Demand() if found is None else counted_demand(found[0])
-        allocation = Allocation(
-            running.task,
-            running.run,
-            runner.id,
-            demand,
-            now,
-            phase=Holding.RUNNING,
-            started_at=now,
-            settled_at=now,
-            percent=running.percent,
-            gauge=running.gauge,
-            checkpoint=running.checkpoint,
-            expected=0.0 if found is None else found[0].step.estimate,
-            known=found is not None,
-        )
-        self._runs.hold(runner, allocation)
-        if job is None or found is None:
-            self.stop(allocation)
-            return
-        step, task = found
-        if job.over or task.phase is Phase.DONE:
-            self.stop(allocation)
-            return
-        if task.phase is Phase.PLACED:
-            if task.run > running.run:
-                self.stop(allocation)
-                return
-            current = self.find_allocation(task)
-            step.release(task)
-            if current is not None:
-                self.stop(current)
-        step.place(task, runner.id, running.run)
-        self._note_began(job.id)
-
-    def _lose_all(self, runner: RunnerState) -> None:
-        for allocation in tuple(runner.allocation_by_run.values()):
-            self._lose(runner, allocation)
-
-    def _lose(self, runner: RunnerState, allocation: Allocation) -> None:
-        """Drop an allocation that is known to be gone without an end."""
-        self._runs.free(runner, allocation)
-        self._note_run_over(allocation)
-        job = self.job_by_id.get(allocation.task.job)
-        found = None if job is None else job.find(allocation.task)
-        if found is None:
-            return
-        step, task = found
-        if allocation.checkpoint and task.phase is not Phase.DONE:
-            task.checkpoint = allocation.checkpoint
-        if not _is_current(task, allocation.runner, allocation.run):
-            return
-        step.release(task)
-        if step.step.gang:
-            self.stop_members(step)
-
-
-def counted_demand(step: StepRun) -> Demand:
-    """Return what a task of the step takes from a runner's room.
-
-    Tasks that fill get the processors that others leave, so theirs do not count.
-    """
-    demand = step.step.demand
-    if step.step.fills:
-        return Demand(0, demand.memory_mb, demand.gpu)
-    return demand
-
-
-def _is_current(task: TaskRun, runner: str, run: int) -> bool:
-    return task.phase is Phase.PLACED and task.runner == runner and task.run == run
+                self._holdings.stop_job(crash.task.job)
--- /dev/null
+++ b/dandelionreel/cell/_completions.py
@@ -0,0 +1,59 @@
+"""Jobs that a host knows to be complete before the store does. No I/O.
+
+Load pattern: the store is away or slow while tasks end. Their runners list the ends, so it
+is certain that the jobs are done, and yet their callers were told so only seconds later,
+once it stood in the store. What an owner has seen listed it tells its peers; from then on
+each of them may say so to clients. It cannot be taken back: whoever owns the cell next
+looks at the runner, which lists the end until it is acknowledged, and asks the peers, in
+case that the runner has crashed meanwhile. ``spec/completions.py`` has the model.
+"""
+
+from collections.abc import Iterable
+
+from dandelionreel.kernel import Clock
+
+#: Jobs that are remembered, and for how many seconds: several times the longest time for
+#: which an owner goes on without the store.
+MOST_KEPT = 20_000
+KEPT_SECONDS = 60.0
+
+
+class Completions:
+    """What this host was told, or has found out as the owner."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with nothing known."""
+        self._clock = clock
+        self._noted_at_by_job: dict[str, float] = {}
+        self._fence = 0
+
+    def holds(self, job: str) -> bool:
+        """Return whether the job is known to be complete."""
+        return job in self._noted_at_by_job
+
+    def note(self, jobs: Iterable[str]) -> None:
+        """Remember jobs, and forget what must long stand in the store."""
+        now = self._clock.monotonic()
+        for job in jobs:
+            self._noted_at_by_job.setdefault(job, now)
+        excess = len(self._noted_at_by_job) - MOST_KEPT
+        for place, (job, noted_at) in enumerate(tuple(self._noted_at_by_job.items())):
+            if place >= excess and now - noted_at < KEPT_SECONDS:
+                break
+            self._noted_at_by_job.pop(job)
+
+    def take_word(self, epoch: int, jobs: Iterable[str]) -> bool:
+        """Take the word of the owner with that epoch; return whether it still counts.
+
+        A later owner that has asked here would not hear of it, and might start what is
+        shown as complete.
+        """
+        if epoch < self._fence:
+            return False
+        self.note(jobs)
+        return True
+
+    def answer(self, epoch: int) -> tuple[str, ...]:
+        """Return all that is known, and believe no owner before that epoch from now on."""
+        self._fence = max(self._fence, epoch)
+        return tuple(self._noted_at_by_job)
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -8,7 +8,7 @@
 from dandelionreel.cell._crashes import Crash
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._model import Registration
+from dandelionreel.cell._model import JobState, Registration
 from dandelionreel.cell._records import Progress, make_progress_records
 from dandelionreel.cell._runs import JobRun
 from dandelionreel.cell._services import KeyedRecord, Runner, Topic
@@ -72,6 +72,10 @@
         #: Notified whenever something may be started or has to be stopped.
         self.wake = Signal()
         self.ended = curio.Event()
+        #: Jobs that are complete and on their way to the store; ``completed`` is notified
+        #: when there are more.
+        self.unstored_complete: set[str] = set()
+        self.completed = Signal()
         #: Why the term was lost, empty while it was not.
         self.lost = ''
         self.runner_by_id: dict[str, Runner] = {}
@@ -134,9 +138,11 @@
         records = list(others)
         for job, progress in progress_by_job.items():
             records.extend(make_progress_records(job.id, progress))
+        await self._expect_complete(progress_by_job)
         outcome = await self.writer.write(records, patience)
         for job, progress in progress_by_job.items():
             if outcome is Written.STORED:
+                self.unstored_complete.discard(job.id)
                 job.stored_state = progress.state
                 job.stored_runners.update(progress.runners)
             else:
@@ -203,6 +209,16 @@
         for runner in self.runner_by_id.values():
             await runner.close()
 
+    async def _expect_complete(self, progress_by_job: dict[JobRun, Progress]) -> None:
+        complete = [
+            job.id
+            for job, progress in progress_by_job.items()
+            if progress.state is JobState.COMPLETED
+        ]
+        if complete:
+            self.unstored_complete.update(complete)
+            await self.completed.notify()
+
     def _tell_lost(self, state: RunnerState) -> None:
         """Tell what is lost with a runner, and how long each run had been there.
 
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -12,6 +12,7 @@
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._model import JobState
+from dandelionreel.cell._notices import Notices
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._planner import Plan, Planner
@@ -82,6 +83,13 @@
             self._take_advice,
             self._miss_advice,
         )
+        self._notices = Notices(
+            self._desk,
+            parts.jobs.book,
+            parts.links,
+            parts.completions,
+            parts.host,
+        )
         self._load = LoadReport(self.cell, self._pool, parts.journal)
         self._rounds = Rounds(parts, self._desk, self._load)
 
@@ -98,9 +106,17 @@
     async def run(self) -> None:
         """Dispatch until the term is lost or ended by ``end``."""
         self._begin()
+        self._notices.begin()
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._desk.close_runners)
-            for work in (self._desk.writer.run, self._beat, self._feed, self._plan):
+            for work in (
+                self._desk.writer.run,
+                self._beat,
+                self._feed,
+                self._plan,
+                self._notices.ask,
+                self._notices.run,
+            ):
                 await start_task(stack, work)
             await start_task(stack, self._rounds.run, stack)
             await self._desk.ended.wait()
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -5,10 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._model import Configuration, Queue
+from dandelionreel.cell._model import Configuration, JobState, Queue
 from dandelionreel.cell._records import (
     CANCELLATION,
     FINAL_STATES,
@@ -92,6 +93,7 @@
         writer: GroupWriter,
         relay: Relay,
         owned: Callable[[], Dispatcher | None],
+        completions: Completions,
         clock: Clock,
         journal: Journal,
         note_answer: Callable[[str, int, float], None],
@@ -104,6 +106,7 @@
         self._writer = writer
         self._relay = relay
         self._owned = owned
+        self._completions = completions
         self._clock = clock
         self._journal = journal
         self._note_answer = note_answer
@@ -306,6 +309,8 @@
         booked = self._jobs.book.find(job_id)
         if booked is not None and booked.state in FINAL_STATES:
             return self._codec.answer_state(booked.state)
+        if self._completions.holds(job_id):
+            return self._codec.answer_state(JobState.COMPLETED)
         # A job under way may be over by now, and a client counts its wait until
         # it sees that; an unknown one may have been stored meanwhile.
         dispatcher = self._owned()
@@ -338,7 +343,8 @@
             booked = self._jobs.book.find(job_id)
         if booked is None:
             return self._unknown_job(job_id, began)
-        if booked.cancelled or booked.state in FINAL_STATES:
+        over = booked.state in FINAL_STATES or self._completions.holds(job_id)
+        if booked.cancelled or over:
             return self._codec.answer_accepted()
         record = make_record(CANCELLATION + job_id, Cancellation(self._clock.wall()))
         return await self._store(
--- a/dandelionreel/cell/_inquiries.py
+++ b/dandelionreel/cell/_inquiries.py
@@ -14,11 +14,11 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-from dandelionreel.cell._cell import Cell, counted_demand
+from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._ledger import RunnerState
 from dandelionreel.cell._model import AdvicePolicy, Demand, Queue, StepName
 from dandelionreel.cell._reservations import Reservation, count_slots
-from dandelionreel.cell._runs import StepRun
+from dandelionreel.cell._runs import StepRun, counted_demand
 
 #: The service answers for at most this many runners at once.
 MOST_RUNNERS = 100
--- /dev/null
+++ b/dandelionreel/cell/_looks.py
@@ -0,0 +1,209 @@
+"""What a look at a runner changes: runs that are at work, ends, and runs that are gone. No I/O."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dandelionreel.cell._crashes import Crash
+from dandelionreel.cell._holdings import Holdings, is_current
+from dandelionreel.cell._ledger import NEVER, Allocation, Holding, RunnerState
+from dandelionreel.cell._losses import Losses
+from dandelionreel.cell._model import Demand, JobState, Queue, TaskName
+from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun, counted_demand
+from dandelionreel.cell._services import EndedRun, Outcome, RunnerView, RunningTask
+
+
+@dataclass
+class ViewEffect:
+    """What a look at a runner has changed."""
+
+    ended: list[tuple[EndedRun, Allocation | None]] = field(default_factory=list)
+    adopted: int = 0
+    lost: list[Allocation] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
+
+    @property
+    def is_news(self) -> bool:
+        """Return whether something may start or has to stop because of it.
+
+        Most looks only renew leases. A plan after each of them took a third of the
+        plans' time at 270 runners.
+        """
+        return bool(self.ended or self.adopted or self.lost or self.crashes)
+
+
+class Looks:
+    """Takes what runners list."""
+
+    def __init__(
+        self,
+        holdings: Holdings,
+        losses: Losses,
+        unreadable_jobs: set[str],
+        queue_of: Callable[[JobRun], Queue | None],
+    ) -> None:
+        """Change ``holdings``; others keep ``unreadable_jobs``."""
+        self._holdings = holdings
+        self._losses = losses
+        self._unreadable_jobs = unreadable_jobs
+        self._queue_of = queue_of
+
+    def take(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> ViewEffect:
+        """Take all that a runner lists; ``asked`` is when the look was sent."""
+        effect = ViewEffect()
+        if runner.answered_at == NEVER or runner.suspect:
+            effect.crashes = self._losses.note_answer(runner)
+        runner.note_clock(view.clock, now)
+        runner.answered_at = now
+        runner.suspect = False
+        runner.missed = False
+        runner.readable_through = view.readable_through
+        for ended in view.ended:
+            if ended.number <= runner.noted:
+                continue
+            runner.noted = ended.number
+            if ended.task.job in self._unreadable_jobs:
+                runner.keep_end(ended.number)
+            effect.ended.append((ended, self._take_end(runner, ended)))
+        listed = set()
+        for running in view.running:
+            listed.add((running.task, running.run))
+            effect.adopted += self._take_running(runner, running, asked, now)
+        if view.complete:
+            self._lose_unlisted(runner, listed, asked, effect)
+        return effect
+
+    def _lose_unlisted(
+        self,
+        runner: RunnerState,
+        listed: set[tuple[TaskName, int]],
+        asked: float,
+        effect: ViewEffect,
+    ) -> None:
+        """Drop what a complete view does not list.
+
+        In any other, a run that is not listed may be among the ends that are not, or its
+        row may not be readable: taken for gone, its task would start again.
+        """
+        for allocation in tuple(runner.allocation_by_run.values()):
+            if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
+                continue
+            # A look that was under way when the order was answered may have
+            # been listed before the order took effect.
+            if asked > allocation.settled_at:
+                effect.lost.append(allocation)
+                self._holdings.lose(runner, allocation)
+
+    def _take_end(self, runner: RunnerState, ended: EndedRun) -> Allocation | None:
+        holdings = self._holdings
+        allocation = runner.allocation_by_run.get((ended.task, ended.run))
+        job = holdings.job_by_id.get(ended.task.job)
+        if allocation is not None:
+            holdings.free(runner, allocation)
+        found = None if job is None else job.find(ended.task)
+        if job is None or found is None:
+            return allocation
+        step, task = found
+        if ended.checkpoint and task.phase is not Phase.DONE:
+            task.checkpoint = ended.checkpoint
+        if ended.outcome is Outcome.DONE and not step.step.long_running:
+            self._take_done(job, step, ended)
+            return allocation
+        if ended.outcome is Outcome.FAILED:
+            self._take_failed(job, task, runner, ended)
+        if is_current(task, runner.id, ended.run):
+            step.release(task)
+            if step.step.gang:
+                holdings.stop_members(step)
+        return allocation
+
+    def _take_failed(
+        self,
+        job: JobRun,
+        task: TaskRun,
+        runner: RunnerState,
+        ended: EndedRun,
+    ) -> None:
+        queue = self._queue_of(job)
+        task.avoid.add(runner.id)
+        job.note_failed(ended.task, ended.run, queue.max_attempts if queue else 1)
+        self._holdings.dirty.add(job.id)
+        if job.state is JobState.FAILED:
+            self._holdings.stop_job(job.id)
+
+    def _take_done(self, job: JobRun, step: StepRun, ended: EndedRun) -> None:
+        holdings = self._holdings
+        members = step.tasks if step.step.gang else [step.tasks[ended.task.index]]
+        for member in members:
+            current = holdings.find_allocation(member) if member.phase is Phase.PLACED else None
+            # Members of the gang that is done end by themselves; a later run
+            # of the same task must not go on.
+            if current is not None and current.run != ended.run:
+                holdings.stop(current)
+        job.note_done(ended.task)
+        holdings.dirty.add(job.id)
+
+    def _take_running(
+        self,
+        runner: RunnerState,
+        running: RunningTask,
+        asked: float,
+        now: float,
+    ) -> int:
+        allocation = runner.allocation_by_run.get((running.task, running.run))
+        if allocation is None:
+            self._adopt(runner, running, now)
+            return 1
+        allocation.percent = running.percent
+        allocation.gauge = running.gauge
+        allocation.checkpoint = running.checkpoint or allocation.checkpoint
+        self._holdings.settle_start(allocation, now)
+        self._holdings.repeat_stop(allocation, asked)
+        return 0
+
+    def _adopt(self, runner: RunnerState, running: RunningTask, now: float) -> None:
+        """Count a run that an earlier owner started, and keep it if it is wanted."""
+        holdings = self._holdings
+        job = holdings.job_by_id.get(running.task.job)
+        found = None if job is None else job.find(running.task)
+        allocation = _make_adopted(runner, running, now, found)
+        holdings.hold(runner, allocation)
+        if job is None or found is None:
+            holdings.stop(allocation)
+            return
+        step, task = found
+        if job.over or task.phase is Phase.DONE:
+            holdings.stop(allocation)
+            return
+        if task.phase is Phase.PLACED:
+            if task.run > running.run:
+                holdings.stop(allocation)
+                return
+            current = holdings.find_allocation(task)
+            step.release(task)
+            if current is not None:
+                holdings.stop(current)
+        step.place(task, runner.id, running.run)
+        holdings.note_began(job.id)
+
+
+def _make_adopted(
+    runner: RunnerState,
+    running: RunningTask,
+    now: float,
+    found: tuple[StepRun, TaskRun] | None,
+) -> Allocation:
+    return Allocation(
+        running.task,
+        running.run,
+        runner.id,
+        Demand() if found is None else counted_demand(found[0]),
+        now,
+        phase=Holding.RUNNING,
+        started_at=now,
+        settled_at=now,
+        percent=running.percent,
+        gauge=running.gauge,
+        checkpoint=running.checkpoint,
+        expected=0.0 if found is None else found[0].step.estimate,
+        known=found is not None,
+    )
--- a/dandelionreel/cell/_parts.py
+++ b/dandelionreel/cell/_parts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
+from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._desk import ListAge, MakeRunner, always_fresh
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._election import Election
@@ -24,6 +25,7 @@
     election: Election
     links: PeerLinks
     advisor: LocalAdvisor
+    completions: Completions
     make_runner: MakeRunner
     clock: Clock
     journal: Journal
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from dandelionreel.cell._cell import Cell, counted_demand
+from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._inquiries import Inquiries, Question
 from dandelionreel.cell._ledger import Allocation, RunnerState
 from dandelionreel.cell._model import Queue, StepName
@@ -14,7 +14,7 @@
     Reservations,
     count_slots,
 )
-from dandelionreel.cell._runs import JobRun, Phase, StepRun
+from dandelionreel.cell._runs import JobRun, Phase, StepRun, counted_demand
 from dandelionreel.cell._seating import Seat, choose_seat, group_seats, seat_gang, suits
 
 #: A job that is later than this many objectives earns nothing any more.
--- a/dandelionreel/cell/_reservations.py
+++ b/dandelionreel/cell/_reservations.py
@@ -13,10 +13,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from dandelionreel.cell._cell import counted_demand
 from dandelionreel.cell._ledger import RunnerState, expected_end
 from dandelionreel.cell._model import Demand, StepName
-from dandelionreel.cell._runs import StepRun
+from dandelionreel.cell._runs import StepRun, counted_demand
 
 #: Gangs that reserve at the same time: so many, and one for so many runners. With 4
 #: for 176 runners a gang waited behind others whose seats were elsewhere; with one for
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from dandelionreel.cell._crashes import JobCrashes
-from dandelionreel.cell._model import JobSpec, JobState, Queue, Step, StepName, TaskName
+from dandelionreel.cell._model import Demand, JobSpec, JobState, Queue, Step, StepName, TaskName
 from dandelionreel.cell._records import (
     FINAL_STATES,
     DoneTasks,
@@ -240,6 +240,14 @@
             self.state = JobState.FAILED
         return True
 
+    def note_complete(self) -> bool:
+        """Take the word that all tasks are done; return whether that is news."""
+        if self.over:
+            return False
+        self.state = JobState.COMPLETED
+        self.dirty = True
+        return True
+
     def note_doubt(self) -> None:
         """Note that runners may have crashed under its tasks, of which nothing is known."""
         self.dirty = self.dirty or not self.crashes.doubtful
@@ -383,3 +391,14 @@
     )
     chain = chain_seconds(spec, [step.estimate + waits for step in spec.steps])
     return queue.slack * chain + queue.latency
+
+
+def counted_demand(step: StepRun) -> Demand:
+    """Return what a task of the step takes from a runner's room.
+
+    Tasks that fill get the processors that others leave, so theirs do not count.
+    """
+    demand = step.step.demand
+    if step.step.fills:
+        return Demand(0, demand.memory_mb, demand.gpu)
+    return demand
--- a/dandelionreel/cell/_seating.py
+++ b/dandelionreel/cell/_seating.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Iterable
 
-from dandelionreel.cell._cell import counted_demand
 from dandelionreel.cell._ledger import RunnerState
 from dandelionreel.cell._model import Demand
 from dandelionreel.cell._reservations import count_slots
-from dandelionreel.cell._runs import StepRun, TaskRun
+from dandelionreel.cell._runs import StepRun, TaskRun, counted_demand
 
 #: A runner that may take a task, with the ticket that the start carries.
 Seat = tuple[RunnerState, str]
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -10,6 +10,7 @@
 
 from dandelionreel.cell import Registration, Runner, UnreadableLog
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
+from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election, name_incarnation
@@ -37,6 +38,9 @@
 )
 from dandelionreel.peers import (
     AdviceWanted,
+    CompletionsTold,
+    CompletionsWanted,
+    Done,
     EchoBook,
     Forward,
     Frame,
@@ -44,6 +48,7 @@
     OwnerAsked,
     OwnerFailing,
     PeerServer,
+    Refused,
     Traffic,
 )
 from dandelionreel.platform import (
@@ -148,6 +153,7 @@
         self._writer = GroupWriter(self._topics[CELL_TOPIC], self._clock, self._journal)
         incarnation = name_incarnation(settings.host)
         self._links = PeerLinks(incarnation, self._clock)
+        self._completions = Completions(self._clock)
         self._election = Election(
             self._owner_topic,
             self._cell_follower,
@@ -180,6 +186,7 @@
             self._writer,
             self._relay,
             lambda: self._dispatcher,
+            self._completions,
             self._clock,
             self._journal,
             self._metrics.note_answer,
@@ -259,10 +266,16 @@
             self._journal,
             Traffic(),
         )
-        peers.answer(Forward, self._front.handle_relayed)
-        peers.answer(OwnerFailing, self._election.take_failing)
-        peers.answer(OwnerAsked, self._answer_asked)
-        peers.answer(AdviceWanted, self._advisor.answer)
+        answerers = (
+            (Forward, self._front.handle_relayed),
+            (OwnerFailing, self._election.take_failing),
+            (OwnerAsked, self._answer_asked),
+            (AdviceWanted, self._advisor.answer),
+            (CompletionsTold, self._take_completions),
+            (CompletionsWanted, self._answer_completions),
+        )
+        for kind, answerer in answerers:
+            peers.answer(kind, answerer)
         await peers.start(stack, settings.peers.host, settings.peers.port)
         await self._callers.start(stack, settings.callers.host, settings.callers.port)
 
@@ -277,6 +290,16 @@
         )
         return self._election.answer_asked(frame, acting, ready)
 
+    async def _take_completions(self, frame: Frame) -> Message:
+        told: Any = frame.message
+        if self._completions.take_word(told.epoch, told.jobs):
+            return Done()
+        return Refused('a later owner has asked')
+
+    async def _answer_completions(self, frame: Frame) -> Message:
+        wanted: Any = frame.message
+        return CompletionsTold(wanted.epoch, self._completions.answer(wanted.epoch))
+
     def _is_ready(self) -> bool:
         now = self._clock.monotonic()
         dispatcher = self._dispatcher
@@ -326,6 +349,7 @@
             election=self._election,
             links=self._links,
             advisor=self._advisor,
+            completions=self._completions,
             make_runner=_make_runner,
             clock=self._clock,
             journal=self._journal,
--- a/dandelionreel/peers/__init__.py
+++ b/dandelionreel/peers/__init__.py
@@ -17,6 +17,8 @@
 from dandelionreel.peers._messages import (
     AdviceGiven,
     AdviceWanted,
+    CompletionsTold,
+    CompletionsWanted,
     ContractState,
     ContractsWanted,
     Done,
@@ -47,6 +49,8 @@
     'NEVER',
     'NEVER_HEARD',
     'PROTOCOL_VERSION',
+    'CompletionsTold',
+    'CompletionsWanted',
     'ContractState',
     'ContractsWanted',
     'Done',
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -14,6 +14,8 @@
 from dandelionreel.peers._messages import (
     AdviceGiven,
     AdviceWanted,
+    CompletionsTold,
+    CompletionsWanted,
     ContractState,
     ContractsWanted,
     Done,
@@ -359,6 +361,18 @@
     root.ownerAsked = message.term
 
 
+def _encode_completions_told(root: Any, message: CompletionsTold) -> None:
+    root.init('completionsTold').from_dict({'epoch': message.epoch, 'jobs': list(message.jobs)})
+
+
+def _read_completions_told(root: Any) -> CompletionsTold:
+    return CompletionsTold(root.completionsTold.epoch, tuple(root.completionsTold.jobs))
+
+
+def _encode_completions_wanted(root: Any, message: CompletionsWanted) -> None:
+    root.completionsWanted = message.epoch
+
+
 def _encode_done(root: Any, message: Done) -> None:
     root.done = None
 
@@ -382,6 +396,8 @@
     AdviceGiven: _encode_advised,
     OwnerFailing: _encode_owner_failing,
     OwnerAsked: _encode_owner_asked,
+    CompletionsTold: _encode_completions_told,
+    CompletionsWanted: _encode_completions_wanted,
     Done: _encode_done,
     Refused: _encode_refused,
 }
@@ -401,6 +417,8 @@
     'advised': _read_advised,
     'ownerFailing': lambda root: OwnerFailing(root.ownerFailing),
     'ownerAsked': lambda root: OwnerAsked(root.ownerAsked),
+    'completionsTold': _read_completions_told,
+    'completionsWanted': lambda root: CompletionsWanted(root.completionsWanted),
     'done': lambda root: Done(),
     'refused': lambda root: Refused(root.refused),
 }
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -186,6 +186,24 @@
     term: str
 
 
+@dataclass(frozen=True)
+class CompletionsTold:
+    """Jobs that are complete, which the store may not know yet.
+
+    The owner of that epoch tells its peers; a peer that is asked answers with what it knows.
+    """
+
+    epoch: int
+    jobs: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class CompletionsWanted:
+    """The new owner of that epoch asks what a peer knows; it is to believe no earlier owner."""
+
+    epoch: int
+
+
 @dataclass(frozen=True)
 class Done:
     """The message was taken."""
@@ -213,6 +231,8 @@
     | AdviceGiven
     | OwnerFailing
     | OwnerAsked
+    | CompletionsTold
+    | CompletionsWanted
     | Done
     | Refused
 )
--- a/dandelionreel/peers/schema.capnp
+++ b/dandelionreel/peers/schema.capnp
@@ -31,9 +31,17 @@
     # The term of an owner that the store does not serve.
     ownerAsked @20 :Text;
     # The term of an owner whose heartbeats are missed in the store.
+    completionsTold @21 :Completions;
+    completionsWanted @22 :UInt64;
+    # The epoch of the new owner that asks.
   }
 }
 
+struct Completions {
+  epoch @0 :UInt64;
+  jobs @1 :List(Text);
+}
+
 struct AdviceWanted {
   job @0 :Text;
   occurrence @1 :UInt32;
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -114,3 +114,13 @@
     When another writer is at work, and the owner is killed once a long job runs
     Then the other hosts tell that the job is completed
     And no task ran twice and no runner was overfull
+
+  # The store was away when a job ended. Its client was told so all the same, and went on to
+  # call the member. Then the owner died, and the runner with the list of its ends; the store
+  # came back and knew the job as under way. The task must not run a second time.
+  Scenario: A job ends while the store is away, and its owner and its runner are lost
+    When the store goes away while a long job runs
+    Then every host tells that it is completed
+    When the owner and the runner are lost before the platform is back
+    Then the other hosts tell that the job is completed
+    And its task has run once
--- /dev/null
+++ b/features/steps/completion_steps.py
@@ -0,0 +1,189 @@
+"""Steps on jobs that are complete before the store knows it."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import JobSpec, Submission, WriterFence
+from dandelionreel.cell._completions import KEPT_SECONDS, MOST_KEPT, Completions
+from dandelionreel.cell._election import Term
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._model import JobState
+from dandelionreel.cell._notices import Notices
+from dandelionreel.cell._records import (
+    MEMBER,
+    PROGRESS,
+    SUBMISSION,
+    Member,
+    Progress,
+    make_record,
+)
+from dandelionreel.cell._services import StoreError
+from dandelionreel.kernel import ManualClock, SystemClock, Verdict
+from dandelionreel.peers import CompletionsTold, CompletionsWanted, Done, Frame, PeerError, Refused
+from features.cell_parts import SmallCell, make_registration, step, task
+from features.store_parts import Host, make_desk, make_dispatcher, until
+from standins import MemoryTopic
+
+JOB = '0123456789abcdef'
+PEER = make_record(f'{MEMBER}peer', Member('south', '127.0.0.1', 1))
+
+
+class AwayTopic(MemoryTopic):
+    """A store that takes nothing."""
+
+    async def append(self, records, timeout, fence=None, expected_end=None):
+        """Refuse."""
+        raise StoreError('the store answered 503', Verdict.NOT_RUN)
+
+
+class PeerHost:
+    """Links to one peer that keeps what it is told; without ``completions`` it is silent."""
+
+    def __init__(self, completions):
+        self.completions = completions
+        self.asked = 0
+
+    async def ask(self, member, message, timeout):
+        """Answer as an entry host does."""
+        self.asked += 1
+        if self.completions is None:
+            raise PeerError('no answer in time', Verdict.UNKNOWN)
+        if isinstance(message, CompletionsWanted):
+            known = self.completions.answer(message.epoch)
+            return Frame(1, 'peer/1', 0, 0, CompletionsTold(message.epoch, known))
+        taken = self.completions.take_word(message.epoch, message.jobs)
+        return Frame(1, 'peer/1', 0, 0, Done() if taken else Refused('later'))
+
+
+@given('an owner whose store {works}, and a peer that {answers}')
+def owner_and_peer(context, works, answers):
+    clock = SystemClock()
+    context.small = SmallCell()
+    context.small.add_job(JOB, [step()])
+    context.small.plan()
+    topic = AwayTopic() if works == 'is away' else MemoryTopic()
+    context.desk = make_desk(context.small.cell, clock, topic)
+    remembered = None if answers == 'does not answer' else Completions(clock)
+    if answers == 'has been asked by a later owner':
+        remembered.answer(2)
+    context.peer = PeerHost(remembered)
+    book = JobBook()
+    book.fold([PEER])
+    context.completions = Completions(clock)
+    context.notices = Notices(context.desk, book, context.peer, context.completions, 'me')
+
+
+@when('a runner lists the end of its job')
+def list_end(context):
+    (start,) = context.small.allocations
+    context.small.look(start.runner, ended=[(1, task(JOB), start.run, 'done')])
+
+    async def play():
+        await curio.spawn(context.desk.writer.run, daemon=True)
+        await curio.spawn(context.notices.run, daemon=True)
+        await curio.spawn(context.desk.flush, daemon=True)
+        await curio.ignore_after(1, until, lambda: context.completions.holds(JOB))
+
+    curio.run(play)
+
+
+@then('clients are told {state} within a second')
+def told(context, state):
+    assert context.completions.holds(JOB) is (state == 'completed')
+
+
+@then('the peer is told nothing')
+def told_nothing(context):
+    assert context.peer.asked == 0, context.peer.asked
+
+
+@given('a store that says that a job runs on w1')
+def stored_job(context):
+    context.topic = MemoryTopic()
+    submission = Submission('urgent', 'desk', 0.0, JobSpec('payload', (step(),)))
+    records = [
+        make_record(SUBMISSION + JOB, submission),
+        make_record(PROGRESS + JOB, Progress(1, JobState.RUNNING, runners=('w1',))),
+        PEER,
+    ]
+    curio.run(context.topic.append, records, 0.1)
+
+
+@given('a peer that was told that the job is complete and {answers}')
+def told_peer(context, answers):
+    completions = Completions(SystemClock())
+    completions.note([JOB])
+    context.peer = PeerHost(completions if answers == 'says so' else None)
+
+
+@when('a host that was not told owns the cell and w1 has crashed')
+def succeed(context):
+    host = Host('me', context.topic)
+    term = Term(2, 'me/1', WriterFence(2, 1), None, False, True)
+
+    async def play():
+        await curio.spawn(host.follower.run, daemon=True)
+        await until(lambda: host.follower.complete)
+        dispatcher = make_dispatcher(host, term, context.topic, host.clock, links=context.peer)
+        dispatcher._begin()
+        dispatcher._notices.begin()
+        cell = dispatcher.cell
+        # w1 answers no more; w2 does, and could run the task.
+        cell.see_runners({'w2': make_registration('w2')}, 0)
+        context.blocked_at_first = cell.is_blocked(cell.job_by_id[JOB])
+        await dispatcher._notices.ask()
+        return cell
+
+    context.cell = curio.run(play)
+
+
+@then("the job's task is {outcome}")
+def started_again(context, outcome):
+    job = context.cell.job_by_id[JOB]
+    assert context.blocked_at_first, 'it could be started before peers had answered'
+    assert not context.cell.is_blocked(job)
+    waits = bool(job.ready_steps(0)) and not job.over
+    assert waits is (outcome == 'started again'), job.state
+    if not waits:
+        assert [dirty.id for dirty in context.cell.take_dirty()] == [JOB]
+
+
+@given('a host that the owner of epoch {epoch:d} has asked')
+def asked_host(context, epoch):
+    context.completions = Completions(ManualClock(0))
+    assert context.completions.answer(epoch) == ()
+
+
+@when('the owner of epoch {epoch:d} tells it that a job is complete')
+def tell(context, epoch):
+    context.taken = context.completions.take_word(epoch, [JOB])
+
+
+@then('its word is refused, and clients are not told')
+def word_refused(context):
+    assert not context.taken and not context.completions.holds(JOB)
+
+
+@then('clients are told that it is completed')
+def clients_told(context):
+    assert context.taken and context.completions.holds(JOB)
+
+
+@given('a host that is told of {count:d} complete jobs over an hour')
+def told_for_long(context, count):
+    context.clock = ManualClock(0)
+    context.completions = Completions(context.clock)
+    context.jobs = [f'{number:016x}' for number in range(count)]
+    for job in context.jobs:
+        context.completions.note([job])
+        context.clock.advance(3600 / count)
+    context.count = count
+
+
+@then('it remembers those of the last minute, and {most:d} at the most')
+def remembers(context, most):
+    kept = [job for job in context.jobs if context.completions.holds(job)]
+    lasting = int(KEPT_SECONDS / 3600 * context.count)
+    assert kept == context.jobs[-len(kept) :] and abs(len(kept) - lasting) <= 1, len(kept)
+    context.completions.note(f'{number:016x}' for number in range(100_000, 100_000 + 2 * most))
+    assert len(context.completions.answer(1)) <= most == MOST_KEPT
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -198,6 +198,11 @@
 @when('a long job is handed in and its runner crashes')
 def runner_crashes(context):
     hand_in_long(context)
+    crash_first_runner(context)
+
+
+def crash_first_runner(context):
+    """Let the runner of the first run crash; its entry goes."""
     platform = context.platform
     crashed = next(runner for runner in platform.runners if runner.name == platform.runs[0].runner)
     crashed.crash()
@@ -248,3 +253,23 @@
 def kill_owner_disturbed(context):
     start_writer(context)
     kill_owner(context)
+
+
+@when('the store goes away while a long job runs')
+def store_away(context):
+    hand_in_long(context, 1.0)
+    context.platform.store.faults.down = True
+
+
+@when('the owner and the runner are lost before the platform is back')
+def lose_owner_and_runner(context):
+    assert context.platform.store.faults.down
+    context.killed = context.hosts.owner()
+    context.hosts.kill(context.killed)
+    crash_first_runner(context)
+    context.platform.store.faults.down = False
+
+
+@then('its task has run once')
+def ran_once(context):
+    assert len(context.platform.settle()) == 1, context.platform.runs
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -5,6 +5,7 @@
 import curio
 
 from dandelionreel.cell import WriterFence
+from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._desk import Desk, always_fresh
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
@@ -78,7 +79,9 @@
     )
 
 
-def make_dispatcher(host, term, topic, clock, make_runner=make_registration, runners=None):
+def make_dispatcher(
+    host, term, topic, clock, make_runner=make_registration, runners=None, links=None
+):
     """Return the dispatcher of a host that has won ``term``, without runners unless told."""
     parts = DispatcherParts(
         topic=topic,
@@ -87,8 +90,9 @@
         runners=runners or RunnersFolder(None, clock, journal()),
         configuration=ConfigurationFolder(None, journal()),
         election=host.election,
-        links=None,
+        links=links,
         advisor=None,
+        completions=Completions(clock),
         make_runner=make_runner,
         clock=clock,
         journal=journal(),
