--- /dev/null
+++ b/dandelionreel/cell/_contact.py
@@ -0,0 +1,54 @@
+"""Whether a host is cut off, alone or with its availability zone. No I/O.
+
+Load pattern: a zone is cut off from the store and all other zones, and its clients still
+reach its hosts. Each request was tried at the owner, at a deputy and at the store in vain,
+for a second, and its client's few retries went to hosts that were cut off as well. Nothing
+can be accepted there; the sooner clients are sent to other zones, the more are served in
+time.
+
+What tells a cut from a store that is away, from a lost owner and from a slow link is the
+other zones: over there some host answers, and here nobody does.
+"""
+
+from collections.abc import Iterable
+
+#: Seconds without an answer of the store after which a host may be cut off, and after
+#: which it asks around though no request has failed: reads are usually answered within
+#: 0.55 s, with the owner's heartbeats.
+STORE_SILENT = 0.4
+STORE_OVERDUE = 0.6
+#: Seconds for which questions that nobody answered tell something.
+MEMORY_SECONDS = 2.0
+NEVER = float('-inf')
+
+
+class Contact:
+    """What was heard of other availability zones, and when."""
+
+    def __init__(self) -> None:
+        """Start with nothing heard."""
+        self._heard_at_by_zone: dict[str, float] = {}
+        self._missed_at_by_zone: dict[str, float] = {}
+
+    def note_answer(self, zone: str, now: float) -> None:
+        """Note that a host of a zone has answered."""
+        self._heard_at_by_zone[zone] = now
+
+    def note_miss(self, zone: str, asked_at: float) -> None:
+        """Note that a question to a host of a zone was not answered."""
+        self._missed_at_by_zone[zone] = asked_at
+
+    def is_silent(self, zone: str, now: float) -> bool:
+        """Return whether nobody of a zone has answered since the latest vain question."""
+        missed_at = self._missed_at_by_zone.get(zone, NEVER)
+        return missed_at > max(self._heard_at_by_zone.get(zone, NEVER), now - MEMORY_SECONDS)
+
+    def is_cut_off(self, zones: Iterable[str], store_answered_at: float, now: float) -> bool:
+        """Return whether neither the store nor any of the other ``zones`` answers.
+
+        A host that knows no other zone cannot tell, and counts as connected.
+        """
+        others = tuple(zones)
+        if not others or now - store_answered_at < STORE_SILENT:
+            return False
+        return all(self.is_silent(zone, now) for zone in others)
--- /dev/null
+++ b/dandelionreel/cell/_contact_watch.py
@@ -0,0 +1,110 @@
+"""Asks hosts of other availability zones for a sign of life when the store is silent."""
+
+import itertools
+from collections.abc import Callable
+from functools import partial
+
+import curio
+
+from dandelionreel.cell._advisors import PeerLinks
+from dandelionreel.cell._contact import STORE_OVERDUE, Contact
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._records import Member
+from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
+from dandelionreel.peers import OwnerAsked, PeerError
+
+#: Seconds for a peer's answer: they take 2 ms, up to a tenth of a second in a burst.
+ANSWER_SECONDS = 0.2
+#: Seconds between looks at how long the store has been silent, and between questions while
+#: a host is cut off.
+LOOK_SECONDS = 0.1
+ASK_AGAIN = 0.4
+
+
+class ContactWatch:
+    """Knows whether this host is cut off, at the cost of a few questions when it may be."""
+
+    def __init__(
+        self,
+        me: str,
+        zone: str,
+        book: JobBook,
+        links: PeerLinks,
+        store_answered_at: Callable[[], float],
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Look out for ``me`` in ``zone``; ``store_answered_at`` is in monotonic seconds."""
+        self._me = me
+        self._zone = zone
+        self._book = book
+        self._links = links
+        self._store_answered_at = store_answered_at
+        self._clock = clock
+        self._journal = journal
+        self._contact = Contact()
+        self._turn = itertools.count()
+        self._lock = curio.Lock()
+        self._asked_at = float('-inf')
+        self._told = False
+
+    @property
+    def cut_off(self) -> bool:
+        """Return whether this host is known to be cut off, as of the latest questions."""
+        now = self._clock.monotonic()
+        return self._contact.is_cut_off(self._zones(), self._store_answered_at(), now)
+
+    async def run(self) -> None:
+        """Ask around whenever the store is overdue, for ever."""
+        while True:
+            if self._clock.monotonic() - self._store_answered_at() >= STORE_OVERDUE:
+                await self.check()
+            self._tell()
+            await curio.sleep(LOOK_SECONDS)
+
+    async def check(self) -> bool:
+        """Ask around, if nobody has just done so; return whether this host is cut off."""
+        async with self._lock:
+            now = self._clock.monotonic()
+            if now - self._asked_at >= ASK_AGAIN:
+                self._asked_at = now
+                await self._ask_around(now)
+        return self.cut_off
+
+    async def _ask_around(self, now: float) -> None:
+        """Ask one host of each other zone, another one each time."""
+        turn = next(self._turn)
+        asks = []
+        for zone in self._zones():
+            hosts = sorted(
+                host for host, member in self._book.member_by_host.items() if member.zone == zone
+            )
+            member = self._book.member_by_host[hosts[turn % len(hosts)]]
+            asks.append(await curio.spawn(partial(self._ask, member, now), daemon=True))
+        for task in asks:
+            await task.wait()
+
+    async def _ask(self, member: Member, asked_at: float) -> None:
+        try:
+            # Whether it could own the cell does not matter: any answer is a sign of life.
+            await self._links.ask(member, OwnerAsked(''), ANSWER_SECONDS)
+        except PeerError:
+            self._contact.note_miss(member.zone, asked_at)
+            return
+        self._contact.note_answer(member.zone, self._clock.monotonic())
+
+    def _zones(self) -> set[str]:
+        zones = {member.zone for member in self._book.member_by_host.values()}
+        return zones - {self._zone, ''}
+
+    def _tell(self) -> None:
+        if self.cut_off is self._told:
+            return
+        self._told = self.cut_off
+        sentence = 'is cut off' if self._told else 'is not cut off any more'
+        self._journal.tell(
+            Part.PEERS,
+            f'{sentence}: from the store and all other zones.',
+            zones=sorted(self._zones()),
+            store_silent=seconds_or_none(self._clock.monotonic() - self._store_answered_at()),
+        )
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -103,6 +103,11 @@
         """Return whether nothing could be stored for a while."""
         return self._desk.writer.in_trouble(self._clock.monotonic())
 
+    @property
+    def stored_at(self) -> float:
+        """Return when the latest append that was answered had been sent."""
+        return self._desk.writer.stored_at
+
     async def run(self) -> None:
         """Dispatch until the term is lost or ended by ``end``."""
         self._begin()
--- a/dandelionreel/cell/_follower.py
+++ b/dandelionreel/cell/_follower.py
@@ -103,6 +103,8 @@
         #: Since when reads have been answered without a failure.
         self.reached_since = NEVER
         self.lost_at = NEVER
+        #: When the store last answered a read.
+        self.answered_at = NEVER
         self.changed = Signal()
 
     @property
@@ -204,6 +206,7 @@
         return batch.reached_end
 
     def _note_answer(self) -> None:
+        self.answered_at = self._clock.monotonic()
         if self.reached_since == NEVER:
             self.reached_since = self._clock.monotonic()
             self._journal.tell(Part.LOG, f'reaches the store: {self._name}.')
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 from dandelionreel.cell._completions import Completions
+from dandelionreel.cell._contact_watch import ContactWatch
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._model import Configuration, JobState, Queue
+from dandelionreel.cell._readiness import Rotation
 from dandelionreel.cell._records import (
     CANCELLATION,
     FINAL_STATES,
@@ -94,6 +96,8 @@
         relay: Relay,
         owned: Callable[[], Dispatcher | None],
         completions: Completions,
+        contact: ContactWatch,
+        rotation: Rotation,
         clock: Clock,
         journal: Journal,
         note_answer: Callable[[str, int, float], None],
@@ -107,6 +111,8 @@
         self._relay = relay
         self._owned = owned
         self._completions = completions
+        self._contact = contact
+        self._rotation = rotation
         self._clock = clock
         self._journal = journal
         self._note_answer = note_answer
@@ -208,7 +214,7 @@
         effort = _Effort()
         for attempt in self._attempts(request, record, relayed, at_owner):
             left = until - self._clock.monotonic()
-            if left <= 0:
+            if left <= 0 or await self._goes_in_vain(effort):
                 break
             answer = await attempt(left, effort)
             if answer is not None and (answer.status not in REFUSALS or not effort.maybe):
@@ -231,7 +237,27 @@
         )
         if effort.maybe:
             return self._unknown('what was asked for may have been stored')
-        return _refuse(STORE_CAUSE, 'the store takes nothing just now; it was not accepted')
+        detail = 'the store takes nothing just now; it was not accepted'
+        return _refuse(STORE_CAUSE, detail, self._retry_after())
+
+    async def _goes_in_vain(self, effort: _Effort) -> bool:
+        """Return whether this host is cut off, so that nothing more is worth a try.
+
+        Tried on, a request kept its client for a second, was in doubt behind the store's
+        silence, and used up the time in which another zone could have taken it.
+        """
+        if self._contact.cut_off:
+            return True
+        return bool(effort.tried) and await self._contact.check()
+
+    def _retry_after(self) -> float:
+        """Return the seconds after which another host is likely to take a request.
+
+        Behind a cut that is when the balancer sends clients to other zones.
+        """
+        if not self._contact.cut_off:
+            return RETRY_AFTER
+        return max(RETRY_AFTER, self._rotation.seconds_left(self._clock.monotonic()))
 
     def _attempts(
         self,
@@ -318,18 +344,26 @@
         if state is not None:
             return self._codec.answer_state(state)
         patience = LOOKUP_PATIENCE if booked is None else REFRESH_PATIENCE
-        if dispatcher is None and not relayed:
-            passed = await self._relay.forward_to_owner(request, patience)
-            if passed.answer is None and self._follower.age(began) > CUT_OFF_AGE:
-                passed = await self._relay.forward(request, patience)
-            if passed.answer is not None:
-                return passed.answer
+        if self._contact.cut_off:
+            # What is known here is all that can be told; a client that waits learns no more.
+            patience = 0.0
+        elif dispatcher is None and not relayed:
+            answer = await self._ask_state(request, began, patience)
+            if answer is not None:
+                return answer
         await self._follower.wait_fresh(began - STATE_AGE, patience)
         booked = self._jobs.book.find(job_id)
         if booked is not None:
             return self._codec.answer_state(booked.state)
         return self._unknown_job(job_id, began)
 
+    async def _ask_state(self, request: Request, began: float, patience: float) -> Answer | None:
+        """Return the owner's answer, or that of any peer where the store is out of reach."""
+        passed = await self._relay.forward_to_owner(request, patience)
+        if passed.answer is None and self._follower.age(began) > CUT_OFF_AGE:
+            passed = await self._relay.forward(request, patience)
+        return passed.answer
+
     async def _cancel(
         self,
         request: Request,
@@ -407,7 +441,7 @@
     return answer_problem(Problem(Verdict.NOT_RUN, status, cause, detail))
 
 
-def _refuse(cause: str, detail: str) -> Answer:
-    problem = Problem(Verdict.NOT_RUN, HTTP_UNAVAILABLE, cause, detail, RETRY_AFTER)
+def _refuse(cause: str, detail: str, retry_after: float = RETRY_AFTER) -> Answer:
+    problem = Problem(Verdict.NOT_RUN, HTTP_UNAVAILABLE, cause, detail, retry_after)
     answer = answer_problem(problem)
     return Answer(answer.status, (*answer.headers, (CAUSE_HEADER, cause)), answer.body)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -11,6 +11,7 @@
 from dandelionreel.cell import Registration, Runner, UnreadableLog
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
 from dandelionreel.cell._completions import Completions
+from dandelionreel.cell._contact_watch import ContactWatch
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election, name_incarnation
@@ -18,7 +19,7 @@
 from dandelionreel.cell._front import ClientFront
 from dandelionreel.cell._owner_watch import OwnerWatch
 from dandelionreel.cell._parts import DispatcherParts
-from dandelionreel.cell._readiness import Condition, find_hindrance
+from dandelionreel.cell._readiness import Condition, Rotation, find_hindrance
 from dandelionreel.cell._records import MEMBER, Member, make_record
 from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._runner_list import RunnersFolder
@@ -172,6 +173,16 @@
             self._clock,
             self._journal,
         )
+        self._contact = ContactWatch(
+            settings.host,
+            settings.zone,
+            self._jobs.book,
+            self._links,
+            self._store_answered_at,
+            self._clock,
+            self._journal,
+        )
+        self._rotation = Rotation()
         self._watch = OwnerWatch(
             settings.host,
             self._jobs.book,
@@ -187,6 +198,8 @@
             self._relay,
             lambda: self._dispatcher,
             self._completions,
+            self._contact,
+            self._rotation,
             self._clock,
             self._journal,
             self._metrics.note_answer,
@@ -194,6 +207,9 @@
         self._callers = Server(
             self._front.handle,
             ServerLimits(connections=settings.connections),
+            # A client that keeps its connection would go on asking a host in vain that
+            # the balancer sends nobody to.
+            lambda: bool(find_hindrance(self._condition())),
         )
 
     async def run(self) -> int:
@@ -250,7 +266,13 @@
             await start_task(stack, follower.run)
         await start_task(stack, self._writer.run)
         await self._listen(stack)
-        for work in (self._join, self._own, self._watch.run, self._update_gauges):
+        for work in (
+            self._join,
+            self._own,
+            self._watch.run,
+            self._contact.run,
+            self._update_gauges,
+        ):
             await start_task(stack, work)
 
     async def _listen(self, stack: AsyncExitStack) -> None:
@@ -280,7 +302,9 @@
         await self._callers.start(stack, settings.callers.host, settings.callers.port)
 
     async def _answer_ready(self, request: Request) -> Answer:
-        return Answer(HTTP_OK if self._is_ready() else HTTP_UNAVAILABLE)
+        ready = self._is_ready()
+        self._rotation.note_question(self._clock.monotonic(), ready=ready)
+        return Answer(HTTP_OK if ready else HTTP_UNAVAILABLE)
 
     async def _answer_asked(self, frame: Frame) -> Message:
         dispatcher = self._dispatcher
@@ -301,15 +325,7 @@
         return CompletionsTold(wanted.epoch, self._completions.answer(wanted.epoch))
 
     def _is_ready(self) -> bool:
-        now = self._clock.monotonic()
-        dispatcher = self._dispatcher
-        owner_fails = dispatcher is not None and dispatcher.store_is_failing
-        condition = Condition(
-            stopping=self._stopping,
-            configured=self._configuration.current is not None,
-            store_takes_nothing=self._writer.in_trouble(now) or owner_fails,
-            store_age=self._cell_follower.age(now),
-        )
+        condition = self._condition()
         hindrance = find_hindrance(condition)
         if hindrance != self._hindrance:
             self._hindrance = hindrance
@@ -320,6 +336,24 @@
             )
         return not hindrance
 
+    def _condition(self) -> Condition:
+        now = self._clock.monotonic()
+        dispatcher = self._dispatcher
+        owner_fails = dispatcher is not None and dispatcher.store_is_failing
+        return Condition(
+            stopping=self._stopping,
+            configured=self._configuration.current is not None,
+            cut_off=self._contact.cut_off,
+            store_takes_nothing=self._writer.in_trouble(now) or owner_fails,
+            store_age=self._cell_follower.age(now),
+        )
+
+    def _store_answered_at(self) -> float:
+        answered_at = max(follower.answered_at for follower in self._followers)
+        dispatcher = self._dispatcher
+        stored_at = self._writer.stored_at if dispatcher is None else dispatcher.stored_at
+        return max(answered_at, stored_at)
+
     async def _join(self) -> None:
         """Tell the other hosts where this one listens for peers."""
         settings = self._settings
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -45,12 +45,25 @@
     """A handler gives no answer: the connection is closed instead."""
 
 
+def _never() -> bool:
+    return False
+
+
 class Server:
     """Listens, reads whole requests and writes whole answers."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
-        """Serve every request by ``handler``."""
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        leaves: Callable[[], bool] = _never,
+    ) -> None:
+        """Serve every request by ``handler``.
+
+        While ``leaves()`` holds, each connection is closed after its current answer.
+        """
         self._handler = handler
+        self._leaves = leaves
         self._limits = limits or ServerLimits()
         self._open = 0
         self._closing = False
@@ -122,7 +135,7 @@
                 await self._write(client, http, answer)
             finally:
                 self.busy -= 1
-            if http.our_state is h11.MUST_CLOSE or self._closing:
+            if http.our_state is h11.MUST_CLOSE:
                 return
             http.start_next_cycle()
 
@@ -231,7 +244,7 @@
             if name not in {'connection', 'transfer-encoding', 'content-length'}
         ]
         headers.append(('content-length', str(len(answer.body))))
-        if last or self._closing:
+        if last or self._closing or self._leaves():
             headers.append(('connection', 'close'))
         payload = http.send(h11.Response(status_code=answer.status, headers=headers))
         if answer.body:
--- a/dandelionreel/records/_lives.py
+++ b/dandelionreel/records/_lives.py
@@ -83,6 +83,10 @@
             if life is None or life.closed_at is None or at < life.closed_at:
                 continue
             life.shown_at = _earlier(life.shown_at, at)
+        for life in self.by_job.values():
+            if life.accepted_at is None and life.started_at is not None:
+                # Its client was never told so; it ran all the same.
+                life.accepted_at = life.started_at
         sent = [life for life in self.by_job.values() if life.sent_at is not None]
         return sorted(sent, key=_sent_at)
 
--- /dev/null
+++ b/features/steps/contact_steps.py
@@ -0,0 +1,245 @@
+"""Steps on hosts that are cut off."""
+
+from contextlib import AsyncExitStack
+
+import curio
+import msgspec
+from behave import given, then, when
+
+from dandelionreel.cell import Configuration, Service
+from dandelionreel.cell._completions import Completions
+from dandelionreel.cell._contact import MEMORY_SECONDS, Contact
+from dandelionreel.cell._contact_watch import ContactWatch
+from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
+from dandelionreel.cell._front import ClientFront
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._readiness import Rotation
+from dandelionreel.cell._records import MEMBER, Member, make_record
+from dandelionreel.cell._relay import Relay
+from dandelionreel.http import Answer, Channel, Request, Server
+from dandelionreel.kernel import ManualClock, SystemClock, Verdict
+from dandelionreel.peers import PeerError
+from dandelionreel.platform import JsonClientCodec
+from features.cell_parts import QUEUES
+from features.store_parts import journal
+
+ZONES = ('south', 'west')
+NOW = 1000.0
+
+
+@given('a host in north that heard {others} 0.1 s ago and the store {age:g} s ago')
+def listening_host(context, others, age):
+    context.contact = Contact()
+    context.zones = ZONES
+    context.store_answered_at = NOW - age
+    for zone in ZONES if others == 'both zones' else ():
+        context.contact.note_answer(zone, NOW - 0.1)
+
+
+@when('it asks hosts of south and west, of which {answer}')
+def ask_both(context, answer):
+    answering = {'none does': (), 'both do': ZONES, 'only west does': ('west',)}[answer]
+    for zone in ZONES:
+        if zone in answering:
+            context.contact.note_answer(zone, NOW + 0.01)
+        else:
+            context.contact.note_miss(zone, NOW)
+    context.now = NOW + 0.2
+
+
+@given('a host in north of a site {site}')
+def lone_host(context, site):
+    context.contact = Contact()
+    context.zones = ()
+    context.store_answered_at = NOW - 9
+
+
+@when('the store has been silent for 9 s and nobody answers')
+def all_silent(context):
+    for zone in ('north', ''):
+        context.contact.note_miss(zone, NOW)
+    context.now = NOW + 0.2
+
+
+@then('the host counts as {verdict}')
+def check_verdict(context, verdict):
+    found = context.contact.is_cut_off(context.zones, context.store_answered_at, context.now)
+    assert found is (verdict == 'cut off'), found
+
+
+@given('a host in north that is cut off')
+def cut_off_host(context):
+    listening_host(context, 'nobody', 9.0)
+    ask_both(context, 'none does')
+    check_verdict(context, 'cut off')
+
+
+@when('a host of west answers')
+def west_answers(context):
+    context.contact.note_answer('west', context.now + 1)
+    context.now += 1
+
+
+@when('{seconds:g} s have passed without a question')
+def no_question(context, seconds):
+    assert seconds > MEMORY_SECONDS
+    context.now += seconds
+
+
+class SilentLinks:
+    """Nobody answers; ``asked`` counts the questions."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def ask(self, member, message, timeout):
+        """Wait in vain."""
+        self.asked += 1
+        await curio.sleep(timeout)
+        raise PeerError('no answer in time', Verdict.UNKNOWN)
+
+
+def make_watch(clock, links, store_answered_at):
+    book = JobBook()
+    for host, zone in (('me', 'north'), ('s-1', 'south'), ('s-2', 'south'), ('w-1', 'west')):
+        book.fold([make_record(f'{MEMBER}{host}', Member(zone, '127.0.0.1', 1))])
+    return ContactWatch('me', 'north', book, links, lambda: store_answered_at, clock, journal())
+
+
+@given('a host in north whose store and peers are silent')
+def silent_all_round(context):
+    context.links = SilentLinks()
+    clock = SystemClock()
+    context.watch = make_watch(clock, context.links, clock.monotonic() - 9)
+
+
+@when('{count:d} requests look whether it is cut off')
+def look_at_once(context, count):
+    async def look():
+        tasks = [await curio.spawn(context.watch.check) for _ in range(count)]
+        return [await task.join() for task in tasks]
+
+    async def look_in_time():
+        return await curio.ignore_after(1, look)
+
+    context.learned = curio.run(look_in_time)
+
+
+@then('each of them learns so within 1 s')
+def all_learned(context):
+    assert context.learned == [True] * 20, context.learned
+
+
+@then('{count:d} questions were put')
+def questions_put(context, count):
+    assert context.links.asked == count, context.links.asked
+
+
+class NoWriter:
+    """A writer that must not be asked."""
+
+    failing_since = float('inf')
+
+
+@given('an entry host that is cut off, which the balancer asked 0.3 s ago')
+def cut_off_entry(context):
+    clock = ManualClock(NOW)
+    links = context.links = SilentLinks()
+    watch = make_watch(clock, links, NOW - 9)
+    for zone in ZONES:
+        watch._contact.note_miss(zone, NOW)
+    rotation = Rotation()
+    for ago in (2.3, 1.3, 0.3):
+        rotation.note_question(NOW - ago, ready=True)
+    configuration = ConfigurationFolder(None, journal())
+    configuration.current = Configuration(1, QUEUES, (Service('desk', False, False),), 9999)
+    jobs = JobFolder(clock, journal())
+    context.front = ClientFront(
+        JsonClientCodec(),
+        configuration,
+        jobs,
+        ReadFollower(),
+        NoWriter(),
+        Relay('me', jobs.book, links, clock, journal()),
+        lambda: None,
+        Completions(clock),
+        watch,
+        rotation,
+        clock,
+        journal(),
+        lambda method, status, seconds: None,
+    )
+
+
+class ReadFollower:
+    """A follower that has read all there was until the cut."""
+
+    complete = True
+
+    def age(self, now):
+        """Return the age of what it has read."""
+        return 9.0
+
+
+@when('a client hands a job in there')
+def client_hands_in(context):
+    body = msgspec.json.encode({'spec': 'x', 'steps': [{'count': 1, 'cpu': 1000}]})
+    request = Request('POST', '/urgent/0123456789abcdef', (('host', 'h'),), body)
+    context.answer = curio.run(context.front.handle, request)
+
+
+@then('the job is refused at once, to come back in {seconds:d} s')
+def refused_at_once(context, seconds):
+    assert context.answer.status == 503, context.answer
+    assert context.answer.header('retry-after') == f'{seconds}', context.answer
+
+
+@then('the job may run elsewhere, as nothing was tried')
+def truly_not_run(context):
+    assert context.links.asked == 0, 'a peer was asked'
+    assert msgspec.json.decode(context.answer.body)['verdict'] == 'not_run', context.answer
+
+
+@given('a balancer that asks a host every second, the last time 0.3 s ago')
+def asking_balancer(context):
+    context.rotation = Rotation()
+
+
+@when('it has been told {misses:d} times that the host is not ready')
+def told_misses(context, misses):
+    times = [NOW - 0.3 - number for number in range(8)]
+    for number, at in enumerate(reversed(times)):
+        context.rotation.note_question(at, ready=number < len(times) - misses)
+
+
+@then('clients are sent there for {seconds:g} s more')
+def sent_for(context, seconds):
+    assert abs(context.rotation.seconds_left(NOW) - seconds) < 0.001
+
+
+@given('a server that is {ready}')
+def some_server(context, ready):
+    context.leaves = ready == 'not ready'
+
+
+@when('a client sends it a request')
+def send_one(context):
+    async def answer(request):
+        return Answer(200)
+
+    async def send():
+        async with AsyncExitStack() as stack:
+            server = Server(answer, leaves=lambda: context.leaves)
+            await server.start(stack, '127.0.0.1', 0)
+            channel = Channel('127.0.0.1', server.port)
+            stack.push_async_callback(channel.close)
+            answered = await channel.exchange(Request('GET', '/'), 5)
+            return answered, channel._connection.is_open
+
+    context.answered, context.is_open = curio.run(send)
+
+
+@then('its connection is {fate}')
+def connection_fate(context, fate):
+    assert context.answered.status == 200
+    assert context.is_open is (fate == 'kept open')
