A zone of which two runners are silent gets nothing new until one there answers

Change: two runners of a zone with orders that are out for 0.08 s, and no answer of any runner there since, put the zone in doubt; never all zones.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -71,6 +71,7 @@
             # Another exchange has met the next life at its address meanwhile. Taken for
             # found there, its runs would be under way for ever: nobody looks there again.
             return
+        self._desk.cell.zone_doubt.note_answer(state.registration.zone)
         was_usable = state.usable(asked)
         effect = self._take_view(state, view, asked)
         if effect.is_news or not was_usable:
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -15,6 +15,7 @@
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun, StepRun, TaskRun, counted_demand
 from dandelionreel.cell._services import RunnerView, StartReply
 from dandelionreel.cell._tickets import TicketBook
+from dandelionreel.cell._zone_doubt import ZoneDoubt
 
 #: Run numbers of one epoch for one task. Numbers of a later owner are higher
 #: than all of an earlier one, so none of them has to be stored.
@@ -38,6 +39,7 @@
         self.live_by_id = self._holdings.live_by_id
         self.runner_by_id = self._holdings.runner_by_id
         self.tickets = TicketBook()
+        self.zone_doubt = ZoneDoubt()
         #: Runners on which tasks of earlier owners may run unseen.
         self.unseen: set[str] = set()
         #: Jobs of which something in the store cannot be read.
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -69,6 +69,7 @@
             state = self._desk.cell.runner_by_id.get(allocation.runner)
             if state is None or (allocation.task, allocation.run) not in state.allocation_by_run:
                 return
+            self._note_order(state)
             try:
                 await runner.stop(allocation.task, allocation.run, self._desk.term.epoch)
             except RunnerError as error:
@@ -81,14 +82,19 @@
             except RunnerReplaced:
                 self._desk.end_runner(state, 'another runner answers there', proven=True)
                 return
-            self._desk.cell.stop_answered(allocation, self._desk.clock.monotonic())
-            self._desk.journal.tell_frequent(
-                Part.PLACEMENT,
-                f'{allocation.runner} has taken a stop.',
-                **self._fields(allocation),
-            )
+            self._take_stop(state, allocation)
             return
 
+    def _take_stop(self, state: RunnerState, allocation: Allocation) -> None:
+        cell = self._desk.cell
+        cell.zone_doubt.note_answer(state.registration.zone)
+        cell.stop_answered(allocation, self._desk.clock.monotonic())
+        self._desk.journal.tell_frequent(
+            Part.PLACEMENT,
+            f'{allocation.runner} has taken a stop.',
+            **self._fields(allocation),
+        )
+
     def _tell_missed_stop(self, allocation: Allocation, error: RunnerError) -> None:
         self._desk.journal.tell_frequent(
             Part.PLACEMENT,
@@ -185,6 +191,7 @@
             if not check():
                 # Withdrawn, not unanswered: that says nothing of the runner.
                 return maybe_sent
+            self._note_order(state)
             try:
                 answer = await runner.start(self._order(state, allocation, payload), check)
             except RunnerError as error:
@@ -204,11 +211,16 @@
                     return maybe_sent
                 await curio.sleep(RETRY_SECONDS)
                 continue
+            self._desk.cell.zone_doubt.note_answer(state.registration.zone)
             self._tell_slow(allocation, answer.reply, self._desk.clock.monotonic() - began)
             await self._take_answer(state, allocation, answer.reply, in_doubt=maybe_sent)
             return None
         return maybe_sent
 
+    def _note_order(self, state: RunnerState) -> None:
+        now = self._desk.clock.monotonic()
+        self._desk.cell.zone_doubt.note_order(state.registration.zone, state.id, now)
+
     def _tell_unanswered(self, allocation: Allocation, error: RunnerError) -> None:
         self._desk.journal.tell_frequent(
             Part.PLACEMENT,
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -139,10 +139,14 @@
 
     def _usable(self, now: float) -> dict[str, dict[str, RunnerState]]:
         by_service: dict[str, dict[str, RunnerState]] = {}
-        for runner in self._cell.runner_by_id.values():
-            if runner.usable(now):
-                known = by_service.setdefault(runner.registration.service, {})
-                known[runner.id] = runner
+        usable = [runner for runner in self._cell.runner_by_id.values() if runner.usable(now)]
+        zones = {runner.registration.zone for runner in usable}
+        doubtful = self._cell.zone_doubt.doubtful(zones, now)
+        for runner in usable:
+            if runner.registration.zone in doubtful:
+                continue
+            known = by_service.setdefault(runner.registration.service, {})
+            known[runner.id] = runner
         return by_service
 
     def _ordered(self, now: float, wall: float) -> list[_Candidate]:
--- /dev/null
+++ b/dandelionreel/cell/_zone_doubt.py
@@ -0,0 +1,65 @@
+"""Which availability zones may be cut off, by what their runners leave unanswered. No I/O.
+
+Load pattern: a zone of eight runners is cut off while 12 starts a second go there. Each
+runner was found silent by itself, by the first start that it left unanswered for 0.4 s: ten
+to twenty starts were lost in the first second, and each holds its task up until the cut is
+over. Two runners of a zone that are silent at the same moment, while nobody there answers,
+tell it for all of them in a quarter of the time.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+#: Seconds after which an order's answer is overdue: they take 2 ms, some tens on slow links.
+OVERDUE_SECONDS = 0.08
+#: Runners of a zone that must be silent: one may have ended.
+SILENT_RUNNERS = 2
+#: Seconds after which an order that was never answered tells nothing any more.
+MEMORY_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class _Order:
+    runner: str
+    sent_at: float
+
+
+class ZoneDoubt:
+    """Orders that are not answered yet, by zone, and zones that are in doubt."""
+
+    def __init__(self) -> None:
+        """Start without a doubt."""
+        self._orders_by_zone: dict[str, list[_Order]] = {}
+        self._doubted: set[str] = set()
+
+    def note_order(self, zone: str, runner: str, now: float) -> None:
+        """Note that an order leaves for a runner."""
+        recent = [
+            order
+            for order in self._orders_by_zone.get(zone, ())
+            if now - order.sent_at < MEMORY_SECONDS
+        ]
+        self._orders_by_zone[zone] = [*recent, _Order(runner, now)]
+
+    def note_answer(self, zone: str) -> None:
+        """Note that some runner of a zone has answered: it can be reached."""
+        self._orders_by_zone.pop(zone, None)
+        self._doubted.discard(zone)
+
+    def doubtful(self, zones: Iterable[str], now: float) -> set[str]:
+        """Return the zones that get nothing new until one there answers; never all ``zones``.
+
+        Where all are in doubt, it is this host that is cut off, or nothing can be told.
+        """
+        known = set(zones)
+        self._doubted.update(zone for zone in known if self._is_silent(zone, now))
+        found = known & self._doubted
+        return found if found < known else set()
+
+    def _is_silent(self, zone: str, now: float) -> bool:
+        overdue = {
+            order.runner
+            for order in self._orders_by_zone.get(zone, ())
+            if OVERDUE_SECONDS <= now - order.sent_at < MEMORY_SECONDS
+        }
+        return len(overdue) >= SILENT_RUNNERS
--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -40,9 +40,11 @@
 )
 
 
-def make_registration(runner, draining=False, labels=('a', 'r-1'), port=1, capacity=CAPACITY):
+def make_registration(
+    runner, draining=False, labels=('a', 'r-1'), port=1, capacity=CAPACITY, zone='north'
+):
     """Return the entry of a runner of ``desk``."""
-    return Registration(runner, 'desk', '10.0.0.1', port, 'north', capacity, labels, draining)
+    return Registration(runner, 'desk', '10.0.0.1', port, zone, capacity, labels, draining)
 
 
 class SmallCell:
--- /dev/null
+++ b/features/zones.feature
@@ -0,0 +1,28 @@
+Feature: Placement that knows availability zones
+
+  # A zone was cut off while 12 starts a second went there. Each of its eight runners was found
+  # silent by itself, 0.4 s after its first start: 27 starts of 11 jobs were lost in the first
+  # 0.6 s, and none of those jobs was over before the cut was, 6 s later.
+  Scenario: A zone is cut off while jobs come
+    Given 8 runners in each of the zones north, south and west, those outside south nearly full
+    When south falls silent, and 8 jobs of 3 tasks come every 0.1 s for 1 s
+    Then at most 12 starts go to south, all of them within 0.15 s
+    When a runner of south answers again
+    Then starts go to south once more
+
+  Scenario Outline: What puts no zone in doubt
+    Given 8 runners in each of the zones north, south and west
+    When <what>
+    Then no zone is in doubt
+
+    Examples:
+      | what                                                            |
+      | one runner of south leaves its orders unanswered                |
+      | two runners of south are slow, and another one there answers    |
+      | two runners of south have had an order for 0.07 s               |
+      | runners of all zones leave their orders unanswered              |
+
+  Scenario: Runners that name no zone
+    Given 8 runners that name no zone
+    When two of them leave their orders unanswered
+    Then no zone is in doubt
