--- a/spec/run.py
+++ b/spec/run.py
@@ -4,6 +4,7 @@
 
 from spec._model import check
 from spec.attempts import ATTEMPTS
+from spec.behind_a_cut import BEHIND_A_CUT
 from spec.cancelling import CANCELLING
 from spec.cell import CELL
 from spec.completions import COMPLETIONS
@@ -13,7 +14,18 @@
 from spec.ownership import OWNERSHIP
 from spec.publication import PUBLICATION
 
-SPECS = (CELL, CANCELLING, COMPLETIONS, CRASHES, OWNERSHIP, JOINING, ATTEMPTS, PUBLICATION, ESCROW)
+SPECS = (
+    CELL,
+    CANCELLING,
+    COMPLETIONS,
+    BEHIND_A_CUT,
+    CRASHES,
+    OWNERSHIP,
+    JOINING,
+    ATTEMPTS,
+    PUBLICATION,
+    ESCROW,
+)
 
 
 def main() -> int:
