--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -62,7 +62,7 @@
             await self._desk.lose(f'{state.id} has seen a higher epoch')
             return
         except RunnerReplaced:
-            self._desk.end_runner(state, 'another runner answers there', proven=True)
+            await self._end_replaced(state)
             return
         except RunnerError as error:
             await self._miss_runner(state, error)
@@ -161,7 +161,7 @@
                 epoch=self._desk.term.epoch,
             )
         if state.allocation_by_run and self._desk.leases_ran_out(state):
-            self._desk.lapse_runner(state)
+            await self._lapse(state)
         if (
             not state.listed
             and not state.allocation_by_run
@@ -174,6 +174,17 @@
             return
         await curio.sleep(RELOOK_SECONDS)
 
+    async def _end_replaced(self, state: RunnerState) -> None:
+        if await self._desk.hears(state.registration.zone, state.answered_at):
+            self._desk.end_runner(state, 'another runner answers there', proven=True)
+            return
+        state.suspect = True
+        await curio.sleep(RELOOK_SECONDS)
+
+    async def _lapse(self, state: RunnerState) -> None:
+        if await self._desk.hears(state.registration.zone, state.answered_at):
+            self._desk.lapse_runner(state)
+
     def _tell_readable(self, state: RunnerState, view: RunnerView) -> None:
         if view.complete is state.readable:
             return
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -217,18 +217,19 @@
         self._losses.note_lapse(runner)
         self._holdings.lose_all(runner)
 
-    def give_up_unseen(self) -> list[Crash]:
+    def give_up_unseen(self, runners: Iterable[str]) -> list[Crash]:
         """Take what earlier owners started on unseen runners for gone.
 
         One whose entry is still there is only out of reach.
         """
         crashes = []
-        for runner_id in self.unseen:
+        given_up = self.unseen.intersection(runners)
+        for runner_id in given_up:
             known = self.runner_by_id.get(runner_id)
             if known is not None and known.listed:
                 continue
             crashes.extend(self._losses.note_unseen(runner_id))
-        self.unseen.clear()
+        self.unseen -= given_up
         self._take_crashes(crashes)
         return crashes
 
--- /dev/null
+++ b/dandelionreel/cell/_completeness.py
@@ -0,0 +1,39 @@
+"""Whether a job is complete, by what stands in the store and what runners list. No I/O."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from dandelionreel.cell._model import JobSpec, StepName
+from dandelionreel.cell._records import Progress
+from dandelionreel.cell._services import EndedRun, Outcome
+
+HEX = 16
+
+
+def is_complete(job: str, spec: JobSpec, progress: Progress, ended: Iterable[EndedRun]) -> bool:
+    """Return whether all tasks of a job are done, as far as these facts go.
+
+    Of jobs with a schedule, and of tasks that last, nothing is said.
+    """
+    if spec.repeat_count or any(step.long_running for step in spec.steps):
+        return False
+    done: dict[StepName, set[int]] = defaultdict(set)
+    for entry in progress.done:
+        mask = int(entry.mask, HEX)
+        indexes = {index for index in range(mask.bit_length()) if mask >> index & 1}
+        done[StepName(job, entry.occurrence, entry.step)] |= indexes
+    for end in ended:
+        if end.outcome is Outcome.DONE:
+            done[StepName.of(end.task)].add(end.task.index)
+    return all(
+        _is_step_complete(spec, number, done[StepName(job, 0, number)])
+        for number in range(len(spec.steps))
+    )
+
+
+def _is_step_complete(spec: JobSpec, number: int, done: set[int]) -> bool:
+    step = spec.steps[number]
+    if step.gang:
+        # One end stands for all members of the gang.
+        return bool(done)
+    return set(range(step.count)) <= done
--- a/dandelionreel/cell/_completions.py
+++ b/dandelionreel/cell/_completions.py
@@ -26,6 +26,9 @@
         self._clock = clock
         self._noted_at_by_job: dict[str, float] = {}
         self._fence = 0
+        #: How many questions of owners have been answered, and when the latest one was.
+        self.questions = 0
+        self.asked_at = float('-inf')
 
     def holds(self, job: str) -> bool:
         """Return whether the job is known to be complete."""
@@ -56,4 +59,6 @@
     def answer(self, epoch: int) -> tuple[str, ...]:
         """Return all that is known, and believe no owner before that epoch from now on."""
         self._fence = max(self._fence, epoch)
+        self.questions += 1
+        self.asked_at = self._clock.monotonic()
         return tuple(self._noted_at_by_job)
--- a/dandelionreel/cell/_contact_watch.py
+++ b/dandelionreel/cell/_contact_watch.py
@@ -47,6 +47,7 @@
         self._lock = curio.Lock()
         self._asked_at = float('-inf')
         self._told = False
+        self._asked_by_owner_at = float('-inf')
 
     @property
     def cut_off(self) -> bool:
@@ -54,6 +55,19 @@
         now = self._clock.monotonic()
         return self._contact.is_cut_off(self._zones(), self._store_answered_at(), now)
 
+    @property
+    def may_speak(self) -> bool:
+        """Return whether this host may tell clients what its zone's runners list.
+
+        Not once an owner has asked it what it has told: that owner relies on the answer
+        until the store serves this host again.
+        """
+        return self.cut_off and self._asked_by_owner_at < self._store_answered_at()
+
+    def note_owner(self) -> None:
+        """Note that an owner has asked what this host knows."""
+        self._asked_by_owner_at = self._clock.monotonic()
+
     async def run(self) -> None:
         """Ask around whenever the store is overdue, for ever."""
         while True:
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -1,6 +1,6 @@
 """What the parts of the dispatcher share for one term, and how they store notes."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -35,6 +35,7 @@
 MOST_TOLD = 40
 
 ListAge = Callable[[], float]
+Hears = Callable[[str, float], Awaitable[bool]]
 MakeRunner = Callable[[Registration], Runner]
 
 
@@ -43,6 +44,11 @@
     return 0.0
 
 
+async def always_heard(zone: str, since: float) -> bool:
+    """Return that nobody in a zone may have shown anything."""
+    return True
+
+
 class Desk:
     """The cell of one term, the right to act on it, and the way to the store."""
 
@@ -81,6 +87,9 @@
         self.runner_by_id: dict[str, Runner] = {}
         self.list_age = list_age
         self._make_runner = make_runner
+        #: Whether hosts of a zone whose runner is silent since a time have told what they
+        #: have shown; until then nothing that ran there counts as lost.
+        self.hears: Hears = always_heard
 
     async def lose(self, cause: str) -> None:
         """End the term: another host owns the cell, or may."""
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -8,6 +8,7 @@
 from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import BEAT_SECONDS, Term
+from dandelionreel.cell._hearing import Hearing
 from dandelionreel.cell._inquiries import Question
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._load_report import LoadReport
@@ -90,6 +91,12 @@
             parts.completions,
             parts.host,
         )
+        self._desk.hears = Hearing(
+            self._desk,
+            parts.jobs.book,
+            self._notices,
+            parts.host,
+        ).heard
         self._load = LoadReport(self.cell, self._pool, parts.journal)
         self._rounds = Rounds(parts, self._desk, self._load)
 
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -23,6 +23,7 @@
 from dandelionreel.cell._relay import Relay, Relayed
 from dandelionreel.cell._services import ClientCodec, KeyedRecord, SubmissionError
 from dandelionreel.cell._writer import GroupWriter, Written
+from dandelionreel.cell._zone_ends import ZoneEnds
 from dandelionreel.http import Answer, Request, answer_problem
 from dandelionreel.kernel import Clock, Journal, Part, Problem, Verdict, seconds_or_none
 from dandelionreel.peers import ForwardAnswer, Frame, Message
@@ -97,6 +98,7 @@
         relay: Relay,
         owned: Callable[[], Dispatcher | None],
         completions: Completions,
+        zone_ends: ZoneEnds,
         contact: ContactWatch,
         rotation: Rotation,
         clock: Clock,
@@ -113,6 +115,7 @@
         self._relay = relay
         self._owned = owned
         self._completions = completions
+        self._zone_ends = zone_ends
         self._contact = contact
         self._rotation = rotation
         self._clock = clock
@@ -355,7 +358,9 @@
             return self._codec.answer_state(state)
         patience = LOOKUP_PATIENCE if booked is None else REFRESH_PATIENCE
         if self._contact.cut_off:
-            # What is known here is all that can be told; a client that waits learns no more.
+            # What is known in this zone is all that can be told; who waits learns no more.
+            if await self._zone_ends.is_complete(job_id):
+                return self._codec.answer_state(JobState.COMPLETED)
             patience = 0.0
         elif dispatcher is None and not relayed:
             answer = await self._ask_state(request, began, patience)
--- /dev/null
+++ b/dandelionreel/cell/_hearing.py
@@ -0,0 +1,73 @@
+"""Whether hosts of a zone have told what they have shown, before its runs count as lost.
+
+Behind a cut the hosts of a zone tell its clients which of their jobs its runners have done.
+An owner outside does not see that. If it took a lease that runs out there for the end of the
+run, or the crash of a runner for the loss of its list, and asked nobody, it would start a
+task again whose job a client holds for complete.
+"""
+
+from dandelionreel.cell._desk import Desk
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._notices import Notices
+from dandelionreel.kernel import Part
+
+#: Seconds for which a runner must have been silent: a host finds that it is cut off in no
+#: less.
+CUT_SECONDS = 0.4
+#: Seconds between two rounds of questions to a zone.
+ASK_AGAIN = 0.5
+#: Seconds after which a zone that nobody answers from counts as lost, with its clients.
+LOST_SECONDS = 60.0
+
+
+class Hearing:
+    """Asks the hosts of zones during one term."""
+
+    def __init__(self, desk: Desk, book: JobBook, notices: Notices, host: str) -> None:
+        """Ask as ``host``."""
+        self._desk = desk
+        self._book = book
+        self._notices = notices
+        self._host = host
+        self._heard_at_by_zone: dict[str, float] = {}
+        self._asked_at_by_zone: dict[str, float] = {}
+        self._given_up: set[str] = set()
+        self._began_at = desk.clock.monotonic()
+
+    async def heard(self, zone: str, since: float) -> bool:
+        """Return whether a zone whose runner is silent ``since`` then has been heard.
+
+        Seconds are monotonic; an owner has waited since its term began at the longest. A
+        zone without other hosts has nobody who could have shown anything.
+        """
+        now = self._desk.clock.monotonic()
+        since = max(since, self._began_at)
+        members = self._book.member_by_host
+        hosts = [
+            host for host, member in members.items() if member.zone == zone and host != self._host
+        ]
+        if not zone or not hosts or now - since < CUT_SECONDS:
+            return True
+        if self._heard_at_by_zone.get(zone, float('-inf')) > since:
+            return True
+        if now - since > LOST_SECONDS:
+            self._give_up(zone)
+            return True
+        if now - self._asked_at_by_zone.get(zone, float('-inf')) < ASK_AGAIN:
+            return False
+        self._asked_at_by_zone[zone] = now
+        if not await self._notices.ask_all([(host, members[host]) for host in hosts]):
+            return False
+        self._heard_at_by_zone[zone] = now
+        self._given_up.discard(zone)
+        return True
+
+    def _give_up(self, zone: str) -> None:
+        if zone in self._given_up:
+            return
+        self._given_up.add(zone)
+        self._desk.journal.tell(
+            Part.OWNERSHIP,
+            f'takes the zone {zone} for lost: no host there has answered for too long.',
+            epoch=self._desk.term.epoch,
+        )
--- a/dandelionreel/cell/_notices.py
+++ b/dandelionreel/cell/_notices.py
@@ -65,15 +65,17 @@
         term = self._desk.term
         known = self._completions.answer(term.epoch)
         self._desk.cell.take_complete(known)
-        asks = [
-            await curio.spawn(self._ask, host, member, daemon=True)
-            for host, member in self._peers()
-        ]
-        for task in asks:
-            await task.wait()
+        await self.ask_all(self._peers())
         self._desk.cell.awaits_word = False
         await self._desk.wake.notify()
 
+    async def ask_all(self, peers: Iterable[tuple[str, Member]]) -> bool:
+        """Take what peers know, asked at the same time; return whether any has answered."""
+        asks = [await curio.spawn(self._ask, host, member, daemon=True) for host, member in peers]
+        for task in asks:
+            await task.wait()
+        return any(task.result for task in asks)
+
     def _peers(self) -> list[tuple[str, Member]]:
         """Return the hosts that would own the cell next."""
         members = self._book.member_by_host
@@ -109,7 +111,7 @@
                 store_age=round(self._desk.clock.monotonic() - self._desk.writer.stored_at, 3),
             )
 
-    async def _ask(self, host: str, member: Member) -> None:
+    async def _ask(self, host: str, member: Member) -> bool:
         wanted = CompletionsWanted(self._desk.term.epoch)
         try:
             frame = await self._links.ask(member, wanted, ANSWER_SECONDS)
@@ -117,10 +119,10 @@
             self._desk.journal.tell(
                 Part.OWNERSHIP, f'{host} does not tell which jobs are complete: {error}.'
             )
-            return
+            return False
         told = frame.message
         if not isinstance(told, CompletionsTold):
-            return
+            return False
         self._completions.note(told.jobs)
         taken = self._desk.cell.take_complete(told.jobs)
         if taken:
@@ -131,3 +133,4 @@
                 count=len(taken),
                 epoch=self._desk.term.epoch,
             )
+        return True
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -80,7 +80,7 @@
                 await self._desk.lose(f'{allocation.runner} has seen a higher epoch')
                 return
             except RunnerReplaced:
-                self._desk.end_runner(state, 'another runner answers there', proven=True)
+                await self._end_replaced(state)
                 return
             self._take_stop(state, allocation)
             return
@@ -217,6 +217,13 @@
             return None
         return maybe_sent
 
+    async def _end_replaced(self, state: RunnerState) -> None:
+        if await self._desk.hears(state.registration.zone, state.answered_at):
+            self._desk.end_runner(state, 'another runner answers there', proven=True)
+            return
+        # The next look finds the same, and asks again.
+        state.suspect = True
+
     def _note_order(self, state: RunnerState) -> None:
         now = self._desk.clock.monotonic()
         self._desk.cell.zone_doubt.note_order(state.registration.zone, state.id, now)
@@ -265,7 +272,7 @@
             if not in_doubt:
                 # It never ran there, so no crash of the runner counts for it.
                 self._desk.cell.withdraw(allocation)
-            self._desk.end_runner(state, 'another runner answers there', proven=True)
+            await self._end_replaced(state)
         else:
             now = self._desk.clock.monotonic()
             self._desk.cell.start_answered(allocation, reply, now, in_doubt=in_doubt)
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -43,6 +43,7 @@
             parts.host,
         )
         self.predecessors = Predecessors(desk.term, desk.lease, parts.clock.monotonic())
+        self._began_at = parts.clock.monotonic()
         self._dropped_at = float('-inf')
         self._knew_runners = True
 
@@ -67,7 +68,7 @@
         self._cell.configuration = self._parts.configuration.current
         self._tell_list_age()
         await self._see_runners(stack)
-        self._give_up_unseen(now)
+        await self._give_up_unseen(now)
         self._stop_doomed(now)
         self._load.look(now, self._clock.wall(), self._desk.term.epoch)
         await self._drop_old_jobs()
@@ -94,15 +95,25 @@
         self._cell.unseen.update(self._parts.jobs.book.former_runners())
         self._tell_unseen('leaves the tasks of runners alone that it has not seen yet.', now)
 
-    def _give_up_unseen(self, now: float) -> None:
+    async def _give_up_unseen(self, now: float) -> None:
         """Take the tasks on unseen runners for gone once their leases must be over."""
         if not self._cell.unseen:
             return
         if self.predecessors.look(self._parts.jobs.book, now):
             self._tell_unseen('finds that the former owner has ended.', now)
         if now > self.predecessors.until:
-            self._tell_unseen('takes the leases on unseen runners for run out.', now)
-            self._desk.tell_crashes(self._cell.give_up_unseen())
+            unseen = tuple(self._cell.unseen)
+            heard = [runner for runner in unseen if await self._hears_of(runner)]
+            if heard:
+                self._tell_unseen('takes the leases on unseen runners for run out.', now)
+                self._desk.tell_crashes(self._cell.give_up_unseen(heard))
+
+    async def _hears_of(self, runner: str) -> bool:
+        """Return whether the zone of an unseen runner has told what it has shown."""
+        registration = self._parts.runners.find(runner)
+        if registration is None:
+            return True
+        return await self._desk.hears(registration.zone, self._began_at)
 
     def _tell_unseen(self, sentence: str, now: float) -> None:
         self._journal.tell(
--- a/dandelionreel/cell/_standing.py
+++ b/dandelionreel/cell/_standing.py
@@ -26,6 +26,8 @@
 #: Runners write every 1.5 s: read by all of 97 hosts, the entries of 270 of them were a
 #: third of the bytes of the store (0.17 and 0.11 GB in 50 s), and they grow with both.
 SUCCESSORS = 9
+#: Hosts of each zone that keep it, to tell what its runners have done behind a cut.
+ZONE_SPEAKERS = 2
 
 
 def rank_hosts(member_by_host: Mapping[str, Member]) -> list[str]:
@@ -50,6 +52,19 @@
     return me not in member_by_host or me in rank_hosts(member_by_host)[:SUCCESSORS]
 
 
+def keeps_runners(member_by_host: Mapping[str, Member], me: str) -> bool:
+    """Return whether ``me`` keeps the list of runners: it may claim, or speak for its zone."""
+    own = member_by_host.get(me)
+    if own is None or is_successor(member_by_host, me):
+        return True
+    same_zone = [host for host in rank_hosts(member_by_host) if _is_of(member_by_host, host, own)]
+    return me in same_zone[:ZONE_SPEAKERS]
+
+
+def _is_of(member_by_host: Mapping[str, Member], host: str, own: Member) -> bool:
+    return member_by_host[host].zone == own.zone
+
+
 def larger_hosts(member_by_host: Mapping[str, Member], me: str) -> list[str]:
     """Return the hosts that should own a large cell in place of ``me``."""
     own = member_by_host.get(me)
--- /dev/null
+++ b/dandelionreel/cell/_zone_ends.py
@@ -0,0 +1,171 @@
+"""Behind a cut: what the runners of this zone have done is told to the zone's clients.
+
+Load pattern: an availability zone is cut off with its hosts, its runners and its clients.
+Jobs of these clients end at runners next door, and yet they were told so only when the cut
+was over, 6 s later: all that were accepted in the last second before it were lost to them.
+Hosts of the zone may look at its runners, without renewing a lease or acknowledging an end;
+what is listed there as done is done. The owner outside does not take a lease that runs out
+behind a cut for over before the zone's hosts have told it what they have shown, so that
+nothing of it starts again. ``spec/behind_a_cut.py`` has the model.
+"""
+
+from collections.abc import Callable
+
+import curio
+
+from dandelionreel.cell._advisors import PeerLinks
+from dandelionreel.cell._completeness import is_complete
+from dandelionreel.cell._completions import Completions
+from dandelionreel.cell._contact_watch import ContactWatch
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._model import Registration
+from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell._runs import ANY_RUNNER
+from dandelionreel.cell._services import (
+    EndedRun,
+    Runner,
+    RunnerError,
+    RunnerFenced,
+    RunnerReplaced,
+)
+from dandelionreel.cell._standing import rank_hosts
+from dandelionreel.kernel import Clock, Journal, Part
+from dandelionreel.peers import CompletionsSeen, Done, PeerError
+
+#: Seconds for which what a runner has listed is good enough for the next question.
+VIEW_SECONDS = 0.2
+#: Seconds for the answer of a host of the same zone, and how many are told.
+ANSWER_SECONDS = 0.2
+MOST_TOLD = 3
+
+MakeRunner = Callable[[Registration], Runner]
+
+
+class _Look:
+    """The latest look at one runner."""
+
+    def __init__(self, runner: Runner) -> None:
+        self.runner = runner
+        self.lock = curio.Lock()
+        self.at = float('-inf')
+        self.ended: tuple[EndedRun, ...] = ()
+
+
+class ZoneEnds:
+    """Answers for jobs of a zone that is cut off."""
+
+    def __init__(
+        self,
+        me: str,
+        zone: str,
+        book: JobBook,
+        runners: RunnersFolder,
+        contact: ContactWatch,
+        completions: Completions,
+        links: PeerLinks,
+        make_runner: MakeRunner,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Look for ``me`` at the runners of ``zone``."""
+        self._me = me
+        self._zone = zone
+        self._book = book
+        self._runners = runners
+        self._contact = contact
+        self._completions = completions
+        self._links = links
+        self._make_runner = make_runner
+        self._clock = clock
+        self._journal = journal
+        self._look_by_runner: dict[str, _Look] = {}
+
+    async def is_complete(self, job: str) -> bool:
+        """Return whether this host may tell that a job is complete, by its zone's runners."""
+        questions = self._completions.questions
+        if not self._contact.may_speak or not await self._is_listed_done(job):
+            return False
+        if not await self._tell_zone(job):
+            return False
+        # The owner has asked meanwhile, and does not know of this job.
+        if questions != self._completions.questions or not self._contact.may_speak:
+            return False
+        self._completions.note([job])
+        self._journal.tell_frequent(
+            Part.JOBS,
+            'shown as complete behind a cut.',
+            jobs=[job],
+            count=1,
+            epoch=self._epoch(),
+        )
+        return True
+
+    async def close(self) -> None:
+        """Give up the ways to runners."""
+        for look in self._look_by_runner.values():
+            await look.runner.close()
+        self._look_by_runner.clear()
+
+    async def _is_listed_done(self, job: str) -> bool:
+        booked = self._book.find(job)
+        if booked is None or booked.submission is None or booked.progress is None:
+            return False
+        if booked.unreadable or booked.cancelled:
+            return False
+        ended: list[EndedRun] = []
+        for registration in self._runners_of(booked.progress.runners):
+            ended.extend(await self._ends_at(registration))
+        mine = [end for end in ended if end.task.job == job]
+        return is_complete(job, booked.submission.spec, booked.progress, mine)
+
+    def _runners_of(self, names: tuple[str, ...]) -> list[Registration]:
+        """Return the runners of this zone that a job may have run on."""
+        return [
+            registration
+            for runner, registration in self._runners.registration_by_id.items()
+            if registration.zone == self._zone and (runner in names or ANY_RUNNER in names)
+        ]
+
+    async def _ends_at(self, registration: Registration) -> tuple[EndedRun, ...]:
+        look = self._look_by_runner.get(registration.runner)
+        if look is None:
+            look = _Look(self._make_runner(registration))
+            self._look_by_runner[registration.runner] = look
+        async with look.lock:
+            if self._clock.monotonic() - look.at >= VIEW_SECONDS:
+                look.ended = await self._look(look.runner)
+                look.at = self._clock.monotonic()
+        return look.ended
+
+    async def _look(self, runner: Runner) -> tuple[EndedRun, ...]:
+        """Return the ends that a runner lists; nothing is renewed nor acknowledged there."""
+        try:
+            view = await runner.look(self._epoch(), 0, None, 0)
+        except (RunnerError, RunnerFenced, RunnerReplaced):
+            # It is away, its next life knows nothing, or a later owner reaches it.
+            return ()
+        return view.ended
+
+    async def _tell_zone(self, job: str) -> bool:
+        """Tell hosts of this zone; return whether one of them has taken the word."""
+        for host in self._zone_hosts()[:MOST_TOLD]:
+            member = self._book.member_by_host[host]
+            try:
+                frame = await self._links.ask(member, CompletionsSeen((job,)), ANSWER_SECONDS)
+            except PeerError:
+                continue
+            if isinstance(frame.message, Done):
+                return True
+        return False
+
+    def _zone_hosts(self) -> list[str]:
+        members = self._book.member_by_host
+        return [
+            host
+            for host in rank_hosts(members)
+            if members[host].zone == self._zone and host != self._me
+        ]
+
+    def _epoch(self) -> int:
+        owner = self._book.owner
+        return 0 if owner is None else owner.epoch
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -8,59 +8,41 @@
 
 import curio
 
-from dandelionreel.cell import Registration, Runner, UnreadableLog
+from dandelionreel.cell import Registration, Runner
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
+from dandelionreel.cell._completion_answers import CompletionAnswers
 from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election, name_incarnation
-from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._front import ClientFront
 from dandelionreel.cell._owner_watch import OwnerWatch
 from dandelionreel.cell._parts import DispatcherParts
-from dandelionreel.cell._readiness import Condition, Rotation, find_hindrance
 from dandelionreel.cell._records import MEMBER, Member, make_record
 from dandelionreel.cell._relay import Relay
-from dandelionreel.cell._runner_list import RunnersFolder
-from dandelionreel.cell._standing import is_successor
 from dandelionreel.cell._writer import GroupWriter, Written
+from dandelionreel.cell._zone_ends import ZoneEnds
 from dandelionreel.entry_metrics import EntryMetrics
-from dandelionreel.http import Answer, Request, Server, ServerLimits
+from dandelionreel.entry_peers import listen_peers
+from dandelionreel.entry_readiness import EntryReadiness
+from dandelionreel.entry_reads import EntryReads
+from dandelionreel.http import Server, ServerLimits
 from dandelionreel.kernel import (
     Environment,
     ExitStatus,
     Journal,
     LogStream,
     Part,
-    seconds_or_none,
     start_task,
     watch_signals,
 )
-from dandelionreel.peers import (
-    AdviceWanted,
-    CompletionsTold,
-    CompletionsWanted,
-    Done,
-    EchoBook,
-    Forward,
-    Frame,
-    Message,
-    OwnerAsked,
-    OwnerFailing,
-    PeerServer,
-    Refused,
-    Traffic,
-)
+from dandelionreel.peers import Frame, Message
 from dandelionreel.platform import (
     CELL_TOPIC,
-    OPERATOR_TOPIC,
-    RUNNERS_TOPIC,
     HostSettings,
     HttpAdvice,
     HttpRunner,
     JsonClientCodec,
-    JsonRecordCodec,
     SettingsError,
     StoreTopic,
     load_host_settings,
@@ -68,21 +50,6 @@
 
 #: Metrics are served on this port of the host's address (deploy/system.toml).
 METRICS_PORT = 9464
-#: Seconds that a read waits at the store for news. The owner's heartbeats end
-#: most reads of the cell's topic sooner.
-CELL_WAIT = 0.5
-OPERATOR_WAIT = 2.0
-RUNNERS_WAIT = 1.0
-#: Seconds in which records are gathered into one read at the owner: of the
-#: cell's records, most of them its own, and of the runners' heartbeats.
-OWNER_CELL_PAUSE = 0.15
-OWNER_RUNNERS_PAUSE = 0.2
-#: The same on the other hosts. There a client that asks for a job that is not
-#: over ends the pause. Without it nine hosts made 31,000 calls to the store
-#: in 46 s, with it 9,000.
-CELL_PAUSE = 0.25
-RUNNERS_PAUSE = 2.0
-OPERATOR_PAUSE = 0.1
 #: Seconds between updates of the gauges.
 GAUGE_SECONDS = 1.0
 #: Seconds for which a stopping host still takes connections: the balancer
@@ -94,8 +61,6 @@
 MEMBER_PATIENCE = 5.0
 #: Stop and reload.
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-HTTP_OK = 200
-HTTP_UNAVAILABLE = 503
 
 
 class EntryHost:
@@ -112,52 +77,25 @@
         self._metrics = EntryMetrics()
         self._dispatcher: Dispatcher | None = None
         self._stopping = False
-        #: Why clients are to go elsewhere, as the balancer was last told.
-        self._hindrance = 'it is starting'
         self._stop_requested = curio.Event()
-        codec = JsonRecordCodec()
-        self._topics = {
-            name: StoreTopic(name, settings.store)
-            for name in (CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC)
-        }
-        # Claims and the owner's records must not wait behind submissions.
-        self._owner_topic = StoreTopic(CELL_TOPIC, settings.store)
-        self._configuration = ConfigurationFolder(
-            codec,
-            self._journal,
-            self._watch_unreadable('operator', Part.CONTRACTS),
-        )
-        self._runners = RunnersFolder(
-            codec,
-            self._clock,
-            self._journal,
-            self._configuration.names_service,
-            self._watch_unreadable('runners', Part.WORKERS),
-        )
-        self._jobs = JobFolder(
+        self._reads = EntryReads(
+            settings.host,
+            settings.store,
+            lambda: self._dispatcher is not None,
+            self._metrics.note_unreadable,
             self._clock,
             self._journal,
-            self._watch_unreadable('cell', Part.LOG),
         )
-        self._cell_follower = self._follow('cell', CELL_TOPIC, self._jobs, CELL_WAIT)
-        self._runners_follower = self._follow(
-            'runners',
-            RUNNERS_TOPIC,
-            self._runners,
-            RUNNERS_WAIT,
-        )
-        self._followers = (
-            self._cell_follower,
-            self._follow('operator', OPERATOR_TOPIC, self._configuration, OPERATOR_WAIT),
-            self._runners_follower,
-        )
-        self._writer = GroupWriter(self._topics[CELL_TOPIC], self._clock, self._journal)
+        self._jobs = self._reads.jobs
+        # Claims and the owner's records must not wait behind submissions.
+        self._owner_topic = StoreTopic(CELL_TOPIC, settings.store)
+        self._writer = GroupWriter(self._reads.topics[CELL_TOPIC], self._clock, self._journal)
         incarnation = name_incarnation(settings.host)
         self._links = PeerLinks(incarnation, self._clock)
         self._completions = Completions(self._clock)
         self._election = Election(
             self._owner_topic,
-            self._cell_follower,
+            self._reads.cell_follower,
             self._jobs,
             incarnation,
             self._links.ask,
@@ -182,7 +120,27 @@
             self._clock,
             self._journal,
         )
-        self._rotation = Rotation()
+        self._zone_ends = ZoneEnds(
+            settings.host,
+            settings.zone,
+            self._jobs.book,
+            self._reads.runners,
+            self._contact,
+            self._completions,
+            self._links,
+            _make_runner,
+            self._clock,
+            self._journal,
+        )
+        self._readiness = EntryReadiness(
+            self._reads.configuration,
+            self._contact,
+            self._writer,
+            self._reads.cell_follower,
+            lambda: self._dispatcher,
+            self._clock,
+            self._journal,
+        )
         self._watch = OwnerWatch(
             settings.host,
             self._jobs.book,
@@ -192,15 +150,16 @@
         self._front = ClientFront(
             settings.zone,
             JsonClientCodec(),
-            self._configuration,
+            self._reads.configuration,
             self._jobs,
-            self._cell_follower,
+            self._reads.cell_follower,
             self._writer,
             self._relay,
             lambda: self._dispatcher,
             self._completions,
+            self._zone_ends,
             self._contact,
-            self._rotation,
+            self._readiness.rotation,
             self._clock,
             self._journal,
             self._metrics.note_answer,
@@ -210,7 +169,7 @@
             ServerLimits(connections=settings.connections),
             # A client that keeps its connection would go on asking a host in vain that
             # the balancer sends nobody to.
-            lambda: bool(find_hindrance(self._condition())),
+            self._readiness.is_hindered,
         )
 
     async def run(self) -> int:
@@ -223,32 +182,6 @@
             await self._stop()
         return ExitStatus.SUCCESS
 
-    def _follow(self, name: str, topic: str, folder: Any, wait: float) -> Follower:
-        return Follower(
-            name,
-            self._topics[topic],
-            folder,
-            self._clock,
-            self._journal,
-            wait,
-            lambda: self._pause(topic),
-            lambda: topic != RUNNERS_TOPIC or self._wants_runners(),
-        )
-
-    def _wants_runners(self) -> bool:
-        members = self._jobs.book.member_by_host
-        return self._dispatcher is not None or is_successor(members, self._settings.host)
-
-    def _watch_unreadable(self, topic: str, part: Part) -> UnreadableLog:
-        return UnreadableLog(topic, part, self._clock, self._journal, self._metrics.note_unreadable)
-
-    def _pause(self, topic: str) -> float:
-        if topic == OPERATOR_TOPIC:
-            return OPERATOR_PAUSE
-        if self._dispatcher is not None:
-            return OWNER_CELL_PAUSE if topic == CELL_TOPIC else OWNER_RUNNERS_PAUSE
-        return CELL_PAUSE if topic == CELL_TOPIC else RUNNERS_PAUSE
-
     async def _start(self, stack: AsyncExitStack) -> None:
         settings = self._settings
         self._journal.tell(
@@ -257,13 +190,14 @@
             zone=settings.zone,
             incarnation=self._election.incarnation,
         )
-        for topic in (*self._topics.values(), self._owner_topic):
-            stack.push_async_callback(topic.close)
-        stack.push_async_callback(self._links.close)
+        closed: list[Any] = [*self._reads.topics.values(), self._owner_topic, self._links]
+        closed.append(self._zone_ends)
         if self._advice is not None:
-            stack.push_async_callback(self._advice.close)
+            closed.append(self._advice)
+        for part in closed:
+            stack.push_async_callback(part.close)
         await start_task(stack, await watch_signals(stack, SIGNALS, self._take_signal))
-        for follower in self._followers:
+        for follower in self._reads.followers:
             await start_task(stack, follower.run)
         await start_task(stack, self._writer.run)
         await self._listen(stack)
@@ -278,87 +212,38 @@
 
     async def _listen(self, stack: AsyncExitStack) -> None:
         settings = self._settings
-        readiness = Server(self._answer_ready)
+        readiness = Server(self._readiness.answer)
         await readiness.start(stack, settings.readiness.host, settings.readiness.port)
         metrics = Server(self._metrics.handle)
         await metrics.start(stack, settings.peers.host, METRICS_PORT)
-        peers = PeerServer(
-            self._election.incarnation,
+        await listen_peers(
+            stack,
+            settings.peers,
+            self._front,
+            self._election,
+            self._advisor,
+            CompletionAnswers(self._completions, self._contact),
+            self._answer_asked,
             self._clock,
-            EchoBook(),
             self._journal,
-            Traffic(),
-        )
-        answerers = (
-            (Forward, self._front.handle_relayed),
-            (OwnerFailing, self._election.take_failing),
-            (OwnerAsked, self._answer_asked),
-            (AdviceWanted, self._advisor.answer),
-            (CompletionsTold, self._take_completions),
-            (CompletionsWanted, self._answer_completions),
         )
-        for kind, answerer in answerers:
-            peers.answer(kind, answerer)
-        await peers.start(stack, settings.peers.host, settings.peers.port)
         await self._callers.start(stack, settings.callers.host, settings.callers.port)
 
-    async def _answer_ready(self, request: Request) -> Answer:
-        ready = self._is_ready()
-        self._rotation.note_question(self._clock.monotonic(), ready=ready)
-        return Answer(HTTP_OK if ready else HTTP_UNAVAILABLE)
-
     async def _answer_asked(self, frame: Frame) -> Message:
         dispatcher = self._dispatcher
         acting = dispatcher is not None and dispatcher.acting and not dispatcher.store_is_failing
-        ready = self._may_own() and all(
-            one.resting or (one.complete and one.reached) for one in self._followers
-        )
+        ready = self._may_own() and self._reads.complete
         return self._election.answer_asked(frame, acting, ready)
 
-    async def _take_completions(self, frame: Frame) -> Message:
-        told: Any = frame.message
-        if self._completions.take_word(told.epoch, told.jobs):
-            return Done()
-        return Refused('a later owner has asked')
-
-    async def _answer_completions(self, frame: Frame) -> Message:
-        wanted: Any = frame.message
-        return CompletionsTold(wanted.epoch, self._completions.answer(wanted.epoch))
-
-    def _is_ready(self) -> bool:
-        condition = self._condition()
-        hindrance = find_hindrance(condition)
-        if hindrance != self._hindrance:
-            self._hindrance = hindrance
-            self._journal.tell(
-                Part.LIFE,
-                f'asks for no clients: {hindrance}.' if hindrance else 'asks for clients.',
-                store_age=seconds_or_none(condition.store_age),
-            )
-        return not hindrance
-
-    def _condition(self) -> Condition:
-        now = self._clock.monotonic()
-        dispatcher = self._dispatcher
-        owner_fails = dispatcher is not None and dispatcher.store_is_failing
-        return Condition(
-            stopping=self._stopping,
-            configured=self._configuration.current is not None,
-            cut_off=self._contact.cut_off,
-            store_takes_nothing=self._writer.in_trouble(now) or owner_fails,
-            store_age=self._cell_follower.age(now),
-        )
-
     def _store_answered_at(self) -> float:
-        answered_at = max(follower.answered_at for follower in self._followers)
         dispatcher = self._dispatcher
         stored_at = self._writer.stored_at if dispatcher is None else dispatcher.stored_at
-        return max(answered_at, stored_at)
+        return max(self._reads.answered_at, stored_at)
 
     async def _join(self) -> None:
         """Tell the other hosts where this one listens for peers."""
         settings = self._settings
-        while not self._cell_follower.started:
+        while not self._reads.cell_follower.started:
             await curio.sleep(POLL_SECONDS)
         member = Member(
             settings.zone,
@@ -366,7 +251,7 @@
             settings.peers.port,
             self._election.incarnation,
             settings.cores,
-            self._cell_follower.read_from,
+            self._reads.cell_follower.read_from,
         )
         record = make_record(MEMBER + settings.host, member)
         while await self._writer.write([record], MEMBER_PATIENCE) is not Written.STORED:
@@ -377,10 +262,10 @@
         settings = self._settings
         parts = DispatcherParts(
             topic=self._owner_topic,
-            follower=self._cell_follower,
+            follower=self._reads.cell_follower,
             jobs=self._jobs,
-            runners=self._runners,
-            configuration=self._configuration,
+            runners=self._reads.runners,
+            configuration=self._reads.configuration,
             election=self._election,
             links=self._links,
             advisor=self._advisor,
@@ -392,13 +277,13 @@
             gang_timeout=settings.gang_timeout,
             longest_lease=settings.longest_lease,
             status_kept=settings.status_kept,
-            list_age=lambda: self._runners_follower.age(self._clock.monotonic()),
+            list_age=lambda: self._reads.runners_follower.age(self._clock.monotonic()),
         )
         while True:
             term = await self._election.wait_for_term(self._may_own)
             self._dispatcher = Dispatcher(parts, term)
             # What a host that does not own knows of the runners may be old.
-            await self._runners_follower.hurry()
+            await self._reads.runners_follower.hurry()
             try:
                 await self._dispatcher.run()
             finally:
@@ -406,14 +291,14 @@
 
     def _may_own(self) -> bool:
         # A host that does not keep the list of runners reads it once it owns.
-        return not self._stopping and all(one.started or one.resting for one in self._followers)
+        return not self._stopping and self._reads.started
 
     async def _update_gauges(self) -> None:
         while True:
             dispatcher = self._dispatcher
             self._metrics.update(
                 dispatcher.cell if dispatcher else None,
-                self._cell_follower.age(self._clock.monotonic()),
+                self._reads.cell_follower.age(self._clock.monotonic()),
                 self._logs.dropped,
             )
             await curio.sleep(GAUGE_SECONDS)
@@ -423,6 +308,7 @@
             self._reload()
             return
         self._stopping = True
+        self._readiness.stop()
         await self._stop_requested.set()
 
     def _reload(self) -> None:
--- /dev/null
+++ b/dandelionreel/entry_peers.py
@@ -0,0 +1,57 @@
+"""What an entry host answers its peers."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+
+from dandelionreel.cell._advisors import LocalAdvisor
+from dandelionreel.cell._completion_answers import CompletionAnswers
+from dandelionreel.cell._election import Election
+from dandelionreel.cell._front import ClientFront
+from dandelionreel.kernel import Clock, Journal
+from dandelionreel.peers import (
+    AdviceWanted,
+    CompletionsSeen,
+    CompletionsTold,
+    CompletionsWanted,
+    EchoBook,
+    Forward,
+    Frame,
+    Message,
+    OwnerAsked,
+    OwnerFailing,
+    PeerServer,
+    Traffic,
+)
+from dandelionreel.platform import Address
+
+AnswerAsked = Callable[[Frame], Awaitable[Message]]
+
+
+async def listen_peers(
+    stack: AsyncExitStack,
+    address: Address,
+    front: ClientFront,
+    election: Election,
+    advisor: LocalAdvisor,
+    completions: CompletionAnswers,
+    answer_asked: AnswerAsked,
+    clock: Clock,
+    journal: Journal,
+) -> None:
+    """Answer peers at an address until the stack closes.
+
+    ``answer_asked`` tells whether this host acts as the owner, or could.
+    """
+    peers = PeerServer(election.incarnation, clock, EchoBook(), journal, Traffic())
+    answerers = (
+        (Forward, front.handle_relayed),
+        (OwnerFailing, election.take_failing),
+        (OwnerAsked, answer_asked),
+        (AdviceWanted, advisor.answer),
+        (CompletionsTold, completions.take_told),
+        (CompletionsSeen, completions.take_seen),
+        (CompletionsWanted, completions.answer_wanted),
+    )
+    for kind, answerer in answerers:
+        peers.answer(kind, answerer)
+    await peers.start(stack, address.host, address.port)
--- a/dandelionreel/peers/__init__.py
+++ b/dandelionreel/peers/__init__.py
@@ -17,6 +17,7 @@
 from dandelionreel.peers._messages import (
     AdviceGiven,
     AdviceWanted,
+    CompletionsSeen,
     CompletionsTold,
     CompletionsWanted,
     ContractState,
@@ -49,6 +50,7 @@
     'NEVER',
     'NEVER_HEARD',
     'PROTOCOL_VERSION',
+    'CompletionsSeen',
     'CompletionsTold',
     'CompletionsWanted',
     'ContractState',
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -14,6 +14,7 @@
 from dandelionreel.peers._messages import (
     AdviceGiven,
     AdviceWanted,
+    CompletionsSeen,
     CompletionsTold,
     CompletionsWanted,
     ContractState,
@@ -373,6 +374,10 @@
     root.completionsWanted = message.epoch
 
 
+def _encode_completions_seen(root: Any, message: CompletionsSeen) -> None:
+    root.completionsSeen = list(message.jobs)
+
+
 def _encode_done(root: Any, message: Done) -> None:
     root.done = None
 
@@ -398,6 +403,7 @@
     OwnerAsked: _encode_owner_asked,
     CompletionsTold: _encode_completions_told,
     CompletionsWanted: _encode_completions_wanted,
+    CompletionsSeen: _encode_completions_seen,
     Done: _encode_done,
     Refused: _encode_refused,
 }
@@ -419,6 +425,7 @@
     'ownerAsked': lambda root: OwnerAsked(root.ownerAsked),
     'completionsTold': _read_completions_told,
     'completionsWanted': lambda root: CompletionsWanted(root.completionsWanted),
+    'completionsSeen': lambda root: CompletionsSeen(tuple(root.completionsSeen)),
     'done': lambda root: Done(),
     'refused': lambda root: Refused(root.refused),
 }
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -204,6 +204,13 @@
     epoch: int
 
 
+@dataclass(frozen=True)
+class CompletionsSeen:
+    """Jobs that the runners of a zone list as done, which is cut off as its hosts believe."""
+
+    jobs: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class Done:
     """The message was taken."""
@@ -233,6 +240,7 @@
     | OwnerAsked
     | CompletionsTold
     | CompletionsWanted
+    | CompletionsSeen
     | Done
     | Refused
 )
--- a/dandelionreel/peers/schema.capnp
+++ b/dandelionreel/peers/schema.capnp
@@ -34,6 +34,8 @@
     completionsTold @21 :Completions;
     completionsWanted @22 :UInt64;
     # The epoch of the new owner that asks.
+    completionsSeen @23 :List(Text);
+    # Jobs that the runners of a zone that is cut off list as done.
   }
 }
 
--- /dev/null
+++ b/features/behind_a_cut.feature
@@ -0,0 +1,90 @@
+Feature: Jobs of a zone that is cut off
+
+  # A zone was cut off for 6 s with its hosts, runners and clients. Ten jobs of its clients
+  # ended at runners next door within a second, and their clients were told so when the cut
+  # was over: none of them could use it any more.
+  Scenario Outline: What proves that a job of two steps is complete
+    Given a job of two tasks, and then a gang of three, of which <stored> stand in the store
+    When a runner of the zone lists <listed>
+    Then by these facts the job is <verdict>
+
+    Examples:
+      | stored       | listed                      | verdict      |
+      | both tasks   | the gang's first as done    | complete     |
+      | the first    | the second and the gang     | complete     |
+      | both tasks   | nothing                     | not complete |
+      | the first    | the gang's first as done    | not complete |
+      | both tasks   | the gang's first as failed  | not complete |
+      | no tasks     | the second and the gang     | not complete |
+
+  Scenario Outline: Jobs of which nothing is said
+    Given a job <kind>, whose first tasks are listed as done
+    Then by these facts the job is not complete
+
+    Examples:
+      | kind                  |
+      | with a schedule       |
+      | of tasks that last    |
+
+  Scenario Outline: A client of the zone asks for its job
+    Given a host that is <where>, beside <peer>
+    And a runner of its zone that <runner> the job's only task
+    When a client asks for the job
+    Then behind the cut it is told <state>
+    And no lease was renewed and no end acknowledged
+
+    Examples:
+      | where                                  | peer                          | runner        | state       |
+      | cut off with its zone                  | a host that is cut off as well | lists as done | completed   |
+      | cut off with its zone                  | a host that is cut off as well | still runs    | nothing new |
+      | cut off with its zone                  | a host that is cut off as well | says nothing of | nothing new |
+      | cut off with its zone                  | a host that is cut off as well | knows a later owner of | nothing new |
+      | cut off with its zone                  | a host that hears other zones | lists as done | nothing new |
+      | cut off with its zone                  | no other host                 | lists as done | nothing new |
+      | in touch with other zones              | a host that is cut off as well | lists as done | nothing new |
+      | cut off, and was asked by the owner    | a host that is cut off as well | lists as done | nothing new |
+      | asked by the owner while it tells its peer | a host that is cut off as well | lists as done | nothing new |
+
+  Scenario: Many clients ask at once
+    Given a host that is cut off with its zone, beside a host that is cut off as well
+    And a runner of its zone that lists as done the job's only task
+    When 10 clients ask for the job within 0.1 s
+    Then the runner was looked at once
+
+  # The owner was outside. After 8.7 s the leases on the runners behind the cut had run out;
+  # taken for lost, a task would have been started again whose job its client held for done.
+  Scenario Outline: A lease runs out, or a runner has crashed, behind a cut
+    Given an owner whose runner in south has been silent for <silent> s
+    When south, with 2 hosts, <hosts>
+    Then the run behind the cut <fate>
+
+    Examples:
+      | silent | hosts                                  | fate                         |
+      | 9      | does not answer                        | is waited for                |
+      | 9      | answers from one host that knows nothing | counts as lost             |
+      | 9      | answers from one host that knows the job as complete | counts as lost, and its job as complete |
+      | 0.3    | does not answer                        | counts as lost               |
+      | 61     | does not answer                        | counts as lost               |
+
+  Scenario: A zone of which no other host is known
+    Given an owner whose runner in south has been silent for 9 s
+    When south, with 0 hosts, does not answer
+    Then the run behind the cut counts as lost
+
+  Scenario: Questions to a zone that does not answer
+    Given an owner whose runner in south has been silent for 9 s
+    When south, with 2 hosts, does not answer 20 times within 0.2 s
+    Then 2 questions were put to it
+
+  Scenario Outline: Who keeps the list of runners, to speak for its zone
+    Given 20 hosts in north and 20 smaller ones in south
+    Then number <place> of <zone> keeps the list of runners <keeps>
+
+    Examples:
+      | place | zone  | keeps |
+      | 1     | north | yes   |
+      | 9     | north | yes   |
+      | 10    | north | no    |
+      | 1     | south | yes   |
+      | 2     | south | yes   |
+      | 3     | south | no    |
--- /dev/null
+++ b/features/steps/behind_a_cut_steps.py
@@ -0,0 +1,279 @@
+"""Steps on jobs of a zone that is cut off."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import EndedRun, JobSpec, Outcome, RunnerView, Submission
+from dandelionreel.cell._attendant import Attendant
+from dandelionreel.cell._completeness import is_complete
+from dandelionreel.cell._completions import Completions
+from dandelionreel.cell._hearing import Hearing
+from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._model import JobState
+from dandelionreel.cell._notices import Notices
+from dandelionreel.cell._records import (
+    MEMBER,
+    PROGRESS,
+    SUBMISSION,
+    DoneTasks,
+    Member,
+    Progress,
+    make_record,
+)
+from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell._services import RunnerError, RunnerFenced
+from dandelionreel.cell._standing import keeps_runners
+from dandelionreel.cell._zone_ends import ZoneEnds
+from dandelionreel.kernel import ManualClock, Verdict
+from dandelionreel.peers import CompletionsSeen, CompletionsTold, Done, Frame, PeerError, Refused
+from features.cell_parts import SmallCell, make_registration, step, task
+from features.store_parts import journal, make_desk
+
+JOB = '0123456789abcdef'
+MASKS = {'both tasks': '3', 'the first': '1', 'no tasks': ''}
+
+
+def end(index, step_number=0, outcome=Outcome.DONE):
+    return EndedRun(1, task(JOB, index, step_number), 1, outcome, '')
+
+
+LISTED = {
+    'nothing': (),
+    "the gang's first as done": (end(0, 1),),
+    "the gang's first as failed": (end(0, 1, Outcome.FAILED),),
+    'the second and the gang': (end(1), end(2, 1)),
+}
+
+
+@given('a job of two tasks, and then a gang of three, of which {stored} stand in the store')
+def two_steps(context, stored):
+    context.spec = JobSpec('x', (step(count=2), step(count=3, gang=True, depends_on=(0,))))
+    done = (DoneTasks(0, 0, MASKS[stored]),) if MASKS[stored] else ()
+    context.progress = Progress(1, JobState.RUNNING, done)
+
+
+@when('a runner of the zone lists {listed}')
+def runner_lists(context, listed):
+    context.ended = LISTED[listed]
+
+
+@given('a job {kind}, whose first tasks are listed as done')
+def special_job(context, kind):
+    steps = (step(long_running=kind == 'of tasks that last'),)
+    context.spec = JobSpec('x', steps, repeat_count=3 if kind == 'with a schedule' else 0)
+    context.progress = Progress(1, JobState.RUNNING)
+    context.ended = (end(0),)
+
+
+@then('by these facts the job is {verdict}')
+def job_verdict(context, verdict):
+    found = is_complete(JOB, context.spec, context.progress, context.ended)
+    assert found is (verdict == 'complete')
+
+
+class Touch:
+    """Stands for the watch over a cut."""
+
+    def __init__(self, may_speak):
+        self.may_speak = may_speak
+
+
+class LookedAt:
+    """A runner that answers looks in one way, and keeps how it was asked."""
+
+    def __init__(self, how):
+        self._how = how
+        self.looks = []
+
+    async def look(self, epoch, acknowledged, lease_until, wait):
+        """Answer as told."""
+        self.looks.append((acknowledged, lease_until))
+        if self._how == 'says nothing of':
+            raise RunnerError('no answer in time', Verdict.UNKNOWN)
+        if self._how == 'knows a later owner of':
+            raise RunnerFenced('w1')
+        return RunnerView(0.0, (), (end(0),) if self._how == 'lists as done' else ())
+
+    async def close(self):
+        """Nothing is open."""
+
+
+class ZonePeer:
+    """Links to the other host of the zone; ``meanwhile`` is called when it is told."""
+
+    def __init__(self, cut_off, meanwhile=bool):
+        self._cut_off = cut_off
+        self._meanwhile = meanwhile
+
+    async def ask(self, member, message, timeout):
+        """Take what was seen behind a cut, or not."""
+        assert message == CompletionsSeen((JOB,)), message
+        self._meanwhile()
+        return Frame(1, 'peer', 0, 0, Done() if self._cut_off else Refused('is not cut off'))
+
+
+@given('a host that is {where}, beside {peer}')
+def zone_host(context, where, peer):
+    context.completions = Completions(ManualClock(1000))
+    context.touch = Touch(where.startswith(('cut off with', 'asked')))
+    meanwhile = bool
+    if where.startswith('asked'):
+        meanwhile = lambda: context.completions.answer(2)  # noqa: E731
+    context.links = ZonePeer(peer == 'a host that is cut off as well', meanwhile)
+    context.book = JobBook()
+    context.book.fold([make_record(f'{MEMBER}me', Member('south', '127.0.0.1', 1))])
+    if peer != 'no other host':
+        context.book.fold([make_record(f'{MEMBER}peer', Member('south', '127.0.0.1', 2))])
+
+
+@given("a runner of its zone that {runner} the job's only task")
+def zone_runner(context, runner):
+    submission = Submission('urgent', 'desk', 0.0, JobSpec('x', (step(),)))
+    progress = Progress(1, JobState.RUNNING, runners=('w1',))
+    context.book.fold(
+        [make_record(SUBMISSION + JOB, submission), make_record(PROGRESS + JOB, progress)]
+    )
+    clock = ManualClock(1000)
+    runners = RunnersFolder(None, clock, journal())
+    runners.registration_by_id = {
+        'w1': make_registration('w1', zone='south'),
+        'w2': make_registration('w2', zone='west'),
+    }
+    context.runner = LookedAt(runner)
+    context.zone_ends = ZoneEnds(
+        'me',
+        'south',
+        context.book,
+        runners,
+        context.touch,
+        context.completions,
+        context.links,
+        lambda registration: context.runner,
+        clock,
+        journal(),
+    )
+
+
+@when('a client asks for the job')
+def ask_for_job(context):
+    context.told = curio.run(context.zone_ends.is_complete, JOB)
+
+
+@when('{count:d} clients ask for the job within 0.1 s')
+def many_ask(context, count):
+    async def ask():
+        tasks = [await curio.spawn(context.zone_ends.is_complete, JOB) for _ in range(count)]
+        return [await asked.join() for asked in tasks]
+
+    assert curio.run(ask) == [True] * count
+
+
+@then('behind the cut it is told {state}')
+def told_state(context, state):
+    assert context.told is (state == 'completed'), context.told
+    assert context.completions.holds(JOB) is context.told
+
+
+@then('no lease was renewed and no end acknowledged')
+def only_read(context):
+    assert all(look == (0, None) for look in context.runner.looks), context.runner.looks
+
+
+@then('the runner was looked at once')
+def looked_once(context):
+    assert len(context.runner.looks) == 1, context.runner.looks
+
+
+class ZoneOutside:
+    """Links to the hosts of a zone; the first one tells what it knows, if it answers."""
+
+    def __init__(self, known):
+        self._known = known
+        self.asked = 0
+
+    async def ask(self, member, message, timeout):
+        """Answer for the first host only."""
+        self.asked += 1
+        if self._known is None or member.port != 0:
+            raise PeerError('no answer in time', Verdict.UNKNOWN)
+        return Frame(1, 'peer', 0, 0, CompletionsTold(message.epoch, self._known))
+
+
+@given('an owner whose runner in south has been silent for {silent:g} s')
+def silent_runner(context, silent):
+    context.clock = ManualClock(1000)
+    context.small = SmallCell(runners=())
+    context.small.now = 1000
+    context.small.registration_by_id['w1'] = make_registration('w1', zone='south')
+    context.small.see_runners()
+    context.small.look('w1')
+    context.small.add_job(JOB, [step()])
+    context.small.plan()
+    context.desk = make_desk(context.small.cell, context.clock)
+    context.state = context.small.cell.runner_by_id['w1']
+    context.silent = silent
+
+
+@when('south, with {count:d} hosts, {hosts}')
+def hear_south(context, count, hosts):
+    known = None
+    if hosts.startswith('answers'):
+        known = (JOB,) if 'complete' in hosts else ()
+    context.zone = ZoneOutside(known)
+    book = JobBook()
+    for number in range(count):
+        member = Member('south', '127.0.0.1', 1)
+        book.member_by_host[f's-{number}'] = member
+    for number, host in enumerate(book.member_by_host):
+        book.member_by_host[host] = PortedMember(number)
+    notices = Notices(context.desk, book, context.zone, Completions(context.clock), 'me')
+    context.desk.hears = Hearing(context.desk, book, notices, 'me').heard
+    context.clock.advance(context.silent)
+    times = 20 if hosts.endswith('times within 0.2 s') else 1
+
+    async def hear():
+        for _ in range(times):
+            await Attendant(context.desk)._lapse(context.state)
+            context.clock.advance(0.2 / times)
+
+    curio.run(hear)
+
+
+class PortedMember:
+    """A host of south, told from the others by its port."""
+
+    zone = 'south'
+    cores = 1.0
+    address = '127.0.0.1'
+
+    def __init__(self, port):
+        self.port = port
+
+
+@then('the run behind the cut {fate}')
+def fate_of_runs(context, fate):
+    waits = fate == 'is waited for'
+    assert bool(context.state.allocation_by_run) is waits, context.state.allocation_by_run
+    job = context.small.cell.job_by_id[JOB]
+    complete = fate.endswith('its job as complete')
+    assert (job.state is JobState.COMPLETED) is complete, job.state
+    if not waits:
+        assert bool(job.ready_steps(0)) is True and job.over is complete
+
+
+@then('{count:d} questions were put to it')
+def zone_questions(context, count):
+    assert context.zone.asked == count, context.zone.asked
+
+
+@given('{count:d} hosts in north and {smaller:d} smaller ones in south')
+def two_zones(context, count, smaller):
+    context.members = {f'n-{n:02}': Member('north', '127.0.0.1', 1) for n in range(1, count + 1)}
+    for number in range(1, smaller + 1):
+        context.members[f's-{number:02}'] = Member('south', '127.0.0.1', 1, cores=0.5)
+
+
+@then('number {place:d} of {zone} keeps the list of runners {keeps}')
+def keeps_list(context, place, zone, keeps):
+    found = keeps_runners(context.members, f'{zone[0]}-{place:02}')
+    assert found is (keeps == 'yes')
--- a/features/steps/contact_steps.py
+++ b/features/steps/contact_steps.py
@@ -164,6 +164,7 @@
         Relay('me', jobs.book, links, clock, journal()),
         lambda: None,
         Completions(clock),
+        None,
         watch,
         rotation,
         clock,
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -258,7 +258,7 @@
     if entry == 'has gone':
         context.small.registration_by_id.pop('w1')
         context.small.see_runners()
-    context.small.cell.give_up_unseen()
+    context.small.cell.give_up_unseen(tuple(context.small.cell.unseen))
 
 
 @then('it counts {count:d} crashes under the task')
--- a/features/steps/wait_steps.py
+++ b/features/steps/wait_steps.py
@@ -57,9 +57,10 @@
 def left_alone_for_all(context):
     cell = context.dispatcher.cell
     job = cell.job_by_id['j1']
-    context.dispatcher._rounds._give_up_unseen(context.began + ALL_LEASES)
+    give_up = context.dispatcher._rounds._give_up_unseen
+    curio.run(give_up, context.began + ALL_LEASES)
     assert cell.is_blocked(job)
-    context.dispatcher._rounds._give_up_unseen(context.began + ALL_LEASES + LEASE_SECONDS)
+    curio.run(give_up, context.began + ALL_LEASES + LEASE_SECONDS)
     assert not cell.is_blocked(job)
 
 
