An owner that answers no peer is missed after 0.5 s without heartbeat

Change: a question to the owner that is not answered in time counts like a refused connection, for 0.8 s, and only while no heartbeat is read either: 0.5 s, or 1.25 times the usual gap where a slow store delays them. A host that suspects reads at once before it decides. Each claim is logged with what it was decided on.

--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -52,9 +52,10 @@
 #: Seconds for which word of an owner's trouble counts. Where the store serves
 #: nobody, it must not end in a claim when the store comes back.
 SUSPECTED_SECONDS = 0.8
-#: Seconds without a heartbeat after which an owner whose port refuses connections is
-#: taken for dead: one heartbeat, and a pause between two reads.
-REFUSING_SECONDS = 0.55
+#: Seconds without a heartbeat after which an owner that does not answer its peers, or whose
+#: port refuses connections, is taken for dead; and how many times the usual gap it must be.
+QUIET_SECONDS = 0.5
+QUIET_FACTOR = 1.25
 #: Heartbeats may come that many times as late as they usually do: a slow store
 #: must not look like a dead owner.
 GAP_FACTOR = 2.5
@@ -129,8 +130,8 @@
         self._folder = folder
         self._clock = clock
         self._journal = journal
-        self._refusing = ''
-        self._refusing_until = 0.0
+        self._unheard = ''
+        self._unheard_until = 0.0
         self._suspected = ''
         self._suspected_until = 0.0
         self._alive_until = 0.0
@@ -142,7 +143,7 @@
         """Return once this host owns the cell."""
         vacant_since = None
         while True:
-            await curio.sleep(POLL_SECONDS)
+            await self._pause()
             vacancy = self._vacancy() if eligible() else Vacancy.HELD
             if vacancy is Vacancy.HELD:
                 vacant_since = None
@@ -175,8 +176,15 @@
         heartbeat is read either: hosts behind such a cut claimed the cell from a
         living owner again and again.
         """
-        self._refusing = term
-        self._refusing_until = self._clock.monotonic() + SUSPECTED_SECONDS
+        self._note_unheard(term)
+
+    def note_unanswered(self, term: str) -> None:
+        """Take note that a question to the owner with that term was not answered in time.
+
+        A host that loses power or is cut off refuses nothing. By its heartbeats alone it
+        was missed after 1.3 s, in which nothing started; a busy owner's heartbeats go on.
+        """
+        self._note_unheard(term)
 
     async def take_failing(self, frame: Frame) -> Message:
         """Answer an owner that the store does not serve."""
@@ -206,12 +214,28 @@
             return Done()
         return Refused('does not own the cell')
 
+    async def _pause(self) -> None:
+        await curio.sleep(POLL_SECONDS)
+        if self._is_unheard(self._clock.monotonic()):
+            # A heartbeat that is there already must not be missed for a pause.
+            await self._follower.hurry()
+
     def _is_suspected(self, owner: Owner, now: float) -> bool:
         return self._suspected == owner.term and now < self._suspected_until
 
-    def _refuses(self, owner: Owner, now: float) -> bool:
-        quiet = now - self._folder.owner_heard_at >= REFUSING_SECONDS
-        return quiet and self._refusing == owner.term and now < self._refusing_until
+    def _note_unheard(self, term: str) -> None:
+        self._unheard = term
+        self._unheard_until = self._clock.monotonic() + SUSPECTED_SECONDS
+
+    def _is_unheard(self, now: float) -> bool:
+        """Return whether the owner has just not answered a peer."""
+        owner = self._folder.book.owner
+        return owner is not None and self._unheard == owner.term and now < self._unheard_until
+
+    def _is_gone(self, now: float) -> bool:
+        """Return whether the owner neither answers peers nor writes heartbeats."""
+        quiet = max(QUIET_SECONDS, QUIET_FACTOR * self._folder.usual_gap)
+        return self._is_unheard(now) and now - self._folder.owner_heard_at >= quiet
 
     def _former_life(self, owner: Owner) -> bool:
         """Return whether this host's former process, or a later one's, held the cell."""
@@ -226,7 +250,7 @@
         owner = self._folder.book.owner
         if owner is None or owner.released:
             return Vacancy.VACANT
-        if self._former_life(owner) or self._is_suspected(owner, now) or self._refuses(owner, now):
+        if self._former_life(owner) or self._is_suspected(owner, now) or self._is_gone(now):
             return Vacancy.VACANT
         heard = self._folder.owner_heard_at
         silent = max(SILENT_SECONDS, GAP_FACTOR * self._folder.usual_gap)
@@ -291,6 +315,16 @@
         heard = self._folder.owner_heard_at
         fence = self._next_fence(former)
         claimed_at = self._clock.monotonic()
+        self._journal.tell(
+            Part.OWNERSHIP,
+            'claims the cell.',
+            epoch=fence.epoch,
+            former=former.term if former else '',
+            silent_seconds=seconds_or_none(claimed_at - heard),
+            usual_gap=round(self._folder.usual_gap, 3),
+            unheard=self._is_unheard(claimed_at),
+            conditional=expected_end is not None,
+        )
         may_stand = await self._append_claim(fence, expected_end)
         if not may_stand or not await self._read_back(fence.epoch):
             # Before it is known who has won, another claim would replace the winner.
--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from dandelionreel.cell._advisors import PeerLinks
@@ -45,6 +45,10 @@
     maybe: bool = False
 
 
+def _pass_over(term: str) -> None:
+    """Nobody wants to know that the owner of a term did not answer."""
+
+
 class Relay:
     """Finds a peer that the store serves."""
 
@@ -55,13 +59,15 @@
         links: PeerLinks,
         clock: Clock,
         journal: Journal,
+        note_unanswered: Callable[[str], None] = _pass_over,
     ) -> None:
-        """Pass requests on as the host ``me``."""
+        """Pass requests on as the host ``me``; report owners that do not answer, by term."""
         self._me = me
         self._book = book
         self._links = links
         self._clock = clock
         self._journal = journal
+        self._note_unanswered = note_unanswered
         self._quiet_until_by_host: dict[str, float] = {}
         self._quiet_seconds_by_host: dict[str, float] = {}
 
@@ -142,6 +148,8 @@
             frame = await self._links.ask(member, OwnerAsked(term), ASK_SECONDS)
         except PeerError as error:
             self._avoid(host, f'{error}', self._lengthen_quiet(host))
+            if term:
+                self._note_unanswered(term)
             return False
         if isinstance(frame.message, Done):
             return True
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -110,6 +110,7 @@
             self._links,
             self._clock,
             self._journal,
+            self._election.note_unanswered,
         )
         self._contact = ContactWatch(
             settings.host,
--- a/features/claim.feature
+++ b/features/claim.feature
@@ -22,3 +22,30 @@
       | 0.1     | held    |
       | 0.4     | held    |
       | 0.6     | vacant  |
+
+  # An owner's host lost power, or was cut off. Nothing refused a connection, so peers missed
+  # it by its heartbeats alone after 1.3 s, and urgent jobs of 3 s were late by then. Peers
+  # whose questions are not answered know sooner; a busy owner's heartbeats go on.
+  Scenario Outline: The owner answers no peer
+    Given a host that has heard the owner <seconds> s ago
+    When a request to be passed on to the owner is not answered
+    Then the cell is <vacancy>
+
+    Examples:
+      | seconds | vacancy |
+      | 0.1     | held    |
+      | 0.4     | held    |
+      | 0.6     | vacant  |
+
+  # On a slow store heartbeats come every 0.8 s. An owner that misses a question there between
+  # two of them is not gone.
+  Scenario Outline: The owner's heartbeats come late by habit
+    Given a host that hears the owner every <gap> s, the last time <seconds> s ago
+    When a request to be passed on to the owner is not answered
+    Then the cell is <vacancy>
+
+    Examples:
+      | gap | seconds | vacancy |
+      | 0.8 | 0.9     | held    |
+      | 0.8 | 1.1     | vacant  |
+      | 0.2 | 0.6     | vacant  |
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -7,12 +7,17 @@
 from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._predecessors import Predecessors
-from dandelionreel.cell._records import OWNER_KEY, Owner, make_record
+from dandelionreel.cell._records import MEMBER, OWNER_KEY, Member, Owner, make_record
+from dandelionreel.cell._relay import Relay
+from dandelionreel.http import Request
 from dandelionreel.kernel import ManualClock
 from features.steps.release_steps import SlowTopic
-from features.store_parts import DRIFT, LONG, Host, make_dispatcher, until
+from features.store_parts import DRIFT, LONG, DeafPeer, Host, journal, make_dispatcher, until
 from standins import MemoryTopic
 
+#: Enough heartbeats for their usual gap to be known.
+BEATS = 20
+
 
 @given('a store that answers a claim {seconds:g} s after it has carried it out')
 def slow_claims(context, seconds):
@@ -51,18 +56,43 @@
 
 @given('a host that has heard the owner {seconds:g} s ago')
 def heard_ago(context, seconds):
+    hear_every(context, [5], seconds)
+
+
+@given('a host that hears the owner every {gap:g} s, the last time {seconds:g} s ago')
+def heard_by_habit(context, gap, seconds):
+    hear_every(context, [gap] * BEATS, seconds)
+
+
+def hear_every(context, gaps, seconds):
     clock = ManualClock()
     context.host = host = Host('me', MemoryTopic(), clock)
     claim = make_record(OWNER_KEY, Owner(1, 'other', 'other/1'))
-    host.folder.restart(RecordBatch((claim,), 1, 1))
+    member = make_record(f'{MEMBER}other', Member('north', '127.0.0.1', 1))
+    host.folder.restart(RecordBatch((claim, member), 1, 1))
     host.follower._offset = 1
-    clock.advance(5)
-    host.folder.fold(RecordBatch((claim,), 2, 2))
+    for gap in gaps:
+        clock.advance(gap)
+        host.folder.fold(RecordBatch((claim,), 2, 2))
     clock.advance(seconds)
     host.follower.fresh_at = clock.monotonic()
     host.follower.reached_since = clock.monotonic() - 5
 
 
+@when('a request to be passed on to the owner is not answered')
+def not_answered(context):
+    host = context.host
+    relay = Relay(
+        'me',
+        host.folder.book,
+        DeafPeer(),
+        host.clock,
+        journal(),
+        host.election.note_unanswered,
+    )
+    curio.run(relay.forward_to_owner, Request('POST', '/new/'), 1)
+
+
 @when("the owner's port refuses connections")
 def port_refuses(context):
     context.host.election.suspect_refusing('other/1')
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -15,7 +15,7 @@
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from dandelionreel.peers import Done, Forward, ForwardAnswer, Frame, OwnerAsked, PeerError, Refused
-from features.store_parts import journal
+from features.store_parts import DeafPeer, journal
 
 
 class OnePeer:
@@ -48,17 +48,6 @@
     context.relay = Relay('me', book, OnePeer(status), SystemClock(), journal())
 
 
-class DeafPeer:
-    """Stands for the links: nobody answers; ``asked`` counts the tries."""
-
-    def __init__(self):
-        self.asked = 0
-
-    async def ask(self, member, message, timeout):
-        self.asked += 1
-        raise PeerError('no answer in time', Verdict.NOT_RUN)
-
-
 class CutPeer:
     """Links to a peer behind a cut, or one that cannot act; what is sent is in doubt."""
 
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -102,3 +102,14 @@
         status_kept=120,
     )
     return Dispatcher(parts, term)
+
+
+class DeafPeer:
+    """Stands for the links: nobody answers; ``asked`` counts the tries."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def ask(self, member, message, timeout):
+        self.asked += 1
+        raise PeerError('no answer in time', Verdict.NOT_RUN)
