One room for client accounts: usage, quotas and shares

Cause: the cell on the users' platform needs quotas and weights, and the product's own placement counts them already (used_by_customer, within_quota, claim). A second count would differ.

Change: dandelionreel/accounts holds accounts, digests of keys, one count of usage by account, and the two rules (within_quota, weighted_share) over any type of amounts. The product's placement counts with it; nothing else changes there.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,7 +14,7 @@
 from dataclasses import replace
 from statistics import mean
 
-from dandelionreel.backing import NOTHING, Resources
+from dandelionreel.backing import Resources
 from dandelionreel.placement import (
     Cell,
     FairQueue,
@@ -314,9 +314,9 @@
         day.step(5)
         if day.now < 30:
             continue
-        used = day.planner.cell.used_by_customer
+        used = day.planner.cell.usage
         total = day.planner.cell.total
-        shares = {name: used.get(name, NOTHING).dominant_share(total) for name in weights}
+        shares = {name: used.of(name).dominant_share(total) for name in weights}
         whole = sum(shares.values())
         deviations.append(
             max(
--- /dev/null
+++ b/dandelionreel/accounts/__init__.py
@@ -0,0 +1,20 @@
+"""Client accounts: keys, quotas, shares. Both interfaces of the product count by these."""
+
+from dandelionreel.accounts._account import Account, Caller
+from dandelionreel.accounts._amounts import Amounts
+from dandelionreel.accounts._credentials import AUTHORIZATION, digest_key, read_bearer
+from dandelionreel.accounts._directory import AccountDirectory
+from dandelionreel.accounts._usage import Usage, weighted_share, within_quota
+
+__all__ = (
+    'AUTHORIZATION',
+    'Account',
+    'AccountDirectory',
+    'Amounts',
+    'Caller',
+    'Usage',
+    'digest_key',
+    'read_bearer',
+    'weighted_share',
+    'within_quota',
+)
--- a/dandelionreel/jobs/_shares.py
+++ b/dandelionreel/jobs/_shares.py
@@ -4,7 +4,7 @@
 contract.
 """
 
-from dandelionreel.backing import NOTHING, LogError, StreamWriter
+from dandelionreel.backing import LogError, StreamWriter
 from dandelionreel.contracts import ContractBook, ShareMoved, ShareWanted
 from dandelionreel.kernel import Clock, Journal, Part, Settings, Signal
 from dandelionreel.placement import Planner
@@ -68,7 +68,7 @@
             return
         if now - self._asked_at.get(customer, float('-inf')) < ASK_SECONDS:
             return
-        used = planner.cell.used_by_customer.get(customer, NOTHING)
+        used = planner.cell.usage.of(customer)
         for work in planner.queue.by_customer(customer):
             quota = contract.quota.resources()
             needed = (used + work.total).dominant_share(quota)
@@ -104,7 +104,7 @@
         if contract is None:
             return 0
         quota = contract.quota.resources()
-        used = planner.cell.used_by_customer.get(customer, NOTHING)
+        used = planner.cell.usage.of(customer)
         usable = quota.times(self.usable(customer))
         heads = planner.queue.by_customer(customer) if planner.queue.waiting(customer) else []
         for work in heads:
--- a/dandelionreel/metrics.py
+++ b/dandelionreel/metrics.py
@@ -88,16 +88,12 @@
         self._memory.set(resident_bytes())
 
     def _set_use(self, planner: Planner) -> None:
-        used_processors = used_memory = used_accelerators = 0.0
-        for used in planner.cell.used_by_customer.values():
-            used_processors += used.processors
-            used_memory += used.memory_mb
-            used_accelerators += used.accelerators
+        used = planner.cell.usage.total()
         total = planner.cell.total
         for name, part, whole in (
-            ('processors', used_processors, total.processors),
-            ('memory_mb', used_memory, total.memory_mb),
-            ('accelerators', used_accelerators, total.accelerators),
+            ('processors', used.processors, total.processors),
+            ('memory_mb', used.memory_mb, total.memory_mb),
+            ('accelerators', used.accelerators, total.accelerators),
         ):
             self._used.labels(name).set(part)
             self._total.labels(name).set(whole)
--- a/dandelionreel/placement/_cell.py
+++ b/dandelionreel/placement/_cell.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable
 
+from dandelionreel.accounts import Usage
 from dandelionreel.backing import EPSILON, NOTHING, Resources
 from dandelionreel.placement._work import Running
 
@@ -89,7 +90,8 @@
         """Draw samples from ``source``."""
         self.source = source or random.Random()
         self.worker_by_name: dict[str, WorkerView] = {}
-        self.used_by_customer: dict[str, Resources] = {}
+        #: What each customer uses, all workers together.
+        self.usage: Usage[Resources] = Usage(NOTHING)
         self.total = NOTHING
         self._freed: dict[str, WorkerView] = {}
         self._plain = _Buckets()
@@ -134,8 +136,7 @@
             self._drop(worker, running.task_id)
         worker.running_by_task[running.task_id] = running
         worker.used += running.demand
-        used = self.used_by_customer.get(running.customer, NOTHING)
-        self.used_by_customer[running.customer] = used + running.demand
+        self.usage.add(running.customer, running.demand)
         self._update(worker)
 
     def release(self, worker: WorkerView, task_id: str) -> Running | None:
@@ -223,8 +224,7 @@
         if running is None:
             return None
         worker.used -= running.demand
-        used = self.used_by_customer.get(running.customer, NOTHING)
-        self.used_by_customer[running.customer] = used - running.demand
+        self.usage.remove(running.customer, running.demand)
         return running
 
     def _update(self, worker: WorkerView) -> None:
--- a/dandelionreel/placement/_planner.py
+++ b/dandelionreel/placement/_planner.py
@@ -3,7 +3,6 @@
 import heapq
 from collections.abc import Iterator
 
-from dandelionreel.backing import NOTHING
 from dandelionreel.kernel import PluginKind, plugins
 from dandelionreel.placement._cell import Cell, WorkerView
 from dandelionreel.placement._estimate import RunTimes
@@ -110,7 +109,7 @@
                 heapq.heappush(claims, (self._claim(customer), customer))
 
     def _claim(self, customer: str) -> tuple[bool, float]:
-        used = self.cell.used_by_customer.get(customer, NOTHING)
+        used = self.cell.usage.of(customer)
         return self.queue.claim(customer, used, self.cell.total)
 
     def _place_one(self, customer: str, now: float, placed: list[Placement]) -> bool:
@@ -120,7 +119,7 @@
     def _try(self, work: Work, now: float, placed: list[Placement]) -> bool:
         if work.shape in self._failed and not work.avoid:
             return False
-        used = self.cell.used_by_customer.get(work.customer, NOTHING)
+        used = self.cell.usage.of(work.customer)
         if not self.queue.within_quota(work, used):
             return False
         self.looked_at += 1
--- a/dandelionreel/placement/_queue.py
+++ b/dandelionreel/placement/_queue.py
@@ -1,7 +1,7 @@
 """Jobs that wait, by customer; which customer and which job comes next.
 
-Between customers: weighted dominant resource fairness (Ghodsi et al., NSDI
-2011), those below their guarantee first. Within one: priority, then age.
+Between customers: weighted dominant resource fairness, those below their
+guarantee first. Within one: priority, then age.
 A job whose longest wait is nearly over goes before all fairness.
 """
 
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from dandelionreel.accounts import weighted_share, within_quota
 from dandelionreel.backing import NOTHING, Resources
 from dandelionreel.placement._work import URGENT, Shape, Work
 
@@ -176,16 +177,12 @@
     def claim(self, customer: str, used: Resources, total: Resources) -> tuple[bool, float]:
         """Return the sort key of fairness; lower is more entitled."""
         terms = self._terms_of(customer)
-        share = used.dominant_share(total)
         below = terms.guaranteed != NOTHING and used.fits(terms.guaranteed)
-        return (not below, share / terms.weight)
+        return (not below, weighted_share(used, total, terms.weight))
 
     def within_quota(self, work: Work, used: Resources) -> bool:
         """Return whether the customer's part of its quota has room for the job."""
-        quota = self._terms_of(work.customer).quota
-        if quota is None:
-            return True
-        return (used + work.total).fits(quota)
+        return within_quota(used, work.total, self._terms_of(work.customer).quota)
 
 
 def _due_at(work: Work) -> float:
