A gang that all else of its account waits for has its quota to itself

None of them started any more (account wufi9311, nothing in use, from 16 s on). Change: what may not start claims nothing. A job that waits for its quota is logged once until a task of it is placed, with the quota. Ruled out: a leak in the count of usage (0 in use was right).

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -271,6 +271,8 @@
     ) -> Allocation:
         """Decide that a task starts on a runner, and count it there."""
         demand = counted_demand(step)
+        job = self.job_by_id[task.name.job]
+        job.held_by = ''
         allocation = Allocation(
             task.name,
             run,
@@ -281,7 +283,7 @@
             expected=expected,
             checkpoint=task.checkpoint,
             quarantined=task.quarantined,
-            account=self.job_by_id[task.name.job].account,
+            account=job.account,
         )
         self._holdings.hold(runner, allocation)
         step.place(task, runner.id, run)
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -364,7 +364,7 @@
 
     def _log_held(self, made: Plan) -> None:
         for job in made.held:
-            used = self.cell.quotas.used(job.account)
+            used, quota = self.cell.quotas.used(job.account), self.cell.quota_of(job)
             self._journal.tell_frequent(
                 Part.PLACEMENT,
                 f'job {job.id} waits for {job.held_by}.',
@@ -373,6 +373,8 @@
                 cpu=used.cpu,
                 memory_mb=used.memory_mb,
                 gpu=used.gpu,
+                quota_cpu=quota.cpu if quota else None,
+                quota_memory_mb=quota.memory_mb if quota else None,
                 epoch=self._desk.term.epoch,
             )
 
--- a/dandelionreel/cell/_quota_gate.py
+++ b/dandelionreel/cell/_quota_gate.py
@@ -57,9 +57,7 @@
             count = 0
             if step.step.smallest_start.fits(quota):
                 self._held_since_by_gang.setdefault(step.name, self._now)
-        if count:
-            job.held_by = ''
-        elif job.held_by != QUOTA:
+        if not count and job.held_by != QUOTA:
             job.held_by = QUOTA
             self.fresh.append(job)
         return count
@@ -70,17 +68,23 @@
         quota = self._cell.quota_of(job)
         if quota is None or not step.step.smallest_start.fits(quota):
             return
+        if not self._may_go_first(job, step.name):
+            return
         claimed = self._claimed_by_account.get(job.account, Demand())
         self._claimed_by_account[job.account] = claimed + step.step.smallest_start
 
     def _count(self, candidate: Candidate, quota: Demand) -> int:
         job, step = candidate.job, candidate.step
-        if self._first_by_account.get(job.account, step.name) != step.name:
+        if not self._may_go_first(job, step.name):
             return 0
         claimed = self._claimed_by_account.get(job.account, Demand())
         room = quota - self._cell.quotas.used(job.account) - claimed
         return count_fitting(counted_demand(step), room, step.waiting)
 
+    def _may_go_first(self, job: JobRun, name: StepName) -> bool:
+        """Return whether no gang of the account waits for so long that all else has to."""
+        return self._first_by_account.get(job.account, name) == name
+
     def _find_first(self) -> dict[str, StepName]:
         """Return the gang of each account that has been held back for too long."""
         first: dict[str, StepName] = {}
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -70,6 +70,12 @@
       | urgent      |
       | less urgent |
 
+  # Guards against gangs of one account that keep its quota from each other.
+  Scenario: Several gangs of an account wait for its quota
+    Given the account blue with a quota of 8 cores, and 32 cores free
+    When gangs of 3 tasks of 2 cores come without end, those that came last the most urgent
+    Then one of them runs at all times, and all that are 20 s old have started
+
   # Guards against a gang that no longer fits its quota and blocks its account.
   Scenario: A quota is lowered below what a waiting gang needs
     Given the account blue with a quota of 8 cores, and 32 cores free
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -261,6 +261,30 @@
     assert small.placed(context.gang) == 0
 
 
+@when('gangs of 3 tasks of 2 cores come without end, those that came last the most urgent')
+def gangs_without_end(context):
+    small = context.small
+    gang = step(2000, 3, gang=True)
+    context.gangs = [small.hand_in('blue', [gang], 'batch') for _ in range(3)]
+    context.idle = 0
+    context.began = set()
+    while small.now < START + 40:
+        if small.now < START + 20:
+            context.gangs.append(small.hand_in('blue', [gang], 'urgent'))
+        made = small.plan()
+        context.began.update(start.task.job for start in made.starts)
+        context.idle += small.in_use('blue') == 0 and small.now < START + 20
+        small.now += 0.5
+        small.end_old(0.5)
+
+
+@then('one of them runs at all times, and all that are 20 s old have started')
+def gangs_take_turns(context):
+    missing = [gang.id for gang in context.gangs if gang.id not in context.began]
+    assert not missing, (len(missing), len(context.gangs))
+    assert not context.idle, context.idle
+
+
 @given('the accounts blue and red with a rate of {rate:g} jobs a second each, and 8 cores')
 def two_accounts(context, rate):
     context.small = AccountCell((blue(None, rate), red(None, rate)), runners=('w1',))
