What runs unseen is counted as far as its runners hold it; review knows accounts

Cause: at a take-over, and for 8.7 s where one runner stays out of reach, every task that is left of a job counted against its account, also of a wide job that may have one task on one runner. Change: per job and per account no more is counted than the unseen runners hold together. review and explain know the reasons "its account's quota" and "its account's share", and review has a table by account.

--- a/dandelionreel/cell/_model.py
+++ b/dandelionreel/cell/_model.py
@@ -39,6 +39,14 @@
         """Return what that many tasks demand together."""
         return Demand(self.cpu * count, self.memory_mb * count, self.gpu * count)
 
+    def at_most(self, other: 'Demand') -> 'Demand':
+        """Return the smaller of both in each resource."""
+        return Demand(
+            min(self.cpu, other.cpu),
+            min(self.memory_mb, other.memory_mb),
+            min(self.gpu, other.gpu),
+        )
+
     def dominant_share(self, whole: 'Demand') -> float:
         """Return the largest fraction of ``whole`` over the resources that it has."""
         parts = ((self.cpu, whole.cpu), (self.memory_mb, whole.memory_mb), (self.gpu, whole.gpu))
--- a/dandelionreel/cell/_quotas.py
+++ b/dandelionreel/cell/_quotas.py
@@ -9,7 +9,7 @@
 from dandelionreel.cell._holdings import Holdings
 from dandelionreel.cell._model import Demand
 from dandelionreel.cell._records import Progress
-from dandelionreel.cell._runs import ANY_RUNNER, JobRun
+from dandelionreel.cell._runs import ANY_RUNNER
 
 #: Seconds after the end of a job for which runs of it may be left anywhere: longer than the
 #: leases of any owner, with clocks that differ.
@@ -17,6 +17,9 @@
 #: Seconds for which the count of what may run unseen stands.
 UNSEEN_SECONDS = 0.05
 
+#: Stands for what a runner has of which nothing is known.
+UNKNOWN_AMOUNT = 2_147_483_648
+
 #: A job and a runner.
 _Place = tuple[str, str]
 
@@ -57,22 +60,47 @@
         self._counted_at = now
         self._unseen_by_account = {}
         if self._unseen:
-            for job in self._holdings.live_by_id.values():
-                if job.account and self._may_run_unseen(job):
-                    self._count(job.account, job.remaining_demand(wall))
+            self._count_unseen(wall)
         for place, (account, demand) in tuple(self._left_by_place.items()):
             if self._is_left(*place):
                 self._count(account, demand)
             else:
                 self._left_by_place.pop(place)
 
+    def _count_unseen(self, wall: float) -> None:
+        """Count what jobs may run unseen: what is left of them, as far as runners hold it."""
+        runners_by_account: dict[str, set[str]] = {}
+        for job in self._holdings.live_by_id.values():
+            runners = self._unseen if ANY_RUNNER in job.runners else self._unseen & job.runners
+            if not job.account or not runners:
+                continue
+            runners_by_account.setdefault(job.account, set()).update(runners)
+            held = self._capacity(runners)
+            self._count(job.account, job.remaining_demand(wall).at_most(held))
+        for account, runners in runners_by_account.items():
+            counted = self._unseen_by_account[account]
+            self._unseen_by_account[account] = counted.at_most(self._capacity(runners))
+
+    def _capacity(self, runners: set[str]) -> Demand:
+        """Return what runners hold together; one that was never listed holds the most."""
+        total = Demand()
+        for runner in runners:
+            state = self._holdings.runner_by_id.get(runner)
+            total += self._largest_runner() if state is None else state.registration.capacity
+        return total
+
+    def _largest_runner(self) -> Demand:
+        capacities = [state.registration.capacity for state in self._holdings.runner_by_id.values()]
+        return Demand(
+            max((capacity.cpu for capacity in capacities), default=UNKNOWN_AMOUNT),
+            max((capacity.memory_mb for capacity in capacities), default=UNKNOWN_AMOUNT),
+            max((capacity.gpu for capacity in capacities), default=UNKNOWN_AMOUNT),
+        )
+
     def _count(self, account: str, demand: Demand) -> None:
         counted = self._unseen_by_account.get(account, Demand())
         self._unseen_by_account[account] = counted + demand
 
-    def _may_run_unseen(self, job: JobRun) -> bool:
-        return ANY_RUNNER in job.runners or not self._unseen.isdisjoint(job.runners)
-
     def _is_left(self, job: str, runner: str) -> bool:
         """Return whether runs of a job that is over may still be on a runner."""
         if runner in self._unseen:
--- a/dandelionreel/cli/_review.py
+++ b/dandelionreel/cli/_review.py
@@ -15,7 +15,7 @@
 
 SERVED = ('in time', 'late', 'too late', 'refused', 'open', 'cancelled')
 LOST = ('late', 'too late', 'refused', 'open')
-JOB_COLUMNS = ('sent', 'job', 'queue', 'verdict', 'seconds', 'objective', 'reason')
+JOB_COLUMNS = ('sent', 'job', 'queue', 'account', 'verdict', 'seconds', 'objective', 'reason')
 
 
 def review_jobs(*files: Path, jobs: bool = False, json: bool = False) -> Command:
@@ -47,6 +47,9 @@
         stream.write(f'read {read["lines"]} lines of {read["files"]} files, {read["bad"]} bad\n')
         write_table(stream, content['queues'], ('queue', *SERVED))
         stream.write('\n')
+        if content['accounts']:
+            write_table(stream, content['accounts'], ('account', *SERVED))
+            stream.write('\n')
         write_table(stream, content['reasons'], ('reason', *LOST))
         if jobs:
             stream.write('\n')
--- a/dandelionreel/records/_lives.py
+++ b/dandelionreel/records/_lives.py
@@ -10,6 +10,17 @@
 #: Jobs that are kept, about 1 KB each.
 MOST_JOBS = 100_000
 COMPLETED = 'completed'
+#: What may happen to a job besides being run.
+MISHAPS = frozenset(
+    (
+        Stage.LOST,
+        Stage.MISSING,
+        Stage.UNANSWERED,
+        Stage.STOPPING,
+        Stage.HELD,
+        Stage.BEHIND,
+    )
+)
 CANCELLED = 'cancelled'
 _POSTED = re.compile(r'jobs: POST (\S+):')
 _CLOSED = re.compile(r'jobs: job (\S+) is (\w+)\.')
@@ -21,6 +32,7 @@
 
     job: str
     queue: str = ''
+    account: str = ''
     #: When a host was first asked to take it.
     sent_at: float | None = None
     #: When a host first turned it away, and which one.
@@ -75,6 +87,7 @@
         life = self._find(job)
         if life is not None:
             _take_run(life, line)
+            _take_account(life, line)
 
     def settle(self) -> list[Life]:
         """Return all jobs by the time at which they were sent, once all lines were taken."""
@@ -107,6 +120,7 @@
         held = seconds if isinstance(seconds, int | float) else 0.0
         life.sent_at = _earlier(life.sent_at, line.at - held)
         life.queue = life.queue or f'{line.more.get("queue", "")}'
+        _take_account(life, line)
         if line.stage in {Stage.ACCEPTED, Stage.KNOWN}:
             life.accepted_at = _earlier(life.accepted_at, line.at)
         elif line.stage is Stage.REFUSED and (life.refused_at or line.at) >= line.at:
@@ -118,6 +132,7 @@
         if life is None:
             return
         life.queue = life.queue or f'{line.more.get("queue", "")}'
+        _take_account(life, line)
         objective = line.more.get('objective')
         if isinstance(objective, int | float):
             life.objective = float(objective)
@@ -137,10 +152,16 @@
             life.zones.add(zone)
     elif line.stage is Stage.ENDED:
         life.failed_run = life.failed_run or line.text.endswith('failed.')
-    elif line.stage in {Stage.LOST, Stage.MISSING, Stage.UNANSWERED, Stage.STOPPING}:
+    elif line.stage in MISHAPS:
         life.mishaps.add(line.stage)
 
 
+def _take_account(life: Life, line: Told) -> None:
+    account = line.more.get('account')
+    if isinstance(account, str):
+        life.account = life.account or account
+
+
 def _earlier(known: float | None, at: float) -> float:
     return at if known is None else min(known, at)
 
--- a/dandelionreel/records/_reasons.py
+++ b/dandelionreel/records/_reasons.py
@@ -39,6 +39,8 @@
     RUNNER = 'its runner did not answer or was lost'
     FAILED_RUN = 'a run of it failed'
     STOPPED = 'it was stopped for others, or moved'
+    QUOTA = "its account's quota"
+    SHARE = "its account's share"
     WAITED = 'it waited for advice, seats or its gang'
     TURNED_AWAY = 'turned away for another cause'
     LONGER = 'it ran longer than declared'
@@ -84,7 +86,7 @@
     if longest == 'accepted':
         return _why_not_accepted(sent, accepted, troubles, down)
     if longest == 'started':
-        return _why_not_started(Span(accepted, started), troubles, down)
+        return _why_not_started(life, troubles, down, Span(accepted, started))
     reach = troubles.reach(closed, shown)
     return Reason.STORE_NOT_SHOWN if reach else Reason.STORE_SLOW
 
@@ -105,14 +107,26 @@
     return Reason.TURNED_AWAY
 
 
-def _why_not_started(span: Span, troubles: Troubles, down: list[Span]) -> Reason:
+def _why_not_started(
+    life: Life,
+    troubles: Troubles,
+    down: list[Span],
+    span: Span,
+) -> Reason:
     if _any_overlaps(down, span.since, span.until):
         return Reason.ALL_DOWN
     if troubles.reach(span.since, span.until) is Reach.ALL:
         return Reason.STORE_NOT_STARTED
     if _any_overlaps(troubles.takeovers, span.since, span.until):
         return Reason.TAKEOVER
-    return Reason.WAITED
+    return _why_held(life) or Reason.WAITED
+
+
+def _why_held(life: Life) -> Reason | None:
+    """Return what kept a job from starting that had tickets and seats to be had."""
+    if Stage.HELD in life.mishaps:
+        return Reason.QUOTA
+    return Reason.SHARE if Stage.BEHIND in life.mishaps else None
 
 
 def _why_long(life: Life, troubles: Troubles, down: list[Span], span: Span) -> Reason:
@@ -130,6 +144,8 @@
         return Reason.STORE_NOT_STARTED
     if _any_overlaps(troubles.takeovers, span.since, span.until):
         return Reason.TAKEOVER
+    if Stage.HELD in life.mishaps:
+        return Reason.QUOTA
     return Reason.LONGER
 
 
--- a/dandelionreel/records/_review.py
+++ b/dandelionreel/records/_review.py
@@ -45,6 +45,7 @@
     tally: Tally
     began_at: float
     counts_by_queue: dict[str, Counter[Verdict]]
+    counts_by_account: dict[str, Counter[Verdict]]
     losses: tuple[Loss, ...]
     takeovers: tuple[Span, ...]
     #: Jobs that there was no room for.
@@ -85,11 +86,14 @@
 def _sum_up(tally: Tally, lives: Lives, troubles: Troubles, last: float) -> Review:
     down = troubles.all_down()
     counts_by_queue: dict[str, Counter[Verdict]] = {}
+    counts_by_account: dict[str, Counter[Verdict]] = {}
     losses = []
     settled = lives.settle()
     for life in settled:
         verdict = judge(life)
         counts_by_queue.setdefault(life.queue, Counter())[verdict] += 1
+        if life.account:
+            counts_by_account.setdefault(life.account, Counter())[verdict] += 1
         if verdict in LOSSES:
             losses.append(Loss(life, verdict, find_reason(life, troubles, down, last)))
     began_at = (settled[0].sent_at or 0.0) if settled else 0.0
@@ -97,6 +101,7 @@
         tally,
         began_at,
         counts_by_queue,
+        counts_by_account,
         tuple(losses),
         tuple(troubles.takeovers),
         lives.left_out,
@@ -114,15 +119,20 @@
             'first_bad': found.tally.first_bad,
             'left_out': found.left_out,
         },
-        'queues': [
-            {'queue': queue or '?', **{one.value: counts[one] for one in Verdict}}
-            for queue, counts in sorted(found.counts_by_queue.items())
-        ],
+        'queues': _view_counts('queue', found.counts_by_queue),
+        'accounts': _view_counts('account', found.counts_by_account),
         'reasons': _view_reasons(found.losses),
         'jobs': [_view_loss(loss, zero) for loss in found.losses],
     }
 
 
+def _view_counts(kind: str, counts_by_name: dict[str, Counter[Verdict]]) -> list[dict[str, Any]]:
+    return [
+        {kind: name or '?', **{one.value: counts[one] for one in Verdict}}
+        for name, counts in sorted(counts_by_name.items())
+    ]
+
+
 def _view_reasons(losses: Iterable[Loss]) -> list[dict[str, Any]]:
     counts_by_reason: dict[Reason, Counter[Verdict]] = {}
     for loss in losses:
@@ -141,6 +151,7 @@
         'sent': round((life.sent_at or zero) - zero, 3),
         'job': life.job,
         'queue': life.queue,
+        'account': life.account,
         'verdict': loss.verdict.value,
         'reason': loss.reason.value,
         'seconds': None if seconds is None else round(seconds, 3),
--- a/dandelionreel/records/_stages.py
+++ b/dandelionreel/records/_stages.py
@@ -13,6 +13,8 @@
     DOUBTFUL = 'doubtful'
     CANCELLED = 'cancelled'
     WAITING = 'waiting'
+    HELD = 'held by its quota'
+    BEHIND = 'beyond its share'
     ASKED = 'asked'
     UNANSWERED = 'unanswered'
     TAKEN = 'taken'
@@ -47,6 +49,8 @@
         (r'jobs: DELETE \S+ 2\d\d by ', Stage.CANCELLED),
         ('jobs: (POST|DELETE) ', Stage.REFUSED),
         (r'jobs: job \S+ is (completed|failed|cancelled)\.', Stage.CLOSED),
+        (r'placement: job \S+ waits for its account', Stage.HELD),
+        (r'jobs: job \S+ is beyond its account', Stage.BEHIND),
         (r'placement: \d+ of \d+ runners are allowed', Stage.WAITING),
         ('placement: no advice by ', Stage.WAITING),
         ('placement: starts a task on ', Stage.ASKED),
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -33,9 +33,17 @@
       | a job of blue of 2 tasks of 2 cores may run on w3       | 2        | runs one of its tasks | 2    |
       | a job of blue of 2 tasks of 2 cores may run on w3       | 2        | runs none of them     | 2    |
       | a job of red of 2 tasks of 2 cores may run on w3        | 4        | runs none of them     | 4    |
+      | a job of blue of 8 tasks of 8 cores may run on w3       | 0        | runs one of its tasks | 0    |
       | a cancelled job of blue has 4 cores left on w3          | 2        | runs none of them     | 4    |
       | a cancelled job of blue had 4 cores left on w3 long ago | 4        | runs none of them     | 4    |
 
+  # Guards against accounts that are held back by more than an unseen runner can hold.
+  Scenario: A wide job may have one task on a small runner that is not seen
+    Given the account blue with a quota of 50 cores, and a successor that cannot see w3
+    And a job of blue of 30 tasks of 2 cores may run on w3
+    When blue hands in 6 tasks of 2 cores
+    Then 6 of them start
+
   # Guards against runs of a cancelled job that nobody counts once its runner is seen.
   Scenario: A cancelled job's run is found on its runner and not gone yet
     Given the account blue with a quota of 8 cores, and a successor that cannot see w3
--- a/features/review.feature
+++ b/features/review.feature
@@ -21,6 +21,8 @@
       | a run of the job fails                          | late     | a run of it failed                    |
       | the job waits for its first start               | late     | it waited for advice, seats or its gang |
       | the job runs longer than its queue thought      | late     | it ran longer than declared           |
+      | the job waits for its account's quota           | late     | its account's quota                   |
+      | the job is beyond its account's share           | late     | its account's share                   |
 
   Scenario: Jobs that need no reason
     Given the logs of hosts in three zones, in which all goes well
--- a/features/steps/review_steps.py
+++ b/features/steps/review_steps.py
@@ -107,6 +107,20 @@
         stored(3.5),
     ),
     'the job waits for its first start': (TAKEN, (2.5, *STARTED[1:]), closed(2.9), stored(2.9)),
+    "the job waits for its account's quota": (
+        TAKEN,
+        (1.1, 'b', "placement: job ID waits for its account's quota.", {'account': 'blue'}),
+        (2.5, *STARTED[1:]),
+        closed(2.9),
+        stored(2.9),
+    ),
+    "the job is beyond its account's share": (
+        TAKEN,
+        (1.1, 'b', "jobs: job ID is beyond its account's share: it waits behind others.", {}),
+        (2.5, *STARTED[1:]),
+        closed(2.9),
+        stored(2.9),
+    ),
     'the job runs longer than its queue thought': (TAKEN, STARTED, closed(3.5), stored(3.5)),
 }
 
