--- a/dandelionreel/records/_reasons.py
+++ b/dandelionreel/records/_reasons.py
@@ -134,12 +134,9 @@
         return Reason.ALL_DOWN
     if life.zones & troubles.cut_zones(span.since, span.until):
         return Reason.ZONE_RUNS
-    if life.mishaps & {Stage.LOST, Stage.MISSING, Stage.UNANSWERED}:
-        return Reason.RUNNER
-    if life.failed_run:
-        return Reason.FAILED_RUN
-    if Stage.STOPPING in life.mishaps:
-        return Reason.STOPPED
+    mishap = _find_mishap(life)
+    if mishap is not None:
+        return mishap
     if troubles.reach(span.since, span.until) is Reach.ALL:
         return Reason.STORE_NOT_STARTED
     if _any_overlaps(troubles.takeovers, span.since, span.until):
@@ -149,5 +146,14 @@
     return Reason.LONGER
 
 
+def _find_mishap(life: Life) -> Reason | None:
+    """Return what happened to a job's runs that made it long."""
+    if life.mishaps & {Stage.LOST, Stage.MISSING, Stage.UNANSWERED}:
+        return Reason.RUNNER
+    if life.failed_run:
+        return Reason.FAILED_RUN
+    return Reason.STOPPED if Stage.STOPPING in life.mishaps else None
+
+
 def _any_overlaps(spans: list[Span], since: float, until: float) -> bool:
     return any(span.overlaps(since, until) for span in spans)
