A gang waits 20 s for its account's quota before all else does, and keeps it for 5 s

Change: quota is kept for a gang that has it and finds no seats for 5 s; it then waits twice as long. Everything of the account waits for a gang after 20 s only; what is less urgent does at once, as before.

--- a/dandelionreel/cell/_quota_gate.py
+++ b/dandelionreel/cell/_quota_gate.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._model import Demand, StepName
@@ -14,11 +15,44 @@
 
 #: Seconds for which a gang waits for its account's quota before nothing else of that account
 #: starts, however urgent.
-LONGEST_HELD = 3.0
+LONGEST_HELD = 20.0
+#: Seconds for which quota is kept for a gang that finds no seats; it may never find any.
+LONGEST_CLAIM = 5.0
 #: What keeps a job from starting, in words for the log.
 QUOTA = "its account's quota"
 
 
+@dataclass
+class _GangWait:
+    """How long a gang has waited for quota, and for seats once it had the quota."""
+
+    patience: float = LONGEST_HELD
+    held_since: float | None = None
+    granted_since: float | None = None
+
+    def note_held(self, now: float) -> None:
+        """Note that there is no quota for the gang."""
+        self.granted_since = None
+        if self.held_since is None:
+            self.held_since = now
+
+    def note_granted(self, now: float) -> None:
+        """Note that there is; who does not use it for long has to wait longer next time."""
+        if self.granted_since is None:
+            self.granted_since = now
+        if self.held_since is not None and not self.may_claim(now):
+            self.held_since = None
+            self.patience *= 2
+
+    def may_claim(self, now: float) -> bool:
+        """Return whether quota may be kept for the gang."""
+        return self.granted_since is None or now - self.granted_since < LONGEST_CLAIM
+
+    def goes_first(self, now: float) -> bool:
+        """Return whether all else of its account has to wait."""
+        return self.held_since is not None and now - self.held_since >= self.patience
+
+
 class QuotaGate:
     """Holds steps back whose account has no quota left for them."""
 
@@ -26,7 +60,7 @@
         """Decide by the quotas of that cell."""
         self._cell = cell
         self._now = 0.0
-        self._held_since_by_gang: dict[StepName, float] = {}
+        self._wait_by_gang: dict[StepName, _GangWait] = {}
         #: The gang for which all else of an account waits.
         self._first_by_account: dict[str, StepName] = {}
         #: What gangs of an account need that have not started in this plan.
@@ -40,9 +74,10 @@
         self._cell.quotas.refresh(now, wall)
         self._claimed_by_account.clear()
         self.fresh = []
-        waiting = {one.step.name for one in candidates if one.step.name in self._held_since_by_gang}
-        self._held_since_by_gang = {
-            name: since for name, since in self._held_since_by_gang.items() if name in waiting
+        self._wait_by_gang = {
+            one.step.name: self._wait_by_gang[one.step.name]
+            for one in candidates
+            if one.step.name in self._wait_by_gang
         }
         self._first_by_account = self._find_first()
 
@@ -53,10 +88,8 @@
         if quota is None:
             return step.waiting
         count = self._count(candidate, quota)
-        if step.step.gang and count < len(step.tasks):
-            count = 0
-            if step.step.smallest_start.fits(quota):
-                self._held_since_by_gang.setdefault(step.name, self._now)
+        if step.step.gang:
+            count = self._grant(candidate, quota, count)
         if not count and job.held_by != QUOTA:
             job.held_by = QUOTA
             self.fresh.append(job)
@@ -65,8 +98,8 @@
     def claim(self, candidate: Candidate) -> None:
         """Keep the quota of a gang that waits from what is less urgent."""
         job, step = candidate.job, candidate.step
-        quota = self._cell.quota_of(job)
-        if quota is None or not step.step.smallest_start.fits(quota):
+        wait = self._wait_by_gang.get(step.name)
+        if wait is None or not wait.may_claim(self._now):
             return
         if not self._may_go_first(job, step.name):
             return
@@ -81,6 +114,20 @@
         room = quota - self._cell.quotas.used(job.account) - claimed
         return count_fitting(counted_demand(step), room, step.waiting)
 
+    def _grant(self, candidate: Candidate, quota: Demand, count: int) -> int:
+        """Return how many members of a gang may start, and note how long it has waited."""
+        step = candidate.step
+        if not step.step.smallest_start.fits(quota):
+            # It can never start by itself, so nothing else waits for it.
+            self._wait_by_gang.pop(step.name, None)
+            return 0
+        wait = self._wait_by_gang.setdefault(step.name, _GangWait())
+        if count < len(step.tasks):
+            wait.note_held(self._now)
+            return 0
+        wait.note_granted(self._now)
+        return count
+
     def _may_go_first(self, job: JobRun, name: StepName) -> bool:
         """Return whether no gang of the account waits for so long that all else has to."""
         return self._first_by_account.get(job.account, name) == name
@@ -88,20 +135,13 @@
     def _find_first(self) -> dict[str, StepName]:
         """Return the gang of each account that has been held back for too long."""
         first: dict[str, StepName] = {}
-        held = sorted(self._held_since_by_gang.items(), key=_since)
-        for name, since in held:
-            if self._now - since < LONGEST_HELD:
-                break
+        for name, wait in sorted(self._wait_by_gang.items(), key=_held_since):
             job = self._cell.job_by_id.get(name.job)
-            if job is not None and self._may_ever_fit(job, name):
+            if job is not None and wait.goes_first(self._now):
                 first.setdefault(job.account, name)
         return first
 
-    def _may_ever_fit(self, job: JobRun, name: StepName) -> bool:
-        """Return whether a gang is still within its account's quota by itself."""
-        step, quota = job.find_step(name), self._cell.quota_of(job)
-        return step is not None and quota is not None and step.step.smallest_start.fits(quota)
-
 
-def _since(entry: tuple[StepName, float]) -> float:
-    return entry[1]
+def _held_since(entry: tuple[StepName, _GangWait]) -> float:
+    held_since = entry[1].held_since
+    return float('inf') if held_since is None else held_since
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -70,7 +70,7 @@
   Scenario Outline: Single tasks come without end while a gang waits for the quota
     Given the account blue with a quota of 8 cores, and 32 cores free
     When a gang of 3 tasks of 2 cores waits while <kind> tasks of blue come without end
-    Then the gang starts within 10 s
+    Then the gang starts within 30 s
     And tasks of red start all the while
 
     Examples:
@@ -82,13 +82,19 @@
   Scenario: Several gangs of an account wait for its quota
     Given the account blue with a quota of 8 cores, and 32 cores free
     When gangs of 3 tasks of 2 cores come without end, those that came last the most urgent
-    Then one of them runs at all times, and all that are 20 s old have started
+    Then one of them runs at all times, and all have started in the end
+
+  # Guards against a gang for which there are no seats and that blocks its account.
+  Scenario: A gang that finds no seats though its account has the quota
+    Given the account blue with a quota of 8 cores, and 4 cores free
+    When a gang of 3 tasks of 2 cores waits while urgent tasks of blue come for 60 s
+    Then urgent tasks of blue start in 50 of these seconds at least
 
   # Guards against a gang that no longer fits its quota and blocks its account.
   Scenario: A quota is lowered below what a waiting gang needs
     Given the account blue with a quota of 8 cores, and 32 cores free
     When a gang of 3 tasks of 2 cores waits for a quota that is lowered to 4 cores
-    Then urgent tasks of blue start within 10 s, and the gang does not
+    Then urgent tasks of blue start all the while, and the gang does not
 
   # Guards against an account that sends many times its usual and makes others late.
   Scenario: One account sends nine times its rate
