Model of quotas; what a job that ends unseen may have left is counted and stored

Cause, found by the model: a job whose tasks may run on a runner that the successor has not seen is cancelled. It is looked at no more, so what it may have there counts for nobody, and the account may start as much again; and its end named only what was known to run. Change: from the job's end on, the account is charged what the unseen runners of the job can hold of it, until they are seen; the end that is stored names it for the next owner.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -78,13 +78,9 @@
         """Return the seconds within which a job counts as served in time."""
         return job.objective(self.queue_of(job), self.quota_of(job))
 
-    def leftovers_of(self, job: JobRun) -> tuple[Leftover, ...]:
-        """Return what runs of a job may still take, by runner."""
-        demand_by_runner: dict[str, Demand] = {}
-        for held in self._holdings.held_of(job.id):
-            before = demand_by_runner.get(held.runner, Demand())
-            demand_by_runner[held.runner] = before + held.demand
-        return tuple(Leftover(*entry) for entry in sorted(demand_by_runner.items()))
+    def leftovers_of(self, job: JobRun, wall: float) -> tuple[Leftover, ...]:
+        """Return what runs of a job that is over may still take, by runner."""
+        return self.quotas.leftovers_of(job, wall) if job.account else ()
 
     def service_of(self, job: JobRun) -> str:
         """Return the service whose runners run the job."""
@@ -147,19 +143,21 @@
             taken.append(job_id)
         return taken
 
-    def forget_job(self, job_id: str) -> None:
+    def forget_job(self, job_id: str, wall: float) -> None:
         """Drop a job that the store has dropped."""
         self.live_by_id.pop(job_id, None)
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
+            self.quotas.keep_leftovers(job, wall)
             self._holdings.stop_job(job.id)
             self.tickets.drop_job(job_id)
 
-    def drop_over(self) -> None:
+    def drop_over(self, wall: float) -> None:
         """Stop looking at jobs that are over, so that a plan costs what is left."""
-        over = [job.id for job in self.live_by_id.values() if job.over]
-        for job_id in over:
-            self.live_by_id.pop(job_id)
+        over = [job for job in self.live_by_id.values() if job.over]
+        for job in over:
+            self.quotas.keep_leftovers(job, wall)
+            self.live_by_id.pop(job.id)
 
     def take_dirty(self) -> list[JobRun]:
         """Return the jobs whose progress must be stored, once."""
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_desk.py
@@ -254,7 +254,7 @@
         wall = self.clock.wall()
         progress_by_job = {}
         for job in jobs:
-            leftovers = self.cell.leftovers_of(job) if job.over else ()
+            leftovers = self.cell.leftovers_of(job, wall) if job.over else ()
             progress = job.progress(self.term.epoch, wall, leftovers)
             progress_by_job[job] = progress
             if job.over:
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -199,7 +199,7 @@
         if outcome is Written.STORED:
             job.stored = True
         elif outcome is Written.REFUSED and not job.stored:
-            self.cell.forget_job(job.id)
+            self.cell.forget_job(job.id, self._clock.wall())
         await self._desk.wake.notify()
         return outcome
 
@@ -318,7 +318,7 @@
                 state=job.state.value,
                 stored=booked.state.value if booked else None,
             )
-        self.cell.forget_job(job_id)
+        self.cell.forget_job(job_id, self._clock.wall())
 
     async def _plan(self) -> None:
         while True:
--- a/dandelionreel/cell/_quotas.py
+++ b/dandelionreel/cell/_quotas.py
@@ -8,8 +8,8 @@
 
 from dandelionreel.cell._holdings import Holdings
 from dandelionreel.cell._model import Demand
-from dandelionreel.cell._records import Progress
-from dandelionreel.cell._runs import ANY_RUNNER
+from dandelionreel.cell._records import Leftover, Progress
+from dandelionreel.cell._runs import ANY_RUNNER, JobRun
 
 #: Seconds after the end of a job for which runs of it may be left anywhere: longer than the
 #: leases of any owner, with clocks that differ.
@@ -42,6 +42,25 @@
         for left in progress.leftovers:
             self._left_by_place[job, left.runner] = (progress.account, left.demand)
 
+    def leftovers_of(self, job: JobRun, wall: float) -> tuple[Leftover, ...]:
+        """Return what runs of a job may still take, by runner."""
+        demand_by_runner: dict[str, Demand] = {}
+        for held in self._holdings.held_of(job.id):
+            before = demand_by_runner.get(held.runner, Demand())
+            demand_by_runner[held.runner] = before + held.demand
+        remaining = job.remaining_demand(wall)
+        for runner in self._unseen_runners(job):
+            demand_by_runner[runner] = remaining.at_most(self._capacity({runner}))
+        return tuple(Leftover(*entry) for entry in sorted(demand_by_runner.items()))
+
+    def keep_leftovers(self, job: JobRun, wall: float) -> None:
+        """Go on counting what a job that is over may have left on runners not seen yet."""
+        if not self._unseen:
+            return
+        for left in self.leftovers_of(job, wall):
+            if left.runner in self._unseen:
+                self._left_by_place[job.id, left.runner] = (job.account, left.demand)
+
     def used(self, account: str) -> Demand:
         """Return what runs, or may run, of an account."""
         return self._holdings.usage.of(account) + self._unseen_by_account.get(account, Demand())
@@ -71,8 +90,8 @@
         """Count what jobs may run unseen: what is left of them, as far as runners hold it."""
         runners_by_account: dict[str, set[str]] = {}
         for job in self._holdings.live_by_id.values():
-            runners = self._unseen if ANY_RUNNER in job.runners else self._unseen & job.runners
-            if not job.account or not runners:
+            runners = self._unseen_runners(job)
+            if not job.account or not runners or job.over:
                 continue
             runners_by_account.setdefault(job.account, set()).update(runners)
             held = self._capacity(runners)
@@ -81,6 +100,10 @@
             counted = self._unseen_by_account[account]
             self._unseen_by_account[account] = counted.at_most(self._capacity(runners))
 
+    def _unseen_runners(self, job: JobRun) -> set[str]:
+        """Return the runners not seen yet on which a job may run."""
+        return self._unseen if ANY_RUNNER in job.runners else self._unseen & job.runners
+
     def _capacity(self, runners: set[str]) -> Demand:
         """Return what runners hold together; one that was never listed holds the most."""
         total = Demand()
--- a/dandelionreel/cell/_waiting.py
+++ b/dandelionreel/cell/_waiting.py
@@ -78,7 +78,7 @@
 ) -> list[Candidate]:
     """Return the steps whose turn has come, the most urgent first."""
     candidates = []
-    cell.drop_over()
+    cell.drop_over(wall)
     for job in cell.live_by_id.values():
         if job.over or cell.is_blocked(job):
             continue
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -34,6 +34,7 @@
       | a job of blue of 2 tasks of 2 cores may run on w3       | 2        | runs none of them     | 2    |
       | a job of red of 2 tasks of 2 cores may run on w3        | 4        | runs none of them     | 4    |
       | a job of blue of 8 tasks of 8 cores may run on w3       | 0        | runs one of its tasks | 0    |
+      | one that may run on w3 with 4 cores is cancelled        | 2        | runs none of them     | 4    |
       | a cancelled job of blue has 4 cores left on w3          | 2        | runs none of them     | 4    |
       | a cancelled job of blue had 4 cores left on w3 long ago | 4        | runs none of them     | 4    |
 
@@ -44,6 +45,12 @@
     When blue hands in 6 tasks of 2 cores
     Then 6 of them start
 
+  # Guards against a second successor that does not know what the first one had not seen.
+  Scenario: What a cancelled job may have left unseen is stored with its end
+    Given the account blue with a quota of 8 cores, and a successor that cannot see w3
+    When one that may run on w3 with 4 cores is cancelled
+    Then its end is stored with 4 cores that may be left on w3
+
   # Guards against runs of a cancelled job that nobody counts once its runner is seen.
   Scenario: A cancelled job's run is found on its runner and not gone yet
     Given the account blue with a quota of 8 cores, and a successor that cannot see w3
--- a/features/steps/cancelling_steps.py
+++ b/features/steps/cancelling_steps.py
@@ -106,7 +106,7 @@
 def late_run(context, forgotten):
     context.small.cancel('j1')
     if forgotten == 'is dropped by the store':
-        context.small.cell.forget_job('j1')
+        context.small.cell.forget_job('j1', context.small.now)
     take_stops(context)
     list_run(context)
 
@@ -114,7 +114,7 @@
 @when('the store says that the job is over')
 def over_in_store(context):
     context.start = context.small.allocations[0]
-    context.small.cell.forget_job('j1')
+    context.small.cell.forget_job('j1', context.small.now)
     list_run(context)
 
 
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from behave import given, then, when
+from behave import step as step_
 
 from dandelionreel.cell import BookedJob, Demand, JobState, StartReply, Submission
 from dandelionreel.cell._job_rates import JobRates
@@ -165,6 +166,20 @@
     context.first = context.small.hand_in(account, steps, progress=progress)
 
 
+@step_('one that may run on w3 with {cores:g} cores is cancelled')
+def cancelled_unseen(context, cores):
+    may_run_unseen(context, 'blue', 2, cores / 2)
+    context.small.plan()
+    context.small.cell.cancel(context.first.id)
+    context.small.plan()
+
+
+@then('its end is stored with {cores:g} cores that may be left on w3')
+def stored_leftovers(context, cores):
+    (left,) = context.small.cell.leftovers_of(context.first, context.small.now)
+    assert (left.runner, left.demand.cpu) == ('w3', 1000 * cores), left
+
+
 @given('a cancelled job of blue {had} {cores:g} cores left on w3{when}')
 def cancelled_left(context, had, cores, when):
     ended_at = START - (60 if 'ago' in when else 1)
--- a/spec/run.py
+++ b/spec/run.py
@@ -13,6 +13,7 @@
 from spec.joining import JOINING
 from spec.ownership import OWNERSHIP
 from spec.publication import PUBLICATION
+from spec.quotas import QUOTAS
 
 SPECS = (
     CELL,
@@ -20,6 +21,7 @@
     COMPLETIONS,
     BEHIND_A_CUT,
     CRASHES,
+    QUOTAS,
     OWNERSHIP,
     JOINING,
     ATTEMPTS,
