Accounts at real hosts: rotation of keys, the tool, metrics; seeds are asked for a configuration

Stand-ins speak keys and quotas. It asks the hosts that its settings name as seeds now; accounts.feature has the case.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -255,6 +255,14 @@
         self._take_crashes(crashes)
         return crashes
 
+    def capacity(self) -> Demand:
+        """Return what all runners that are listed hold together."""
+        total = Demand()
+        for runner in self.runner_by_id.values():
+            if runner.listed:
+                total += runner.registration.capacity
+        return total
+
     # Starts
 
     def place(
--- a/dandelionreel/cell/_configuration_exchange.py
+++ b/dandelionreel/cell/_configuration_exchange.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from typing import Any
 
@@ -44,8 +44,12 @@
         store_answered_at: Callable[[], float],
         clock: Clock,
         journal: Journal,
+        seeds: Sequence[Member] = (),
     ) -> None:
-        """Ask as the host ``me``; ``store_answered_at()`` is in monotonic seconds."""
+        """Ask as the host ``me``; ``store_answered_at()`` is in monotonic seconds.
+
+        ``seeds`` are asked while no peer is known.
+        """
         self._me = me
         self._book = book
         self._links = links
@@ -53,6 +57,7 @@
         self._store_answered_at = store_answered_at
         self._clock = clock
         self._journal = journal
+        self._seeds = seeds
         self._lock = curio.Lock()
         self._asked_at = NEVER
         self._confirmed_at = NEVER
@@ -105,16 +110,20 @@
 
     async def _ask_round(self) -> None:
         self._asked_at = self._clock.monotonic()
-        members = self._book.member_by_host
-        others = [host for host in members if host != self._me]
-        chosen = random.sample(others, min(PEERS_ASKED, len(others)))
+        peers = self._peers()
+        chosen = random.sample(peers, min(PEERS_ASKED, len(peers)))
         asks = [
-            await curio.spawn(partial(self._ask, host, members[host]), daemon=True)
-            for host in chosen
+            await curio.spawn(partial(self._ask, host, member), daemon=True)
+            for host, member in chosen
         ]
         for task in asks:
             await task.wait()
 
+    def _peers(self) -> list[tuple[str, Member]]:
+        members = self._book.member_by_host.items()
+        others = [(host, member) for host, member in members if host != self._me]
+        return others or [(seed.address, seed) for seed in self._seeds]
+
     async def _ask(self, host: str, member: Member) -> None:
         asked_at = self._clock.monotonic()
         wanted = ConfigurationWanted(self._folder.version)
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -13,7 +13,7 @@
     answer_not_run,
     refuse,
 )
-from dandelionreel.cell._client_writes import CUT_OFF_AGE, ClientWrites
+from dandelionreel.cell._client_writes import CUT_OFF_AGE, REFUSALS, ClientWrites
 from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._contact_watch import ContactWatch
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
@@ -80,8 +80,12 @@
         clock: Clock,
         journal: Journal,
         note_answer: Callable[[str, int, float], None],
+        note_refusal: Callable[[str], None],
     ) -> None:
-        """Answer in ``zone``; report each answer's method, status and seconds."""
+        """Answer in ``zone``.
+
+        Report each answer's method, status and seconds, and the account of each refusal.
+        """
         self._zone = zone
         self._codec = codec
         self._configuration = configuration
@@ -97,6 +101,7 @@
         self._clock = clock
         self._journal = journal
         self._note_answer = note_answer
+        self._note_refusal = note_refusal
 
     async def handle(self, request: Request) -> Answer:
         """Answer one request."""
@@ -139,7 +144,10 @@
         if isinstance(caller, Denied):
             return self._deny(request, path, caller)
         call = ClientCall(request, caller, zone, began, forward is not None)
-        return await self._serve(call, configuration, queue, path[len(queue.path_prefix) :])
+        answer = await self._serve(call, configuration, queue, path[len(queue.path_prefix) :])
+        if answer.status in REFUSALS:
+            self._note_refusal(caller.account)
+        return answer
 
     async def _serve(
         self,
--- /dev/null
+++ b/dandelionreel/cli/_accounts.py
@@ -0,0 +1,44 @@
+"""The command that shows client accounts: what they use, may use, and what waits."""
+
+from typing import Any
+
+from returns.result import Result, Success
+
+from dandelionreel.cli._answers import get
+from dandelionreel.cli._ask import ToolError
+from dandelionreel.cli._options import ACCOUNT_COLUMNS, METRICS_PORT
+from dandelionreel.cli._output import write_table
+from dandelionreel.cli._shown import Command, Shown
+
+PATH = '/accounts'
+
+
+def show_accounts(host: str, *, json: bool = False) -> Command:
+    """Show client accounts: use, quota, share, jobs, jobs held by their quota, refusals.
+
+    Use and jobs are known to the owner of the cell, which is asked for them; refusals are
+    those of the host that answers.
+
+    :param host: the IP of any entry host, or IP:PORT of its metrics
+    :param json: write JSON
+    """
+    return lambda environment: _ask(host).map(lambda content: Shown(content, _write, json))
+
+
+def _ask(host: str) -> Result[Any, ToolError]:
+    address = host if ':' in host else f'{host}:{METRICS_PORT}'
+    return get(address, PATH).bind(lambda content: _ask_owner(address, content))
+
+
+def _ask_owner(address: str, content: Any) -> Result[Any, ToolError]:
+    """Return what the owner shows, if there is one and another host has answered."""
+    owner = content['owner_address']
+    if content['owns'] or not owner:
+        return Success(content)
+    return get(f'{owner}:{address.rpartition(":")[2]}', PATH)
+
+
+def _write(stream: Any, content: Any) -> None:
+    owner = content['owner'] or 'nobody'
+    stream.write(f'version {content["version"]}, owned by {owner}\n')
+    write_table(stream, content['accounts'], ACCOUNT_COLUMNS)
--- a/dandelionreel/cli/_commands.py
+++ b/dandelionreel/cli/_commands.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dandelionreel.admin import DrainBody
+from dandelionreel.cli._accounts import show_accounts
 from dandelionreel.cli._answers import (
     check,
     get,
@@ -362,6 +363,7 @@
     'endpoints': endpoints,
     'drain': drain,
     'call': call,
+    'accounts': show_accounts,
     'explain': explain_job,
     'review': review_jobs,
 }
--- a/dandelionreel/cli/_options.py
+++ b/dandelionreel/cli/_options.py
@@ -35,3 +35,6 @@
 )
 JOB_COLUMNS = ('id', 'customer', 'task_class', 'state', 'tasks', 'attempts')
 HISTORY_COLUMNS = ('version', 'state', 'author', 'detail')
+ACCOUNT_COLUMNS = ('account', 'weight', 'used', 'quota', 'share', 'jobs', 'held', 'refused')
+#: Where entry hosts show their metrics and client accounts.
+METRICS_PORT = 9464
--- a/dandelionreel/entry_clients.py
+++ b/dandelionreel/entry_clients.py
@@ -1,6 +1,7 @@
 """The parts of an entry host that serve clients, put together."""
 
 from collections.abc import Callable
+from typing import Any
 
 from dandelionreel.cell._access import AccessControl
 from dandelionreel.cell._client_writes import ClientWrites
@@ -13,6 +14,8 @@
 from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._writer import GroupWriter
 from dandelionreel.cell._zone_ends import ZoneEnds
+from dandelionreel.entry_accounts import view_accounts
+from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_reads import EntryReads
 from dandelionreel.kernel import Clock, Journal
 from dandelionreel.platform import HostSettings, JsonClientCodec
@@ -31,9 +34,10 @@
     rotation: Rotation,
     clock: Clock,
     journal: Journal,
-    note_answer: Callable[[str, int, float], None],
+    metrics: EntryMetrics,
 ) -> ClientFront:
-    """Return the front; it reports each answer's method, status and seconds."""
+    """Return the front; it counts its answers in ``metrics``."""
+    metrics.show_accounts(lambda: _view_accounts(reads, owned(), metrics))
     codec = JsonClientCodec()
     follower = reads.cell_follower
     writes = ClientWrites(codec, follower, writer, relay, owned, contact, rotation, clock)
@@ -52,5 +56,19 @@
         contact,
         clock,
         journal,
-        note_answer,
+        metrics.note_answer,
+        metrics.refusals.note,
+    )
+
+
+def _view_accounts(
+    reads: EntryReads,
+    dispatcher: Dispatcher | None,
+    metrics: EntryMetrics,
+) -> dict[str, Any]:
+    return view_accounts(
+        dispatcher.cell if dispatcher else None,
+        reads.configuration.current,
+        reads.jobs.book,
+        metrics.refusals,
     )
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -141,6 +141,7 @@
             lambda: self._reads.answered_at,
             self._clock,
             self._journal,
+            [Member('', seed.host, seed.port) for seed in settings.seeds],
         )
         self._readiness = EntryReadiness(
             self._reads.configuration,
@@ -170,7 +171,7 @@
             self._readiness.rotation,
             self._clock,
             self._journal,
-            self._metrics.note_answer,
+            self._metrics,
         )
         self._callers = Server(
             self._front.handle,
@@ -308,6 +309,7 @@
             dispatcher = self._dispatcher
             self._metrics.update(
                 dispatcher.cell if dispatcher else None,
+                self._reads.configuration.current,
                 self._reads.cell_follower.age(self._clock.monotonic()),
                 self._logs.dropped,
             )
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -1,13 +1,18 @@
 """Counters and histograms of an entry host, in the text format of Prometheus."""
 
 import resource
+from collections.abc import Callable
+from typing import Any
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from dandelionreel.cell import Cell, Holding
-from dandelionreel.http import Answer, Request, control_bytes_by_kind
+from dandelionreel.cell import Cell, Configuration, Holding
+from dandelionreel.entry_accounts import RefusalCounts, list_accounts
+from dandelionreel.http import Answer, Request, answer_json, control_bytes_by_kind
 
 HTTP_OK = 200
+#: Where client accounts are shown; every other path has the metrics.
+ACCOUNTS_PATH = '/accounts'
 TEXT_TYPE = 'text/plain; version=0.0.4'
 #: Seconds; the store answers in 4 ms, clients wait 3 s.
 ANSWER_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3)
@@ -19,6 +24,8 @@
     def __init__(self) -> None:
         """Keep a registry of its own."""
         self._registry = CollectorRegistry()
+        self.refusals = RefusalCounts()
+        self._view_accounts: Callable[[], dict[str, Any]] = dict
         self._answers = Counter(
             'dandelionreel_answers',
             'Answers to clients.',
@@ -47,8 +54,18 @@
         )
         self._dropped = self._gauge('log_lines_dropped', 'Log lines that nobody read in time.')
         self._bytes = self._gauge('outside_bytes', 'Bytes to and from servers.', 'kind')
+        self._used = self._gauge(
+            'account_used', 'What an account has running, at the owner.', 'account', 'resource'
+        )
+        self._refused = self._gauge(
+            'account_refused', 'Calls of an account that this host refused.', 'account'
+        )
         self._processor = self._gauge('cpu_seconds', 'Processor time of this process.')
 
+    def show_accounts(self, view: Callable[[], dict[str, Any]]) -> None:
+        """Show what ``view()`` returns at ``ACCOUNTS_PATH``."""
+        self._view_accounts = view
+
     def note_answer(self, method: str, status: int, seconds: float) -> None:
         """Count an answer to a client."""
         self._answers.labels(method, str(status)).inc()
@@ -58,7 +75,13 @@
         """Count a record in the store that cannot be read."""
         self._unreadable.labels(topic, reason).inc()
 
-    def update(self, cell: Cell | None, store_age: float, dropped: int) -> None:
+    def update(
+        self,
+        cell: Cell | None,
+        configuration: Configuration | None,
+        store_age: float,
+        dropped: int,
+    ) -> None:
         """Set the gauges."""
         self._owner.set(cell is not None)
         self._store_age.set(store_age)
@@ -68,9 +91,12 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self._processor.set(usage.ru_utime + usage.ru_stime)
         self._update_cell(cell)
+        self._update_accounts(cell, configuration)
 
     async def handle(self, request: Request) -> Answer:
-        """Serve the text of all metrics."""
+        """Serve the text of all metrics, or what is known of client accounts."""
+        if request.path == ACCOUNTS_PATH:
+            return answer_json(self._view_accounts())
         return Answer(HTTP_OK, (('content-type', TEXT_TYPE),), generate_latest(self._registry))
 
     def _update_cell(self, cell: Cell | None) -> None:
@@ -84,5 +110,15 @@
         for phase, count in count_by_phase.items():
             self._tasks.labels(phase.value).set(count)
 
+    def _update_accounts(self, cell: Cell | None, configuration: Configuration | None) -> None:
+        self._used.clear()
+        if cell is not None:
+            for account in list_accounts(configuration):
+                used = cell.quotas.used(account.name)
+                self._used.labels(account.name, 'cpu').set(used.cpu)
+                self._used.labels(account.name, 'memory_mb').set(used.memory_mb)
+        for name, count in self.refusals.count_by_account.items():
+            self._refused.labels(name).set(count)
+
     def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
         return Gauge(f'dandelionreel_{name}', text, labels, registry=self._registry)
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -57,6 +57,7 @@
     platform: _Store
     port_range: tuple[int, int]
     advice: str = ''
+    seeds: tuple[str, ...] = ()
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -68,7 +69,8 @@
     ``peers`` is where this host's daemon listens for its peers, on the first
     of the ports that are free for that. ``longest_lease`` is what runners cut
     leases to. ``longest_key_age`` is how old the configuration may be by which API keys
-    are checked, ``None`` for any age.
+    are checked, ``None`` for any age. ``seeds`` are where some peers listen, which may be
+    out of date: a host that has read of no peer asks there.
     """
 
     host: str
@@ -76,6 +78,7 @@
     callers: Address
     readiness: Address
     peers: Address
+    seeds: tuple[Address, ...]
     metrics: Address
     store: Address
     advice: Address | None
@@ -138,6 +141,8 @@
         callers=parse_address(decoded.listen.frontend),
         readiness=parse_address(decoded.listen.readiness),
         peers=Address(decoded.ip, first_port),
+        # Ports are the same on all hosts; seeds name another one of theirs.
+        seeds=tuple(Address(parse_address(seed).host, first_port) for seed in decoded.seeds),
         metrics=Address(decoded.ip, first_port + 1),
         store=parse_address(decoded.platform.address),
         advice=parse_address(decoded.advice) if decoded.advice else None,
--- a/features/accounts.feature
+++ b/features/accounts.feature
@@ -172,3 +172,9 @@
     Given a host whose store answered last 0.1 s ago, and peers with a newer configuration
     When it reads that the owner has the newer one
     Then it has the newer configuration
+
+  # Guards against a host that lost the store before it had read of any peer.
+  Scenario: A host that knows no peer yet
+    Given a host that knows no peer, with a seed that has a newer configuration
+    When it looks whether it is behind
+    Then it has the newer configuration
--- a/features/client_parts.py
+++ b/features/client_parts.py
@@ -74,4 +74,5 @@
         clock,
         journal(),
         lambda method, status, seconds: None,
+        lambda account: None,
     )
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -354,6 +354,13 @@
     context.folder = folder
 
 
+@given('a host that knows no peer, with a seed that has a newer configuration')
+def host_with_seed(context):
+    host_behind(context, 1.0)
+    context.book.clear()
+    context.exchange._seeds = (Member('', '127.0.0.1', 1),)
+
+
 @when('it looks whether it is behind')
 def looks(context):
     curio.run(curio.ignore_after, 0.05, context.exchange.run)
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -15,6 +15,7 @@
     doubled_runs,
     overfull,
     started_over,
+    started_over_quota,
     wait_for,
 )
 from standins._evidence import (
@@ -26,10 +27,11 @@
 )
 from standins._memory_topic import MemoryTopic
 from standins._relay import ANYONE, Cut, Cuts
-from standins._users_platform import PlatformRunner, Run, UsersPlatform
+from standins._users_platform import AccountRow, PlatformRunner, Run, UsersPlatform
 
 __all__ = (
     'ANYONE',
+    'AccountRow',
     'MemoryTopic',
     'FAST_TIMINGS',
     'Cluster',
@@ -52,6 +54,7 @@
     'repeated',
     'requests_by_mark',
     'started_over',
+    'started_over_quota',
     'wait_for',
     'wait_until',
 )
--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from standins._users_platform import Room, Run, UsersPlatform
+from standins._users_platform import QuotaHistory, Room, Run, UsersPlatform
 
 SETTINGS = """\
 node = "{name}"
@@ -20,6 +20,7 @@
 zone = "north"
 port_range = [{peers}, {last}]
 advice = "127.0.0.1:{advice}"
+seeds = {seeds}
 [listen]
 frontend = "{address}:{callers}"
 readiness = "{address}:{readiness}"
@@ -37,6 +38,8 @@
 #: Seconds after which no start may rest on the room that a runner had before: 3 s in touch
 #: and one heartbeat of 1.5 s.
 ROOM_SECONDS = 4.5
+#: Seconds after which a configuration is in force everywhere, with a paused owner's.
+CONFIGURATION_SECONDS = 5.0
 
 
 @dataclass(frozen=True)
@@ -70,6 +73,7 @@
             name=name,
             address=self._address_by_name[name],
             peers=PEERS_PORT,
+            seeds=json.dumps([f'{address}:1' for address in self._address_by_name.values()]),
             last=PEERS_PORT + 5,
             callers=CALLERS_PORT,
             readiness=READINESS_PORT,
@@ -96,12 +100,23 @@
         self.send(name, signal.SIGKILL)
         self.process_by_name[name].wait()
 
-    def ask(self, name: str, method: str, path: str, body: object = None, wait: float = 5) -> Reply:
-        """Ask one host as a client does."""
+    def ask(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: object = None,
+        wait: float = 5,
+        key: str = '',
+    ) -> Reply:
+        """Ask one host as a client does, with an API key if there is one."""
         connection = HTTPConnection(self._address_by_name[name], CALLERS_PORT, timeout=wait)
         content = json.dumps(body) if isinstance(body, dict) else body
         try:
-            connection.request(method, path, content, {'Host': 'desk.example'})
+            headers = {'Host': 'desk.example'}
+            if key:
+                headers['Authorization'] = f'Bearer {key}'
+            connection.request(method, path, content, headers)
             answer = connection.getresponse()
             raw = answer.read()
             retry_after = answer.getheader('Retry-After') or ''
@@ -111,6 +126,10 @@
             connection.close()
         return Reply(answer.status, json.loads(raw) if raw else {}, retry_after)
 
+    def address_of(self, name: str) -> str:
+        """Return the IP of a host."""
+        return self._address_by_name[name]
+
     def is_ready(self, name: str) -> bool:
         """Ask as the balancer does."""
         connection = HTTPConnection(self._address_by_name[name], READINESS_PORT, timeout=2)
@@ -211,6 +230,28 @@
     return found
 
 
+def started_over_quota(
+    runs: list[Run],
+    account_by_job: dict[str, str],
+    quotas: QuotaHistory,
+) -> list[str]:
+    """Return the starts that brought an account over the highest quota that may be in force."""
+    found = []
+    for run in runs:
+        account = account_by_job.get(run.task.split('.')[0], '')
+        quota = quotas.highest(account, run.began - CONFIGURATION_SECONDS, run.began)
+        held = sum(
+            other.cpu
+            for other in runs
+            if account_by_job.get(other.task.split('.')[0]) == account
+            and other.began <= run.began
+            and (other.ended is None or other.ended > run.began)
+        )
+        if quota and held > quota:
+            found.append(f'{run.task}: {account} has {held} of {quota}')
+    return found
+
+
 def _room_at(rooms: list[Room], at: float) -> int:
     """Return the most that a runner has said within the time that hosts have to hear it."""
     said = rooms[0][1]
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -11,7 +11,7 @@
 import struct
 import threading
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
@@ -145,6 +145,51 @@
         return self._topic_by_name.setdefault(name, _Topic())
 
 
+@dataclass(frozen=True)
+class AccountRow:
+    """One client account as the operator writes it; ``cpu`` of 0 is no limit."""
+
+    name: str
+    keys: tuple[str, ...]
+    cpu: int = 0
+    weight: float = 100.0
+
+    def encode(self) -> dict:
+        """Return the row of the configuration."""
+        maximum = {'cpu': self.cpu, 'mem_mb': 0, 'gpu': 0}
+        return {
+            'name': self.name,
+            'api_keys': list(self.keys),
+            'weight': self.weight,
+            'maximum': maximum,
+        }
+
+
+class QuotaHistory:
+    """Which quota each account has had since when."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._quotas_by_account: dict[str, list[tuple[float, int]]] = {}
+
+    def note(self, now: float, accounts: Sequence[AccountRow]) -> None:
+        """Take a new configuration; one that an account is not in puts no limit on it."""
+        names = {row.name for row in accounts}
+        for name in self._quotas_by_account.keys() - names:
+            self._quotas_by_account[name].append((now, 0))
+        for row in accounts:
+            self._quotas_by_account.setdefault(row.name, []).append((now, row.cpu))
+
+    def highest(self, account: str, since: float, until: float) -> int:
+        """Return the highest quota that may have been in force in a time; 0 is no limit."""
+        found = []
+        for number, (at, cpu) in enumerate(self._quotas_by_account.get(account, ())):
+            later = self._quotas_by_account[account][number + 1 :]
+            if at <= until and (not later or later[0][0] >= since):
+                found.append(cpu)
+        return 0 if not found or 0 in found else max(found)
+
+
 #: Since when a runner has so many processors: monotonic seconds, thousandths.
 Room = tuple[float, int]
 
@@ -323,6 +368,7 @@
     def __init__(self, runners: int = 3, seed: int = 1) -> None:
         """Prepare ``runners`` runners of the service ``desk``."""
         self.store = PlatformStore(seed)
+        self.quotas = QuotaHistory()
         self.runs: list[Run] = []
         self.runners = [PlatformRunner(f'i-{number}', self.runs) for number in range(runners)]
         self.port_by_name: dict[str, int] = {}
@@ -385,8 +431,11 @@
         """Put a relay called ``name`` before a server, before ``start``."""
         self._relayed[name] = target
 
-    def configure(self, version: int = 1) -> None:
-        """Write a configuration with one plain queue and one that needs advice."""
+    def configure(self, version: int = 1, accounts: Sequence[AccountRow] | None = None) -> None:
+        """Write a configuration with one plain queue and one that needs advice.
+
+        Without ``accounts`` no call needs a key.
+        """
         routes = []
         for number, name in enumerate(('plain', 'advised')):
             route = {
@@ -404,6 +453,9 @@
             routes.append(route)
         services = [{'name': 'desk', 'enforces_capacity': False}]
         document = {'version': version, 'routes': routes, 'services': services, 'limits': {}}
+        if accounts is not None:
+            document['tenants'] = [row.encode() for row in accounts]
+            self.quotas.note(time.monotonic(), accounts)
         self.store.put('keyed.op', 'config', document)
 
     def settle(self) -> list[Run]:
