An owner attends to as many runners as its work needs twice over

Change: 400 runners, whole racks of all zones in turn, and more once half of their processors are in use or a step needs a label or a rack that none of them has. Those that hold nothing and have forgotten their ends are left again. The runners that the store names for a successor are these, so it waits for fewer. With 400 runners or fewer nothing changes. Weighed: no look at idle runners by an entry's clock (a start needs the runner's clock, and a first look fences the former owner), and several cells. Tests: active_runners.feature, 13 scenarios.

--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -46,7 +46,7 @@
     async def attend(self, state: RunnerState, runner: Runner) -> None:
         """Look at one runner again and again until it has ended."""
         try:
-            while state.id in self._desk.cell.runner_by_id and self._desk.may_act():
+            while self._is_attended(state) and self._desk.may_act():
                 await self._look(state, runner)
         finally:
             await runner.close()
@@ -56,8 +56,9 @@
         lease_until = state.renew_lease(asked, self._desk.lease)
         unstored = state.acknowledged < state.acknowledgeable
         wait = _longest_wait(state) if lease_until is not None and not unstored else 0
+        acknowledged = state.acknowledged
         try:
-            view = await runner.look(self._desk.term.epoch, state.acknowledged, lease_until, wait)
+            view = await runner.look(self._desk.term.epoch, acknowledged, lease_until, wait)
         except RunnerFenced:
             await self._desk.lose(f'{state.id} has seen a higher epoch')
             return
@@ -67,10 +68,11 @@
         except RunnerError as error:
             await self._miss_runner(state, error)
             return
-        if self._desk.cell.runner_by_id.get(state.id) is not state:
+        if not self._is_attended(state):
             # Another exchange has met the next life at its address meanwhile. Taken for
             # found there, its runs would be under way for ever: nobody looks there again.
             return
+        state.confirmed = acknowledged
         self._desk.cell.zone_doubt.note_answer(state.registration.zone)
         was_usable = state.usable(asked)
         effect = self._take_view(state, view, asked)
@@ -85,6 +87,10 @@
             # looks would follow each other without a pause.
             await curio.sleep(RELOOK_SECONDS)
 
+    def _is_attended(self, state: RunnerState) -> bool:
+        """Return whether the runner is known by this state, and not by a later one."""
+        return self._desk.cell.runner_by_id.get(state.id) is state
+
     def _take_view(self, state: RunnerState, view: RunnerView, asked: float) -> ViewEffect:
         now = self._desk.clock.monotonic()
         unseen = state.id in self._desk.cell.unseen
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -207,6 +207,10 @@
                 known.listed = False
         return fresh
 
+    def leave_runner(self, runner_id: str) -> None:
+        """Forget a runner that holds nothing; it may be taken again."""
+        self.runner_by_id.pop(runner_id, None)
+
     def add_unlisted(self, registration: Registration) -> RunnerState:
         """Take a runner whose entry has gone, to look at what it still holds."""
         state = RunnerState(registration)
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -97,6 +97,8 @@
         #: The highest end number whose effect stands in the store, and the
         #: highest one that has been taken into account.
         self.acknowledged = 0
+        #: The highest one that the runner has answered to have forgotten.
+        self.confirmed = 0
         self.noted = 0
         #: The highest one that may be acknowledged: no unreadable one is below it.
         self.readable_through: int | None = None
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from dandelionreel.cell._active_runners import ActiveRunners
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._doomed import stop_late_gangs, stop_leaving
@@ -35,6 +36,7 @@
         self._clock = parts.clock
         self._journal = parts.journal
         self._attendant = Attendant(desk)
+        self._active = ActiveRunners(desk.cell)
         self._succession = Succession(
             desk,
             parts.jobs.book,
@@ -158,7 +160,10 @@
         """
         folder = self._parts.runners
         now = self._clock.monotonic()
-        fresh = self._cell.see_runners(folder.registration_by_id, now)
+        for idle in self._active.take_idle(folder.registration_by_id):
+            self._cell.leave_runner(idle.id)
+        active = self._active.choose(folder.registration_by_id, now)
+        fresh = self._cell.see_runners(active, now)
         note_last_words(self._cell.runner_by_id.values(), folder.find, now)
         for runner_id in self._cell.unseen - self._cell.runner_by_id.keys():
             # Its entry has gone, but it may live and hold tasks.
