An owner has 64 starts under way at the most, and sends none by an expired ticket

Cause: an owner with too little processor time decided hundreds of starts in a plan and sent all of them at once. Change: a plan places what may be sent now; the next one is made once half of the starts are answered. A start's ticket is checked right before it is sent.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint types format spec spec-traces soak platform-soak guards examples \
-	bench-placement bench-replay bench-requests bench-cell bench-explain capacity clean
+	experiment bench-placement bench-replay bench-requests bench-cell bench-explain capacity clean
 
 # Run the whole path on loopback, and end.
 demo: $(STAMP)
@@ -52,6 +52,11 @@
 bench-replay: $(STAMP)
 	$(BIN)/python -m bench.replay --load $(LOAD) --seconds 20 --seed $(SEED)
 
+# Ways of deciding on the same drawn days, with confidence intervals and a plot; ARGS as
+# --load 'hot account' --way 'as built' --way 'no shares' --seeds 4.
+experiment: $(STAMP)
+	$(BIN)/python -m bench.experiment $(ARGS)
+
 # Example settings and contracts, written again.
 examples: $(STAMP)
 	$(BIN)/python -m bench.make_examples
--- /dev/null
+++ b/bench/experiment.py
@@ -0,0 +1,106 @@
+"""Compares ways of deciding on the same drawn days: ``make experiment``.
+
+Every way plays every load with every seed, several at a time; the table has the mean of the
+seeds with its 95% confidence interval, and the plot shows the same.
+"""
+
+import argparse
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from itertools import product
+from pathlib import Path
+from statistics import mean, stdev
+
+from bench.replay import POLICIES, Replay, make_loads
+from bench.replay_report import Score, score
+
+#: Two-sided 95% quantiles of Student's t, by the number of seeds.
+QUANTILE_BY_SEEDS = {2: 12.71, 3: 4.30, 4: 3.18, 5: 2.78, 6: 2.57, 8: 2.36, 10: 2.26}
+USUAL_QUANTILE = 2.0
+MEASURES = ('worth', 'worst_accounts', 'plan_p99')
+
+
+@dataclass(frozen=True)
+class Played:
+    """One play."""
+
+    way: str
+    load: str
+    seed: int
+    seconds: float
+
+
+def play(played: Played) -> Score:
+    """Return what one play came to."""
+    replay = Replay(make_loads()[played.load], POLICIES[played.way], played.seed)
+    replay.play(played.seconds)
+    return score(replay)
+
+
+def interval(found: list[float]) -> float:
+    """Return half of the 95% confidence interval of a mean."""
+    if len(found) < 2:
+        return 0.0
+    quantile = QUANTILE_BY_SEEDS.get(len(found), USUAL_QUANTILE)
+    return quantile * stdev(found) / len(found) ** 0.5
+
+
+def tell(scores_by_case: dict[tuple[str, str], list[Score]]) -> None:
+    """Print a table."""
+    head = f'{"load":14}{"way":28}{"worth":>16}{"worst accounts":>16}{"bound":>8}{"plan p99":>10}'
+    sys.stdout.write(f'{head}\n')
+    for (load, way), scores in scores_by_case.items():
+        columns = []
+        for name in MEASURES[:2]:
+            found = [getattr(one, name) for one in scores]
+            columns.append(f'{mean(found):.3f} ± {interval(found):.3f}')
+        bound = mean(one.bound for one in scores)
+        plan = 1000 * max(one.plan_p99 for one in scores)
+        sys.stdout.write(
+            f'{load:14}{way:28}{columns[0]:>16}{columns[1]:>16}{bound:8.3f}{plan:7.1f} ms\n'
+        )
+
+
+def draw(scores_by_case: dict[tuple[str, str], list[Score]], path: Path) -> None:
+    """Draw the worth of each way on each load."""
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(9, 0.4 * len(scores_by_case) + 1))
+    for place, scores in enumerate(scores_by_case.values()):
+        found = [one.worth for one in scores]
+        axes.errorbar(mean(found), place, xerr=interval(found), fmt='o', color='black')
+        axes.plot(mean(one.worst_accounts for one in scores), place, 'x', color='grey')
+    axes.set_yticks(range(len(scores_by_case)), [f'{load}: {way}' for load, way in scores_by_case])
+    axes.set_xlabel('worth (dots, 95% intervals) and worst tenth of accounts (crosses)')
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main() -> int:
+    """Play all cases and show them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--load', action='append', choices=sorted(make_loads()))
+    parser.add_argument('--way', action='append', choices=sorted(POLICIES))
+    parser.add_argument('--seeds', type=int, default=4)
+    parser.add_argument('--seconds', type=float, default=24)
+    parser.add_argument('--jobs', type=int, default=2)
+    parser.add_argument('--plot', type=Path)
+    asked = parser.parse_args()
+    cases = list(product(asked.load or sorted(make_loads()), asked.way or sorted(POLICIES)))
+    seeds = range(1, asked.seeds + 1)
+    plays = [Played(way, load, seed, asked.seconds) for load, way in cases for seed in seeds]
+    with ProcessPoolExecutor(asked.jobs) as pool:
+        scores = list(pool.map(play, plays))
+    scores_by_case = {
+        case: scores[place * asked.seeds : (place + 1) * asked.seeds]
+        for place, case in enumerate(cases)
+    }
+    tell(scores_by_case)
+    if asked.plot is not None:
+        draw(scores_by_case, asked.plot)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from bench.replay_report import Tally, tell_result
+from dandelionreel.accounts import Account, AccountDirectory, weighted_share
 from dandelionreel.cell import (
     AdvicePolicy,
     Allocation,
@@ -42,6 +43,8 @@
 from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._predecessors import longest_lease
 from dandelionreel.cell._preemption import Preemption, RoomMade
+from dandelionreel.cell._reservations import Rank
+from dandelionreel.cell._waiting import OwedFirst, Urgency, WaitingOrder
 
 #: Seconds: an order's way, a stop, a restart from a checkpoint, and between plans.
 ORDER_SECONDS = 0.004
@@ -54,7 +57,11 @@
 LEASE_AGE = 0.75
 #: A job earns all in time, a fifth up to three objectives, then nothing.
 LATE_WORTH = 0.2
+UNLIMITED_GPU = 2**40
+MILLI = 1000
 LATEST = 3.0
+#: How finely shares of accounts are told apart.
+SHARE_STEPS = 10_000
 #: A large job earns up to this many times what its kind earns in the mean.
 MOST_WEIGHT = 4.0
 
@@ -98,6 +105,30 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class Accounts:
+    """Client accounts of very different sizes, of which one sends much more for a while.
+
+    Each may run ``quota`` times its usual, and expects so many times its usual rate.
+    """
+
+    count: int = 20
+    quota: float = 1.9
+    rate: float = 1.9
+    #: The rank of the hot account by size, since when, until when and how many times as much.
+    hot: tuple[int, float, float, float] = (3, 0.0, 0.0, 1.0)
+
+    def shares(self) -> list[float]:
+        """Return the part of all jobs that each account usually sends."""
+        sizes = [1 / (number + 1) for number in range(self.count)]
+        return [size / sum(sizes) for size in sizes]
+
+    def factor(self, number: int, now: float) -> float:
+        """Return how many times its usual an account sends."""
+        rank, begins, ends, times = self.hot
+        return times if number == rank and begins <= now < ends else 1.0
+
+
 @dataclass(frozen=True)
 class Load:
     """A cell and what comes to it."""
@@ -113,6 +144,7 @@
     #: When the owner is lost, and for how many seconds nothing is planned then.
     takeover: tuple[float, float] = (0.0, 0.0)
     capacity: Demand = CAPACITY
+    accounts: Accounts | None = None
 
 
 def make_loads() -> dict[str, Load]:
@@ -136,9 +168,25 @@
         'outage': Load(176, 26, bursts, outage=6.0),
         'zones': _make_zones_load(),
         'backlog': _make_backlog_load(),
+        'accounts': _make_accounts_load(),
+        'hot account': _make_accounts_load(Accounts(hot=(3, 4, 12, 9.0))),
     }
 
 
+def _make_accounts_load(accounts: Accounts = Accounts()) -> Load:
+    """Return a cell of 20 accounts, with bursts of one kind and then of another."""
+    settle = _queue('settle', 1, 2, 2.2, 1.0, 0.455, 0.0065, 2.0)
+    recon = _queue('recon', 2, 2, 4.0, 3.0, 0.13, 0.00182, 2.0)
+    check = _queue('check', 0, 3, 1.5, 0.25, 0.0143, 0.00021, 2.0)
+    kinds = (
+        Kind(settle, 2.2, 7.19, 1.2, 20, 4500, 8100, 4.0, 0.2, 0.3, 1, 0.5, 0.01, (19, 23, 1.7)),
+        Kind(recon, 6.4, 2.69, 1.5, 25, 1700, 3200, 2.7, 0.5, 0.45, 0, 0.8, 0.05),
+        Kind(check, 33, 0.421, 1, 3.2, 2500, 2500, 1.0, 0.9, 0.7, 0.3, 0, 0.05, (7, 11, 2)),
+    )
+    half = Demand(16_000, 32_768, 0)
+    return Load(176, 45, kinds, 0, 4, 12, capacity=half, accounts=accounts)
+
+
 def _make_zones_load() -> Load:
     """Return a cell of six zones: an owner is lost in a burst, then a zone is cut off."""
     settle = _queue('settle', 1, 4, 2.2, 1.0, 0.637, 0.0091, 2.0)
@@ -168,13 +216,21 @@
     return Load(176, 33, kinds, 0, 3, 12, cut, takeover=(18.0, 4.2), capacity=large)
 
 
+class Arrival(WaitingOrder):
+    """Whoever came first is served first."""
+
+    def rank(self, urgency: Urgency) -> Rank:
+        """Return the place of a step."""
+        job = urgency.job
+        return Rank(False, False, 0, 0, job.accepted, job.id, urgency.step.name)
+
+
 class FirstCome(Planner):
     """A baseline: whoever came first is served first."""
 
-    def _ordered(self, now: float, wall: float) -> list:
-        found = super()._ordered(now, wall)
-        found.sort(key=lambda candidate: (candidate.job.accepted, candidate.step.name))
-        return found
+    def __init__(self, cell: Cell) -> None:
+        """Place the tasks of that cell."""
+        super().__init__(cell, Arrival())
 
 
 class NoPreemption(Preemption):
@@ -194,10 +250,54 @@
         self._preemption = NoPreemption(cell)
 
 
+class NoShares(OwedFirst):
+    """Accounts do not matter: priority, then the earliest objective."""
+
+    def rank(self, urgency: Urgency) -> Rank:
+        """Return the place of a step."""
+        return super().rank(urgency)._replace(behind=False)
+
+
+class SharesWithinQueues(WaitingOrder):
+    """Strict order of queues; in each of them, the account with the least use for its weight."""
+
+    def __init__(self, cell: Cell) -> None:
+        """Share out that cell."""
+        self._cell = cell
+        self._whole = Demand()
+        self._now = -1.0
+
+    def rank(self, urgency: Urgency) -> Rank:
+        """Return the place of a step; its account's share stands for its lateness."""
+        rank = OwedFirst().rank(urgency)._replace(behind=False)
+        return rank._replace(late=int(SHARE_STEPS * self.share(urgency)))
+
+    def share(self, urgency: Urgency) -> float:
+        """Return the weighted dominant share of a step's account."""
+        if urgency.now != self._now:
+            self._now = urgency.now
+            self._whole = self._cell.capacity()
+        account = self._cell.configuration.find_account(urgency.job.account)
+        weight = account.weight if account else 1.0
+        return weighted_share(self._cell.quotas.used(urgency.job.account), self._whole, weight)
+
+
+class WeightedShares(SharesWithinQueues):
+    """The account with the least use for its weight, over all queues."""
+
+    def rank(self, urgency: Urgency) -> Rank:
+        """Return the place of a step; its account's share goes before its queue."""
+        rank = OwedFirst().rank(urgency)._replace(behind=False)
+        return rank._replace(priority=int(SHARE_STEPS * self.share(urgency)), late=rank.priority)
+
+
 POLICIES: dict[str, Callable[[Cell], Planner]] = {
     'as built': Planner,
     'no preemption': Patient,
     'first come, first served': FirstCome,
+    'no shares': lambda cell: Planner(cell, NoShares()),
+    'shares within queues': lambda cell: Planner(cell, SharesWithinQueues(cell)),
+    'weighted shares': lambda cell: Planner(cell, WeightedShares(cell)),
 }
 
 
@@ -209,7 +309,11 @@
         self.load = load
         self.cell = Cell(1, 3.0)
         queues = tuple(kind.queue for kind in load.kinds)
-        self.cell.configuration = Configuration(1, queues, (Service('desk', False, False),), 9999)
+        directory = None if load.accounts is None else AccountDirectory(make_accounts(load))
+        self.cell.configuration = Configuration(
+            1, queues, (Service('desk', False, False),), 9999, directory
+        )
+        self.tally_by_account: dict[str, Tally] = {}
         self.planner = policy(self.cell)
         self.tally_by_queue = {kind.queue.name: Tally() for kind in load.kinds}
         self.wasted = 0.0
@@ -222,6 +326,8 @@
         self._waiting: list[tuple[int, int, Question]] = []
         self._busy = {True: 0, False: 0}
         self._weight_by_job: dict[str, float] = {}
+        #: Of each job that is owed, what it is worth and how many core-seconds it takes.
+        self._owed_work: list[tuple[float, float]] = []
         self._begun: set[str] = set()
         #: Runs at work by runner: when each began, how long it takes, what was saved.
         self._work: dict[str, dict[tuple, tuple[float, float, float]]] = {}
@@ -241,6 +347,20 @@
             self._now, _, act, values = heapq.heappop(self._events)
             act(*values)
 
+    @property
+    def bound(self) -> float:
+        """Return what would be earned if runners lost no moment to waiting and to packing.
+
+        All arrivals are known to it, and work can be split: the most worthwhile goes first.
+        """
+        room = self.load.runners * self.load.capacity.cpu / MILLI * (self._now or 1.0)
+        earned = 0.0
+        for weight, work in sorted(self._owed_work, key=_worth_a_core_second):
+            part = min(1.0, room / max(work, 1e-9))
+            room -= part * work
+            earned += part * weight
+        return earned
+
     def _later(self, delay: float, act: Callable[..., None], *values: object) -> None:
         heapq.heappush(self._events, (self._now + delay, next(self._order), act, values))
 
@@ -299,14 +419,44 @@
         work = sum(step.count * step.demand.cpu * step.estimate for step in steps)
         usual = kind.steps * kind.width * kind.cpu * kind.seconds
         job_id = f'{next(self._order):016x}'
-        submission = Submission(kind.queue.name, 'desk', self._now, JobSpec('', steps))
+        account = self._draw_account()
+        spec = JobSpec('', steps)
+        submission = Submission(kind.queue.name, 'desk', self._now, spec, '', account)
         self.cell.see_job(BookedJob(job_id, submission, False, None), self._now, self._now)
         weight = kind.worth * min(MOST_WEIGHT, 0.3 + 0.7 * work / usual)
-        self._weight_by_job[job_id] = weight
-        tally = self.tally_by_queue[kind.queue.name]
-        tally.jobs += 1
-        tally.owed += weight
-        self._later(self._random.expovariate(kind.rate(self._now)), self._arrive, kind, until)
+        if not self.cell.job_by_id[job_id].beyond_rate:
+            self._weight_by_job[job_id] = weight
+            self._owed_work.append((weight, work / MILLI))
+            for tally in self._tallies(kind.queue.name, account):
+                tally.jobs += 1
+                tally.owed += weight
+        rate = kind.rate(self._now) * self._rush()
+        self._later(self._random.expovariate(rate), self._arrive, kind, until)
+
+    def _rush(self) -> float:
+        """Return how many times as much as usual comes from all accounts together."""
+        accounts = self.load.accounts
+        if accounts is None:
+            return 1.0
+        shares = enumerate(accounts.shares())
+        return sum(share * accounts.factor(number, self._now) for number, share in shares)
+
+    def _draw_account(self) -> str:
+        accounts = self.load.accounts
+        if accounts is None:
+            return ''
+        numbers = range(accounts.count)
+        sizes = [
+            share * accounts.factor(number, self._now)
+            for number, share in enumerate(accounts.shares())
+        ]
+        return f'account-{self._random.choices(numbers, sizes)[0]}'
+
+    def _tallies(self, queue: str, account: str) -> list[Tally]:
+        tallies = [self.tally_by_queue[queue]]
+        if account:
+            tallies.append(self.tally_by_account.setdefault(account, Tally()))
+        return tallies
 
     def _draw_steps(self, kind: Kind) -> Iterable[Step]:
         draw = self._random
@@ -437,14 +587,41 @@
             return
         job = self.cell.job_by_id[job_id]
         kind = self._kind_of(job_id)
-        tally = self.tally_by_queue[kind.queue.name]
-        took = (self._now - job.accepted) / job.objective(kind.queue)
-        if job.state is JobState.COMPLETED and took <= 1:
-            tally.in_time += 1
-            tally.earned += weight
-        elif job.state is JobState.COMPLETED and took <= LATEST:
-            tally.late += 1
-            tally.earned += weight * LATE_WORTH
+        took = (self._now - job.accepted) / self.cell.objective_of(job)
+        for tally in self._tallies(kind.queue.name, job.account):
+            if job.state is JobState.COMPLETED and took <= 1:
+                tally.in_time += 1
+                tally.earned += weight
+            elif job.state is JobState.COMPLETED and took <= LATEST:
+                tally.late += 1
+                tally.earned += weight * LATE_WORTH
+
+
+def _worth_a_core_second(entry: tuple[float, float]) -> float:
+    return -entry[0] / max(entry[1], 1e-9)
+
+
+def make_accounts(load: Load) -> list[Account[Demand]]:
+    """Return the accounts of a load, their quotas and rates by what they usually send."""
+    accounts = load.accounts or Accounts()
+    cores = memory_mb = rate = 0.0
+    for kind in load.kinds:
+        tasks = kind.per_second * kind.steps * kind.width * kind.seconds
+        cores += tasks * kind.cpu
+        memory_mb += tasks * kind.memory_mb
+        rate += kind.per_second
+    return [
+        Account(
+            f'account-{number}',
+            max(1.0, share * rate * accounts.rate),
+            Demand(
+                int(share * cores * accounts.quota),
+                int(share * memory_mb * accounts.quota),
+                UNLIMITED_GPU,
+            ),
+        )
+        for number, share in enumerate(accounts.shares())
+    ]
 
 
 def main() -> int:
--- a/bench/replay_report.py
+++ b/bench/replay_report.py
@@ -21,10 +21,41 @@
     """The part of a replay that is told."""
 
     tally_by_queue: dict[str, Tally]
+    tally_by_account: dict[str, Tally]
+    bound: float
     plan_seconds: list[float]
     wasted: float
 
 
+@dataclass(frozen=True)
+class Score:
+    """What one play came to: shares of what was owed, and seconds."""
+
+    worth: float
+    #: The mean of the tenth of accounts that was served worst.
+    worst_accounts: float
+    #: No way of deciding could have earned more.
+    bound: float
+    plan_p99: float
+
+
+def score(replay: 'Played') -> Score:
+    """Return what a play came to."""
+    tallies = replay.tally_by_queue.values()
+    owed = sum(tally.owed for tally in tallies)
+    earned = sorted(
+        tally.earned / tally.owed for tally in replay.tally_by_account.values() if tally.owed
+    )
+    worst = earned[: max(1, len(earned) // 10)]
+    plans = sorted(replay.plan_seconds)
+    return Score(
+        sum(tally.earned for tally in tallies) / owed,
+        sum(worst) / len(worst) if worst else 1.0,
+        replay.bound / owed,
+        plans[int(0.99 * len(plans))],
+    )
+
+
 def tell_result(name: str, replay: 'Played') -> None:
     """Print one policy's table."""
     tallies = replay.tally_by_queue.values()
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -337,7 +337,9 @@
         nobody had asked for, and their tasks never ran.
         """
         began = self._clock.monotonic()
-        made = self._planner.plan(began, self._clock.wall(), self._pool.free_for_patient)
+        made = self._planner.plan(
+            began, self._clock.wall(), self._pool.free_for_patient, self._orders.free
+        )
         self._load.note_plan(made, self._clock.monotonic() - began)
         await self._send_stops()
         self._tell_preempted(made)
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -6,6 +6,7 @@
 
 from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import Allocation, RunnerState
+from dandelionreel.cell._model import StepName
 from dandelionreel.cell._runs import JobRun
 from dandelionreel.cell._services import (
     Runner,
@@ -28,6 +29,8 @@
 RESTOP_SECONDS = 0.2
 #: Seconds for which a runner that could not be reached gets no start.
 UNREACHED_QUIET = 0.3
+#: Starts that may be under way at the same time.
+MOST_UNDER_WAY = 64
 #: Seconds for the answer to a start above which it gets a line: most take a few
 #: milliseconds, and a line for each would double what is told of a start.
 SLOW_ANSWER = 0.1
@@ -39,6 +42,18 @@
     def __init__(self, desk: Desk) -> None:
         """Send on behalf of ``desk``."""
         self._desk = desk
+        #: Starts that were decided and are not answered yet.
+        self._under_way = 0
+        self._was_full = False
+
+    @property
+    def free(self) -> int:
+        """Return how many more starts may be under way.
+
+        An owner that is short of processor time would else send the urgent ones behind many
+        others, by tickets that expire meanwhile.
+        """
+        return max(0, MOST_UNDER_WAY - self._under_way)
 
     async def send_starts(self, allocations: list[Allocation]) -> None:
         """Send starts; first store the runners that are new to their jobs.
@@ -48,17 +63,18 @@
         Waiting for that append costs each job about 6 ms once, of some 600 ms
         that the most urgent ones can spare.
         """
+        self._under_way += len(allocations)
         unstored: dict[str, list[Allocation]] = {}
         for allocation in allocations:
             job = self._desk.cell.job_by_id.get(allocation.task.job)
             if job is None:
                 # It was over, and forgotten, before its start could be sent.
-                self._desk.cell.withdraw(allocation)
+                await self._withdraw_unsent(allocation)
                 continue
             if job.note_start(allocation.task, allocation.run, allocation.runner):
                 unstored.setdefault(job.id, []).append(allocation)
                 continue
-            await curio.spawn(self._send_start, allocation, daemon=True)
+            await curio.spawn(self._settle_start, allocation, daemon=True)
         if unstored:
             await curio.spawn(self._store_and_send, unstored, daemon=True)
 
@@ -111,9 +127,28 @@
         for allocations in allocations_by_job.values():
             for allocation in allocations:
                 if outcome is Written.STORED:
-                    await curio.spawn(self._send_start, allocation, daemon=True)
+                    await curio.spawn(self._settle_start, allocation, daemon=True)
                 else:
-                    self._desk.cell.withdraw(allocation)
+                    await self._withdraw_unsent(allocation)
+
+    async def _withdraw_unsent(self, allocation: Allocation) -> None:
+        self._desk.cell.withdraw(allocation)
+        await self._note_settled()
+
+    async def _settle_start(self, allocation: Allocation) -> None:
+        """Send a start, and let others go once it is known what became of it."""
+        try:
+            await self._send_start(allocation)
+        finally:
+            await self._note_settled()
+
+    async def _note_settled(self) -> None:
+        self._was_full = self._was_full or not self.free
+        self._under_way -= 1
+        # Plans for one start each would take the time that the starts need.
+        if self._was_full and self._under_way <= MOST_UNDER_WAY // 2:
+            self._was_full = False
+            await self._desk.wake.notify()
 
     async def _send_start(self, allocation: Allocation) -> None:
         state = self._desk.cell.runner_by_id.get(allocation.runner)
@@ -184,7 +219,7 @@
         maybe_sent = False
 
         def check() -> bool:
-            return self._desk.may_start() and self._desk.cell.may_start(allocation)
+            return self._desk.may_start() and self._may_start(allocation)
 
         began = self._desk.clock.monotonic()
         for _ in range(START_TRIES):
@@ -217,6 +252,15 @@
             return None
         return maybe_sent
 
+    def _may_start(self, allocation: Allocation) -> bool:
+        """Return whether a start is still wanted, and its ticket still good."""
+        cell = self._desk.cell
+        if not cell.may_start(allocation):
+            return False
+        step = StepName.of(allocation.task)
+        now = self._desk.clock.monotonic()
+        return not allocation.ticket or cell.tickets.is_valid(step, allocation.runner, now)
+
     async def _end_replaced(self, state: RunnerState) -> None:
         if await self._desk.hears(state.registration.zone, state.answered_at):
             self._desk.end_runner(state, 'another runner answers there', proven=True)
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -72,8 +72,14 @@
     askable_by_service: dict[str, float]
     #: Questions that are not urgent for which hosts are free.
     patient_questions: float
+    most_starts: float
     made: Plan = field(default_factory=Plan)
 
+    @property
+    def starts_left(self) -> float:
+        """Return how many more starts may be sent."""
+        return self.most_starts - len(self.made.starts)
+
 
 class Planner:
     """Decides over a cell; each call looks at all that waits."""
@@ -89,8 +95,16 @@
         self._reserved_at = float('-inf')
         self._reserved_for: list[_GangNews] = []
 
-    def plan(self, now: float, wall: float, patient_questions: float = INFINITE) -> Plan:
-        """Place what can be placed, and count it as held.
+    def plan(
+        self,
+        now: float,
+        wall: float,
+        patient_questions: float = INFINITE,
+        most_starts: float = INFINITE,
+    ) -> Plan:
+        """Place what can be placed, and count it as held; no more than ``most_starts``.
+
+        A gang is placed whole where any start may be.
 
         Questions that are not urgent are asked only while hosts are free to put
         them, so many at a time. Queued up for a host they keep the order of when
@@ -105,7 +119,9 @@
         usable = self._usable(now)
         reserves = self._renew_reservations(candidates, usable, now)
         askable = {service: ASKED_SHARE * _free(runners) for service, runners in usable.items()}
-        current = _Round(now, usable, self._reservations, reserves, askable, patient_questions)
+        current = _Round(
+            now, usable, self._reservations, reserves, askable, patient_questions, most_starts
+        )
         for candidate in candidates:
             service = self._cell.service_of(candidate.job)
             runners = current.runners_by_service.get(service)
@@ -166,7 +182,8 @@
         if step.step.gang:
             self._serve_gang(candidate, seats, runners, current)
             return
-        placed = candidate.job.stored and self._place_tasks(candidate, seats, current, allowed)
+        may_place = candidate.job.stored and current.starts_left > 0
+        placed = may_place and self._place_tasks(candidate, seats, current, allowed)
         if not placed and not self._has_seats(candidate, seats, current):
             self._ask(candidate, runners, current)
 
@@ -249,7 +266,7 @@
         for task in step.tasks if seats else ():
             if task.phase is not Phase.WAITING:
                 continue
-            if not allowed:
+            if not allowed or current.starts_left <= 0:
                 return True
             chosen = choose_seat(step, task, demand, seats, candidate.job.submission.zone)
             if chosen is None and task.quarantined:
@@ -277,7 +294,8 @@
         until = current.now + step.step.estimate * BACKFILL_MARGIN
         rank = candidate.rank
         free = [seat for seat in seats if current.reservations.may_start(seat[0].id, rank, until)]
-        if candidate.job.stored and self._place_gang(candidate, free, current):
+        may_place = candidate.job.stored and current.starts_left > 0
+        if may_place and self._place_gang(candidate, free, current):
             current.reservations.release(step)
             return
         self._gate.claim(candidate)
--- a/dandelionreel/cell/_tickets.py
+++ b/dandelionreel/cell/_tickets.py
@@ -61,6 +61,10 @@
             self._tickets_by_step[step] = known
         return known
 
+    def is_valid(self, step: StepName, runner: str, now: float) -> bool:
+        """Return whether a start of a step on a runner may carry its ticket now."""
+        return self.of(step).until_by_runner.get(runner, 0.0) > now
+
     def note(
         self,
         step: StepName,
--- /dev/null
+++ b/features/steps/overload_steps.py
@@ -0,0 +1,129 @@
+"""Steps on an owner that decides faster than its starts are answered."""
+
+import curio
+from behave import given, then, when
+
+from dandelionreel.cell import AdvicePolicy, Demand, Permit, StartAnswer, StartReply
+from dandelionreel.cell._orders import Orders
+from dandelionreel.kernel import ManualClock, SystemClock
+from features.cell_parts import SmallCell, make_queue, make_registration, step
+from features.store_parts import make_desk
+
+MANY = Demand(400_000, 400_000, 0)
+ADVISED = make_queue('advised', advice=(0.01, 0.0001, 2.0))
+
+
+class LateRunner:
+    """A runner that answers starts late, and counts those under way."""
+
+    under_way = 0
+    most = 0
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self.started = []
+
+    async def start(self, order, check):
+        LateRunner.under_way += 1
+        LateRunner.most = max(LateRunner.most, LateRunner.under_way)
+        self.started.append(order.task.job)
+        await curio.sleep(self._seconds)
+        LateRunner.under_way -= 1
+        return StartAnswer(StartReply.STARTED, 0.0)
+
+    async def close(self):
+        """Nothing is open."""
+
+
+def make_owner(context, clock, seconds):
+    context.small = SmallCell(runners=())
+    context.small.registration_by_id = {'w1': make_registration('w1', capacity=MANY)}
+    context.small.see_runners()
+    context.small.look('w1')
+    context.desk = make_desk(context.small.cell, clock)
+    context.desk.writer.stored_at = clock.monotonic()
+    context.runner = LateRunner(seconds)
+    context.desk.runner_by_id['w1'] = context.runner
+    context.orders = Orders(context.desk)
+
+
+def add_job(context, job, steps, queue):
+    added = context.small.add_job(job, steps, queue)
+    added.stored_runners.add('w1')
+    return added
+
+
+@given('an owner whose runners take long to answer')
+def slow_runners(context):
+    LateRunner.under_way = LateRunner.most = 0
+    make_owner(context, SystemClock(), 0.01)
+
+
+@when('300 batch tasks wait and then an urgent one comes')
+def many_wait(context):
+    context.batch = add_job(context, 'batch', [step(1000, 300)], 'batch')
+    context.plans = 0
+
+    async def play():
+        while len(context.runner.started) < 301 or LateRunner.under_way:
+            seen = context.desk.wake.count
+            if len(context.runner.started) > 60 and 'urgent' not in context.small.cell.job_by_id:
+                add_job(context, 'urgent', [step(1000)], 'urgent')
+            made = context.small.planner.plan(
+                context.small.now, context.small.now, most_starts=context.orders.free
+            )
+            context.plans += 1
+            await context.orders.send_starts(made.starts)
+            await context.desk.wake.wait(seen, 0.1)
+
+    curio.run(curio.timeout_after, 20, play)
+
+
+@then('no more than {most:d} starts are under way at any time')
+def bounded(context, most):
+    assert 0 < LateRunner.most <= most, LateRunner.most
+
+
+@then('the urgent one is sent before half of the others')
+def urgent_first(context):
+    assert context.runner.started.index('urgent') < 150
+
+
+@then('all of them are started in the end, in few plans')
+def all_started(context):
+    assert len(context.runner.started) == 301
+    assert context.plans < 30, context.plans
+
+
+@given('an owner with a start that carries a ticket for {seconds:g} s')
+def ticketed_start(context, seconds):
+    context.clock = ManualClock(1000)
+    make_owner(context, context.clock, 0.0)
+    small = context.small
+    small.now = context.clock.monotonic()
+    small.look('w1')
+    job = add_job(context, 'advised', [step(1000)], 'advised')
+    small.planner.plan(small.now, small.now)
+    name = job.steps(0)[0].name
+    small.cell.tickets.note(name, ['w1'], [Permit('w1', 'ticket')], small.now + seconds)
+    (context.start,) = small.planner.plan(small.now, small.now).starts
+    assert ADVISED.advice == AdvicePolicy(0.01, 0.0001, 2.0) and context.start.ticket
+
+
+@when("the start's turn comes {seconds:g} s later")
+def turn_comes(context, seconds):
+    context.clock.advance(seconds)
+    context.desk.writer.stored_at = context.clock.monotonic()
+
+    async def play():
+        await context.orders.send_starts([context.start])
+        await curio.sleep(0.02)
+
+    curio.run(play)
+
+
+@then('the start is {fate}')
+def start_fate(context, fate):
+    assert bool(context.runner.started) is (fate == 'sent'), context.runner.started
+    if fate == 'not sent':
+        assert not context.small.runs_on('w1')
