--- a/bench/replay.py
+++ b/bench/replay.py
@@ -40,7 +40,7 @@
     Submission,
 )
 from dandelionreel.cell._advisors import PATIENT_SHARE
-from dandelionreel.cell._desk import LEASE_SECONDS
+from dandelionreel.cell._owner_context import LEASE_SECONDS
 from dandelionreel.cell._predecessors import longest_lease
 from dandelionreel.cell._preemption import Preemption, RoomMade
 from dandelionreel.cell._reservations import Rank
--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_attendant.py
@@ -2,9 +2,9 @@
 
 import curio
 
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import Holding, RunnerState
 from dandelionreel.cell._looks import ViewEffect
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._services import (
     Runner,
     RunnerError,
@@ -37,30 +37,32 @@
 class Attendant:
     """Attends to runners, one task for each."""
 
-    def __init__(self, desk: Desk) -> None:
-        """Look on behalf of ``desk``."""
-        self._desk = desk
+    def __init__(self, context: OwnerContext) -> None:
+        """Look on behalf of ``context``."""
+        self._owner_context = context
         #: Jobs with ends that a runner has listed and that are not acknowledged.
         self._unstored_by_runner: dict[str, set[str]] = {}
 
     async def attend(self, state: RunnerState, runner: Runner) -> None:
         """Look at one runner again and again until it has ended."""
         try:
-            while self._is_attended(state) and self._desk.may_act():
+            while self._is_attended(state) and self._owner_context.may_act():
                 await self._look(state, runner)
         finally:
             await runner.close()
 
     async def _look(self, state: RunnerState, runner: Runner) -> None:
-        asked = self._desk.clock.monotonic()
-        lease_until = state.renew_lease(asked, self._desk.lease)
+        asked = self._owner_context.clock.monotonic()
+        lease_until = state.renew_lease(asked, self._owner_context.lease)
         unstored = state.acknowledged < state.acknowledgeable
         wait = _longest_wait(state) if lease_until is not None and not unstored else 0
         acknowledged = state.acknowledged
         try:
-            view = await runner.look(self._desk.term.epoch, acknowledged, lease_until, wait)
+            view = await runner.look(
+                self._owner_context.term.epoch, acknowledged, lease_until, wait
+            )
         except RunnerFenced:
-            await self._desk.lose(f'{state.id} has seen a higher epoch')
+            await self._owner_context.lose(f'{state.id} has seen a higher epoch')
             return
         except RunnerReplaced:
             await self._end_replaced(state)
@@ -73,11 +75,11 @@
             # found there, its runs would be under way for ever: nobody looks there again.
             return
         state.confirmed = acknowledged
-        self._desk.cell.zone_doubt.note_answer(state.registration.zone)
+        self._owner_context.cell.zone_doubt.note_answer(state.registration.zone)
         was_usable = state.usable(asked)
         effect = self._take_view(state, view, asked)
         if effect.is_news or not was_usable:
-            await self._desk.wake.notify()
+            await self._owner_context.wake.notify()
         if effect.ended or unstored:
             await self._store_ends(state, effect)
             if unstored and state.acknowledged < state.acknowledgeable:
@@ -89,14 +91,14 @@
 
     def _is_attended(self, state: RunnerState) -> bool:
         """Return whether the runner is known by this state, and not by a later one."""
-        return self._desk.cell.runner_by_id.get(state.id) is state
+        return self._owner_context.cell.runner_by_id.get(state.id) is state
 
     def _take_view(self, state: RunnerState, view: RunnerView, asked: float) -> ViewEffect:
-        now = self._desk.clock.monotonic()
-        unseen = state.id in self._desk.cell.unseen
-        effect = self._desk.cell.viewed(state, view, asked, now)
+        now = self._owner_context.clock.monotonic()
+        unseen = state.id in self._owner_context.cell.unseen
+        effect = self._owner_context.cell.viewed(state, view, asked, now)
         self._tell_effect(state, effect, now)
-        self._desk.tell_crashes(effect.crashes)
+        self._owner_context.tell_crashes(effect.crashes)
         self._tell_readable(state, view)
         # The first look of a term also tells that nothing was found: what an earlier
         # owner had sent there never came, and may be started elsewhere.
@@ -122,9 +124,9 @@
         While the store is out this is tried several times a second for each runner:
         only ``fresh`` ends get a line then, and those that are stored at last.
         """
-        began = self._desk.clock.monotonic()
+        began = self._owner_context.clock.monotonic()
         jobs = sorted(self._unstored_by_runner.get(state.id, ()))
-        outcome = await self._desk.flush()
+        outcome = await self._owner_context.flush()
         if outcome is Written.STORED:
             state.acknowledged = max(state.acknowledged, number)
             self._unstored_by_runner.get(state.id, set()).difference_update(jobs)
@@ -141,39 +143,41 @@
         outcome: Written,
         began: float,
     ) -> None:
-        self._desk.journal.tell_frequent(
+        self._owner_context.journal.tell_frequent(
             Part.WORKERS,
             f'ends on {state.id}: {outcome.value}.',
             runner=state.id,
             jobs=jobs[:MOST_NAMED],
             number=number,
             acknowledged=state.acknowledged,
-            epoch=self._desk.term.epoch,
-            seconds=round(self._desk.clock.monotonic() - began, 3),
+            epoch=self._owner_context.term.epoch,
+            seconds=round(self._owner_context.clock.monotonic() - began, 3),
         )
 
     async def _miss_runner(self, state: RunnerState, error: RunnerError) -> None:
-        now = self._desk.clock.monotonic()
+        now = self._owner_context.clock.monotonic()
         first = not state.missed
         state.missed = True
         if not state.suspect and (error.broken or now - state.answered_at > SUSPECT_SECONDS):
             state.suspect = True
-            self._desk.journal.tell(
+            self._owner_context.journal.tell(
                 Part.WORKERS,
                 f'{state.id} does not answer: {error}.',
                 runner=state.id,
                 zone=state.registration.zone,
                 tasks=len(state.allocation_by_run),
-                epoch=self._desk.term.epoch,
+                epoch=self._owner_context.term.epoch,
             )
-        if state.allocation_by_run and self._desk.leases_ran_out(state):
+        if state.allocation_by_run and self._owner_context.leases_ran_out(state):
             await self._lapse(state)
         if (
             not state.listed
             and not state.allocation_by_run
-            and state.id not in self._desk.cell.unseen
+            and state.id not in self._owner_context.cell.unseen
         ):
-            self._desk.end_runner(state, 'its entry has gone and it does not answer', proven=False)
+            self._owner_context.end_runner(
+                state, 'its entry has gone and it does not answer', proven=False
+            )
             return
         if first and error.broken:
             # Where only the connection was reset, the next look is answered at once.
@@ -181,22 +185,22 @@
         await curio.sleep(RELOOK_SECONDS)
 
     async def _end_replaced(self, state: RunnerState) -> None:
-        if await self._desk.hears(state.registration.zone, state.answered_at):
-            self._desk.end_runner(state, 'another runner answers there', proven=True)
+        if await self._owner_context.hears(state.registration.zone, state.answered_at):
+            self._owner_context.end_runner(state, 'another runner answers there', proven=True)
             return
         state.suspect = True
         await curio.sleep(RELOOK_SECONDS)
 
     async def _lapse(self, state: RunnerState) -> None:
-        if await self._desk.hears(state.registration.zone, state.answered_at):
-            self._desk.lapse_runner(state)
+        if await self._owner_context.hears(state.registration.zone, state.answered_at):
+            self._owner_context.lapse_runner(state)
 
     def _tell_readable(self, state: RunnerState, view: RunnerView) -> None:
         if view.complete is state.readable:
             return
         state.readable = view.complete
         outcome = 'can be read again' if view.complete else 'cannot be read in full'
-        self._desk.journal.tell(
+        self._owner_context.journal.tell(
             Part.WORKERS,
             f'what {state.id} lists {outcome}.',
             runner=state.id,
@@ -207,26 +211,26 @@
     def _tell_effect(self, state: RunnerState, effect: ViewEffect, now: float) -> None:
         for ended, allocation in effect.ended:
             started = allocation.started_at if allocation else None
-            self._desk.journal.tell_frequent(
+            self._owner_context.journal.tell_frequent(
                 Part.WORKERS,
                 f'a run has ended {ended.outcome.value}.',
                 runner=state.id,
                 job=ended.task.job,
                 task=ended.task.label,
                 run=ended.run,
-                epoch=self._desk.term.epoch,
+                epoch=self._owner_context.term.epoch,
                 number=ended.number,
                 seconds=round(now - started, 3) if started else None,
             )
         for lost in effect.lost:
-            self._desk.journal.tell(
+            self._owner_context.journal.tell(
                 Part.WORKERS,
                 f'{state.id} does not have a run that it should have.',
                 runner=state.id,
                 job=lost.task.job,
                 task=lost.task.label,
                 run=lost.run,
-                epoch=self._desk.term.epoch,
+                epoch=self._owner_context.term.epoch,
                 phase=lost.phase.value,
             )
 
@@ -236,11 +240,11 @@
         After the ``first`` look of a term, what it does not name is not on the runner.
         """
         found = [one for one in state.allocation_by_run.values() if one.placed_at == now]
-        self._desk.journal.tell(
+        self._owner_context.journal.tell(
             Part.WORKERS,
             f'found {count} tasks on {state.id}.',
             runner=state.id,
-            epoch=self._desk.term.epoch,
+            epoch=self._owner_context.term.epoch,
             first=first,
             found=[
                 f'{one.task.job}/{one.task.label} {one.run} {one.phase.value}'
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -6,7 +6,6 @@
 
 from dandelionreel.cell._advisors import AdvicePool
 from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import BEAT_SECONDS, Term
 from dandelionreel.cell._hearing import Hearing
 from dandelionreel.cell._inquiries import Question
@@ -15,6 +14,7 @@
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._notices import Notices
 from dandelionreel.cell._orders import Orders
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._planner import Plan, Planner
 from dandelionreel.cell._records import (
@@ -62,7 +62,7 @@
         self._clock = parts.clock
         self._journal = parts.journal
         self.cell = Cell(term.epoch, parts.gang_timeout)
-        self._desk = Desk(
+        self._owner_context = OwnerContext(
             term,
             self.cell,
             parts.topic,
@@ -72,7 +72,7 @@
             parts.journal,
             parts.list_age,
         )
-        self._orders = Orders(self._desk)
+        self._orders = Orders(self._owner_context)
         self._planner = Planner(self.cell)
         self._pool = AdvicePool(
             parts.host,
@@ -85,44 +85,44 @@
             self._miss_advice,
         )
         self._notices = Notices(
-            self._desk,
+            self._owner_context,
             parts.jobs.book,
             parts.links,
             parts.completions,
             parts.host,
         )
-        self._desk.hears = Hearing(
-            self._desk,
+        self._owner_context.hears = Hearing(
+            self._owner_context,
             parts.jobs.book,
             self._notices,
             parts.host,
         ).heard
         self._load = LoadReport(self.cell, self._pool, parts.journal)
-        self._rounds = Rounds(parts, self._desk, self._load)
+        self._rounds = Rounds(parts, self._owner_context, self._load)
 
     @property
     def acting(self) -> bool:
         """Return whether this host still has the right to act as the owner."""
-        return self._desk.may_act()
+        return self._owner_context.may_act()
 
     @property
     def store_is_failing(self) -> bool:
         """Return whether nothing could be stored for a while."""
-        return self._desk.writer.in_trouble(self._clock.monotonic())
+        return self._owner_context.writer.in_trouble(self._clock.monotonic())
 
     @property
     def stored_at(self) -> float:
         """Return when the latest append that was answered had been sent."""
-        return self._desk.writer.stored_at
+        return self._owner_context.writer.stored_at
 
     async def run(self) -> None:
         """Dispatch until the term is lost or ended by ``end``."""
         self._begin()
         self._notices.begin()
         async with AsyncExitStack() as stack:
-            stack.push_async_callback(self._desk.close_runners)
+            stack.push_async_callback(self._owner_context.close_runners)
             for work in (
-                self._desk.writer.run,
+                self._owner_context.writer.run,
                 self._beat,
                 self._feed,
                 self._plan,
@@ -131,18 +131,18 @@
             ):
                 await start_task(stack, work)
             await start_task(stack, self._rounds.run, stack)
-            await self._desk.ended.wait()
-            if not self._desk.lost and not await self._rounds.leave():
+            await self._owner_context.ended.wait()
+            if not self._owner_context.lost and not await self._rounds.leave():
                 await self._release()
         self._journal.tell(
             Part.OWNERSHIP,
-            f'does not own the cell any more: {self._desk.lost}.',
-            epoch=self._desk.term.epoch,
+            f'does not own the cell any more: {self._owner_context.lost}.',
+            epoch=self._owner_context.term.epoch,
         )
 
     async def end(self) -> None:
         """Give the cell up for another host."""
-        await self._desk.ended.set()
+        await self._owner_context.ended.set()
 
     async def accept(self, job_id: str, submission: Submission, patience: float) -> Written:
         """Store a job; its advice is asked for meanwhile.
@@ -159,10 +159,10 @@
         self._log_rate(job)
         job.stored = False
         record = make_record(SUBMISSION + job_id, submission)
-        slow = self._desk.writer.usual_seconds > SLOW_SECONDS
+        slow = self._owner_context.writer.usual_seconds > SLOW_SECONDS
         if slow:
             job.runners.add(ANY_RUNNER)
-        await self._desk.wake.notify()
+        await self._owner_context.wake.notify()
         writing = await curio.spawn(self._finish_accept, job, record, slow, daemon=True)
         outcome = await curio.ignore_after(patience, writing.join)
         return outcome or Written.UNKNOWN
@@ -190,24 +190,24 @@
                 f"job {job.id} is beyond its account's share: it waits behind others.",
                 job=job.id,
                 account=job.account,
-                epoch=self._desk.term.epoch,
+                epoch=self._owner_context.term.epoch,
             )
 
     async def _finish_accept(self, job: JobRun, record: KeyedRecord, slow: bool) -> Written:
         noted = [job] if slow else []
-        outcome = await self._desk.store_progress(noted, record, patience=REFUSE_SECONDS)
+        outcome = await self._owner_context.store_progress(noted, record, patience=REFUSE_SECONDS)
         if outcome is Written.STORED:
             job.stored = True
         elif outcome is Written.REFUSED and not job.stored:
             self.cell.forget_job(job.id, self._clock.wall())
-        await self._desk.wake.notify()
+        await self._owner_context.wake.notify()
         return outcome
 
     async def _finish_cancel(self, job_id: str, record: KeyedRecord) -> Written:
-        outcome = await self._desk.writer.write([record], REFUSE_SECONDS)
+        outcome = await self._owner_context.writer.write([record], REFUSE_SECONDS)
         if outcome is Written.STORED:
             self.cell.cancel(job_id)
-            await self._desk.wake.notify()
+            await self._owner_context.wake.notify()
         return outcome
 
     async def _release(self) -> None:
@@ -217,14 +217,14 @@
         release. Its answer may be 1 s late: what was started or renewed meanwhile
         would run on after the successor has started the task again.
         """
-        await self._desk.flush()
-        self._desk.lost = 'released'
-        owner = self._desk.term.record(
+        await self._owner_context.flush()
+        self._owner_context.lost = 'released'
+        owner = self._owner_context.term.record(
             unsettled=self._unsettled(),
             released=True,
             version=self._parts.configuration.version,
         )
-        await self._desk.writer.write([make_record(OWNER_KEY, owner)], RELEASE_PATIENCE)
+        await self._owner_context.writer.write([make_record(OWNER_KEY, owner)], RELEASE_PATIENCE)
 
     def _begin(self) -> None:
         """Take what the store knows; wait for the runners that may hold more."""
@@ -254,20 +254,20 @@
         """Store heartbeats until the term ends; one behind the release would undo it."""
         beat = 0
         stored: frozenset[str] = frozenset()
-        while not self._desk.lost:
+        while not self._owner_context.lost:
             beat += 1
             version = self._parts.configuration.version
-            owner = self._desk.term.record(beat, self._unsettled(), version=version)
+            owner = self._owner_context.term.record(beat, self._unsettled(), version=version)
             records = [make_record(OWNER_KEY, owner)]
             # Runners that only a former owner has seen are kept for the next one: it
             # has to wait for them too, should this owner be killed meanwhile.
             attended = frozenset(self.cell.runner_by_id) | self.cell.unseen
             if attended != stored:
-                fact = Attended(self._desk.term.epoch, tuple(sorted(attended)))
+                fact = Attended(self._owner_context.term.epoch, tuple(sorted(attended)))
                 records.append(make_record(ATTENDED_KEY, fact))
-            outcome = await self._desk.store_progress(self.cell.take_dirty(), *records)
+            outcome = await self._owner_context.store_progress(self.cell.take_dirty(), *records)
             if outcome is Written.FENCED:
-                await self._desk.lose('another host has written with a higher epoch')
+                await self._owner_context.lose('another host has written with a higher epoch')
                 return
             if outcome is Written.STORED:
                 stored = attended
@@ -279,7 +279,7 @@
         for runner_id, state in self.cell.runner_by_id.items():
             if runner_id in stored and not state.recorded:
                 state.recorded = True
-                await self._desk.wake.notify()
+                await self._owner_context.wake.notify()
 
     async def _feed(self) -> None:
         """Take news of jobs as the log tells them."""
@@ -287,14 +287,14 @@
         book = self._parts.jobs.book
         while True:
             seen = follower.changed.count
-            if not self._parts.election.still_owner(self._desk.term):
-                await self._desk.lose('the store names another owner')
+            if not self._parts.election.still_owner(self._owner_context.term):
+                await self._owner_context.lose('the store names another owner')
                 return
             changed = book.take_changed()
             for job_id in changed:
                 self._see_job(job_id)
             if changed:
-                await self._desk.wake.notify()
+                await self._owner_context.wake.notify()
             await follower.changed.wait(seen, 1.0)
 
     def _see_job(self, job_id: str) -> None:
@@ -322,12 +322,12 @@
 
     async def _plan(self) -> None:
         while True:
-            seen = self._desk.wake.count
-            if self._desk.may_start():
+            seen = self._owner_context.wake.count
+            if self._owner_context.may_start():
                 await self._plan_once()
             else:
                 await self._send_stops()
-            await self._desk.wake.wait(seen, 1.0)
+            await self._owner_context.wake.wait(seen, 1.0)
 
     async def _plan_once(self) -> None:
         """Plan, and send all that was decided, though the right to start may end meanwhile.
@@ -377,7 +377,7 @@
                 gpu=used.gpu,
                 quota_cpu=quota.cpu if quota else None,
                 quota_memory_mb=quota.memory_mb if quota else None,
-                epoch=self._desk.term.epoch,
+                epoch=self._owner_context.term.epoch,
             )
 
     async def _take_advice(
@@ -394,7 +394,7 @@
             step=question.step.step,
             valid=round(until - self._clock.monotonic(), 3),
         )
-        await self._desk.wake.notify()
+        await self._owner_context.wake.notify()
 
     async def _miss_advice(self, question: Question) -> None:
         not_before = self._clock.monotonic() + QUESTION_PAUSE
--- a/dandelionreel/cell/_hearing.py
+++ b/dandelionreel/cell/_hearing.py
@@ -6,9 +6,9 @@
 task again whose job a client holds for complete.
 """
 
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._notices import Notices
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.kernel import Part
 
 #: Seconds for which a runner must have been silent: a host finds that it is cut off in no
@@ -23,16 +23,16 @@
 class Hearing:
     """Asks the hosts of zones during one term."""
 
-    def __init__(self, desk: Desk, book: JobBook, notices: Notices, host: str) -> None:
+    def __init__(self, context: OwnerContext, book: JobBook, notices: Notices, host: str) -> None:
         """Ask as ``host``."""
-        self._desk = desk
+        self._owner_context = context
         self._book = book
         self._notices = notices
         self._host = host
         self._heard_at_by_zone: dict[str, float] = {}
         self._asked_at_by_zone: dict[str, float] = {}
         self._given_up: set[str] = set()
-        self._began_at = desk.clock.monotonic()
+        self._began_at = context.clock.monotonic()
 
     async def heard(self, zone: str, since: float) -> bool:
         """Return whether a zone whose runner is silent ``since`` then has been heard.
@@ -40,7 +40,7 @@
         Seconds are monotonic; an owner has waited since its term began at the longest. A
         zone without other hosts has nobody who could have shown anything.
         """
-        now = self._desk.clock.monotonic()
+        now = self._owner_context.clock.monotonic()
         since = max(since, self._began_at)
         members = self._book.member_by_host
         hosts = [
@@ -66,8 +66,8 @@
         if zone in self._given_up:
             return
         self._given_up.add(zone)
-        self._desk.journal.tell(
+        self._owner_context.journal.tell(
             Part.OWNERSHIP,
             f'takes the zone {zone} for lost: no host there has answered for too long.',
-            epoch=self._desk.term.epoch,
+            epoch=self._owner_context.term.epoch,
         )
--- a/dandelionreel/cell/_notices.py
+++ b/dandelionreel/cell/_notices.py
@@ -7,8 +7,8 @@
 
 from dandelionreel.cell._advisors import PeerLinks
 from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._records import Member
 from dandelionreel.cell._standing import SUCCESSORS, rank_hosts
 from dandelionreel.kernel import Part
@@ -29,14 +29,14 @@
 
     def __init__(
         self,
-        desk: Desk,
+        context: OwnerContext,
         book: JobBook,
         links: PeerLinks,
         completions: Completions,
         host: str,
     ) -> None:
         """Speak for ``host``; keep in ``completions`` what clients may be told."""
-        self._desk = desk
+        self._owner_context = context
         self._book = book
         self._links = links
         self._completions = completions
@@ -46,28 +46,28 @@
     async def run(self) -> None:
         """Tell peers of each job that the store is too slow to learn of, for ever."""
         while True:
-            seen = self._desk.completed.count
+            seen = self._owner_context.completed.count
             await curio.sleep(STORE_SECONDS)
-            unstored = set(self._desk.unstored_complete)
+            unstored = set(self._owner_context.unstored_complete)
             self._told &= unstored
             fresh = tuple(sorted(unstored - self._told))
             if fresh:
                 self._told.update(fresh)
                 await self._tell(fresh)
-            await self._desk.completed.wait(seen, IDLE_SECONDS)
+            await self._owner_context.completed.wait(seen, IDLE_SECONDS)
 
     def begin(self) -> None:
         """Leave jobs that had begun alone until peers have been asked."""
-        self._desk.cell.awaits_word = True
+        self._owner_context.cell.awaits_word = True
 
     async def ask(self) -> None:
         """Take what peers were told by the owners before."""
-        term = self._desk.term
+        term = self._owner_context.term
         known = self._completions.answer(term.epoch)
-        self._desk.cell.take_complete(known)
+        self._owner_context.cell.take_complete(known)
         await self.ask_all(self._peers())
-        self._desk.cell.awaits_word = False
-        await self._desk.wake.notify()
+        self._owner_context.cell.awaits_word = False
+        await self._owner_context.wake.notify()
 
     async def ask_all(self, peers: Iterable[tuple[str, Member]]) -> bool:
         """Take what peers know, asked at the same time; return whether any has answered."""
@@ -84,7 +84,7 @@
 
     async def _tell(self, jobs: tuple[str, ...]) -> None:
         """Tell all peers at once; clients may be told as soon as one has taken the word."""
-        message = CompletionsTold(self._desk.term.epoch, jobs)
+        message = CompletionsTold(self._owner_context.term.epoch, jobs)
         for host, member in self._peers():
             await curio.spawn(partial(self._tell_one, host, member, message), daemon=True)
 
@@ -101,22 +101,24 @@
         fresh = [job for job in jobs if not self._completions.holds(job)]
         self._completions.note(fresh)
         if fresh:
-            self._desk.journal.tell_frequent(
+            self._owner_context.journal.tell_frequent(
                 Part.JOBS,
                 'shown as complete before the store knows it.',
                 jobs=fresh[:MOST_NAMED],
                 count=len(fresh),
                 peer=host,
-                epoch=self._desk.term.epoch,
-                store_age=round(self._desk.clock.monotonic() - self._desk.writer.stored_at, 3),
+                epoch=self._owner_context.term.epoch,
+                store_age=round(
+                    self._owner_context.clock.monotonic() - self._owner_context.writer.stored_at, 3
+                ),
             )
 
     async def _ask(self, host: str, member: Member) -> bool:
-        wanted = CompletionsWanted(self._desk.term.epoch)
+        wanted = CompletionsWanted(self._owner_context.term.epoch)
         try:
             frame = await self._links.ask(member, wanted, ANSWER_SECONDS)
         except PeerError as error:
-            self._desk.journal.tell(
+            self._owner_context.journal.tell(
                 Part.OWNERSHIP, f'{host} does not tell which jobs are complete: {error}.'
             )
             return False
@@ -124,13 +126,13 @@
         if not isinstance(told, CompletionsTold):
             return False
         self._completions.note(told.jobs)
-        taken = self._desk.cell.take_complete(told.jobs)
+        taken = self._owner_context.cell.take_complete(told.jobs)
         if taken:
-            self._desk.journal.tell(
+            self._owner_context.journal.tell(
                 Part.JOBS,
                 f'{host} knows jobs to be complete that the store does not.',
                 jobs=taken[:MOST_NAMED],
                 count=len(taken),
-                epoch=self._desk.term.epoch,
+                epoch=self._owner_context.term.epoch,
             )
         return True
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -4,9 +4,9 @@
 
 import curio
 
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._ledger import Allocation, RunnerState
 from dandelionreel.cell._model import StepName
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._runs import JobRun
 from dandelionreel.cell._services import (
     Runner,
@@ -39,9 +39,9 @@
 class Orders:
     """Sends what the planner has decided."""
 
-    def __init__(self, desk: Desk) -> None:
-        """Send on behalf of ``desk``."""
-        self._desk = desk
+    def __init__(self, context: OwnerContext) -> None:
+        """Send on behalf of ``context``."""
+        self._owner_context = context
         #: Starts that were decided and are not answered yet.
         self._under_way = 0
         self._was_full = False
@@ -66,7 +66,7 @@
         self._under_way += len(allocations)
         unstored: dict[str, list[Allocation]] = {}
         for allocation in allocations:
-            job = self._desk.cell.job_by_id.get(allocation.task.job)
+            job = self._owner_context.cell.job_by_id.get(allocation.task.job)
             if job is None:
                 # It was over, and forgotten, before its start could be sent.
                 await self._withdraw_unsent(allocation)
@@ -80,20 +80,20 @@
 
     async def send_stop(self, allocation: Allocation) -> None:
         """Repeat a stop until the runner has taken it."""
-        runner = self._desk.runner_by_id.get(allocation.runner)
-        while runner is not None and self._desk.may_act():
-            state = self._desk.cell.runner_by_id.get(allocation.runner)
+        runner = self._owner_context.runner_by_id.get(allocation.runner)
+        while runner is not None and self._owner_context.may_act():
+            state = self._owner_context.cell.runner_by_id.get(allocation.runner)
             if state is None or (allocation.task, allocation.run) not in state.allocation_by_run:
                 return
             self._note_order(state)
             try:
-                await runner.stop(allocation.task, allocation.run, self._desk.term.epoch)
+                await runner.stop(allocation.task, allocation.run, self._owner_context.term.epoch)
             except RunnerError as error:
                 self._tell_missed_stop(allocation, error)
                 await curio.sleep(RESTOP_SECONDS)
                 continue
             except RunnerFenced:
-                await self._desk.lose(f'{allocation.runner} has seen a higher epoch')
+                await self._owner_context.lose(f'{allocation.runner} has seen a higher epoch')
                 return
             except RunnerReplaced:
                 await self._end_replaced(state)
@@ -102,17 +102,17 @@
             return
 
     def _take_stop(self, state: RunnerState, allocation: Allocation) -> None:
-        cell = self._desk.cell
+        cell = self._owner_context.cell
         cell.zone_doubt.note_answer(state.registration.zone)
-        cell.stop_answered(allocation, self._desk.clock.monotonic())
-        self._desk.journal.tell_frequent(
+        cell.stop_answered(allocation, self._owner_context.clock.monotonic())
+        self._owner_context.journal.tell_frequent(
             Part.PLACEMENT,
             f'{allocation.runner} has taken a stop.',
             **self._fields(allocation),
         )
 
     def _tell_missed_stop(self, allocation: Allocation, error: RunnerError) -> None:
-        self._desk.journal.tell_frequent(
+        self._owner_context.journal.tell_frequent(
             Part.PLACEMENT,
             f'a stop was not answered: {error}.',
             **self._fields(allocation),
@@ -120,9 +120,9 @@
         )
 
     async def _store_and_send(self, allocations_by_job: dict[str, list[Allocation]]) -> None:
-        found = (self._desk.cell.job_by_id.get(job_id) for job_id in allocations_by_job)
+        found = (self._owner_context.cell.job_by_id.get(job_id) for job_id in allocations_by_job)
         jobs = [job for job in found if job is not None]
-        writing = await curio.spawn(self._desk.store_progress, jobs, daemon=True)
+        writing = await curio.spawn(self._owner_context.store_progress, jobs, daemon=True)
         outcome = await curio.ignore_after(RECORD_PATIENCE, writing.join)
         for allocations in allocations_by_job.values():
             for allocation in allocations:
@@ -132,7 +132,7 @@
                     await self._withdraw_unsent(allocation)
 
     async def _withdraw_unsent(self, allocation: Allocation) -> None:
-        self._desk.cell.withdraw(allocation)
+        self._owner_context.cell.withdraw(allocation)
         await self._note_settled()
 
     async def _settle_start(self, allocation: Allocation) -> None:
@@ -148,31 +148,31 @@
         # Plans for one start each would take the time that the starts need.
         if self._was_full and self._under_way <= MOST_UNDER_WAY // 2:
             self._was_full = False
-            await self._desk.wake.notify()
+            await self._owner_context.wake.notify()
 
     async def _send_start(self, allocation: Allocation) -> None:
-        state = self._desk.cell.runner_by_id.get(allocation.runner)
-        runner = self._desk.runner_by_id.get(allocation.runner)
-        job = self._desk.cell.job_by_id.get(allocation.task.job)
+        state = self._owner_context.cell.runner_by_id.get(allocation.runner)
+        runner = self._owner_context.runner_by_id.get(allocation.runner)
+        job = self._owner_context.cell.job_by_id.get(allocation.task.job)
         if state is None or runner is None or job is None:
-            self._desk.cell.withdraw(allocation)
+            self._owner_context.cell.withdraw(allocation)
             return
         if state.suspect:
             # It went silent while the start was on its way to the store. Sent in vain, the
             # start would hold its task up, and count as one that the runner crashed under.
-            self._desk.cell.withdraw(allocation)
+            self._owner_context.cell.withdraw(allocation)
             return
         self._tell_start(state, allocation, job)
         maybe_sent = await self._try_start(state, runner, allocation, job.spec.payload)
         if maybe_sent is None:
             return
         if maybe_sent:
-            self._desk.cell.take_back(allocation)
+            self._owner_context.cell.take_back(allocation)
         else:
             if state.suspect:
-                state.quiet_until = self._desk.clock.monotonic() + UNREACHED_QUIET
-            self._desk.cell.withdraw(allocation)
-        await self._desk.wake.notify()
+                state.quiet_until = self._owner_context.clock.monotonic() + UNREACHED_QUIET
+            self._owner_context.cell.withdraw(allocation)
+        await self._owner_context.wake.notify()
 
     def _fields(self, allocation: Allocation) -> dict[str, Any]:
         """Return what names a run in a line, and who ordered it."""
@@ -180,7 +180,7 @@
             'job': allocation.task.job,
             'task': allocation.task.label,
             'run': allocation.run,
-            'epoch': self._desk.term.epoch,
+            'epoch': self._owner_context.term.epoch,
             'runner': allocation.runner,
         }
 
@@ -191,10 +191,10 @@
         answered; ``version`` is that of the configuration. A task that was started by two
         owners is traced by what the second one had and had not heard.
         """
-        now = self._desk.clock.monotonic()
+        now = self._owner_context.clock.monotonic()
         found = job.find(allocation.task)
-        configuration = self._desk.cell.configuration
-        self._desk.journal.tell_frequent(
+        configuration = self._owner_context.cell.configuration
+        self._owner_context.journal.tell_frequent(
             Part.PLACEMENT,
             f'starts a task on {state.id}.',
             **self._fields(allocation),
@@ -202,7 +202,7 @@
             failures=found[1].failures if found else 0,
             crashes=job.crashes.count(allocation.task),
             version=configuration.version if configuration else None,
-            store_age=round(now - self._desk.writer.stored_at, 3),
+            store_age=round(now - self._owner_context.writer.stored_at, 3),
             runner_age=seconds_or_none(now - state.answered_at),
             waited=round(now - job.accepted, 3),
             room=state.room.cpu,
@@ -219,9 +219,9 @@
         maybe_sent = False
 
         def check() -> bool:
-            return self._desk.may_start() and self._may_start(allocation)
+            return self._owner_context.may_start() and self._may_start(allocation)
 
-        began = self._desk.clock.monotonic()
+        began = self._owner_context.clock.monotonic()
         for _ in range(START_TRIES):
             if not check():
                 # Withdrawn, not unanswered: that says nothing of the runner.
@@ -246,34 +246,34 @@
                     return maybe_sent
                 await curio.sleep(RETRY_SECONDS)
                 continue
-            self._desk.cell.zone_doubt.note_answer(state.registration.zone)
-            self._tell_slow(allocation, answer.reply, self._desk.clock.monotonic() - began)
+            self._owner_context.cell.zone_doubt.note_answer(state.registration.zone)
+            self._tell_slow(allocation, answer.reply, self._owner_context.clock.monotonic() - began)
             await self._take_answer(state, allocation, answer.reply, in_doubt=maybe_sent)
             return None
         return maybe_sent
 
     def _may_start(self, allocation: Allocation) -> bool:
         """Return whether a start is still wanted, and its ticket still good."""
-        cell = self._desk.cell
+        cell = self._owner_context.cell
         if not cell.may_start(allocation):
             return False
         step = StepName.of(allocation.task)
-        now = self._desk.clock.monotonic()
+        now = self._owner_context.clock.monotonic()
         return not allocation.ticket or cell.tickets.is_valid(step, allocation.runner, now)
 
     async def _end_replaced(self, state: RunnerState) -> None:
-        if await self._desk.hears(state.registration.zone, state.answered_at):
-            self._desk.end_runner(state, 'another runner answers there', proven=True)
+        if await self._owner_context.hears(state.registration.zone, state.answered_at):
+            self._owner_context.end_runner(state, 'another runner answers there', proven=True)
             return
         # The next look finds the same, and asks again.
         state.suspect = True
 
     def _note_order(self, state: RunnerState) -> None:
-        now = self._desk.clock.monotonic()
-        self._desk.cell.zone_doubt.note_order(state.registration.zone, state.id, now)
+        now = self._owner_context.clock.monotonic()
+        self._owner_context.cell.zone_doubt.note_order(state.registration.zone, state.id, now)
 
     def _tell_unanswered(self, allocation: Allocation, error: RunnerError) -> None:
-        self._desk.journal.tell_frequent(
+        self._owner_context.journal.tell_frequent(
             Part.PLACEMENT,
             f'a start was not answered: {error}.',
             **self._fields(allocation),
@@ -282,7 +282,7 @@
 
     def _tell_slow(self, allocation: Allocation, reply: StartReply, seconds: float) -> None:
         if reply is StartReply.STARTED and seconds > SLOW_ANSWER:
-            self._desk.journal.tell_frequent(
+            self._owner_context.journal.tell_frequent(
                 Part.PLACEMENT,
                 f'{allocation.runner} has taken a start late.',
                 **self._fields(allocation),
@@ -290,12 +290,14 @@
             )
 
     def _order(self, state: RunnerState, allocation: Allocation, payload: str) -> StartOrder:
-        lease_until = state.extend_lease(self._desk.clock.monotonic(), self._desk.lease)
+        lease_until = state.extend_lease(
+            self._owner_context.clock.monotonic(), self._owner_context.lease
+        )
         return StartOrder(
             allocation.task,
             allocation.run,
             payload,
-            self._desk.term.epoch,
+            self._owner_context.term.epoch,
             lease_until,
             allocation.checkpoint,
             allocation.ticket,
@@ -310,20 +312,20 @@
         in_doubt: bool,
     ) -> None:
         if reply is StartReply.FENCED:
-            await self._desk.lose(f'{state.id} has seen a higher epoch')
+            await self._owner_context.lose(f'{state.id} has seen a higher epoch')
             return
         if reply is StartReply.REPLACED:
             if not in_doubt:
                 # It never ran there, so no crash of the runner counts for it.
-                self._desk.cell.withdraw(allocation)
+                self._owner_context.cell.withdraw(allocation)
             await self._end_replaced(state)
         else:
-            now = self._desk.clock.monotonic()
-            self._desk.cell.start_answered(allocation, reply, now, in_doubt=in_doubt)
+            now = self._owner_context.clock.monotonic()
+            self._owner_context.cell.start_answered(allocation, reply, now, in_doubt=in_doubt)
         if reply is not StartReply.STARTED:
-            self._desk.journal.tell(
+            self._owner_context.journal.tell(
                 Part.PLACEMENT,
                 f'a start was refused: {reply.value}.',
                 **self._fields(allocation),
             )
-            await self._desk.wake.notify()
+            await self._owner_context.wake.notify()
--- a/dandelionreel/cell/_desk.py
+++ b/dandelionreel/cell/_owner_context.py
@@ -49,7 +49,7 @@
     return True
 
 
-class Desk:
+class OwnerContext:
     """The cell of one term, the right to act on it, and the way to the store."""
 
     def __init__(
--- a/dandelionreel/cell/_parts.py
+++ b/dandelionreel/cell/_parts.py
@@ -4,10 +4,10 @@
 
 from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
 from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._desk import ListAge, MakeRunner, always_fresh
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._owner_context import ListAge, MakeRunner, always_fresh
 from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.cell._services import Topic
 from dandelionreel.kernel import Clock, Journal
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -6,11 +6,11 @@
 
 from dandelionreel.cell._active_runners import ActiveRunners
 from dandelionreel.cell._attendant import Attendant
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._doomed import stop_late_gangs, stop_leaving
 from dandelionreel.cell._election import AUTHORITY_SECONDS
 from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._losses import note_last_words
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._predecessors import Predecessors
 from dandelionreel.cell._records import CANCELLATION, PROGRESS, SUBMISSION, make_tombstone
@@ -27,24 +27,24 @@
 class Rounds:
     """Goes round runners, gangs, former owners' tasks and old jobs during one term."""
 
-    def __init__(self, parts: DispatcherParts, desk: Desk, load: LoadReport) -> None:
-        """Look after the cell of ``desk``."""
+    def __init__(self, parts: DispatcherParts, context: OwnerContext, load: LoadReport) -> None:
+        """Look after the cell of ``context``."""
         self._parts = parts
-        self._desk = desk
-        self._cell = desk.cell
+        self._owner_context = context
+        self._cell = context.cell
         self._load = load
         self._clock = parts.clock
         self._journal = parts.journal
-        self._attendant = Attendant(desk)
-        self._active = ActiveRunners(desk.cell)
+        self._attendant = Attendant(context)
+        self._active = ActiveRunners(context.cell)
         self._succession = Succession(
-            desk,
+            context,
             parts.jobs.book,
             parts.links,
             parts.election,
             parts.host,
         )
-        self.predecessors = Predecessors(desk.term, desk.lease, parts.clock.monotonic())
+        self.predecessors = Predecessors(context.term, context.lease, parts.clock.monotonic())
         self._began_at = parts.clock.monotonic()
         self._dropped_at = float('-inf')
         self._knew_runners = True
@@ -56,17 +56,17 @@
     def begin(self, now: float) -> None:
         """Take what is known of former owners."""
         self._cell.configuration = self._parts.configuration.current
-        if self._desk.term.silent_since is not None:
+        if self._owner_context.term.silent_since is not None:
             self._expect_former_runs(now)
 
     async def run(self, stack: AsyncExitStack) -> None:
         """Go round until the term is lost; tasks for new runners end with ``stack``."""
         while True:
-            if not self._desk.may_act():
-                await self._desk.lose('the store has not answered for too long')
+            if not self._owner_context.may_act():
+                await self._owner_context.lose('the store has not answered for too long')
                 return
             await self._go_round(stack, self._clock.monotonic())
-            await self._desk.wake.notify()
+            await self._owner_context.wake.notify()
             await curio.sleep(ROUND_SECONDS)
 
     async def _go_round(self, stack: AsyncExitStack, now: float) -> None:
@@ -76,11 +76,11 @@
         await self._see_runners(stack)
         await self._give_up_unseen(now)
         self._stop_doomed(now)
-        self._load.look(now, self._clock.wall(), self._desk.term.epoch)
+        self._load.look(now, self._clock.wall(), self._owner_context.term.epoch)
         await self._drop_old_jobs()
 
     def _tell_list_age(self) -> None:
-        knows = self._desk.knows_runners()
+        knows = self._owner_context.knows_runners()
         if knows is self._knew_runners:
             return
         self._knew_runners = knows
@@ -88,8 +88,8 @@
         self._journal.tell(
             Part.PLACEMENT,
             f'{outcome}, by the age of the list of runners.',
-            epoch=self._desk.term.epoch,
-            list_age=seconds_or_none(self._desk.list_age()),
+            epoch=self._owner_context.term.epoch,
+            list_age=seconds_or_none(self._owner_context.list_age()),
         )
 
     def _expect_former_runs(self, now: float) -> None:
@@ -112,25 +112,25 @@
             heard = [runner for runner in unseen if await self._hears_of(runner)]
             if heard:
                 self._tell_unseen('takes the leases on unseen runners for run out.', now)
-                self._desk.tell_crashes(self._cell.give_up_unseen(heard))
+                self._owner_context.tell_crashes(self._cell.give_up_unseen(heard))
 
     async def _hears_of(self, runner: str) -> bool:
         """Return whether the zone of an unseen runner has told what it has shown."""
         registration = self._parts.runners.find(runner)
         if registration is None:
             return True
-        return await self._desk.hears(registration.zone, self._began_at)
+        return await self._owner_context.hears(registration.zone, self._began_at)
 
     def _tell_unseen(self, sentence: str, now: float) -> None:
         self._journal.tell(
             Part.OWNERSHIP,
             sentence,
-            epoch=self._desk.term.epoch,
+            epoch=self._owner_context.term.epoch,
             runners=sorted(self._cell.unseen),
             seconds=round(self.predecessors.until - now, 3),
             former_silent=round(self.predecessors.silent, 3),
             former_ended=self.predecessors.ended,
-            unsettled=self._desk.term.unsettled,
+            unsettled=self._owner_context.term.unsettled,
         )
 
     def _stop_doomed(self, now: float) -> None:
@@ -171,7 +171,7 @@
             if registration is not None:
                 fresh.append(self._cell.add_unlisted(registration))
         for state in fresh:
-            runner = self._desk.add_runner(state)
+            runner = self._owner_context.add_runner(state)
             await start_task(stack, self._attendant.attend, state, runner)
 
     async def _drop_old_jobs(self) -> None:
@@ -187,4 +187,6 @@
                 make_tombstone(key + job_id) for key in (SUBMISSION, CANCELLATION, PROGRESS)
             )
         if records:
-            await curio.spawn(self._desk.writer.write, records, AUTHORITY_SECONDS, daemon=True)
+            await curio.spawn(
+                self._owner_context.writer.write, records, AUTHORITY_SECONDS, daemon=True
+            )
--- a/dandelionreel/cell/_succession.py
+++ b/dandelionreel/cell/_succession.py
@@ -3,9 +3,9 @@
 import curio
 
 from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Election
 from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._records import Member
 from dandelionreel.cell._standing import larger_hosts, rank_hosts
 from dandelionreel.kernel import Part
@@ -30,21 +30,21 @@
 
     def __init__(
         self,
-        desk: Desk,
+        context: OwnerContext,
         book: JobBook,
         links: PeerLinks,
         election: Election,
         host: str,
     ) -> None:
         """Ask the members in ``book`` on behalf of ``host``."""
-        self._desk = desk
+        self._owner_context = context
         self._book = book
         self._links = links
         self._election = election
         self._host = host
         self._asked_at = float('-inf')
         self._asked_peers = 0
-        self._settled_at = desk.clock.monotonic() + SETTLE_SECONDS
+        self._settled_at = context.clock.monotonic() + SETTLE_SECONDS
 
     async def look(self, now: float) -> None:
         """Ask for a successor, or hand over, when either is due."""
@@ -60,10 +60,10 @@
         """
         members = self._book.member_by_host
         others = [host for host in rank_hosts(members) if host != self._host][:PEERS_ASKED]
-        self._desk.journal.tell(
+        self._owner_context.journal.tell(
             Part.OWNERSHIP,
             'asks peers to take over: it leaves the cell.',
-            epoch=self._desk.term.epoch,
+            epoch=self._owner_context.term.epoch,
             peers=others,
         )
         asks = [await curio.spawn(self._ask, members[host], daemon=True) for host in others]
@@ -71,24 +71,24 @@
             await task.wait()
         if not any(task.result for task in asks):
             return False
-        until = self._desk.clock.monotonic() + LEAVE_SECONDS
-        while not self._desk.lost and self._desk.clock.monotonic() < until:
+        until = self._owner_context.clock.monotonic() + LEAVE_SECONDS
+        while not self._owner_context.lost and self._owner_context.clock.monotonic() < until:
             await curio.sleep(POLL_SECONDS)
-        return bool(self._desk.lost)
+        return bool(self._owner_context.lost)
 
     async def _ask_when_refused(self, now: float) -> None:
         """Have peers claim the cell while the store serves them and not us.
 
         Ended by silence alone this took 1.8 s, in which nothing was started.
         """
-        if not self._desk.writer.in_trouble(now) or now < self._asked_at + ASK_AGAIN:
+        if not self._owner_context.writer.in_trouble(now) or now < self._asked_at + ASK_AGAIN:
             return
         self._asked_at = now
-        self._desk.journal.tell(
+        self._owner_context.journal.tell(
             Part.OWNERSHIP,
             'asks peers to take over: the store does not serve it.',
-            epoch=self._desk.term.epoch,
-            failing_seconds=round(now - self._desk.writer.failing_since, 3),
+            epoch=self._owner_context.term.epoch,
+            failing_seconds=round(now - self._owner_context.writer.failing_since, 3),
         )
         members = self._book.member_by_host
         others = [host for host in rank_hosts(members) if host != self._host]
@@ -110,12 +110,12 @@
             if not await self._is_ready(host, members[host]):
                 continue
             self._election.note_hand_over()
-            self._desk.journal.tell(
+            self._owner_context.journal.tell(
                 Part.OWNERSHIP,
                 f'leaves the cell to larger hosts: {host} is ready.',
-                epoch=self._desk.term.epoch,
+                epoch=self._owner_context.term.epoch,
             )
-            await self._desk.ended.set()
+            await self._owner_context.ended.set()
             return
         self._settled_at = now + SETTLE_SECONDS
 
@@ -132,13 +132,17 @@
             if isinstance(frame.message, Done):
                 return True
             cause = 'it is not ready'
-        self._desk.journal.tell(Part.OWNERSHIP, f'{host} does not take the cell over: {cause}.')
+        self._owner_context.journal.tell(
+            Part.OWNERSHIP, f'{host} does not take the cell over: {cause}.'
+        )
         return False
 
     async def _ask(self, member: Member) -> bool:
         """Ask a host to take over; return whether it was heard, which shows in the store."""
         try:
-            frame = await self._links.ask(member, OwnerFailing(self._desk.term.term), ASK_AGAIN)
+            frame = await self._links.ask(
+                member, OwnerFailing(self._owner_context.term.term), ASK_AGAIN
+            )
         except PeerError:
             return False
         return isinstance(frame.message, Done)
--- a/features/steps/active_runner_steps.py
+++ b/features/steps/active_runner_steps.py
@@ -10,7 +10,7 @@
 from dandelionreel.cell._attendant import Attendant
 from dandelionreel.kernel import SystemClock
 from features.cell_parts import START, SmallCell, step
-from features.store_parts import make_desk
+from features.store_parts import make_owner_context
 
 SIZE = Demand(16_000, 32_768, 0)
 ZONES = 4
@@ -137,16 +137,16 @@
 
 @given('an owner that looks at a runner')
 def owner_looks(context):
-    context.desk = make_desk(SmallCell(runners=()).cell, SystemClock())
+    context.owner = make_owner_context(SmallCell(runners=()).cell, SystemClock())
     context.runner = SlowRunner()
 
 
 @when('the runner is left and taken again while the look waits')
 def left_and_taken(context):
-    cell = context.desk.cell
+    cell = context.owner.cell
 
     async def play():
-        attendant = Attendant(context.desk)
+        attendant = Attendant(context.owner)
         registrations = {'w0': replace(register(0, 'a'))}
         for _ in range(3):
             (state,) = cell.see_runners(registrations, 0.0)
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -138,14 +138,14 @@
 
 @when('another runner answers at the address of w9')
 def another_answers(context):
-    desk = context.dispatcher._desk
+    owner = context.dispatcher._owner_context
     state = context.dispatcher.cell.runner_by_id['w9']
 
     async def look():
         runner = Unreachable()
         runner.look = replaced_look
-        desk.runner_by_id['w9'] = runner
-        await Attendant(desk).attend(state, runner)
+        owner.runner_by_id['w9'] = runner
+        await Attendant(owner).attend(state, runner)
 
     curio.run(look)
 
--- a/features/steps/behind_a_cut_steps.py
+++ b/features/steps/behind_a_cut_steps.py
@@ -27,7 +27,7 @@
 from dandelionreel.kernel import ManualClock, Verdict
 from dandelionreel.peers import CompletionsSeen, CompletionsTold, Done, Frame, PeerError, Refused
 from features.cell_parts import SmallCell, make_registration, step, task
-from features.store_parts import journal, make_desk
+from features.store_parts import journal, make_owner_context
 
 JOB = '0123456789abcdef'
 MASKS = {'both tasks': '3', 'the first': '1', 'no tasks': ''}
@@ -209,7 +209,7 @@
     context.small.look('w1')
     context.small.add_job(JOB, [step()])
     context.small.plan()
-    context.desk = make_desk(context.small.cell, context.clock)
+    context.owner = make_owner_context(context.small.cell, context.clock)
     context.state = context.small.cell.runner_by_id['w1']
     context.silent = silent
 
@@ -226,14 +226,14 @@
         book.member_by_host[f's-{number}'] = member
     for number, host in enumerate(book.member_by_host):
         book.member_by_host[host] = PortedMember(number)
-    notices = Notices(context.desk, book, context.zone, Completions(context.clock), 'me')
-    context.desk.hears = Hearing(context.desk, book, notices, 'me').heard
+    notices = Notices(context.owner, book, context.zone, Completions(context.clock), 'me')
+    context.owner.hears = Hearing(context.owner, book, notices, 'me').heard
     context.clock.advance(context.silent)
     times = 20 if hosts.endswith('times within 0.2 s') else 1
 
     async def hear():
         for _ in range(times):
-            await Attendant(context.desk)._lapse(context.state)
+            await Attendant(context.owner)._lapse(context.state)
             context.clock.advance(0.2 / times)
 
     curio.run(hear)
--- a/features/steps/cancelling_steps.py
+++ b/features/steps/cancelling_steps.py
@@ -27,7 +27,7 @@
 from dandelionreel.kernel import ManualClock
 from features.cancelling_parts import MemoryRunner, SmallOwner
 from features.cell_parts import SmallCell, step, task
-from features.store_parts import LONG, make_desk, until
+from features.store_parts import LONG, make_owner_context, until
 from standins import MemoryTopic
 
 #: Seconds after which the task of a cancelled job has to be gone.
@@ -162,12 +162,12 @@
 def owner_of_one(context):
     context.small = SmallCell(('w1',))
     context.runner = MemoryRunner(ManualClock(context.small.now))
-    context.desk = make_desk(
+    context.owner = make_owner_context(
         context.small.cell,
         ManualClock(context.small.now),
         make_runner=lambda registration: context.runner,
     )
-    context.desk.add_runner(context.small.cell.runner_by_id['w1'])
+    context.owner.add_runner(context.small.cell.runner_by_id['w1'])
 
 
 @when('it has sent the start')
@@ -178,7 +178,7 @@
     (context.start,) = made.starts
 
     async def send():
-        await Orders(context.desk).send_starts(made.starts)
+        await Orders(context.owner).send_starts(made.starts)
         await until(lambda: not context.runner.replies)
         await curio.sleep(0)
 
@@ -194,7 +194,7 @@
     small.cancel('j1')
 
     async def send():
-        await Orders(context.desk).send_starts(made.starts)
+        await Orders(context.owner).send_starts(made.starts)
         await until(lambda: not small.runs_on('w1'))
 
     curio.run(send)
@@ -213,7 +213,7 @@
     run = (context.start.task, context.start.run)
     assert small.runs_on('w1') == (run,), small.runs_on('w1')
     (stop,) = small.cell.take_stops()
-    curio.run(Orders(context.desk).send_stop, stop)
+    curio.run(Orders(context.owner).send_stop, stop)
     assert context.runner.stopped == [run]
     small.now += 1
     small.look('w1')
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -6,7 +6,7 @@
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step, task
 from features.steps.report_steps import Lines
-from features.store_parts import Host, make_desk, make_dispatcher
+from features.store_parts import Host, make_dispatcher, make_owner_context
 from standins import MemoryTopic
 
 MEMORY = 65_536
@@ -113,25 +113,25 @@
 @given('an owner whose list of runners is {age:g} seconds old')
 def old_list(context, age):
     context.small = SmallCell(('w1',))
-    context.desk = make_desk(
+    context.owner = make_owner_context(
         context.small.cell, ManualClock(context.small.now), list_age=lambda: age
     )
 
 
 @then('it may start tasks')
 def may_start(context):
-    assert context.desk.may_start()
+    assert context.owner.may_start()
 
 
 @then('it may not, and says so')
 def may_not(context):
-    assert not context.desk.may_start()
-    assert context.desk.may_act(), 'it must renew leases all the same'
+    assert not context.owner.may_start()
+    assert context.owner.may_act(), 'it must renew leases all the same'
     lines = Lines()
     host = Host('me', MemoryTopic())
-    dispatcher = make_dispatcher(host, context.desk.term, host.follower, host.clock)
+    dispatcher = make_dispatcher(host, context.owner.term, host.follower, host.clock)
     rounds = dispatcher._rounds
-    rounds._desk, rounds._journal = context.desk, lines
+    rounds._owner_context, rounds._journal = context.owner, lines
     rounds._tell_list_age()
     rounds._tell_list_age()
     assert lines.told == [
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -4,8 +4,8 @@
 from behave import given, then, when
 
 from dandelionreel.cell import RecordBatch, WriterFence
-from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell._owner_context import LEASE_SECONDS
 from dandelionreel.cell._predecessors import Predecessors
 from dandelionreel.cell._records import MEMBER, OWNER_KEY, Member, Owner, make_record
 from dandelionreel.cell._relay import Relay
@@ -40,7 +40,7 @@
     assert other.folder.book.owner.term == 'me/1'
     # Nothing it sends is answered any more.
     context.last_lease = (
-        dispatcher._desk.writer.stored_at + AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
+        dispatcher._owner_context.writer.stored_at + AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
     )
     now = me.clock.monotonic() + 1.5
     heard = other.folder.owner_heard_at
--- a/features/steps/completion_steps.py
+++ b/features/steps/completion_steps.py
@@ -21,7 +21,7 @@
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from dandelionreel.peers import CompletionsTold, CompletionsWanted, Done, Frame, PeerError, Refused
 from features.cell_parts import SmallCell, make_registration, step, task
-from features.store_parts import Host, make_desk, make_dispatcher, until
+from features.store_parts import Host, make_dispatcher, make_owner_context, until
 from standins import MemoryTopic
 
 JOB = '0123456789abcdef'
@@ -62,7 +62,7 @@
     context.small.add_job(JOB, [step()])
     context.small.plan()
     topic = AwayTopic() if works == 'is away' else MemoryTopic()
-    context.desk = make_desk(context.small.cell, clock, topic)
+    context.owner = make_owner_context(context.small.cell, clock, topic)
     remembered = None if answers == 'does not answer' else Completions(clock)
     if answers == 'has been asked by a later owner':
         remembered.answer(2)
@@ -70,7 +70,7 @@
     book = JobBook()
     book.fold([PEER])
     context.completions = Completions(clock)
-    context.notices = Notices(context.desk, book, context.peer, context.completions, 'me')
+    context.notices = Notices(context.owner, book, context.peer, context.completions, 'me')
 
 
 @when('a runner lists the end of its job')
@@ -79,9 +79,9 @@
     context.small.look(start.runner, ended=[(1, task(JOB), start.run, 'done')])
 
     async def play():
-        await curio.spawn(context.desk.writer.run, daemon=True)
+        await curio.spawn(context.owner.writer.run, daemon=True)
         await curio.spawn(context.notices.run, daemon=True)
-        await curio.spawn(context.desk.flush, daemon=True)
+        await curio.spawn(context.owner.flush, daemon=True)
         await curio.ignore_after(1, until, lambda: context.completions.holds(JOB))
 
     curio.run(play)
--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -8,7 +8,7 @@
 from dandelionreel.cell._services import RunnerError, StartAnswer
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, step
-from features.store_parts import make_desk, until
+from features.store_parts import make_owner_context, until
 
 
 class DoubtfulRunner:
@@ -34,16 +34,16 @@
     (context.start,) = context.small.plan(start=False).starts
     context.job.runners.add(context.start.runner)
     context.job.stored_runners.update(('w1', 'w2'))
-    context.desk = make_desk(context.small.cell, ManualClock(context.small.now))
+    context.owner = make_owner_context(context.small.cell, ManualClock(context.small.now))
 
 
 @when('its second try is refused as {reply}')
 def refused(context, reply):
     runner = DoubtfulRunner(StartReply[reply.upper()])
-    context.desk.runner_by_id[context.start.runner] = runner
+    context.owner.runner_by_id[context.start.runner] = runner
 
     async def send():
-        await Orders(context.desk).send_starts([context.start])
+        await Orders(context.owner).send_starts([context.start])
         await until(lambda: runner.starts > 1)
         await curio.sleep(0.05)
 
--- a/features/steps/drift_steps.py
+++ b/features/steps/drift_steps.py
@@ -4,9 +4,9 @@
 
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._cell import CLOCK_DRIFT
-from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._ledger import RunnerState
+from dandelionreel.cell._owner_context import LEASE_SECONDS
 from dandelionreel.cell._predecessors import Predecessors
 from features.cell_parts import make_registration
 
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -7,9 +7,9 @@
     Cell,
     WriterFence,
 )
-from dandelionreel.cell._desk import Desk
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
@@ -209,11 +209,11 @@
     context.member_by_host = context.host.folder.book.member_by_host
     context.member_by_host['a'] = Member('north', '10.0.0.1', 7, cores=cores)
     term = Term(1, 'a/1', WriterFence(1, 1), None, False, False)
-    context.desk = Desk(
+    context.owner = OwnerContext(
         term, Cell(1, 3.0), MemoryTopic(), make_registration, 10.0, context.clock, journal()
     )
     context.succession = Succession(
-        context.desk, context.host.folder.book, context.host, context.host.election, 'a'
+        context.owner, context.host.folder.book, context.host, context.host.election, 'a'
     )
 
 
@@ -234,7 +234,7 @@
 
 @then('it {acts} the cell')
 def leaves_or_keeps(context, acts):
-    assert context.desk.ended.is_set() == (acts == 'leaves')
+    assert context.owner.ended.is_set() == (acts == 'leaves')
 
 
 @given('the hosts {names}')
--- a/features/steps/given_up_steps.py
+++ b/features/steps/given_up_steps.py
@@ -12,7 +12,7 @@
 )
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
-from features.store_parts import Host, make_desk, make_dispatcher, until
+from features.store_parts import Host, make_dispatcher, make_owner_context, until
 from standins import MemoryTopic
 
 #: Seconds that each append takes, and whether it is refused after them; then all succeed.
@@ -46,7 +46,7 @@
     first, _ = context.small.plan().starts
     clock = ManualClock(context.small.now)
     context.topic = OutageTopic(clock, OUTAGE)
-    context.desk = make_desk(context.small.cell, clock, context.topic)
+    context.owner = make_owner_context(context.small.cell, clock, context.topic)
     context.first = first
     context.state = context.small.cell.runner_by_id['w1']
 
@@ -54,13 +54,13 @@
 @when('another look at the runner waits for that record')
 def look_waits(context):
     async def play():
-        desk, topic = context.desk, context.topic
-        await curio.spawn(desk.writer.run, daemon=True)
-        await curio.spawn(desk.writer.write, [make_record('x', 1)], 9.0, daemon=True)
+        owner, topic = context.owner, context.topic
+        await curio.spawn(owner.writer.run, daemon=True)
+        await curio.spawn(owner.writer.write, [make_record('x', 1)], 9.0, daemon=True)
         await until(lambda: topic.under_way == 1)
         first = context.first
         context.small.look('w1', ended=[(1, first.task, first.run, 'done')])
-        attendant = Attendant(desk)
+        attendant = Attendant(owner)
         await curio.spawn(attendant._acknowledge, context.state, 1, True, daemon=True)
         await until(lambda: topic.under_way == 3)
         topic.outage.extend([(0.0, True)] * 1000)
@@ -73,7 +73,7 @@
 
 @then('the end is not acknowledged, as the store does not have it')
 def not_acknowledged(context):
-    assert context.desk.may_act()
+    assert context.owner.may_act()
     assert 'e/j1' not in context.stored, context.stored
     assert context.state.acknowledged == 0, 'acknowledged, and stored nowhere'
 
@@ -92,7 +92,7 @@
 def takes_again(context):
     async def play():
         dispatcher, topic = context.dispatcher, context.topic
-        writer = dispatcher._desk.writer
+        writer = dispatcher._owner_context.writer
         await curio.spawn(writer.run, daemon=True)
         await curio.spawn(writer.write, [make_record('x', 1)], 9.0, daemon=True)
         await until(lambda: topic.under_way == 1)
@@ -107,7 +107,7 @@
 
 @then('tasks are placed on the new runner only if the store names it')
 def named_or_unused(context):
-    assert context.dispatcher._desk.may_act()
+    assert context.dispatcher._owner_context.may_act()
     named = context.book.attended.runners if context.book.attended else ()
     state = context.dispatcher.cell.runner_by_id['w1']
     assert 'w1' in named or not state.recorded, f'the store names {named}'
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -15,7 +15,7 @@
 from dandelionreel.cell._services import RunnerError, StartAnswer
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step, task
-from features.store_parts import make_desk
+from features.store_parts import make_owner_context
 
 LONG_WELL = 30
 EARLIER_RUN = 7
@@ -327,13 +327,13 @@
 
 @when('a look at w1 is answered after another life was met there')
 def late_answer(context):
-    desk = own_desk(context)
+    owner = own_context(context)
     state = context.small.cell.runner_by_id['w1']
-    curio.run(Attendant(desk)._look, state, LateRunner(context))
+    curio.run(Attendant(owner)._look, state, LateRunner(context))
 
 
-def own_desk(context):
-    return make_desk(context.small.cell, ManualClock(context.small.now))
+def own_context(context):
+    return make_owner_context(context.small.cell, ManualClock(context.small.now))
 
 
 @given('an owner with a decided start on w1')
@@ -344,12 +344,12 @@
 
 @when('w1 falls silent before the start is sent')
 def falls_silent(context):
-    desk = own_desk(context)
-    context.runner = desk.runner_by_id['w1'] = CountingRunner()
+    owner = own_context(context)
+    context.runner = owner.runner_by_id['w1'] = CountingRunner()
     context.small.cell.runner_by_id['w1'].suspect = True
 
     async def send():
-        await Orders(desk).send_starts([context.start])
+        await Orders(owner).send_starts([context.start])
         await curio.sleep(0.05)
 
     curio.run(send)
@@ -368,9 +368,9 @@
 
 @when('the connection of the look breaks')
 def look_breaks(context):
-    desk = own_desk(context)
+    owner = own_context(context)
     state = context.small.cell.runner_by_id['w1']
-    curio.run(Attendant(desk)._look, state, BreakingRunner())
+    curio.run(Attendant(owner)._look, state, BreakingRunner())
 
 
 @then('nothing is placed on w1 until a look is answered')
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -7,7 +7,7 @@
 from dandelionreel.cell._orders import Orders
 from dandelionreel.kernel import ManualClock, SystemClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
-from features.store_parts import make_desk
+from features.store_parts import make_owner_context
 
 MANY = Demand(400_000, 400_000, 0)
 ADVISED = make_queue('advised', advice=(0.01, 0.0001, 2.0))
@@ -40,11 +40,11 @@
     context.small.registration_by_id = {'w1': make_registration('w1', capacity=MANY)}
     context.small.see_runners()
     context.small.look('w1')
-    context.desk = make_desk(context.small.cell, clock)
-    context.desk.writer.stored_at = clock.monotonic()
+    context.owner = make_owner_context(context.small.cell, clock)
+    context.owner.writer.stored_at = clock.monotonic()
     context.runner = LateRunner(seconds)
-    context.desk.runner_by_id['w1'] = context.runner
-    context.orders = Orders(context.desk)
+    context.owner.runner_by_id['w1'] = context.runner
+    context.orders = Orders(context.owner)
 
 
 def add_job(context, job, steps, queue):
@@ -66,7 +66,7 @@
 
     async def play():
         while len(context.runner.started) < 301 or LateRunner.under_way:
-            seen = context.desk.wake.count
+            seen = context.owner.wake.count
             if len(context.runner.started) > 60 and 'urgent' not in context.small.cell.job_by_id:
                 add_job(context, 'urgent', [step(1000)], 'urgent')
             made = context.small.planner.plan(
@@ -74,7 +74,7 @@
             )
             context.plans += 1
             await context.orders.send_starts(made.starts)
-            await context.desk.wake.wait(seen, 0.1)
+            await context.owner.wake.wait(seen, 0.1)
 
     curio.run(curio.timeout_after, 20, play)
 
@@ -113,7 +113,7 @@
 @when("the start's turn comes {seconds:g} s later")
 def turn_comes(context, seconds):
     context.clock.advance(seconds)
-    context.desk.writer.stored_at = context.clock.monotonic()
+    context.owner.writer.stored_at = context.clock.monotonic()
 
     async def play():
         await context.orders.send_starts([context.start])
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -133,8 +133,8 @@
     small.look('w1')
     job = small.add_job('j1', [step()], queue='plain' if what == 'a start' else 'urgent')
     job.stored_runners.add('w1')
-    dispatcher.cell = dispatcher._desk.cell = small.cell
-    dispatcher._desk.runner_by_id['w1'] = NoRunner()
+    dispatcher.cell = dispatcher._owner_context.cell = small.cell
+    dispatcher._owner_context.runner_by_id['w1'] = NoRunner()
     dispatcher._pool._local = LocalAdvisor(None)
     dispatcher._planner = SlowPlanner(small.planner, clock)
     context.small = small
@@ -149,9 +149,9 @@
         await curio.sleep(0.1)
         await planning.cancel()
 
-    assert dispatcher._desk.may_start()
+    assert dispatcher._owner_context.may_start()
     curio.run(plan_once)
-    assert not dispatcher._desk.may_start()
+    assert not dispatcher._owner_context.may_start()
 
 
 @then('the task is not left behind')
--- a/features/steps/release_steps.py
+++ b/features/steps/release_steps.py
@@ -40,7 +40,7 @@
         term = await context.host.own()
         dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
         dispatcher._begin()
-        await curio.spawn(dispatcher._desk.writer.run, daemon=True)
+        await curio.spawn(dispatcher._owner_context.writer.run, daemon=True)
         await dispatcher._release()
         third = Host('next', context.topic, context.host.clock)
         return dispatcher, third, await third.own()
--- a/features/steps/repeat_steps.py
+++ b/features/steps/repeat_steps.py
@@ -47,7 +47,7 @@
 def handed_in_again(context):
     async def play():
         dispatcher = context.dispatcher
-        await curio.spawn(dispatcher._desk.writer.run, daemon=True)
+        await curio.spawn(dispatcher._owner_context.writer.run, daemon=True)
         return await dispatcher.accept('j1', JOB, 1.0)
 
     assert curio.run(play) is Written.STORED
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -37,7 +37,7 @@
 from dandelionreel.cell._writer import AnswerTimes, GroupWriter, Written
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
-from features.store_parts import LONG, Host, journal, make_desk, until
+from features.store_parts import LONG, Host, journal, make_owner_context, until
 from standins import MemoryTopic
 
 PATIENCE = 0.35
@@ -379,7 +379,7 @@
 @given('a runner whose leases ran out 5 s after its last answer')
 def silent_runner(context):
     context.clock = ManualClock(1000)
-    context.desk = make_desk(Cell(1, 3.0), context.clock)
+    context.owner = make_owner_context(Cell(1, 3.0), context.clock)
     context.state = RunnerState(make_registration('w1'))
     context.state.note_clock(500, 1000)
     context.state.extend_lease(1000, 5)
@@ -404,12 +404,12 @@
 @given('an owner with a runner that does not answer')
 def owner_of_silent(context):
     context.small = SmallCell(('w1',))
-    context.desk = make_desk(
+    context.owner = make_owner_context(
         context.small.cell,
         ManualClock(context.small.now),
         make_runner=lambda registration: SilentRunner(),
     )
-    context.desk.add_runner(context.small.cell.runner_by_id['w1'])
+    context.owner.add_runner(context.small.cell.runner_by_id['w1'])
 
 
 @when('it sends one start there')
@@ -419,7 +419,7 @@
     made = context.small.plan(start=False)
 
     async def send():
-        await Orders(context.desk).send_starts(made.starts)
+        await Orders(context.owner).send_starts(made.starts)
         await until(lambda: context.small.cell.runner_by_id['w1'].suspect)
 
     curio.run(send)
@@ -436,14 +436,14 @@
 
 @when("the owner's last append was answered {seconds:d} s after that answer")
 def last_append(context, seconds):
-    context.desk.writer.stored_at = 1000 + seconds
+    context.owner.writer.stored_at = 1000 + seconds
 
 
 @then('7 s after it the tasks there count as {fate}, and new starts are {starts}')
 def judged_tasks(context, fate, starts):
     context.clock.now = 1007.0
-    assert context.desk.leases_ran_out(context.state) is (fate == 'gone')
-    assert context.desk.may_start() is (starts == 'allowed')
+    assert context.owner.leases_ran_out(context.state) is (fate == 'gone')
+    assert context.owner.may_start() is (starts == 'allowed')
 
 
 @given('a writer whose appends were refused for a while')
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -4,10 +4,10 @@
 from behave import given, then, when
 
 from dandelionreel.cell import WriterFence
-from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._orders import Orders
+from dandelionreel.cell._owner_context import LEASE_SECONDS
 from dandelionreel.cell._records import (
     MEMBER,
     OWNER_KEY,
@@ -19,7 +19,7 @@
 )
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
-from features.store_parts import DRIFT, Host, make_desk, make_dispatcher, until
+from features.store_parts import DRIFT, Host, make_dispatcher, make_owner_context, until
 from standins import MemoryTopic
 
 
@@ -63,8 +63,8 @@
 @when('the successor stores on which runners tasks may run')
 def stores_attended(context):
     async def beat():
-        desk = context.dispatcher._desk
-        await curio.spawn(desk.writer.run, daemon=True)
+        owner = context.dispatcher._owner_context
+        await curio.spawn(owner.writer.run, daemon=True)
         await curio.spawn(context.dispatcher._beat, daemon=True)
         await until(lambda: context.topic.records)
         return await context.topic.snapshot()
@@ -106,7 +106,7 @@
 @when('it releases the cell')
 def releases(context):
     async def release():
-        await curio.spawn(context.dispatcher._desk.writer.run, daemon=True)
+        await curio.spawn(context.dispatcher._owner_context.writer.run, daemon=True)
         await context.dispatcher._release()
 
     curio.run(release)
@@ -148,7 +148,9 @@
     context.small.cell.withdraw(context.second)
     (context.second,) = context.small.plan(start=False).starts
     context.topic = MemoryTopic()
-    context.desk = make_desk(context.small.cell, ManualClock(context.small.now), context.topic)
+    context.owner = make_owner_context(
+        context.small.cell, ManualClock(context.small.now), context.topic
+    )
 
 
 @when('the first task ends {outcome} right then')
@@ -156,13 +158,13 @@
     async def note_end():
         name, run = context.first.task, context.first.run
         context.small.look(context.first.runner, ended=[(1, name, run, outcome)])
-        await context.desk.flush()
+        await context.owner.flush()
 
     async def race():
         submission = make_record(f'{SUBMISSION}j1', context.job.submission)
         await context.topic.append([submission], 0.1)
-        await curio.spawn(context.desk.writer.run, daemon=True)
-        await Orders(context.desk).send_starts([context.second])
+        await curio.spawn(context.owner.writer.run, daemon=True)
+        await Orders(context.owner).send_starts([context.second])
         ending = await curio.spawn(note_end)
         await ending.join()
         # Nobody leads to the runner: its start is taken back once its record was answered.
--- a/features/steps/wait_steps.py
+++ b/features/steps/wait_steps.py
@@ -4,11 +4,11 @@
 from behave import given, then, when
 
 from dandelionreel.cell import WriterFence
-from dandelionreel.cell._desk import LEASE_SECONDS
 from dandelionreel.cell._directory import JobFolder
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._model import JobSpec, JobState
+from dandelionreel.cell._owner_context import LEASE_SECONDS
 from dandelionreel.cell._predecessors import Predecessors, longest_lease
 from dandelionreel.cell._records import (
     ATTENDED_KEY,
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -6,11 +6,11 @@
 
 from dandelionreel.cell import WriterFence
 from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._desk import Desk, always_fresh
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election, Term
 from dandelionreel.cell._follower import Follower
+from dandelionreel.cell._owner_context import OwnerContext, always_fresh
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.kernel import Journal, SystemClock, Verdict
@@ -65,9 +65,11 @@
         return await curio.ignore_after(seconds, self.election.wait_for_term, lambda: True)
 
 
-def make_desk(cell, clock, topic=None, make_runner=make_registration, list_age=always_fresh):
+def make_owner_context(
+    cell, clock, topic=None, make_runner=make_registration, list_age=always_fresh
+):
     """Return the desk of an owner of epoch 1 that has acted from the beginning."""
-    return Desk(
+    return OwnerContext(
         Term(1, 'me/1', WriterFence(1, 1), None, False, False),
         cell,
         topic or MemoryTopic(),
