--- a/bench/replay.py
+++ b/bench/replay.py
@@ -18,6 +18,7 @@
 from dandelionreel.accounts import Account, AccountDirectory, weighted_share
 from dandelionreel.cell import (
     AdvicePolicy,
+    AdviceRequest,
     Allocation,
     BookedJob,
     Cell,
@@ -29,7 +30,6 @@
     Outcome,
     Permit,
     Planner,
-    Question,
     Queue,
     Registration,
     RunnerView,
@@ -323,7 +323,7 @@
         self._now = 0.0
         self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._order = itertools.count()
-        self._waiting: list[tuple[int, int, Question]] = []
+        self._waiting: list[tuple[int, int, AdviceRequest]] = []
         self._busy = {True: 0, False: 0}
         self._weight_by_job: dict[str, float] = {}
         #: Of each job that is owed, what it is worth and how many core-seconds it takes.
@@ -377,9 +377,9 @@
         self.cell.see_runners(registrations, 0)
         for name, state in self.cell.runner_by_id.items():
             state.recorded = True
-            self._look(name)
+            self._poll_once(name)
 
-    def _look(self, runner: str, *ended: EndedRun) -> None:
+    def _poll_once(self, runner: str, *ended: EndedRun) -> None:
         running = tuple(RunningTask(*run, '', 0, 0) for run in self._work[runner])
         view = RunnerView(self._now, running, ended)
         self.cell.viewed(self.cell.runner_by_id[runner], view, self._now, self._now)
@@ -390,7 +390,7 @@
                 state.suspect = True
                 self._unseen_by_runner[state.id] = []
         self._later(LEASE_SECONDS - LEASE_AGE, self._lapse)
-        self._later(longest_lease(LEASE_SECONDS), self._give_up)
+        self._later(longest_lease(LEASE_SECONDS), self._note_lost)
         self._later(cut.seconds, self._reconnect)
 
     def _lapse(self) -> None:
@@ -400,7 +400,7 @@
                 self.wasted += (self._now - began) * allocation.demand.cpu / 1000
             self._work[runner].clear()
 
-    def _give_up(self) -> None:
+    def _note_lost(self) -> None:
         for runner in self._unseen_by_runner:
             self.cell.runner_lapsed(runner)
 
@@ -408,7 +408,7 @@
         ends_by_runner = self._unseen_by_runner
         self._unseen_by_runner = {}
         for runner, ends in ends_by_runner.items():
-            self._look(runner, *ends)
+            self._poll_once(runner, *ends)
             for ended in ends:
                 self._settle_if_over(ended.task.job)
 
@@ -510,7 +510,7 @@
             takes = question.advice.decision + question.advice.per_runner * len(question.runners)
             self._later(takes, self._answer, question, urgent)
 
-    def _answer(self, question: Question, urgent: bool) -> None:
+    def _answer(self, question: AdviceRequest, urgent: bool) -> None:
         self._busy[urgent] -= 1
         share = self._kind_of(question.step.job).allowed
         permits = [
@@ -572,7 +572,7 @@
         if allocation.runner in self._unseen_by_runner:
             self._unseen_by_runner[allocation.runner].append(ended)
             return
-        self._look(allocation.runner, ended)
+        self._poll_once(allocation.runner, ended)
         self._settle_if_over(allocation.task.job)
 
     def _settle_if_over(self, job_id: str) -> None:
--- a/dandelionreel/cell/__init__.py
+++ b/dandelionreel/cell/__init__.py
@@ -1,8 +1,8 @@
 """One cell: a set of runners and all jobs for them, with one owner that dispatches."""
 
+from dandelionreel.cell._advice_requests import AdviceRequest
 from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._checks import check_spec
-from dandelionreel.cell._inquiries import Question
 from dandelionreel.cell._job_book import BookedJob, JobBook
 from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
 from dandelionreel.cell._model import (
@@ -59,6 +59,7 @@
 
 __all__ = (
     'AdviceError',
+    'AdviceRequest',
     'AdvicePolicy',
     'AdviceService',
     'Allocation',
@@ -83,7 +84,6 @@
     'Phase',
     'Plan',
     'Planner',
-    'Question',
     'Queue',
     'Reason',
     'RecordBatch',
--- a/dandelionreel/cell/_active_runners.py
+++ b/dandelionreel/cell/_active_runners.py
@@ -32,15 +32,15 @@
     def __init__(self, cell: Cell) -> None:
         """Choose for the work of that cell."""
         self._cell = cell
-        self._active: set[str] = set()
+        self._active: dict[str, None] = {}
         self._reviewed_at = float('-inf')
 
     def choose(self, listed: dict[str, Registration], now: float) -> dict[str, Registration]:
         """Return the registrations of the runners to attend to; all where they are few."""
         if len(listed) <= FEWEST_ACTIVE:
             return listed
-        self._active &= listed.keys()
-        self._active.update(self._cell.runner_by_id.keys() & listed.keys())
+        known = (*self._active, *self._cell.runner_by_id)
+        self._active = {runner: None for runner in known if runner in listed}
         if now >= self._reviewed_at + REVIEW_SECONDS:
             self._reviewed_at = now
             self._review(listed)
@@ -53,18 +53,19 @@
         excess = len(self._active) - self._wanted(listed)
         idle = [state for state in self._cell.runner_by_id.values() if self._is_idle(state)]
         taken = idle[: max(0, excess)]
-        self._active.difference_update(state.id for state in taken)
+        for state in taken:
+            self._active.pop(state.id, None)
         return taken
 
     def _review(self, listed: dict[str, Registration]) -> None:
         missing = self._wanted(listed) - sum(_may_take(listed[one]) for one in self._active)
         if missing > 0:
             others = [one for one in listed.values() if one.runner not in self._active]
-            self._active.update(itertools.islice(_spread(others), missing))
+            self._active.update(dict.fromkeys(itertools.islice(_spread(others), missing)))
         for step in self._unsuited_steps(listed):
             suiting = (one for one in listed.values() if _suits(step, one) and _may_take(one))
             added = itertools.islice(suiting, SUITING_ADDED)
-            self._active.update(one.runner for one in added)
+            self._active.update({one.runner: None for one in added})
 
     def _wanted(self, listed: dict[str, Registration]) -> int:
         """Return how many runners the work needs."""
--- a/dandelionreel/cell/_inquiries.py
+++ b/dandelionreel/cell/_advice_requests.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True)
-class Question:
+class AdviceRequest:
     """The policy service is to be asked which of these runners may run a step."""
 
     step: StepName
@@ -51,7 +51,7 @@
     advice: AdvicePolicy
 
 
-class Inquiries:
+class AdviceRequests:
     """Decides over the questions of one cell."""
 
     def __init__(self, cell: Cell) -> None:
@@ -65,7 +65,7 @@
         runners: Iterable[RunnerState],
         now: float,
         zone: str = '',
-    ) -> list[Question]:
+    ) -> list[AdviceRequest]:
         """Return the questions about runners that were not asked for yet, ``zone``'s first.
 
         Nothing is asked for a single task about runners that have no room: its
@@ -95,7 +95,7 @@
         runners: Iterable[RunnerState],
         now: float,
         zone: str = '',
-    ) -> list[Question]:
+    ) -> list[AdviceRequest]:
         """Return the question for new tickets of allowed runners with room, ``zone``'s first."""
         known = self._cell.tickets.of(step.name)
         if not known.may_ask(now):
@@ -117,7 +117,7 @@
         step: StepRun,
         reservation: Reservation,
         now: float,
-    ) -> list[Question]:
+    ) -> list[AdviceRequest]:
         """Return the questions for a gang's tickets, in time for its seats.
 
         They name every allowed runner. Which of them have seats first changes from
@@ -159,7 +159,7 @@
         )
         return slots[len(slots) // 2] if slots else 1
 
-    def _ask(self, queue: Queue, step: StepRun, runners: list[RunnerState]) -> list[Question]:
+    def _ask(self, queue: Queue, step: StepRun, runners: list[RunnerState]) -> list[AdviceRequest]:
         if not runners or queue.advice is None:
             return []
         ids = [runner.id for runner in runners]
@@ -167,7 +167,7 @@
         # Equal parts: the answers are waited for together.
         parts = [tuple(ids[number::count]) for number in range(count)]
         self._cell.tickets.of(step.name).pending += len(parts)
-        return [Question(step.name, part, queue.priority, queue.advice) for part in parts]
+        return [AdviceRequest(step.name, part, queue.priority, queue.advice) for part in parts]
 
 
 def _is_elsewhere(zone: str, runner: RunnerState) -> bool:
--- a/dandelionreel/cell/_advisors.py
+++ b/dandelionreel/cell/_advisors.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from dandelionreel.cell._inquiries import Question
+from dandelionreel.cell._advice_requests import AdviceRequest
 from dandelionreel.cell._model import StepName
 from dandelionreel.cell._records import Member
 from dandelionreel.cell._services import AdviceError, AdviceService, Permit
@@ -39,8 +39,8 @@
 #: a second each, and urgent jobs waited 2 s for their turn.
 PATIENT_SHARE = 0.75
 
-Answered = Callable[[Question, tuple[Permit, ...], float], Awaitable[None]]
-Failed = Callable[[Question], Awaitable[None]]
+Answered = Callable[[AdviceRequest, tuple[Permit, ...], float], Awaitable[None]]
+Failed = Callable[[AdviceRequest], Awaitable[None]]
 
 
 class PeerLinks:
@@ -121,7 +121,7 @@
         self._journal = journal
         self._answered = answered
         self._failed = failed
-        self._waiting: list[tuple[int, int, Question]] = []
+        self._waiting: list[tuple[int, int, AdviceRequest]] = []
         self._order = itertools.count()
         self._busy: set[str] = set()
         #: Hosts that are busy with questions that are not urgent.
@@ -139,7 +139,7 @@
         waiting = sum(priority > 0 for priority, _, _ in self._waiting)
         return self._most_patient() - len(self._patient) - waiting
 
-    async def ask(self, question: Question) -> None:
+    async def ask(self, question: AdviceRequest) -> None:
         """Ask as soon as a host is free."""
         heapq.heappush(self._waiting, (question.priority, next(self._order), question))
         await self._send()
@@ -170,7 +170,7 @@
             return host
         return None
 
-    async def _put(self, host: str, question: Question) -> None:
+    async def _put(self, host: str, question: AdviceRequest) -> None:
         advice = question.advice
         expected = advice.decision + advice.per_runner * len(question.runners)
         patience = expected * PATIENCE_FACTOR + PATIENCE_SECONDS
@@ -195,7 +195,7 @@
     async def _ask_host(
         self,
         host: str,
-        question: Question,
+        question: AdviceRequest,
         patience: float,
     ) -> tuple[Permit, ...]:
         step = question.step
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -11,15 +11,15 @@
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._job_rates import JobRates
 from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
-from dandelionreel.cell._looks import Looks, ViewEffect
 from dandelionreel.cell._losses import Losses
 from dandelionreel.cell._model import Configuration, Demand, Queue, Registration
 from dandelionreel.cell._quotas import QuotaLedger
 from dandelionreel.cell._records import Leftover
+from dandelionreel.cell._runner_views import PollEffect, RunnerViews
 from dandelionreel.cell._runs import ANY_RUNNER, JobRun, StepRun, TaskRun, counted_demand
 from dandelionreel.cell._services import RunnerView, StartReply
 from dandelionreel.cell._tickets import TicketBook
-from dandelionreel.cell._zone_doubt import ZoneDoubt
+from dandelionreel.cell._zone_reachability import ZoneReachability
 
 #: Run numbers of one epoch for one task. Numbers of a later owner are higher
 #: than all of an earlier one, so none of them has to be stored.
@@ -43,7 +43,7 @@
         self.live_by_id = self._holdings.live_by_id
         self.runner_by_id = self._holdings.runner_by_id
         self.tickets = TicketBook()
-        self.zone_doubt = ZoneDoubt()
+        self.zone_reachability = ZoneReachability()
         #: Runners on which tasks of earlier owners may run unseen.
         self.unseen: set[str] = set()
         #: Jobs of which something in the store cannot be read.
@@ -53,13 +53,15 @@
         self.gang_timeout = gang_timeout
         #: Whether peers may know jobs to be complete that are not here: nothing that has
         #: begun starts again before they have been asked.
-        self.awaits_word = False
+        self.awaits_completions = False
         #: Runs under which a runner has crashed, in this term.
         self.crashed_runs = 0
         self.quotas = QuotaLedger(self._holdings, self.unseen)
         self._rates = JobRates()
         self._losses = Losses(self.live_by_id, self._holdings.dirty)
-        self._looks = Looks(self._holdings, self._losses, self.unreadable_jobs, self.queue_of)
+        self._runner_views = RunnerViews(
+            self._holdings, self._losses, self.unreadable_jobs, self.queue_of
+        )
 
     # Jobs
 
@@ -92,7 +94,7 @@
 
         Starting one of them elsewhere could make it run twice at once.
         """
-        if self.awaits_word and job.runners:
+        if self.awaits_completions and job.runners:
             return True
         if ANY_RUNNER in job.runners:
             return bool(self.unseen)
@@ -379,9 +381,9 @@
 
     # Looks
 
-    def viewed(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> ViewEffect:
+    def viewed(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> PollEffect:
         """Take all that a runner lists; ``asked`` is when the look was sent."""
-        effect = self._looks.take(runner, view, asked, now)
+        effect = self._runner_views.take(runner, view, asked, now)
         self._take_crashes(effect.crashes)
         if view.complete:
             self.unseen.discard(runner.id)
--- a/dandelionreel/cell/_standing.py
+++ b/dandelionreel/cell/_claim_order.py
@@ -21,13 +21,13 @@
 #: fewer leaves the claim to those that have them: one with half a core and a 5 Mbit/s
 #: link took half of the jobs that the cell was handed.
 OWNER_CORES = 1.0
-SMALL_DELAY = 0.5
+SMALL_HOST_DELAY = 0.5
 #: Hosts that keep the list of runners at hand, being those that claim within half a second.
 #: Runners write every 1.5 s: read by all of 97 hosts, the entries of 270 of them were a
 #: third of the bytes of the store (0.17 and 0.11 GB in 50 s), and they grow with both.
 SUCCESSORS = 9
 #: Hosts of each zone that keep it, to tell what its runners have done behind a cut.
-ZONE_SPEAKERS = 2
+REPLICAS_PER_ZONE = 2
 
 
 def rank_hosts(member_by_host: Mapping[str, Member]) -> list[str]:
@@ -40,7 +40,7 @@
     others = [host for host in rank_hosts(member_by_host) if host != former]
     rank = others.index(me) if me in others else len(others)
     delay = min(LONGEST_DELAY, rank * STEP_SECONDS)
-    return delay + SMALL_DELAY if larger_hosts(member_by_host, me) else delay
+    return delay + SMALL_HOST_DELAY if larger_hosts(member_by_host, me) else delay
 
 
 def is_successor(member_by_host: Mapping[str, Member], me: str) -> bool:
@@ -58,7 +58,7 @@
     if own is None or is_successor(member_by_host, me):
         return True
     same_zone = [host for host in rank_hosts(member_by_host) if _is_of(member_by_host, host, own)]
-    return me in same_zone[:ZONE_SPEAKERS]
+    return me in same_zone[:REPLICAS_PER_ZONE]
 
 
 def _is_of(member_by_host: Mapping[str, Member], host: str, own: Member) -> bool:
--- a/dandelionreel/cell/_completion_answers.py
+++ b/dandelionreel/cell/_completion_answers.py
@@ -15,20 +15,20 @@
         self._completions = completions
         self._contact = contact
 
-    async def take_told(self, frame: Frame) -> Message:
+    async def merge_completions(self, frame: Frame) -> Message:
         """Take the word of an owner, unless a later one has asked."""
         told: Any = frame.message
-        if self._completions.take_word(told.epoch, told.jobs):
+        if self._completions.merge(told.epoch, told.jobs):
             return Done()
         return Refused('a later owner has asked')
 
-    async def take_seen(self, frame: Frame) -> Message:
+    async def merge_zone_completions(self, frame: Frame) -> Message:
         """Take what a host of this zone has seen behind a cut, if this one is behind it too.
 
         Else an owner may have asked here already, and would not hear of it.
         """
         seen: Any = frame.message
-        if not self._contact.may_speak:
+        if not self._contact.may_serve_reads:
             return Refused('is not cut off')
         self._completions.note(seen.jobs)
         return Done()
--- a/dandelionreel/cell/_notices.py
+++ b/dandelionreel/cell/_completion_gossip.py
@@ -6,11 +6,11 @@
 import curio
 
 from dandelionreel.cell._advisors import PeerLinks
+from dandelionreel.cell._claim_order import SUCCESSORS, rank_hosts
 from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._records import Member
-from dandelionreel.cell._standing import SUCCESSORS, rank_hosts
 from dandelionreel.kernel import Part
 from dandelionreel.peers import CompletionsTold, CompletionsWanted, Done, PeerError
 
@@ -24,7 +24,7 @@
 IDLE_SECONDS = 1.0
 
 
-class Notices:
+class CompletionGossip:
     """What an owner and its peers tell each other of complete jobs during one term."""
 
     def __init__(
@@ -58,7 +58,7 @@
 
     def begin(self) -> None:
         """Leave jobs that had begun alone until peers have been asked."""
-        self._owner_context.cell.awaits_word = True
+        self._owner_context.cell.awaits_completions = True
 
     async def ask(self) -> None:
         """Take what peers were told by the owners before."""
@@ -66,7 +66,7 @@
         known = self._completions.answer(term.epoch)
         self._owner_context.cell.take_complete(known)
         await self.ask_all(self._peers())
-        self._owner_context.cell.awaits_word = False
+        self._owner_context.cell.awaits_completions = False
         await self._owner_context.wake.notify()
 
     async def ask_all(self, peers: Iterable[tuple[str, Member]]) -> bool:
--- a/dandelionreel/cell/_completions.py
+++ b/dandelionreel/cell/_completions.py
@@ -45,7 +45,7 @@
                 break
             self._noted_at_by_job.pop(job)
 
-    def take_word(self, epoch: int, jobs: Iterable[str]) -> bool:
+    def merge(self, epoch: int, jobs: Iterable[str]) -> bool:
         """Take the word of the owner with that epoch; return whether it still counts.
 
         A later owner that has asked here would not hear of it, and might start what is
--- a/dandelionreel/cell/_configuration_exchange.py
+++ b/dandelionreel/cell/_configuration_exchange.py
@@ -21,7 +21,7 @@
 #: Seconds without an answer of the store after which it may have told others more.
 OVERDUE_SECONDS = 0.8
 #: Seconds between looks whether it has, and between two rounds of questions.
-LOOK_SECONDS = 0.1
+POLL_SECONDS = 0.1
 ASK_AGAIN = 0.4
 #: Peers asked at once, and seconds for their answer.
 PEERS_ASKED = 3
@@ -79,7 +79,7 @@
             if self._is_behind(now) and now - self._asked_at >= ASK_AGAIN:
                 async with self._lock:
                     await self._ask_round()
-            await curio.sleep(LOOK_SECONDS)
+            await curio.sleep(POLL_SECONDS)
 
     async def confirm(self) -> bool:
         """Ask whether there is a newer configuration; return whether this one is the newest.
--- a/dandelionreel/cell/_contact.py
+++ b/dandelionreel/cell/_contact.py
@@ -27,12 +27,12 @@
 
     def __init__(self) -> None:
         """Start with nothing heard."""
-        self._heard_at_by_zone: dict[str, float] = {}
+        self._confirmed_at_by_zone: dict[str, float] = {}
         self._missed_at_by_zone: dict[str, float] = {}
 
     def note_answer(self, zone: str, now: float) -> None:
         """Note that a host of a zone has answered."""
-        self._heard_at_by_zone[zone] = now
+        self._confirmed_at_by_zone[zone] = now
 
     def note_miss(self, zone: str, asked_at: float) -> None:
         """Note that a question to a host of a zone was not answered."""
@@ -41,7 +41,7 @@
     def is_silent(self, zone: str, now: float) -> bool:
         """Return whether nobody of a zone has answered since the latest vain question."""
         missed_at = self._missed_at_by_zone.get(zone, NEVER)
-        return missed_at > max(self._heard_at_by_zone.get(zone, NEVER), now - MEMORY_SECONDS)
+        return missed_at > max(self._confirmed_at_by_zone.get(zone, NEVER), now - MEMORY_SECONDS)
 
     def is_cut_off(self, zones: Iterable[str], store_answered_at: float, now: float) -> bool:
         """Return whether neither the store nor any of the other ``zones`` answers.
--- a/dandelionreel/cell/_contact_watch.py
+++ b/dandelionreel/cell/_contact_watch.py
@@ -17,7 +17,7 @@
 ANSWER_SECONDS = 0.2
 #: Seconds between looks at how long the store has been silent, and between questions while
 #: a host is cut off.
-LOOK_SECONDS = 0.1
+POLL_SECONDS = 0.1
 ASK_AGAIN = 0.4
 
 
@@ -56,7 +56,7 @@
         return self._contact.is_cut_off(self._zones(), self._store_answered_at(), now)
 
     @property
-    def may_speak(self) -> bool:
+    def may_serve_reads(self) -> bool:
         """Return whether this host may tell clients what its zone's runners list.
 
         Not once an owner has asked it what it has told: that owner relies on the answer
@@ -74,7 +74,7 @@
             if self._clock.monotonic() - self._store_answered_at() >= STORE_OVERDUE:
                 await self.check()
             self._tell()
-            await curio.sleep(LOOK_SECONDS)
+            await curio.sleep(POLL_SECONDS)
 
     async def check(self) -> bool:
         """Ask around, if nobody has just done so; return whether this host is cut off."""
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -4,15 +4,14 @@
 
 import curio
 
+from dandelionreel.cell._advice_requests import AdviceRequest
 from dandelionreel.cell._advisors import AdvicePool
 from dandelionreel.cell._cell import Cell
+from dandelionreel.cell._completion_gossip import CompletionGossip
 from dandelionreel.cell._election import BEAT_SECONDS, Term
-from dandelionreel.cell._hearing import Hearing
-from dandelionreel.cell._inquiries import Question
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._model import JobState
-from dandelionreel.cell._notices import Notices
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._parts import DispatcherParts
@@ -34,6 +33,7 @@
     Permit,
 )
 from dandelionreel.cell._writer import Written
+from dandelionreel.cell._zone_confirmation import ZoneConfirmation
 from dandelionreel.kernel import Part, start_task
 
 #: Typical seconds of an append above which the store counts as slow: a job
@@ -50,7 +50,7 @@
 #: Seconds in which a released cell's last record must be stored.
 RELEASE_PATIENCE = 1.0
 #: Seconds before a question that failed is put again.
-QUESTION_PAUSE = 0.1
+REQUEST_PAUSE = 0.1
 
 
 class Dispatcher:
@@ -84,19 +84,19 @@
             self._take_advice,
             self._miss_advice,
         )
-        self._notices = Notices(
+        self._completion_gossip = CompletionGossip(
             self._owner_context,
             parts.jobs.book,
             parts.links,
             parts.completions,
             parts.host,
         )
-        self._owner_context.hears = Hearing(
+        self._owner_context.confirms = ZoneConfirmation(
             self._owner_context,
             parts.jobs.book,
-            self._notices,
+            self._completion_gossip,
             parts.host,
-        ).heard
+        ).is_confirmed
         self._load = LoadReport(self.cell, self._pool, parts.journal)
         self._rounds = Rounds(parts, self._owner_context, self._load)
 
@@ -118,7 +118,7 @@
     async def run(self) -> None:
         """Dispatch until the term is lost or ended by ``end``."""
         self._begin()
-        self._notices.begin()
+        self._completion_gossip.begin()
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._owner_context.close_runners)
             for work in (
@@ -126,8 +126,8 @@
                 self._beat,
                 self._feed,
                 self._plan,
-                self._notices.ask,
-                self._notices.run,
+                self._completion_gossip.ask,
+                self._completion_gossip.run,
             ):
                 await start_task(stack, work)
             await start_task(stack, self._rounds.run, stack)
@@ -382,7 +382,7 @@
 
     async def _take_advice(
         self,
-        question: Question,
+        question: AdviceRequest,
         permits: tuple[Permit, ...],
         until: float,
     ) -> None:
@@ -396,6 +396,6 @@
         )
         await self._owner_context.wake.notify()
 
-    async def _miss_advice(self, question: Question) -> None:
-        not_before = self._clock.monotonic() + QUESTION_PAUSE
+    async def _miss_advice(self, question: AdviceRequest) -> None:
+        not_before = self._clock.monotonic() + REQUEST_PAUSE
         self.cell.tickets.note_failure(question.step, not_before)
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from dandelionreel.cell._claim_order import claim_delay
 from dandelionreel.cell._directory import JobFolder
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._records import OWNER_KEY, UNSETTLED_SECONDS, Member, Owner, make_record
@@ -18,7 +19,6 @@
     Topic,
     WriterFence,
 )
-from dandelionreel.cell._standing import claim_delay
 from dandelionreel.kernel import Clock, Journal, Part, Verdict, seconds_or_none
 from dandelionreel.peers import Done, Frame, Message, OwnerAsked, PeerError, Refused
 
@@ -261,11 +261,11 @@
             return Vacancy.VACANT
         if self._former_life(owner) or self._is_suspected(owner, now) or self._is_gone(now):
             return Vacancy.VACANT
-        heard = self._folder.owner_heard_at
+        heard_at = self._folder.owner_heard_at
         silent = max(SILENT_SECONDS, GAP_FACTOR * self._folder.usual_gap)
-        if heard < self._follower.reached_since:
-            heard, silent = self._follower.reached_since, RETURN_SECONDS
-        if now - heard < silent or now < self._alive_until:
+        if heard_at < self._follower.reached_since:
+            heard_at, silent = self._follower.reached_since, RETURN_SECONDS
+        if now - heard_at < silent or now < self._alive_until:
             return Vacancy.HELD
         return Vacancy.SILENT
 
@@ -321,7 +321,7 @@
     async def _claim_once(self, expected_end: int | None) -> Term | None:
         """Claim once; raises ``ConflictError`` where the topic does not end as expected."""
         former = self._folder.book.owner
-        heard = self._folder.owner_heard_at
+        heard_at = self._folder.owner_heard_at
         fence = self._next_fence(former)
         claimed_at = self._clock.monotonic()
         self._journal.tell(
@@ -329,7 +329,7 @@
             'claims the cell.',
             epoch=fence.epoch,
             former=former.term if former else '',
-            silent_seconds=seconds_or_none(claimed_at - heard),
+            silent_seconds=seconds_or_none(claimed_at - heard_at),
             usual_gap=round(self._folder.usual_gap, 3),
             unheard=self._is_unheard(claimed_at),
             conditional=expected_end is not None,
@@ -339,12 +339,12 @@
             # Before it is known who has won, another claim would replace the winner.
             await self._read_up()
             return None
-        self._tell_claim(fence.epoch, former, heard)
+        self._tell_claim(fence.epoch, former, heard_at)
         return Term(
             fence.epoch,
             self.incarnation,
             WriterFence(fence.epoch, fence.sequence + 1),
-            heard if former else None,
+            heard_at if former else None,
             bool(former and former.released),
             former is not None and self._has_ended(former),
             former.unsettled if former else 0,
@@ -400,13 +400,13 @@
             return error.verdict is not Verdict.NOT_RUN
         return True
 
-    def _tell_claim(self, epoch: int, former: Owner | None, heard: float) -> None:
+    def _tell_claim(self, epoch: int, former: Owner | None, heard_at: float) -> None:
         self._journal.tell(
             Part.OWNERSHIP,
             'owns the cell.',
             epoch=epoch,
             former=former.host if former else '',
-            silent_seconds=seconds_or_none(self._clock.monotonic() - heard),
+            silent_seconds=seconds_or_none(self._clock.monotonic() - heard_at),
         )
 
     async def _read_back(self, epoch: int) -> bool:
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -21,6 +21,7 @@
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._model import Configuration, JobSpec, JobState, Queue
+from dandelionreel.cell._partition_reads import PartitionReads
 from dandelionreel.cell._records import (
     CANCELLATION,
     FINAL_STATES,
@@ -31,7 +32,6 @@
 )
 from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._services import ClientCodec, SubmissionError
-from dandelionreel.cell._zone_ends import ZoneEnds
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
 from dandelionreel.peers import ForwardAnswer, Frame, Message
@@ -75,7 +75,7 @@
         relay: Relay,
         owned: Callable[[], Dispatcher | None],
         completions: Completions,
-        zone_ends: ZoneEnds,
+        partition_reads: PartitionReads,
         contact: ContactWatch,
         clock: Clock,
         journal: Journal,
@@ -96,7 +96,7 @@
         self._relay = relay
         self._owned = owned
         self._completions = completions
-        self._zone_ends = zone_ends
+        self._partition_reads = partition_reads
         self._contact = contact
         self._clock = clock
         self._journal = journal
@@ -252,7 +252,7 @@
         patience = LOOKUP_PATIENCE if booked is None else REFRESH_PATIENCE
         if self._contact.cut_off:
             # What is known in this zone is all that can be told; who waits learns no more.
-            if await self._zone_ends.is_complete(job_id):
+            if await self._partition_reads.is_complete(job_id):
                 return self._codec.answer_state(JobState.COMPLETED)
             patience = 0.0
         elif dispatcher is None and not call.relayed:
@@ -318,7 +318,7 @@
             f'job {job_id} is asked for, not known.',
             job=job_id,
             account=call.caller.account,
-            **self._knowledge(),
+            **self._log_fields(),
         )
         return self._codec.answer_unknown_job()
 
@@ -336,11 +336,11 @@
             Part.JOBS,
             f'{request.method} {job_id}: {outcome}.',
             job=job_id,
-            **self._knowledge(),
+            **self._log_fields(),
             **fields,
         )
 
-    def _knowledge(self) -> dict[str, Any]:
+    def _log_fields(self) -> dict[str, Any]:
         """Return how old what is known here is, in seconds, and who is taken for the owner."""
         owner = self._jobs.book.owner
         return {
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -103,7 +103,7 @@
 
     def _take_stop(self, state: RunnerState, allocation: Allocation) -> None:
         cell = self._owner_context.cell
-        cell.zone_doubt.note_answer(state.registration.zone)
+        cell.zone_reachability.note_answer(state.registration.zone)
         cell.stop_answered(allocation, self._owner_context.clock.monotonic())
         self._owner_context.journal.tell_frequent(
             Part.PLACEMENT,
@@ -246,7 +246,7 @@
                     return maybe_sent
                 await curio.sleep(RETRY_SECONDS)
                 continue
-            self._owner_context.cell.zone_doubt.note_answer(state.registration.zone)
+            self._owner_context.cell.zone_reachability.note_answer(state.registration.zone)
             self._tell_slow(allocation, answer.reply, self._owner_context.clock.monotonic() - began)
             await self._take_answer(state, allocation, answer.reply, in_doubt=maybe_sent)
             return None
@@ -262,7 +262,7 @@
         return not allocation.ticket or cell.tickets.is_valid(step, allocation.runner, now)
 
     async def _end_replaced(self, state: RunnerState) -> None:
-        if await self._owner_context.hears(state.registration.zone, state.answered_at):
+        if await self._owner_context.confirms(state.registration.zone, state.answered_at):
             self._owner_context.end_runner(state, 'another runner answers there', proven=True)
             return
         # The next look finds the same, and asks again.
@@ -270,7 +270,9 @@
 
     def _note_order(self, state: RunnerState) -> None:
         now = self._owner_context.clock.monotonic()
-        self._owner_context.cell.zone_doubt.note_order(state.registration.zone, state.id, now)
+        self._owner_context.cell.zone_reachability.note_order(
+            state.registration.zone, state.id, now
+        )
 
     def _tell_unanswered(self, allocation: Allocation, error: RunnerError) -> None:
         self._owner_context.journal.tell_frequent(
--- a/dandelionreel/cell/_owner_context.py
+++ b/dandelionreel/cell/_owner_context.py
@@ -32,10 +32,10 @@
 LIST_SECONDS = 2.5
 
 #: Lost runs that get a line each when their runner ends: several times what one holds.
-MOST_TOLD = 40
+MAX_LOGGED = 40
 
 ListAge = Callable[[], float]
-Hears = Callable[[str, float], Awaitable[bool]]
+Confirms = Callable[[str, float], Awaitable[bool]]
 MakeRunner = Callable[[Registration], Runner]
 
 
@@ -44,7 +44,7 @@
     return 0.0
 
 
-async def always_heard(zone: str, since: float) -> bool:
+async def always_confirmed(zone: str, since: float) -> bool:
     """Return that nobody in a zone may have shown anything."""
     return True
 
@@ -89,7 +89,7 @@
         self._make_runner = make_runner
         #: Whether hosts of a zone whose runner is silent since a time have told what they
         #: have shown; until then nothing that ran there counts as lost.
-        self.hears: Hears = always_heard
+        self.confirms: Confirms = always_confirmed
 
     async def lose(self, cause: str) -> None:
         """End the term: another host owns the cell, or may."""
@@ -235,7 +235,7 @@
         run was placed: a run that was lost as soon as it was placed may be the cause.
         """
         now = self.clock.monotonic()
-        for held in tuple(state.allocation_by_run.values())[:MOST_TOLD]:
+        for held in tuple(state.allocation_by_run.values())[:MAX_LOGGED]:
             self.journal.tell(
                 Part.WORKERS,
                 f'a run was lost with {state.id}.',
--- a/dandelionreel/cell/_zone_ends.py
+++ b/dandelionreel/cell/_partition_reads.py
@@ -14,6 +14,7 @@
 import curio
 
 from dandelionreel.cell._advisors import PeerLinks
+from dandelionreel.cell._claim_order import rank_hosts
 from dandelionreel.cell._completeness import is_complete
 from dandelionreel.cell._completions import Completions
 from dandelionreel.cell._contact_watch import ContactWatch
@@ -28,7 +29,6 @@
     RunnerFenced,
     RunnerReplaced,
 )
-from dandelionreel.cell._standing import rank_hosts
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.peers import CompletionsSeen, Done, PeerError
 
@@ -36,12 +36,12 @@
 VIEW_SECONDS = 0.2
 #: Seconds for the answer of a host of the same zone, and how many are told.
 ANSWER_SECONDS = 0.2
-MOST_TOLD = 3
+MAX_LOGGED = 3
 
 MakeRunner = Callable[[Registration], Runner]
 
 
-class _Look:
+class _CachedView:
     """The latest look at one runner."""
 
     def __init__(self, runner: Runner) -> None:
@@ -51,7 +51,7 @@
         self.ended: tuple[EndedRun, ...] = ()
 
 
-class ZoneEnds:
+class PartitionReads:
     """Answers for jobs of a zone that is cut off."""
 
     def __init__(
@@ -78,17 +78,17 @@
         self._make_runner = make_runner
         self._clock = clock
         self._journal = journal
-        self._look_by_runner: dict[str, _Look] = {}
+        self._view_by_runner: dict[str, _CachedView] = {}
 
     async def is_complete(self, job: str) -> bool:
         """Return whether this host may tell that a job is complete, by its zone's runners."""
         questions = self._completions.questions
-        if not self._contact.may_speak or not await self._is_listed_done(job):
+        if not self._contact.may_serve_reads or not await self._is_listed_done(job):
             return False
         if not await self._tell_zone(job):
             return False
         # The owner has asked meanwhile, and does not know of this job.
-        if questions != self._completions.questions or not self._contact.may_speak:
+        if questions != self._completions.questions or not self._contact.may_serve_reads:
             return False
         self._completions.note([job])
         self._journal.tell_frequent(
@@ -102,9 +102,9 @@
 
     async def close(self) -> None:
         """Give up the ways to runners."""
-        for look in self._look_by_runner.values():
+        for look in self._view_by_runner.values():
             await look.runner.close()
-        self._look_by_runner.clear()
+        self._view_by_runner.clear()
 
     async def _is_listed_done(self, job: str) -> bool:
         booked = self._book.find(job)
@@ -127,17 +127,17 @@
         ]
 
     async def _ends_at(self, registration: Registration) -> tuple[EndedRun, ...]:
-        look = self._look_by_runner.get(registration.runner)
+        look = self._view_by_runner.get(registration.runner)
         if look is None:
-            look = _Look(self._make_runner(registration))
-            self._look_by_runner[registration.runner] = look
+            look = _CachedView(self._make_runner(registration))
+            self._view_by_runner[registration.runner] = look
         async with look.lock:
             if self._clock.monotonic() - look.at >= VIEW_SECONDS:
-                look.ended = await self._look(look.runner)
+                look.ended = await self._poll_once(look.runner)
                 look.at = self._clock.monotonic()
         return look.ended
 
-    async def _look(self, runner: Runner) -> tuple[EndedRun, ...]:
+    async def _poll_once(self, runner: Runner) -> tuple[EndedRun, ...]:
         """Return the ends that a runner lists; nothing is renewed nor acknowledged there."""
         try:
             view = await runner.look(self._epoch(), 0, None, 0)
@@ -148,7 +148,7 @@
 
     async def _tell_zone(self, job: str) -> bool:
         """Tell hosts of this zone; return whether one of them has taken the word."""
-        for host in self._zone_hosts()[:MOST_TOLD]:
+        for host in self._zone_hosts()[:MAX_LOGGED]:
             member = self._book.member_by_host[host]
             try:
                 frame = await self._links.ask(member, CompletionsSeen((job,)), ANSWER_SECONDS)
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from dandelionreel.cell._advice_requests import AdviceRequest, AdviceRequests
 from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._inquiries import Inquiries, Question
 from dandelionreel.cell._ledger import Allocation, RunnerState
 from dandelionreel.cell._model import Queue, StepName
 from dandelionreel.cell._preemption import PATIENCE, STOP_SECONDS, Preemption, RoomMade
@@ -27,7 +27,7 @@
 #: Processors for which advice is asked, as a multiple of those that are free: about
 #: half of the runners are allowed. Without a limit every waiting step asked about
 #: the same free room, and most tickets found it taken.
-ASKED_SHARE = 1.5
+REQUESTED_SHARE = 1.5
 #: Seconds for which reservations stand while the same gangs wait. Each takes a look at
 #: what runs on all runners that the gang may use: made anew in every plan, they were two
 #: thirds of a plan's time in bursts, and starts waited for plans.
@@ -47,12 +47,12 @@
 
     starts: list[Allocation] = field(default_factory=list)
     preempted: list[Allocation] = field(default_factory=list)
-    questions: list[Question] = field(default_factory=list)
+    questions: list[AdviceRequest] = field(default_factory=list)
     held: list[JobRun] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
-class _GangNews:
+class _GangVersion:
     """What makes a gang's reservation out of date when it changes."""
 
     step: StepName
@@ -71,7 +71,7 @@
     #: Processors of each service for which single tasks may still ask advice.
     askable_by_service: dict[str, float]
     #: Questions that are not urgent for which hosts are free.
-    patient_questions: float
+    patient_requests: float
     most_starts: float
     made: Plan = field(default_factory=Plan)
 
@@ -89,17 +89,17 @@
         self._cell = cell
         self._order = order or OwedFirst()
         self._gate = QuotaGate(cell)
-        self._inquiries = Inquiries(cell)
+        self._advice_requests = AdviceRequests(cell)
         self._preemption = Preemption(cell)
         self._reservations = Reservations()
         self._reserved_at = float('-inf')
-        self._reserved_for: list[_GangNews] = []
+        self._reserved_for: list[_GangVersion] = []
 
     def plan(
         self,
         now: float,
         wall: float,
-        patient_questions: float = INFINITE,
+        patient_requests: float = INFINITE,
         most_starts: float = INFINITE,
     ) -> Plan:
         """Place what can be placed, and count it as held; no more than ``most_starts``.
@@ -118,9 +118,9 @@
         self._preemption.begin()
         usable = self._usable(now)
         reserves = self._renew_reservations(candidates, usable, now)
-        askable = {service: ASKED_SHARE * _free(runners) for service, runners in usable.items()}
+        askable = {service: REQUESTED_SHARE * _free(runners) for service, runners in usable.items()}
         current = _Round(
-            now, usable, self._reservations, reserves, askable, patient_questions, most_starts
+            now, usable, self._reservations, reserves, askable, patient_requests, most_starts
         )
         for candidate in candidates:
             service = self._cell.service_of(candidate.job)
@@ -140,7 +140,7 @@
 
         They are where a gang has come or gone, or one has been told where it may run.
         """
-        gangs = [self._gang_news(one.step) for one in candidates if one.step.step.gang]
+        gangs = [self._gang_version(one.step) for one in candidates if one.step.step.gang]
         if now < self._reserved_at + RESERVE_SECONDS and gangs == self._reserved_for:
             return False
         self._reservations = Reservations(sum(len(runners) for runners in usable.values()))
@@ -148,16 +148,16 @@
         self._reserved_for = gangs
         return True
 
-    def _gang_news(self, step: StepRun) -> _GangNews:
-        return _GangNews(step.name, self._cell.tickets.of(step.name).answers)
+    def _gang_version(self, step: StepRun) -> _GangVersion:
+        return _GangVersion(step.name, self._cell.tickets.of(step.name).answers)
 
     def _usable(self, now: float) -> dict[str, dict[str, RunnerState]]:
         by_service: dict[str, dict[str, RunnerState]] = {}
         usable = [runner for runner in self._cell.runner_by_id.values() if runner.usable(now)]
         zones = {runner.registration.zone for runner in usable}
-        doubtful = self._cell.zone_doubt.doubtful(zones, now)
+        unreachable_zones = self._cell.zone_reachability.unreachable_zones(zones, now)
         for runner in usable:
-            if runner.registration.zone in doubtful:
+            if runner.registration.zone in unreachable_zones:
                 continue
             known = by_service.setdefault(runner.registration.service, {})
             known[runner.id] = runner
@@ -241,9 +241,9 @@
         questions = []
         zone = candidate.job.submission.zone
         if self._cell.tickets.of(step.name).asked:
-            questions = self._inquiries.again(queue, step, suiting, current.now, zone)
+            questions = self._advice_requests.again(queue, step, suiting, current.now, zone)
         if not questions:
-            questions = self._inquiries.first(queue, step, suiting, current.now, zone)
+            questions = self._advice_requests.first(queue, step, suiting, current.now, zone)
         _put(queue, questions, current)
 
     def _place_tasks(
@@ -330,9 +330,9 @@
         if reservation is None:
             suiting = [runner for runner in runners.values() if suits(step, runner)]
             zone = candidate.job.submission.zone
-            questions = self._inquiries.first(queue, step, suiting, current.now, zone)
+            questions = self._advice_requests.first(queue, step, suiting, current.now, zone)
         else:
-            questions = self._inquiries.reserved(queue, step, reservation, current.now)
+            questions = self._advice_requests.reserved(queue, step, reservation, current.now)
         _put(queue, questions, current)
 
     def _allowed(self, step: StepRun, runners: dict[str, RunnerState]) -> list[RunnerState]:
@@ -409,10 +409,10 @@
 
 
 def _may_ask(queue: Queue, current: _Round) -> bool:
-    return queue.priority == URGENT or current.patient_questions > 0
+    return queue.priority == URGENT or current.patient_requests > 0
 
 
-def _put(queue: Queue, questions: list[Question], current: _Round) -> None:
+def _put(queue: Queue, questions: list[AdviceRequest], current: _Round) -> None:
     if queue.priority != URGENT:
-        current.patient_questions -= len(questions)
+        current.patient_requests -= len(questions)
     current.made.questions.extend(questions)
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -5,15 +5,15 @@
 import curio
 
 from dandelionreel.cell._active_runners import ActiveRunners
-from dandelionreel.cell._attendant import Attendant
-from dandelionreel.cell._doomed import stop_late_gangs, stop_leaving
 from dandelionreel.cell._election import AUTHORITY_SECONDS
+from dandelionreel.cell._hopeless_runs import stop_late_gangs, stop_leaving
 from dandelionreel.cell._load_report import LoadReport
 from dandelionreel.cell._losses import note_last_words
 from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._predecessors import Predecessors
 from dandelionreel.cell._records import CANCELLATION, PROGRESS, SUBMISSION, make_tombstone
+from dandelionreel.cell._runner_poller import RunnerPoller
 from dandelionreel.cell._services import KeyedRecord
 from dandelionreel.cell._succession import Succession
 from dandelionreel.kernel import Part, seconds_or_none, start_task
@@ -35,7 +35,7 @@
         self._load = load
         self._clock = parts.clock
         self._journal = parts.journal
-        self._attendant = Attendant(context)
+        self._runner_poller = RunnerPoller(context)
         self._active = ActiveRunners(context.cell)
         self._succession = Succession(
             context,
@@ -109,17 +109,17 @@
             self._tell_unseen('finds that the former owner has ended.', now)
         if now > self.predecessors.until:
             unseen = tuple(self._cell.unseen)
-            heard = [runner for runner in unseen if await self._hears_of(runner)]
-            if heard:
+            confirmed = [runner for runner in unseen if await self._is_confirmed(runner)]
+            if confirmed:
                 self._tell_unseen('takes the leases on unseen runners for run out.', now)
-                self._owner_context.tell_crashes(self._cell.give_up_unseen(heard))
+                self._owner_context.tell_crashes(self._cell.give_up_unseen(confirmed))
 
-    async def _hears_of(self, runner: str) -> bool:
+    async def _is_confirmed(self, runner: str) -> bool:
         """Return whether the zone of an unseen runner has told what it has shown."""
         registration = self._parts.runners.find(runner)
         if registration is None:
             return True
-        return await self._owner_context.hears(registration.zone, self._began_at)
+        return await self._owner_context.confirms(registration.zone, self._began_at)
 
     def _tell_unseen(self, sentence: str, now: float) -> None:
         self._journal.tell(
@@ -172,7 +172,7 @@
                 fresh.append(self._cell.add_unlisted(registration))
         for state in fresh:
             runner = self._owner_context.add_runner(state)
-            await start_task(stack, self._attendant.attend, state, runner)
+            await start_task(stack, self._runner_poller.poll, state, runner)
 
     async def _drop_old_jobs(self) -> None:
         """Drop the keys of jobs that ended long ago."""
--- a/dandelionreel/cell/_attendant.py
+++ b/dandelionreel/cell/_runner_poller.py
@@ -3,8 +3,8 @@
 import curio
 
 from dandelionreel.cell._ledger import Holding, RunnerState
-from dandelionreel.cell._looks import ViewEffect
 from dandelionreel.cell._owner_context import OwnerContext
+from dandelionreel.cell._runner_views import PollEffect
 from dandelionreel.cell._services import (
     Runner,
     RunnerError,
@@ -16,14 +16,14 @@
 from dandelionreel.kernel import Part
 
 #: Seconds that a look waits at the runner for a new end; each look renews.
-LOOK_SECONDS = 1.5
+POLL_SECONDS = 1.5
 #: Seconds that it waits while something is being stopped there: a stop that is answered
 #: and not carried out shows only in a look that is sent 0.4 s later. With 1.5 s, such a
 #: run went on for 3 s, and for 4.5 s where its start was carried out late.
-STOP_LOOK_SECONDS = 0.5
+STOP_POLL_SECONDS = 0.5
 #: Seconds between looks at a runner that does not answer, or whose ends could
 #: not be stored yet.
-RELOOK_SECONDS = 0.2
+POLL_RETRY_SECONDS = 0.2
 #: Seconds that a look waits for its ends to be stored before the next one.
 STORE_PATIENCE = 0.06
 #: Seconds without an answer after which nothing new is placed on a runner. One whose
@@ -34,7 +34,7 @@
 MOST_NAMED = 40
 
 
-class Attendant:
+class RunnerPoller:
     """Attends to runners, one task for each."""
 
     def __init__(self, context: OwnerContext) -> None:
@@ -43,19 +43,19 @@
         #: Jobs with ends that a runner has listed and that are not acknowledged.
         self._unstored_by_runner: dict[str, set[str]] = {}
 
-    async def attend(self, state: RunnerState, runner: Runner) -> None:
+    async def poll(self, state: RunnerState, runner: Runner) -> None:
         """Look at one runner again and again until it has ended."""
         try:
             while self._is_attended(state) and self._owner_context.may_act():
-                await self._look(state, runner)
+                await self._poll_once(state, runner)
         finally:
             await runner.close()
 
-    async def _look(self, state: RunnerState, runner: Runner) -> None:
+    async def _poll_once(self, state: RunnerState, runner: Runner) -> None:
         asked = self._owner_context.clock.monotonic()
         lease_until = state.renew_lease(asked, self._owner_context.lease)
         unstored = state.acknowledged < state.acknowledgeable
-        wait = _longest_wait(state) if lease_until is not None and not unstored else 0
+        wait = _poll_wait(state) if lease_until is not None and not unstored else 0
         acknowledged = state.acknowledged
         try:
             view = await runner.look(
@@ -75,7 +75,7 @@
             # found there, its runs would be under way for ever: nobody looks there again.
             return
         state.confirmed = acknowledged
-        self._owner_context.cell.zone_doubt.note_answer(state.registration.zone)
+        self._owner_context.cell.zone_reachability.note_answer(state.registration.zone)
         was_usable = state.usable(asked)
         effect = self._take_view(state, view, asked)
         if effect.is_news or not was_usable:
@@ -83,17 +83,17 @@
         if effect.ended or unstored:
             await self._store_ends(state, effect)
             if unstored and state.acknowledged < state.acknowledgeable:
-                await curio.sleep(RELOOK_SECONDS)
+                await curio.sleep(POLL_RETRY_SECONDS)
         if not view.complete or state.acknowledgeable < state.noted:
             # An end that is not acknowledged is listed at once in every answer: the
             # looks would follow each other without a pause.
-            await curio.sleep(RELOOK_SECONDS)
+            await curio.sleep(POLL_RETRY_SECONDS)
 
     def _is_attended(self, state: RunnerState) -> bool:
         """Return whether the runner is known by this state, and not by a later one."""
         return self._owner_context.cell.runner_by_id.get(state.id) is state
 
-    def _take_view(self, state: RunnerState, view: RunnerView, asked: float) -> ViewEffect:
+    def _take_view(self, state: RunnerState, view: RunnerView, asked: float) -> PollEffect:
         now = self._owner_context.clock.monotonic()
         unseen = state.id in self._owner_context.cell.unseen
         effect = self._owner_context.cell.viewed(state, view, asked, now)
@@ -106,7 +106,7 @@
             self._tell_found(state, effect.adopted, unseen, now)
         return effect
 
-    async def _store_ends(self, state: RunnerState, effect: ViewEffect) -> None:
+    async def _store_ends(self, state: RunnerState, effect: PollEffect) -> None:
         jobs = self._unstored_by_runner.setdefault(state.id, set())
         jobs.update(ended.task.job for ended, _ in effect.ended)
         task = await curio.spawn(
@@ -182,17 +182,17 @@
         if first and error.broken:
             # Where only the connection was reset, the next look is answered at once.
             return
-        await curio.sleep(RELOOK_SECONDS)
+        await curio.sleep(POLL_RETRY_SECONDS)
 
     async def _end_replaced(self, state: RunnerState) -> None:
-        if await self._owner_context.hears(state.registration.zone, state.answered_at):
+        if await self._owner_context.confirms(state.registration.zone, state.answered_at):
             self._owner_context.end_runner(state, 'another runner answers there', proven=True)
             return
         state.suspect = True
-        await curio.sleep(RELOOK_SECONDS)
+        await curio.sleep(POLL_RETRY_SECONDS)
 
     async def _lapse(self, state: RunnerState) -> None:
-        if await self._owner_context.hears(state.registration.zone, state.answered_at):
+        if await self._owner_context.confirms(state.registration.zone, state.answered_at):
             self._owner_context.lapse_runner(state)
 
     def _tell_readable(self, state: RunnerState, view: RunnerView) -> None:
@@ -208,7 +208,7 @@
             tasks=len(state.allocation_by_run),
         )
 
-    def _tell_effect(self, state: RunnerState, effect: ViewEffect, now: float) -> None:
+    def _tell_effect(self, state: RunnerState, effect: PollEffect, now: float) -> None:
         for ended, allocation in effect.ended:
             started = allocation.started_at if allocation else None
             self._owner_context.journal.tell_frequent(
@@ -253,9 +253,9 @@
         )
 
 
-def _longest_wait(state: RunnerState) -> float:
+def _poll_wait(state: RunnerState) -> float:
     """Return the seconds that a look may wait at a runner for news."""
     stopping = any(
         allocation.phase is Holding.STOPPING for allocation in state.allocation_by_run.values()
     )
-    return STOP_LOOK_SECONDS if stopping else LOOK_SECONDS
+    return STOP_POLL_SECONDS if stopping else POLL_SECONDS
--- a/dandelionreel/cell/_looks.py
+++ b/dandelionreel/cell/_runner_views.py
@@ -13,7 +13,7 @@
 
 
 @dataclass
-class ViewEffect:
+class PollEffect:
     """What a look at a runner has changed."""
 
     ended: list[tuple[EndedRun, Allocation | None]] = field(default_factory=list)
@@ -31,7 +31,7 @@
         return bool(self.ended or self.adopted or self.lost or self.crashes)
 
 
-class Looks:
+class RunnerViews:
     """Takes what runners list."""
 
     def __init__(
@@ -47,9 +47,9 @@
         self._unreadable_jobs = unreadable_jobs
         self._queue_of = queue_of
 
-    def take(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> ViewEffect:
+    def take(self, runner: RunnerState, view: RunnerView, asked: float, now: float) -> PollEffect:
         """Take all that a runner lists; ``asked`` is when the look was sent."""
-        effect = ViewEffect()
+        effect = PollEffect()
         if runner.answered_at == NEVER or runner.suspect:
             effect.crashes = self._losses.note_answer(runner)
         runner.note_clock(view.clock, now)
@@ -77,7 +77,7 @@
         runner: RunnerState,
         listed: set[tuple[TaskName, int]],
         asked: float,
-        effect: ViewEffect,
+        effect: PollEffect,
     ) -> None:
         """Drop what a complete view does not list.
 
--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/_writer.py
@@ -230,7 +230,7 @@
             if now < entry.until or (self._fence is not None and entry.maybe):
                 kept.append(entry)
                 continue
-            await self._give_up(entry)
+            await self._note_lost(entry)
         await self._drop_overdue(now)
         if kept:
             await curio.sleep(self._pause)
@@ -250,9 +250,9 @@
         # an older record of a job could land behind its newest.
         self._waiting = deque(entry for entry in self._waiting if now < entry.until)
         for entry in overdue:
-            await self._give_up(entry)
+            await self._note_lost(entry)
 
-    async def _give_up(self, entry: _Entry) -> None:
+    async def _note_lost(self, entry: _Entry) -> None:
         self.given_up += 1
         entry.outcome = Written.UNKNOWN if entry.maybe else Written.REFUSED
         await entry.event.set()
--- a/dandelionreel/cell/_hearing.py
+++ b/dandelionreel/cell/_zone_confirmation.py
@@ -6,8 +6,8 @@
 task again whose job a client holds for complete.
 """
 
+from dandelionreel.cell._completion_gossip import CompletionGossip
 from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._notices import Notices
 from dandelionreel.cell._owner_context import OwnerContext
 from dandelionreel.kernel import Part
 
@@ -20,21 +20,23 @@
 LOST_SECONDS = 60.0
 
 
-class Hearing:
+class ZoneConfirmation:
     """Asks the hosts of zones during one term."""
 
-    def __init__(self, context: OwnerContext, book: JobBook, notices: Notices, host: str) -> None:
+    def __init__(
+        self, context: OwnerContext, book: JobBook, notices: CompletionGossip, host: str
+    ) -> None:
         """Ask as ``host``."""
         self._owner_context = context
         self._book = book
-        self._notices = notices
+        self._completion_gossip = notices
         self._host = host
-        self._heard_at_by_zone: dict[str, float] = {}
+        self._confirmed_at_by_zone: dict[str, float] = {}
         self._asked_at_by_zone: dict[str, float] = {}
-        self._given_up: set[str] = set()
+        self._lost_zones: set[str] = set()
         self._began_at = context.clock.monotonic()
 
-    async def heard(self, zone: str, since: float) -> bool:
+    async def is_confirmed(self, zone: str, since: float) -> bool:
         """Return whether a zone whose runner is silent ``since`` then has been heard.
 
         Seconds are monotonic; an owner has waited since its term began at the longest. A
@@ -48,24 +50,24 @@
         ]
         if not zone or not hosts or now - since < CUT_SECONDS:
             return True
-        if self._heard_at_by_zone.get(zone, float('-inf')) > since:
+        if self._confirmed_at_by_zone.get(zone, float('-inf')) > since:
             return True
         if now - since > LOST_SECONDS:
-            self._give_up(zone)
+            self._note_lost(zone)
             return True
         if now - self._asked_at_by_zone.get(zone, float('-inf')) < ASK_AGAIN:
             return False
         self._asked_at_by_zone[zone] = now
-        if not await self._notices.ask_all([(host, members[host]) for host in hosts]):
+        if not await self._completion_gossip.ask_all([(host, members[host]) for host in hosts]):
             return False
-        self._heard_at_by_zone[zone] = now
-        self._given_up.discard(zone)
+        self._confirmed_at_by_zone[zone] = now
+        self._lost_zones.discard(zone)
         return True
 
-    def _give_up(self, zone: str) -> None:
-        if zone in self._given_up:
+    def _note_lost(self, zone: str) -> None:
+        if zone in self._lost_zones:
             return
-        self._given_up.add(zone)
+        self._lost_zones.add(zone)
         self._owner_context.journal.tell(
             Part.OWNERSHIP,
             f'takes the zone {zone} for lost: no host there has answered for too long.',
--- a/dandelionreel/cell/_zone_doubt.py
+++ b/dandelionreel/cell/_zone_reachability.py
@@ -24,13 +24,13 @@
     sent_at: float
 
 
-class ZoneDoubt:
+class ZoneReachability:
     """Orders that are not answered yet, by zone, and zones that are in doubt."""
 
     def __init__(self) -> None:
         """Start without a doubt."""
         self._orders_by_zone: dict[str, list[_Order]] = {}
-        self._doubted: set[str] = set()
+        self._unreachable: set[str] = set()
 
     def note_order(self, zone: str, runner: str, now: float) -> None:
         """Note that an order leaves for a runner."""
@@ -44,16 +44,16 @@
     def note_answer(self, zone: str) -> None:
         """Note that some runner of a zone has answered: it can be reached."""
         self._orders_by_zone.pop(zone, None)
-        self._doubted.discard(zone)
+        self._unreachable.discard(zone)
 
-    def doubtful(self, zones: Iterable[str], now: float) -> set[str]:
+    def unreachable_zones(self, zones: Iterable[str], now: float) -> set[str]:
         """Return the zones that get nothing new until one there answers; never all ``zones``.
 
         Where all are in doubt, it is this host that is cut off, or nothing can be told.
         """
         known = set(zones)
-        self._doubted.update(zone for zone in known if self._is_silent(zone, now))
-        found = known & self._doubted
+        self._unreachable.update(zone for zone in known if self._is_silent(zone, now))
+        found = known & self._unreachable
         return found if found < known else set()
 
     def _is_silent(self, zone: str, now: float) -> bool:
--- a/dandelionreel/entry_clients.py
+++ b/dandelionreel/entry_clients.py
@@ -10,10 +10,10 @@
 from dandelionreel.cell._contact_watch import ContactWatch
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._front import ClientFront
+from dandelionreel.cell._partition_reads import PartitionReads
 from dandelionreel.cell._readiness import Rotation
 from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._writer import GroupWriter
-from dandelionreel.cell._zone_ends import ZoneEnds
 from dandelionreel.entry_accounts import view_accounts
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_reads import EntryReads
@@ -29,7 +29,7 @@
     exchange: ConfigurationExchange,
     owned: Callable[[], Dispatcher | None],
     completions: Completions,
-    zone_ends: ZoneEnds,
+    partition_reads: PartitionReads,
     contact: ContactWatch,
     rotation: Rotation,
     clock: Clock,
@@ -52,7 +52,7 @@
         relay,
         owned,
         completions,
-        zone_ends,
+        partition_reads,
         contact,
         clock,
         journal,
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -17,11 +17,11 @@
 from dandelionreel.cell._dispatcher import Dispatcher
 from dandelionreel.cell._election import Election, name_incarnation
 from dandelionreel.cell._owner_watch import OwnerWatch
+from dandelionreel.cell._partition_reads import PartitionReads
 from dandelionreel.cell._parts import DispatcherParts
 from dandelionreel.cell._records import MEMBER, Member, make_record
 from dandelionreel.cell._relay import Relay
 from dandelionreel.cell._writer import GroupWriter, Written
-from dandelionreel.cell._zone_ends import ZoneEnds
 from dandelionreel.entry_clients import make_client_front
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_peers import listen_peers
@@ -121,7 +121,7 @@
             self._clock,
             self._journal,
         )
-        self._zone_ends = ZoneEnds(
+        self._partition_reads = PartitionReads(
             settings.host,
             settings.zone,
             self._jobs.book,
@@ -166,7 +166,7 @@
             self._exchange,
             lambda: self._dispatcher,
             self._completions,
-            self._zone_ends,
+            self._partition_reads,
             self._contact,
             self._readiness.rotation,
             self._clock,
@@ -200,7 +200,7 @@
             incarnation=self._election.incarnation,
         )
         closed: list[Any] = [*self._reads.topics.values(), self._owner_topic, self._links]
-        closed.append(self._zone_ends)
+        closed.append(self._partition_reads)
         if self._advice is not None:
             closed.append(self._advice)
         for part in closed:
--- a/dandelionreel/entry_peers.py
+++ b/dandelionreel/entry_peers.py
@@ -51,8 +51,8 @@
         (OwnerFailing, election.take_failing),
         (OwnerAsked, answer_asked),
         (AdviceWanted, advisor.answer),
-        (CompletionsTold, completions.take_told),
-        (CompletionsSeen, completions.take_seen),
+        (CompletionsTold, completions.merge_completions),
+        (CompletionsSeen, completions.merge_zone_completions),
         (CompletionsWanted, completions.answer_wanted),
         (ConfigurationWanted, exchange.answer),
     )
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 from dandelionreel.cell import UnreadableLog
+from dandelionreel.cell._claim_order import keeps_runners
 from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
 from dandelionreel.cell._follower import Folder, Follower
 from dandelionreel.cell._runner_list import RunnersFolder
-from dandelionreel.cell._standing import keeps_runners
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.platform import (
     CELL_TOPIC,
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -68,7 +68,7 @@
         """Reach the runner where it registered itself."""
         self._runner = registration.runner
         address, port = registration.address, registration.port
-        self._looks = Channel(address, port, 'runner')
+        self._runner_views = Channel(address, port, 'runner')
         self._orders = [Channel(address, port, 'runner') for _ in range(ORDER_CHANNELS)]
         self._next_order = 0
 
@@ -117,13 +117,13 @@
             fields['deadline_ms'] = int(lease_until * MILLISECONDS)
         if wait:
             fields['wait_ms'] = int(wait * MILLISECONDS)
-        answer = await self._call(self._looks, '/v1/hold', fields, LOOK_TIMEOUT + wait)
+        answer = await self._call(self._runner_views, '/v1/hold', fields, LOOK_TIMEOUT + wait)
         self._check_answer(answer)
         return decode_view(answer.body)
 
     async def close(self) -> None:
         """Close all connections."""
-        for channel in (self._looks, *self._orders):
+        for channel in (self._runner_views, *self._orders):
             await channel.close()
 
     def _check_answer(self, answer: Answer) -> None:
--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -20,7 +20,7 @@
     Submission,
     TaskName,
 )
-from dandelionreel.cell._doomed import stop_leaving
+from dandelionreel.cell._hopeless_runs import stop_leaving
 
 GANG_TIMEOUT = 3.0
 START = 1000.0
--- a/features/steps/active_runner_steps.py
+++ b/features/steps/active_runner_steps.py
@@ -7,7 +7,7 @@
 
 from dandelionreel.cell import Demand, Registration, RunnerView
 from dandelionreel.cell._active_runners import ActiveRunners
-from dandelionreel.cell._attendant import Attendant
+from dandelionreel.cell._runner_poller import RunnerPoller
 from dandelionreel.kernel import SystemClock
 from features.cell_parts import START, SmallCell, step
 from features.store_parts import make_owner_context
@@ -146,15 +146,15 @@
     cell = context.owner.cell
 
     async def play():
-        attendant = Attendant(context.owner)
+        attendant = RunnerPoller(context.owner)
         registrations = {'w0': replace(register(0, 'a'))}
         for _ in range(3):
             (state,) = cell.see_runners(registrations, 0.0)
-            await curio.spawn(attendant.attend, state, context.runner, daemon=True)
+            await curio.spawn(attendant.poll, state, context.runner, daemon=True)
             await curio.sleep(0.02)
             cell.leave_runner('w0')
         (context.state,) = cell.see_runners(registrations, 0.0)
-        await curio.spawn(attendant.attend, context.state, context.runner, daemon=True)
+        await curio.spawn(attendant.poll, context.state, context.runner, daemon=True)
         await curio.sleep(0.12)
         context.under_way = context.runner.under_way
 
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -15,7 +15,6 @@
     RunnerReplaced,
     WriterFence,
 )
-from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._ledger import Allocation
 from dandelionreel.cell._model import JobSpec, JobState
@@ -28,6 +27,7 @@
     Submission,
     make_record,
 )
+from dandelionreel.cell._runner_poller import RunnerPoller
 from dandelionreel.kernel import Verdict
 from features.cell_parts import make_registration, step, task
 from features.store_parts import LONG, Host, make_dispatcher
@@ -145,7 +145,7 @@
         runner = Unreachable()
         runner.look = replaced_look
         owner.runner_by_id['w9'] = runner
-        await Attendant(owner).attend(state, runner)
+        await RunnerPoller(owner).poll(state, runner)
 
     curio.run(look)
 
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -7,8 +7,8 @@
 
 from dandelionreel.cell import (
     AdvicePolicy,
+    AdviceRequest,
     Permit,
-    Question,
     StepName,
 )
 from dandelionreel.cell._advisors import AdvicePool
@@ -104,8 +104,8 @@
         )
         policy = AdvicePolicy(0.2, 0.0, 2.0)
         for number in range(10):
-            await pool.ask(Question(StepName(f'p{number}', 0, 0), ('r1',), 1, policy))
-        await pool.ask(Question(StepName('last', 0, 0), ('r1',), priority, policy))
+            await pool.ask(AdviceRequest(StepName(f'p{number}', 0, 0), ('r1',), 1, policy))
+        await pool.ask(AdviceRequest(StepName('last', 0, 0), ('r1',), priority, policy))
         # Every question that has a host has reached it once all tasks have run.
         await curio.sleep(0)
         await curio.sleep(0)
--- a/features/steps/behind_a_cut_steps.py
+++ b/features/steps/behind_a_cut_steps.py
@@ -4,13 +4,13 @@
 from behave import given, then, when
 
 from dandelionreel.cell import EndedRun, JobSpec, Outcome, RunnerView, Submission
-from dandelionreel.cell._attendant import Attendant
+from dandelionreel.cell._claim_order import keeps_runners
 from dandelionreel.cell._completeness import is_complete
+from dandelionreel.cell._completion_gossip import CompletionGossip
 from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._hearing import Hearing
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._model import JobState
-from dandelionreel.cell._notices import Notices
+from dandelionreel.cell._partition_reads import PartitionReads
 from dandelionreel.cell._records import (
     MEMBER,
     PROGRESS,
@@ -21,9 +21,9 @@
     make_record,
 )
 from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell._runner_poller import RunnerPoller
 from dandelionreel.cell._services import RunnerError, RunnerFenced
-from dandelionreel.cell._standing import keeps_runners
-from dandelionreel.cell._zone_ends import ZoneEnds
+from dandelionreel.cell._zone_confirmation import ZoneConfirmation
 from dandelionreel.kernel import ManualClock, Verdict
 from dandelionreel.peers import CompletionsSeen, CompletionsTold, Done, Frame, PeerError, Refused
 from features.cell_parts import SmallCell, make_registration, step, task
@@ -74,8 +74,8 @@
 class Touch:
     """Stands for the watch over a cut."""
 
-    def __init__(self, may_speak):
-        self.may_speak = may_speak
+    def __init__(self, may_serve_reads):
+        self.may_serve_reads = may_serve_reads
 
 
 class LookedAt:
@@ -140,7 +140,7 @@
         'w2': make_registration('w2', zone='west'),
     }
     context.runner = LookedAt(runner)
-    context.zone_ends = ZoneEnds(
+    context.partition_reads = PartitionReads(
         'me',
         'south',
         context.book,
@@ -156,13 +156,13 @@
 
 @when('a client asks for the job')
 def ask_for_job(context):
-    context.told = curio.run(context.zone_ends.is_complete, JOB)
+    context.told = curio.run(context.partition_reads.is_complete, JOB)
 
 
 @when('{count:d} clients ask for the job within 0.1 s')
 def many_ask(context, count):
     async def ask():
-        tasks = [await curio.spawn(context.zone_ends.is_complete, JOB) for _ in range(count)]
+        tasks = [await curio.spawn(context.partition_reads.is_complete, JOB) for _ in range(count)]
         return [await asked.join() for asked in tasks]
 
     assert curio.run(ask) == [True] * count
@@ -226,14 +226,14 @@
         book.member_by_host[f's-{number}'] = member
     for number, host in enumerate(book.member_by_host):
         book.member_by_host[host] = PortedMember(number)
-    notices = Notices(context.owner, book, context.zone, Completions(context.clock), 'me')
-    context.owner.hears = Hearing(context.owner, book, notices, 'me').heard
+    notices = CompletionGossip(context.owner, book, context.zone, Completions(context.clock), 'me')
+    context.owner.confirms = ZoneConfirmation(context.owner, book, notices, 'me').is_confirmed
     context.clock.advance(context.silent)
     times = 20 if hosts.endswith('times within 0.2 s') else 1
 
     async def hear():
         for _ in range(times):
-            await Attendant(context.owner)._lapse(context.state)
+            await RunnerPoller(context.owner)._lapse(context.state)
             context.clock.advance(0.2 / times)
 
     curio.run(hear)
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -6,7 +6,7 @@
     Holding,
     JobState,
 )
-from dandelionreel.cell._doomed import stop_leaving
+from dandelionreel.cell._hopeless_runs import stop_leaving
 from dandelionreel.cell._ledger import RunnerState
 from dandelionreel.cell._records import Progress
 from features.cell_parts import SmallCell, make_registration, step, task
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -43,8 +43,8 @@
         dispatcher._owner_context.writer.stored_at + AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
     )
     now = me.clock.monotonic() + 1.5
-    heard = other.folder.owner_heard_at
-    term = Term(2, 'other/1', WriterFence(2, 1), heard, False, False)
+    heard_at = other.folder.owner_heard_at
+    term = Term(2, 'other/1', WriterFence(2, 1), heard_at, False, False)
     context.given_up = Predecessors(term, LEASE_SECONDS, now).until
 
 
--- a/features/steps/completion_steps.py
+++ b/features/steps/completion_steps.py
@@ -4,11 +4,11 @@
 from behave import given, then, when
 
 from dandelionreel.cell import JobSpec, Submission, WriterFence
+from dandelionreel.cell._completion_gossip import CompletionGossip
 from dandelionreel.cell._completions import KEPT_SECONDS, MOST_KEPT, Completions
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._model import JobState
-from dandelionreel.cell._notices import Notices
 from dandelionreel.cell._records import (
     MEMBER,
     PROGRESS,
@@ -51,7 +51,7 @@
         if isinstance(message, CompletionsWanted):
             known = self.completions.answer(message.epoch)
             return Frame(1, 'peer/1', 0, 0, CompletionsTold(message.epoch, known))
-        taken = self.completions.take_word(message.epoch, message.jobs)
+        taken = self.completions.merge(message.epoch, message.jobs)
         return Frame(1, 'peer/1', 0, 0, Done() if taken else Refused('later'))
 
 
@@ -70,7 +70,7 @@
     book = JobBook()
     book.fold([PEER])
     context.completions = Completions(clock)
-    context.notices = Notices(context.owner, book, context.peer, context.completions, 'me')
+    context.notices = CompletionGossip(context.owner, book, context.peer, context.completions, 'me')
 
 
 @when('a runner lists the end of its job')
@@ -126,12 +126,12 @@
         await until(lambda: host.follower.complete)
         dispatcher = make_dispatcher(host, term, context.topic, host.clock, links=context.peer)
         dispatcher._begin()
-        dispatcher._notices.begin()
+        dispatcher._completion_gossip.begin()
         cell = dispatcher.cell
         # w1 answers no more; w2 does, and could run the task.
         cell.see_runners({'w2': make_registration('w2')}, 0)
         context.blocked_at_first = cell.is_blocked(cell.job_by_id[JOB])
-        await dispatcher._notices.ask()
+        await dispatcher._completion_gossip.ask()
         return cell
 
     context.cell = curio.run(play)
@@ -156,7 +156,7 @@
 
 @when('the owner of epoch {epoch:d} tells it that a job is complete')
 def tell(context, epoch):
-    context.taken = context.completions.take_word(epoch, [JOB])
+    context.taken = context.completions.merge(epoch, [JOB])
 
 
 @then('its word is refused, and clients are not told')
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -7,6 +7,7 @@
     Cell,
     WriterFence,
 )
+from dandelionreel.cell._claim_order import claim_delay, find_deputy
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._owner_context import OwnerContext
@@ -17,7 +18,6 @@
     Owner,
     make_record,
 )
-from dandelionreel.cell._standing import claim_delay, find_deputy
 from dandelionreel.cell._succession import Succession
 from dandelionreel.kernel import ManualClock
 from dandelionreel.peers import Done, Refused
--- a/features/steps/entry_record_steps.py
+++ b/features/steps/entry_record_steps.py
@@ -182,7 +182,7 @@
     context.memory = MemoryTopic()
     context.host = Host('me', context.memory, ManualClock())
     append(context, make_record('owner', OWNER))
-    context.heard = context.host.folder.owner_heard_at
+    context.is_confirmed = context.host.folder.owner_heard_at
 
 
 @when('the ownership record becomes {record}')
@@ -193,7 +193,7 @@
 
 @then('it does not count as a heartbeat')
 def no_heartbeat(context):
-    assert context.host.folder.owner_heard_at == context.heard
+    assert context.host.folder.owner_heard_at == context.is_confirmed
 
 
 @then('the owner is the same as before')
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -10,7 +10,7 @@
     RunningTask,
     StartReply,
 )
-from dandelionreel.cell._doomed import stop_late_gangs
+from dandelionreel.cell._hopeless_runs import stop_late_gangs
 from features.cell_parts import step
 
 FULL = 32_000
--- a/features/steps/given_up_steps.py
+++ b/features/steps/given_up_steps.py
@@ -4,12 +4,12 @@
 from behave import given, then, when
 
 from dandelionreel.cell import StoreError, WriterFence
-from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._election import Term
 from dandelionreel.cell._job_book import JobBook
 from dandelionreel.cell._records import (
     make_record,
 )
+from dandelionreel.cell._runner_poller import RunnerPoller
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
 from features.store_parts import Host, make_dispatcher, make_owner_context, until
@@ -60,7 +60,7 @@
         await until(lambda: topic.under_way == 1)
         first = context.first
         context.small.look('w1', ended=[(1, first.task, first.run, 'done')])
-        attendant = Attendant(owner)
+        attendant = RunnerPoller(owner)
         await curio.spawn(attendant._acknowledge, context.state, 1, True, daemon=True)
         await until(lambda: topic.under_way == 3)
         topic.outage.extend([(0.0, True)] * 1000)
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -6,12 +6,12 @@
 from behave import given, then, when
 
 from dandelionreel.cell import RunnerView, RunningTask, StartReply
-from dandelionreel.cell._attendant import Attendant
 from dandelionreel.cell._ledger import QUARANTINE_SECONDS
 from dandelionreel.cell._losses import Losses, note_last_words
 from dandelionreel.cell._model import JobState
 from dandelionreel.cell._orders import Orders
 from dandelionreel.cell._records import CrashedRun, Progress, StoredStart
+from dandelionreel.cell._runner_poller import RunnerPoller
 from dandelionreel.cell._services import RunnerError, StartAnswer
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step, task
@@ -329,7 +329,7 @@
 def late_answer(context):
     owner = own_context(context)
     state = context.small.cell.runner_by_id['w1']
-    curio.run(Attendant(owner)._look, state, LateRunner(context))
+    curio.run(RunnerPoller(owner)._poll_once, state, LateRunner(context))
 
 
 def own_context(context):
@@ -370,7 +370,7 @@
 def look_breaks(context):
     owner = own_context(context)
     state = context.small.cell.runner_by_id['w1']
-    curio.run(Attendant(owner)._look, state, BreakingRunner())
+    curio.run(RunnerPoller(owner)._poll_once, state, BreakingRunner())
 
 
 @then('nothing is placed on w1 until a look is answered')
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -18,6 +18,7 @@
     Submission,
     WriterFence,
 )
+from dandelionreel.cell._claim_order import is_successor
 from dandelionreel.cell._directory import JobFolder
 from dandelionreel.cell._follower import Follower
 from dandelionreel.cell._job_book import JobBook
@@ -33,7 +34,6 @@
     make_progress_records,
     make_record,
 )
-from dandelionreel.cell._standing import is_successor
 from dandelionreel.cell._writer import AnswerTimes, GroupWriter, Written
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -53,11 +53,11 @@
     context.topic = MemoryTopic()
     context.host = Host('me', context.topic)
     context.host.folder.book.attended = Attended(1, ('w9',))
-    heard = context.host.clock.monotonic()
-    term = Term(2, 'me/1', WriterFence(2, 1), heard, False, False)
+    heard_at = context.host.clock.monotonic()
+    term = Term(2, 'me/1', WriterFence(2, 1), heard_at, False, False)
     context.dispatcher = make_dispatcher(context.host, term, context.topic, context.host.clock)
     context.dispatcher._begin()
-    context.dispatcher.cell.see_runners({'w1': make_registration('w1')}, heard)
+    context.dispatcher.cell.see_runners({'w1': make_registration('w1')}, heard_at)
 
 
 @when('the successor stores on which runners tasks may run')
--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -50,7 +50,7 @@
 def send(small, allocation):
     """Note that a start leaves, as orders do; return its zone."""
     zone = zone_of(small, allocation)
-    small.cell.zone_doubt.note_order(zone, allocation.runner, small.now)
+    small.cell.zone_reachability.note_order(zone, allocation.runner, small.now)
     return zone
 
 
@@ -66,7 +66,7 @@
             if send(small, allocation) == 'south':
                 context.lost.append(small.now - began)
                 continue
-            small.cell.zone_doubt.note_answer(zone_of(small, allocation))
+            small.cell.zone_reachability.note_answer(zone_of(small, allocation))
             end(small, allocation)
         small.now += 0.05
 
@@ -87,7 +87,7 @@
 
 @when('a runner of south answers again')
 def south_answers(context):
-    context.small.cell.zone_doubt.note_answer('south')
+    context.small.cell.zone_reachability.note_answer('south')
 
 
 @then('starts go to south once more')
@@ -102,7 +102,7 @@
     small = context.small
     for runner in runners:
         zone = small.registration_by_id[runner].zone
-        small.cell.zone_doubt.note_order(zone, runner, small.now)
+        small.cell.zone_reachability.note_order(zone, runner, small.now)
     small.now += seconds
 
 
@@ -114,7 +114,7 @@
 @when('two runners of south are slow, and another one there answers')
 def two_slow(context):
     leave_unanswered(context, ['south-1', 'south-2'], 0.5)
-    context.small.cell.zone_doubt.note_answer('south')
+    context.small.cell.zone_reachability.note_answer('south')
 
 
 @when('two runners of south have had an order for {seconds:g} s')
@@ -134,7 +134,9 @@
 
 @then('no zone is in doubt')
 def no_doubt(context):
-    assert not context.small.cell.zone_doubt.doubtful(context.zones, context.small.now)
+    assert not context.small.cell.zone_reachability.unreachable_zones(
+        context.zones, context.small.now
+    )
 
 
 @when('{count:d} jobs of 2 tasks come from clients of all zones, {kind}')
