Log restarts of runners under their id, and jobs that make no progress

What the incident's logs could not tell: no line named a restart, and none said what the owner believed of a job of which nothing ran. A job without a change for 3 s beyond its runs' expected time is logged with its steps, tickets and held runs, at most five a second, each once in 5 s. No decision changes.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -84,6 +84,10 @@
         """Return what runs of a job that is over may still take, by runner."""
         return self.quotas.leftovers_of(job, wall) if job.account else ()
 
+    def held_of(self, job_id: str) -> list[Allocation]:
+        """Return all runs that are held for a job, on whichever runner."""
+        return self._holdings.held_of(job_id)
+
     def service_of(self, job: JobRun) -> str:
         """Return the service whose runners run the job."""
         queue = self.queue_of(job)
--- a/dandelionreel/cell/_load_report.py
+++ b/dandelionreel/cell/_load_report.py
@@ -9,6 +9,7 @@
 from dandelionreel.cell._advisors import AdvicePool
 from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._planner import Plan
+from dandelionreel.cell._stalled_jobs import StalledJobs
 from dandelionreel.kernel import Journal, Part
 
 #: Seconds between two lines.
@@ -34,6 +35,7 @@
         self._cell = cell
         self._pool = pool
         self._journal = journal
+        self._stalled = StalledJobs(cell)
         self._tally = _Tally()
         self._told_at = float('-inf')
 
@@ -48,12 +50,13 @@
         tally.questions += len(made.questions)
 
     def look(self, now: float, wall: float, epoch: int) -> None:
-        """Tell one line a second, as long as something waits."""
+        """Log one line a second as long as something waits, and the jobs that are stalled."""
         if now < self._told_at + REPORT_SECONDS:
             return
         self._told_at = now
         tally = self._tally
         self._tally = _Tally()
+        self._log_stalled(now, wall, epoch)
         waiting = self._count_waiting(wall)
         if not waiting:
             return
@@ -80,6 +83,20 @@
             questions=tally.questions,
         )
 
+    def _log_stalled(self, now: float, wall: float, epoch: int) -> None:
+        for stalled in self._stalled.find(now, wall):
+            self._journal.tell(
+                Part.PLACEMENT,
+                f'job {stalled.job} makes no progress.',
+                job=stalled.job,
+                queue=stalled.queue,
+                epoch=epoch,
+                seconds=stalled.seconds,
+                blocked=stalled.blocked,
+                steps=stalled.steps,
+                runs=stalled.runs,
+            )
+
     def _count_waiting(self, wall: float) -> Counter[str]:
         """Return how many tasks wait whose turn has come, by queue."""
         waiting: Counter[str] = Counter()
--- a/dandelionreel/cell/_model.py
+++ b/dandelionreel/cell/_model.py
@@ -246,7 +246,8 @@
     ``remaining`` is the least time in seconds that a draining runner will
     stay, ``None`` while it does not drain. ``usable`` is false while its newest
     entry cannot be used: the rest is then what the last good one said, by which
-    the runner is looked at and what runs there counts.
+    the runner is looked at and what runs there counts. ``incarnation`` tells apart the
+    processes that have run under one id, ``None`` where they do not tell.
     """
 
     runner: str
@@ -259,3 +260,4 @@
     draining: bool
     remaining: float | None = None
     usable: bool = True
+    incarnation: int | None = None
--- a/dandelionreel/cell/_runner_list.py
+++ b/dandelionreel/cell/_runner_list.py
@@ -122,6 +122,7 @@
         runner = registration.runner
         self._unreadable.accept(runner)
         known = self.registration_by_id.get(runner)
+        self._log_restart(known, registration)
         if tell and (known is None or known.draining != registration.draining):
             self._journal.tell(
                 Part.WORKERS,
@@ -132,6 +133,17 @@
         self.registration_by_id[runner] = registration
         self.gone_by_id.pop(runner, None)
 
+    def _log_restart(self, known: Registration | None, registration: Registration) -> None:
+        if known is None or known.incarnation == registration.incarnation:
+            return
+        self._journal.tell(
+            Part.WORKERS,
+            f'{registration.runner} has restarted.',
+            runner=registration.runner,
+            incarnation=registration.incarnation,
+            former=known.incarnation,
+        )
+
     def _remove(self, runner: str) -> None:
         self._unreadable.drop(runner)
         registration = self.registration_by_id.pop(runner, None)
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -219,6 +219,21 @@
                     ready.append(step)
         return ready
 
+    def unfinished_steps(self, wall: float) -> list[StepRun]:
+        """Return the steps whose turn has come and that still have something to do.
+
+        A step whose tasks last has nothing more to do once all of them are placed.
+        """
+        unfinished = []
+        for occurrence in range(self._done_occurrences, self.due_occurrences(wall)):
+            steps = self.steps(occurrence)
+            for step in steps:
+                if step.complete or (step.step.long_running and not step.waiting):
+                    continue
+                if all(steps[earlier].complete for earlier in step.step.depends_on):
+                    unfinished.append(step)
+        return unfinished
+
     def note_done(self, name: TaskName) -> None:
         """Note a task's end as done; a gang's members are done together."""
         step = self.find_step(name)
--- a/dandelionreel/cell/_services.py
+++ b/dandelionreel/cell/_services.py
@@ -194,7 +194,7 @@
     It may have more ends than it lists, and some of what it listed may not be readable.
     The view is then not ``complete``, so that a run that is not in it may still be there;
     ends above ``readable_through`` must not be acknowledged, since the runner would
-    forget one that nobody has read.
+    forget one that nobody has read. ``incarnation`` as in the runner's ``Registration``.
     """
 
     clock: float
@@ -202,6 +202,7 @@
     ended: tuple[EndedRun, ...]
     complete: bool = True
     readable_through: int | None = None
+    incarnation: int | None = None
 
 
 class RunnerError(Exception):
--- a/dandelionreel/platform/_registrations.py
+++ b/dandelionreel/platform/_registrations.py
@@ -17,6 +17,10 @@
 
 Amount = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_AMOUNT)]
 Number = Annotated[float, msgspec.Meta(ge=0)]
+#: Milliseconds are whole and exact up to here in JSON.
+LARGEST = 9_007_199_254_740_992
+#: The Unix millisecond at which a runner's process started.
+Started = Annotated[int, msgspec.Meta(ge=1, lt=LARGEST)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=LONGEST_NAME)]
 
 
@@ -43,6 +47,8 @@
     sequence: int
     capacity: _Capacity
     labels: tuple[str, ...]
+    #: The start of the process that wrote the entry.
+    born: Started | None = None
     remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=LONGEST_STAY)] | None = None
 
 
@@ -67,4 +73,5 @@
         labels=entry.labels,
         draining=entry.state == 'draining',
         remaining=None if remaining is None else remaining / MILLISECONDS,
+        incarnation=entry.born,
     )
--- a/dandelionreel/platform/_views.py
+++ b/dandelionreel/platform/_views.py
@@ -27,6 +27,8 @@
 Count = Annotated[int, msgspec.Meta(ge=0, lt=LARGEST)]
 #: Ends are numbered from 1. One absurd number would hide all ends behind it.
 EndNumber = Annotated[int, msgspec.Meta(ge=1, lt=LARGEST)]
+#: The Unix millisecond at which the runner's process started.
+Started = Annotated[int, msgspec.Meta(ge=1, lt=LARGEST)]
 Clock = Annotated[float, msgspec.Meta(ge=0, lt=LARGEST)]
 
 
@@ -54,12 +56,14 @@
 
 class _Rows(msgspec.Struct, frozen=True):
     clock_ms: Clock
+    born: Started | None = None
     running: list[msgspec.Raw] = []
     finished: list[msgspec.Raw] = []
 
 
 class _View(msgspec.Struct, frozen=True):
     clock_ms: Clock
+    born: Started | None = None
     running: list[_Running] = []
     finished: list[_Ended] = []
 
@@ -89,6 +93,7 @@
             tuple(_running(row) for row in view.running),
             tuple(_ended(row) for row in view.finished),
             complete=len(view.finished) < MOST_ENDS,
+            incarnation=view.born,
         )
     except ValueError:
         return _decode_rows(raw)
@@ -112,6 +117,7 @@
         tuple(ended),
         complete=False,
         readable_through=readable_through,
+        incarnation=rows.born,
     )
 
 
--- a/dandelionreel/records/_stages.py
+++ b/dandelionreel/records/_stages.py
@@ -13,6 +13,7 @@
     DOUBTFUL = 'doubtful'
     CANCELLED = 'cancelled'
     WAITING = 'waiting'
+    STALLED = 'no progress'
     HELD = 'held by its quota'
     BEHIND = 'beyond its share'
     ASKED = 'asked'
@@ -67,6 +68,8 @@
         (r'workers: found \d+ tasks on ', Stage.FOUND),
         (r'workers: the leases on \S+ have run out', Stage.LAPSED),
         (r'workers: \S+ has ended', Stage.LAPSED),
+        (r'workers: \S+ (has restarted|answers in another)', Stage.LAPSED),
+        (r'placement: job \S+ makes no progress', Stage.STALLED),
         ('workers: a run was lost with ', Stage.LOST),
         (r'workers: \S+ has crashed under a task', Stage.LOST),
         ('ownership: owns the cell', Stage.TAKEN_OVER),
--- a/features/reports.feature
+++ b/features/reports.feature
@@ -17,6 +17,28 @@
     When it has planned for a second
     Then it tells nothing of tasks that wait
 
+  Scenario: A job makes no progress although its tasks could run
+    Given an owner of 2 runners with a job that nothing is placed for
+    When nothing changes for 4 seconds
+    Then one line names the job, its waiting step and its tickets
+    And it is not logged again within 4 seconds, and once more after 6
+
+  Scenario: A run is held on a runner far longer than it is expected to take
+    Given an owner of 2 runners with a job whose run of 0.5 s is held
+    When nothing changes for 5 seconds
+    Then one line names the job, its run and its runner
+
+  Scenario Outline: Jobs whose runs are not overdue are not stalled
+    Given an owner of 2 runners with a job <of>
+    When nothing changes for 4 seconds
+    Then no line names a stalled job
+
+    Examples:
+      | of                                    |
+      | whose run of 20 s is held             |
+      | whose lasting tasks are all placed    |
+      | whose step depends on another that is held |
+
   Scenario: More known failures than may stand
     Given a list of known failures of 4 lines
     Then CI does not take the list
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -110,3 +110,73 @@
     other = SimpleNamespace(location=place, name='Scenario 01')
     assert run.is_known(row, known)
     assert not run.is_known(other, known)
+
+
+def make_owner(context, *steps):
+    context.small = SmallCell()
+    context.small.add_job('j1', steps)
+    watch(context)
+
+
+@given('an owner of 2 runners with a job that nothing is placed for')
+def stalled_owner(context):
+    make_owner(context, step(seconds=0.5))
+
+
+@given('an owner of 2 runners with a job whose run of {seconds:g} s is held')
+def holding_owner(context, seconds):
+    make_owner(context, step(seconds=seconds))
+    context.small.plan()
+
+
+@given('an owner of 2 runners with a job whose lasting tasks are all placed')
+def lasting_owner(context):
+    make_owner(context, step(seconds=0.5, long_running=True))
+    context.small.plan()
+
+
+@given('an owner of 2 runners with a job whose step depends on another that is held')
+def depending_owner(context):
+    make_owner(context, step(seconds=20), step(seconds=0.5, depends_on=(0,)))
+    context.small.plan()
+
+
+@when('nothing changes for {seconds:d} seconds')
+def nothing_changes(context, seconds):
+    now = context.small.now
+    for second in range(seconds + 1):
+        context.load.look(now + second, now + second, 1)
+    context.small.now = now + seconds
+
+
+def stalls(context):
+    return [fields for sentence, fields in context.lines.told if 'makes no progress' in sentence]
+
+
+@then('one line names the job, its waiting step and its tickets')
+def stall_named(context):
+    (fields,) = stalls(context)
+    assert fields['job'] == 'j1', fields
+    assert '1 waiting, 0 placed, 0 done; 0 of 0 runners allowed' in fields['steps'][0], fields
+    assert not fields['runs'], fields
+
+
+@then('it is not logged again within {seconds:d} seconds, and once more after {later:d}')
+def stall_repeated(context, seconds, later):
+    nothing_changes(context, seconds - 1)
+    assert len(stalls(context)) == 1, stalls(context)
+    nothing_changes(context, later - seconds + 1)
+    assert len(stalls(context)) == 2, stalls(context)
+
+
+@then('one line names the job, its run and its runner')
+def held_run_named(context):
+    (fields,) = stalls(context)
+    assert fields['job'] == 'j1', fields
+    (run,) = fields['runs']
+    assert 'run 1001 on w' in run and 'running for' in run, run
+
+
+@then('no line names a stalled job')
+def no_stall(context):
+    assert not stalls(context), stalls(context)
