--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -20,9 +20,9 @@
     start_hosts(context, count)
 
 
-def start_hosts(context, count, block=1):
+def start_hosts(context, count, block=1, **fields):
     """Start a platform and hosts; features that run at the same time need other blocks."""
-    context.platform = UsersPlatform()
+    context.platform = UsersPlatform(**fields)
     context.platform.start()
     context.stack.callback(context.platform.stop)
     context.platform.configure()
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -18,10 +18,12 @@
 import curio
 
 from dandelionreel.http import Answer, CloseConnection, Request, Server, ServerLimits, answer_json
+from dandelionreel.kernel import start_task
 from standins._other_writer import OtherWriter
 from standins._relay import Relay, Wire
 
 LENGTH = struct.Struct('>I')
+MILLISECONDS = 1000
 STOP_SECONDS = 0.1
 LOOK_STEP = 0.01
 #: Seconds between the start of a task that crashes its runner and the crash, and until
@@ -30,6 +32,11 @@
 BACK_SECONDS = 1.0
 #: Processors of a runner, in thousandths.
 FULL_CPU = 8000
+#: Seconds that the clock of a runner shows when the platform starts.
+CLOCK_SECONDS = 5000.0
+#: Seconds for which a runner keeps its tasks at the most without a renewal.
+LONGEST_LEASE = 10.0
+SERVER_LIMITS = ServerLimits(idle_seconds=600)
 
 
 @dataclass
@@ -133,7 +140,7 @@
         return answer_json({'items': entries, 'has_more': False, 'end': len(topic.records)})
 
     async def _read(self, topic: _Topic, offset: int, wait_ms: int) -> Answer:
-        until = time.monotonic() + wait_ms / 1000
+        until = time.monotonic() + wait_ms / MILLISECONDS
         while len(topic.records) <= offset and time.monotonic() < until:
             await curio.sleep(LOOK_STEP)
         body = struct.pack('>QQ', len(topic.records), 0)
@@ -214,13 +221,19 @@
 
     A task's payload says what it does: ``cpu seconds [fail | crash]``. One that crashes
     its runner ends all that runs there, and breaks all connections; the runner is back
-    under another name some time later.
+    some time later, under another name or as another incarnation under the same one.
     """
 
-    def __init__(self, name: str, runs: list[Run]) -> None:
+    def __init__(self, name: str, runs: list[Run], *, tells_incarnation: bool = False) -> None:
         """Record every run in ``runs``."""
         self.name = name
         self.dark = False
+        #: The Unix millisecond at which the process started that answers now.
+        self.born = int(time.time() * MILLISECONDS)
+        #: Whether connections to the former process are still to be closed.
+        self.resetting = False
+        self.tells_incarnation = tells_incarnation
+        self._clock_zero = time.monotonic() - CLOCK_SECONDS
         #: What the runner has said that it has, the latest last.
         self.rooms: list[Room] = [(0.0, FULL_CPU)]
         #: Called with the runner once it has crashed under a task.
@@ -233,9 +246,13 @@
         self._ends: list[list] = []
         self._next_end = 1
 
+    def clock(self) -> float:
+        """Return what the runner's clock shows, in seconds."""
+        return time.monotonic() - self._clock_zero
+
     async def handle(self, request: Request) -> Answer:
         """Answer one order or look."""
-        if self.dark:
+        if self.dark or self.resetting:
             raise CloseConnection
         self.advance()
         asked = json.loads(request.body)
@@ -255,11 +272,12 @@
     def advance(self) -> None:
         """End what is due: tasks that are done or stopped, and lapsed leases."""
         now = time.monotonic()
+        deadline = self._deadline + self._clock_zero
         for run in tuple(self._run_by_task.values()):
-            lapsed = self._deadline < now and self._deadline < run.until
+            lapsed = deadline < now and deadline < run.until
             if run.until > now and not lapsed:
                 continue
-            run.ended = min(run.until, self._deadline) if lapsed else run.until
+            run.ended = min(run.until, deadline) if lapsed else run.until
             run.how = 'lapsed' if lapsed else run.how
             del self._run_by_task[run.task]
             self._ends.append([self._next_end, run.task, run.number, run.how, ''])
@@ -285,10 +303,16 @@
             run.how = 'crashed'
         self._run_by_task.clear()
         self.dark = True
+        self.resetting = True
 
-    def revive(self, name: str) -> None:
-        """Come back as another runner, which runs nothing and has seen no token."""
-        self.name = name
+    def revive(self, name: str = '') -> None:
+        """Come back, which runs nothing and has seen no token; all counts start anew.
+
+        Without a ``name`` it is the next incarnation under the name that it had.
+        """
+        self.name = name or self.name
+        self.born = max(self.born + 1, int(time.time() * MILLISECONDS))
+        self._clock_zero = time.monotonic()
         self._token = 0
         self._deadline = 0.0
         self._highest.clear()
@@ -308,14 +332,14 @@
         raise CloseConnection
 
     def _start(self, asked: dict) -> Answer:
-        self._deadline = max(self._deadline, asked['deadline_ms'] / 1000)
+        self._extend(asked['deadline_ms'])
         task, number = asked['task'], asked['run']
         known = self._run_by_task.get(task)
         if known is not None and known.number == number:
             return self._ok()
         if number <= self._highest.get(task, 0):
             return self._refuse('old')
-        if asked['deadline_ms'] / 1000 < time.monotonic():
+        if asked['deadline_ms'] / MILLISECONDS < self.clock():
             return self._refuse('late')
         words = asked['spec'].split()
         now = time.monotonic()
@@ -338,39 +362,71 @@
 
     async def _hold(self, asked: dict) -> Answer:
         self._ends = [end for end in self._ends if end[0] > asked['acked_through']]
-        self._deadline = max(self._deadline, asked.get('deadline_ms', 0) / 1000)
-        until = time.monotonic() + asked.get('wait_ms', 0) / 1000
-        life = self.name
+        self._extend(asked.get('deadline_ms', 0))
+        until = time.monotonic() + asked.get('wait_ms', 0) / MILLISECONDS
+        born = self.born
         while not self._ends and time.monotonic() < until:
             await curio.sleep(LOOK_STEP)
-            if self.dark or self.name != life:
+            if self.dark or self.born != born:
                 # A crash ends all connections; the next life answers no look at this one.
                 raise CloseConnection
             self.advance()
         running = [[run.task, run.number, '', 0, 0] for run in self._run_by_task.values()]
         body = {
-            'clock_ms': int(time.monotonic() * 1000),
+            'clock_ms': self._clock_ms(),
             'running': running,
             'finished': self._ends[:500],
         }
+        if self.tells_incarnation:
+            body['born'] = self.born
         return answer_json(body)
 
+    def _extend(self, deadline_ms: int) -> None:
+        asked = min(deadline_ms / MILLISECONDS, self.clock() + LONGEST_LEASE)
+        self._deadline = max(self._deadline, asked)
+
+    def _clock_ms(self) -> int:
+        return int(self.clock() * MILLISECONDS)
+
     def _ok(self) -> Answer:
-        return answer_json({'clock_ms': int(time.monotonic() * 1000)})
+        return answer_json({'clock_ms': self._clock_ms()})
 
     def _refuse(self, reason: str) -> Answer:
-        return answer_json({'clock_ms': int(time.monotonic() * 1000), 'reason': reason}, 409)
+        return answer_json({'clock_ms': self._clock_ms(), 'reason': reason}, 409)
+
+
+class ResettableServer(Server):
+    """A server whose open connections end with the process that they reached."""
+
+    async def reset(self) -> None:
+        """Close all connections; new ones are taken."""
+        await self._cancel_all()
+
+
+async def _reset_connections(runner: PlatformRunner, server: ResettableServer) -> None:
+    """Close the connections to a runner each time that it has crashed."""
+    while True:
+        if runner.resetting:
+            await server.reset()
+            runner.resetting = False
+        await curio.sleep(LOOK_STEP)
 
 
 class UsersPlatform:
     """Store, runners and policy service on one loopback address, in one thread."""
 
-    def __init__(self, runners: int = 3, seed: int = 1) -> None:
-        """Prepare ``runners`` runners of the service ``desk``."""
+    def __init__(self, runners: int = 3, seed: int = 1, *, tells_incarnation: bool = False) -> None:
+        """Prepare ``runners`` runners of the service ``desk``.
+
+        Where they tell their incarnation, they restart under the names that they had.
+        """
         self.store = PlatformStore(seed)
         self.quotas = QuotaHistory()
         self.runs: list[Run] = []
-        self.runners = [PlatformRunner(f'i-{number}', self.runs) for number in range(runners)]
+        self.runners = [
+            PlatformRunner(f'i-{number}', self.runs, tells_incarnation=tells_incarnation)
+            for number in range(runners)
+        ]
         self.port_by_name: dict[str, int] = {}
         self.wire = Wire({})
         self._place_by_runner: dict[PlatformRunner, str] = {}
@@ -405,7 +461,9 @@
         """Return a runner's entry."""
         place = self._place_by_runner.setdefault(runner, runner.name)
         port = self.port_by_name.get(f'relay-{place}', self.port_by_name[place])
+        told = {'born': runner.born} if runner.tells_incarnation else {}
         return {
+            **told,
             'service': 'desk',
             'address': f'127.0.0.1:{port}',
             'zone': 'north',
@@ -465,8 +523,12 @@
         return list(self.runs)
 
     async def _bring_back(self, runner: PlatformRunner) -> None:
-        """Let a crashed runner start again under another name; its old entry expires."""
+        """Let a crashed runner start again, and its old entry expire if its name changes."""
         await curio.sleep(BACK_SECONDS)
+        if runner.tells_incarnation:
+            runner.revive()
+            self.register(runner)
+            return
         former = runner.name
         self._lives += 1
         runner.revive(f'{former.split("+")[0]}+{self._lives}')
@@ -483,17 +545,21 @@
             await self._listen(stack, 'store', self.store.handle)
             await self._listen(stack, 'advice', self._advise)
             for runner in self.runners:
-                await self._listen(stack, runner.name, runner.handle)
+                server = await self._listen(stack, runner.name, runner.handle)
+                await start_task(stack, _reset_connections, runner, server)
             for name, target in self._relayed.items():
                 await self._listen_relay(stack, name, target)
             self._ready.set()
             while not self._stop.is_set():
                 await curio.sleep(0.05)
 
-    async def _listen(self, stack: AsyncExitStack, name: str, handler: object) -> None:
-        server = Server(handler, ServerLimits(idle_seconds=600))
+    async def _listen(
+        self, stack: AsyncExitStack, name: str, handler: object
+    ) -> 'ResettableServer':
+        server = ResettableServer(handler, SERVER_LIMITS)
         await server.start(stack, '127.0.0.1', 0)
         self.port_by_name[name] = server.port
+        return server
 
     async def _listen_relay(self, stack: AsyncExitStack, name: str, target: str) -> None:
         with socket.socket() as free:
