Runners are known by their incarnation, not by their id

Callers saw work run twice, and jobs that never ended: a settlement that was done was started again 1.2 s later, and a task stood still beside free runners.

Cause: a runner may restart under the id that it had, with all counts anew, and everything here was kept by id. A look carried the number of the last end that the former process had listed; the new one numbers its ends from 1 and forgot all up to that number before anybody had read them. Its runs were then neither running nor ended, so their starts were taken for lost and repeated. Leases were reckoned by the former clock, so a run on a runner that was lost after a restart was held for ever. Class: knowledge of a process filed under a name that outlives it.

Now an entry's id and the start of its process are decoded into one id, of the incarnation, and all that is known is filed under that: a restart is a runner that has gone and another that has come. A call names only the id, so each new connection to a runner is first tried with a look that renews, acknowledges and starts nothing; a connection ends with its process, so all later calls on it reach the incarnation that answered. Where runners do not tell their start nothing changes.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -184,6 +184,13 @@
         'return True',
         'capacity.feature:ROOM',
     ),
+    Guard(
+        'each connection to a runner is checked for its incarnation',
+        'platform/_runners.py',
+        "return Channel(address, port, 'runner', check_peer=self._check_peer)",
+        "return Channel(address, port, 'runner')",
+        'incarnations.feature:RESTARTED',
+    ),
 )
 WORDS = {
     'TWICE': 'stands twice',
@@ -205,6 +212,7 @@
     'SUCCESSOR': 'What a successor knows',
     'ROOM': 'between a decision',
     'RENEW': 'An owner dies while the log is out',
+    'RESTARTED': 'A call for a runner that has restarted',
 }
 
 
--- a/dandelionreel/cell/__init__.py
+++ b/dandelionreel/cell/__init__.py
@@ -3,6 +3,7 @@
 from dandelionreel.cell._advice_requests import AdviceRequest
 from dandelionreel.cell._cell import Cell
 from dandelionreel.cell._checks import check_spec
+from dandelionreel.cell._incarnations import incarnation_id, runner_id
 from dandelionreel.cell._job_book import BookedJob, JobBook
 from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
 from dandelionreel.cell._model import (
@@ -115,4 +116,6 @@
     'WriterFence',
     'check_spec',
     'decode_json',
+    'incarnation_id',
+    'runner_id',
 )
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -106,8 +106,6 @@
         self.kept_end: int | None = None
         #: Whether all that the last look listed could be read.
         self.readable = True
-        #: The incarnation that answered the last look, ``None`` while none has told.
-        self.incarnation: int | None = None
         #: Quarantined runs that have not proved well yet.
         self._quarantined: list[Allocation] = []
         self._clock = 0.0
--- a/dandelionreel/cell/_runner_list.py
+++ b/dandelionreel/cell/_runner_list.py
@@ -37,10 +37,12 @@
         self._journal = journal
         self._names_service = names_service
         self._unreadable = unreadable or UnreadableLog('runners', Part.WORKERS, clock, journal)
-        #: The last good registration of each runner whose entry is there; it is not
+        #: The last good registration of each incarnation whose entry is there; it is not
         #: usable while the newest entry is not.
         self.registration_by_id: dict[str, Registration] = {}
-        #: Runners whose entry has gone: their last registration and when.
+        #: The incarnation that the last good entry of each runner is of.
+        self._incarnation_by_runner: dict[str, str] = {}
+        #: Incarnations whose entry has gone: their last registration and when.
         self.gone_by_id: dict[str, tuple[Registration, float]] = {}
 
     def restart(self, snapshot: RecordBatch) -> None:
@@ -51,7 +53,7 @@
         """
         first = not self.registration_by_id
         present = {record.key for record in snapshot.records if not record.dropped}
-        for runner in tuple(self.registration_by_id):
+        for runner in tuple(self._incarnation_by_runner):
             if runner not in present:
                 self._remove(runner)
         self._read(snapshot, tell_each=not first)
@@ -68,11 +70,11 @@
         """Take the records that follow."""
         self._read(batch, tell_each=True)
 
-    def find(self, runner: str) -> Registration | None:
-        """Return the last good registration that was seen of a runner."""
-        registration = self.registration_by_id.get(runner)
-        if registration is None and runner in self.gone_by_id:
-            registration, _ = self.gone_by_id[runner]
+    def find(self, incarnation: str) -> Registration | None:
+        """Return the last good registration that was seen of an incarnation."""
+        registration = self.registration_by_id.get(incarnation)
+        if registration is None and incarnation in self.gone_by_id:
+            registration, _ = self.gone_by_id[incarnation]
         return registration
 
     def _read(self, batch: RecordBatch, *, tell_each: bool) -> None:
@@ -85,7 +87,7 @@
             except UnreadableError as error:
                 self._refuse(record.key, error)
                 continue
-            self._take(registration, tell=tell_each)
+            self._take(record.key, registration, tell=tell_each)
 
     def _decode(self, record: KeyedRecord) -> Registration:
         """Return what an entry says if it can be relied upon."""
@@ -95,17 +97,21 @@
         if not self._names_service(registration.service):
             message = f'no configuration names the service {registration.service!r}'
             raise UnreadableError(Reason.UNNAMED, message)
-        self._check_unchanged(registration)
+        self._check_unchanged(record.key, registration)
         return registration
 
-    def _check_unchanged(self, registration: Registration) -> None:
-        """Refuse an entry that moves a runner while it lives.
+    def _check_unchanged(self, runner: str, registration: Registration) -> None:
+        """Refuse an entry that moves an incarnation, or does not tell which one it is of.
 
-        An id names one life of a runner, at one address and of one service. Of two
-        entries that differ one is wrong, and orders go where the first one said.
+        An incarnation has one address and one service. Of two entries that differ one is
+        wrong, and orders go where the first one said.
         """
-        known = self.registration_by_id.get(registration.runner)
-        if known is None or not self._names_service(known.service):
+        known = self._find_newest(runner)
+        if known is None:
+            return
+        if known.incarnation is not None and registration.incarnation is None:
+            raise UnreadableError(Reason.FIELDS, 'it does not tell its incarnation')
+        if known.runner != registration.runner or not self._names_service(known.service):
             return
         before = (known.service, known.address, known.port)
         if before != (registration.service, registration.address, registration.port):
@@ -114,39 +120,53 @@
 
     def _refuse(self, runner: str, error: UnreadableError) -> None:
         self._unreadable.refuse(runner, error, 'nothing new is started there')
-        known = self.registration_by_id.get(runner)
+        known = self._find_newest(runner)
         if known is not None and known.usable:
-            self.registration_by_id[runner] = replace(known, usable=False)
+            self.registration_by_id[known.runner] = replace(known, usable=False)
 
-    def _take(self, registration: Registration, *, tell: bool) -> None:
-        runner = registration.runner
+    def _take(self, runner: str, registration: Registration, *, tell: bool) -> None:
+        incarnation = registration.runner
         self._unreadable.accept(runner)
-        known = self.registration_by_id.get(runner)
-        self._log_restart(known, registration)
-        if tell and (known is None or known.draining != registration.draining):
+        known = self._find_newest(runner)
+        if known is not None and known.runner != incarnation:
+            self._retire(runner)
+            self._log_restart(known, registration)
+        elif tell and (known is None or known.draining != registration.draining):
             self._journal.tell(
                 Part.WORKERS,
-                f'{runner} is {"draining" if registration.draining else "ready"}.',
-                runner=runner,
+                f'{incarnation} is {"draining" if registration.draining else "ready"}.',
+                runner=incarnation,
                 service=registration.service,
             )
-        self.registration_by_id[runner] = registration
-        self.gone_by_id.pop(runner, None)
+        self._incarnation_by_runner[runner] = incarnation
+        self.registration_by_id[incarnation] = registration
+        self.gone_by_id.pop(incarnation, None)
 
-    def _log_restart(self, known: Registration | None, registration: Registration) -> None:
-        if known is None or known.incarnation == registration.incarnation:
-            return
+    def _log_restart(self, known: Registration, registration: Registration) -> None:
         self._journal.tell(
             Part.WORKERS,
-            f'{registration.runner} has restarted.',
+            f'{registration.runner} has taken the place of {known.runner}.',
             runner=registration.runner,
-            incarnation=registration.incarnation,
-            former=known.incarnation,
+            former=known.runner,
+            draining=registration.draining,
         )
 
     def _remove(self, runner: str) -> None:
         self._unreadable.drop(runner)
-        registration = self.registration_by_id.pop(runner, None)
+        incarnation = self._retire(runner)
+        if incarnation:
+            self._journal.tell(
+                Part.WORKERS, f'the entry of {incarnation} has gone.', runner=incarnation
+            )
+
+    def _find_newest(self, runner: str) -> Registration | None:
+        """Return the last good registration under a runner's id, if its entry is there."""
+        return self.registration_by_id.get(self._incarnation_by_runner.get(runner, ''))
+
+    def _retire(self, runner: str) -> str:
+        """Note that the entry of a runner's incarnation has gone; return it, empty for none."""
+        incarnation = self._incarnation_by_runner.pop(runner, '')
+        registration = self.registration_by_id.pop(incarnation, None)
         if registration is not None:
-            self.gone_by_id[runner] = (registration, self._clock.monotonic())
-            self._journal.tell(Part.WORKERS, f'the entry of {runner} has gone.', runner=runner)
+            self.gone_by_id[incarnation] = (registration, self._clock.monotonic())
+        return incarnation
--- a/dandelionreel/cell/_runner_poller.py
+++ b/dandelionreel/cell/_runner_poller.py
@@ -96,7 +96,6 @@
     def _take_view(self, state: RunnerState, view: RunnerView, asked: float) -> PollEffect:
         now = self._owner_context.clock.monotonic()
         unseen = state.id in self._owner_context.cell.unseen
-        self._log_incarnation(state, view)
         effect = self._owner_context.cell.viewed(state, view, asked, now)
         self._tell_effect(state, effect, now)
         self._owner_context.tell_crashes(effect.crashes)
@@ -151,7 +150,6 @@
             jobs=jobs[:MOST_NAMED],
             number=number,
             acknowledged=state.acknowledged,
-            incarnation=state.incarnation,
             epoch=self._owner_context.term.epoch,
             seconds=round(self._owner_context.clock.monotonic() - began, 3),
         )
@@ -197,26 +195,6 @@
         if await self._owner_context.confirms(state.registration.zone, state.answered_at):
             self._owner_context.lapse_runner(state)
 
-    def _log_incarnation(self, state: RunnerState, view: RunnerView) -> None:
-        former = state.incarnation
-        state.incarnation = view.incarnation
-        if former is None or former == view.incarnation:
-            return
-        self._owner_context.journal.tell(
-            Part.WORKERS,
-            f'{state.id} answers in another incarnation.',
-            runner=state.id,
-            incarnation=view.incarnation,
-            former=former,
-            registered=state.registration.incarnation,
-            noted=state.noted,
-            acknowledged=state.acknowledged,
-            tasks=len(state.allocation_by_run),
-            listed_running=len(view.running),
-            listed_ended=len(view.ended),
-            epoch=self._owner_context.term.epoch,
-        )
-
     def _tell_readable(self, state: RunnerState, view: RunnerView) -> None:
         if view.complete is state.readable:
             return
@@ -242,7 +220,6 @@
                 run=ended.run,
                 epoch=self._owner_context.term.epoch,
                 number=ended.number,
-                incarnation=state.incarnation,
                 seconds=round(now - started, 3) if started else None,
             )
         for lost in effect.lost:
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -1,6 +1,6 @@
 """HTTP client: one connection carries one request at a time."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
@@ -206,6 +206,14 @@
         await connection.close()
 
 
+#: Given a new connection before its first request; raises to refuse it.
+CheckPeer = Callable[[Connection], Awaitable[None]]
+
+
+async def _accept_any(connection: Connection) -> None:
+    """Use a new connection as it is."""
+
+
 class Channel:
     """A connection to one server that is opened again after a failure.
 
@@ -218,8 +226,14 @@
         port: int,
         kind: str = '',
         answer_bytes: int = 16_777_216,
+        check_peer: CheckPeer = _accept_any,
     ) -> None:
-        """Remember the server; count traffic under ``kind``."""
+        """Remember the server; count traffic under ``kind``.
+
+        ``check_peer`` is given each new connection before its first request; what it raises
+        is raised to that request's sender, and the connection is closed.
+        """
+        self._check_peer = check_peer
         self._connection = Connection(address, port, answer_bytes, kind)
         self._lock = curio.Lock()
         self._closed = False
@@ -261,11 +275,25 @@
     async def _exchange(self, request: Request, timeout: float, check: Check | None) -> Answer:
         idle = self._connection.is_open
         if not idle:
-            await self._connection.open(timeout, timeout)
+            await self._open(timeout)
         try:
             return await self._connection.exchange(request, timeout, check)
         except ExchangeError:
             if not idle or request.method != 'GET':
                 raise
-        await self._connection.open(timeout, timeout)
+        await self._open(timeout)
         return await self._connection.exchange(request, timeout, check)
+
+    async def _open(self, timeout: float) -> None:
+        await self._connection.open(timeout, timeout)
+        try:
+            await self._check_peer(self._connection)
+        except ExchangeError as error:
+            # What was sent was not the request.
+            error.sent = False
+            raise
+        except BaseException:
+            await self._connection.close()
+            raise
+        if not self._connection.is_open:
+            raise ExchangeError('the server closed the connection', sent=False)
--- a/dandelionreel/platform/_advice.py
+++ b/dandelionreel/platform/_advice.py
@@ -11,6 +11,7 @@
     StepName,
     UnreadableError,
     decode_json,
+    runner_id,
 )
 from dandelionreel.http import Channel, ExchangeError, Request
 from dandelionreel.platform._settings import Address
@@ -40,10 +41,11 @@
         runners: Sequence[str],
         timeout: float,
     ) -> tuple[Permit, ...]:
-        """Return the permits among ``runners``."""
+        """Return the permits among ``runners``, which are incarnations."""
+        incarnation_by_id = {runner_id(one): one for one in runners[:RUNNERS_PER_CALL]}
         fields = {
             'step': f'{step.job}.{step.occurrence}.{step.step}',
-            'workers': list(runners[:RUNNERS_PER_CALL]),
+            'workers': list(incarnation_by_id),
         }
         headers = (('content-type', 'application/json'),)
         request = Request('POST', '/v1/advise', headers, msgspec.json.encode(fields))
@@ -57,7 +59,11 @@
             decoded = decode_json(_ALLOWED, answer.body)
         except UnreadableError as error:
             raise AdviceError(f'the answer cannot be read: {error}') from error
-        return tuple(Permit(runner, ticket) for runner, ticket in decoded.allowed)
+        return tuple(
+            Permit(incarnation_by_id[runner], ticket)
+            for runner, ticket in decoded.allowed
+            if runner in incarnation_by_id
+        )
 
     async def close(self) -> None:
         """Close the connection."""
--- a/dandelionreel/platform/_registrations.py
+++ b/dandelionreel/platform/_registrations.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from dandelionreel.cell import Demand, Reason, Registration, UnreadableError, decode_json
+from dandelionreel.cell import (
+    Demand,
+    Reason,
+    Registration,
+    UnreadableError,
+    decode_json,
+    incarnation_id,
+)
 from dandelionreel.platform._settings import SettingsError, parse_address
 
 MILLISECONDS = 1000
@@ -48,7 +55,7 @@
     capacity: _Capacity
     labels: tuple[str, ...]
     #: The start of the process that wrote the entry.
-    born: Started | None = None
+    born: Started | msgspec.UnsetType = msgspec.UNSET
     remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=LONGEST_STAY)] | None = None
 
 
@@ -56,15 +63,16 @@
 
 
 def decode_registration(runner: str, content: bytes) -> Registration:
-    """Return the runner's registration; raises ``UnreadableError``."""
+    """Return the registration under a runner's id; raises ``UnreadableError``."""
     entry = decode_json(_DECODER, content)
     try:
         address = parse_address(entry.address)
     except SettingsError as error:
         raise UnreadableError(Reason.RANGE, f'{error}') from error
     remaining = entry.remaining_ms
+    incarnation = None if entry.born is msgspec.UNSET else entry.born
     return Registration(
-        runner=runner,
+        runner=incarnation_id(runner, incarnation),
         service=entry.service,
         address=address.host,
         port=address.port,
@@ -73,5 +81,5 @@
         labels=entry.labels,
         draining=entry.state == 'draining',
         remaining=None if remaining is None else remaining / MILLISECONDS,
-        incarnation=entry.born,
+        incarnation=incarnation,
     )
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -1,4 +1,10 @@
-"""Runners: starts, stops and looks over HTTP."""
+"""Runners: starts, stops and looks over HTTP.
+
+Each call reaches the incarnation that it is meant for, or has no effect. A call names the
+runner by its id, which the next incarnation has too; what tells them apart is only in the
+answer to a look. So each new connection is tried with a look that renews, acknowledges and
+starts nothing: what answers it is the process that all calls on that connection reach.
+"""
 
 from typing import Any
 
@@ -18,8 +24,9 @@
     TaskName,
     UnreadableError,
     decode_json,
+    runner_id,
 )
-from dandelionreel.http import Answer, BrokenError, Channel, ExchangeError, Request
+from dandelionreel.http import Answer, BrokenError, Channel, Connection, ExchangeError, Request
 from dandelionreel.kernel import Verdict
 from dandelionreel.platform._views import decode_view
 
@@ -32,6 +39,8 @@
 #: the starts behind it.
 ORDER_CHANNELS = 3
 
+#: Lists runs and ends; renews leases and acknowledges ends where it is told to.
+LOOK_PATH = '/v1/hold'
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
@@ -67,10 +76,16 @@
     def __init__(self, registration: Registration) -> None:
         """Reach the runner where it registered itself."""
         self._runner = registration.runner
-        address, port = registration.address, registration.port
-        self._runner_views = Channel(address, port, 'runner')
-        self._orders = [Channel(address, port, 'runner') for _ in range(ORDER_CHANNELS)]
+        self._incarnation = registration.incarnation
+        self._address = (registration.address, registration.port)
+        self._headers = (
+            ('content-type', 'application/json'),
+            ('x-expected-instance', runner_id(registration.runner)),
+        )
+        self._polls = self._make_channel()
+        self._orders = [self._make_channel() for _ in range(ORDER_CHANNELS)]
         self._next_order = 0
+        self._epoch = 0
 
     async def start(self, order: StartOrder, check: Check) -> StartAnswer:
         """Start a task; ``check`` is asked right before the bytes leave."""
@@ -85,7 +100,12 @@
             fields['checkpoint'] = order.checkpoint
         if order.ticket:
             fields['ticket'] = order.ticket
-        answer = await self._order('/v1/run-start', fields, check)
+        try:
+            answer = await self._order('/v1/run-start', fields, check)
+        except RunnerReplaced:
+            return StartAnswer(StartReply.REPLACED, None)
+        except RunnerFenced:
+            return StartAnswer(StartReply.FENCED, None)
         clock, reason = _read_clock(answer)
         if answer.status == HTTP_OK:
             return StartAnswer(StartReply.STARTED, clock)
@@ -117,15 +137,44 @@
             fields['deadline_ms'] = int(lease_until * MILLISECONDS)
         if wait:
             fields['wait_ms'] = int(wait * MILLISECONDS)
-        answer = await self._call(self._runner_views, '/v1/hold', fields, LOOK_TIMEOUT + wait)
+        answer = await self._call(self._polls, LOOK_PATH, fields, LOOK_TIMEOUT + wait)
         self._check_answer(answer)
-        return decode_view(answer.body)
+        view = decode_view(answer.body)
+        self._check_incarnation(view)
+        return view
 
     async def close(self) -> None:
         """Close all connections."""
-        for channel in (self._runner_views, *self._orders):
+        for channel in (self._polls, *self._orders):
             await channel.close()
 
+    def _make_channel(self) -> Channel:
+        address, port = self._address
+        if self._incarnation is None:
+            return Channel(address, port, 'runner')
+        return Channel(address, port, 'runner', check_peer=self._check_peer)
+
+    async def _check_peer(self, connection: Connection) -> None:
+        """Raise ``RunnerReplaced`` where another incarnation is at the end of a connection."""
+        fields = {'fencing_token': self._epoch, 'acked_through': 0}
+        answer = await connection.exchange(self._make_request(LOOK_PATH, fields), ORDER_TIMEOUT)
+        self._check_answer(answer)
+        try:
+            view = decode_view(answer.body)
+        except RunnerError as error:
+            raise RunnerError(f'{error}', Verdict.NOT_RUN) from error
+        self._check_incarnation(view)
+
+    def _check_incarnation(self, view: RunnerView) -> None:
+        if view.incarnation == self._incarnation:
+            return
+        if view.incarnation is None:
+            raise RunnerError('the answer does not tell the incarnation', Verdict.NOT_RUN)
+        raise RunnerReplaced(self._runner)
+
+    def _make_request(self, path: str, fields: dict[str, Any]) -> Request:
+        return Request('POST', path, self._headers, msgspec.json.encode(fields))
+
     def _check_answer(self, answer: Answer) -> None:
         if answer.status == HTTP_OK:
             return
@@ -151,13 +200,9 @@
         timeout: float,
         check: Check | None = None,
     ) -> Answer:
-        headers = (
-            ('content-type', 'application/json'),
-            ('x-expected-instance', self._runner),
-        )
-        request = Request('POST', path, headers, msgspec.json.encode(fields))
+        self._epoch = fields['fencing_token']
         try:
-            return await channel.exchange(request, timeout, check)
+            return await channel.exchange(self._make_request(path, fields), timeout, check)
         except ExchangeError as error:
             verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
             broken = isinstance(error, BrokenError)
--- a/dandelionreel/platform/_views.py
+++ b/dandelionreel/platform/_views.py
@@ -56,14 +56,14 @@
 
 class _Rows(msgspec.Struct, frozen=True):
     clock_ms: Clock
-    born: Started | None = None
+    born: Started | msgspec.UnsetType = msgspec.UNSET
     running: list[msgspec.Raw] = []
     finished: list[msgspec.Raw] = []
 
 
 class _View(msgspec.Struct, frozen=True):
     clock_ms: Clock
-    born: Started | None = None
+    born: Started | msgspec.UnsetType = msgspec.UNSET
     running: list[_Running] = []
     finished: list[_Ended] = []
 
@@ -93,7 +93,7 @@
             tuple(_running(row) for row in view.running),
             tuple(_ended(row) for row in view.finished),
             complete=len(view.finished) < MOST_ENDS,
-            incarnation=view.born,
+            incarnation=_incarnation(view.born),
         )
     except ValueError:
         return _decode_rows(raw)
@@ -117,10 +117,14 @@
         tuple(ended),
         complete=False,
         readable_through=readable_through,
-        incarnation=rows.born,
+        incarnation=_incarnation(rows.born),
     )
 
 
+def _incarnation(born: int | msgspec.UnsetType) -> int | None:
+    return None if born is msgspec.UNSET else born
+
+
 def _read_ends(rows: list[msgspec.Raw]) -> tuple[list[EndedRun], int | None]:
     """Return the ends that can be read, and the number below the first other one."""
     ended: list[EndedRun] = []
--- a/dandelionreel/records/_stages.py
+++ b/dandelionreel/records/_stages.py
@@ -68,7 +68,7 @@
         (r'workers: found \d+ tasks on ', Stage.FOUND),
         (r'workers: the leases on \S+ have run out', Stage.LAPSED),
         (r'workers: \S+ has ended', Stage.LAPSED),
-        (r'workers: \S+ (has restarted|answers in another)', Stage.LAPSED),
+        (r'workers: \S+ has taken the place of ', Stage.LAPSED),
         (r'placement: job \S+ makes no progress', Stage.STALLED),
         ('workers: a run was lost with ', Stage.LOST),
         (r'workers: \S+ has crashed under a task', Stage.LOST),
--- /dev/null
+++ b/features/steps/incarnation_steps.py
@@ -0,0 +1,308 @@
+"""Steps on incarnations of runners: calls, entries, ids."""
+
+import json
+import time
+from contextlib import AsyncExitStack
+
+import curio
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import settings, strategies
+
+from dandelionreel.cell import (
+    KeyedRecord,
+    RecordBatch,
+    RunnerError,
+    RunnerReplaced,
+    StartOrder,
+    StartReply,
+    StepName,
+    TaskName,
+    incarnation_id,
+    runner_id,
+)
+from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.http import Answer, Server, answer_json
+from dandelionreel.kernel import ManualClock, Verdict
+from dandelionreel.platform import Address, HttpAdvice, HttpRunner, JsonRecordCodec
+from features.store_parts import journal
+from standins import UsersPlatform
+
+EPOCH = 3
+LEASE = 8.0
+JOB = f'{1:016x}'
+
+
+def make_order(runner_clock, index, run):
+    return StartOrder(TaskName(JOB, 0, 0, index), run, '500 0.05', EPOCH, runner_clock + LEASE)
+
+
+@given('a runner that has run a task, known by its entry')
+def known_runner(context):
+    context.platform = UsersPlatform(1, tells_incarnation=True)
+    context.platform.start()
+    context.stack.callback(context.platform.stop)
+    (context.runner,) = context.platform.runners
+    context.http = HttpRunner(read_entry(context))
+    curio.run(run_one, context)
+
+
+def read_entry(context):
+    content = json.dumps(context.platform.entry_of(context.runner)).encode()
+    return JsonRecordCodec().decode_registration(context.runner.name, content)
+
+
+async def run_one(context):
+    """Let the runner do a task and forget it, on connections that are closed again."""
+    http = HttpRunner(read_entry(context))
+    answer = await http.start(make_order(context.runner.clock(), 0, 1), lambda: True)
+    assert answer.reply is StartReply.STARTED, answer
+    view = await http.look(EPOCH, 0, None, 1.0)
+    assert [end.number for end in view.ended] == [1], view
+    await http.look(EPOCH, 1, None, 0)
+    await http.close()
+
+
+async def send(http, call, clock):
+    """Send a call; return what came of it."""
+    try:
+        if 'start' in call:
+            return (await http.start(make_order(clock, 2, 9), lambda: True)).reply
+        if 'stop' in call:
+            return await http.stop(TaskName(JOB, 0, 0, 1), 2, EPOCH)
+        return await http.look(EPOCH, 10, clock + LEASE, 0)
+    except (RunnerReplaced, RunnerError) as error:
+        return error
+
+
+def restart(context):
+    context.runner.crash()
+    time.sleep(0.05)
+    context.runner.revive()
+
+
+@when('it restarts, runs another task to its end, and {call} is sent for the former process')
+def call_former(context, call):
+    async def call_all():
+        if 'opened before' in call:
+            # The calls on it are carried by connections of their own.
+            await context.http.look(EPOCH, 0, None, 0)
+            for _ in range(3):
+                await context.http.stop(TaskName(JOB, 0, 0, 7), 1, EPOCH)
+        restart(context)
+        await run_to_end()
+        clock = context.runner.clock() + 1000
+        for _ in range(4):
+            context.told = await send(context.http, call, clock)
+            if not isinstance(context.told, RunnerError):
+                break
+            # The connection broke: a later try meets the new process.
+        await context.http.close()
+
+    async def run_to_end():
+        """The owner of the new process lets it run two tasks."""
+        http = HttpRunner(read_entry(context))
+        for index, spec in ((0, '500 0.01'), (1, '500 5')):
+            order = make_order(context.runner.clock(), index, 2)
+            await http.start(
+                StartOrder(order.task, 2, spec, EPOCH, order.lease_until), lambda: True
+            )
+        await http.close()
+
+    curio.run(call_all)
+
+
+@then('the caller is told that the runner was replaced')
+def told_replaced(context):
+    assert context.told is StartReply.REPLACED or isinstance(context.told, RunnerReplaced), (
+        context.told
+    )
+
+
+@then('the new process has started, stopped, renewed and forgotten nothing')
+def nothing_done(context):
+    async def look():
+        http = HttpRunner(read_entry(context))
+        view = await http.look(EPOCH, 0, None, 0)
+        await http.close()
+        return view
+
+    time.sleep(0.2)
+    view = curio.run(look)
+    assert [end.number for end in view.ended] == [1], view
+    assert [running.task.index for running in view.running] == [1], view
+    assert {run.task for run in context.platform.runs if run.number == 9} == set()
+    lease = context.runner._deadline - context.runner.clock()
+    assert lease <= LEASE, lease
+
+
+@when('it restarts, registers, and a start is sent by its new entry')
+def start_new(context):
+    async def start():
+        http = HttpRunner(read_entry(context))
+        context.told = await send(http, 'a start', context.runner.clock())
+        await http.close()
+
+    restart(context)
+    curio.run(start)
+
+
+@then('the start is answered, and the new process has run it')
+def new_has_run(context):
+    assert context.told is StartReply.STARTED, context.told
+    assert [run.number for run in context.platform.settle()] == [1, 9]
+
+
+@when('it is out of reach, and a start is sent')
+def start_silent(context):
+    async def start():
+        context.told = await send(context.http, 'a start', context.runner.clock())
+        await context.http.close()
+
+    context.runner.dark = True
+    curio.run(start)
+
+
+@then('the caller is told that it did not run')
+def told_not_run(context):
+    assert isinstance(context.told, RunnerError), context.told
+    assert context.told.verdict is Verdict.NOT_RUN, context.told.verdict
+
+
+@when('it {does}, and {call} is sent')
+def answers_badly(context, does, call):
+    async def handle(request):
+        if 'half' in does:
+            return Answer(200, (), b'{"clock_ms": 5')
+        return answer_json({'clock_ms': 5, 'born': 'soon', 'running': [], 'finished': []})
+
+    async def send_call():
+        context.told = await send(context.http, call, context.runner.clock())
+        await context.http.close()
+
+    context.runner.tells_incarnation = False
+    if 'stops' not in does:
+        context.runner.answer = handle
+    curio.run(send_call)
+
+
+@then('the caller is told that the runner gave no usable answer, and that it did not run')
+def told_unusable(context):
+    told_not_run(context)
+    assert not context.platform.runs[1:], context.platform.runs
+
+
+# Entries
+
+ENTRY = {
+    'service': 'desk',
+    'address': '10.0.0.1:80',
+    'zone': 'north',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'sequence': 1,
+    'capacity': {'cpu': 8000, 'mem_mb': 100, 'gpu': 0},
+    'labels': ['a', 'r-1'],
+}
+
+
+def make_record(entry):
+    if entry == 'no entry any more':
+        return KeyedRecord('i-1', None)
+    fields = dict(ENTRY)
+    if 'elsewhere' in entry:
+        fields['address'] = '10.0.0.2:80'
+    _, _, born = entry.removesuffix(' elsewhere').partition(' born at ')
+    if born:
+        fields['born'] = json.loads(born)
+    return KeyedRecord('i-1', json.dumps(fields).encode())
+
+
+def read(context, entry):
+    context.folder.fold(RecordBatch((make_record(entry),), 1, 1))
+
+
+@given('a host that knows i-1 by {entry}')
+def host_has_read(context, entry):
+    context.folder = RunnersFolder(JsonRecordCodec(), ManualClock(), journal())
+    read(context, entry)
+
+
+@when('{entry} of i-1 follows')
+def host_reads(context, entry):
+    read(context, entry)
+
+
+@then('the host lists {known}')
+def host_knows(context, known):
+    incarnation, _, useless = known.partition(', ')
+    found = context.folder.registration_by_id
+    if incarnation == 'nothing':
+        assert not found, found
+        return
+    assert list(found) == [incarnation], found
+    assert found[incarnation].usable is not bool(useless), found
+    assert found[incarnation].runner == incarnation, found
+
+
+@then('{incarnation} is known as gone, where it was')
+def known_gone(context, incarnation):
+    assert incarnation in context.folder.gone_by_id
+    assert context.folder.find(incarnation).address == '10.0.0.1'
+
+
+# Ids
+
+
+@given("any runner's id and any start")
+def any_id(context):
+    context.ids = strategies.text('@i-1', max_size=6)
+    context.starts = strategies.none() | strategies.integers(1, 12)
+
+
+@then("the incarnation's id gives the runner's id back, and differs for each start")
+def ids_come_back(context):
+    @settings(max_examples=400, database=None, derandomize=True)
+    @drawn(context.ids, context.starts, context.ids, context.starts)
+    def check(runner, started, other, other_started):
+        named = incarnation_id(runner, started)
+        assert runner_id(named) == runner
+        same = (runner, started) == (other, other_started)
+        assert (named == incarnation_id(other, other_started)) is same
+
+    check()
+
+
+@given('a policy service that allows every runner that it is asked about')
+def policy_service(context):
+    context.asked = []
+
+
+@when('it is asked about i-1@7 and i-2')
+def ask_policy(context):
+    async def answer(request):
+        context.asked = json.loads(request.body)['workers']
+        allowed = [[runner, f't-{runner}'] for runner in context.asked]
+        return answer_json({'allowed': [*allowed, ['i-3', 't-strange']]})
+
+    async def ask():
+        async with AsyncExitStack() as stack:
+            server = Server(answer)
+            await server.start(stack, '127.0.0.1', 0)
+            advice = HttpAdvice(Address('127.0.0.1', server.port))
+            permits = await advice.ask(StepName(JOB, 0, 0), ('i-1@7', 'i-2'), 1.0)
+            await advice.close()
+            return permits
+
+    context.permits = curio.run(ask)
+
+
+@then('it was asked about i-1 and i-2, and permits i-1@7 and i-2')
+def permits_incarnations(context):
+    assert context.asked == ['i-1', 'i-2'], context.asked
+    assert [(permit.runner, permit.ticket) for permit in context.permits] == [
+        ('i-1@7', 't-i-1'),
+        ('i-2', 't-i-2'),
+    ]
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -233,6 +233,8 @@
         #: Whether connections to the former process are still to be closed.
         self.resetting = False
         self.tells_incarnation = tells_incarnation
+        #: Answers in place of the runner if it is set.
+        self.answer: Callable[[Request], Awaitable[Answer]] | None = None
         self._clock_zero = time.monotonic() - CLOCK_SECONDS
         #: What the runner has said that it has, the latest last.
         self.rooms: list[Room] = [(0.0, FULL_CPU)]
@@ -254,6 +256,8 @@
         """Answer one order or look."""
         if self.dark or self.resetting:
             raise CloseConnection
+        if self.answer is not None:
+            return await self.answer(request)
         self.advance()
         asked = json.loads(request.body)
         if request.header('x-expected-instance') not in {'', self.name}:
