A successor finds that runners have restarted; model of incarnations

Found while looking for the same cause elsewhere: a host that takes the cell over and has never read the entry of the incarnation that its predecessor used can look nowhere for its runs, and waited for all leases, 8.7 s, though the runner had long answered in a later one.

--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -8,9 +8,10 @@
 from dandelionreel.accounts import Account
 from dandelionreel.cell._crashes import Crash
 from dandelionreel.cell._holdings import Holdings
+from dandelionreel.cell._incarnations import find_later
 from dandelionreel.cell._job_book import BookedJob
 from dandelionreel.cell._job_rates import JobRates
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
+from dandelionreel.cell._ledger import NEVER, Allocation, Holding, RunnerState
 from dandelionreel.cell._losses import Losses
 from dandelionreel.cell._model import Configuration, Demand, Queue, Registration
 from dandelionreel.cell._quotas import QuotaLedger
@@ -249,6 +250,17 @@
         self._losses.note_lapse(runner)
         self._holdings.lose_all(runner)
 
+    def find_outlived(self) -> dict[str, RunnerState]:
+        """Return unseen incarnations that are over, each with a later one that has answered.
+
+        An entry of a later one is no proof: other writers may have written it.
+        """
+        if not self.unseen:
+            return {}
+        answered = [state.id for state in self.runner_by_id.values() if state.answered_at != NEVER]
+        later_by_unseen = find_later(self.unseen, answered)
+        return {unseen: self.runner_by_id[later] for unseen, later in later_by_unseen.items()}
+
     def give_up_unseen(self, runners: Iterable[str]) -> list[Crash]:
         """Take what earlier owners started on unseen runners for gone.
 
--- a/dandelionreel/cell/_incarnations.py
+++ b/dandelionreel/cell/_incarnations.py
@@ -4,6 +4,8 @@
 of a process is kept under its incarnation, so that nothing of it is taken for the next one's.
 """
 
+from collections.abc import Iterable
+
 _SEPARATOR = '@'
 
 
@@ -22,3 +24,28 @@
     """Return the id of the runner that an incarnation is of."""
     runner, separator, _ = incarnation.rpartition(_SEPARATOR)
     return runner if separator else incarnation
+
+
+def find_later(incarnations: Iterable[str], others: Iterable[str]) -> dict[str, str]:
+    """Return those incarnations of which a later one is among ``others``, with that one."""
+    latest_by_runner: dict[str, str] = {}
+    for other in others:
+        known = latest_by_runner.get(runner_id(other))
+        if known is None or _is_later(other, known):
+            latest_by_runner[runner_id(other)] = other
+    later_by_id = {}
+    for incarnation in incarnations:
+        latest = latest_by_runner.get(runner_id(incarnation))
+        if latest is not None and _is_later(latest, incarnation):
+            later_by_id[incarnation] = latest
+    return later_by_id
+
+
+def _is_later(incarnation: str, other: str) -> bool:
+    started, other_started = _started(incarnation), _started(other)
+    return started is not None and other_started is not None and started > other_started
+
+
+def _started(incarnation: str) -> int | None:
+    _, separator, suffix = incarnation.rpartition(_SEPARATOR)
+    return int(suffix) if separator and suffix else None
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -105,6 +105,7 @@
         """Take the tasks on unseen runners for gone once their leases must be over."""
         if not self._cell.unseen:
             return
+        await self._give_up_outlived()
         if self.predecessors.look(self._parts.jobs.book, now):
             self._tell_unseen('finds that the former owner has ended.', now)
         if now > self.predecessors.until:
@@ -114,6 +115,22 @@
                 self._tell_unseen('takes the leases on unseen runners for run out.', now)
                 self._owner_context.tell_crashes(self._cell.give_up_unseen(confirmed))
 
+    async def _give_up_outlived(self) -> None:
+        """Take the tasks on incarnations for gone that have been followed by a later one."""
+        gone = []
+        for incarnation, later in self._cell.find_outlived().items():
+            if await self._owner_context.confirms(later.registration.zone, self._began_at):
+                gone.append(incarnation)
+        if not gone:
+            return
+        self._journal.tell(
+            Part.OWNERSHIP,
+            'finds that runners have restarted since the former owner used them.',
+            epoch=self._owner_context.term.epoch,
+            runners=gone,
+        )
+        self._owner_context.tell_crashes(self._cell.give_up_unseen(gone))
+
     async def _is_confirmed(self, runner: str) -> bool:
         """Return whether the zone of an unseen runner has told what it has shown."""
         registration = self._parts.runners.find(runner)
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -65,6 +65,20 @@
     When an entry born at 9 of i-1 follows
     Then i-1@7 is known as gone, where it was
 
+  # Guards against starting a task again that an incarnation runs which was only seen late.
+  Scenario Outline: What proves to a successor that an incarnation is over
+    Given a successor that has not seen i-1@7, on which a task may run
+    When <seen>
+    Then the task <state>, with <count> crashes
+
+    Examples:
+      | seen                      | state         | count |
+      | an entry of i-1@9 is read | is left alone | 0     |
+      | i-1@9 has answered        | may start     | 1     |
+      | i-1@5 has answered        | is left alone | 0     |
+      | i-2@9 has answered        | is left alone | 0     |
+      | i-1 has answered          | is left alone | 0     |
+
   # Guards against ids that name another runner once they are read back.
   Scenario: Ids of incarnations and runners
     Given any runner's id and any start
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -21,10 +21,13 @@
     incarnation_id,
     runner_id,
 )
+from dandelionreel.cell._model import JobState
+from dandelionreel.cell._records import CrashedRun, Progress, StoredStart
 from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.http import Answer, Server, answer_json
 from dandelionreel.kernel import ManualClock, Verdict
 from dandelionreel.platform import Address, HttpAdvice, HttpRunner, JsonRecordCodec
+from features.cell_parts import SmallCell, make_registration, step, task
 from features.store_parts import journal
 from standins import UsersPlatform
 
@@ -253,6 +256,41 @@
     assert context.folder.find(incarnation).address == '10.0.0.1'
 
 
+# Successors
+
+
+@given('a successor that has not seen i-1@7, on which a task may run')
+def successor(context):
+    crashed, starts = (CrashedRun(0, 0, 0, 1),), (StoredStart(0, 0, 0, 2, 'i-1@7'),)
+    progress = Progress(1, JobState.RUNNING, (), (), 0, ('i-1@7',), crashed, starts)
+    context.small = SmallCell((), epoch=2)
+    context.small.cell.unseen.add('i-1@7')
+    context.job = context.small.add_job('j1', [step()], progress=progress)
+
+
+@when('an entry of {incarnation} is read')
+def entry_read(context, incarnation):
+    small = context.small
+    small.registration_by_id[incarnation] = make_registration(incarnation)
+    small.see_runners()
+
+
+@when('{incarnation} has answered')
+def has_answered(context, incarnation):
+    entry_read(context, incarnation)
+    context.small.look(incarnation)
+
+
+@then('the task {state}, with {count:d} crashes')
+def task_state(context, state, count):
+    cell = context.small.cell
+    cell.give_up_unseen(cell.find_outlived())
+    assert cell.is_blocked(context.job) is (state == 'is left alone'), cell.unseen
+    # One of them had been counted before.
+    assert context.job.crashes.count(task('j1')) == 1 + count, context.job.crashes.crashed
+    assert len(context.small.plan().starts) == (state == 'may start')
+
+
 # Ids
 
 
--- a/spec/run.py
+++ b/spec/run.py
@@ -10,6 +10,7 @@
 from spec.completions import COMPLETIONS
 from spec.crashes import CRASHES
 from spec.escrow import ESCROW
+from spec.incarnations import INCARNATIONS
 from spec.joining import JOINING
 from spec.ownership import OWNERSHIP
 from spec.publication import PUBLICATION
@@ -21,6 +22,7 @@
     COMPLETIONS,
     BEHIND_A_CUT,
     CRASHES,
+    INCARNATIONS,
     QUOTAS,
     OWNERSHIP,
     JOINING,
