--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -2,7 +2,8 @@
 
 Jobs are handed in, asked for and cancelled while hosts are killed, paused and
 stopped, links to the store and to runners are cut in one or both directions, the
-store is down, slow or loses answers, runners crash and come back, change their room or
+store is down, slow or loses answers, runners crash and come back (under other ids, or restart under
+the ids that they had with ``--restarts``), change their room or
 are crashed by tasks, and another writer fills the runners' topic with bad entries. Faults
 overlap. Then all heals, every accepted job must end, and the runners' own records and the
 clients' answers judge.
@@ -78,12 +79,20 @@
 class PlatformSoak:
     """One run; ``seed`` draws all faults and all work."""
 
-    def __init__(self, seed: int, seconds: float, hosts: int = 3, runners: int = 4) -> None:
-        """Prepare the platform and the hosts."""
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        hosts: int = 3,
+        runners: int = 4,
+        *,
+        restarts: bool = False,
+    ) -> None:
+        """Prepare the platform and the hosts; with ``restarts`` runners keep their ids."""
         self._seed = seed
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._platform = UsersPlatform(runners, seed)
+        self._platform = UsersPlatform(runners, seed, tells_incarnation=restarts)
         self._hosts = EntryHosts(self._platform, hosts, block=2 + seed % 200)
         for name in self._hosts.names:
             self._platform.relay(f'store-{name}', 'store')
@@ -280,6 +289,10 @@
 
     def _revive(self, runner: PlatformRunner) -> None:
         with self._lock:
+            if runner.tells_incarnation:
+                runner.revive()
+                self._platform.register(runner)
+                return
             self._lives += 1
             self._platform.store.put('keyed.servers', runner.name, None)
             runner.revive(f'i-again-{self._lives}')
@@ -356,8 +369,16 @@
     parser.add_argument('--seconds', type=float, default=30)
     parser.add_argument('--hosts', type=int, default=3)
     parser.add_argument('--runners', type=int, default=4)
+    parser.add_argument('--restarts', action='store_true')
     options = parser.parse_args()
-    tally = PlatformSoak(options.seed, options.seconds, options.hosts, options.runners).run()
+    soak = PlatformSoak(
+        options.seed,
+        options.seconds,
+        options.hosts,
+        options.runners,
+        restarts=options.restarts,
+    )
+    tally = soak.run()
     accepted = sum(asked.accepted for asked in tally.asked)
     sys.stdout.write(
         f'seed {options.seed}: {len(tally.asked)} jobs, {accepted} accepted; '
