The product's own workers: a restart that reaches the known revision is noticed

The same cause elsewhere: the agent of a worker asks for its tasks from a revision on, and its client reconnects by itself. A worker that restarted and reached the same revision again answered 'unchanged', and the tasks of the former process were held, and those of the new one unknown, for as long as nothing changed there (the two rows failed before). How far back it remembers tells: no process remembers longer than it has run, so an unchanged list whose memory does not reach back to the list before it is of another process, and all is listed.

--- a/dandelionreel/workers/_agent.py
+++ b/dandelionreel/workers/_agent.py
@@ -213,6 +213,15 @@
         except WorkerError as error:
             await self._note_unreachable(error)
             return -1
+        if listing.unchanged and self._has_restarted(listing):
+            self._journal.tell(
+                Part.WORKERS,
+                f'{self.entry.name} has restarted.',
+                worker=self.entry.name,
+                revision=revision,
+                remembers_ms=listing.remembers_ms,
+            )
+            return -1
         # A listing that waited tells the state at its end, but one that was
         # asked before a start must not release it.
         self._reached = _Reached(self._clock.monotonic())
@@ -226,6 +235,14 @@
             await self.changed.notify()
         return listing.revision
 
+    def _has_restarted(self, listing: TaskList) -> bool:
+        """Return whether a worker's memory does not reach back to the list before this one.
+
+        A worker that has restarted counts its revisions anew, and may reach the one known.
+        """
+        since_listed = self._clock.monotonic() - self.ledger.listed_at
+        return listing.remembers_ms / MILLISECONDS < since_listed
+
     def _complete(self, listing: TaskList) -> TaskList:
         """Return an unchanged list with the tasks that are known of its revision."""
         known = self._listing
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -79,6 +79,22 @@
       | i-2@9 has answered        | is left alone | 0     |
       | i-1 has answered          | is left alone | 0     |
 
+  # Guards against taking the tasks of a former process for those of the one that answers.
+  Scenario Outline: A worker of the product's own interface restarts
+    Given an owner that has listed a worker with one task, at revision 1
+    When the worker restarts within <seconds> s, starts another task and is watched twice
+    Then the other task is held, and the one that it ran before is not
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 3       |
+
+  Scenario: A worker has nothing new
+    Given an owner that has listed a worker with one task, at revision 1
+    When it is watched twice without a change
+    Then its tasks were listed in full only once
+
   # Guards against ids that name another runner once they are read back.
   Scenario: Ids of incarnations and runners
     Given any runner's id and any start
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -3,12 +3,14 @@
 import json
 import time
 from contextlib import AsyncExitStack
+from types import SimpleNamespace
 
 import curio
 from behave import given, then, when
 from hypothesis import given as drawn
 from hypothesis import settings, strategies
 
+from dandelionreel.backing import HostEntry, MemoryWorker, Resources, TaskOrder
 from dandelionreel.cell import (
     KeyedRecord,
     RecordBatch,
@@ -26,7 +28,9 @@
 from dandelionreel.cell._runner_list import RunnersFolder
 from dandelionreel.http import Answer, Server, answer_json
 from dandelionreel.kernel import ManualClock, Verdict
+from dandelionreel.ownership import Grant, Level
 from dandelionreel.platform import Address, HttpAdvice, HttpRunner, JsonRecordCodec
+from dandelionreel.workers import WorkerAgent
 from features.cell_parts import SmallCell, make_registration, step, task
 from features.store_parts import journal
 from standins import UsersPlatform
@@ -291,6 +295,89 @@
     assert len(context.small.plan().starts) == (state == 'may start')
 
 
+# Workers of the product's own interface
+
+
+class RestartingWorker:
+    """The process that runs on a worker now, behind a client that reconnects by itself."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.full_lists = 0
+        self.restart()
+
+    def restart(self):
+        entry = HostEntry('w-1', 'worker', 'north', '127.0.0.1', 1)
+        self.process = MemoryWorker(entry, clock=self.clock)
+        self.entry = entry
+
+    async def start_task(self, name):
+        order = TaskOrder(Resources(1000), 'run 600', 900_000)
+        await self.process.start(name, order, 0, lambda: True)
+
+    async def tasks(self, after, wait):
+        listing = await self.process.tasks(after, 0)
+        self.full_lists += not listing.unchanged
+        return listing
+
+
+@given('an owner that has listed a worker with one task, at revision 1')
+def worker_listed(context):
+    context.clock = ManualClock()
+    context.worker = RestartingWorker(context.clock)
+    authority = SimpleNamespace(grant=lambda shard: Grant(Level.WHOLE, 1))
+    settings = SimpleNamespace(timings=SimpleNamespace(lease=6.0))
+    context.agent = WorkerAgent(
+        'me/1', context.worker.entry, context.worker, authority, settings, context.clock, journal()
+    )
+
+    async def watch():
+        await context.worker.start_task('j1.1.0')
+        context.revision = await context.agent._watch(-1)
+
+    curio.run(watch)
+    assert context.revision == 1, context.revision
+
+
+async def watch_twice(context):
+    for _ in range(2):
+        context.revision = await context.agent._watch(context.revision)
+
+
+@when('the worker restarts within {seconds:g} s, starts another task and is watched twice')
+def worker_restarts(context, seconds):
+    async def go_on():
+        context.clock.now += 50
+        await context.agent._watch(context.revision)
+        context.clock.now += seconds
+        context.worker.restart()
+        context.clock.now += 0.05
+        await context.worker.start_task('j2.1.0')
+        await watch_twice(context)
+
+    curio.run(go_on)
+
+
+@when('it is watched twice without a change')
+def worker_unchanged(context):
+    async def go_on():
+        for _ in range(2):
+            context.clock.now += 4
+            context.revision = await context.agent._watch(context.revision)
+
+    curio.run(go_on)
+
+
+@then('the other task is held, and the one that it ran before is not')
+def other_held(context):
+    assert [hold.task_id for hold in context.agent.ledger.holds()] == ['j2.1.0']
+
+
+@then('its tasks were listed in full only once')
+def listed_once(context):
+    assert context.worker.full_lists == 1, context.worker.full_lists
+
+
 # Ids
 
 
