--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -30,3 +30,10 @@
     When long jobs run, the owner is killed, and all runners restart before another owns the cell
     Then all of them are completed
     And no task ran twice and no runner was overfull
+
+  # Guards against a gang that is done and starts again and again, standing still in between.
+  Scenario: A gang is done on runners that have restarted
+    Given 3 entry hosts on a platform whose runners restart under their ids
+    When each runner has listed 30 ends, all restart, and a gang of 9 tasks is handed in
+    Then all of them are completed
+    And the gang has run once
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -1,8 +1,9 @@
 """Steps on runners that restart under the id that they had."""
 
 import time
+from collections import Counter
 
-from behave import given, when
+from behave import given, then, when
 
 from features.steps.platform_steps import all_completed, hand_in, start_hosts, task
 from standins import wait_for
@@ -10,6 +11,7 @@
 #: Addresses that no other feature uses.
 BLOCK = 248
 FULL_CPU = 8000
+GANG = 99
 
 
 @given('{count:d} entry hosts on a platform whose runners restart under their ids')
@@ -83,3 +85,23 @@
     wait_for(lambda: len(context.platform.runs) - before >= 12)
     context.hosts.kill(context.hosts.owner())
     restart_all(context)
+
+
+@when(
+    'each runner has listed {ends:d} ends, all restart, and a gang of {members:d} tasks is handed in'
+)
+def restart_before_gang(context, ends, members):
+    platform = context.platform
+    hand_in_jobs(context, range(1, 11), cpu=500, seconds=0.1, count=12)
+    all_completed(context)
+    ended = Counter(run.runner for run in platform.settle())
+    assert min(ended.values()) >= ends, ended
+    restart_all(context)
+    hand_in(context, GANG, task(cpu=2000, seconds=0.6, count=members, gang=True), 'advised')
+
+
+@then('the gang has run once')
+def gang_once(context):
+    runs = context.platform.settle()
+    numbers = {run.number for run in runs if run.task.startswith(f'{GANG:016x}')}
+    assert len(numbers) == 1, numbers
