--- a/Makefile
+++ b/Makefile
@@ -67,9 +67,10 @@
 soak: $(STAMP)
 	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
-# Random faults on entry hosts and their platform; SEED and SECONDS may be given.
+# Random faults on entry hosts and their platform; SEED, SECONDS and ARGS (--restarts,
+# --accounts) may be given.
 platform-soak: $(STAMP)
-	$(BIN)/python -m bench.platform_soak --seed $(SEED) --seconds $(SECONDS)
+	$(BIN)/python -m bench.platform_soak --seed $(SEED) --seconds $(SECONDS) $(ARGS)
 
 # What a daemon adds to a request, against calling the runner directly.
 bench-requests: $(STAMP)
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -3,7 +3,8 @@
 Jobs are handed in, asked for and cancelled while hosts are killed, paused and
 stopped, links to the store and to runners are cut in one or both directions, the
 store is down, slow or loses answers, runners crash and come back (under other ids, or restart under
-the ids that they had with ``--restarts``), change their room or
+the ids that they had with ``--restarts``), change their room, keys and quotas of client
+accounts change with ``--accounts``, or runners
 are crashed by tasks, and another writer fills the runners' topic with bad entries. Faults
 overlap. Then all heals, every accepted job must end, and the runners' own records and the
 clients' answers judge.
@@ -20,12 +21,14 @@
 from dataclasses import dataclass, field
 from threading import Event, Lock, Timer
 
+from bench.soak_accounts import Key, SoakAccounts
 from standins import (
     ANYONE,
     Cut,
     Cuts,
     EntryHosts,
     PlatformRunner,
+    Reply,
     UsersPlatform,
     crashes_by_task,
     doubled_runs,
@@ -48,6 +51,8 @@
 DONE = frozenset(('done', 'unread'))
 #: No answer, or one that says that nobody knows.
 UNANSWERED = frozenset((0, 504))
+#: An answer that says that the job was not taken.
+REFUSALS = frozenset((401, 429, 503))
 ENDED = frozenset(('completed', 'failed', 'cancelled'))
 
 
@@ -60,6 +65,8 @@
     gang: bool = False
     #: Whether its tasks crash the runners that start them.
     culprit: bool = False
+    #: The number of its client.
+    client: int = 0
     accepted: bool = False
     maybe: bool = False
     cancelled: bool = False
@@ -87,8 +94,12 @@
         runners: int = 4,
         *,
         restarts: bool = False,
+        accounts: bool = False,
     ) -> None:
-        """Prepare the platform and the hosts; with ``restarts`` runners keep their ids."""
+        """Prepare the platform and the hosts; with ``restarts`` runners keep their ids.
+
+        With ``accounts`` each client has one, whose keys and quota change all the while.
+        """
         self._seed = seed
         self._random = random.Random(seed)
         self._seconds = seconds
@@ -100,6 +111,8 @@
             self._platform.relay(f'relay-{runner.name}', runner.name)
         self._links = [f'store-{name}' for name in self._hosts.names]
         self._links += [f'relay-{runner.name}' for runner in self._platform.runners]
+        self._has_accounts = accounts
+        self._accounts: SoakAccounts | None = None
         self._cuts: list[Cut] = []
         self._lock = Lock()
         self._over = Event()
@@ -112,18 +125,20 @@
         with ExitStack() as stack:
             self._platform.start()
             stack.callback(self._platform.stop)
-            self._platform.configure()
+            self._configure()
             stack.callback(self._hosts.close)
             for name in self._hosts.names:
                 self._hosts.start(name)
             self._hosts.wait_ready()
-            with ThreadPoolExecutor(CLIENTS + 3) as pool:
+            with ThreadPoolExecutor(CLIENTS + 4) as pool:
                 seeds = [self._random.random() for _ in range(CLIENTS)]
                 for number, seed in enumerate(seeds):
                     pool.submit(self._be_client, number, random.Random(seed))
                 pool.submit(self._disturb_entries)
                 pool.submit(self._change_rooms)
                 pool.submit(self._hand_in_culprits)
+                if self._accounts is not None:
+                    pool.submit(self._accounts.change_until, self._over)
                 self._break_things()
                 self._over.set()
             self._heal()
@@ -133,19 +148,25 @@
                     sys.stdout.write(f'--- {name}\n{self._hosts.log_of(name)[-200_000:]}')
         return self.tally
 
+    def _configure(self) -> None:
+        if self._has_accounts:
+            self._accounts = SoakAccounts(self._platform, self._seed)
+        else:
+            self._platform.configure()
+
     def _be_client(self, number: int, draw: random.Random) -> None:
         count = 0
         while not self._over.is_set():
             count += 1
             job = (number << 32) + count
             queue = draw.choice(('plain', 'advised'))
-            asked = Asked(f'/{queue}/{job:016x}', draw.randint(1, 4))
+            asked = Asked(f'/{queue}/{job:016x}', draw.randint(1, 4), client=number)
             self.tally.asked.append(asked)
             self._hand_in(asked, draw)
             if asked.accepted and draw.random() < 0.1:
                 time.sleep(draw.random() * 0.3)
                 host = draw.choice(self._hosts.names)
-                status = self._hosts.ask(host, 'DELETE', asked.path).status
+                status = self._ask(host, 'DELETE', asked).status
                 asked.cancelled = status == 200
                 asked.maybe_cancelled = status in UNANSWERED
             time.sleep(draw.random() * 0.3)
@@ -164,13 +185,25 @@
         fate = ' crash' if asked.culprit else ''
         body = {'spec': f'{cpu} {draw.uniform(0.05, 0.8):.2f}{fate}', 'steps': [step]}
         for _ in range(4):
-            reply = self._hosts.ask(draw.choice(self._hosts.names), 'POST', asked.path, body)
+            reply = self._ask(draw.choice(self._hosts.names), 'POST', asked, body)
             if reply.status == 200:
                 asked.accepted = True
                 return
-            asked.maybe = asked.maybe or reply.status not in {429, 503}
+            asked.maybe = asked.maybe or reply.status not in REFUSALS
             time.sleep(0.3)
 
+    def _ask(self, host: str, method: str, asked: Asked, body: dict | None = None) -> Reply:
+        """Ask as the job's client does, with its key if it has one."""
+        if self._accounts is None:
+            return self._hosts.ask(host, method, asked.path, body)
+        account = self._accounts.account_of(asked.client)
+        self._accounts.account_by_job[asked.path.rpartition('/')[2]] = account
+        key: Key = self._accounts.key_for(account)
+        sent_at = time.monotonic()
+        reply = self._hosts.ask(host, method, asked.path, body, key=key.text)
+        self._accounts.check_reply(key, sent_at, reply.status)
+        return reply
+
     def _break_things(self) -> None:
         until = time.monotonic() + self._seconds
         faults = (
@@ -303,12 +336,17 @@
             timer.join()
         for name in self._hosts.names:
             self._start_again(name)
+        if self._accounts is not None:
+            self._accounts.settle()
 
     def _judge(self) -> None:
         wrong = self.tally.wrong
+        if self._accounts is not None:
+            wrong.extend(self._accounts.judge(self._hosts))
+            self.tally.faults['accounts'] = self._accounts.changes
         for asked in self.tally.asked:
             try:
-                wait_for(lambda path=asked.path: self._has_ended(path))
+                wait_for(lambda asked=asked: self._has_ended(asked))
             except TimeoutError:
                 if asked.accepted:
                     wrong.append(f'{asked.path} was accepted and has not ended')
@@ -325,7 +363,7 @@
         for asked in self.tally.asked:
             job = asked.path.rpartition('/')[2]
             most = max((crashes[task] for task in crashes if task.startswith(job)), default=0)
-            given_up = asked.accepted and self._state(asked.path) == 'failed'
+            given_up = asked.accepted and self._state(asked) == 'failed'
             if given_up and most < FEWEST_CRASHES:
                 wrong.append(f'{asked.path} was given up after {most} crashes')
             if asked.culprit and asked.accepted and not given_up:
@@ -340,7 +378,7 @@
             owed = asked.accepted and not asked.cancelled and not given_up
             missing = owed and len(done) < wanted
             if missing and asked.maybe_cancelled:
-                missing = self._state(asked.path) != 'cancelled'
+                missing = self._state(asked) != 'cancelled'
             if missing:
                 wrong.append(f'{asked.path}: {len(done)} of {asked.tasks} tasks were done')
 
@@ -348,15 +386,15 @@
         job = task.split('.')[0]
         return any(asked.culprit and asked.path.endswith(job) for asked in self.tally.asked)
 
-    def _state(self, path: str) -> str:
+    def _state(self, asked: Asked) -> str:
         """Return the state that the first host tells."""
-        replies = (self._hosts.ask(name, 'GET', path) for name in self._hosts.names)
+        replies = (self._ask(name, 'GET', asked) for name in self._hosts.names)
         return next((reply.body['state'] for reply in replies if 'state' in reply.body), '')
 
-    def _has_ended(self, path: str) -> bool:
+    def _has_ended(self, asked: Asked) -> bool:
         """Return whether a host tells an end, or that there is no such job."""
         for name in self._hosts.names:
-            reply = self._hosts.ask(name, 'GET', path)
+            reply = self._ask(name, 'GET', asked)
             if reply.status == 410 or reply.body.get('state') in ENDED:
                 return True
         return False
@@ -370,6 +408,7 @@
     parser.add_argument('--hosts', type=int, default=3)
     parser.add_argument('--runners', type=int, default=4)
     parser.add_argument('--restarts', action='store_true')
+    parser.add_argument('--accounts', action='store_true')
     options = parser.parse_args()
     soak = PlatformSoak(
         options.seed,
@@ -377,6 +416,7 @@
         options.hosts,
         options.runners,
         restarts=options.restarts,
+        accounts=options.accounts,
     )
     tally = soak.run()
     accepted = sum(asked.accepted for asked in tally.asked)
