--- a/dandelionreel/cell/_crashes.py
+++ b/dandelionreel/cell/_crashes.py
@@ -52,7 +52,7 @@
         self._start_by_task: dict[_TaskKey, StoredStart] = {}
         #: Whether a runner of the job was lost with a former owner: what it had started
         #: there, and whether the runner crashed under it, is not known.
-        self.unreachable_zones = False
+        self.doubtful = False
 
     @property
     def crashed(self) -> tuple[CrashedRun, ...]:
@@ -109,7 +109,7 @@
         would give the task one runner more.
         """
         key = _key(task)
-        if not self.unreachable_zones and key not in self._runs_by_task:
+        if not self.doubtful and key not in self._runs_by_task:
             return False
         self._start_by_task[key] = StoredStart(*key, run, runner)
         return True
--- a/dandelionreel/cell/_partition_reads.py
+++ b/dandelionreel/cell/_partition_reads.py
@@ -34,9 +34,9 @@
 
 #: Seconds for which what a runner has listed is good enough for the next question.
 VIEW_SECONDS = 0.2
-#: Seconds for the answer of a host of the same zone, and how many are told.
+#: Seconds for the answer of a host of the same zone, and how many of them are told.
 ANSWER_SECONDS = 0.2
-MAX_LOGGED = 3
+PEERS_TOLD = 3
 
 MakeRunner = Callable[[Registration], Runner]
 
@@ -148,7 +148,7 @@
 
     async def _tell_zone(self, job: str) -> bool:
         """Tell hosts of this zone; return whether one of them has taken the word."""
-        for host in self._zone_hosts()[:MAX_LOGGED]:
+        for host in self._zone_hosts()[:PEERS_TOLD]:
             member = self._book.member_by_host[host]
             try:
                 frame = await self._links.ask(member, CompletionsSeen((job,)), ANSWER_SECONDS)
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -120,7 +120,7 @@
 
     ``runners`` are all on which a task of the job may ever have been started:
     it is stored before the first start there, so a successor that cannot reach
-    some runner knows which jobs to leave alone. ``unreachable_zones`` as ``JobCrashes`` says.
+    some runner knows which jobs to leave alone. ``doubtful`` as ``JobCrashes`` says.
     ``account`` is kept as nothing else of a job that is over says whose it was, with the
     ``leftovers`` of its runs.
     """
@@ -133,7 +133,7 @@
     runners: tuple[str, ...] = ()
     crashed: tuple[CrashedRun, ...] = ()
     starts: tuple[StoredStart, ...] = ()
-    unreachable_zones: bool = False
+    doubtful: bool = False
     account: str = ''
     leftovers: tuple[Leftover, ...] = ()
 
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/_runs.py
@@ -288,8 +288,8 @@
 
     def note_doubt(self) -> None:
         """Note that runners may have crashed under its tasks, of which nothing is known."""
-        self.dirty = self.dirty or not self.crashes.unreachable_zones
-        self.crashes.unreachable_zones = True
+        self.dirty = self.dirty or not self.crashes.doubtful
+        self.crashes.doubtful = True
 
     def clear_crashes(self, name: TaskName) -> None:
         """Forget the crashes under a task that was well for so long that it caused none."""
@@ -394,13 +394,13 @@
             tuple(sorted(self.runners)),
             self.crashes.crashed,
             self.crashes.starts,
-            self.crashes.unreachable_zones,
+            self.crashes.doubtful,
             self.account,
         )
 
     def _restore_crashes(self, progress: Progress) -> None:
         self.crashes.restore(progress.crashed, progress.starts)
-        self.crashes.unreachable_zones = progress.unreachable_zones
+        self.crashes.doubtful = progress.doubtful
         for crashed in progress.crashed:
             task = self.steps(crashed.occurrence)[crashed.step].tasks[crashed.index]
             task.quarantined = self.crashes.is_quarantined(task.name)
--- /dev/null
+++ b/features/steps/record_steps.py
@@ -0,0 +1,65 @@
+"""Steps on the stored form of the cell's own records."""
+
+import msgspec
+from behave import given, then
+
+from dandelionreel.cell import Demand, JobSpec, JobState, Step
+from dandelionreel.cell._records import (
+    Attended,
+    Cancellation,
+    CrashedRun,
+    DoneTasks,
+    FailedRun,
+    Leftover,
+    Member,
+    Owner,
+    Progress,
+    StoredStart,
+    Submission,
+)
+
+DEMAND = Demand(500, 256, 0)
+FACTS = {
+    'an accepted job': Submission(
+        'q', 's', 1.5, JobSpec('p', (Step(2, DEMAND, 0.5, depends_on=(0,)),)), 'north', 'blue'
+    ),
+    'a cancellation': Cancellation(2.5),
+    'progress of a job at work': Progress(
+        3,
+        JobState.RUNNING,
+        (DoneTasks(0, 1, '5'),),
+        (FailedRun(0, 1, 2, 3001),),
+        runners=('i-1@7',),
+        crashed=(CrashedRun(0, 0, 0, 3001, True),),
+        starts=(StoredStart(0, 0, 0, 3002, 'i-2@8'),),
+        doubtful=True,
+        account='blue',
+    ),
+    'progress of a job that is over': Progress(
+        3,
+        JobState.COMPLETED,
+        ended_at=9.5,
+        account='blue',
+        leftovers=(Leftover('i-1@7', DEMAND),),
+    ),
+    'an owner': Owner(3, 'h', 'h/1/3', 4, True, 1.5, 6, 7),
+    'runners that are attended': Attended(3, ('i-1@7', 'i-2')),
+    'a member': Member('north', '10.0.0.1', 7720, 'h/1', 2.0, 6),
+}
+
+
+@given('{fact} as this version knows it')
+def known_fact(context, fact):
+    context.fact = FACTS[fact]
+
+
+@then('it is stored as {stored}')
+def stored_as(context, stored):
+    context.stored = stored
+    assert msgspec.json.encode(context.fact).decode() == stored, msgspec.json.encode(context.fact)
+
+
+@then('what was stored so is read as the same fact')
+def read_back(context):
+    read = msgspec.json.decode(context.stored, type=type(context.fact))
+    assert read == context.fact, read
