--- a/bench/replay.py
+++ b/bench/replay.py
@@ -390,7 +390,7 @@
                 state.suspect = True
                 self._unseen_by_runner[state.id] = []
         self._later(LEASE_SECONDS - LEASE_AGE, self._lapse)
-        self._later(longest_lease(LEASE_SECONDS), self._note_lost)
+        self._later(longest_lease(LEASE_SECONDS), self._expire_leases)
         self._later(cut.seconds, self._reconnect)
 
     def _lapse(self) -> None:
@@ -400,7 +400,7 @@
                 self.wasted += (self._now - began) * allocation.demand.cpu / 1000
             self._work[runner].clear()
 
-    def _note_lost(self) -> None:
+    def _expire_leases(self) -> None:
         for runner in self._unseen_by_runner:
             self.cell.runner_lapsed(runner)
 
--- a/dandelionreel/cell/_access.py
+++ b/dandelionreel/cell/_access.py
@@ -1,7 +1,7 @@
-"""Whose call a request is: checked at the door, before it costs anything else.
+"""Authenticates client calls by API key before they cost anything else.
 
-Load pattern: calls with unknown keys in any number. Each costs a digest and a lookup, and
-all of them together one question to peers every quarter of a second.
+Load pattern: any number of calls with unknown keys. Each costs a digest and a lookup; together they
+cost one question to peers at a time.
 """
 
 import enum
--- a/dandelionreel/cell/_active_runners.py
+++ b/dandelionreel/cell/_active_runners.py
@@ -1,8 +1,7 @@
-"""Which runners an owner attends to. No I/O.
+"""Chooses the runners that an owner polls. No I/O.
 
-Load pattern: a cell has ten times the runners that its work needs. Each one that is attended
-to costs its owner a connection and a look every other second, and all of them together a
-host's whole processor. So an owner attends to as many as its work needs twice over.
+Load pattern: a cell has many times the runners that its work needs, and each one that is polled
+costs its owner a connection and processor time. The owner polls twice as many as its work needs.
 """
 
 import itertools
--- a/dandelionreel/cell/_advice_requests.py
+++ b/dandelionreel/cell/_advice_requests.py
@@ -1,13 +1,9 @@
-"""Which questions to put to the policy service, and when. No I/O.
-
-Load pattern: one question takes from 10 ms to a second, and a few more
-milliseconds for each runner that it names; all questions of a busy cell take
-more than one host's whole time, and after an outage, with hundreds of steps
-waiting, more than that of all hosts. So a single task's question names only as
-many runners as it is likely to need, those with room first, and none is asked
-beyond what the free room could take. A gang needs seats on many runners at once:
-it asks about all that it may need, a few dozen in each of several questions, so
-that several hosts put them at the same time.
+"""Decides what to ask the policy service, and when. No I/O.
+
+Load pattern: hundreds of steps wait, and answering about all of their runners takes longer than all
+hosts have together. A request for single tasks names as many runners with room as it is likely to
+need, and none is made beyond what the free room can take. A gang needs seats on many runners at
+once: its request is split so that several hosts ask at the same time.
 """
 
 from collections.abc import Callable, Iterable
@@ -25,14 +21,12 @@
 MOST_RUNNERS = 100
 #: Runners named at least: a question's fixed time outweighs theirs.
 FEWEST_RUNNERS = 12
-#: The share of runners that is taken to be allowed, and by how much more than
-#: needed is asked for. A gang's seats are mostly taken when it asks: the more
-#: runners it may use, the sooner enough of them come free.
+#: Share of runners that is expected to be allowed, and how many times more than needed are asked
+#: about. A gang's seats are mostly taken, so it asks about more.
 ALLOWED_SHARE = 0.3
 SURPLUS = 1.6
 GANG_SURPLUS = 4.0
-#: Runners in one of a gang's questions. A service needs as long for 70 runners as
-#: for the question itself: with 45 an answer takes 1.6 times the shortest.
+#: Runners in one of a gang's requests.
 GANG_RUNNERS = 45
 #: Tasks for which a runner has room to be as good as any: more of one step seldom
 #: get there, as others take its room meanwhile.
@@ -118,11 +112,9 @@
         reservation: Reservation,
         now: float,
     ) -> list[AdviceRequest]:
-        """Return the questions for a gang's tickets, in time for its seats.
+        """Return the requests for a gang's tickets, in time for its seats.
 
-        They name every allowed runner. Which of them have seats first changes from
-        plan to plan, and with tickets for a few a gang asked again and again, 0.5 s
-        each time, while its seats stood empty.
+        They name every allowed runner: which of them have seats first changes from plan to plan.
         """
         known = self._cell.tickets.of(step.name)
         if not known.may_ask(now) or queue.advice is None:
@@ -150,8 +142,7 @@
     def _usual_slots(self, demand: Demand, limit: int) -> int:
         """Return how many tasks the middle one of all runners takes when it is empty.
 
-        Any one of them may have shrunk: a first one without room had gangs ask about
-        24 runners where 14 are likely to be enough, each of which takes the service time.
+        The middle one, as any single runner may have shrunk.
         """
         slots = sorted(
             count_slots(demand, runner.registration.capacity, limit)
@@ -187,9 +178,7 @@
 def _spread(step: StepName, zone: str) -> Callable[[tuple[int, RunnerState]], tuple]:
     """Return an order of runners that differs from step to step, the zone's and roomy first.
 
-    Asked by most room alone, all steps named the same dozen runners: the first to
-    have its tickets took their room, the others asked again, and smaller rooms stayed
-    empty while tasks waited that fit there.
+    In one order for all, steps would compete for the same few runners and their tickets.
     """
 
     def place(entry: tuple[int, RunnerState]) -> tuple[bool, int, int]:
--- a/dandelionreel/cell/_advisors.py
+++ b/dandelionreel/cell/_advisors.py
@@ -34,9 +34,8 @@
 PATIENCE_SECONDS = 0.4
 #: Seconds for which a peer that did not answer is not asked.
 PEER_QUIET = 2.0
-#: The share of hosts that may be busy with questions that are not urgent. An
-#: urgent one takes 15 ms, but after an outage all hosts were busy with others, of
-#: a second each, and urgent jobs waited 2 s for their turn.
+#: Share of hosts that may be busy with requests that are not urgent: those take a second each, and
+#: urgent ones would wait for them.
 PATIENT_SHARE = 0.75
 
 Answered = Callable[[AdviceRequest, tuple[Permit, ...], float], Awaitable[None]]
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/_cell.py
@@ -228,9 +228,8 @@
     def runner_ended(self, runner_id: str, *, proven: bool) -> list[Crash]:
         """Forget a runner on which nothing runs; one ``proven`` to be dead stays so.
 
-        An id names one life. The entry of a dead one stays listed for some seconds,
-        and would bring it back, to be looked at in vain, ten times a second. Returns
-        the crashes under its runs: they count before one of the tasks can start again.
+        Its entry stays listed for some seconds and would bring it back. Returns the crashes under
+        its runs, which count before any of their tasks can start again.
         """
         if proven:
             self._dead.add(runner_id)
--- a/dandelionreel/cell/_claim_order.py
+++ b/dandelionreel/cell/_claim_order.py
@@ -1,30 +1,24 @@
 """The order in which hosts claim a cell, and who writes for a zone. No I/O.
 
-Load pattern: the store slows down or a large site loses its owner, and every
-host acts at once. A partition takes appends one after the other: 35 of them,
-slowed to 74 ms each, are more than the 2 s that it lets wait, so it refuses
-all, the owner's heartbeats too, and refusals bring on more claims. So hosts act
-one after the other in an order that all of them know, and one host of a zone
-writes for the others there.
+Load pattern: the store slows down, or a large cell loses its owner, and every host would append at
+once, which makes a slow partition refuse all of them. Hosts act one after the other in an order
+that all of them know, and one host of a zone writes for the others.
 """
 
 from collections.abc import Collection, Mapping
 
 from dandelionreel.cell._records import Member
 
-#: Seconds between the claims of two hosts that follow each other: an append
-#: takes 4 ms, and the claim is read back some 10 ms later.
+#: Seconds between the claims of two hosts that follow each other: more than a claim takes.
 STEP_SECONDS = 0.06
 #: Seconds after which the last host claims, when all before it are dead.
 LONGEST_DELAY = 0.9
-#: Cores that the owner of a large cell needs, and for how many seconds a host with
-#: fewer leaves the claim to those that have them: one with half a core and a 5 Mbit/s
-#: link took half of the jobs that the cell was handed.
+#: Cores that the owner of a large cell needs, and seconds for which hosts with fewer leave the
+#: claim to those that have them.
 OWNER_CORES = 1.0
 SMALL_HOST_DELAY = 0.5
-#: Hosts that keep the list of runners at hand, being those that claim within half a second.
-#: Runners write every 1.5 s: read by all of 97 hosts, the entries of 270 of them were a
-#: third of the bytes of the store (0.17 and 0.11 GB in 50 s), and they grow with both.
+#: Hosts that keep the list of runners at hand, being the first to claim. Read by every host, the
+#: runners' heartbeats would take much of what the store can send.
 SUCCESSORS = 9
 #: Hosts of each zone that keep it, to tell what its runners have done behind a cut.
 REPLICAS_PER_ZONE = 2
@@ -44,11 +38,7 @@
 
 
 def is_successor(member_by_host: Mapping[str, Member], me: str) -> bool:
-    """Return whether ``me`` is one of the hosts that claim first, or cannot tell yet.
-
-    A host that waited for its place before it read the list of runners did not know where
-    one is whose entry went meanwhile, and could stop nothing there.
-    """
+    """Return whether ``me`` is one of the hosts that claim first, or cannot tell yet."""
     return me not in member_by_host or me in rank_hosts(member_by_host)[:SUCCESSORS]
 
 
--- a/dandelionreel/cell/_completions.py
+++ b/dandelionreel/cell/_completions.py
@@ -1,11 +1,9 @@
 """Jobs that a host knows to be complete before the store does. No I/O.
 
-Load pattern: the store is away or slow while tasks end. Their runners list the ends, so it
-is certain that the jobs are done, and yet their callers were told so only seconds later,
-once it stood in the store. What an owner has seen listed it tells its peers; from then on
-each of them may say so to clients. It cannot be taken back: whoever owns the cell next
-looks at the runner, which lists the end until it is acknowledged, and asks the peers, in
-case that the runner has crashed meanwhile. ``spec/completions.py`` has the model.
+Load pattern: the store is away or slow while tasks end. The owner tells its peers of completed
+jobs, and each of them may then answer clients. No take-over reverts that: the next owner reads the
+ends from the runners, which keep them until they are acknowledged, and asks the peers in case a
+runner has crashed. Model: ``spec/completions.py``.
 """
 
 from collections.abc import Iterable
--- a/dandelionreel/cell/_contact.py
+++ b/dandelionreel/cell/_contact.py
@@ -1,20 +1,15 @@
-"""Whether a host is cut off, alone or with its availability zone. No I/O.
+"""Decides whether a host is cut off, alone or with its availability zone. No I/O.
 
-Load pattern: a zone is cut off from the store and all other zones, and its clients still
-reach its hosts. Each request was tried at the owner, at a deputy and at the store in vain,
-for a second, and its client's few retries went to hosts that were cut off as well. Nothing
-can be accepted there; the sooner clients are sent to other zones, the more are served in
-time.
-
-What tells a cut from a store that is away, from a lost owner and from a slow link is the
-other zones: over there some host answers, and here nobody does.
+Load pattern: a zone is partitioned from the store and all other zones while its clients still reach
+its hosts. Nothing can be accepted there, so clients are sent to other zones as soon as possible.
+What tells a partition from an outage of the store, a lost owner or a slow link is that no host of
+any other zone answers.
 """
 
 from collections.abc import Iterable
 
-#: Seconds without an answer of the store after which a host may be cut off, and after
-#: which it asks around though no request has failed: reads are usually answered within
-#: 0.55 s, with the owner's heartbeats.
+#: Seconds without an answer of the store after which a host may be cut off and asks its peers,
+#: though no request has failed.
 STORE_SILENT = 0.4
 STORE_OVERDUE = 0.6
 #: Seconds for which questions that nobody answered tell something.
--- a/dandelionreel/cell/_crashes.py
+++ b/dandelionreel/cell/_crashes.py
@@ -1,11 +1,9 @@
-"""Which tasks crash the runners that start them, and when such a task is given up. No I/O.
-
-Load pattern: one task crashes each runner that starts it. The runner is back after some
-seconds and lists no end, so by ends alone the task is started for ever: two such tasks took
-130 runners down in 90 s, and one in nine of the jobs beside them was not served. Up to
-eight other tasks lie on a runner when it crashes, and most of them are not the cause;
-racks and zones crash too. What tells them apart is which start was still unanswered when
-the runner's connections broke, and what happens when a task is started by itself.
+"""Decides which tasks crash their runners, and when to give one up. No I/O.
+
+Load pattern: a task crashes each runner that starts it. A crashed runner reports nothing, so by
+failed runs alone the task would start for ever. Most tasks on a runner that crashes are not the
+cause. Two signs tell the culprit: its start was still unanswered when the connections broke, and it
+crashes a runner on which nothing else starts.
 """
 
 from dataclasses import dataclass
@@ -13,16 +11,15 @@
 from dandelionreel.cell._model import TaskName
 from dandelionreel.cell._records import CrashedRun, StoredStart
 
-#: Crashes right at its start after which a task is given up. The first one may be chance;
-#: behind it the task is started where nothing else starts, so the second one is not.
+#: Crashes right at its start after which a task is given up. After the first one it starts alone,
+#: so the second one is no chance.
 CLOSE_LIMIT = 2
-#: Crashes of any kind after which it is: one that crashes its runner late is never caught
-#: at its start. Three runners that crash by chance under one task leave it late for good.
+#: Crashes of any kind after which it is given up, as one that crashes its runner late is never
+#: caught at its start.
 CRASH_LIMIT = 3
 #: Crashes of any kind after which a task is quarantined.
 QUARANTINE_CRASHES = 2
-#: Seconds that a run must have been well on its runner to be no cause of its crash, and to
-#: clear its task of earlier ones: a service that runs for weeks outlives many runners.
+#: Seconds after which a run is no cause of its runner's crash, and clears its task of earlier ones.
 SOUND_SECONDS = 20.0
 
 _TaskKey = tuple[int, int, int]
--- a/dandelionreel/cell/_directory.py
+++ b/dandelionreel/cell/_directory.py
@@ -127,10 +127,8 @@
     def restart(self, snapshot: RecordBatch) -> None:
         """Forget, and take the newest record of each key.
 
-        An owner of which nothing else is known counts as heard of just now: it may
-        have written right before the snapshot was read. Taken for silent for ever,
-        it would be given one lease to end in place of its authority and a lease, and
-        its successor would start tasks that still run on runners only it reaches.
+        An owner of which nothing else is known counts as heard of just now: it may have written
+        right before the snapshot was read, and its leases last from then.
         """
         known = self.book.owner
         self._note_errors(snapshot.records, self.book.restart(snapshot.records))
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/_dispatcher.py
@@ -36,16 +36,14 @@
 from dandelionreel.cell._zone_confirmation import ZoneConfirmation
 from dandelionreel.kernel import Part, start_task
 
-#: Typical seconds of an append above which the store counts as slow: a job
-#: would spend too much of its time on one more of them.
+#: Typical seconds of an append above which the store counts as slow.
 SLOW_SECONDS = 0.05
 #: Seconds of failed appends after which new work is refused at once.
 REFUSE_SECONDS = 0.25
-#: Seconds in which news are gathered for one plan: each one looks at all that
-#: waits. A start is later by half of that in the mean.
+#: Seconds in which news is gathered for one plan.
 PLAN_PAUSE = 0.004
-#: A plan is followed by a rest of this many times what it took: with a long
-#: backlog, plans alone would take the whole processor and orders would wait.
+#: A plan is followed by a pause of this many times its duration, so that plans with a long backlog
+#: leave processor time for orders.
 PLAN_REST = 1.5
 #: Seconds in which a released cell's last record must be stored.
 RELEASE_PATIENCE = 1.0
@@ -213,9 +211,8 @@
     async def _release(self) -> None:
         """Store that this owner has stopped for good, having stopped before.
 
-        A successor waits for the leases that were granted before it read the
-        release. Its answer may be 1 s late: what was started or renewed meanwhile
-        would run on after the successor has started the task again.
+        A successor waits for the leases that were granted before it read the release, so nothing
+        may be started or renewed while the answer is out.
         """
         await self._owner_context.flush()
         self._owner_context.lost = 'released'
@@ -332,9 +329,8 @@
     async def _plan_once(self) -> None:
         """Plan, and send all that was decided, though the right to start may end meanwhile.
 
-        Each start asks for that right itself right before it is sent, and is else taken
-        back. A plan that was dropped left starts counted and answers waited for that
-        nobody had asked for, and their tasks never ran.
+        Each start checks that right itself before it is sent, and is withdrawn without it. A plan
+        that is dropped would leave starts counted, and requests open, that nobody has sent.
         """
         began = self._clock.monotonic()
         made = self._planner.plan(
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/_election.py
@@ -27,9 +27,8 @@
 #: Seconds without a heartbeat after which the owner is asked whether it lives.
 #: Two heartbeats and an append whose answer was lost.
 SILENT_SECONDS = 0.9
-#: Seconds for the answer of whoever is asked whether it acts (2 ms, up to a tenth of a
-#: second at an owner in a burst), for which a claim then waits, and for which an owner's
-#: word is taken at all: by then it has itself asked for a successor.
+#: Seconds for an owner's answer whether it acts, seconds for which a claim then waits, and for how
+#: long an owner is believed at all: by then it has asked for a successor itself.
 ASK_SECONDS = 0.25
 ALIVE_SECONDS = 0.5
 LONGEST_EXCUSE = 4.0
@@ -97,9 +96,8 @@
     former: Owner | None = None
     #: The offset at which this life of the host first read the topic.
     read_from: int = 0
-    #: When the claim that won was sent, in monotonic seconds; ``None`` for just now.
-    #: All others count its authority from then on: counted from when the answer has
-    #: come, up to 1.8 s later, it would renew leases that a successor gives up.
+    #: When the claim that won was sent, in monotonic seconds; ``None`` for just now. Peers count
+    #: the owner's authority from then on, so it does too.
     claimed_at: float | None = None
 
     def record(
@@ -181,17 +179,16 @@
     def suspect_refusing(self, term: str) -> None:
         """Take note that nothing seems to listen at the owner with that term.
 
-        A cut that refuses connections looks the same, so this counts only while no
-        heartbeat is read either: hosts behind such a cut claimed the cell from a
-        living owner again and again.
+        A partition that refuses connections looks the same, so this counts only while no heartbeat
+        is read either.
         """
         self._note_unheard(term)
 
     def note_unanswered(self, term: str) -> None:
         """Take note that a question to the owner with that term was not answered in time.
 
-        A host that loses power or is cut off refuses nothing. By its heartbeats alone it
-        was missed after 1.3 s, in which nothing started; a busy owner's heartbeats go on.
+        A host that loses power or is cut off refuses nothing; this misses it sooner than its
+        heartbeats alone.
         """
         self._note_unheard(term)
 
@@ -304,11 +301,10 @@
     async def _claim(self) -> Term | None:
         """Claim the cell; return the term that was won.
 
-        A claim needs no condition to be safe: its epoch fences whoever wrote before, only
-        one claim of an epoch is taken, and all that stands before it is read back. Only the
-        first one on an owner that may live is made on the condition that nothing has come
-        that was not read, as its heartbeat may. With 40 jobs a second on a store that took
-        0.16 s for an answer no claim met it, and a cell that was left had no owner for 3 s.
+        A claim needs no condition to be safe: its epoch fences whoever wrote before, only one claim
+        of an epoch is taken, and all that stands before it is read back. Only the first claim on an
+        owner that may live is conditional on nothing unread, such as its heartbeat; on a busy topic
+        the condition would hardly ever hold.
         """
         try:
             return await self._claim_once(self._follower.offset if self._may_live() else None)
--- a/dandelionreel/cell/_follower.py
+++ b/dandelionreel/cell/_follower.py
@@ -39,10 +39,9 @@
 class ReadSize:
     """How many bytes to ask for at once. No I/O.
 
-    A host on a 5 Mbit/s link gets 0.6 MB a second. After 9 s without the store it asked for
-    a megabyte again and again, never had it in time, and stayed out of rotation for the 30 s
-    that followed. So a read that fails is followed by one of half its size, and what failed
-    is not asked for again before the end has been reached.
+    Load pattern: a host with a slow link has missed more than one read can bring in time. A read
+    that fails is followed by one of half its size, and what failed is not asked for again before
+    the end has been reached.
     """
 
     def __init__(self) -> None:
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/_front.py
@@ -323,10 +323,7 @@
         return self._codec.answer_unknown_job()
 
     async def _count(self, queue: Queue, began: float) -> Answer:
-        """Tell how many jobs wait, unless too little has been read to know.
-
-        A host that has just started answered 0 while it read what is stored.
-        """
+        """Return how many jobs wait, unless too little has been read to know."""
         if not await self._follower.wait_fresh(began - COUNT_AGE, LOOKUP_PATIENCE):
             return refuse(STORE_CAUSE, 'the store cannot be read just now')
         return self._codec.answer_pending(self._jobs.book.count_waiting(queue.name))
--- a/dandelionreel/cell/_holdings.py
+++ b/dandelionreel/cell/_holdings.py
@@ -94,7 +94,7 @@
         self._stops.order(allocation)
 
     def repeat_stop(self, allocation: Allocation, asked: float) -> None:
-        """Have a run stopped once more that a look sent at ``asked`` should not list."""
+        """Have a run stopped once more that a poll sent at ``asked`` should not list."""
         self._stops.repeat(allocation, asked)
 
     def stop_members(self, step: StepRun) -> None:
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/_ledger.py
@@ -16,11 +16,10 @@
 OVERRUN_SHARE = 0.25
 #: Seconds for which a draining runner stays when it does not say so.
 DRAIN_SECONDS = 2.0
-#: Seconds that the news of a drain may have been under way: a read every 0.2 s.
+#: Seconds that the news of a drain may have been under way.
 ENTRY_AGE = 0.3
-#: Seconds that a quarantined task must have been well on a runner before anything else
-#: starts there. A task that crashes its runner does so within milliseconds of its start;
-#: all that starts beside it meanwhile would be lost with it.
+#: Seconds that a quarantined task must have been well on a runner before anything else starts
+#: there.
 QUARANTINE_SECONDS = 0.5
 
 
@@ -43,7 +42,7 @@
     placed_at: float
     ticket: str = ''
     phase: Holding = Holding.STARTING
-    #: Since when a look that does not list the run proves that it is not there.
+    #: Since when a poll that does not list the run proves that it is not there.
     settled_at: float | None = None
     #: When it was first known to run.
     started_at: float | None = None
@@ -86,7 +85,7 @@
         self.answered_at = NEVER
         #: Set while looks go unanswered: nothing new is placed there.
         self.suspect = False
-        #: Whether the last look was not answered.
+        #: Whether the last poll was not answered.
         self.missed = False
         #: When a draining runner may be gone (monotonic seconds).
         self.leaves_at = float('inf')
@@ -104,7 +103,7 @@
         self.readable_through: int | None = None
         #: The lowest end that must stay at the runner: its job cannot be read.
         self.kept_end: int | None = None
-        #: Whether all that the last look listed could be read.
+        #: Whether all that the last poll listed could be read.
         self.readable = True
         #: Quarantined runs that have not proved well yet.
         self._quarantined: list[Allocation] = []
@@ -229,9 +228,9 @@
         return lease_until
 
     def renew_lease(self, now: float, seconds: float) -> float | None:
-        """Return the lease that a look carries, ``None`` for none.
+        """Return the lease that a poll carries, ``None`` for none.
 
-        A runner that did not answer the last look gets none: each renewal that
+        A runner that did not answer the last poll gets none: each renewal that
         it may have taken moves the time at which its tasks are surely gone, and
         a crashed runner's tasks would never start elsewhere.
         """
--- a/dandelionreel/cell/_losses.py
+++ b/dandelionreel/cell/_losses.py
@@ -1,8 +1,7 @@
-"""What is made of runs that were lost with their runner. No I/O.
+"""Handles runs that were lost with their runner. No I/O.
 
-A crash is told from a cut, a freeze or an expired entry by one proof only: another life
-answers at the runner's address, though the runner had not said that it would leave. Until
-then a lost run may only be out of reach.
+Only one thing proves a crash: another incarnation answers at the runner's address, though the
+runner had not said that it would leave. Until then a run may only be out of reach.
 """
 
 from collections.abc import Callable, Iterable
@@ -61,7 +60,7 @@
     def note_answer(self, runner: RunnerState) -> list[Crash]:
         """Take a runner's first answer: it lives, and all that was at its address before is over.
 
-        It must answer, an entry is not enough: entries of former lives land late.
+        An entry is no proof, as entries of former incarnations land late.
         """
         lapsed = self._lapsed_by_address.get(_address(runner))
         if lapsed is None:
@@ -75,9 +74,8 @@
     def note_unseen(self, runner_id: str) -> list[Crash]:
         """Count what a former owner had stored of a runner that this one never reached.
 
-        Its life is over, or its entry has gone. Other tasks of the jobs that may have run
-        there were perhaps started too, first starts are not stored one by one: from now
-        on theirs are.
+        The runner has ended, or its entry has gone. First starts are not stored one by one, so
+        other tasks of these jobs may have run there; from now on their starts are stored.
         """
         crashes: list[Crash] = []
         for job in self._live_by_id.values():
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/_orders.py
@@ -19,8 +19,7 @@
 from dandelionreel.cell._writer import Written
 from dandelionreel.kernel import Part, Verdict, seconds_or_none
 
-#: Seconds in which the runners of a job must be stored before its starts are
-#: given up for now. A slow store takes half a second.
+#: Seconds in which the runners of a job must be stored before its starts are withdrawn.
 RECORD_PATIENCE = 0.9
 #: Tries of one start before it is taken back.
 START_TRIES = 4
@@ -31,8 +30,7 @@
 UNREACHED_QUIET = 0.3
 #: Starts that may be under way at the same time.
 MOST_UNDER_WAY = 64
-#: Seconds for the answer to a start above which it gets a line: most take a few
-#: milliseconds, and a line for each would double what is told of a start.
+#: Seconds for the answer to a start above which it is logged.
 SLOW_ANSWER = 0.1
 
 
@@ -59,9 +57,6 @@
         """Send starts; first store the runners that are new to their jobs.
 
         Starts of tasks under which runners have crashed are stored one by one.
-
-        Waiting for that append costs each job about 6 ms once, of some 600 ms
-        that the most urgent ones can spare.
         """
         self._under_way += len(allocations)
         unstored: dict[str, list[Allocation]] = {}
@@ -237,9 +232,8 @@
                 )
                 maybe_sent = maybe_sent or arrived
                 allocation.unanswered = maybe_sent
-                # Nothing more goes there until it has answered a look: a start that
-                # may have arrived holds its task up until the lease has run out.
-                # Looks alone took 2.1 s to tell that a zone was cut off.
+                # Nothing more goes there until it has answered a poll: a start that may have
+                # arrived holds its task up until the lease has run out.
                 state.suspect = True
                 self._tell_unanswered(allocation, error)
                 if not maybe_sent or not check():
@@ -265,7 +259,7 @@
         if await self._owner_context.confirms(state.registration.zone, state.answered_at):
             self._owner_context.end_runner(state, 'another runner answers there', proven=True)
             return
-        # The next look finds the same, and asks again.
+        # The next poll finds the same, and asks again.
         state.suspect = True
 
     def _note_order(self, state: RunnerState) -> None:
--- a/dandelionreel/cell/_owner_context.py
+++ b/dandelionreel/cell/_owner_context.py
@@ -15,23 +15,17 @@
 from dandelionreel.cell._writer import GroupWriter, Written
 from dandelionreel.kernel import Clock, Journal, Part, Signal, seconds_or_none
 
-#: Seconds for which runners keep what runs there without hearing from us. Long enough for
-#: a zone that is cut off for 6 s, the usual length: looks are 1.5 s apart, and the first one
-#: behind the cut takes up to 0.8 s. With 5 s, all that ran in such a zone was killed and
-#: done again just when it could be reached. A runner that is lost for good costs its tasks
-#: 3.5 s more for it.
+#: Seconds for which runners keep their tasks without a renewal: longer than a usual partition.
 LEASE_SECONDS = 8.5
 
-#: Seconds without an answered append after which nothing is started: a successor
-#: claims after 1.1 s of silence at the earliest, and then looks at the runners.
+#: Seconds without an answered append after which nothing is started: less than a successor needs to
+#: claim the cell and poll the runners.
 START_SECONDS = 1.5
 
-#: Seconds that the list of runners may be old when a start is sent. A runner whose room
-#: shrinks, or that leaves, says so within 1.5 s, and nobody may overfill it 4.5 s after;
-#: a host that could still append but not read would start by what it read long ago.
+#: Seconds that the list of runners may be old when a start is sent: runners drain and shrink.
 LIST_SECONDS = 2.5
 
-#: Lost runs that get a line each when their runner ends: several times what one holds.
+#: Lost runs that are logged when their runner ends.
 MAX_LOGGED = 40
 
 ListAge = Callable[[], float]
@@ -138,10 +132,8 @@
     ) -> Written:
         """Store how far jobs are; that is then shown to clients and relied upon.
 
-        What is stored is made and queued without a pause between the two: the store
-        keeps the newest record of a job, and one that was made earlier and queued
-        later would take back ends that have been acknowledged, the runners of a
-        job, or the job itself (clients were answered 410).
+        Records are made and queued without a pause between: the store keeps the newest record of a
+        job, and an older one that is queued later would revert it.
         """
         progress_by_job = self._note_progress(jobs)
         records = list(others)
--- a/dandelionreel/cell/_owner_watch.py
+++ b/dandelionreel/cell/_owner_watch.py
@@ -1,7 +1,7 @@
-"""Notices the death of the owner's process at once, by a connection to it.
+"""Notices at once that the owner's process has died, by a connection to it.
 
-The kernel closes the connections of a process that is killed. Heartbeats in the
-store tell the same 1.6 s later; they still have to, for a host without power.
+The kernel closes the connections of a process that is killed. A host that loses power closes none;
+heartbeats in the store tell of that.
 """
 
 from typing import Any
--- a/dandelionreel/cell/_partition_reads.py
+++ b/dandelionreel/cell/_partition_reads.py
@@ -1,12 +1,9 @@
-"""Behind a cut: what the runners of this zone have done is told to the zone's clients.
-
-Load pattern: an availability zone is cut off with its hosts, its runners and its clients.
-Jobs of these clients end at runners next door, and yet they were told so only when the cut
-was over, 6 s later: all that were accepted in the last second before it were lost to them.
-Hosts of the zone may look at its runners, without renewing a lease or acknowledging an end;
-what is listed there as done is done. The owner outside does not take a lease that runs out
-behind a cut for over before the zone's hosts have told it what they have shown, so that
-nothing of it starts again. ``spec/behind_a_cut.py`` has the model.
+"""Answers for jobs inside a partitioned availability zone, by what its runners list.
+
+Load pattern: a zone is cut off with its hosts, its runners and its clients, whose jobs end at
+runners next door. Hosts of the zone poll these runners without renewing leases or acknowledging
+ends, and tell clients which jobs are complete. The owner outside lets no lease there expire before
+these hosts have told it which. Model: ``spec/behind_a_cut.py``.
 """
 
 from collections.abc import Callable
@@ -140,7 +137,7 @@
     async def _poll_once(self, runner: Runner) -> tuple[EndedRun, ...]:
         """Return the ends that a runner lists; nothing is renewed nor acknowledged there."""
         try:
-            view = await runner.look(self._epoch(), 0, None, 0)
+            view = await runner.poll(self._epoch(), 0, None, 0)
         except (RunnerError, RunnerFenced, RunnerReplaced):
             # It is away, its next life knows nothing, or a later owner reaches it.
             return ()
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/_planner.py
@@ -24,15 +24,13 @@
     list_candidates,
 )
 
-#: Processors for which advice is asked, as a multiple of those that are free: about
-#: half of the runners are allowed. Without a limit every waiting step asked about
-#: the same free room, and most tickets found it taken.
+#: Processors for which advice is requested, as a multiple of those that are free: without a limit
+#: every waiting step would ask about the same room.
 REQUESTED_SHARE = 1.5
-#: Seconds for which reservations stand while the same gangs wait. Each takes a look at
-#: what runs on all runners that the gang may use: made anew in every plan, they were two
-#: thirds of a plan's time in bursts, and starts waited for plans.
+#: Seconds for which reservations stand while the same gangs wait: each is computed from all runs on
+#: all runners that its gang may use.
 RESERVE_SECONDS = 0.05
-#: The priority of queues whose questions are never held back: each takes 15 ms.
+#: The priority of queues whose requests are never held back.
 URGENT = 0
 INFINITE = float('inf')
 
@@ -106,10 +104,9 @@
 
         A gang is placed whole where any start may be.
 
-        Questions that are not urgent are asked only while hosts are free to put
-        them, so many at a time. Queued up for a host they keep the order of when
-        they were asked, and a gang's first tickets expire before its last ones come:
-        they have to be asked for once more while its caller waits.
+        Requests that are not urgent are made only while hosts are free for them: queued for a host
+        they would keep the order in which they were made, and a gang's first tickets would expire
+        before its last ones come.
         """
         candidates = list_candidates(self._cell, self._order.rank, now, wall)
         if not candidates:
@@ -190,8 +187,7 @@
     def _has_seats(self, candidate: Candidate, seats: list[Seat], current: _Round) -> bool:
         """Return whether tickets and room are there for all that waits of a step.
 
-        So it is for a job that the store is slow to take: each of its steps asked
-        again in every plan, 1,000 times a second for all, and gangs waited 3 s.
+        So it is for a job that the store is slow to take, which must not ask again in every plan.
         """
         step = candidate.step
         demand = counted_demand(step)
@@ -336,11 +332,7 @@
         _put(queue, questions, current)
 
     def _allowed(self, step: StepRun, runners: dict[str, RunnerState]) -> list[RunnerState]:
-        """Return the runners that a step may use, found by its permits.
-
-        A gang is allowed three of ten runners. Gone over for each waiting gang, all of them
-        were a quarter of a plan's time at 270 runners.
-        """
+        """Return the runners that a step may use, looked up by its permits."""
         found = (runners.get(runner_id) for runner_id in self._cell.tickets.of(step.name).allowed)
         return [runner for runner in found if runner is not None and suits(step, runner)]
 
--- a/dandelionreel/cell/_predecessors.py
+++ b/dandelionreel/cell/_predecessors.py
@@ -1,16 +1,14 @@
-"""Until when tasks that earlier owners started may run on runners not seen yet. No I/O.
+"""Until when tasks of earlier owners may run on runners that have not been polled yet. No I/O.
 
-Load pattern: the owner is lost together with the way to some runners. What runs there
-goes on as long as the lost owner renews its leases, and must not be started elsewhere
-meanwhile; every second that is waited for in vain makes urgent jobs late.
+Load pattern: the owner is lost together with the way to some runners. Their tasks go on for as long
+as the lost owner renews its leases, and must not start elsewhere meanwhile.
 """
 
 from dandelionreel.cell._cell import CLOCK_DRIFT
 from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell._job_book import JobBook
 
-#: Seconds for which a runner's last word of its clock may be old when a lease is
-#: granted by it: a look waits 1.5 s there, and 0.6 s for its answer.
+#: Seconds for which a runner's clock may have been extrapolated when a lease is granted by it.
 READING_AGE = 2.2
 
 
--- a/dandelionreel/cell/_preemption.py
+++ b/dandelionreel/cell/_preemption.py
@@ -1,11 +1,9 @@
-"""Which running tasks make room for a gang of a more urgent queue. No I/O.
-
-Load pattern: nine tenths of the processors are in use by small tasks, and a gang
-needs twenty large seats at once on the third of the runners that it is allowed.
-Waiting until enough of them are free together takes longer than its objective
-allows. Tasks of less urgent queues that keep checkpoints lose next to nothing: a
-stop makes a checkpoint, from which they go on elsewhere 0.1 s later. Only those are
-stopped, and only once the gang has tickets for all the runners that it will use.
+"""Decides which running tasks make room for a gang of a more urgent queue. No I/O.
+
+Load pattern: most processors are in use by small tasks, and a gang needs many large seats at once
+on the runners that it is allowed; to wait for them takes longer than its objective. Only tasks of
+less urgent queues that keep checkpoints are stopped, as they lose next to nothing, and only once
+the gang has tickets for all the runners that it will use.
 """
 
 import heapq
@@ -21,12 +19,11 @@
 #: Seconds that a gang waits for tasks to end by themselves before others are
 #: stopped for it: about what its tickets and the stops take anyhow.
 PATIENCE = 0.8
-#: Seconds by which a task's job must be ahead of its objective to be stopped: it
-#: waits for new tickets and room. Without it, bursts of gangs made 11 of 100 batch
-#: jobs late that were in time before.
+#: Seconds by which a task's job must be ahead of its objective to be stopped: it waits for new
+#: tickets and room.
 AHEAD_SECONDS = 3.0
 #: Seconds until a stopped task's end is listed: 0.2 to 0.4 s by the workers'
-#: contract, and a look under way.
+#: contract, and a poll under way.
 STOP_SECONDS = 0.45
 
 
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/_records.py
@@ -1,11 +1,9 @@
 """The cell's own records, one key a fact; every host folds them into its book.
 
-A job stands under three keys, each with one kind of writer: its submission
-(the host that accepted it), its cancellation (any host) and its progress (the
-owner of the cell, fenced by its epoch). So no writer can overwrite what another
-one has written, in whatever order appends land. Of a job that is over only the
-progress stays: a host that starts reads all keys, and the submissions of a minute
-took one with a 5 Mbit/s link 13 s.
+A job stands under three keys, each with one kind of writer: its submission (the host that accepted
+it), its cancellation (any host) and its progress (the owner of the cell, fenced by its epoch). So
+no writer overwrites another, in whatever order appends land. Of a job that is over only the
+progress stays, as a host that starts reads all keys.
 """
 
 from typing import Annotated
@@ -22,10 +20,8 @@
 MEMBER = 'm/'
 ATTENDED_KEY = 'runners'
 
-#: Seconds for which leases last that an owner granted last, and so for which a runner
-#: that only it reaches may run tasks after its successor's claim: 9 s of authority and
-#: 8.5 s of lease with 2% drift. A claim writes it, and so it is taken where the record of
-#: the owner cannot be read.
+#: Seconds for which leases of the latest owner may last that only it renews. Taken as well where
+#: the record of the owner cannot be read.
 UNSETTLED_SECONDS = 17.8
 #: No owner writes more; a wild figure would keep its successor from ever starting tasks.
 LONGEST_UNSETTLED = 60
--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/_relay.py
@@ -1,9 +1,7 @@
-"""Clients' requests passed on to a peer.
+"""Passes clients' requests on to a peer.
 
-The owner of the cell stores a job and starts it without waiting until it has
-read that another host stored it. And where the store turns single hosts away,
-the others still serve: clients that hold a connection to such a host would
-otherwise be refused for as long as that lasts.
+The owner starts a job that it stores itself without reading it first. Where the store turns single
+hosts away, peers that it serves store for them.
 """
 
 import random
@@ -31,10 +29,8 @@
 HTTP_TIMEOUT = 504
 #: Answers that hold whoever gives them: done, bad input, an unknown key, no such job.
 FINAL_STATUSES = frozenset((200, 400, 401, 409, 410, 413))
-#: Seconds for which a peer that did not answer, or that the store does not serve
-#: either, is not asked; twice as long after each miss that follows, up to the longest.
-#: A host that was cut off from its peers for 12 s made its clients wait a second for
-#: the owner in every 2.5 s.
+#: Seconds for which a peer that did not answer, or that the store does not serve either, is not
+#: asked; twice as long after each miss that follows, up to the longest.
 PEER_QUIET = 1.5
 LONGEST_QUIET = 4.0
 
@@ -140,10 +136,9 @@
         return Relayed(None, given.answer.status == HTTP_TIMEOUT)
 
     async def _can_act(self, host: str, member: Member) -> bool:
-        """Ask a peer for its word before it is handed what must not be done in doubt.
+        """Ask a peer whether it can act before it is handed what must not be done in doubt.
 
-        Behind a cut nothing answers. Handed over without asking, each job of the first
-        second was in doubt: its client was told so and did not come back.
+        A job that is handed to a silent peer is in doubt, and its client cannot ask elsewhere.
         """
         owner = self._book.owner
         term = owner.term if owner is not None and owner.host == host else ''
--- a/dandelionreel/cell/_reservations.py
+++ b/dandelionreel/cell/_reservations.py
@@ -1,11 +1,8 @@
 """Room kept free for gangs that do not fit yet. No I/O.
 
-Load pattern: a wide gang needs many large seats at once, while single tasks
-take every seat the moment it is free. Without reservations the gang waits until
-the load drops. Each waiting gang, in order of urgency, gets the runners on which
-its seats come free first; until then only what ends before that time may start
-there (backfilling). Few gangs reserve at a time, in proportion to the runners:
-more would idle those that the first ones do not need yet.
+Load pattern: a wide gang needs many large seats at once, while single tasks take every seat the
+moment it is free. Each waiting gang, in order of urgency, gets the runners on which its seats come
+free first; until then only what ends before that time may start there (backfilling).
 """
 
 import heapq
@@ -18,10 +15,8 @@
 from dandelionreel.cell._model import Demand, StepName
 from dandelionreel.cell._runs import StepRun, counted_demand
 
-#: Gangs that reserve at the same time: so many, and one for so many runners. With 4
-#: for 176 runners a gang waited behind others whose seats were elsewhere; with one for
-#: 6, all runners were reserved after an outage, and batch tasks waited beside a quarter
-#: of the processors.
+#: Gangs that reserve at the same time: so many, and one for so many runners. More would idle
+#: runners that the first ones do not need yet.
 FEWEST_RESERVING = 4
 RUNNERS_PER_RESERVING = 15
 #: A task may backfill when it ends before the reservation even if it takes this
@@ -84,8 +79,7 @@
     def may_start(self, runner: str, rank: Rank, until: float) -> bool:
         """Return whether a task that ends at ``until`` leaves a reservation alone.
 
-        Only what is less urgent than the gang has to: a reservation stands for several
-        plans, and urgent work that came in between waited for a settlement's turn.
+        Only what is less urgent than the gang has to, as a reservation stands for several plans.
         """
         held = self._by_runner.get(runner)
         return held is None or rank <= held.rank or until <= held.at
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/_rounds.py
@@ -173,7 +173,7 @@
 
         An entry of another runner at the same address proves nothing: a heartbeat of a
         former life can land seconds late, and tasks of the runner at work would be
-        started a second time. Only a look that another runner answers is a proof.
+        started a second time. Only a poll that another runner answers is a proof.
         """
         folder = self._parts.runners
         now = self._clock.monotonic()
--- a/dandelionreel/cell/_runner_poller.py
+++ b/dandelionreel/cell/_runner_poller.py
@@ -15,22 +15,20 @@
 from dandelionreel.cell._writer import Written
 from dandelionreel.kernel import Part
 
-#: Seconds that a look waits at the runner for a new end; each look renews.
+#: Seconds that a poll waits at the runner for a new end; each poll renews its leases.
 POLL_SECONDS = 1.5
-#: Seconds that it waits while something is being stopped there: a stop that is answered
-#: and not carried out shows only in a look that is sent 0.4 s later. With 1.5 s, such a
-#: run went on for 3 s, and for 4.5 s where its start was carried out late.
+#: Seconds that it waits while something is being stopped there: a stop that was answered and not
+#: carried out shows only in a poll that is sent later.
 STOP_POLL_SECONDS = 0.5
-#: Seconds between looks at a runner that does not answer, or whose ends could
+#: Seconds between polls of a runner that does not answer, or whose ends could
 #: not be stored yet.
 POLL_RETRY_SECONDS = 0.2
-#: Seconds that a look waits for its ends to be stored before the next one.
+#: Seconds that a poll waits for its ends to be stored before the next one.
 STORE_PATIENCE = 0.06
-#: Seconds without an answer after which nothing new is placed on a runner. One whose
-#: connection breaks gets nothing at once: its process has probably ended, and each start
-#: that is sent in vain holds its task up for the 3 s until it is back.
+#: Seconds without an answer after which nothing new is placed on a runner. One whose connection
+#: breaks gets nothing at once, as its process has probably ended.
 SUSPECT_SECONDS = 0.8
-#: Runs that one line names: at 40 bytes each it stays within 2 KB.
+#: Runs that one line names.
 MOST_NAMED = 40
 
 
@@ -58,7 +56,7 @@
         wait = _poll_wait(state) if lease_until is not None and not unstored else 0
         acknowledged = state.acknowledged
         try:
-            view = await runner.look(
+            view = await runner.poll(
                 self._owner_context.term.epoch, acknowledged, lease_until, wait
             )
         except RunnerFenced:
@@ -100,7 +98,7 @@
         self._tell_effect(state, effect, now)
         self._owner_context.tell_crashes(effect.crashes)
         self._tell_readable(state, view)
-        # The first look of a term also tells that nothing was found: what an earlier
+        # The first poll of a term also tells that nothing was found: what an earlier
         # owner had sent there never came, and may be started elsewhere.
         if unseen or effect.adopted:
             self._tell_found(state, effect.adopted, unseen, now)
@@ -180,7 +178,7 @@
             )
             return
         if first and error.broken:
-            # Where only the connection was reset, the next look is answered at once.
+            # Where only the connection was reset, the next poll is answered at once.
             return
         await curio.sleep(POLL_RETRY_SECONDS)
 
@@ -254,7 +252,7 @@
 
 
 def _poll_wait(state: RunnerState) -> float:
-    """Return the seconds that a look may wait at a runner for news."""
+    """Return the seconds that a poll may wait at a runner for news."""
     stopping = any(
         allocation.phase is Holding.STOPPING for allocation in state.allocation_by_run.values()
     )
--- a/dandelionreel/cell/_runner_views.py
+++ b/dandelionreel/cell/_runner_views.py
@@ -1,4 +1,4 @@
-"""What a look at a runner changes: runs that are at work, ends, and runs that are gone. No I/O."""
+"""What a poll at a runner changes: runs that are at work, ends, and runs that are gone. No I/O."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,7 +14,7 @@
 
 @dataclass
 class PollEffect:
-    """What a look at a runner has changed."""
+    """What a poll at a runner has changed."""
 
     ended: list[tuple[EndedRun, Allocation | None]] = field(default_factory=list)
     adopted: int = 0
@@ -23,10 +23,8 @@
 
     @property
     def is_news(self) -> bool:
-        """Return whether something may start or has to stop because of it.
-
-        Most looks only renew leases. A plan after each of them took a third of the
-        plans' time at 270 runners.
+        """Return whether something may start or has to stop because of it; most polls only renew
+        leases.
         """
         return bool(self.ended or self.adopted or self.lost or self.crashes)
 
@@ -87,7 +85,7 @@
         for allocation in tuple(runner.allocation_by_run.values()):
             if (allocation.task, allocation.run) in listed or allocation.settled_at is None:
                 continue
-            # A look that was under way when the order was answered may have
+            # A poll that was under way when the order was answered may have
             # been listed before the order took effect.
             if asked > allocation.settled_at:
                 effect.lost.append(allocation)
--- a/dandelionreel/cell/_seating.py
+++ b/dandelionreel/cell/_seating.py
@@ -1,9 +1,8 @@
-"""Which of the runners that a step may use its tasks are placed on. No I/O.
+"""Chooses the runners that tasks are placed on. No I/O.
 
-Load pattern: an availability zone is cut off for some seconds. Two tasks that are thrown
-over three zones have one there in five of nine cases, and their job waits for it; kept in
-one zone, in three of nine. So a job's tasks stay in the zone of its client as long as that
-costs no seat.
+Load pattern: an availability zone is cut off for some seconds, and a job with a task in there waits
+for it. A job's tasks stay in the zone of its client as long as that costs no seat, so that fewer
+jobs have one there.
 """
 
 from collections.abc import Iterable
--- a/dandelionreel/cell/_services.py
+++ b/dandelionreel/cell/_services.py
@@ -239,7 +239,7 @@
         """Stop a run, also one whose start has not arrived yet."""
 
     @abc.abstractmethod
-    async def look(
+    async def poll(
         self,
         epoch: int,
         acknowledged: int,
--- a/dandelionreel/cell/_stops.py
+++ b/dandelionreel/cell/_stops.py
@@ -8,7 +8,7 @@
 
 
 class Stops:
-    """Stops on their way: due, then answered, until a look proves that the run is gone."""
+    """Stops on their way: due, then answered, until a poll proves that the run is gone."""
 
     def __init__(self) -> None:
         """Start with nothing to stop."""
@@ -22,10 +22,10 @@
         self._send(allocation)
 
     def repeat(self, allocation: Allocation, asked: float) -> None:
-        """Have a run stopped once more that a look lists long after its stop was taken.
+        """Have a run stopped once more that a poll lists long after its stop was taken.
 
         The stop may have overtaken the start. Such a run counts as being stopped, so
-        nobody would tell the runner again, and it would run to its end. A look that was
+        nobody would tell the runner again, and it would run to its end. A poll that was
         sent (at ``asked``) when the stop must have taken effect proves that it has not.
         """
         if allocation.phase is not Holding.STOPPING or allocation.settled_at is None:
@@ -40,6 +40,6 @@
         return taken
 
     def _send(self, allocation: Allocation) -> None:
-        # Until the stop is answered, a look that does not list the run proves nothing.
+        # Until the stop is answered, a poll that does not list the run proves nothing.
         allocation.settled_at = None
         self._due.append(allocation)
--- a/dandelionreel/cell/_succession.py
+++ b/dandelionreel/cell/_succession.py
@@ -52,11 +52,10 @@
         await self._hand_over(now)
 
     async def leave(self) -> bool:
-        """Have a peer take the cell over, which goes on here meanwhile; return whether one has.
+        """Have a peer take the cell over while it is still served here; return whether one has.
 
-        A release is read, claimed and read back before anybody acts: 0.3 s in which nothing
-        starts and no end is seen, and a second and more on a slow store. Whoever claims the
-        cell from an owner at work fences it only then.
+        After a release nothing starts until it has been read, claimed and read back. Whoever claims
+        the cell from an owner at work fences it only then.
         """
         members = self._book.member_by_host
         others = [host for host in rank_hosts(members) if host != self._host][:PEERS_ASKED]
@@ -77,10 +76,7 @@
         return bool(self._owner_context.lost)
 
     async def _ask_when_refused(self, now: float) -> None:
-        """Have peers claim the cell while the store serves them and not us.
-
-        Ended by silence alone this took 1.8 s, in which nothing was started.
-        """
+        """Have peers claim the cell while the store serves them and not this host."""
         if not self._owner_context.writer.in_trouble(now) or now < self._asked_at + ASK_AGAIN:
             return
         self._asked_at = now
@@ -100,8 +96,7 @@
     async def _hand_over(self, now: float) -> None:
         """Give the cell up when a larger host lives that can own it.
 
-        After many hosts were killed at once, a small one that was left may have
-        claimed; with half a core it starts half of what a large one does.
+        After many hosts were killed at once, a small one that was left may have claimed.
         """
         if now < self._settled_at or not self._election.may_hand_over():
             return
--- a/dandelionreel/cell/_unreadable.py
+++ b/dandelionreel/cell/_unreadable.py
@@ -21,8 +21,8 @@
 
 #: Characters of a message or of a key that go into a log line.
 TEXT_LENGTH = 120
-#: Keys of which it is remembered what was told last: three times the runners that
-#: are planned for, some 300 kB. A writer of ever new keys pushes out the oldest.
+#: Keys of which it is remembered what was logged last. A writer of ever new keys pushes out the
+#: oldest.
 KEYS_REMEMBERED = 4000
 #: Lines in so many seconds: a writer of ever new keys must not fill the log. One
 #: bad entry of every runner of a small site is still told.
@@ -54,8 +54,7 @@
 def decode_json(decoder: msgspec.json.Decoder[Decoded], content: bytes) -> Decoded:
     """Return what the content says; raises ``UnreadableError``.
 
-    A value that is nested a thousand times raises ``RecursionError``, which is no
-    ``ValueError``: it ended the reading of a whole topic.
+    Deep nesting raises ``RecursionError``, which is no ``ValueError``.
     """
     try:
         return decoder.decode(content)
--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/_writer.py
@@ -1,8 +1,7 @@
 """Group commit: everything that waits goes into one append, the newest of each key.
 
-Load pattern: the tasks of a job end within milliseconds of each other, and each end is a
-newer record of the same job. While an append is under way several of them wait; every host
-would read all, of which the last one tells everything.
+Load pattern: the tasks of a job end within milliseconds of each other, and each end is a newer
+record of the same job. Only the last of those that wait is appended.
 """
 
 import enum
@@ -26,16 +25,12 @@
 RECORDS_PER_APPEND = 200
 #: Bytes of one append, well below what the store takes at once.
 BYTES_PER_APPEND = 1_000_000
-#: Bounds in seconds of how long an append's answer is waited for. The store
-#: answers in 4 ms; slowed 60 times it takes 0.25 s, and the first slow answer
-#: must not be taken for a lost one. Beyond that the wait follows what was measured,
-#: and doubles with each miss: at 0.3 s again and again, a store that took 0.31 s
-#: was never heard, the owner counted it as lost and all hosts claimed at once.
+#: Bounds in seconds for an append's answer. The wait follows what was measured and doubles with
+#: each miss, so that a slow store is not taken for a silent one.
 SHORTEST_TIMEOUT = 0.3
 LONGEST_TIMEOUT = 0.9
-#: A plain writer waits that long for every answer: an append that is sent again
-#: while the first one still waits in the store's queue makes the queue longer, and
-#: there are many plain writers.
+#: Seconds that a plain writer waits for every answer: an append that is sent again while the first
+#: one is queued at the store makes the queue longer.
 PLAIN_TIMEOUT = 0.9
 #: The wait is this many times the typical answer, and doubles after each miss.
 TIMEOUT_FACTOR = 8.0
@@ -47,10 +42,9 @@
 SILENT_SECONDS = 1.0
 #: Seconds for which a failed append tells something about the store.
 MEMORY_SECONDS = 1.5
-#: Seconds between tries while the store refuses or stays silent. Plain writers
-#: pause twice as long after each failure, up to the longest pause, less up to half
-#: of it by chance: at 0.1 s, those of 35 hosts kept a slow store's queue full, and
-#: the owner's appends were refused for 4 s.
+#: Seconds between tries while the store refuses or stays silent. Plain writers pause twice as long
+#: after each failure, up to the longest pause, with jitter, so that they do not fill a slow store's
+#: queue.
 RETRY_SECONDS = 0.1
 LONGEST_PAUSE = 0.8
 
@@ -140,8 +134,7 @@
     def in_trouble(self, now: float) -> bool:
         """Return whether the store takes nothing from this host just now.
 
-        A writer that nobody uses any more learns nothing: what it knew of an
-        outage is forgotten, or its host would stay out of rotation for ever.
+        An idle writer learns nothing, so what it knew of an outage is forgotten in time.
         """
         if now - self.failed_at > MEMORY_SECONDS:
             return False
@@ -230,7 +223,7 @@
             if now < entry.until or (self._fence is not None and entry.maybe):
                 kept.append(entry)
                 continue
-            await self._note_lost(entry)
+            await self._abandon(entry)
         await self._drop_overdue(now)
         if kept:
             await curio.sleep(self._pause)
@@ -242,17 +235,16 @@
     async def _drop_overdue(self, now: float) -> None:
         """Give up what has waited too long behind an append that fails; it was never sent.
 
-        Until then its clients did not know what became of it, and one that does not know
-        may not ask another host: of each outage's first second, all jobs were lost.
+        Only who knows that may ask another host.
         """
         overdue = [entry for entry in self._waiting if entry.until <= now]
         # Taken out without a pause: what is queued meanwhile stays behind all that waits, or
         # an older record of a job could land behind its newest.
         self._waiting = deque(entry for entry in self._waiting if now < entry.until)
         for entry in overdue:
-            await self._note_lost(entry)
+            await self._abandon(entry)
 
-    async def _note_lost(self, entry: _Entry) -> None:
+    async def _abandon(self, entry: _Entry) -> None:
         self.given_up += 1
         entry.outcome = Written.UNKNOWN if entry.maybe else Written.REFUSED
         await entry.event.set()
--- a/dandelionreel/cell/_zone_confirmation.py
+++ b/dandelionreel/cell/_zone_confirmation.py
@@ -1,9 +1,8 @@
-"""Whether hosts of a zone have told what they have shown, before its runs count as lost.
+"""Confirms what a partitioned zone's hosts have told clients before its runs count as lost.
 
-Behind a cut the hosts of a zone tell its clients which of their jobs its runners have done.
-An owner outside does not see that. If it took a lease that runs out there for the end of the
-run, or the crash of a runner for the loss of its list, and asked nobody, it would start a
-task again whose job a client holds for complete.
+Behind a partition the hosts of a zone tell its clients which jobs are complete. An owner outside
+that let leases there expire, or counted a runner as crashed, without asking them would start tasks
+of such jobs again.
 """
 
 from dandelionreel.cell._completion_gossip import CompletionGossip
@@ -24,12 +23,12 @@
     """Asks the hosts of zones during one term."""
 
     def __init__(
-        self, context: OwnerContext, book: JobBook, notices: CompletionGossip, host: str
+        self, context: OwnerContext, book: JobBook, gossip: CompletionGossip, host: str
     ) -> None:
         """Ask as ``host``."""
         self._owner_context = context
         self._book = book
-        self._completion_gossip = notices
+        self._completion_gossip = gossip
         self._host = host
         self._confirmed_at_by_zone: dict[str, float] = {}
         self._asked_at_by_zone: dict[str, float] = {}
@@ -37,10 +36,9 @@
         self._began_at = context.clock.monotonic()
 
     async def is_confirmed(self, zone: str, since: float) -> bool:
-        """Return whether a zone whose runner is silent ``since`` then has been heard.
+        """Return whether hosts of a zone have told what they answered since a runner fell silent.
 
-        Seconds are monotonic; an owner has waited since its term began at the longest. A
-        zone without other hosts has nobody who could have shown anything.
+        ``since`` is in monotonic seconds. A zone without other hosts has nobody to ask.
         """
         now = self._owner_context.clock.monotonic()
         since = max(since, self._began_at)
--- a/dandelionreel/cell/_zone_reachability.py
+++ b/dandelionreel/cell/_zone_reachability.py
@@ -1,16 +1,14 @@
-"""Which availability zones may be cut off, by what their runners leave unanswered. No I/O.
+"""Decides which availability zones cannot be reached, by their runners' overdue answers. No I/O.
 
-Load pattern: a zone of eight runners is cut off while 12 starts a second go there. Each
-runner was found silent by itself, by the first start that it left unanswered for 0.4 s: ten
-to twenty starts were lost in the first second, and each holds its task up until the cut is
-over. Two runners of a zone that are silent at the same moment, while nobody there answers,
-tell it for all of them in a quarter of the time.
+Load pattern: a zone is cut off while many starts a second go there, and each start that is lost
+holds its task up until the partition heals. Two silent runners of a zone of which no runner answers
+stand for all of them.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-#: Seconds after which an order's answer is overdue: they take 2 ms, some tens on slow links.
+#: Seconds after which an order's answer is overdue.
 OVERDUE_SECONDS = 0.08
 #: Runners of a zone that must be silent: one may have ended.
 SILENT_RUNNERS = 2
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -26,9 +26,7 @@
 #: cell's records, most of them its own, and of the runners' heartbeats.
 OWNER_CELL_PAUSE = 0.15
 OWNER_RUNNERS_PAUSE = 0.2
-#: The same on the other hosts. There a client that asks for a job that is not
-#: over ends the pause. Without it nine hosts made 31,000 calls to the store
-#: in 46 s, with it 9,000.
+#: The same on the other hosts. There a client that asks for a job that is not over ends the pause.
 CELL_PAUSE = 0.25
 RUNNERS_PAUSE = 2.0
 OPERATOR_PAUSE = 0.1
--- a/dandelionreel/http/_sockets.py
+++ b/dandelionreel/http/_sockets.py
@@ -21,11 +21,10 @@
 
 
 async def connect(address: str, port: int, user_timeout: float) -> Any:
-    """Open a connection whose unacknowledged bytes are given up in time.
+    """Open a connection whose unacknowledged bytes are given up after ``user_timeout`` seconds.
 
-    Without TCP_USER_TIMEOUT the kernel resends for minutes: a start that was
-    written before a cut would arrive after the cut has healed, when another
-    owner may already have filled the worker. ``user_timeout`` is in seconds.
+    The kernel would resend them for minutes, and a start that was written before a partition would
+    arrive after it, when another owner may have filled the worker.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -1,8 +1,8 @@
-"""Runners: starts, stops and looks over HTTP.
+"""Runners: starts, stops and polls over HTTP.
 
 Each call reaches the incarnation that it is meant for, or has no effect. A call names the
 runner by its id, which the next incarnation has too; what tells them apart is only in the
-answer to a look. So each new connection is tried with a look that renews, acknowledges and
+answer to a poll. So each new connection is tried with a poll that renews, acknowledges and
 starts nothing: what answers it is the process that all calls on that connection reach.
 """
 
@@ -33,14 +33,14 @@
 #: Seconds for an order. A runner answers within milliseconds; a slow link
 #: takes some tens. An order that stays unanswered is simply repeated.
 ORDER_TIMEOUT = 0.4
-#: Seconds beyond the time that a look may wait at the runner.
-LOOK_TIMEOUT = 0.6
+#: Seconds beyond the time that a poll may wait at the runner.
+POLL_TIMEOUT = 0.6
 #: Connections for orders to one runner: one unanswered order must not hold up
 #: the starts behind it.
 ORDER_CHANNELS = 3
 
 #: Lists runs and ends; renews leases and acknowledges ends where it is told to.
-LOOK_PATH = '/v1/hold'
+POLL_PATH = '/v1/hold'
 HTTP_OK = 200
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
@@ -71,7 +71,7 @@
 
 
 class HttpRunner(Runner):
-    """One runner, with a connection for looks and a few for orders."""
+    """One runner, with a connection for polls and a few for orders."""
 
     def __init__(self, registration: Registration) -> None:
         """Reach the runner where it registered itself."""
@@ -124,7 +124,7 @@
         fields = {'task': encode_task(task), 'run': run, 'fencing_token': epoch}
         self._check_answer(await self._order('/v1/run-stop', fields))
 
-    async def look(
+    async def poll(
         self,
         epoch: int,
         acknowledged: int,
@@ -137,7 +137,7 @@
             fields['deadline_ms'] = int(lease_until * MILLISECONDS)
         if wait:
             fields['wait_ms'] = int(wait * MILLISECONDS)
-        answer = await self._call(self._polls, LOOK_PATH, fields, LOOK_TIMEOUT + wait)
+        answer = await self._call(self._polls, POLL_PATH, fields, POLL_TIMEOUT + wait)
         self._check_answer(answer)
         view = decode_view(answer.body)
         self._check_incarnation(view)
@@ -157,7 +157,7 @@
     async def _check_peer(self, connection: Connection) -> None:
         """Raise ``RunnerReplaced`` where another incarnation is at the end of a connection."""
         fields = {'fencing_token': self._epoch, 'acked_through': 0}
-        answer = await connection.exchange(self._make_request(LOOK_PATH, fields), ORDER_TIMEOUT)
+        answer = await connection.exchange(self._make_request(POLL_PATH, fields), ORDER_TIMEOUT)
         self._check_answer(answer)
         try:
             view = decode_view(answer.body)
--- a/dandelionreel/platform/_views.py
+++ b/dandelionreel/platform/_views.py
@@ -1,4 +1,4 @@
-"""What a runner lists in answer to a look: what runs there and what has ended."""
+"""What a runner lists in answer to a poll: what runs there and what has ended."""
 
 from contextlib import suppress
 from typing import Annotated
--- a/features/cancelling_parts.py
+++ b/features/cancelling_parts.py
@@ -70,7 +70,7 @@
             number = len(self._ended) + 1
             self._ended.append(EndedRun(number, task, run, Outcome.STOPPED, ''))
 
-    async def look(self, epoch, acknowledged, lease_until, wait):
+    async def poll(self, epoch, acknowledged, lease_until, wait):
         """Renew all leases, and list everything once there is an end or the time is up."""
         self._reach(epoch)
         for key in self.running if lease_until is not None else ():
--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -63,7 +63,7 @@
         self.see_runners()
         if seen:
             for runner in runners:
-                self.look(runner)
+                self.poll(runner)
 
     def see_runners(self):
         """Pass the list of runners on."""
@@ -97,7 +97,7 @@
             self.cell.start_answered(allocation, StartReply.STARTED, self.now)
         return made
 
-    def look(self, runner, running=(), ended=(), asked=None, complete=True):
+    def poll(self, runner, running=(), ended=(), asked=None, complete=True):
         """Let a runner list runs ``(task, run)`` and ends ``(number, task, run, outcome)``.
 
         Without ``complete`` it has more ends than it lists.
--- a/features/steps/active_runner_steps.py
+++ b/features/steps/active_runner_steps.py
@@ -40,7 +40,7 @@
     context.small.see_runners()
     for runner in context.chosen:
         if not context.small.cell.runner_by_id[runner].knows_clock():
-            context.small.look(runner)
+            context.small.poll(runner)
 
 
 def fill(context, cores):
@@ -102,7 +102,7 @@
                 if 'doubt' in what:
                     small.cell.take_back(held)
                 continue
-            small.look(runner.id, ended=((runner.noted + 1, held.task, held.run, 'done'),))
+            small.poll(runner.id, ended=((runner.noted + 1, held.task, held.run, 'done'),))
         runner.confirmed = runner.noted
     if 'acknowledged' in what:
         state.confirmed = state.noted - 1
@@ -124,7 +124,7 @@
         self.under_way = 0
         self.looks = 0
 
-    async def look(self, epoch, acknowledged, lease_until, wait):
+    async def poll(self, epoch, acknowledged, lease_until, wait):
         self.under_way += 1
         self.looks += 1
         await curio.sleep(0.05)
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -86,7 +86,7 @@
     async def stop(self, task, run, epoch):
         raise RunnerError('no answer', Verdict.UNKNOWN)
 
-    async def look(self, epoch, acknowledged, lease_until, wait):
+    async def poll(self, epoch, acknowledged, lease_until, wait):
         await curio.sleep(LONG)
 
     async def close(self):
@@ -143,14 +143,14 @@
 
     async def look():
         runner = Unreachable()
-        runner.look = replaced_look
+        runner.poll = replaced_poll
         owner.runner_by_id['w9'] = runner
         await RunnerPoller(owner).poll(state, runner)
 
     curio.run(look)
 
 
-async def replaced_look(epoch, acknowledged, lease_until, wait):
+async def replaced_poll(epoch, acknowledged, lease_until, wait):
     raise RunnerReplaced('w9')
 
 
--- a/features/steps/behind_a_cut_steps.py
+++ b/features/steps/behind_a_cut_steps.py
@@ -85,7 +85,7 @@
         self._how = how
         self.looks = []
 
-    async def look(self, epoch, acknowledged, lease_until, wait):
+    async def poll(self, epoch, acknowledged, lease_until, wait):
         """Answer as told."""
         self.looks.append((acknowledged, lease_until))
         if self._how == 'says nothing of':
@@ -206,7 +206,7 @@
     context.small.now = 1000
     context.small.registration_by_id['w1'] = make_registration('w1', zone='south')
     context.small.see_runners()
-    context.small.look('w1')
+    context.small.poll('w1')
     context.small.add_job(JOB, [step()])
     context.small.plan()
     context.owner = make_owner_context(context.small.cell, context.clock)
--- a/features/steps/cancelling_steps.py
+++ b/features/steps/cancelling_steps.py
@@ -98,7 +98,7 @@
         small.cell.take_stops()
         small.cell.stop_answered(context.start, small.now)
         small.now += 1
-        small.look('w1')
+        small.poll('w1')
     assert not small.runs_on('w1')
 
 
@@ -121,8 +121,8 @@
 def list_run(context):
     """Let w1 list the run twice, as looks do that come one after the other."""
     running = [(context.start.task, context.start.run)]
-    context.small.look('w1', running=running)
-    context.small.look('w1', running=running)
+    context.small.poll('w1', running=running)
+    context.small.poll('w1', running=running)
     take_stops(context)
 
 
@@ -134,7 +134,7 @@
 
 @when('w1 lists a run of a job that nobody knows')
 def unknown_run(context):
-    context.small.look('w1', running=[FORMER_RUN])
+    context.small.poll('w1', running=[FORMER_RUN])
     (context.unknown,) = context.small.cell.take_stops()
     context.small.cell.stop_answered(context.unknown, context.small.now)
 
@@ -142,7 +142,7 @@
 @when('w1 does not list the unknown run any more')
 def unknown_gone(context):
     context.small.now += 1
-    context.small.look('w1')
+    context.small.poll('w1')
     context.made = context.small.plan()
 
 
@@ -216,7 +216,7 @@
     curio.run(Orders(context.owner).send_stop, stop)
     assert context.runner.stopped == [run]
     small.now += 1
-    small.look('w1')
+    small.poll('w1')
     assert not small.runs_on('w1')
 
 
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -65,7 +65,7 @@
     assert len(sent) == 1, sent
     small.registration_by_id['w2'] = make_registration('w2', port=9)
     small.see_runners()
-    small.look('w2')
+    small.poll('w2')
     (start,) = small.plan().starts
     assert start.runner == 'w2' and start.task not in {one.task for one in sent}, start
 
@@ -96,7 +96,7 @@
     small = context.small
     for start in context.held.values():
         small.now += 0.1
-        small.look(start.runner, ended=[(1, start.task, start.run, 'done')])
+        small.poll(start.runner, ended=[(1, start.task, start.run, 'done')])
         made = small.plan()
     assert {start.runner for start in made.starts} == {'w2', 'w3'}, made.starts
 
@@ -106,7 +106,7 @@
     context.small = SmallCell(('w1',), epoch=2, seen=False)
     resize(context, 'w1', room)
     job = add(context, cpu)
-    context.small.look('w1', running=[(task(job), 1001)])
+    context.small.poll('w1', running=[(task(job), 1001)])
     assert context.small.used('w1') == cpu
 
 
@@ -153,7 +153,7 @@
 def runs_over(context, room, cpu):
     small = context.small
     job = add(context, cpu)
-    small.look('w1', running=[(task(job), 1)])
+    small.poll('w1', running=[(task(job), 1)])
     resize(context, 'w1', room)
     assert small.cell.runner_by_id['w1'].room.cpu < 0
 
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -51,7 +51,7 @@
     small = context.small
     small.registration_by_id['w3'] = make_registration('w3', port=7)
     small.see_runners()
-    small.look('w3')
+    small.poll('w3')
     context.made = small.plan()
 
 
@@ -84,7 +84,7 @@
 @when('w1 lists the end of the stopped run')
 def stopped_end(context):
     run = context.small.runs_on('w1')[0][1]
-    context.small.look('w1', ended=[(1, task('j1'), run, 'stopped')])
+    context.small.poll('w1', ended=[(1, task('j1'), run, 'stopped')])
     context.made = context.small.plan()
 
 
@@ -103,7 +103,7 @@
 @when('the runner is looked at before it has taken the stop')
 def look_early(context):
     context.small.now += 1
-    context.small.look(context.start.runner)
+    context.small.poll(context.start.runner)
     context.made = context.small.plan()
 
 
@@ -118,7 +118,7 @@
     small = context.small
     small.cell.stop_answered(context.start, small.now)
     small.now += 1
-    small.look(context.start.runner)
+    small.poll(context.start.runner)
     context.made = small.plan()
 
 
@@ -132,7 +132,7 @@
     small = context.small
     small.now += 1
     asked = small.now - 2 if order == 'before' else small.now
-    small.look('w1', asked=asked)
+    small.poll('w1', asked=asked)
 
 
 @then('the run {fate}')
@@ -145,11 +145,11 @@
     small = context.small
     run = small.runs_on('w1')[0][1]
     end = (1, task('j1'), run, 'failed')
-    small.look('w1', ended=[end])
+    small.poll('w1', ended=[end])
     progress = small.cell.job_by_id['j1'].progress(1, small.now)
     context.small = SmallCell(('w1',), epoch=2, seen=False)
     context.small.add_job('j1', [step(FULL)], progress=progress)
-    context.small.look('w1', ended=[end])
+    context.small.poll('w1', ended=[end])
 
 
 @when('a job fails on two runs')
@@ -158,7 +158,7 @@
     small.add_job('j1', [step()])
     for number in (1, 2):
         start = small.plan().starts[0]
-        small.look(start.runner, ended=[(number, start.task, start.run, 'failed')])
+        small.poll(start.runner, ended=[(number, start.task, start.run, 'failed')])
 
 
 @then('the job is failed')
@@ -187,7 +187,7 @@
 @when('the first runner lists the end of the first run as done')
 def first_done(context):
     first = context.first
-    context.small.look(first.runner, ended=[(1, first.task, first.run, 'done')])
+    context.small.poll(first.runner, ended=[(1, first.task, first.run, 'done')])
 
 
 @then('the second run is stopped and the job is complete')
@@ -219,7 +219,7 @@
     small = context.small
     first = context.first
     if context.again.task == first.task:
-        small.look(first.runner, ended=[(1, first.task, first.run, 'done')])
+        small.poll(first.runner, ended=[(1, first.task, first.run, 'done')])
     small.cell.runner_by_id[first.runner].suspect = True
     context.made = small.plan()
 
@@ -232,7 +232,7 @@
     stopped = small.cell.take_stops()
     assert stopped == [context.again]
     ended = [(1, context.again.task, context.again.run, 'stopped')]
-    small.look(context.second_runner, ended=ended)
+    small.poll(context.second_runner, ended=ended)
     made = small.plan()
     assert [start.task.index for start in made.starts] == [1], made.starts
 
@@ -320,7 +320,7 @@
 @when('the first step is done')
 def first_step_done(context):
     start = context.made.starts[0]
-    context.small.look(start.runner, ended=[(1, start.task, start.run, 'done')])
+    context.small.poll(start.runner, ended=[(1, start.task, start.run, 'done')])
     context.made = context.small.plan()
 
 
--- a/features/steps/completion_steps.py
+++ b/features/steps/completion_steps.py
@@ -76,7 +76,7 @@
 @when('a runner lists the end of its job')
 def list_end(context):
     (start,) = context.small.allocations
-    context.small.look(start.runner, ended=[(1, task(JOB), start.run, 'done')])
+    context.small.poll(start.runner, ended=[(1, task(JOB), start.run, 'done')])
 
     async def play():
         await curio.spawn(context.owner.writer.run, daemon=True)
--- a/features/steps/ends_steps.py
+++ b/features/steps/ends_steps.py
@@ -22,7 +22,7 @@
 @given('a successor that waits for w1 with the tasks of a job')
 def successor_waits(context):
     context.small = SmallCell(('w1', 'w2'), epoch=2, seen=False)
-    context.small.look('w2')
+    context.small.poll('w2')
     context.small.cell.unseen.add('w1')
     progress = Progress(1, JobState.RUNNING, runners=('w1',))
     context.small.add_job('j1', [step()], progress=progress)
@@ -33,7 +33,7 @@
 def lists_500(context):
     context.small.now += 1
     ends = [(number + 1, task('j0', number), 1, 'done') for number in range(LISTED)]
-    context.small.look('w1', ended=ends, complete=False)
+    context.small.poll('w1', ended=ends, complete=False)
 
 
 @then('an answer with {count:d} ends counts as {extent}')
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -31,7 +31,7 @@
     reader_of_entries(context)
     context.small = SmallCell(())
     read_entries(context, ('i-1', entry()))
-    context.small.look('i-1')
+    context.small.poll('i-1')
     context.small.add_job('j1', [step(cpu=8000)])
     context.small.plan()
     (context.run,) = context.small.runs_on('i-1')
@@ -51,7 +51,7 @@
 @then('nothing new is started on it')
 def nothing_new(context):
     small = context.small
-    small.look('i-1', running=[context.run])
+    small.poll('i-1', running=[context.run])
     small.add_job('j2', [step(cpu=4000, count=4)])
     assert all(made.runner != 'i-1' for made in small.plan().starts)
     assert not small.cell.runner_by_id['i-1'].usable(small.now)
@@ -60,7 +60,7 @@
 @then('what runs there counts, and is not started elsewhere')
 def counts(context):
     small = context.small
-    small.look('i-2')
+    small.poll('i-2')
     starts = small.plan().starts
     assert all(made.task != context.run[0] for made in starts), starts
     assert context.run in small.runs_on('i-1')
@@ -78,13 +78,13 @@
 def brought_back(context):
     read_entries(context, ('i-1', entry()))
     small = context.small
-    small.look('i-1', running=[context.run])
+    small.poll('i-1', running=[context.run])
     assert small.cell.runner_by_id['i-1'].usable(small.now)
 
 
 @when('all its leases have run out')
 def leases_ran_out(context):
-    context.small.look('i-2')
+    context.small.poll('i-2')
     context.small.cell.runner_lapsed('i-1')
 
 
--- a/features/steps/entry_view_steps.py
+++ b/features/steps/entry_view_steps.py
@@ -95,7 +95,7 @@
 @when('a runner lists an end of the job as done')
 def lists_its_end(context):
     context.ends = [(1, TaskName(JOB, 0, 0, 0), 1001, 'done')]
-    context.small.look('w1', ended=context.ends)
+    context.small.poll('w1', ended=context.ends)
 
 
 @when('the job can be read')
@@ -105,7 +105,7 @@
 
 @then('the end counts when it is listed again, and may be acknowledged')
 def end_counts(context):
-    context.small.look('w1', ended=context.ends)
+    context.small.poll('w1', ended=context.ends)
     assert context.small.cell.job_by_id[JOB].state is JobState.COMPLETED
     assert not context.small.plan().starts
     assert context.small.cell.runner_by_id['w1'].acknowledgeable == 1
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -162,7 +162,7 @@
     small = context.small
     small.now += 2
     for number, start in enumerate(small.allocations[:3]):
-        small.look(start.runner, ended=[(number + 1, start.task, start.run, 'done')])
+        small.poll(start.runner, ended=[(number + 1, start.task, start.run, 'done')])
     context.made = small.plan()
 
 
--- a/features/steps/given_up_steps.py
+++ b/features/steps/given_up_steps.py
@@ -59,7 +59,7 @@
         await curio.spawn(owner.writer.write, [make_record('x', 1)], 9.0, daemon=True)
         await until(lambda: topic.under_way == 1)
         first = context.first
-        context.small.look('w1', ended=[(1, first.task, first.run, 'done')])
+        context.small.poll('w1', ended=[(1, first.task, first.run, 'done')])
         attendant = RunnerPoller(owner)
         await curio.spawn(attendant._acknowledge, context.state, 1, True, daemon=True)
         await until(lambda: topic.under_way == 3)
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -64,9 +64,9 @@
     http = HttpRunner(read_entry(context))
     answer = await http.start(make_order(context.runner.clock(), 0, 1), lambda: True)
     assert answer.reply is StartReply.STARTED, answer
-    view = await http.look(EPOCH, 0, None, 1.0)
+    view = await http.poll(EPOCH, 0, None, 1.0)
     assert [end.number for end in view.ended] == [1], view
-    await http.look(EPOCH, 1, None, 0)
+    await http.poll(EPOCH, 1, None, 0)
     await http.close()
 
 
@@ -77,7 +77,7 @@
             return (await http.start(make_order(clock, 2, 9), lambda: True)).reply
         if 'stop' in call:
             return await http.stop(TaskName(JOB, 0, 0, 1), 2, EPOCH)
-        return await http.look(EPOCH, 10, clock + LEASE, 0)
+        return await http.poll(EPOCH, 10, clock + LEASE, 0)
     except (RunnerReplaced, RunnerError) as error:
         return error
 
@@ -93,7 +93,7 @@
     async def call_all():
         if 'opened before' in call:
             # The calls on it are carried by connections of their own.
-            await context.http.look(EPOCH, 0, None, 0)
+            await context.http.poll(EPOCH, 0, None, 0)
             for _ in range(3):
                 await context.http.stop(TaskName(JOB, 0, 0, 7), 1, EPOCH)
         restart(context)
@@ -130,7 +130,7 @@
 def nothing_done(context):
     async def look():
         http = HttpRunner(read_entry(context))
-        view = await http.look(EPOCH, 0, None, 0)
+        view = await http.poll(EPOCH, 0, None, 0)
         await http.close()
         return view
 
@@ -282,7 +282,7 @@
 @when('{incarnation} has answered')
 def has_answered(context, incarnation):
     entry_read(context, incarnation)
-    context.small.look(incarnation)
+    context.small.poll(incarnation)
 
 
 @then('the task {state}, with {count:d} crashes')
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -44,7 +44,7 @@
     port = small.registration_by_id.pop('w1').port
     small.registration_by_id['w1+'] = make_registration('w1+', port=port)
     small.see_runners()
-    small.look('w1+')
+    small.poll('w1+')
 
 
 @given('an owner with a task that runs on w1')
@@ -78,7 +78,7 @@
 @when('the leases on w1 run out, then w1 answers')
 def lapse_then_answer(context):
     lapse(context)
-    context.small.look('w1')
+    context.small.poll('w1')
     next_life_answers(context)
 
 
@@ -138,7 +138,7 @@
         context.small.cell.stop(start)
     if '30 s' in became:
         context.small.now += LONG_WELL
-        context.small.look('w1', running=[(start.task, start.run)])
+        context.small.poll('w1', running=[(start.task, start.run)])
 
 
 @given('an owner with a task under which {before}')
@@ -152,7 +152,7 @@
         start_well(context)
     if '30 s' in before:
         context.small.now += LONG_WELL
-        context.small.look('w1', running=[(context.start.task, context.start.run)])
+        context.small.poll('w1', running=[(context.start.task, context.start.run)])
 
 
 @when("its job is {over}, and another life answers at w1's address")
@@ -271,12 +271,12 @@
 @then('it stores the next start before it is sent')
 def stores_start(context):
     small = context.small
-    small.look('w2')
+    small.poll('w2')
     (start,) = small.plan().starts
     assert context.job.note_start(start.task, start.run, start.runner)
     stored = context.job.progress(2, 0.0)
     assert StoredStart(0, 0, 0, start.run, start.runner) in stored.starts, stored
-    small.look('w2', ended=[(1, start.task, start.run, 'stopped')])
+    small.poll('w2', ended=[(1, start.task, start.run, 'stopped')])
     assert not context.job.crashes.starts, 'a run that has ended is still stored'
 
 
@@ -306,7 +306,7 @@
 class BreakingRunner:
     """Breaks the connection of each look."""
 
-    async def look(self, epoch, acknowledged, lease_until, wait):
+    async def poll(self, epoch, acknowledged, lease_until, wait):
         """Break it."""
         raise RunnerError('broken answer', Verdict.UNKNOWN, broken=True)
 
@@ -317,7 +317,7 @@
     def __init__(self, context):
         self.context = context
 
-    async def look(self, epoch, acknowledged, lease_until, wait):
+    async def poll(self, epoch, acknowledged, lease_until, wait):
         """List what ran before."""
         start = self.context.start
         another_answers(self.context)
@@ -377,5 +377,5 @@
 def nothing_placed(context):
     context.small.add_job('j1', [step()])
     assert not context.small.plan().starts
-    context.small.look('w1')
+    context.small.poll('w1')
     assert len(context.small.plan().starts) == 1
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -39,7 +39,7 @@
     context.small = SmallCell(runners=())
     context.small.registration_by_id = {'w1': make_registration('w1', capacity=MANY)}
     context.small.see_runners()
-    context.small.look('w1')
+    context.small.poll('w1')
     context.owner = make_owner_context(context.small.cell, clock)
     context.owner.writer.stored_at = clock.monotonic()
     context.runner = LateRunner(seconds)
@@ -101,7 +101,7 @@
     make_owner(context, context.clock, 0.0)
     small = context.small
     small.now = context.clock.monotonic()
-    small.look('w1')
+    small.poll('w1')
     job = add_job(context, 'advised', [step(1000)], 'advised')
     small.planner.plan(small.now, small.now)
     name = job.steps(0)[0].name
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -130,7 +130,7 @@
     context.dispatcher = dispatcher = make_dispatcher(host, term, MemoryTopic(), clock)
     small = SmallCell(('w1',), queues=(make_queue('urgent', advice=ADVICE), make_queue('plain')))
     small.now = clock.monotonic()
-    small.look('w1')
+    small.poll('w1')
     job = small.add_job('j1', [step()], queue='plain' if what == 'a start' else 'urgent')
     job.stored_runners.add('w1')
     dispatcher.cell = dispatcher._owner_context.cell = small.cell
@@ -159,7 +159,7 @@
     small = context.small
     assert not small.runs_on('w1'), 'its start counts, and was never sent'
     small.now = context.dispatcher._clock.monotonic() + 1
-    small.look('w1')
+    small.poll('w1')
     made = small.planner.plan(small.now, small.now)
     assert made.starts or made.questions, 'it waits for an answer that nobody asked for'
 
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -65,7 +65,7 @@
         """Let a runner list the end of a run."""
         runner = self.cell.runner_by_id[allocation.runner]
         number = runner.noted + 1
-        self.look(runner.id, ended=((number, allocation.task, allocation.run, how),))
+        self.poll(runner.id, ended=((number, allocation.task, allocation.run, how),))
 
     def end_old(self, seconds):
         """End all runs that are that old."""
@@ -156,7 +156,7 @@
     context.small = AccountCell((blue(cores), red()), runners=RUNNERS, seen=False)
     context.small.cell.unseen.add('w3')
     for runner in ('w1', 'w2'):
-        context.small.look(runner)
+        context.small.poll(runner)
 
 
 @given('a job of {account} of {count:d} tasks of {cores:g} cores may run on w3')
@@ -196,14 +196,14 @@
 @when('w3 runs one of its tasks and is seen')
 def seen_with_one(context):
     name = context.first.steps(0)[0].tasks[0].name
-    context.small.look('w3', running=((name, 1),))
+    context.small.poll('w3', running=((name, 1),))
     context.small.now += 0.1
     context.small.plan()
 
 
 @when('w3 runs none of them and is seen')
 def seen_with_none(context):
-    context.small.look('w3')
+    context.small.poll('w3')
     context.small.now += 0.1
     context.small.plan()
 
@@ -212,13 +212,13 @@
 def seen_with_run(context):
     name = JobRun('f' * 16, Submission('urgent', 'desk', 0, JobSpec('', (step(),))), 0)
     context.left_run = (name.steps(0)[0].tasks[0].name, 1)
-    context.small.look('w3', running=(context.left_run,))
+    context.small.poll('w3', running=(context.left_run,))
     context.small.now += 1
 
 
 @when('the run is stopped')
 def run_stopped(context):
-    context.small.look('w3', ended=((1, *context.left_run, 'stopped'),))
+    context.small.poll('w3', ended=((1, *context.left_run, 'stopped'),))
     context.small.now += 1
     context.small.plan()
 
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -394,7 +394,7 @@
     async def stop(self, task, run, epoch):
         raise RunnerError('no answer in time', Verdict.UNKNOWN)
 
-    async def look(self, epoch, acknowledged, lease_until, wait):
+    async def poll(self, epoch, acknowledged, lease_until, wait):
         raise RunnerError('no answer in time', Verdict.UNKNOWN)
 
     async def close(self):
@@ -430,7 +430,7 @@
     small = context.small
     small.add_job('j2', [step()])
     assert not small.plan().starts
-    small.look('w1')
+    small.poll('w1')
     assert [start.task.job for start in small.plan().starts] == ['j2']
 
 
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -157,7 +157,7 @@
 def ends_right_then(context, outcome):
     async def note_end():
         name, run = context.first.task, context.first.run
-        context.small.look(context.first.runner, ended=[(1, name, run, outcome)])
+        context.small.poll(context.first.runner, ended=[(1, name, run, outcome)])
         await context.owner.flush()
 
     async def race():
--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -16,7 +16,7 @@
             small.registration_by_id[name] = make_registration(name, zone=zone)
     small.see_runners()
     for name in small.registration_by_id:
-        small.look(name)
+        small.poll(name)
     return small
 
 
@@ -74,7 +74,7 @@
 def end(small, allocation):
     """Let a task be done as soon as it has started."""
     small.cell.start_answered(allocation, StartReply.STARTED, small.now)
-    small.look(allocation.runner, ended=[(small.ends, allocation.task, allocation.run, 'done')])
+    small.poll(allocation.runner, ended=[(small.ends, allocation.task, allocation.run, 'done')])
     small.ends += 1
 
 
