--- a/bench/replay.py
+++ b/bench/replay.py
@@ -16,12 +16,13 @@
 
 from bench.replay_report import Tally, tell_result
 from dandelionreel.accounts import Account, AccountDirectory, weighted_share
-from dandelionreel.cell import (
+from dandelionreel.cell.decisions import AdviceRequest, Allocation, Cell, Planner
+from dandelionreel.cell.decisions._preemption import Preemption, RoomMade
+from dandelionreel.cell.decisions._reservations import Rank
+from dandelionreel.cell.decisions._waiting import OwedFirst, Urgency, WaitingOrder
+from dandelionreel.cell.membership._advisors import PATIENT_SHARE
+from dandelionreel.cell.model import (
     AdvicePolicy,
-    AdviceRequest,
-    Allocation,
-    BookedJob,
-    Cell,
     Configuration,
     Demand,
     EndedRun,
@@ -29,7 +30,6 @@
     JobState,
     Outcome,
     Permit,
-    Planner,
     Queue,
     Registration,
     RunnerView,
@@ -39,12 +39,9 @@
     Step,
     Submission,
 )
-from dandelionreel.cell._advisors import PATIENT_SHARE
-from dandelionreel.cell._owner_context import LEASE_SECONDS
-from dandelionreel.cell._predecessors import longest_lease
-from dandelionreel.cell._preemption import Preemption, RoomMade
-from dandelionreel.cell._reservations import Rank
-from dandelionreel.cell._waiting import OwedFirst, Urgency, WaitingOrder
+from dandelionreel.cell.owner._owner_context import LEASE_SECONDS
+from dandelionreel.cell.owner._predecessors import longest_lease
+from dandelionreel.cell.store import BookedJob
 
 #: Seconds: an order's way, a stop, a restart from a checkpoint, and between plans.
 ORDER_SECONDS = 0.004
--- a/dandelionreel/cell/_access.py
+++ b/dandelionreel/cell/clients/_access.py
@@ -7,9 +7,9 @@
 import enum
 
 from dandelionreel.accounts import Caller, read_bearer
-from dandelionreel.cell._configuration_exchange import ConfigurationExchange
-from dandelionreel.cell._directory import ConfigurationFolder
-from dandelionreel.cell._model import Queue
+from dandelionreel.cell.membership import ConfigurationExchange
+from dandelionreel.cell.model import Queue
+from dandelionreel.cell.store import ConfigurationFolder
 from dandelionreel.http import Request
 
 
--- a/dandelionreel/cell/_client_writes.py
+++ b/dandelionreel/cell/clients/_client_writes.py
@@ -4,20 +4,19 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from dandelionreel.cell._client_call import (
+from dandelionreel.cell.clients._client_call import (
     HTTP_UNAVAILABLE,
     RETRY_AFTER,
     STORE_CAUSE,
     ClientCall,
     refuse,
 )
-from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._dispatcher import Dispatcher
-from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._readiness import Rotation
-from dandelionreel.cell._relay import Relay, Relayed
-from dandelionreel.cell._services import ClientCodec, KeyedRecord
-from dandelionreel.cell._writer import GroupWriter, Written
+from dandelionreel.cell.clients._readiness import Rotation
+from dandelionreel.cell.clients._relay import Relay, Relayed
+from dandelionreel.cell.membership import ContactWatch
+from dandelionreel.cell.model import ClientCodec, KeyedRecord
+from dandelionreel.cell.owner import Dispatcher
+from dandelionreel.cell.store import Follower, GroupWriter, Written
 from dandelionreel.http import Answer, answer_problem
 from dandelionreel.kernel import Clock, Problem, Verdict
 
--- a/dandelionreel/cell/_front.py
+++ b/dandelionreel/cell/clients/_front.py
@@ -5,33 +5,34 @@
 from functools import partial
 from typing import Any
 
-from dandelionreel.cell._access import AccessControl, Denied
-from dandelionreel.cell._client_call import (
+from dandelionreel.cell.clients._access import AccessControl, Denied
+from dandelionreel.cell.clients._client_call import (
     CAUSE_HEADER,
     STORE_CAUSE,
     ClientCall,
     answer_not_run,
     refuse,
 )
-from dandelionreel.cell._client_writes import CUT_OFF_AGE, REFUSALS, ClientWrites
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
-from dandelionreel.cell._dispatcher import Dispatcher
-from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._job_book import BookedJob
-from dandelionreel.cell._model import Configuration, JobSpec, JobState, Queue
-from dandelionreel.cell._partition_reads import PartitionReads
-from dandelionreel.cell._records import (
+from dandelionreel.cell.clients._client_writes import CUT_OFF_AGE, REFUSALS, ClientWrites
+from dandelionreel.cell.clients._partition_reads import PartitionReads
+from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.membership import Completions, ContactWatch
+from dandelionreel.cell.model import (
     CANCELLATION,
     FINAL_STATES,
     SUBMISSION,
     Cancellation,
+    ClientCodec,
+    Configuration,
+    JobSpec,
+    JobState,
+    Queue,
     Submission,
+    SubmissionError,
     make_record,
 )
-from dandelionreel.cell._relay import Relay
-from dandelionreel.cell._services import ClientCodec, SubmissionError
+from dandelionreel.cell.owner import Dispatcher
+from dandelionreel.cell.store import BookedJob, ConfigurationFolder, Follower, JobFolder
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
 from dandelionreel.peers import ForwardAnswer, Frame, Message
--- a/dandelionreel/cell/_partition_reads.py
+++ b/dandelionreel/cell/clients/_partition_reads.py
@@ -10,22 +10,17 @@
 
 import curio
 
-from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._claim_order import rank_hosts
-from dandelionreel.cell._completeness import is_complete
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._model import Registration
-from dandelionreel.cell._runner_list import RunnersFolder
-from dandelionreel.cell._runs import ANY_RUNNER
-from dandelionreel.cell._services import (
+from dandelionreel.cell.decisions import ANY_RUNNER, is_complete
+from dandelionreel.cell.membership import Completions, ContactWatch, PeerLinks, rank_hosts
+from dandelionreel.cell.model import (
     EndedRun,
+    Registration,
     Runner,
     RunnerError,
     RunnerFenced,
     RunnerReplaced,
 )
+from dandelionreel.cell.store import JobBook, RunnersFolder
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.peers import CompletionsSeen, Done, PeerError
 
--- a/dandelionreel/cell/_relay.py
+++ b/dandelionreel/cell/clients/_relay.py
@@ -9,12 +9,10 @@
 from dataclasses import dataclass, replace
 
 from dandelionreel.accounts import AUTHORIZATION
-from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._claim_order import find_deputy
-from dandelionreel.cell._client_call import ClientCall
-from dandelionreel.cell._election import ASK_SECONDS
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._records import Member
+from dandelionreel.cell.clients._client_call import ClientCall
+from dandelionreel.cell.membership import ASK_SECONDS, PeerLinks, find_deputy
+from dandelionreel.cell.model import Member
+from dandelionreel.cell.store import JobBook
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Clock, Journal, Part, Verdict
 from dandelionreel.peers import Done, Forward, ForwardAnswer, OwnerAsked, PeerError
--- a/dandelionreel/cell/_active_runners.py
+++ b/dandelionreel/cell/decisions/_active_runners.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable, Iterator
 from zlib import crc32
 
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._model import Registration, Step
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._ledger import RunnerState
+from dandelionreel.cell.model import Registration, Step
 
 #: Runners that are attended to however little there is to do.
 FEWEST_ACTIVE = 400
--- a/dandelionreel/cell/_advice_requests.py
+++ b/dandelionreel/cell/decisions/_advice_requests.py
@@ -11,11 +11,11 @@
 from functools import partial
 from zlib import crc32
 
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._model import AdvicePolicy, Demand, Queue, StepName
-from dandelionreel.cell._reservations import Reservation, count_slots
-from dandelionreel.cell._runs import StepRun, counted_demand
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._ledger import RunnerState
+from dandelionreel.cell.decisions._reservations import Reservation, count_slots
+from dandelionreel.cell.decisions._runs import StepRun, counted_demand
+from dandelionreel.cell.model import AdvicePolicy, Demand, Queue, StepName
 
 #: The service answers for at most this many runners at once.
 MOST_RUNNERS = 100
--- a/dandelionreel/cell/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -6,21 +6,27 @@
 from collections.abc import Iterable
 
 from dandelionreel.accounts import Account
-from dandelionreel.cell._crashes import Crash
-from dandelionreel.cell._holdings import Holdings
-from dandelionreel.cell._incarnations import find_later
-from dandelionreel.cell._job_book import BookedJob
-from dandelionreel.cell._job_rates import JobRates
-from dandelionreel.cell._ledger import NEVER, Allocation, Holding, RunnerState
-from dandelionreel.cell._losses import Losses
-from dandelionreel.cell._model import Configuration, Demand, Queue, Registration
-from dandelionreel.cell._quotas import QuotaLedger
-from dandelionreel.cell._records import Leftover
-from dandelionreel.cell._runner_views import PollEffect, RunnerViews
-from dandelionreel.cell._runs import ANY_RUNNER, JobRun, StepRun, TaskRun, counted_demand
-from dandelionreel.cell._services import RunnerView, StartReply
-from dandelionreel.cell._tickets import TicketBook
-from dandelionreel.cell._zone_reachability import ZoneReachability
+from dandelionreel.cell.decisions._crashes import Crash
+from dandelionreel.cell.decisions._holdings import Holdings
+from dandelionreel.cell.decisions._job_rates import JobRates
+from dandelionreel.cell.decisions._ledger import NEVER, Allocation, Holding, RunnerState
+from dandelionreel.cell.decisions._losses import Losses
+from dandelionreel.cell.decisions._quotas import QuotaLedger
+from dandelionreel.cell.decisions._runner_views import PollEffect, RunnerViews
+from dandelionreel.cell.decisions._runs import ANY_RUNNER, JobRun, StepRun, TaskRun, counted_demand
+from dandelionreel.cell.decisions._tickets import TicketBook
+from dandelionreel.cell.decisions._zone_reachability import ZoneReachability
+from dandelionreel.cell.model import (
+    Configuration,
+    Demand,
+    Leftover,
+    Queue,
+    Registration,
+    RunnerView,
+    StartReply,
+    find_later,
+)
+from dandelionreel.cell.store import BookedJob
 
 #: Run numbers of one epoch for one task. Numbers of a later owner are higher
 #: than all of an earlier one, so none of them has to be stored.
--- a/dandelionreel/cell/_completeness.py
+++ b/dandelionreel/cell/decisions/_completeness.py
@@ -3,9 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from dandelionreel.cell._model import JobSpec, StepName
-from dandelionreel.cell._records import Progress
-from dandelionreel.cell._services import EndedRun, Outcome
+from dandelionreel.cell.model import EndedRun, JobSpec, Outcome, Progress, StepName
 
 HEX = 16
 
--- a/dandelionreel/cell/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -8,8 +8,7 @@
 
 from dataclasses import dataclass
 
-from dandelionreel.cell._model import TaskName
-from dandelionreel.cell._records import CrashedRun, StoredStart
+from dandelionreel.cell.model import CrashedRun, StoredStart, TaskName
 
 #: Crashes right at its start after which a task is given up. After the first one it starts alone,
 #: so the second one is no chance.
--- a/dandelionreel/cell/_holdings.py
+++ b/dandelionreel/cell/decisions/_holdings.py
@@ -1,10 +1,10 @@
 """Jobs, runners and the runs that tie them; every change to a run goes through here. No I/O."""
 
-from dandelionreel.cell._job_runs import JobRuns
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState
-from dandelionreel.cell._model import TaskName
-from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun
-from dandelionreel.cell._stops import Stops
+from dandelionreel.cell.decisions._job_runs import JobRuns
+from dandelionreel.cell.decisions._ledger import Allocation, Holding, RunnerState
+from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun, TaskRun
+from dandelionreel.cell.decisions._stops import Stops
+from dandelionreel.cell.model import TaskName
 
 
 class Holdings:
--- a/dandelionreel/cell/_hopeless_runs.py
+++ b/dandelionreel/cell/decisions/_hopeless_runs.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState, expected_end
-from dandelionreel.cell._runs import StepRun
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._ledger import Allocation, Holding, RunnerState, expected_end
+from dandelionreel.cell.decisions._runs import StepRun
 
 #: Share of the gang timeout after which a gang that is not complete is stopped.
 GANG_SHARE = 0.55
--- a/dandelionreel/cell/_job_runs.py
+++ b/dandelionreel/cell/decisions/_job_runs.py
@@ -4,8 +4,8 @@
 """
 
 from dandelionreel.accounts import Usage
-from dandelionreel.cell._ledger import Allocation, RunnerState
-from dandelionreel.cell._model import Demand, TaskName
+from dandelionreel.cell.decisions._ledger import Allocation, RunnerState
+from dandelionreel.cell.model import Demand, TaskName
 
 RunKey = tuple[str, TaskName, int]
 
--- a/dandelionreel/cell/_ledger.py
+++ b/dandelionreel/cell/decisions/_ledger.py
@@ -8,7 +8,7 @@
 import enum
 from dataclasses import dataclass
 
-from dandelionreel.cell._model import Demand, Registration, StepName, TaskName
+from dandelionreel.cell.model import Demand, Registration, StepName, TaskName
 
 NEVER = float('-inf')
 #: Estimates are guesses; a task that outlives its own is taken to need this
--- a/dandelionreel/cell/_losses.py
+++ b/dandelionreel/cell/decisions/_losses.py
@@ -7,11 +7,10 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from dandelionreel.cell._crashes import SOUND_SECONDS, Crash
-from dandelionreel.cell._ledger import NEVER, Allocation, RunnerState
-from dandelionreel.cell._model import Registration, TaskName
-from dandelionreel.cell._records import StoredStart
-from dandelionreel.cell._runs import JobRun
+from dandelionreel.cell.decisions._crashes import SOUND_SECONDS, Crash
+from dandelionreel.cell.decisions._ledger import NEVER, Allocation, RunnerState
+from dandelionreel.cell.decisions._runs import JobRun
+from dandelionreel.cell.model import Registration, StoredStart, TaskName
 
 Address = tuple[str, int]
 
--- a/dandelionreel/cell/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -2,27 +2,27 @@
 
 from dataclasses import dataclass, field
 
-from dandelionreel.cell._advice_requests import AdviceRequest, AdviceRequests
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._ledger import Allocation, RunnerState
-from dandelionreel.cell._model import Queue, StepName
-from dandelionreel.cell._preemption import PATIENCE, STOP_SECONDS, Preemption, RoomMade
-from dandelionreel.cell._quota_gate import QuotaGate
-from dandelionreel.cell._reservations import (
+from dandelionreel.cell.decisions._advice_requests import AdviceRequest, AdviceRequests
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._ledger import Allocation, RunnerState
+from dandelionreel.cell.decisions._preemption import PATIENCE, STOP_SECONDS, Preemption, RoomMade
+from dandelionreel.cell.decisions._quota_gate import QuotaGate
+from dandelionreel.cell.decisions._reservations import (
     BACKFILL_MARGIN,
     Reservation,
     Reservations,
     count_slots,
 )
-from dandelionreel.cell._runs import JobRun, Phase, StepRun, counted_demand
-from dandelionreel.cell._seating import Seat, choose_seat, group_seats, seat_gang, suits
-from dandelionreel.cell._waiting import (
+from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun, counted_demand
+from dandelionreel.cell.decisions._seating import Seat, choose_seat, group_seats, seat_gang, suits
+from dandelionreel.cell.decisions._waiting import (
     USELESS,
     Candidate,
     OwedFirst,
     WaitingOrder,
     list_candidates,
 )
+from dandelionreel.cell.model import Queue, StepName
 
 #: Processors for which advice is requested, as a multiple of those that are free: without a limit
 #: every waiting step would ask about the same room.
--- a/dandelionreel/cell/_preemption.py
+++ b/dandelionreel/cell/decisions/_preemption.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._ledger import Allocation, Holding, RunnerState, expected_end
-from dandelionreel.cell._model import Queue
-from dandelionreel.cell._reservations import count_slots
-from dandelionreel.cell._runs import StepRun, counted_demand
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._ledger import Allocation, Holding, RunnerState, expected_end
+from dandelionreel.cell.decisions._reservations import count_slots
+from dandelionreel.cell.decisions._runs import StepRun, counted_demand
+from dandelionreel.cell.model import Queue
 
 #: Seconds that a gang waits for tasks to end by themselves before others are
 #: stopped for it: about what its tickets and the stops take anyhow.
--- a/dandelionreel/cell/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._model import Demand, StepName
-from dandelionreel.cell._runs import JobRun, count_fitting, counted_demand
-from dandelionreel.cell._waiting import Candidate
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._runs import JobRun, count_fitting, counted_demand
+from dandelionreel.cell.decisions._waiting import Candidate
+from dandelionreel.cell.model import Demand, StepName
 
 #: Seconds for which a gang waits for its account's quota before nothing else of that account
 #: starts, however urgent.
--- a/dandelionreel/cell/_quotas.py
+++ b/dandelionreel/cell/decisions/_quotas.py
@@ -6,10 +6,9 @@
 have not been seen yet.
 """
 
-from dandelionreel.cell._holdings import Holdings
-from dandelionreel.cell._model import Demand
-from dandelionreel.cell._records import Leftover, Progress
-from dandelionreel.cell._runs import ANY_RUNNER, JobRun
+from dandelionreel.cell.decisions._holdings import Holdings
+from dandelionreel.cell.decisions._runs import ANY_RUNNER, JobRun
+from dandelionreel.cell.model import Demand, Leftover, Progress
 
 #: Seconds after the end of a job for which runs of it may be left anywhere: longer than the
 #: leases of any owner, with clocks that differ.
--- a/dandelionreel/cell/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from dandelionreel.cell._ledger import RunnerState, expected_end
-from dandelionreel.cell._model import Demand, StepName
-from dandelionreel.cell._runs import StepRun, counted_demand
+from dandelionreel.cell.decisions._ledger import RunnerState, expected_end
+from dandelionreel.cell.decisions._runs import StepRun, counted_demand
+from dandelionreel.cell.model import Demand, StepName
 
 #: Gangs that reserve at the same time: so many, and one for so many runners. More would idle
 #: runners that the first ones do not need yet.
--- a/dandelionreel/cell/_runner_views.py
+++ b/dandelionreel/cell/decisions/_runner_views.py
@@ -3,13 +3,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from dandelionreel.cell._crashes import Crash
-from dandelionreel.cell._holdings import Holdings, is_current
-from dandelionreel.cell._ledger import NEVER, Allocation, Holding, RunnerState
-from dandelionreel.cell._losses import Losses
-from dandelionreel.cell._model import Demand, JobState, Queue, TaskName
-from dandelionreel.cell._runs import JobRun, Phase, StepRun, TaskRun, counted_demand
-from dandelionreel.cell._services import EndedRun, Outcome, RunnerView, RunningTask
+from dandelionreel.cell.decisions._crashes import Crash
+from dandelionreel.cell.decisions._holdings import Holdings, is_current
+from dandelionreel.cell.decisions._ledger import NEVER, Allocation, Holding, RunnerState
+from dandelionreel.cell.decisions._losses import Losses
+from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun, TaskRun, counted_demand
+from dandelionreel.cell.model import (
+    Demand,
+    EndedRun,
+    JobState,
+    Outcome,
+    Queue,
+    RunnerView,
+    RunningTask,
+    TaskName,
+)
 
 
 @dataclass
--- a/dandelionreel/cell/_runs.py
+++ b/dandelionreel/cell/decisions/_runs.py
@@ -3,15 +3,21 @@
 import enum
 from dataclasses import dataclass, field
 
-from dandelionreel.cell._crashes import JobCrashes
-from dandelionreel.cell._model import Demand, JobSpec, JobState, Queue, Step, StepName, TaskName
-from dandelionreel.cell._records import (
+from dandelionreel.cell.decisions._crashes import JobCrashes
+from dandelionreel.cell.model import (
     FINAL_STATES,
+    Demand,
     DoneTasks,
     FailedRun,
+    JobSpec,
+    JobState,
     Leftover,
     Progress,
+    Queue,
+    Step,
+    StepName,
     Submission,
+    TaskName,
 )
 
 HEX = 16
--- a/dandelionreel/cell/_seating.py
+++ b/dandelionreel/cell/decisions/_seating.py
@@ -7,10 +7,10 @@
 
 from collections.abc import Iterable
 
-from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._model import Demand
-from dandelionreel.cell._reservations import count_slots
-from dandelionreel.cell._runs import StepRun, TaskRun, counted_demand
+from dandelionreel.cell.decisions._ledger import RunnerState
+from dandelionreel.cell.decisions._reservations import count_slots
+from dandelionreel.cell.decisions._runs import StepRun, TaskRun, counted_demand
+from dandelionreel.cell.model import Demand
 
 #: A runner that may take a task, with the ticket that the start carries.
 Seat = tuple[RunnerState, str]
--- a/dandelionreel/cell/_stalled_jobs.py
+++ b/dandelionreel/cell/decisions/_stalled_jobs.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._ledger import Allocation
-from dandelionreel.cell._runs import JobRun, Phase, StepRun
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._ledger import Allocation
+from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun
 
 #: Seconds without a change, beyond what runs are expected to take, until a job is stalled.
 STALL_SECONDS = 3.0
--- a/dandelionreel/cell/_stops.py
+++ b/dandelionreel/cell/decisions/_stops.py
@@ -1,6 +1,6 @@
 """Which runs must be told to stop, and which of them once more. No I/O."""
 
-from dandelionreel.cell._ledger import Allocation, Holding
+from dandelionreel.cell.decisions._ledger import Allocation, Holding
 
 #: Seconds that a runner may take over a stop that it has answered, and so may still
 #: list the run: the longest that is granted to runners.
--- a/dandelionreel/cell/_tickets.py
+++ b/dandelionreel/cell/decisions/_tickets.py
@@ -7,8 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from dandelionreel.cell._model import StepName
-from dandelionreel.cell._services import Permit
+from dandelionreel.cell.model import Permit, StepName
 
 #: Seconds taken off a ticket's life: the start must arrive before it ends.
 TICKET_MARGIN = 0.15
--- a/dandelionreel/cell/_waiting.py
+++ b/dandelionreel/cell/decisions/_waiting.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._model import Queue
-from dandelionreel.cell._reservations import Rank
-from dandelionreel.cell._runs import JobRun, StepRun
+from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._reservations import Rank
+from dandelionreel.cell.decisions._runs import JobRun, StepRun
+from dandelionreel.cell.model import Queue
 
 #: A job that is later than this many objectives earns nothing any more.
 LATEST = 3.0
--- a/dandelionreel/cell/_advisors.py
+++ b/dandelionreel/cell/membership/_advisors.py
@@ -12,10 +12,8 @@
 
 import curio
 
-from dandelionreel.cell._advice_requests import AdviceRequest
-from dandelionreel.cell._model import StepName
-from dandelionreel.cell._records import Member
-from dandelionreel.cell._services import AdviceError, AdviceService, Permit
+from dandelionreel.cell.decisions import AdviceRequest
+from dandelionreel.cell.model import AdviceError, AdviceService, Member, Permit, StepName
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.peers import (
     AdviceGiven,
--- a/dandelionreel/cell/_claim_order.py
+++ b/dandelionreel/cell/membership/_claim_order.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Collection, Mapping
 
-from dandelionreel.cell._records import Member
+from dandelionreel.cell.model import Member
 
 #: Seconds between the claims of two hosts that follow each other: more than a claim takes.
 STEP_SECONDS = 0.06
--- a/dandelionreel/cell/_completion_answers.py
+++ b/dandelionreel/cell/membership/_completion_answers.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._contact_watch import ContactWatch
+from dandelionreel.cell.membership._completions import Completions
+from dandelionreel.cell.membership._contact_watch import ContactWatch
 from dandelionreel.peers import CompletionsTold, Done, Frame, Message, Refused
 
 
--- a/dandelionreel/cell/_configuration_exchange.py
+++ b/dandelionreel/cell/membership/_configuration_exchange.py
@@ -11,10 +11,9 @@
 
 import curio
 
-from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._directory import ConfigurationFolder
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._records import Member
+from dandelionreel.cell.membership._advisors import PeerLinks
+from dandelionreel.cell.model import Member
+from dandelionreel.cell.store import ConfigurationFolder, JobBook
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
 from dandelionreel.peers import ConfigurationGiven, ConfigurationWanted, Frame, Message, PeerError
 
--- a/dandelionreel/cell/_contact_watch.py
+++ b/dandelionreel/cell/membership/_contact_watch.py
@@ -6,10 +6,10 @@
 
 import curio
 
-from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._contact import STORE_OVERDUE, Contact
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._records import Member
+from dandelionreel.cell.membership._advisors import PeerLinks
+from dandelionreel.cell.membership._contact import STORE_OVERDUE, Contact
+from dandelionreel.cell.model import Member
+from dandelionreel.cell.store import JobBook
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
 from dandelionreel.peers import OwnerAsked, PeerError
 
--- a/dandelionreel/cell/_election.py
+++ b/dandelionreel/cell/membership/_election.py
@@ -9,16 +9,19 @@
 
 import curio
 
-from dandelionreel.cell._claim_order import claim_delay
-from dandelionreel.cell._directory import JobFolder
-from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._records import OWNER_KEY, UNSETTLED_SECONDS, Member, Owner, make_record
-from dandelionreel.cell._services import (
+from dandelionreel.cell.membership._claim_order import claim_delay
+from dandelionreel.cell.model import (
+    OWNER_KEY,
+    UNSETTLED_SECONDS,
     ConflictError,
+    Member,
+    Owner,
     StoreError,
     Topic,
     WriterFence,
+    make_record,
 )
+from dandelionreel.cell.store import Follower, JobFolder
 from dandelionreel.kernel import Clock, Journal, Part, Verdict, seconds_or_none
 from dandelionreel.peers import Done, Frame, Message, OwnerAsked, PeerError, Refused
 
--- a/dandelionreel/cell/_owner_watch.py
+++ b/dandelionreel/cell/membership/_owner_watch.py
@@ -8,9 +8,9 @@
 
 import curio
 
-from dandelionreel.cell._election import Election
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._records import Member, Owner
+from dandelionreel.cell.membership._election import Election
+from dandelionreel.cell.model import Member, Owner
+from dandelionreel.cell.store import JobBook
 from dandelionreel.http import connect
 from dandelionreel.kernel import Journal, Part
 
--- a/dandelionreel/cell/_checks.py
+++ b/dandelionreel/cell/model/_checks.py
@@ -4,9 +4,9 @@
 read again, and no count from another writer keeps the owner busy for ever.
 """
 
-from dandelionreel.cell._model import JobSpec, Step
-from dandelionreel.cell._records import CrashedRun, FailedRun, Progress, StoredStart
-from dandelionreel.cell._unreadable import Reason, UnreadableError
+from dandelionreel.cell.model._model import JobSpec, Step
+from dandelionreel.cell.model._records import CrashedRun, FailedRun, Progress, StoredStart
+from dandelionreel.cell.model._unreadable import Reason, UnreadableError
 
 MOST_STEPS = 100
 MOST_TASKS = 10_000
--- a/dandelionreel/cell/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from dandelionreel.cell._model import Demand, JobSpec, JobState
-from dandelionreel.cell._services import KeyedRecord
+from dandelionreel.cell.model._model import Demand, JobSpec, JobState
+from dandelionreel.cell.model._services import KeyedRecord
 
 OWNER_KEY = 'owner'
 SUBMISSION = 'j/'
--- a/dandelionreel/cell/_services.py
+++ b/dandelionreel/cell/model/_services.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from dandelionreel.cell._model import (
+from dandelionreel.cell.model._model import (
     Configuration,
     JobSpec,
     JobState,
@@ -13,7 +13,7 @@
     StepName,
     TaskName,
 )
-from dandelionreel.cell._unreadable import UnreadableError
+from dandelionreel.cell.model._unreadable import UnreadableError
 from dandelionreel.http import Answer
 from dandelionreel.kernel import Verdict
 
--- a/dandelionreel/cell/_completion_gossip.py
+++ b/dandelionreel/cell/owner/_completion_gossip.py
@@ -5,12 +5,10 @@
 
 import curio
 
-from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._claim_order import SUCCESSORS, rank_hosts
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._owner_context import OwnerContext
-from dandelionreel.cell._records import Member
+from dandelionreel.cell.membership import SUCCESSORS, Completions, PeerLinks, rank_hosts
+from dandelionreel.cell.model import Member
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.store import JobBook
 from dandelionreel.kernel import Part
 from dandelionreel.peers import CompletionsTold, CompletionsWanted, Done, PeerError
 
--- a/dandelionreel/cell/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -4,36 +4,29 @@
 
 import curio
 
-from dandelionreel.cell._advice_requests import AdviceRequest
-from dandelionreel.cell._advisors import AdvicePool
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._completion_gossip import CompletionGossip
-from dandelionreel.cell._election import BEAT_SECONDS, Term
-from dandelionreel.cell._job_book import BookedJob
-from dandelionreel.cell._load_report import LoadReport
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._owner_context import OwnerContext
-from dandelionreel.cell._parts import DispatcherParts
-from dandelionreel.cell._planner import Plan, Planner
-from dandelionreel.cell._records import (
+from dandelionreel.cell.decisions import ANY_RUNNER, AdviceRequest, Cell, JobRun, Plan, Planner
+from dandelionreel.cell.membership import BEAT_SECONDS, AdvicePool, Term
+from dandelionreel.cell.model import (
     ATTENDED_KEY,
     CANCELLATION,
     OWNER_KEY,
     SUBMISSION,
     Attended,
     Cancellation,
-    Submission,
-    make_record,
-)
-from dandelionreel.cell._rounds import Rounds
-from dandelionreel.cell._runs import ANY_RUNNER, JobRun
-from dandelionreel.cell._services import (
+    JobState,
     KeyedRecord,
     Permit,
+    Submission,
+    make_record,
 )
-from dandelionreel.cell._writer import Written
-from dandelionreel.cell._zone_confirmation import ZoneConfirmation
+from dandelionreel.cell.owner._completion_gossip import CompletionGossip
+from dandelionreel.cell.owner._load_report import LoadReport
+from dandelionreel.cell.owner._orders import Orders
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.owner._parts import DispatcherParts
+from dandelionreel.cell.owner._rounds import Rounds
+from dandelionreel.cell.owner._zone_confirmation import ZoneConfirmation
+from dandelionreel.cell.store import BookedJob, Written
 from dandelionreel.kernel import Part, start_task
 
 #: Typical seconds of an append above which the store counts as slow.
--- a/dandelionreel/cell/_load_report.py
+++ b/dandelionreel/cell/owner/_load_report.py
@@ -6,10 +6,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from dandelionreel.cell._advisors import AdvicePool
-from dandelionreel.cell._cell import Cell
-from dandelionreel.cell._planner import Plan
-from dandelionreel.cell._stalled_jobs import StalledJobs
+from dandelionreel.cell.decisions import Cell, Plan, StalledJobs
+from dandelionreel.cell.membership import AdvicePool
 from dandelionreel.kernel import Journal, Part
 
 #: Seconds between two lines.
--- a/dandelionreel/cell/_orders.py
+++ b/dandelionreel/cell/owner/_orders.py
@@ -4,19 +4,18 @@
 
 import curio
 
-from dandelionreel.cell._ledger import Allocation, RunnerState
-from dandelionreel.cell._model import StepName
-from dandelionreel.cell._owner_context import OwnerContext
-from dandelionreel.cell._runs import JobRun
-from dandelionreel.cell._services import (
+from dandelionreel.cell.decisions import Allocation, JobRun, RunnerState
+from dandelionreel.cell.model import (
     Runner,
     RunnerError,
     RunnerFenced,
     RunnerReplaced,
     StartOrder,
     StartReply,
+    StepName,
 )
-from dandelionreel.cell._writer import Written
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.store import Written
 from dandelionreel.kernel import Part, Verdict, seconds_or_none
 
 #: Seconds in which the runners of a job must be stored before its starts are withdrawn.
--- a/dandelionreel/cell/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -4,15 +4,18 @@
 
 import curio
 
-from dandelionreel.cell._cell import CLOCK_DRIFT, Cell
-from dandelionreel.cell._crashes import Crash
-from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
-from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._model import JobState, Registration
-from dandelionreel.cell._records import Progress, make_progress_records
-from dandelionreel.cell._runs import JobRun
-from dandelionreel.cell._services import KeyedRecord, Runner, Topic
-from dandelionreel.cell._writer import GroupWriter, Written
+from dandelionreel.cell.decisions import CLOCK_DRIFT, Cell, Crash, JobRun, RunnerState
+from dandelionreel.cell.membership import AUTHORITY_SECONDS, Term
+from dandelionreel.cell.model import (
+    JobState,
+    KeyedRecord,
+    Progress,
+    Registration,
+    Runner,
+    Topic,
+    make_progress_records,
+)
+from dandelionreel.cell.store import GroupWriter, Written
 from dandelionreel.kernel import Clock, Journal, Part, Signal, seconds_or_none
 
 #: Seconds for which runners keep their tasks without a renewal: longer than a usual partition.
--- a/dandelionreel/cell/_parts.py
+++ b/dandelionreel/cell/owner/_parts.py
@@ -2,14 +2,10 @@
 
 from dataclasses import dataclass
 
-from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
-from dandelionreel.cell._election import Election
-from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._owner_context import ListAge, MakeRunner, always_fresh
-from dandelionreel.cell._runner_list import RunnersFolder
-from dandelionreel.cell._services import Topic
+from dandelionreel.cell.membership import Completions, Election, LocalAdvisor, PeerLinks
+from dandelionreel.cell.model import Topic
+from dandelionreel.cell.owner._owner_context import ListAge, MakeRunner, always_fresh
+from dandelionreel.cell.store import ConfigurationFolder, Follower, JobFolder, RunnersFolder
 from dandelionreel.kernel import Clock, Journal
 
 
--- a/dandelionreel/cell/_predecessors.py
+++ b/dandelionreel/cell/owner/_predecessors.py
@@ -4,9 +4,9 @@
 as the lost owner renews its leases, and must not start elsewhere meanwhile.
 """
 
-from dandelionreel.cell._cell import CLOCK_DRIFT
-from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
-from dandelionreel.cell._job_book import JobBook
+from dandelionreel.cell.decisions import CLOCK_DRIFT
+from dandelionreel.cell.membership import AUTHORITY_SECONDS, Term
+from dandelionreel.cell.store import JobBook
 
 #: Seconds for which a runner's clock may have been extrapolated when a lease is granted by it.
 READING_AGE = 2.2
--- a/dandelionreel/cell/_rounds.py
+++ b/dandelionreel/cell/owner/_rounds.py
@@ -4,18 +4,20 @@
 
 import curio
 
-from dandelionreel.cell._active_runners import ActiveRunners
-from dandelionreel.cell._election import AUTHORITY_SECONDS
-from dandelionreel.cell._hopeless_runs import stop_late_gangs, stop_leaving
-from dandelionreel.cell._load_report import LoadReport
-from dandelionreel.cell._losses import note_last_words
-from dandelionreel.cell._owner_context import OwnerContext
-from dandelionreel.cell._parts import DispatcherParts
-from dandelionreel.cell._predecessors import Predecessors
-from dandelionreel.cell._records import CANCELLATION, PROGRESS, SUBMISSION, make_tombstone
-from dandelionreel.cell._runner_poller import RunnerPoller
-from dandelionreel.cell._services import KeyedRecord
-from dandelionreel.cell._succession import Succession
+from dandelionreel.cell.decisions import (
+    ActiveRunners,
+    note_last_words,
+    stop_late_gangs,
+    stop_leaving,
+)
+from dandelionreel.cell.membership import AUTHORITY_SECONDS
+from dandelionreel.cell.model import CANCELLATION, PROGRESS, SUBMISSION, KeyedRecord, make_tombstone
+from dandelionreel.cell.owner._load_report import LoadReport
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.owner._parts import DispatcherParts
+from dandelionreel.cell.owner._predecessors import Predecessors
+from dandelionreel.cell.owner._runner_poller import RunnerPoller
+from dandelionreel.cell.owner._succession import Succession
 from dandelionreel.kernel import Part, seconds_or_none, start_task
 
 #: Seconds between looks at the list of runners, at gangs and at old jobs.
--- a/dandelionreel/cell/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -2,17 +2,16 @@
 
 import curio
 
-from dandelionreel.cell._ledger import Holding, RunnerState
-from dandelionreel.cell._owner_context import OwnerContext
-from dandelionreel.cell._runner_views import PollEffect
-from dandelionreel.cell._services import (
+from dandelionreel.cell.decisions import Holding, PollEffect, RunnerState
+from dandelionreel.cell.model import (
     Runner,
     RunnerError,
     RunnerFenced,
     RunnerReplaced,
     RunnerView,
 )
-from dandelionreel.cell._writer import Written
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.store import Written
 from dandelionreel.kernel import Part
 
 #: Seconds that a poll waits at the runner for a new end; each poll renews its leases.
--- a/dandelionreel/cell/_succession.py
+++ b/dandelionreel/cell/owner/_succession.py
@@ -2,12 +2,10 @@
 
 import curio
 
-from dandelionreel.cell._advisors import PeerLinks
-from dandelionreel.cell._claim_order import larger_hosts, rank_hosts
-from dandelionreel.cell._election import Election
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._owner_context import OwnerContext
-from dandelionreel.cell._records import Member
+from dandelionreel.cell.membership import Election, PeerLinks, larger_hosts, rank_hosts
+from dandelionreel.cell.model import Member
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.store import JobBook
 from dandelionreel.kernel import Part
 from dandelionreel.peers import Done, OwnerAsked, OwnerFailing, PeerError
 
--- a/dandelionreel/cell/_zone_confirmation.py
+++ b/dandelionreel/cell/owner/_zone_confirmation.py
@@ -5,9 +5,9 @@
 of such jobs again.
 """
 
-from dandelionreel.cell._completion_gossip import CompletionGossip
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._owner_context import OwnerContext
+from dandelionreel.cell.owner._completion_gossip import CompletionGossip
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.store import JobBook
 from dandelionreel.kernel import Part
 
 #: Seconds for which a runner must have been silent: a host finds that it is cut off in no
--- a/dandelionreel/cell/_directory.py
+++ b/dandelionreel/cell/store/_directory.py
@@ -1,11 +1,16 @@
 """What every host knows from the store: the configuration and the jobs."""
 
-from dandelionreel.cell._follower import Folder
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._model import Configuration
-from dandelionreel.cell._records import OWNER_KEY
-from dandelionreel.cell._services import KeyedRecord, RecordBatch, RecordCodec
-from dandelionreel.cell._unreadable import UnreadableError, UnreadableLog
+from dandelionreel.cell.model import (
+    OWNER_KEY,
+    Configuration,
+    KeyedRecord,
+    RecordBatch,
+    RecordCodec,
+    UnreadableError,
+    UnreadableLog,
+)
+from dandelionreel.cell.store._follower import Folder
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.kernel import Clock, Journal, Part, SystemClock
 
 NEVER = float('-inf')
--- a/dandelionreel/cell/_follower.py
+++ b/dandelionreel/cell/store/_follower.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from dandelionreel.cell._services import RecordBatch, RecordsExpired, StoreError, Topic
+from dandelionreel.cell.model import RecordBatch, RecordsExpired, StoreError, Topic
 from dandelionreel.kernel import Clock, Journal, Part, Signal
 
 #: Seconds between tries while the store is out of reach.
--- a/dandelionreel/cell/_job_book.py
+++ b/dandelionreel/cell/store/_job_book.py
@@ -11,9 +11,7 @@
 
 import msgspec
 
-from dandelionreel.cell._checks import check_leftovers, check_progress, check_spec
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model import (
     ATTENDED_KEY,
     CANCELLATION,
     FINAL_STATES,
@@ -24,13 +22,19 @@
     UNSETTLED_SECONDS,
     Attended,
     Cancellation,
+    JobState,
+    KeyedRecord,
     Member,
     Owner,
     Progress,
+    Reason,
     Submission,
+    UnreadableError,
+    check_leftovers,
+    check_progress,
+    check_spec,
+    decode_json,
 )
-from dandelionreel.cell._services import KeyedRecord
-from dandelionreel.cell._unreadable import Reason, UnreadableError, decode_json
 
 _SUBMISSION = msgspec.json.Decoder(Submission)
 _CANCELLATION = msgspec.json.Decoder(Cancellation)
--- a/dandelionreel/cell/_runner_list.py
+++ b/dandelionreel/cell/store/_runner_list.py
@@ -9,10 +9,16 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from dandelionreel.cell._follower import Folder
-from dandelionreel.cell._model import Registration
-from dandelionreel.cell._services import KeyedRecord, RecordBatch, RecordCodec
-from dandelionreel.cell._unreadable import Reason, UnreadableError, UnreadableLog
+from dandelionreel.cell.model import (
+    KeyedRecord,
+    Reason,
+    RecordBatch,
+    RecordCodec,
+    Registration,
+    UnreadableError,
+    UnreadableLog,
+)
+from dandelionreel.cell.store._follower import Folder
 from dandelionreel.kernel import Clock, Journal, Part
 
 
--- a/dandelionreel/cell/_writer.py
+++ b/dandelionreel/cell/store/_writer.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from dandelionreel.cell._services import (
+from dandelionreel.cell.model import (
     FencedError,
     KeyedRecord,
     StoreError,
--- a/dandelionreel/entry_accounts.py
+++ b/dandelionreel/entry_accounts.py
@@ -4,7 +4,9 @@
 from typing import Any
 
 from dandelionreel.accounts import Account, weighted_share
-from dandelionreel.cell import Cell, Configuration, Demand, JobBook
+from dandelionreel.cell.decisions import Cell
+from dandelionreel.cell.model import Configuration, Demand
+from dandelionreel.cell.store import JobBook
 
 #: Accounts that are shown by name, those with the largest weight first.
 MOST_ACCOUNTS = 100
--- a/dandelionreel/entry_clients.py
+++ b/dandelionreel/entry_clients.py
@@ -3,17 +3,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from dandelionreel.cell._access import AccessControl
-from dandelionreel.cell._client_writes import ClientWrites
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._configuration_exchange import ConfigurationExchange
-from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._dispatcher import Dispatcher
-from dandelionreel.cell._front import ClientFront
-from dandelionreel.cell._partition_reads import PartitionReads
-from dandelionreel.cell._readiness import Rotation
-from dandelionreel.cell._relay import Relay
-from dandelionreel.cell._writer import GroupWriter
+from dandelionreel.cell.clients import (
+    AccessControl,
+    ClientFront,
+    ClientWrites,
+    PartitionReads,
+    Relay,
+    Rotation,
+)
+from dandelionreel.cell.membership import Completions, ConfigurationExchange, ContactWatch
+from dandelionreel.cell.owner import Dispatcher
+from dandelionreel.cell.store import GroupWriter
 from dandelionreel.entry_accounts import view_accounts
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_reads import EntryReads
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -8,20 +8,21 @@
 
 import curio
 
-from dandelionreel.cell import Registration, Runner
-from dandelionreel.cell._advisors import LocalAdvisor, PeerLinks
-from dandelionreel.cell._completion_answers import CompletionAnswers
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._configuration_exchange import ConfigurationExchange
-from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._dispatcher import Dispatcher
-from dandelionreel.cell._election import Election, name_incarnation
-from dandelionreel.cell._owner_watch import OwnerWatch
-from dandelionreel.cell._partition_reads import PartitionReads
-from dandelionreel.cell._parts import DispatcherParts
-from dandelionreel.cell._records import MEMBER, Member, make_record
-from dandelionreel.cell._relay import Relay
-from dandelionreel.cell._writer import GroupWriter, Written
+from dandelionreel.cell.clients import PartitionReads, Relay
+from dandelionreel.cell.membership import (
+    CompletionAnswers,
+    Completions,
+    ConfigurationExchange,
+    ContactWatch,
+    Election,
+    LocalAdvisor,
+    OwnerWatch,
+    PeerLinks,
+    name_incarnation,
+)
+from dandelionreel.cell.model import MEMBER, Member, Registration, Runner, make_record
+from dandelionreel.cell.owner import Dispatcher, DispatcherParts
+from dandelionreel.cell.store import GroupWriter, Written
 from dandelionreel.entry_clients import make_client_front
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_peers import listen_peers
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -6,7 +6,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from dandelionreel.cell import Cell, Configuration, Holding
+from dandelionreel.cell.decisions import Cell, Holding
+from dandelionreel.cell.model import Configuration
 from dandelionreel.entry_accounts import RefusalCounts, list_accounts
 from dandelionreel.http import Answer, Request, answer_json, control_bytes_by_kind
 
--- a/dandelionreel/entry_peers.py
+++ b/dandelionreel/entry_peers.py
@@ -3,11 +3,13 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
-from dandelionreel.cell._advisors import LocalAdvisor
-from dandelionreel.cell._completion_answers import CompletionAnswers
-from dandelionreel.cell._configuration_exchange import ConfigurationExchange
-from dandelionreel.cell._election import Election
-from dandelionreel.cell._front import ClientFront
+from dandelionreel.cell.clients import ClientFront
+from dandelionreel.cell.membership import (
+    CompletionAnswers,
+    ConfigurationExchange,
+    Election,
+    LocalAdvisor,
+)
 from dandelionreel.kernel import Clock, Journal
 from dandelionreel.peers import (
     AdviceWanted,
--- a/dandelionreel/entry_readiness.py
+++ b/dandelionreel/entry_readiness.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Callable
 
-from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._directory import ConfigurationFolder
-from dandelionreel.cell._dispatcher import Dispatcher
-from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._readiness import Condition, Rotation, find_hindrance
-from dandelionreel.cell._writer import GroupWriter
+from dandelionreel.cell.clients import Condition, Rotation, find_hindrance
+from dandelionreel.cell.membership import ContactWatch
+from dandelionreel.cell.owner import Dispatcher
+from dandelionreel.cell.store import ConfigurationFolder, Follower, GroupWriter
 from dandelionreel.http import Answer, Request
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
 
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Callable
 
-from dandelionreel.cell import UnreadableLog
-from dandelionreel.cell._claim_order import keeps_runners
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
-from dandelionreel.cell._follower import Folder, Follower
-from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell.membership import keeps_runners
+from dandelionreel.cell.model import UnreadableLog
+from dandelionreel.cell.store import ConfigurationFolder, Folder, Follower, JobFolder, RunnersFolder
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.platform import (
     CELL_TOPIC,
--- a/dandelionreel/platform/_accounts.py
+++ b/dandelionreel/platform/_accounts.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from dandelionreel.accounts import Account, AccountDirectory, digest_key
-from dandelionreel.cell import Demand, UnreadableError, decode_json
+from dandelionreel.cell.model import Demand, UnreadableError, decode_json
 
 Accounts = AccountDirectory[Demand]
 
--- a/dandelionreel/platform/_advice.py
+++ b/dandelionreel/platform/_advice.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     AdviceError,
     AdviceService,
     Permit,
--- a/dandelionreel/platform/_configuration.py
+++ b/dandelionreel/platform/_configuration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from dandelionreel.cell import AdvicePolicy, Configuration, Queue, Service, decode_json
+from dandelionreel.cell.model import AdvicePolicy, Configuration, Queue, Service, decode_json
 from dandelionreel.platform._accounts import AccountDecoder
 
 #: The operator's key that holds the newest configuration in full.
--- a/dandelionreel/platform/_framing.py
+++ b/dandelionreel/platform/_framing.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     KeyedRecord,
     Reason,
     RecordBatch,
--- a/dandelionreel/platform/_records.py
+++ b/dandelionreel/platform/_records.py
@@ -1,6 +1,6 @@
 """The records of the operator and of the runners, as the cell wants them decoded."""
 
-from dandelionreel.cell import Configuration, RecordCodec, Registration
+from dandelionreel.cell.model import Configuration, RecordCodec, Registration
 from dandelionreel.platform._configuration import CONFIGURATION_KEY, ConfigurationDecoder
 from dandelionreel.platform._registrations import decode_registration
 
--- a/dandelionreel/platform/_registrations.py
+++ b/dandelionreel/platform/_registrations.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     Demand,
     Reason,
     Registration,
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     Check,
     Registration,
     Runner,
--- a/dandelionreel/platform/_store.py
+++ b/dandelionreel/platform/_store.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     ConflictError,
     FencedError,
     KeyedRecord,
--- a/dandelionreel/platform/_submissions.py
+++ b/dandelionreel/platform/_submissions.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     ClientCodec,
     Demand,
     JobSpec,
--- a/dandelionreel/platform/_views.py
+++ b/dandelionreel/platform/_views.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     EndedRun,
     Outcome,
     RunnerError,
--- a/features/account_parts.py
+++ b/features/account_parts.py
@@ -1,7 +1,7 @@
 """Client accounts for scenarios that need no process."""
 
 from dandelionreel.accounts import Account, AccountDirectory, digest_key
-from dandelionreel.cell import Configuration, Demand, Queue, Service
+from dandelionreel.cell.model import Configuration, Demand, Queue, Service
 
 MANY = 2**50
 
--- a/features/cancelling_parts.py
+++ b/features/cancelling_parts.py
@@ -4,7 +4,8 @@
 
 import curio
 
-from dandelionreel.cell import (
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import (
     EndedRun,
     Outcome,
     Runner,
@@ -16,8 +17,7 @@
     StartReply,
     WriterFence,
 )
-from dandelionreel.cell._election import Term
-from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell.store._runner_list import RunnersFolder
 from dandelionreel.kernel import Verdict
 from features.cell_parts import make_registration
 from features.store_parts import Host, journal, make_dispatcher
--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -1,15 +1,14 @@
 """A cell with runners and jobs, for scenarios that need no process."""
 
-from dandelionreel.cell import (
+from dandelionreel.cell.decisions import Cell, Planner
+from dandelionreel.cell.decisions._hopeless_runs import stop_leaving
+from dandelionreel.cell.model import (
     AdvicePolicy,
-    BookedJob,
-    Cell,
     Configuration,
     Demand,
     EndedRun,
     JobSpec,
     Outcome,
-    Planner,
     Queue,
     Registration,
     RunnerView,
@@ -20,7 +19,7 @@
     Submission,
     TaskName,
 )
-from dandelionreel.cell._hopeless_runs import stop_leaving
+from dandelionreel.cell.store import BookedJob
 
 GANG_TIMEOUT = 3.0
 START = 1000.0
--- a/features/client_parts.py
+++ b/features/client_parts.py
@@ -1,12 +1,12 @@
 """What serves a client's call, for scenarios that need no process."""
 
 from dandelionreel.accounts import Caller
-from dandelionreel.cell._access import AccessControl
-from dandelionreel.cell._client_call import ClientCall
-from dandelionreel.cell._client_writes import ClientWrites
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._front import ClientFront
-from dandelionreel.cell._readiness import Rotation
+from dandelionreel.cell.clients._access import AccessControl
+from dandelionreel.cell.clients._client_call import ClientCall
+from dandelionreel.cell.clients._client_writes import ClientWrites
+from dandelionreel.cell.clients._front import ClientFront
+from dandelionreel.cell.clients._readiness import Rotation
+from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.http import Request
 from dandelionreel.kernel import SystemClock
 from dandelionreel.platform import JsonClientCodec
--- a/features/entry_fuzz.py
+++ b/features/entry_fuzz.py
@@ -14,8 +14,9 @@
 
 import curio
 
-from dandelionreel.cell import Cell, RunnerError, StoreError
-from dandelionreel.cell._follower import Follower
+from dandelionreel.cell.decisions import Cell
+from dandelionreel.cell.model import RunnerError, StoreError
+from dandelionreel.cell.store._follower import Follower
 from dandelionreel.platform._views import decode_view
 from features.cell_parts import SmallCell
 from features.entry_parts import (
--- a/features/entry_parts.py
+++ b/features/entry_parts.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     AdvicePolicy,
     Demand,
     JobSpec,
@@ -17,8 +17,7 @@
     Submission,
     UnreadableLog,
 )
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model._records import (
     Attended,
     Cancellation,
     DoneTasks,
@@ -27,7 +26,8 @@
     Owner,
     Progress,
 )
-from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell.store._directory import ConfigurationFolder, JobFolder
+from dandelionreel.cell.store._runner_list import RunnersFolder
 from dandelionreel.http import Answer
 from dandelionreel.kernel import Journal, ManualClock, Part
 from dandelionreel.platform import Address, JsonRecordCodec, StoreTopic
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -8,11 +8,10 @@
 from hypothesis import settings, strategies
 
 from dandelionreel.accounts import Caller, digest_key
-from dandelionreel.cell import JobSpec, JobState, RecordBatch, Submission, UnreadableError
-from dandelionreel.cell._configuration_exchange import ConfigurationExchange
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._records import (
+from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.membership._configuration_exchange import ConfigurationExchange
+from dandelionreel.cell.model import JobSpec, JobState, RecordBatch, Submission, UnreadableError
+from dandelionreel.cell.model._records import (
     MEMBER,
     OWNER_KEY,
     PROGRESS,
@@ -22,8 +21,9 @@
     Progress,
     make_record,
 )
-from dandelionreel.cell._relay import Relay
-from dandelionreel.cell._writer import Written
+from dandelionreel.cell.store._directory import ConfigurationFolder, JobFolder
+from dandelionreel.cell.store._job_book import JobBook
+from dandelionreel.cell.store._writer import Written
 from dandelionreel.http import Request
 from dandelionreel.kernel import Journal, ManualClock, Verdict
 from dandelionreel.peers import (
--- a/features/steps/active_runner_steps.py
+++ b/features/steps/active_runner_steps.py
@@ -5,9 +5,9 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import Demand, Registration, RunnerView
-from dandelionreel.cell._active_runners import ActiveRunners
-from dandelionreel.cell._runner_poller import RunnerPoller
+from dandelionreel.cell.decisions._active_runners import ActiveRunners
+from dandelionreel.cell.model import Demand, Registration, RunnerView
+from dandelionreel.cell.owner._runner_poller import RunnerPoller
 from dandelionreel.kernel import SystemClock
 from features.cell_parts import START, SmallCell, step
 from features.store_parts import make_owner_context
--- a/features/steps/addresses_steps.py
+++ b/features/steps/addresses_steps.py
@@ -5,9 +5,11 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import (
+from dandelionreel.cell.decisions import Holding
+from dandelionreel.cell.decisions._ledger import Allocation
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import (
     Demand,
-    Holding,
     KeyedRecord,
     RecordBatch,
     Runner,
@@ -15,10 +17,8 @@
     RunnerReplaced,
     WriterFence,
 )
-from dandelionreel.cell._election import Term
-from dandelionreel.cell._ledger import Allocation
-from dandelionreel.cell._model import JobSpec, JobState
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model._model import JobSpec, JobState
+from dandelionreel.cell.model._records import (
     ATTENDED_KEY,
     PROGRESS,
     SUBMISSION,
@@ -27,7 +27,7 @@
     Submission,
     make_record,
 )
-from dandelionreel.cell._runner_poller import RunnerPoller
+from dandelionreel.cell.owner._runner_poller import RunnerPoller
 from dandelionreel.kernel import Verdict
 from features.cell_parts import make_registration, step, task
 from features.store_parts import LONG, Host, make_dispatcher
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -5,14 +5,10 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    AdvicePolicy,
-    AdviceRequest,
-    Permit,
-    StepName,
-)
-from dandelionreel.cell._advisors import AdvicePool
-from dandelionreel.cell._records import Member
+from dandelionreel.cell.decisions import AdviceRequest
+from dandelionreel.cell.membership._advisors import AdvicePool
+from dandelionreel.cell.model import AdvicePolicy, Permit, StepName
+from dandelionreel.cell.model._records import Member
 from dandelionreel.kernel import Journal, SystemClock
 from features.cell_parts import SmallCell, make_queue, step
 
--- a/features/steps/behind_a_cut_steps.py
+++ b/features/steps/behind_a_cut_steps.py
@@ -3,15 +3,13 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import EndedRun, JobSpec, Outcome, RunnerView, Submission
-from dandelionreel.cell._claim_order import keeps_runners
-from dandelionreel.cell._completeness import is_complete
-from dandelionreel.cell._completion_gossip import CompletionGossip
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._partition_reads import PartitionReads
-from dandelionreel.cell._records import (
+from dandelionreel.cell.clients._partition_reads import PartitionReads
+from dandelionreel.cell.decisions._completeness import is_complete
+from dandelionreel.cell.membership._claim_order import keeps_runners
+from dandelionreel.cell.membership._completions import Completions
+from dandelionreel.cell.model import EndedRun, JobSpec, Outcome, RunnerView, Submission
+from dandelionreel.cell.model._model import JobState
+from dandelionreel.cell.model._records import (
     MEMBER,
     PROGRESS,
     SUBMISSION,
@@ -20,10 +18,12 @@
     Progress,
     make_record,
 )
-from dandelionreel.cell._runner_list import RunnersFolder
-from dandelionreel.cell._runner_poller import RunnerPoller
-from dandelionreel.cell._services import RunnerError, RunnerFenced
-from dandelionreel.cell._zone_confirmation import ZoneConfirmation
+from dandelionreel.cell.model._services import RunnerError, RunnerFenced
+from dandelionreel.cell.owner._completion_gossip import CompletionGossip
+from dandelionreel.cell.owner._runner_poller import RunnerPoller
+from dandelionreel.cell.owner._zone_confirmation import ZoneConfirmation
+from dandelionreel.cell.store._job_book import JobBook
+from dandelionreel.cell.store._runner_list import RunnersFolder
 from dandelionreel.kernel import ManualClock, Verdict
 from dandelionreel.peers import CompletionsSeen, CompletionsTold, Done, Frame, PeerError, Refused
 from features.cell_parts import SmallCell, make_registration, step, task
--- a/features/steps/cancelling_steps.py
+++ b/features/steps/cancelling_steps.py
@@ -3,15 +3,8 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    JobSpec,
-    JobState,
-    StartReply,
-    Submission,
-    WriterFence,
-)
-from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model import JobSpec, JobState, StartReply, Submission, WriterFence
+from dandelionreel.cell.model._records import (
     ATTENDED_KEY,
     CANCELLATION,
     OWNER_KEY,
@@ -23,7 +16,8 @@
     make_progress_records,
     make_record,
 )
-from dandelionreel.cell._writer import Written
+from dandelionreel.cell.owner._orders import Orders
+from dandelionreel.cell.store._writer import Written
 from dandelionreel.kernel import ManualClock
 from features.cancelling_parts import MemoryRunner, SmallOwner
 from features.cell_parts import SmallCell, step, task
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import Demand
+from dandelionreel.cell.model import Demand
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step, task
 from features.steps.report_steps import Lines
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -2,13 +2,11 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    Holding,
-    JobState,
-)
-from dandelionreel.cell._hopeless_runs import stop_leaving
-from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._records import Progress
+from dandelionreel.cell.decisions import Holding
+from dandelionreel.cell.decisions._hopeless_runs import stop_leaving
+from dandelionreel.cell.decisions._ledger import RunnerState
+from dandelionreel.cell.model import JobState
+from dandelionreel.cell.model._records import Progress
 from features.cell_parts import SmallCell, make_registration, step, task
 
 FULL = 32_000
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -3,12 +3,12 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import RecordBatch, WriterFence
-from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
-from dandelionreel.cell._owner_context import LEASE_SECONDS
-from dandelionreel.cell._predecessors import Predecessors
-from dandelionreel.cell._records import MEMBER, OWNER_KEY, Member, Owner, make_record
-from dandelionreel.cell._relay import Relay
+from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.membership._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell.model import RecordBatch, WriterFence
+from dandelionreel.cell.model._records import MEMBER, OWNER_KEY, Member, Owner, make_record
+from dandelionreel.cell.owner._owner_context import LEASE_SECONDS
+from dandelionreel.cell.owner._predecessors import Predecessors
 from dandelionreel.kernel import ManualClock
 from features.client_parts import make_call
 from features.steps.release_steps import SlowTopic
--- a/features/steps/completion_steps.py
+++ b/features/steps/completion_steps.py
@@ -3,13 +3,11 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import JobSpec, Submission, WriterFence
-from dandelionreel.cell._completion_gossip import CompletionGossip
-from dandelionreel.cell._completions import KEPT_SECONDS, MOST_KEPT, Completions
-from dandelionreel.cell._election import Term
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._records import (
+from dandelionreel.cell.membership._completions import KEPT_SECONDS, MOST_KEPT, Completions
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import JobSpec, Submission, WriterFence
+from dandelionreel.cell.model._model import JobState
+from dandelionreel.cell.model._records import (
     MEMBER,
     PROGRESS,
     SUBMISSION,
@@ -17,7 +15,9 @@
     Progress,
     make_record,
 )
-from dandelionreel.cell._services import StoreError
+from dandelionreel.cell.model._services import StoreError
+from dandelionreel.cell.owner._completion_gossip import CompletionGossip
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from dandelionreel.peers import CompletionsTold, CompletionsWanted, Done, Frame, PeerError, Refused
 from features.cell_parts import SmallCell, make_registration, step, task
--- a/features/steps/contact_steps.py
+++ b/features/steps/contact_steps.py
@@ -6,14 +6,14 @@
 import msgspec
 from behave import given, then, when
 
-from dandelionreel.cell import Configuration, Service
-from dandelionreel.cell._contact import MEMORY_SECONDS, Contact
-from dandelionreel.cell._contact_watch import ContactWatch
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._readiness import Rotation
-from dandelionreel.cell._records import MEMBER, Member, make_record
-from dandelionreel.cell._relay import Relay
+from dandelionreel.cell.clients._readiness import Rotation
+from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.membership._contact import MEMORY_SECONDS, Contact
+from dandelionreel.cell.membership._contact_watch import ContactWatch
+from dandelionreel.cell.model import Configuration, Service
+from dandelionreel.cell.model._records import MEMBER, Member, make_record
+from dandelionreel.cell.store._directory import ConfigurationFolder, JobFolder
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.http import Answer, Channel, Request, Server
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from dandelionreel.peers import PeerError
--- a/features/steps/doubt_steps.py
+++ b/features/steps/doubt_steps.py
@@ -3,9 +3,9 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import StartReply
-from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._services import RunnerError, StartAnswer
+from dandelionreel.cell.model import StartReply
+from dandelionreel.cell.model._services import RunnerError, StartAnswer
+from dandelionreel.cell.owner._orders import Orders
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, step
 from features.store_parts import make_owner_context, until
--- a/features/steps/drift_steps.py
+++ b/features/steps/drift_steps.py
@@ -2,12 +2,12 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import WriterFence
-from dandelionreel.cell._cell import CLOCK_DRIFT
-from dandelionreel.cell._election import Term
-from dandelionreel.cell._ledger import RunnerState
-from dandelionreel.cell._owner_context import LEASE_SECONDS
-from dandelionreel.cell._predecessors import Predecessors
+from dandelionreel.cell.decisions._cell import CLOCK_DRIFT
+from dandelionreel.cell.decisions._ledger import RunnerState
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.owner._owner_context import LEASE_SECONDS
+from dandelionreel.cell.owner._predecessors import Predecessors
 from features.cell_parts import make_registration
 
 TOLD_AT = 1000.0
--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -3,22 +3,20 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    Cell,
-    WriterFence,
-)
-from dandelionreel.cell._claim_order import claim_delay, find_deputy
-from dandelionreel.cell._election import Term
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._owner_context import OwnerContext
-from dandelionreel.cell._records import (
+from dandelionreel.cell.decisions import Cell
+from dandelionreel.cell.membership._claim_order import claim_delay, find_deputy
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.model._records import (
     MEMBER,
     OWNER_KEY,
     Member,
     Owner,
     make_record,
 )
-from dandelionreel.cell._succession import Succession
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.owner._succession import Succession
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.kernel import ManualClock
 from dandelionreel.peers import Done, Refused
 from features.cell_parts import make_registration
--- a/features/steps/ends_steps.py
+++ b/features/steps/ends_steps.py
@@ -3,8 +3,8 @@
 import msgspec
 from behave import given, then, when
 
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._records import Progress
+from dandelionreel.cell.model._model import JobState
+from dandelionreel.cell.model._records import Progress
 from dandelionreel.platform._views import decode_view
 from features.cell_parts import SmallCell, step, task
 
--- a/features/steps/entry_record_steps.py
+++ b/features/steps/entry_record_steps.py
@@ -4,7 +4,8 @@
 import msgspec
 from behave import given, then, when
 
-from dandelionreel.cell import (
+from dandelionreel.cell.membership._election import SILENT_SECONDS, UNSETTLED_SECONDS, Term, Vacancy
+from dandelionreel.cell.model import (
     Demand,
     JobSpec,
     JobState,
@@ -14,8 +15,7 @@
     SubmissionError,
     WriterFence,
 )
-from dandelionreel.cell._election import SILENT_SECONDS, UNSETTLED_SECONDS, Term, Vacancy
-from dandelionreel.cell._records import DoneTasks, Progress, make_record
+from dandelionreel.cell.model._records import DoneTasks, Progress, make_record
 from dandelionreel.kernel import ManualClock
 from dandelionreel.platform import decode_submission
 from features.entry_parts import (
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -2,9 +2,7 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    StoreError,
-)
+from dandelionreel.cell.model import StoreError
 from features.cell_parts import SmallCell, step
 from features.entry_fuzz import Fuzz, follow
 from features.entry_parts import (
--- a/features/steps/entry_view_steps.py
+++ b/features/steps/entry_view_steps.py
@@ -4,12 +4,8 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    BookedJob,
-    JobState,
-    RunnerError,
-    TaskName,
-)
+from dandelionreel.cell.model import JobState, RunnerError, TaskName
+from dandelionreel.cell.store import BookedJob
 from dandelionreel.platform._views import decode_view
 from features.cell_parts import SmallCell, step
 from features.entry_parts import (
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -2,15 +2,8 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    EndedRun,
-    Outcome,
-    Permit,
-    RunnerView,
-    RunningTask,
-    StartReply,
-)
-from dandelionreel.cell._hopeless_runs import stop_late_gangs
+from dandelionreel.cell.decisions._hopeless_runs import stop_late_gangs
+from dandelionreel.cell.model import EndedRun, Outcome, Permit, RunnerView, RunningTask, StartReply
 from features.cell_parts import step
 
 FULL = 32_000
--- a/features/steps/given_up_steps.py
+++ b/features/steps/given_up_steps.py
@@ -3,13 +3,13 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import StoreError, WriterFence
-from dandelionreel.cell._election import Term
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._records import (
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import StoreError, WriterFence
+from dandelionreel.cell.model._records import (
     make_record,
 )
-from dandelionreel.cell._runner_poller import RunnerPoller
+from dandelionreel.cell.owner._runner_poller import RunnerPoller
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
 from features.store_parts import Host, make_dispatcher, make_owner_context, until
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -11,7 +11,7 @@
 from hypothesis import settings, strategies
 
 from dandelionreel.backing import HostEntry, MemoryWorker, Resources, TaskOrder
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     KeyedRecord,
     RecordBatch,
     RunnerError,
@@ -23,9 +23,9 @@
     incarnation_id,
     runner_id,
 )
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._records import CrashedRun, Progress, StoredStart
-from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell.model._model import JobState
+from dandelionreel.cell.model._records import CrashedRun, Progress, StoredStart
+from dandelionreel.cell.store._runner_list import RunnersFolder
 from dandelionreel.http import Answer, Server, answer_json
 from dandelionreel.kernel import ManualClock, Verdict
 from dandelionreel.ownership import Grant, Level
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -5,14 +5,14 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import RunnerView, RunningTask, StartReply
-from dandelionreel.cell._ledger import QUARANTINE_SECONDS
-from dandelionreel.cell._losses import Losses, note_last_words
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._records import CrashedRun, Progress, StoredStart
-from dandelionreel.cell._runner_poller import RunnerPoller
-from dandelionreel.cell._services import RunnerError, StartAnswer
+from dandelionreel.cell.decisions._ledger import QUARANTINE_SECONDS
+from dandelionreel.cell.decisions._losses import Losses, note_last_words
+from dandelionreel.cell.model import RunnerView, RunningTask, StartReply
+from dandelionreel.cell.model._model import JobState
+from dandelionreel.cell.model._records import CrashedRun, Progress, StoredStart
+from dandelionreel.cell.model._services import RunnerError, StartAnswer
+from dandelionreel.cell.owner._orders import Orders
+from dandelionreel.cell.owner._runner_poller import RunnerPoller
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step, task
 from features.store_parts import make_owner_context
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -3,8 +3,8 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import AdvicePolicy, Demand, Permit, StartAnswer, StartReply
-from dandelionreel.cell._orders import Orders
+from dandelionreel.cell.model import AdvicePolicy, Demand, Permit, StartAnswer, StartReply
+from dandelionreel.cell.owner._orders import Orders
 from dandelionreel.kernel import ManualClock, SystemClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
 from features.store_parts import make_owner_context
--- a/features/steps/question_steps.py
+++ b/features/steps/question_steps.py
@@ -5,9 +5,9 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import Permit, RunnerError, StepName, WriterFence
-from dandelionreel.cell._advisors import LocalAdvisor
-from dandelionreel.cell._election import Term
+from dandelionreel.cell.membership._advisors import LocalAdvisor
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import Permit, RunnerError, StepName, WriterFence
 from dandelionreel.kernel import ManualClock, Verdict
 from features.cell_parts import SmallCell, make_queue, step
 from features.store_parts import Host, make_dispatcher
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -6,11 +6,12 @@
 from behave import given, then, when
 from behave import step as step_
 
-from dandelionreel.cell import BookedJob, Demand, JobState, StartReply, Submission
-from dandelionreel.cell._job_rates import JobRates
-from dandelionreel.cell._model import JobSpec
-from dandelionreel.cell._records import Leftover, Progress
-from dandelionreel.cell._runs import JobRun, Phase
+from dandelionreel.cell.decisions._job_rates import JobRates
+from dandelionreel.cell.decisions._runs import JobRun, Phase
+from dandelionreel.cell.model import Demand, JobState, StartReply, Submission
+from dandelionreel.cell.model._model import JobSpec
+from dandelionreel.cell.model._records import Leftover, Progress
+from dandelionreel.cell.store import BookedJob
 from features.account_parts import make_account, make_configuration
 from features.cell_parts import START, SmallCell, make_queue, step
 
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -3,8 +3,8 @@
 import msgspec
 from behave import given, then
 
-from dandelionreel.cell import Demand, JobSpec, JobState, Step
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model import Demand, JobSpec, JobState, Step
+from dandelionreel.cell.model._records import (
     Attended,
     Cancellation,
     CrashedRun,
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -3,15 +3,15 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._records import (
+from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.model._records import (
     MEMBER,
     OWNER_KEY,
     Member,
     Owner,
     make_record,
 )
-from dandelionreel.cell._relay import Relay
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.http import Answer
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from dandelionreel.peers import Done, Forward, ForwardAnswer, Frame, OwnerAsked, PeerError, Refused
--- a/features/steps/release_steps.py
+++ b/features/steps/release_steps.py
@@ -5,8 +5,8 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import WriterFence
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.model._records import (
     ATTENDED_KEY,
     MEMBER,
     OWNER_KEY,
--- a/features/steps/repeat_steps.py
+++ b/features/steps/repeat_steps.py
@@ -3,10 +3,10 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import WriterFence
-from dandelionreel.cell._election import Term
-from dandelionreel.cell._model import JobSpec, JobState
-from dandelionreel.cell._records import (
+from dandelionreel.cell.membership._election import Term
+from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.model._model import JobSpec, JobState
+from dandelionreel.cell.model._records import (
     PROGRESS,
     SUBMISSION,
     Progress,
@@ -14,8 +14,8 @@
     make_progress_records,
     make_record,
 )
-from dandelionreel.cell._services import RecordBatch
-from dandelionreel.cell._writer import Written
+from dandelionreel.cell.model._services import RecordBatch
+from dandelionreel.cell.store._writer import Written
 from features.cell_parts import step
 from features.store_parts import Host, make_dispatcher
 from standins import MemoryTopic
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -6,9 +6,9 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell._load_report import LoadReport
-from dandelionreel.cell._model import JobState
-from dandelionreel.cell._records import Progress
+from dandelionreel.cell.model._model import JobState
+from dandelionreel.cell.model._records import Progress
+from dandelionreel.cell.owner._load_report import LoadReport
 from features import run
 from features.cell_parts import SmallCell, step
 
--- a/features/steps/snapshot_steps.py
+++ b/features/steps/snapshot_steps.py
@@ -3,8 +3,8 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell._model import JobSpec, JobState
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model._model import JobSpec, JobState
+from dandelionreel.cell.model._records import (
     PROGRESS,
     SUBMISSION,
     Progress,
@@ -12,7 +12,7 @@
     make_progress_records,
     make_record,
 )
-from dandelionreel.cell._services import RecordBatch, RecordsExpired, StoreError
+from dandelionreel.cell.model._services import RecordBatch, RecordsExpired, StoreError
 from dandelionreel.kernel import Verdict
 from features.cell_parts import step
 from features.store_parts import Host, until
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -5,25 +5,20 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import (
-    Cell,
+from dandelionreel.cell.decisions import Cell, RunnerState
+from dandelionreel.cell.membership._claim_order import is_successor
+from dandelionreel.cell.model import (
     JobSpec,
     JobState,
     KeyedRecord,
     RecordBatch,
     Runner,
     RunnerError,
-    RunnerState,
     StoreError,
     Submission,
     WriterFence,
 )
-from dandelionreel.cell._claim_order import is_successor
-from dandelionreel.cell._directory import JobFolder
-from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._records import (
+from dandelionreel.cell.model._records import (
     CANCELLATION,
     OWNER_KEY,
     SUBMISSION,
@@ -34,7 +29,11 @@
     make_progress_records,
     make_record,
 )
-from dandelionreel.cell._writer import AnswerTimes, GroupWriter, Written
+from dandelionreel.cell.owner._orders import Orders
+from dandelionreel.cell.store._directory import JobFolder
+from dandelionreel.cell.store._follower import Follower
+from dandelionreel.cell.store._job_book import JobBook
+from dandelionreel.cell.store._writer import AnswerTimes, GroupWriter, Written
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from features.cell_parts import SmallCell, make_registration, step
 from features.store_parts import LONG, Host, journal, make_owner_context, until
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -3,12 +3,9 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import WriterFence
-from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._orders import Orders
-from dandelionreel.cell._owner_context import LEASE_SECONDS
-from dandelionreel.cell._records import (
+from dandelionreel.cell.membership._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.model._records import (
     MEMBER,
     OWNER_KEY,
     SUBMISSION,
@@ -17,6 +14,9 @@
     Owner,
     make_record,
 )
+from dandelionreel.cell.owner._orders import Orders
+from dandelionreel.cell.owner._owner_context import LEASE_SECONDS
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step
 from features.store_parts import DRIFT, Host, make_dispatcher, make_owner_context, until
--- a/features/steps/wait_steps.py
+++ b/features/steps/wait_steps.py
@@ -3,14 +3,10 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell import WriterFence
-from dandelionreel.cell._directory import JobFolder
-from dandelionreel.cell._election import AUTHORITY_SECONDS, Term
-from dandelionreel.cell._job_book import JobBook
-from dandelionreel.cell._model import JobSpec, JobState
-from dandelionreel.cell._owner_context import LEASE_SECONDS
-from dandelionreel.cell._predecessors import Predecessors, longest_lease
-from dandelionreel.cell._records import (
+from dandelionreel.cell.membership._election import AUTHORITY_SECONDS, Term
+from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.model._model import JobSpec, JobState
+from dandelionreel.cell.model._records import (
     ATTENDED_KEY,
     OWNER_KEY,
     PROGRESS,
@@ -22,7 +18,11 @@
     Submission,
     make_record,
 )
-from dandelionreel.cell._services import RecordBatch
+from dandelionreel.cell.model._services import RecordBatch
+from dandelionreel.cell.owner._owner_context import LEASE_SECONDS
+from dandelionreel.cell.owner._predecessors import Predecessors, longest_lease
+from dandelionreel.cell.store._directory import JobFolder
+from dandelionreel.cell.store._job_book import JobBook
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import step
 from features.store_parts import DRIFT, Host, journal, make_dispatcher
--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from dandelionreel.cell import Demand, Permit, StartReply
+from dandelionreel.cell.model import Demand, Permit, StartReply
 from features.cell_parts import SmallCell, make_registration, step
 
 
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -4,15 +4,15 @@
 
 import curio
 
-from dandelionreel.cell import WriterFence
-from dandelionreel.cell._completions import Completions
-from dandelionreel.cell._directory import ConfigurationFolder, JobFolder
-from dandelionreel.cell._dispatcher import Dispatcher
-from dandelionreel.cell._election import Election, Term
-from dandelionreel.cell._follower import Follower
-from dandelionreel.cell._owner_context import OwnerContext, always_fresh
-from dandelionreel.cell._parts import DispatcherParts
-from dandelionreel.cell._runner_list import RunnersFolder
+from dandelionreel.cell.membership._completions import Completions
+from dandelionreel.cell.membership._election import Election, Term
+from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.owner._dispatcher import Dispatcher
+from dandelionreel.cell.owner._owner_context import OwnerContext, always_fresh
+from dandelionreel.cell.owner._parts import DispatcherParts
+from dandelionreel.cell.store._directory import ConfigurationFolder, JobFolder
+from dandelionreel.cell.store._follower import Follower
+from dandelionreel.cell.store._runner_list import RunnersFolder
 from dandelionreel.kernel import Journal, SystemClock, Verdict
 from dandelionreel.peers import Frame, PeerError
 from features.cell_parts import make_registration
--- a/standins/_memory_topic.py
+++ b/standins/_memory_topic.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from dandelionreel.cell import (
+from dandelionreel.cell.model import (
     ConflictError,
     FencedError,
     KeyedRecord,
