Hosts report what they have shown behind a cut to the owner

In order: a zone is cut off at 34 s; a host there shows a job as complete, by the list of a runner that is leaving (35.3 s); the runner is gone at 39 s, the cut heals at 40 s, and all hosts are killed at 43.9 s. The owner outside had asked nobody, as its lease on the runner had not run out yet, so after the kill no one knew, and the tasks started again at 52.8 s.

Now each host that has shown a job behind a cut, or was told of it there, reports it to whoever owns the cell, every 0.5 s, until the store shows the job's end.

--- a/dandelionreel/cell/clients/_partition_reads.py
+++ b/dandelionreel/cell/clients/_partition_reads.py
@@ -82,7 +82,7 @@
         # The owner has asked meanwhile, and does not know of this job.
         if questions != self._completions.questions or not self._contact.may_serve_reads:
             return False
-        self._completions.note([job])
+        self._completions.note_seen([job])
         self._journal.tell_frequent(
             Part.JOBS,
             'shown as complete behind a cut.',
--- a/dandelionreel/cell/membership/__init__.py
+++ b/dandelionreel/cell/membership/__init__.py
@@ -9,6 +9,7 @@
     rank_hosts,
 )
 from dandelionreel.cell.membership._completion_answers import CompletionAnswers
+from dandelionreel.cell.membership._completion_reports import CompletionReports
 from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.cell.membership._configuration_exchange import ConfigurationExchange
 from dandelionreel.cell.membership._contact_watch import ContactWatch
@@ -28,6 +29,7 @@
     'AdvicePool',
     'BEAT_SECONDS',
     'CompletionAnswers',
+    'CompletionReports',
     'Completions',
     'ConfigurationExchange',
     'ContactWatch',
--- a/dandelionreel/cell/membership/_completion_answers.py
+++ b/dandelionreel/cell/membership/_completion_answers.py
@@ -1,19 +1,29 @@
 """Answers to peers that tell which jobs are complete, or ask for it."""
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.cell.membership._contact_watch import ContactWatch
 from dandelionreel.peers import CompletionsTold, Done, Frame, Message, Refused
 
+#: Takes jobs as complete if this host owns the cell; returns whether it does.
+TakeAtOwner = Callable[[tuple[str, ...]], Awaitable[bool]]
+
 
 class CompletionAnswers:
     """Takes what peers tell, as far as it may be relied upon."""
 
-    def __init__(self, completions: Completions, contact: ContactWatch) -> None:
+    def __init__(
+        self,
+        completions: Completions,
+        contact: ContactWatch,
+        take_at_owner: TakeAtOwner,
+    ) -> None:
         """Keep in ``completions`` what is taken."""
         self._completions = completions
         self._contact = contact
+        self._take_at_owner = take_at_owner
 
     async def merge_completions(self, frame: Frame) -> Message:
         """Take the word of an owner, unless a later one has asked."""
@@ -23,15 +33,17 @@
         return Refused('a later owner has asked')
 
     async def merge_zone_completions(self, frame: Frame) -> Message:
-        """Take what a host of this zone has seen behind a cut, if this one is behind it too.
+        """Take what a host has seen behind a cut, as the owner or behind the same cut.
 
-        Else an owner may have asked here already, and would not hear of it.
+        An owner may have asked any other host already, and would not hear of it. An owner
+        behind the same cut is also a host that a later owner asks.
         """
         seen: Any = frame.message
-        if not self._contact.may_serve_reads:
-            return Refused('is not cut off')
-        self._completions.note(seen.jobs)
-        return Done()
+        taken = await self._take_at_owner(seen.jobs)
+        if self._contact.may_serve_reads:
+            self._completions.note_seen(seen.jobs)
+            return Done()
+        return Done() if taken else Refused('is not cut off')
 
     async def answer_wanted(self, frame: Frame) -> Message:
         """Tell an owner all that is known here; from then on it relies on the answer."""
--- /dev/null
+++ b/dandelionreel/cell/membership/_completion_reports.py
@@ -0,0 +1,84 @@
+"""Reports jobs that were answered as complete inside a partition to the owner outside.
+
+Load pattern: a partition has healed, and the runners that listed the ends leave before the owner
+has polled them. Only hosts of the zone know that the jobs are complete, and they may be killed.
+"""
+
+import curio
+
+from dandelionreel.cell.membership._advisors import PeerLinks
+from dandelionreel.cell.membership._completions import Completions
+from dandelionreel.cell.model import FINAL_STATES, Member
+from dandelionreel.cell.store import JobBook
+from dandelionreel.kernel import Clock, Journal, Part
+from dandelionreel.peers import CompletionsSeen, Done, PeerError
+
+#: Seconds between looks for jobs that are due, and until the same job is reported again.
+POLL_SECONDS = 0.1
+REPEAT_SECONDS = 0.5
+#: Seconds for the owner's answer.
+ANSWER_SECONDS = 0.25
+#: Jobs in one message, and jobs that one line names.
+MAX_JOBS = 500
+MAX_LOGGED = 80
+
+
+class CompletionReports:
+    """Reports each job to whoever owns the cell until the store shows its end."""
+
+    def __init__(
+        self,
+        me: str,
+        book: JobBook,
+        links: PeerLinks,
+        completions: Completions,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Report as the host ``me`` what ``completions`` has from inside a partition."""
+        self._me = me
+        self._book = book
+        self._links = links
+        self._completions = completions
+        self._clock = clock
+        self._journal = journal
+
+    async def run(self) -> None:
+        """Report what is due, for ever."""
+        while True:
+            await self.report()
+            await curio.sleep(POLL_SECONDS)
+
+    async def report(self) -> None:
+        """Report what is due now, if there is an owner elsewhere."""
+        self._completions.drop_reports(
+            job for job in self._completions.unreported if self._is_stored(job)
+        )
+        jobs = self._completions.due_reports(REPEAT_SECONDS)[:MAX_JOBS]
+        owner = self._find_owner()
+        if not jobs or owner is None:
+            return
+        self._completions.note_reports(jobs)
+        try:
+            frame = await self._links.ask(owner, CompletionsSeen(jobs), ANSWER_SECONDS)
+        except PeerError:
+            # The partition may last; the watch over it has lines of its own.
+            return
+        if isinstance(frame.message, Done):
+            self._journal.tell_frequent(
+                Part.JOBS,
+                'has reported jobs to the owner that were shown as complete behind a cut.',
+                jobs=list(jobs[:MAX_LOGGED]),
+                count=len(jobs),
+            )
+
+    def _find_owner(self) -> Member | None:
+        owner = self._book.owner
+        if owner is None or owner.host == self._me:
+            return None
+        return self._book.member_by_host.get(owner.host)
+
+    def _is_stored(self, job: str) -> bool:
+        """Return whether the store shows that a job is over, or has dropped it."""
+        booked = self._book.find(job)
+        return booked is None or booked.state in FINAL_STATES
--- a/dandelionreel/cell/membership/_completions.py
+++ b/dandelionreel/cell/membership/_completions.py
@@ -23,6 +23,9 @@
         """Start with nothing known."""
         self._clock = clock
         self._noted_at_by_job: dict[str, float] = {}
+        #: Jobs that were seen as complete inside a partition and have to be reported to the
+        #: owner, with when each was reported last.
+        self._reported_at_by_job: dict[str, float] = {}
         self._fence = 0
         #: How many questions of owners have been answered, and when the latest one was.
         self.questions = 0
@@ -43,6 +46,35 @@
                 break
             self._noted_at_by_job.pop(job)
 
+    def note_seen(self, jobs: Iterable[str]) -> None:
+        """Remember jobs that the runners of this zone list as done inside a partition."""
+        seen = tuple(jobs)
+        self.note(seen)
+        for job in seen:
+            self._reported_at_by_job.setdefault(job, float('-inf'))
+
+    @property
+    def unreported(self) -> tuple[str, ...]:
+        """Return the jobs that the owner may not know to be complete."""
+        return tuple(self._reported_at_by_job)
+
+    def due_reports(self, repeat: float) -> tuple[str, ...]:
+        """Return the jobs that have not been reported for ``repeat`` seconds."""
+        latest = self._clock.monotonic() - repeat
+        return tuple(
+            job for job, reported_at in self._reported_at_by_job.items() if reported_at <= latest
+        )
+
+    def note_reports(self, jobs: Iterable[str]) -> None:
+        """Note that jobs are being reported now."""
+        for job in jobs:
+            self._reported_at_by_job[job] = self._clock.monotonic()
+
+    def drop_reports(self, jobs: Iterable[str]) -> None:
+        """Stop reporting jobs whose end stands in the store."""
+        for job in tuple(jobs):
+            self._reported_at_by_job.pop(job, None)
+
     def merge(self, epoch: int, jobs: Iterable[str]) -> bool:
         """Take the word of the owner with that epoch; return whether it still counts.
 
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -40,6 +40,8 @@
 PLAN_REST = 1.5
 #: Seconds in which a released cell's last record must be stored.
 RELEASE_PATIENCE = 1.0
+#: Jobs that one line names.
+MAX_LOGGED = 80
 #: Seconds before a question that failed is put again.
 REQUEST_PAUSE = 0.1
 
@@ -164,6 +166,20 @@
         writing = await curio.spawn(self._finish_cancel, job_id, record, daemon=True)
         return await curio.ignore_after(patience, writing.join) or Written.UNKNOWN
 
+    async def take_complete(self, jobs: tuple[str, ...]) -> None:
+        """Take jobs as complete that hosts have shown so behind a cut, and have that stored."""
+        taken = self.cell.take_complete(jobs)
+        if not taken:
+            return
+        self._journal.tell(
+            Part.JOBS,
+            'takes jobs as complete that were shown so behind a cut.',
+            jobs=taken[:MAX_LOGGED],
+            count=len(taken),
+            epoch=self._owner_context.term.epoch,
+        )
+        await self._owner_context.wake.notify()
+
     def state_of(self, job_id: str) -> JobState | None:
         """Return what clients are told about a job, ``None`` if it is not known."""
         job = self.cell.job_by_id.get(job_id)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -11,6 +11,7 @@
 from dandelionreel.cell.clients import PartitionReads, Relay
 from dandelionreel.cell.membership import (
     CompletionAnswers,
+    CompletionReports,
     Completions,
     ConfigurationExchange,
     ContactWatch,
@@ -122,6 +123,14 @@
             self._clock,
             self._journal,
         )
+        self._reports = CompletionReports(
+            settings.host,
+            self._jobs.book,
+            self._links,
+            self._completions,
+            self._clock,
+            self._journal,
+        )
         self._partition_reads = PartitionReads(
             settings.host,
             settings.zone,
@@ -217,6 +226,7 @@
             self._watch.run,
             self._contact.run,
             self._exchange.run,
+            self._reports.run,
             self._update_gauges,
         ):
             await start_task(stack, work)
@@ -233,7 +243,7 @@
             self._front,
             self._election,
             self._advisor,
-            CompletionAnswers(self._completions, self._contact),
+            CompletionAnswers(self._completions, self._contact, self._take_completions),
             self._exchange,
             self._answer_asked,
             self._clock,
@@ -247,6 +257,13 @@
         ready = self._may_own() and self._reads.complete
         return self._election.answer_asked(frame, acting, ready)
 
+    async def _take_completions(self, jobs: tuple[str, ...]) -> bool:
+        dispatcher = self._dispatcher
+        if dispatcher is None or not dispatcher.acting:
+            return False
+        await dispatcher.take_complete(jobs)
+        return True
+
     def _store_answered_at(self) -> float:
         dispatcher = self._dispatcher
         stored_at = self._writer.stored_at if dispatcher is None else dispatcher.stored_at
--- a/features/behind_a_cut.feature
+++ b/features/behind_a_cut.feature
@@ -88,3 +88,32 @@
       | 1     | south | yes   |
       | 2     | south | yes   |
       | 3     | south | no    |
+
+  # Guards against losing with its hosts what only they know: the runner that listed the end
+  # has left, and the owner outside would start the task again.
+  Scenario Outline: A host reports what it has shown behind a cut
+    Given a host that is cut off with its zone, beside a host that is cut off as well
+    And a runner of its zone that lists as done the job's only task
+    When a client asks for the job
+    And the cut heals, where the owner <answers>, and the store <shows> the job's end
+    Then the job is reported <times> times within 2 seconds
+
+    Examples:
+      | answers                     | shows          | times |
+      | takes what it is told       | shows at once  | 0     |
+      | takes what it is told       | does not show  | 4     |
+      | does not answer             | does not show  | 4     |
+      | is not known                | does not show  | 0     |
+      | is the host itself          | does not show  | 0     |
+
+  Scenario Outline: A host is told what was seen behind a cut
+    Given a host that <is>
+    When a peer reports the job as seen behind a cut
+    Then the host <answer>, <knows> and <tells> it to a later owner
+
+    Examples:
+      | is                                       | answer      | knows                       | tells        |
+      | owns the cell                            | takes it    | has the job as complete     | does not tell |
+      | owns the cell behind the same cut        | takes it    | has the job as complete     | tells        |
+      | is behind the same cut                   | takes it    | does not own it             | tells        |
+      | is neither                               | refuses it  | does not own it             | does not tell |
--- a/features/steps/behind_a_cut_steps.py
+++ b/features/steps/behind_a_cut_steps.py
@@ -6,15 +6,19 @@
 from dandelionreel.cell.clients._partition_reads import PartitionReads
 from dandelionreel.cell.decisions._completeness import is_complete
 from dandelionreel.cell.membership._claim_order import keeps_runners
+from dandelionreel.cell.membership._completion_answers import CompletionAnswers
+from dandelionreel.cell.membership._completion_reports import CompletionReports
 from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.cell.model import EndedRun, JobSpec, Outcome, RunnerView, Submission
 from dandelionreel.cell.model._model import JobState
 from dandelionreel.cell.model._records import (
     MEMBER,
+    OWNER_KEY,
     PROGRESS,
     SUBMISSION,
     DoneTasks,
     Member,
+    Owner,
     Progress,
     make_record,
 )
@@ -277,3 +281,80 @@
 def keeps_list(context, place, zone, keeps):
     found = keeps_runners(context.members, f'{zone[0]}-{place:02}')
     assert found is (keeps == 'yes')
+
+
+class ReportedTo:
+    """Links to the owner; counts what is reported to it."""
+
+    def __init__(self, answers):
+        self._answers = answers
+        self.reports = 0
+
+    async def ask(self, member, message, timeout):
+        """Take a report, or not."""
+        assert message == CompletionsSeen((JOB,)), message
+        assert member.port == 9, member
+        self.reports += 1
+        if not self._answers:
+            raise PeerError('no answer in time', Verdict.UNKNOWN)
+        return Frame(1, 'owner', 0, 0, Done())
+
+
+@when("the cut heals, where the owner {answers}, and the store {shows} the job's end")
+def cut_heals(context, answers, shows):
+    owner = {'is not known': None, 'is the host itself': 'me'}.get(answers, 'owner')
+    facts = [make_record(f'{MEMBER}owner', Member('north', '127.0.0.1', 9))]
+    if owner is not None:
+        facts.append(make_record(OWNER_KEY, Owner(2, owner, f'{owner}/1')))
+    if shows == 'shows at once':
+        facts.append(make_record(PROGRESS + JOB, Progress(2, JobState.COMPLETED)))
+    context.book.fold(facts)
+    clock = context.completions._clock
+    context.links = ReportedTo(answers == 'takes what it is told')
+    reports = CompletionReports(
+        'me', context.book, context.links, context.completions, clock, journal()
+    )
+
+    async def report():
+        for _ in range(20):
+            await reports.report()
+            clock.advance(0.1)
+
+    curio.run(report)
+
+
+@then('the job is reported {times:d} times within 2 seconds')
+def reported_times(context, times):
+    assert context.links.reports == times, context.links.reports
+
+
+@given('a host that owns the cell')
+@given('a host that owns the cell behind the same cut')
+@given('a host that is behind the same cut')
+@given('a host that is neither')
+def reported_host(context):
+    context.completions = Completions(ManualClock(1000))
+    context.owns = 'owns' in context.scenario.steps[0].name
+    context.cut = 'behind' in context.scenario.steps[0].name
+    context.small = SmallCell()
+    context.job = context.small.add_job(JOB, [step()])
+
+
+@when('a peer reports the job as seen behind a cut')
+def peer_reports(context):
+    async def take_at_owner(jobs):
+        if context.owns:
+            context.small.cell.take_complete(jobs)
+        return context.owns
+
+    answers = CompletionAnswers(context.completions, Touch(context.cut), take_at_owner)
+    frame = Frame(1, 'peer', 0, 0, CompletionsSeen((JOB,)))
+    context.answer = curio.run(answers.merge_zone_completions, frame)
+
+
+@then('the host {answer}, {knows} and {tells} it to a later owner')
+def host_answers(context, answer, knows, tells):
+    assert isinstance(context.answer, Done) is (answer == 'takes it'), context.answer
+    complete = context.job.state is JobState.COMPLETED
+    assert complete is (knows == 'has the job as complete'), context.job.state
+    assert (JOB in context.completions.answer(3)) is (tells == 'tells')
--- a/spec/behind_a_cut.py
+++ b/spec/behind_a_cut.py
@@ -114,6 +114,8 @@
         for host in HOSTS:
             if now[f'{host}_asked'] == 'unasked':
                 _ask(steps, host, asks, stops_when_asked)
+            if now[f'{host}_knows']:
+                steps.step(f'{host} reports to O', knows=True)
         if now['task'] == 'done' and not now['crashed']:
             steps.step('O looks at the runner', knows=True)
     if now['knows']:
