--- a/dandelionreel/cell/decisions/__init__.py
+++ b/dandelionreel/cell/decisions/__init__.py
@@ -10,8 +10,9 @@
 from dandelionreel.cell.decisions._losses import note_last_words
 from dandelionreel.cell.decisions._planner import Plan, Planner
 from dandelionreel.cell.decisions._runner_views import PollEffect
-from dandelionreel.cell.decisions._runs import ANY_RUNNER, JobRun, Phase, StepRun, TaskRun
+from dandelionreel.cell.decisions._runs import ANY_RUNNER, JobRun
 from dandelionreel.cell.decisions._stalled_jobs import StalledJobs
+from dandelionreel.cell.decisions._step_runs import Phase, StepRun, TaskRun
 
 __all__ = (
     'ANY_RUNNER',
--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -13,7 +13,8 @@
 from dandelionreel.cell.decisions._losses import Losses
 from dandelionreel.cell.decisions._quotas import QuotaLedger
 from dandelionreel.cell.decisions._runner_views import PollEffect, RunnerViews
-from dandelionreel.cell.decisions._runs import ANY_RUNNER, JobRun, StepRun, TaskRun, counted_demand
+from dandelionreel.cell.decisions._runs import ANY_RUNNER, JobRun
+from dandelionreel.cell.decisions._step_runs import StepRun, TaskRun, counted_demand
 from dandelionreel.cell.decisions._tickets import TicketBook
 from dandelionreel.cell.decisions._zone_reachability import ZoneReachability
 from dandelionreel.cell.model import (
--- a/dandelionreel/cell/decisions/_holdings.py
+++ b/dandelionreel/cell/decisions/_holdings.py
@@ -2,7 +2,8 @@
 
 from dandelionreel.cell.decisions._job_runs import JobRuns
 from dandelionreel.cell.decisions._ledger import Allocation, Holding, RunnerState
-from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun, TaskRun
+from dandelionreel.cell.decisions._runs import JobRun
+from dandelionreel.cell.decisions._step_runs import Phase, StepRun, TaskRun
 from dandelionreel.cell.decisions._stops import Stops
 from dandelionreel.cell.model import TaskName
 
--- a/dandelionreel/cell/decisions/_hopeless_runs.py
+++ b/dandelionreel/cell/decisions/_hopeless_runs.py
@@ -4,7 +4,7 @@
 
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._ledger import Allocation, Holding, RunnerState, expected_end
-from dandelionreel.cell.decisions._runs import StepRun
+from dandelionreel.cell.decisions._step_runs import StepRun
 
 #: Share of the gang timeout after which a gang that is not complete is stopped.
 GANG_SHARE = 0.55
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -13,8 +13,9 @@
     Reservations,
     count_slots,
 )
-from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun, counted_demand
+from dandelionreel.cell.decisions._runs import JobRun
 from dandelionreel.cell.decisions._seating import Seat, choose_seat, group_seats, seat_gang, suits
+from dandelionreel.cell.decisions._step_runs import Phase, StepRun, counted_demand
 from dandelionreel.cell.decisions._waiting import (
     USELESS,
     Candidate,
--- a/dandelionreel/cell/decisions/_preemption.py
+++ b/dandelionreel/cell/decisions/_preemption.py
@@ -13,7 +13,7 @@
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._ledger import Allocation, Holding, RunnerState, expected_end
 from dandelionreel.cell.decisions._reservations import count_slots
-from dandelionreel.cell.decisions._runs import StepRun, counted_demand
+from dandelionreel.cell.decisions._step_runs import StepRun, counted_demand
 from dandelionreel.cell.model import Queue
 
 #: Seconds that a gang waits for tasks to end by themselves before others are
--- a/dandelionreel/cell/decisions/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass
 
 from dandelionreel.cell.decisions._cell import Cell
-from dandelionreel.cell.decisions._runs import JobRun, count_fitting, counted_demand
+from dandelionreel.cell.decisions._objectives import count_fitting
+from dandelionreel.cell.decisions._runs import JobRun
+from dandelionreel.cell.decisions._step_runs import counted_demand
 from dandelionreel.cell.decisions._waiting import Candidate
 from dandelionreel.cell.model import Demand, StepName
 
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from dandelionreel.cell.decisions._ledger import RunnerState, expected_end
-from dandelionreel.cell.decisions._runs import StepRun, counted_demand
+from dandelionreel.cell.decisions._step_runs import StepRun, counted_demand
 from dandelionreel.cell.model import Demand, StepName
 
 #: Gangs that reserve at the same time: so many, and one for so many runners. More would idle
--- a/dandelionreel/cell/decisions/_runner_views.py
+++ b/dandelionreel/cell/decisions/_runner_views.py
@@ -7,7 +7,8 @@
 from dandelionreel.cell.decisions._holdings import Holdings, is_current
 from dandelionreel.cell.decisions._ledger import NEVER, Allocation, Holding, RunnerState
 from dandelionreel.cell.decisions._losses import Losses
-from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun, TaskRun, counted_demand
+from dandelionreel.cell.decisions._runs import JobRun
+from dandelionreel.cell.decisions._step_runs import Phase, StepRun, TaskRun, counted_demand
 from dandelionreel.cell.model import (
     Demand,
     EndedRun,
--- a/dandelionreel/cell/decisions/_runs.py
+++ b/dandelionreel/cell/decisions/_runs.py
@@ -1,9 +1,8 @@
 """One job under way: which of its tasks are done, running or waiting. No I/O."""
 
-import enum
-from dataclasses import dataclass, field
-
 from dandelionreel.cell.decisions._crashes import JobCrashes
+from dandelionreel.cell.decisions._objectives import objective
+from dandelionreel.cell.decisions._step_runs import Phase, StepRun, TaskRun, counted_demand
 from dandelionreel.cell.model import (
     FINAL_STATES,
     Demand,
@@ -14,7 +13,6 @@
     Leftover,
     Progress,
     Queue,
-    Step,
     StepName,
     Submission,
     TaskName,
@@ -23,77 +21,6 @@
 HEX = 16
 #: In a job's runners: its tasks may have been started anywhere.
 ANY_RUNNER = '*'
-#: Runners that a question to the policy service names, as objectives count it.
-TYPICAL_QUESTION = 30
-
-
-class Phase(enum.Enum):
-    """Where a task stands."""
-
-    WAITING = 'waiting'
-    PLACED = 'placed'
-    DONE = 'done'
-
-
-@dataclass
-class TaskRun:
-    """One task. While placed, ``run`` on ``runner`` is its only run that counts."""
-
-    name: TaskName
-    phase: Phase = Phase.WAITING
-    run: int = 0
-    runner: str = ''
-    checkpoint: str = ''
-    failures: int = 0
-    #: Runners on which it failed: the next run goes elsewhere if it can.
-    avoid: set[str] = field(default_factory=set)
-    #: Whether it starts by itself: runners have crashed under it, and it may be the cause.
-    quarantined: bool = False
-
-
-class StepRun:
-    """One step of one occurrence."""
-
-    def __init__(self, name: StepName, step: Step) -> None:
-        """Start with all tasks waiting."""
-        self.name = name
-        self.step = step
-        self.tasks = [
-            TaskRun(TaskName(name.job, name.occurrence, name.step, index))
-            for index in range(step.count)
-        ]
-        self.waiting = step.count
-        self.done = 0
-        #: A start of this step is not tried again before then.
-        self.not_before = 0.0
-
-    @property
-    def complete(self) -> bool:
-        """Return whether every task is done."""
-        return self.done == len(self.tasks)
-
-    def place(self, task: TaskRun, runner: str, run: int) -> None:
-        """Note that ``run`` of a waiting task is on its way to ``runner``."""
-        task.phase = Phase.PLACED
-        task.runner = runner
-        task.run = run
-        self.waiting -= 1
-
-    def release(self, task: TaskRun) -> None:
-        """Let a placed task wait again."""
-        task.phase = Phase.WAITING
-        task.runner = ''
-        self.waiting += 1
-
-    def finish(self, task: TaskRun) -> None:
-        """Note that a task is done, wherever it stood."""
-        if task.phase is Phase.DONE:
-            return
-        if task.phase is Phase.WAITING:
-            self.waiting -= 1
-        task.phase = Phase.DONE
-        task.runner = ''
-        self.done += 1
 
 
 class JobRun:
@@ -429,52 +356,3 @@
 
 def _failed_order(failed: FailedRun) -> tuple[int, int, int, int]:
     return (failed.occurrence, failed.step, failed.index, failed.run)
-
-
-def chain_seconds(spec: JobSpec, seconds_by_step: list[float]) -> float:
-    """Return the longest chain of steps, given how long each one takes."""
-    ends: list[float] = []
-    for step, seconds in zip(spec.steps, seconds_by_step, strict=True):
-        start = max((ends[earlier] for earlier in step.depends_on), default=0.0)
-        ends.append(start + seconds)
-    return max(ends, default=0.0)
-
-
-def objective(queue: Queue | None, spec: JobSpec, quota: Demand | None = None) -> float:
-    """Return the seconds within which a job counts as served in time.
-
-    A step that is wider than its account's quota runs in waves.
-    """
-    waits = 0.0
-    if queue is not None and queue.advice is not None:
-        waits = queue.advice.decision + TYPICAL_QUESTION * queue.advice.per_runner
-    chain = chain_seconds(
-        spec, [step.estimate * _waves(step, quota) + waits for step in spec.steps]
-    )
-    return chain if queue is None else queue.slack * chain + queue.latency
-
-
-def _waves(step: Step, quota: Demand | None) -> int:
-    """Return how many times a step's tasks have to take turns."""
-    if quota is None or step.gang:
-        return 1
-    at_once = count_fitting(step.counted_demand, quota, step.count)
-    return -(-step.count // max(1, at_once))
-
-
-def count_fitting(demand: Demand, room: Demand, most: int) -> int:
-    """Return how many tasks of a demand fit into a room, at most so many."""
-    count = most
-    for asked, have in (
-        (demand.cpu, room.cpu),
-        (demand.memory_mb, room.memory_mb),
-        (demand.gpu, room.gpu),
-    ):
-        if asked:
-            count = min(count, have // asked)
-    return max(0, count)
-
-
-def counted_demand(step: StepRun) -> Demand:
-    """Return what a task of the step takes from a runner's room."""
-    return step.step.counted_demand
--- a/dandelionreel/cell/decisions/_seating.py
+++ b/dandelionreel/cell/decisions/_seating.py
@@ -9,7 +9,7 @@
 
 from dandelionreel.cell.decisions._ledger import RunnerState
 from dandelionreel.cell.decisions._reservations import count_slots
-from dandelionreel.cell.decisions._runs import StepRun, TaskRun, counted_demand
+from dandelionreel.cell.decisions._step_runs import StepRun, TaskRun, counted_demand
 from dandelionreel.cell.model import Demand
 
 #: A runner that may take a task, with the ticket that the start carries.
--- a/dandelionreel/cell/decisions/_stalled_jobs.py
+++ b/dandelionreel/cell/decisions/_stalled_jobs.py
@@ -5,7 +5,8 @@
 
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._ledger import Allocation
-from dandelionreel.cell.decisions._runs import JobRun, Phase, StepRun
+from dandelionreel.cell.decisions._runs import JobRun
+from dandelionreel.cell.decisions._step_runs import Phase, StepRun
 
 #: Seconds without a change, beyond what runs are expected to take, until a job is stalled.
 STALL_SECONDS = 3.0
--- a/dandelionreel/cell/decisions/_waiting.py
+++ b/dandelionreel/cell/decisions/_waiting.py
@@ -6,7 +6,8 @@
 
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._reservations import Rank
-from dandelionreel.cell.decisions._runs import JobRun, StepRun
+from dandelionreel.cell.decisions._runs import JobRun
+from dandelionreel.cell.decisions._step_runs import StepRun
 from dandelionreel.cell.model import Queue
 
 #: A job that is later than this many objectives earns nothing any more.
