--- a/dandelionreel/cell/model/_incarnations.py
+++ b/dandelionreel/cell/model/_incarnations.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Iterable
 
+#: Digits of a Unix millisecond that is exact in JSON.
+LONGEST_START = 16
 _SEPARATOR = '@'
 
 
@@ -48,4 +50,5 @@
 
 def _started(incarnation: str) -> int | None:
     _, separator, suffix = incarnation.rpartition(_SEPARATOR)
-    return int(suffix) if separator and suffix else None
+    known = separator and suffix.isdecimal() and len(suffix) <= LONGEST_START
+    return int(suffix) if known else None
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -100,6 +100,11 @@
     Given any runner's id and any start
     Then the incarnation's id gives the runner's id back, and differs for each start
 
+  # Guards against an owner that stops at a name in the store which is no incarnation's.
+  Scenario: Names that are no incarnation's
+    Given any names in the store
+    Then none of them is taken for later than another by anything but its start
+
   Scenario: The policy service is asked by runners and answers for incarnations
     Given a policy service that allows every runner that it is asked about
     When it is asked about i-1@7 and i-2
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -23,6 +23,7 @@
     incarnation_id,
     runner_id,
 )
+from dandelionreel.cell.model._incarnations import find_later
 from dandelionreel.cell.model._model import JobState
 from dandelionreel.cell.model._records import CrashedRun, Progress, StoredStart
 from dandelionreel.cell.store._runner_list import RunnersFolder
@@ -400,6 +401,27 @@
     check()
 
 
+@given('any names in the store')
+def any_names(context):
+    starts = strategies.integers(0, 10**18).map(str) | strategies.sampled_from(
+        ['', 'x', '\u0663', '9' * 5000]
+    )
+    context.names = strategies.builds('{}@{}'.format, strategies.sampled_from(['i', 'i@']), starts)
+    context.names |= strategies.text('@i9', max_size=4)
+
+
+@then('none of them is taken for later than another by anything but its start')
+def later_by_start(context):
+    @settings(max_examples=400, database=None, derandomize=True)
+    @drawn(strategies.lists(context.names, max_size=3), strategies.lists(context.names, max_size=3))
+    def check(names, others):
+        for name, later in find_later(names, others).items():
+            assert runner_id(name) == runner_id(later)
+            assert int(later.rpartition('@')[2]) > int(name.rpartition('@')[2])
+
+    check()
+
+
 @given('a policy service that allows every runner that it is asked about')
 def policy_service(context):
     context.asked = []
