--- a/dandelionreel/cell/owner/_orders.py
+++ b/dandelionreel/cell/owner/_orders.py
@@ -169,14 +169,7 @@
         await self._owner_context.wake.notify()
 
     def _fields(self, allocation: Allocation) -> dict[str, Any]:
-        """Return what names a run in a line, and who ordered it."""
-        return {
-            'job': allocation.task.job,
-            'task': allocation.task.label,
-            'run': allocation.run,
-            'epoch': self._owner_context.term.epoch,
-            'runner': allocation.runner,
-        }
+        return self._owner_context.run_fields(allocation.runner, allocation.task, allocation.run)
 
     def _tell_start(self, state: RunnerState, allocation: Allocation, job: JobRun) -> None:
         """Tell a start with the age of what it rests on.
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -1,6 +1,7 @@
 """What the parts of the dispatcher share for one term, and how they store notes."""
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import curio
 
@@ -12,6 +13,7 @@
     Progress,
     Registration,
     Runner,
+    TaskName,
     Topic,
     make_progress_records,
 )
@@ -193,15 +195,21 @@
             self.journal.tell(
                 Part.WORKERS,
                 f'{crash.runner} has crashed under a task: {outcome}.',
-                runner=crash.runner,
-                job=crash.task.job,
-                task=crash.task.label,
-                run=crash.run,
-                epoch=self.term.epoch,
+                **self.run_fields(crash.runner, crash.task, crash.run),
                 close=crash.close,
                 crashes=crash.count,
             )
 
+    def run_fields(self, runner: str, task: TaskName, run: int) -> dict[str, Any]:
+        """Return what names a run in a log line, and who counts it."""
+        return {
+            'runner': runner,
+            'job': task.job,
+            'task': task.label,
+            'run': run,
+            'epoch': self.term.epoch,
+        }
+
     def add_runner(self, state: RunnerState) -> Runner:
         """Open the way to a runner."""
         runner = self._make_runner(state.registration)
@@ -234,11 +242,7 @@
             self.journal.tell(
                 Part.WORKERS,
                 f'a run was lost with {state.id}.',
-                runner=state.id,
-                job=held.task.job,
-                task=held.task.label,
-                run=held.run,
-                epoch=self.term.epoch,
+                **self.run_fields(state.id, held.task, held.run),
                 phase=held.phase.value,
                 draining=state.draining,
                 runner_age=seconds_or_none(now - state.answered_at),
--- a/dandelionreel/cell/owner/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -211,11 +211,7 @@
             self._owner_context.journal.tell_frequent(
                 Part.WORKERS,
                 f'a run has ended {ended.outcome.value}.',
-                runner=state.id,
-                job=ended.task.job,
-                task=ended.task.label,
-                run=ended.run,
-                epoch=self._owner_context.term.epoch,
+                **self._owner_context.run_fields(state.id, ended.task, ended.run),
                 number=ended.number,
                 seconds=round(now - started, 3) if started else None,
             )
@@ -223,11 +219,7 @@
             self._owner_context.journal.tell(
                 Part.WORKERS,
                 f'{state.id} does not have a run that it should have.',
-                runner=state.id,
-                job=lost.task.job,
-                task=lost.task.label,
-                run=lost.run,
-                epoch=self._owner_context.term.epoch,
+                **self._owner_context.run_fields(state.id, lost.task, lost.run),
                 phase=lost.phase.value,
             )
 
