--- a/features/behind_a_cut.feature
+++ b/features/behind_a_cut.feature
@@ -1,8 +1,6 @@
 Feature: Jobs of a zone that is cut off
 
-  # A zone was cut off for 6 s with its hosts, runners and clients. Ten jobs of its clients
-  # ended at runners next door within a second, and their clients were told so when the cut
-  # was over: none of them could use it any more.
+  # Guards against telling a client inside a partition that its job is complete on too little proof.
   Scenario Outline: What proves that a job of two steps is complete
     Given a job of two tasks, and then a gang of three, of which <stored> stand in the store
     When a runner of the zone lists <listed>
@@ -51,8 +49,7 @@
     When 10 clients ask for the job within 0.1 s
     Then the runner was looked at once
 
-  # The owner was outside. After 8.7 s the leases on the runners behind the cut had run out;
-  # taken for lost, a task would have been started again whose job its client held for done.
+  # Guards against starting a task again whose job a client inside a partition holds for complete.
   Scenario Outline: A lease runs out, or a runner has crashed, behind a cut
     Given an owner whose runner in south has been silent for <silent> s
     When south, with 2 hosts, <hosts>
@@ -89,8 +86,7 @@
       | 2     | south | yes   |
       | 3     | south | no    |
 
-  # Guards against losing with its hosts what only they know: the runner that listed the end
-  # has left, and the owner outside would start the task again.
+  # Guards against losing what only a zone's hosts know once the runner with the end has left.
   Scenario Outline: A host reports what it has shown behind a cut
     Given a host that is cut off with its zone, beside a host that is cut off as well
     And a runner of its zone that lists as done the job's only task
--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -1,8 +1,6 @@
 Feature: Runners whose room changes while they run
 
-  # A runner said that it has half the room it had. A start had been decided just before
-  # and waited for the store; it was sent all the same, and the runner held more than it
-  # has. Room is looked at when a task is placed, and was not looked at again.
+  # Guards against overfilling a runner whose room shrinks between a decision and its start.
   Scenario Outline: A runner's room changes between a decision and its start
     Given a cell with the runners w1
     And a task of 20000 is decided to start on w1
@@ -56,8 +54,7 @@
     Given a successor that finds a task of 20000 on w1, which says that it has 16000
     Then the task goes on, and a task of 4000 does not start
 
-  # The store answered a host's appends and not its reads. Runners that had shrunk or were
-  # leaving had said so, and the host went on starting tasks by what it had read before.
+  # Guards against starting by an old list of runners where the store answers appends only.
   Scenario Outline: The list of runners is old
     Given an owner whose list of runners is <age> seconds old
     Then it <outcome>
@@ -68,16 +65,14 @@
       | 2.4 | may start tasks        |
       | 2.6 | may not, and says so   |
 
-  # A runner had shrunk under what it holds. Its missing room was taken off what others had
-  # free, so the policy service was asked about nothing, and tasks waited beside free runners.
+  # Guards against a runner over its room that hides what others have free.
   Scenario: A runner over its room does not hide what others have free
     Given a cell with the runners w1, w2 whose queue needs advice
     And w1 has 0 and is found with a task of 32000
     When a task of 4000 needs advice
     Then advice is asked for it about w2
 
-  # The first runner in the list stood for all. As it had shrunk to nothing, a gang asked
-  # about all runners in place of those that it was likely to need, and waited for the answer.
+  # Guards against a gang that asks about all runners because the first one has shrunk.
   Scenario: One runner that has shrunk does not stand for all
     Given a cell with 24 runners whose queue needs advice, of which the first has no room
     When a gang of 4 tasks of 8000 needs advice
--- a/features/cell.feature
+++ b/features/cell.feature
@@ -1,15 +1,12 @@
 Feature: The owner's knowledge of jobs and runners
 
-  # A user hands a job in right after the owner died. One runner had crashed for
-  # good a while before. The successor waited for that runner's leases before it
-  # started anything, new work too, and every urgent job of 12 s was late.
+  # Guards against new work that waits for a runner which is gone.
   Scenario: New work after a take-over does not wait for a runner that is gone
     Given a successor that cannot see the runner w3
     When a job is handed in
     Then it starts at once
 
-  # The former owner started a task on a runner that is now cut off. The task
-  # runs on there; started again elsewhere, a settlement would be paid twice.
+  # Guards against starting a task elsewhere that a former owner's runner still runs.
   Scenario Outline: A job whose tasks may run unseen is left alone
     Given a successor that cannot see the runner w3
     When it takes a job that the store names with <runner>
@@ -26,9 +23,7 @@
     And w3 answers and does not hold the task
     Then it starts at once
 
-  # A client had cancelled its job and been told so. A repetition of its submission,
-  # delayed on the way to the store, landed after the job's end had been stored; the
-  # next owner found the submission and started the job.
+  # Guards against starting a cancelled job again whose submission lands once more.
   Scenario Outline: A job that is over, whose submission lands once more
     Given a cell with the runners w1
     When it takes a job that the store names as <state>
@@ -40,8 +35,7 @@
       | completed |
       | failed    |
 
-  # A worker starts whatever it is told. A task that is being stopped still has
-  # its processors; giving them away at once would overload the worker.
+  # Guards against giving away the room of a task that is still being stopped.
   Scenario: A task that is being stopped counts until its end is listed
     Given a cell with the runners w1
     And a running job that fills w1
@@ -50,8 +44,7 @@
     When w1 lists the end of the stopped run
     Then the other job starts
 
-  # The answer to a start was lost. The start may be carried out seconds later;
-  # the task must not start elsewhere before a stop has forbidden that.
+  # Guards against starting a task elsewhere while its first start may still arrive.
   Scenario: A start without an answer counts until a stop has been taken
     Given a cell with the runners w1, w2
     And a job whose start was not answered and is taken back
@@ -60,8 +53,7 @@
     When the runner takes the stop and is looked at again
     Then the task starts with a higher run number
 
-  # A look waits at the runner for news. One that was sent before a start was
-  # answered may have been listed before the start took effect.
+  # Guards against taking a run for gone by a poll that was listed before its start took effect.
   Scenario Outline: A look that does not list a run
     Given a cell with the runners w1
     And a running job that fills w1
@@ -73,8 +65,7 @@
       | before | is still held |
       | after  | is lost       |
 
-  # Ends are listed again until they are acknowledged, and again to a successor.
-  # Counted twice, one failure would use up both attempts of a sound job.
+  # Guards against counting a failure twice that two owners read.
   Scenario: A failed end that is listed to two owners counts once
     Given a cell with the runners w1
     And a running job that fills w1
@@ -86,33 +77,28 @@
     When a job fails on two runs
     Then the job is failed
 
-  # A lease lapsed unseen and the task was started again; then the first run's
-  # end arrives as done. The second run must not be allowed to finish as well.
+  # Guards against a second run that finishes after the first one is done.
   Scenario: A task that was done by an earlier run
     Given a cell with the runners w1, w2
     And a job that runs for the second time on another runner
     When the first runner lists the end of the first run as done
     Then the second run is stopped and the job is complete
 
-  # At most one task of a step might run on a runner. A cut had healed: a task turned
-  # out to be done by its first run, and its second one was being stopped, when
-  # another task of the step was started beside it.
+  # Guards against one task of a step more on a runner than may run together.
   Scenario: A run that is being stopped counts for the limit of a runner
     Given a cell with the runners w1, w2
     And a job of 2 tasks, one on each runner at most, whose first task runs again on w2
     When w1 lists the end of the first run as done, and the other task is free to start
     Then it does not start on w2 before the stopped run has ended
 
-  # Gang members wait for each other and give up alone after a while, which
-  # wastes what they hold. All of them start, or none is left waiting.
+  # Guards against gang members that wait for each other while one start stays unanswered.
   Scenario: A gang of which one start stays unanswered
     Given a cell with the runners w1, w2
     And a gang of 4 tasks of 12000 with one start unanswered
     When the gang's share of the timeout has passed
     Then its other members are stopped
 
-  # One member crashed its runner as it started. Its start was taken back, the others were
-  # left at work for the 3.3 s until the runner was back, and gave up alone before.
+  # Guards against gang members that are left alone when one start is taken back.
   Scenario: A gang of which one start is taken back
     Given a cell with the runners w1, w2
     And a gang of 4 tasks of 12000 with one start unanswered
@@ -124,9 +110,7 @@
     When a gang of 5 tasks of 12000 is handed in
     Then nothing starts
 
-  # Small tasks took each seat the moment it was free, and wide gangs waited for
-  # as long as the load lasted. The most urgent gang keeps the runners on which
-  # its seats come free first; only what ends before that may start there.
+  # Guards against gangs that starve while small tasks take each seat.
   Scenario Outline: Batch tasks while a gang waits for room
     Given a cell with the runners w1, w2
     And urgent tasks that fill w1 for 2 s and half of w2 for 2 s
@@ -138,9 +122,7 @@
       | 1       | starts  |
       | 5       | waits   |
 
-  # Nine tenths of the processors were in use by small tasks. Gangs waited for 5 s
-  # and more until enough large seats were free at once, and came late. Tasks of a
-  # less urgent queue lose nothing by a stop if they keep checkpoints.
+  # Guards against gangs that come late behind tasks that could go on elsewhere.
   Scenario Outline: Tasks that make room for a gang
     Given a cell with the runners w1, w2
     And <tasks> that fill w1 and w2 for <seconds> s
@@ -190,16 +172,14 @@
     And the urgent tasks are done
     Then the gang starts
 
-  # A settlement waited for seats. An urgent job came a moment later: the runners were kept
-  # for the settlement by an earlier plan, and the urgent job waited for its turn.
+  # Guards against urgent work that waits for an earlier gang's reservation.
   Scenario: Urgent work that comes after a gang's reservation was made
     Given a cell with the runners w1, w2
     And a gang that waits for both of them
     When an urgent job of 20 s comes 0.01 s later
     Then it starts at once
 
-  # A gang that was hours late was given neither room nor tickets any more, so
-  # its client waited for ever. Late work goes last, but it goes.
+  # Guards against late gangs that never get tickets.
   Scenario: A gang that is far too late still gets its tickets
     Given a cell of 40 runners whose queue asks for advice
     When a gang that was handed in an hour ago waits for tickets that expired
@@ -212,18 +192,14 @@
     Then the question names 12 runners
     And the job starts on the runners that are allowed
 
-  # A gang asked about 49 runners at a time, one question after the other, 1.2 s
-  # each, and found too few seats on those that were allowed: it was late before it
-  # knew enough. It now asks about all that it may need, at several hosts at once.
+  # Guards against gangs that learn too slowly where they may run.
   Scenario: A gang puts several questions at the same time
     Given a cell of 176 runners whose queue asks for advice
     When a gang of 20 tasks of 9000 asks for tickets
     Then 3 questions name 94 runners, none of them twice
     And nothing more is asked until the last answer
 
-  # After an outage hundreds of steps waited while everything was in use. Each of
-  # them asked for tickets again and again, which had expired when room came free,
-  # and urgent jobs waited 2 s for a host that could put their question.
+  # Guards against requests for tickets that expire before there is room.
   Scenario: No question where there is no room
     Given a cell of 40 runners whose queue asks for advice
     And tasks of another queue on all of them
@@ -257,8 +233,7 @@
     When w1 drains and a job is handed in
     Then nothing starts
 
-  # A runner said that it would leave in 2 s, and did. The tasks on it were
-  # missed 4 s later, when their leases had run out.
+  # Guards against losing tasks with a runner that drains.
   Scenario Outline: Tasks on a runner that drains
     Given a cell with the runners w1
     And a running task of <seconds> s on w1
@@ -277,15 +252,13 @@
     And 1.5 s later the task still runs
     Then the task is stopped
 
-  # Between the decision and the send the job may be cancelled; a start after
-  # the cancellation was confirmed would surprise whoever cancelled.
+  # Guards against starting a task of a job that was cancelled before the send.
   Scenario: A start is withdrawn when its job is cancelled before it is sent
     Given a cell with the runners w1
     When a job is planned and cancelled before its start is sent
     Then the start may not be sent
 
-  # The runner's clock may be slow by 2%. Its lease has run out only when even
-  # such a clock has passed it.
+  # Guards against taking a lease for run out that a slow clock still holds.
   Scenario Outline: When a silent runner's leases have run out
     Given a lease of 5 s granted to a runner that falls silent
     When <seconds> s have passed
@@ -297,9 +270,7 @@
       | 5.05    | no     |
       | 5.2     | yes    |
 
-  # A runner crashed for good. It was looked at again and again, and each look
-  # asked for a longer lease, so its leases never seemed to run out: its tasks
-  # were never started again, and their clients waited to the end of the day.
+  # Guards against leases of a crashed runner that are extended for ever.
   Scenario: A crashed runner is looked at while its leases run out
     Given a lease of 5 s granted to a runner that falls silent
     When it is looked at again and again without an answer
--- a/features/completions.feature
+++ b/features/completions.feature
@@ -1,8 +1,6 @@
 Feature: Jobs that are complete before the store knows it
 
-  # The store was away for 4 s. Jobs that had been accepted before ended at their runners
-  # within the first second, but their callers were told so only when the store was back:
-  # 20 of them had given up by then. The runners' lists prove the ends all the while.
+  # Guards against callers that learn of complete jobs only once the store is back.
   Scenario Outline: The store is away when a job ends
     Given an owner whose store is away, and a peer that <answers>
     When a runner lists the end of its job
@@ -20,9 +18,7 @@
     When a runner lists the end of its job
     Then the peer is told nothing
 
-  # A client was told that its job is complete while the store was away. The owner died, and
-  # the runner crashed with the list that proved it. The successor finds the job under way in
-  # the store, and would start its task again.
+  # Guards against starting a task again after a client was told that its job is complete.
   Scenario Outline: The owner and the runner are lost after a job was shown as complete
     Given a store that says that a job runs on w1
     And a peer that was told that the job is complete and <answers>
@@ -34,8 +30,7 @@
       | says so            | not started again |
       | has ended          | started again     |
 
-  # A former owner sees an end before its successor looks at the runner, and tells peers of
-  # it after the successor has asked them. Shown then, the job could still be started again.
+  # Guards against showing a job by a former owner's word after a later owner has asked.
   Scenario: A former owner's word after a later owner has asked
     Given a host that the owner of epoch 7 has asked
     When the owner of epoch 6 tells it that a job is complete
--- a/features/contact.feature
+++ b/features/contact.feature
@@ -1,8 +1,6 @@
 Feature: A host that is cut off from the store and all other zones
 
-  # A zone was cut off. Its hosts asked the owner, a deputy and the store in vain for each
-  # request, a second each time; they asked for no clients 1.4 and 2.2 s after the cut, and
-  # clients used up their retries among them: two thirds of the day's losses were theirs.
+  # Guards against confusing a partition with an outage, a lost owner or a slow link.
   Scenario Outline: What tells a cut from other troubles
     Given a host in north that heard <others> 0.1 s ago and the store <age> s ago
     When it asks hosts of south and west, of which <answer>
@@ -44,8 +42,7 @@
     Then each of them learns so within 1 s
     And 2 questions were put
 
-  # Each request tried on, behind a cut, waited a second, was in doubt, and its client went
-  # to the next host of the same zone.
+  # Guards against holding up clients at a host that can accept nothing.
   Scenario: A request at a host that is cut off
     Given an entry host that is cut off, which the balancer asked 0.3 s ago
     When a client hands a job in there
@@ -64,8 +61,7 @@
       | 2      | 0.0     |
       | 5      | 0.0     |
 
-  # A client kept its connection to a host that had left the rotation: its next request
-  # was turned away there, and so was the one behind it, for as long as the cut lasted.
+  # Guards against clients that keep their connections to a host out of rotation.
   Scenario Outline: Connections to a host that is not ready
     Given a server that is <ready>
     When a client sends it a request
--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -1,7 +1,6 @@
 Feature: A contract version takes effect everywhere or not at all
 
-  # Two operators publish version 2 at the same moment; both have read 1.
-  # The log's order decides, and the loser is told who won.
+  # Guards against two operators who both believe that their version was published.
   Scenario: Two operators race
     Given a cell of 2 zones with 2 daemons, 1 workers and 1 endpoints
     And version 1 of the contract is in force
@@ -9,8 +8,7 @@
     Then one is told that it is committed and the other that it lost
     And version 2 is in force on every daemon
 
-  # A daemon is frozen while a version is published. It would go on with the
-  # old version on waking; so nobody may act on the new one.
+  # Guards against a paused member that goes on with the old version.
   Scenario: A member is paused during a publication
     Given a cell of 2 zones with 1 daemons, 1 workers and 1 endpoints
     And version 1 of the contract is in force
@@ -22,8 +20,7 @@
     When version 2 is published
     Then the operator is told that it is in force
 
-  # A daemon dies just before a publication; its host refuses connections,
-  # which proves its end, so it does not hold the version up.
+  # Guards against a dead member that holds a publication up.
   Scenario: A member dies before a publication
     Given a cell of 2 zones with 2 daemons, 1 workers and 1 endpoints
     And version 1 of the contract is in force
@@ -32,8 +29,7 @@
     Then the operator is told that it is in force
     And version 2 is in force on every daemon
 
-  # A host is replaced while the log is out. The fresh daemon knows no
-  # contract; it serves nothing until its peers have told it.
+  # Guards against a fresh daemon that serves without a contract.
   Scenario: A fresh daemon starts in an outage of the log
     Given a cell of 1 zones with 3 daemons, 1 workers and 2 endpoints
     And version 1 of the contract is in force
--- a/features/cuts.feature
+++ b/features/cuts.feature
@@ -1,7 +1,6 @@
 Feature: Cuts between daemons, zones and the platform
 
-  # One daemon loses the log, its neighbours do not. Its zone's members
-  # promise not to act on its shards, so it goes on without a pause.
+  # Guards against an owner that stops though its peers can vouch for it.
   Scenario: An owner loses the log but not its peers
     Given a cuttable cell of 1 zones with 3 daemons, 2 workers and 3 endpoints
     And version 1 of the contract is in force
@@ -14,8 +13,7 @@
     Then all submitted jobs end as succeeded
     And no promise is broken
 
-  # Two daemons cannot hear each other, but both have the log. Neither is
-  # gone; if each claimed the other's shards, they would move back and forth.
+  # Guards against shards that move back and forth between daemons that cannot hear each other.
   Scenario: Two daemons lose each other but not the log
     Given a cuttable cell of 1 zones with 2 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
@@ -27,9 +25,7 @@
     Then all submitted jobs end as succeeded
     And no promise is broken
 
-  # A daemon is alone with its workers: no log, no peers. It may fill half;
-  # its neighbours take over and fill the other half at most. What it sent
-  # before and after the cut must never add up to more than a worker has.
+  # Guards against overfilling a worker by an owner that is alone and those that take over.
   Scenario: An owner loses the log and its peers with starts queued
     Given a cuttable cell of 1 zones with 3 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
@@ -58,8 +54,7 @@
       | log        | ub-east-d0 |
       | ub-east-d0 | ub-east-d1 |
 
-  # A whole zone is cut off from the others and from the platform. Lounges in
-  # it still get their entry checks; the rest of the cell does not notice.
+  # Guards against a zone that stops serving when it is cut off.
   Scenario: A zone is cut off from the rest and from the log
     Given a cuttable cell of 2 zones with 2 daemons, 1 workers and 2 endpoints
     And version 1 of the contract is in force
--- a/features/ends.feature
+++ b/features/ends.feature
@@ -1,8 +1,6 @@
 Feature: More ends than one look lists
 
-  # A runner lists its oldest 500 ends. Of a task whose end was number 501 it listed nothing:
-  # it was neither running nor ended, so the owner took it for gone and started it again.
-  # The next look told that it had been done.
+  # Guards against taking a run for gone whose end is not listed yet.
   Scenario: The end of a task is behind the 500 that a look lists
     Given a task on w1 that is done there, its end behind 500 others
     When w1 lists its first 500 ends
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -1,10 +1,6 @@
 Feature: Entries of other writers
 
-  # Settlements stood still on half of the runners, then on all of them. Some other program
-  # had written into the runners' topic: entries with fields missing, values of other types,
-  # bytes that are no text. Some of them were taken at their word, so that tasks were sent
-  # to a port that cannot be; some ended the reading of the topic, with the good entries
-  # behind them. An entry that cannot be read names no runner to use, and costs nothing else.
+  # Guards against trusting an entry that no runner has written.
   Scenario Outline: The entry of a runner at work becomes unreadable
     Given a runner at work whose entry is good
     When its entry becomes <entry>
@@ -111,9 +107,7 @@
     And all its leases have run out
     Then what ran there starts elsewhere
 
-  # A host took a settlement's runner for gone while the runner was at work: an entry of a
-  # service that does not exist named the runner's address, as if another one had come up
-  # there. The settlement was started a second time.
+  # Guards against taking a runner for replaced by an entry that cannot be used.
   Scenario Outline: An entry at the address of a runner proves nothing
     Given a runner at work whose own entry has gone
     When another entry at its address has <entry>
@@ -151,8 +145,7 @@
     Then it is still looked at where it was last known
     And nothing new is started on it
 
-  # One record that has no key ended the reading of the whole topic, since each try to read
-  # it failed: drains were not seen, and tasks were lost with the runners.
+  # Guards against one record without a key that ends the reading of a topic.
   Scenario Outline: Records that name no key
     Given a host that follows a topic
     When it reads <record> between two good entries
@@ -203,8 +196,7 @@
     When each page ends with the key that it began behind
     Then it counts as a failure of the store
 
-  # A route that had just been added was answered 404 by all hosts: its configuration was
-  # followed at once by a record that could not be read, and both came in one read.
+  # Guards against losing a configuration to an unreadable one behind it.
   Scenario Outline: The newest configuration cannot be read
     Given a host with configuration 3
     When it reads configuration 5 and then <record>
@@ -246,8 +238,7 @@
       | a completed job      | e   | no JSON          | completed | not started |
       | nothing              | e   | no JSON          | running | not started |
 
-  # One client's job stopped all others: its occurrences came at an interval so short that
-  # the number of those due was infinite, and each plan ended with an error.
+  # Guards against one client's job that stops all others.
   Scenario Outline: What no host would read is not accepted
     When a client hands in a job with <part>
     Then it is refused as bad input
@@ -278,9 +269,7 @@
     Then the job is shown as queued
     And the job is started
 
-  # All hosts claimed the cell at once, again and again, and nothing was started for
-  # seconds: an unreadable record stood where the owner is named, and a host that had just
-  # started took the cell to be without an owner.
+  # Guards against claiming the cell because its ownership record cannot be read.
   Scenario Outline: The ownership record cannot be read
     Given a host that hears an owner's heartbeats
     When the ownership record becomes <record>
@@ -315,8 +304,7 @@
       | an address of 300 characters |
       | nested deeply          |
 
-  # A settlement was paid twice. Its runner listed ends in a form that was not known, among
-  # others; the run was taken for lost, and started again elsewhere.
+  # Guards against taking a run for lost because another row of the list cannot be read.
   Scenario Outline: A runner lists something that cannot be read
     Given a runner that runs two tasks
     When it lists the first one, and in place of the second <row>
@@ -336,8 +324,7 @@
     Then the ends that can be read count
     And no end from 6 on is acknowledged
 
-  # A successor could not read a job, and had its ends forgotten by the runners. Once the
-  # job could be read, tasks that were done were started again.
+  # Guards against forgetting ends of a job that cannot be read yet.
   Scenario: A job cannot be read while its ends are listed
     Given a successor that cannot read a job's submission
     When a runner lists an end of the job as done
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -14,9 +14,7 @@
     And its run 3001 was started by b on r1, ended done and was noted
     And nothing was started again, and nothing is said to be not known
 
-  # A client is told that its job has run twice. The owner a is cut off with its runner;
-  # b takes over, waits too short, and starts the task again. The end of the first run
-  # is read when the cut heals. The story names both owners, and what b knew and when.
+  # Guards against a story that does not tell which of two owners started a task again, and why.
   Scenario: A task is started by two owners
     Given logs of hosts a and b
       | at  | host | text                           | fields                                        |
@@ -62,8 +60,7 @@
       | others' were      | a  | ownership: takes the leases on unseen runners for run out. | {"job": null, "runners": ["r9"]} | suspect | of which no line tells |
       | nobody was told   | a  | workers: r1 is draining.                | {"job": null, "runner": "r1"} | suspect | of which no line tells |
 
-  # A record that matters is often cut or mixed with other programs' output. One line
-  # that can't be read must not cost the others.
+  # Guards against one line that cannot be read costing the others.
   Scenario Outline: A log with <what>
     Given a log of a job that went well, with <what> in its midst
     When its story is told
--- a/features/failures.feature
+++ b/features/failures.feature
@@ -1,9 +1,7 @@
 Feature: What must hold when things fail
   Each scenario runs real daemons; the workers' and runners' own records judge.
 
-  # A traveller's request reaches a daemon whose neighbour has just died.
-  # The neighbour owned half of the runners; nobody may use them until its
-  # last request cannot be under way any more. Other slots go on serving.
+  # Guards against using a dead owner's slots while its last request may be under way.
   Scenario: An owner is killed; its workers and runners find a new owner
     Given a cell of 1 zones with 3 daemons, 4 workers and 4 endpoints
     And version 1 of the contract is in force
@@ -13,9 +11,7 @@
     And 20 jobs submitted to ub-east-d1 all end as succeeded
     And no promise is broken
 
-  # Settlements wait in a queue while their worker's owner is paused.
-  # Shorter than its authority: it goes on. Longer: another has claimed, and
-  # what the paused owner sends on waking must not come on top.
+  # Guards against a paused owner that sends on waking what its successor does not count.
   Scenario Outline: An owner is paused for <seconds> seconds with starts queued
     Given a cell of 1 zones with 3 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
@@ -29,9 +25,7 @@
       | 0.8     |
       | 8       |
 
-  # The platform's log is out for some seconds in the middle of the night.
-  # Entry checks go on, new settlements are refused as not run, idempotent
-  # jobs that are known go on, and nothing accepted is lost.
+  # Guards against losing accepted work, or stopping urgent work, while the log is out.
   Scenario: The log is out
     Given a cell of 1 zones with 3 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
--- a/features/lapses.feature
+++ b/features/lapses.feature
@@ -1,8 +1,6 @@
 Feature: Jobs that are lost with their workers
 
-  # A customer's rebuild crashed each worker that started it. Its attempts lapsed with their
-  # leases, and only failed ones were counted, so a job whose customer had set three tries
-  # was started for ever. A limit on tries has to hold for what nobody reports, too.
+  # Guards against starting a task for ever whose attempts lapse without a report.
   Scenario Outline: An attempt is lost with its worker
     Given a job of 3 tries whose attempts ended <earlier>
     When its next attempt ends as lapsed
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -1,7 +1,6 @@
 Feature: What an owner makes of runs that are lost with their runner
 
-  # A crash shows as silence, as a cut, a freeze and an expired entry do. Taken for one, each
-  # zone that is cut off would have its tasks given up while they run.
+  # Guards against counting silence as a crash.
   Scenario Outline: What proves that a runner has crashed
     Given an owner with a task that runs on w1
     When <seen>
@@ -17,8 +16,7 @@
       | w1 says that it leaves, then another life answers              | 0     |
       | w1 says that it leaves as its entry goes, then another answers | 0     |
 
-  # Up to eight runs lie on a runner. Of those that it never had, none may count: a task is
-  # told as failed after two crashes that it had no part in.
+  # Guards against counting a crash for a run that the runner never had.
   Scenario Outline: Which runs a runner has crashed under
     Given an owner with a task whose start on w1 <became>
     When another life answers at w1's address
@@ -64,8 +62,7 @@
       | cancelled |
       | completed |
 
-  # Two tasks were under way when a runner crashed. Started together again, neither could be
-  # told to be the cause, and all that ran beside them was lost with the next runner.
+  # Guards against suspected tasks that start beside others.
   Scenario: Quarantined tasks start by themselves, where the least is lost
     Given an owner with 3 runners, of which w1 and w2 have work
     When two tasks break the connection of a fourth runner, which comes back
@@ -101,16 +98,13 @@
     Given an owner with a task whose runner is stored
     Then its start is sent without another append
 
-  # A start that was decided before its runner fell silent was sent in vain: it held its
-  # task for 3 s, and counted as one that the runner had crashed under.
+  # Guards against sending a start to a runner that fell silent meanwhile.
   Scenario: A runner falls silent while a start waits for the store
     Given an owner with a decided start on w1
     When w1 falls silent before the start is sent
     Then no start is sent to w1, and the task waits
 
-  # A look had been under way for seconds when another exchange met the runner's next life.
-  # Its answer came after that, the runs that it lists were taken for found on a runner that
-  # nobody attends to any more, and their job was under way for ever.
+  # Guards against taking runs of an incarnation that is over for found.
   Scenario: The answer of a life that is over comes late
     Given an owner with a task that runs on w1
     When a look at w1 is answered after another life was met there
--- a/features/parts.feature
+++ b/features/parts.feature
@@ -1,7 +1,6 @@
 Feature: Parts that guard a promise, one at a time
 
-  # The dispatcher's picture may be wrong or old; the owner's ledger is the
-  # last guard before a worker that starts whatever it is given.
+  # Guards against overfilling a worker by a dispatcher's old picture.
   Scenario Outline: A ledger of 8 processors at level <level>
     Given a ledger of 8 processors that holds <theirs> of a former owner and <mine> of its own
     When <asked> processors are asked for at level <level>
@@ -34,9 +33,7 @@
     And 4 processors are asked for at level whole
     Then the ledger answers no
 
-  # A dispatcher gave up on an intent whose answer was lost, and wrote another
-  # for other workers. The first had landed: tasks on the others would run
-  # where a successor does not look, and be started a second time.
+  # Guards against an intent that lands after it was given up.
   Scenario: An intent that was given up has landed after all
     Given a job and a dispatcher of epoch 1
     When its intent for w1 lands, and then one for w2 with the same attempt
@@ -56,8 +53,7 @@
   Scenario: A reader that begins in the middle covers only what it has read
     Then a reader of a truncated log covers 10 seconds only after as long
 
-  # In a cell of four zones, hashes of members that one daemon did not know yet
-  # were hashed again by the next; views grew and heartbeats with them.
+  # Guards against views that grow with what peers pass on.
   Scenario: A view names only members known at first hand
     Given a member that knows of one other
     When the other's view names a third that it does not know
--- a/features/path.feature
+++ b/features/path.feature
@@ -24,8 +24,7 @@
     And the job ends as succeeded
     And the workers' records show one run of it
 
-  # Thousands of jobs end in a night; details of the oldest are dropped, but a
-  # settlement that is submitted again must still be known as paid.
+  # Guards against paying twice for a job whose details were dropped.
   Scenario: An old idempotency key is remembered after its job's details are dropped
     Given a cell that keeps the details of 5 ended jobs
     When a settlement with key old has ended and 12 others after it
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -39,24 +39,20 @@
       | DELETE | /plain/0123456789abcdef | nothing                                     | 410    |
       | GET    | /plain/                 | nothing                                     | 200    |
 
-  # A client cancelled a job and was told so; its task must be stopped, and the
-  # job must not come back, whoever owns the cell.
+  # Guards against a cancelled job that runs on or comes back.
   Scenario: A job is cancelled while it runs
     When a long job is handed in and cancelled once it runs
     Then every host tells that it is cancelled
     And its task is stopped
 
-  # The owner's process died while tasks ran. Its successor finds them on the
-  # runners; a task started again would run twice at once.
+  # Guards against starting a task again that a dead owner's runner still runs.
   Scenario: The owner is killed while a job runs
     When a long job is handed in and the owner is killed once it runs
     Then the other hosts tell that the job is completed
     And no task ran twice and no runner was overfull
     And the logs tell who accepted, started, took over, found, noted and closed it
 
-  # The owner's process died while a task ran, and its client cancelled the job at another
-  # host. No host that lives has started the task, and the runner's entry may have expired
-  # meanwhile; the task must be stopped, not left until its lease ends.
+  # Guards against a task that runs on after its owner died and its job was cancelled.
   Scenario Outline: The owner is killed between a start and its cancellation
     When the owner is killed while a long job runs on a runner whose entry <entry>
     And its client cancels the job at another host
@@ -72,8 +68,7 @@
     When a job is handed in and all hosts are killed and started again
     Then every host tells that it is completed
 
-  # The store was down. Whoever was told "not accepted" went elsewhere; the job
-  # must not run after all when the store is back.
+  # Guards against running a job that was refused while the store was down.
   Scenario: The store is down for a while
     When the store is down while jobs are handed in
     Then each is refused with a time to come back, and none of them runs
@@ -81,8 +76,7 @@
     When the platform is back
     Then a new job is completed
 
-  # Appends took place and their answers were lost. Hosts and clients tried again;
-  # each job must still be taken once and run once.
+  # Guards against running a job twice because an append's answer was lost.
   Scenario: Answers of the store are lost
     When 20 jobs are handed in while a third of the store's answers are lost
     Then all of them are completed
@@ -93,16 +87,13 @@
     Then every host tells that it is completed
     And no task ran twice and no runner was overfull
 
-  # A planned stop: the host takes no new work, hands the cell over and finishes
-  # what it has begun to answer.
+  # Guards against cutting off work by a planned stop.
   Scenario: The owner is stopped
     When the owner is stopped while jobs are handed in at the others
     Then all of them are completed
     And the stopped host has ended with status 0
 
-  # Tasks were lost and started twice while some other program wrote into the runners'
-  # topic: entries of runners at work, of runners that do not exist, and bytes that are no
-  # record. The runners' own entries come in between, as their heartbeats do.
+  # Guards against losing or doubling tasks while another writer fills the runners' topic.
   Scenario: Another writer fills the runners' topic while jobs run
     When another writer fills the runners' topic while 30 jobs are handed in
     Then all of them are completed
@@ -115,9 +106,7 @@
     Then the other hosts tell that the job is completed
     And no task ran twice and no runner was overfull
 
-  # The store was away when a job ended. Its client was told so all the same, and went on to
-  # call the member. Then the owner died, and the runner with the list of its ends; the store
-  # came back and knew the job as under way. The task must not run a second time.
+  # Guards against starting a task again whose job was shown as complete while the store was away.
   Scenario: A job ends while the store is away, and its owner and its runner are lost
     When the store goes away while a long job runs
     Then every host tells that it is completed
--- a/features/records.feature
+++ b/features/records.feature
@@ -1,7 +1,6 @@
 Feature: The form of the cell's own records
 
-  # Guards against a rename in the code that changes what stands in the store: hosts of the
-  # version before and after an upgrade read each other's records.
+  # Guards against a rename in the code that changes what stands in the store.
   Scenario Outline: A record's stored form
     Given <a fact> as this version knows it
     Then it is stored as <stored>
--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -1,8 +1,7 @@
 Feature: Recovery from the log, the peers and the workers alone
   Hosts keep nothing: what a daemon knows it has read or been told.
 
-  # The log takes the record, but its answer is lost on the way back.
-  # Writing again without looking would accept or start the job twice.
+  # Guards against doing something twice because its answer was lost.
   Scenario: Answers of the log are lost after the write took effect
     Given a cell of 1 zones with 2 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
@@ -11,8 +10,7 @@
     Then all submitted jobs end as succeeded
     And no promise is broken
 
-  # All entry hosts are replaced in one night while settlements run.
-  # The new daemons know nothing but what log and workers tell them.
+  # Guards against losing work when all daemons are replaced at once.
   Scenario: All daemons are replaced at once
     Given a cell of 1 zones with 2 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
@@ -23,8 +21,7 @@
     And version 1 is in force on every daemon
     And no promise is broken
 
-  # A worker dies in the middle of a settlement. Nobody can say whether it
-  # was paid: it is never started again by itself, and an operator is asked.
+  # Guards against starting a settlement again of which nobody knows whether it was paid.
   Scenario: A worker is lost with a settlement and a rebuild on it
     Given a cell of 1 zones with 2 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
@@ -35,9 +32,7 @@
     Then the job ends as succeeded
     And no promise is broken
 
-  # Records of the log expire that a paused daemon has not read yet; it finds
-  # no claim, no member and no job there. Were it to claim what it believes
-  # free, a shard would have two owners: it waits until all have written again.
+  # Guards against claiming shards by a log that was truncated.
   Scenario: The log is truncated past a daemon's offset
     Given a cell whose log keeps records for 6 seconds
     And version 1 of the contract is in force
@@ -49,9 +44,7 @@
     Then 10 jobs submitted to ub-east-d0 all end as succeeded
     And no promise is broken
 
-  # The dispatcher dies again and again while settlements flow: before and
-  # after a job is accepted, intended, started, ended. Its successors know no
-  # more than the log and the workers tell.
+  # Guards against losing or doubling settlements when dispatchers die at any moment.
   Scenario: Dispatchers are killed at many moments
     Given a cell of 1 zones with 3 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
@@ -59,8 +52,7 @@
     Then all submitted jobs end as succeeded
     And no promise is broken
 
-  # The log is out, and then an owner's host dies too. Its tasks would lapse
-  # with their leases, if its neighbours did not renew them.
+  # Guards against tasks that lapse when their owner dies while the log is out.
   Scenario: An owner dies while the log is out
     Given a cell of 1 zones with 2 daemons, 2 workers and 2 endpoints
     And version 1 of the contract is in force
--- a/features/reports.feature
+++ b/features/reports.feature
@@ -1,7 +1,6 @@
 Feature: What the owner and CI tell
 
-  # On-call engineers saw urgent jobs late for half a minute and no line that told why:
-  # full runners, runners that do not answer, tickets or the owner's own processor.
+  # Guards against urgent jobs that are late without a line that tells why.
   Scenario: Tasks wait beside runners that are full
     Given an owner of 2 runners, both full, and a job that waits
     When it has planned for a second
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -19,8 +19,7 @@
     And 30 requests are sent to all daemons
     Then ub-east-e0 has worked on none of them
 
-  # A runner answers after the caller has given up. The slot stays held, and
-  # the late answer meets no other request.
+  # Guards against a late answer that meets another request.
   Scenario: Answers come late
     Given a cell of 1 zones with 2 daemons, 1 workers and 1 endpoints
     And version 1 of the contract is in force
@@ -37,8 +36,7 @@
     And 10 requests are sent to all daemons
     Then each refusal as not_run is true by the runners' records
 
-  # A booking desk repeats a settlement request after a lost connection, at
-  # whichever daemon the balancer picks. The money must move once.
+  # Guards against sending a non-idempotent request twice.
   Scenario: A non-idempotent request with a key is sent once, whoever is asked
     Given a cell of 2 zones with 2 daemons, 1 workers and 2 endpoints
     And version 1 of the contract is in force
--- a/features/review.feature
+++ b/features/review.feature
@@ -1,7 +1,6 @@
 Feature: How the jobs of an hour were served, told from the logs of all hosts
 
-  # An operator is asked why the last hour was bad. The bench of a customer or a monitor
-  # tells only that jobs were late; the logs tell which, and where their time went.
+  # Guards against an operator who cannot tell why jobs were late.
   Scenario Outline: Why a job was <verdict>: <reason>
     Given the logs of hosts in three zones, in which <what>
     When they are reviewed
--- a/features/store.feature
+++ b/features/store.feature
@@ -1,8 +1,6 @@
 Feature: What stands in the store, under lost answers and late appends
 
-  # A client was told "not accepted" and did not ask again, but the append whose
-  # answer was lost had landed and the job ran. Only a submission of which no
-  # append can have taken place may be called refused.
+  # Guards against calling a submission refused that may have been stored.
   Scenario Outline: What a client is told about its submission
     Given a store whose appends <faults>
     When a submission is written
@@ -17,8 +15,7 @@
       | lose, then refuse       | unknown |
       | stay silent always      | unknown |
 
-  # 270 runners wrote into the store every 1.5 s, and each of 97 hosts read all of it. At 300
-  # hosts the store could not answer any more, and hosts handled a configuration of 5 s ago.
+  # Guards against every host reading what all runners write.
   Scenario Outline: Which hosts keep the list of runners at hand
     Given a host that is number <place> of <count> in the order of claims
     Then the list of runners is <read>
@@ -30,9 +27,7 @@
       | 10    | 97    | not read     |
       | 8     | 8     | read         |
 
-  # A host was started, and the owner was killed half a second later. The host had not read
-  # the list of runners, as it did not yet know its place. The entry of a runner with a task
-  # that its client cancelled had gone by then: the task ran on until its lease was over.
+  # Guards against a new owner that does not know the runners of cancelled jobs.
   Scenario: A host that does not know its place yet
     Given a host that no other host has heard of
     Then the list of runners is read
@@ -43,31 +38,26 @@
     When it is wanted and hurried
     Then it knows the newest records at once
 
-  # For 9 s the store turned a host with a 5 Mbit/s link away. When it was back the host asked
-  # for all that it had missed, which never came in time, and was sent no clients for 30 s.
+  # Guards against a host with a slow link that never catches up.
   Scenario: A host behind a slow link catches up
     Given a follower that has 1 MB to read, and a link on which 0.3 MB come in time
     When it follows
     Then it knows the newest record after 16 reads at most
 
-  # Twenty tasks of a job ended while an append was under way. Their records went into one
-  # append, and every host read twenty of which the last one tells all.
+  # Guards against appending records of a job that a newer one replaces.
   Scenario: Many ends of one job during an append
     Given a writer to which 20 newer and newer records of a job are given during an append
     Then the store has taken one more append of 1 record, the newest
     And each of the 20 is known to be stored
 
-  # The store was away for 4 s. The owner's heartbeat was tried again all the while, and
-  # the jobs that came behind it waited: their clients were told after a second that nobody
-  # knows, and could not ask again.
+  # Guards against keeping a client in doubt whose job waits behind a failing append.
   Scenario: A job comes while an earlier append is tried again and again
     Given an owner whose heartbeat the store refuses for 2 s
     When a job comes that may wait for 0.3 s for its turn
     Then its client is told so within 1 s
     And the store never holds it
 
-  # The former owner's append was under way when it was replaced, and lands
-  # after its successor's. It must not overwrite what the successor noted.
+  # Guards against a former owner's append that overwrites its successor's.
   Scenario: A late append of a former owner
     Given an owner whose last append is late
     When a successor has written and the late append lands
@@ -78,15 +68,13 @@
     When it writes again
     Then every record stands in the store once
 
-  # Two hosts miss the owner at the same moment. With two owners of one epoch
-  # both would be obeyed by the workers.
+  # Guards against two owners of one epoch.
   Scenario: Two hosts claim at the same moment
     Given two hosts that have read a store without an owner
     When both claim
     Then one of them owns the cell
 
-  # The store was down for everybody. When it is back, the owner's heartbeats
-  # are old, but the owner lives; a claim would only disturb.
+  # Guards against claiming the cell from an owner that lives when the store comes back.
   Scenario: The store comes back
     Given a host that follows an owner while the store is down for 5 s
     When the store is back
@@ -97,19 +85,13 @@
     When the owner asks for a successor
     Then the host owns the cell with the next epoch
 
-  # The store turned slow. No heartbeat was seen for a second, though the owner
-  # lived and waited for an answer; 35 hosts claimed, their claims filled the
-  # store's queue, and for 6 s it refused everything. So the owner is asked first.
-  # Hosts of two versions share the store for a while. A record that one of them
-  # could not read ended the task that follows the store, and the host went deaf.
+  # Guards against one unreadable record that ends the reading of the store.
   Scenario: A record that cannot be read
     Given a host that reads a record of another version
     When a job is stored behind it
     Then the host knows the job
 
-  # The owner had died while a hundred jobs a second were stored. A claim stood behind the
-  # last record that its host had read, and almost always a newer one was there: 6 s passed
-  # without an owner. On a slow store, no try of any host met that condition for 3 s.
+  # Guards against claims whose condition is never met while jobs keep coming.
   Scenario: A claim while jobs keep coming
     Given a host that follows an owner
     And a job is stored right before each of the next 9 appends
@@ -124,18 +106,14 @@
     Then the host owns the cell with epoch 2
     And 1 appends were made
 
-  # A claim needs no condition, so a host that has not read yet who has won may not try
-  # again: it would replace the winner, and that one the next.
+  # Guards against replacing an owner that was not read yet.
   Scenario: Two hosts claim a cell that was left, and one reads late
     Given a host that follows an owner that has left the cell
     And another host has claimed it, which this host reads 0.8 s late
     When it claims until then
     Then the other host owns the cell, and 1 appends were made
 
-  # After many hosts had been killed at once, one with half a core claimed first and
-  # kept the cell, though larger hosts were back 0.5 s later. Another time the cell was
-  # left to a host that had just come out of a cut: it had not read the list of runners
-  # yet, and starts fell from 150 a second to 14, then to none for four seconds.
+  # Guards against a small host, or one that is not ready, that keeps the cell.
   Scenario Outline: A small host that owns the cell
     Given a host of <cores> cores that owns the cell
     And a host of <others> cores that <answers>
@@ -161,8 +139,7 @@
       | acts  | does not claim |
       | ended | claims        |
 
-  # The same day, every host wrote its clients' jobs itself once the owner was
-  # late: more appends at a time than a slow partition lets wait.
+  # Guards against all hosts of a zone appending to a slow store.
   Scenario Outline: Who writes for a zone
     Given the hosts n-large, n-1, n-2, s-large, s-1
     Then <me> has its clients' jobs written by <deputy>, with <avoided> out of reach
@@ -179,8 +156,7 @@
     Given the hosts n-1, s-1, n-large, s-large
     Then after the owner n-large they claim in the order s-large, n-1, s-1
 
-  # A host that had just started said that no job waits: it was still reading the
-  # submissions of jobs that were long over, 13 s on its small link.
+  # Guards against a fresh host that reads jobs which are long over.
   Scenario Outline: What stays in the store of a job that is over
     Given a job of which the store has <records>
     When its owner notes that it is <state>
@@ -198,8 +174,7 @@
     And a late repetition of the submission lands
     Then a host that starts now reads 2 record and shows it as completed
 
-  # The history was cut while a host was away. It must start again from a
-  # snapshot, and forget what a snapshot does not hold.
+  # Guards against relying on what a snapshot does not hold any more.
   Scenario: A follower whose offset has expired
     Given a follower that is behind
     When the records that it has not read are gone
@@ -209,9 +184,7 @@
     Given the claims of the epochs 1 and 2, and a late heartbeat of epoch 1
     Then the owner is that of epoch 2
 
-  # A queue had just been added. The host that a client asked knew it and passed the
-  # job on to the owner, which was cut off from the store and did not; the client
-  # was told that there is no such queue.
+  # Guards against believing a peer that does not know the newest configuration.
   Scenario Outline: What a peer's answer is worth
     Given a peer that answers <status>
     When a request is passed on to it
@@ -225,9 +198,7 @@
       | 503    | is served here   |
       | 504    | is left in doubt |
 
-  # A zone was cut off. In the first second its hosts passed each job on to the owner, which
-  # never got it; nobody could know that, so the clients were told that the job may be
-  # stored, and did not ask a host of another zone.
+  # Guards against handing a job to a peer that never gets it.
   Scenario Outline: A job is not handed to a peer that does not say that it can act
     Given an owner that <answers> when it is asked whether it acts
     When a request is passed on to it
@@ -239,8 +210,7 @@
       | says nothing          |
       | says that it does not |
 
-  # The owner answered a host's question for a state in more than 0.1 s, once in a burst.
-  # For 1.5 s that host stored its clients' jobs itself, and they started 0.2 s later.
+  # Guards against keeping jobs from an owner because one answer came late.
   Scenario: A state that does not come in time keeps no jobs away
     Given a peer that answers 200
     And it is deaf to the next question
@@ -248,8 +218,7 @@
     And a request is passed on to it
     Then the client is told so
 
-  # A host was cut off from its peers for 12 s; in every 2.5 s its clients waited for
-  # the owner once more.
+  # Guards against asking a peer that does not answer again and again.
   Scenario Outline: When a peer that does not answer is asked again
     Given a peer that has not answered <misses> requests in a row
     When <seconds> s later a request comes
@@ -264,9 +233,7 @@
       | 9      | 4.1     | is asked     |
       | 1100   | 4.1     | is asked     |
 
-  # The owner was cut off with its zone, and so from a runner on which a task ran.
-  # Its successor renewed that runner's leases and noted the task's end. The old
-  # owner took the leases for run out and started the task again in its own zone.
+  # Guards against an old owner that takes leases for run out which its successor renews.
   Scenario Outline: Leases of a silent runner, at an owner that the store does not answer
     Given a runner whose leases ran out 5 s after its last answer
     When the owner's last append was answered <seconds> s after that answer
@@ -278,17 +245,13 @@
       | 4       | held | forbidden |
       | 6       | gone | allowed   |
 
-  # A zone was cut off. Looks wait at the runners for news, so it took 2 s until the
-  # runners there were known to be silent; each start sent there meanwhile held its
-  # task up for 5 s, since it might have arrived.
+  # Guards against starts that are sent into a partition.
   Scenario: One start without an answer keeps others away
     Given an owner with a runner that does not answer
     When it sends one start there
     Then the runner gets nothing more until it has answered a look
 
-  # An owner was cut off with its zone and went on renewing leases there. Its
-  # successor was killed at once. The next owner took that one's end for the end of
-  # all, and started tasks that the first one kept running.
+  # Guards against taking one owner's end for the end of all before it.
   Scenario Outline: An owner that follows a killed one
     Given a former owner that was killed when earlier owners might act for <unsettled> s
     When a host takes over
@@ -299,8 +262,7 @@
       | 0         | 8.72 |
       | 12        | 12   |
 
-  # After an outage of the store most hosts had nothing of their own to write, so
-  # none of their appends succeeded; they stayed out of rotation for the whole day.
+  # Guards against hosts out of rotation that nothing tells of the store's return.
   Scenario: A host that writes nothing after an outage
     Given a writer whose appends were refused for a while
     Then the store counts as out of reach
--- a/features/wait.feature
+++ b/features/wait.feature
@@ -6,8 +6,7 @@
     When that host owns the cell
     Then that job stays alone for all 17.7 s, and not for longer
 
-  # What a claim says until the first heartbeat is a constant of its own. One that is too
-  # short would let a third owner start tasks that the first one's leases still keep.
+  # Guards against a claim that promises too short a wait.
   Scenario: What a claim says of earlier owners' leases
     Given the longest lease that an owner may grant at the end of its authority
     Then a claim says that it may last as long
--- a/features/work.feature
+++ b/features/work.feature
@@ -1,7 +1,6 @@
 Feature: Unlike workloads on one cell
 
-  # All entry hosts of a zone are lost while its jobs wait. Another zone takes
-  # them over; when the first comes back, the log's order says who runs what.
+  # Guards against running a job in two zones.
   Scenario: Jobs of a lost zone are moved, and the zone comes back
     Given a cell of 2 zones with 1 daemons, 1 workers and 1 endpoints
     And version 1 of the contract is in force
@@ -58,8 +57,7 @@
     When an operator resolves it as ran
     Then the job ends as succeeded
 
-  # Entry checks and a settlement batch arrive together, then the whole cell
-  # is a customer's who floods the queue: the other one gets its share.
+  # Guards against one customer that floods the queue.
   Scenario: A customer floods the queue
     Given a cell of 1 zones with 2 daemons, 2 workers and 1 endpoints
     And version 1 of the contract is in force
@@ -68,8 +66,7 @@
     And 5 jobs of the second customer are submitted behind them
     Then the second customer's jobs are done before the flood is half through
 
-  # Half of the quota is in each zone, and one of them has all the work. The
-  # other gives what it does not use; both together stay within the contract.
+  # Guards against exceeding a quota that zones share.
   Scenario: A zone that runs out of its part of a quota gets more
     Given a cell of 2 zones with 1 daemons, 2 workers and 1 endpoints
     And a contract with a quota of 32 processors is in force
--- a/features/zones.feature
+++ b/features/zones.feature
@@ -1,8 +1,6 @@
 Feature: Placement that knows availability zones
 
-  # A zone was cut off while 12 starts a second went there. Each of its eight runners was found
-  # silent by itself, 0.4 s after its first start: 27 starts of 11 jobs were lost in the first
-  # 0.6 s, and none of those jobs was over before the cut was, 6 s later.
+  # Guards against starts that are lost before a partition is noticed.
   Scenario: A zone is cut off while jobs come
     Given 8 runners in each of the zones north, south and west, those outside south nearly full
     When south falls silent, and 8 jobs of 3 tasks come every 0.1 s for 1 s
@@ -27,8 +25,7 @@
     When two of them leave their orders unanswered
     Then no zone is in doubt
 
-  # Two tasks of a job thrown over three zones: a zone that was cut off held up five jobs of
-  # nine that were at work. Kept in its client's zone, a job is held up with that zone only.
+  # Guards against jobs that one partition holds up though they could run elsewhere.
   Scenario Outline: How many jobs one zone holds up
     Given 8 runners in each of the zones north, south and west
     When 90 jobs of 2 tasks come from clients of all zones, <kind>
