--- a/dandelionreel/cell/decisions/_runs.py
+++ b/dandelionreel/cell/decisions/_runs.py
@@ -152,6 +152,10 @@
                     ready.append(step)
         return ready
 
+    def count_changes(self) -> int:
+        """Return how many times a task has been placed, released or finished."""
+        return sum(step.changes for steps in self._steps_by_occurrence.values() for step in steps)
+
     def unfinished_steps(self, wall: float) -> list[StepRun]:
         """Return the steps whose turn has come and that still have something to do.
 
--- a/dandelionreel/cell/decisions/_stalled_jobs.py
+++ b/dandelionreel/cell/decisions/_stalled_jobs.py
@@ -12,7 +12,8 @@
 STALL_SECONDS = 3.0
 #: Share of its expected time by which a run may be late.
 OVERRUN_SHARE = 1.0
-#: Seconds until the same stall is reported again.
+#: Seconds between two looks at all jobs, and until the same stall is reported again.
+LOOK_SECONDS = 1.5
 REPEAT_SECONDS = 5.0
 #: Jobs in one report, and runs named for one job.
 MAX_JOBS = 5
@@ -33,9 +34,9 @@
 
 @dataclass
 class _Progress:
-    """What a job's tasks were last seen to do, and since when (monotonic seconds)."""
+    """How often a job's tasks had changed when last seen, and since when (monotonic seconds)."""
 
-    state: tuple[int, int, frozenset]
+    changes: int
     since: float
     reported_at: float = float('-inf')
 
@@ -47,52 +48,39 @@
         """Watch the jobs of that cell."""
         self._cell = cell
         self._progress_by_job: dict[str, _Progress] = {}
+        self._looked_at = float('-inf')
 
     def find(self, now: float, wall: float) -> list[StalledJob]:
         """Return stalled jobs that are due for a report, those without a change longest first."""
-        live_by_id = self._cell.live_by_id
-        self._progress_by_job = {
-            job_id: known for job_id, known in self._progress_by_job.items() if job_id in live_by_id
-        }
-        due = []
-        for job in live_by_id.values():
+        if now - self._looked_at < LOOK_SECONDS:
+            return []
+        self._looked_at = now
+        due = sorted(self._list_due(now), key=_since)
+        stalled: list[StalledJob] = []
+        for known, job in due:
             steps = job.unfinished_steps(wall)
-            if job.over or not steps:
-                continue
             held = self._cell.held_of(job.id)
-            known = self._note(job, steps, held, now)
-            if self._is_due(known, held, now):
-                due.append((known, job, steps, held))
-        due.sort(key=_since)
-        stalled = []
-        for known, job, steps, held in due[:MAX_JOBS]:
-            known.reported_at = now
-            stalled.append(self._describe(job, steps, held, now - known.since, now))
+            if len(stalled) == MAX_JOBS:
+                break
+            if steps and _is_overdue(known, held, now):
+                known.reported_at = now
+                stalled.append(self._describe(job, steps, held, now - known.since, now))
         return stalled
 
-    def _note(
-        self,
-        job: JobRun,
-        steps: Iterable[StepRun],
-        held: Iterable[Allocation],
-        now: float,
-    ) -> _Progress:
-        state = (
-            sum(step.done for step in steps),
-            sum(step.waiting for step in steps),
-            frozenset((allocation.task, allocation.run) for allocation in held),
-        )
-        known = self._progress_by_job.get(job.id)
-        if known is None or known.state != state:
-            known = _Progress(state, now)
+    def _list_due(self, now: float) -> list[tuple[_Progress, JobRun]]:
+        """Return the jobs without a change for long that have not been reported lately."""
+        former = self._progress_by_job
+        self._progress_by_job = {}
+        due = []
+        for job in self._cell.live_by_id.values():
+            changes = job.count_changes()
+            known = former.get(job.id)
+            if known is None or known.changes != changes:
+                known = _Progress(changes, now)
             self._progress_by_job[job.id] = known
-        return known
-
-    def _is_due(self, known: _Progress, held: Iterable[Allocation], now: float) -> bool:
-        expected = max((allocation.expected for allocation in held), default=0.0)
-        if now - known.since < STALL_SECONDS + expected * (1 + OVERRUN_SHARE):
-            return False
-        return now - known.reported_at >= REPEAT_SECONDS
+            if now - max(known.since + STALL_SECONDS, known.reported_at + REPEAT_SECONDS) >= 0:
+                due.append((known, job))
+        return due
 
     def _describe(
         self,
@@ -121,9 +109,13 @@
         )
 
 
-def _since(entry: tuple) -> float:
-    known: _Progress = entry[0]
-    return known.since
+def _since(entry: tuple[_Progress, JobRun]) -> float:
+    return entry[0].since
+
+
+def _is_overdue(known: _Progress, held: Iterable[Allocation], now: float) -> bool:
+    expected = max((allocation.expected for allocation in held), default=0.0)
+    return now - known.since >= STALL_SECONDS + expected * (1 + OVERRUN_SHARE)
 
 
 def _describe_run(allocation: Allocation, now: float) -> str:
--- a/dandelionreel/cell/decisions/_step_runs.py
+++ b/dandelionreel/cell/decisions/_step_runs.py
@@ -43,6 +43,8 @@
         ]
         self.waiting = step.count
         self.done = 0
+        #: How many times a task has been placed, released or finished.
+        self.changes = 0
         #: A start of this step is not tried again before then.
         self.not_before = 0.0
 
@@ -57,12 +59,14 @@
         task.runner = runner
         task.run = run
         self.waiting -= 1
+        self.changes += 1
 
     def release(self, task: TaskRun) -> None:
         """Let a placed task wait again."""
         task.phase = Phase.WAITING
         task.runner = ''
         self.waiting += 1
+        self.changes += 1
 
     def finish(self, task: TaskRun) -> None:
         """Note that a task is done, wherever it stood."""
@@ -73,6 +77,7 @@
         task.phase = Phase.DONE
         task.runner = ''
         self.done += 1
+        self.changes += 1
 
 
 def counted_demand(step: StepRun) -> Demand:
