A host that knows no owner appends a job that no peer can store

Cause: before the first owner of a cell there are no heartbeats, so reads of the store end only after 0.5 s each and their age rises to 1.25 s, above the limit of 1.2 s by which a peer may know more. A host then asked two peers, which had just started and could not act, and refused the job with 503 although its own append would have been taken.

Change: as long as no host has owned the cell, a host whose peers cannot act appends the job itself, unless its appends are known to fail.

--- a/dandelionreel/cell/clients/_client_writes.py
+++ b/dandelionreel/cell/clients/_client_writes.py
@@ -156,10 +156,15 @@
         store_unreachable = self._is_store_unreachable(self._clock.monotonic())
         # If the zone's writer is reachable, only it appends: a slow store then gets one append at a
         # time from the hosts of a zone, not one from each.
-        if not store_unreachable and (call.relayed or self._relay.find_zone_writer() is None):
+        appends_itself = not store_unreachable and (
+            call.relayed or self._relay.find_zone_writer() is None
+        )
+        if appends_itself:
             yield self._attempt_by_this_host(record)
         if store_unreachable and not call.relayed:
             yield self._attempt_by_peer(call, self._relay.forward_to_any_peer)
+        if not appends_itself and self._may_append_without_owner():
+            yield self._attempt_by_this_host(record)
 
     def _attempt_by_owner(self, dispatcher: Dispatcher, store_at_owner: StoreAtOwner) -> Attempt:
         async def by_owner(remaining: float, attempts: _WriteAttempts) -> Response | None:
@@ -204,6 +209,16 @@
         attempts.outcomes.append(f'{attempts.attempted_by}: {outcome.value}')
         return None
 
+    def _may_append_without_owner(self) -> bool:
+        """Return whether this host appends although a peer should, as the cell has no owner yet.
+
+        Hosts that have just started cannot act for others yet. Without an owner's heartbeats,
+        reads of the store end so rarely that their age does not show whether it is reachable.
+        """
+        return not self._relay.knows_owner and not self._writer.store_is_failing(
+            self._clock.monotonic()
+        )
+
     def _is_store_unreachable(self, now: float) -> bool:
         """Return whether appends of this host are known to fail, or its reads are too old.
 
--- a/dandelionreel/cell/clients/_relay.py
+++ b/dandelionreel/cell/clients/_relay.py
@@ -67,6 +67,11 @@
         self._backoff_until_by_host: dict[str, float] = {}
         self._backoff_seconds_by_host: dict[str, float] = {}
 
+    @property
+    def knows_owner(self) -> bool:
+        """Return whether any host has owned the cell, as far as this host has read."""
+        return self._cell_state.owner is not None
+
     async def forward_to_owner(self, call: ClientCall, timeout: float) -> RelayResult:
         """Return the response of the cell's owner."""
         owner = self._cell_state.owner
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,9 +1,11 @@
 """Steps on requests that are forwarded to a peer."""
 
 import curio
+import msgspec
 from behave import given, then, when
 
 from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.model import Configuration, Service
 from dandelionreel.cell.model._records import (
     MEMBER_PREFIX,
     OWNER_KEY,
@@ -11,11 +13,13 @@
     Owner,
     make_record,
 )
+from dandelionreel.cell.store import CellProjection, ConfigurationProjection, WriteOutcome
 from dandelionreel.cell.store._cell_state import CellState
-from dandelionreel.http import Response
+from dandelionreel.http import Request, Response
 from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from dandelionreel.peers import Done, Forward, ForwardAnswer, Frame, OwnerAsked, PeerError, Refused
-from features.client_parts import make_call
+from features.cell_parts import QUEUES
+from features.client_parts import make_call, make_client_api
 from features.store_parts import SilentPeerLinks, journal
 
 
@@ -124,3 +128,72 @@
     relayed = context.relayed
     assert (relayed.response is not None) is (outcome == 'gets that answer')
     assert relayed.in_doubt is (outcome == 'is told that the outcome is unknown')
+
+
+class RefusingPeers:
+    """Links to peers that can act for nobody."""
+
+    async def request(self, member, message, timeout):
+        return Frame(1, 'peer/1', 0, 0, Refused('cannot own the cell now'))
+
+
+class AgedFollower:
+    """A follower whose latest read was sent some time ago."""
+
+    def __init__(self, age):
+        self._age = age
+
+    def age(self, now):
+        return self._age
+
+
+class StoringWriter:
+    """A writer whose appends are all stored."""
+
+    failing_since = float('inf')
+
+    def __init__(self):
+        self.written = []
+
+    def store_is_failing(self, now):
+        return False
+
+    async def write(self, records, timeout):
+        self.written.extend(records)
+        return WriteOutcome.STORED
+
+
+@given('a host that read the store {age:g} s ago, {owner}, and whose peers cannot act')
+def host_with_refusing_peers(context, age, owner):
+    clock = ManualClock(1000)
+    jobs = CellProjection(clock, journal())
+    hosts = ('a-peer', 'b-peer', 'me')
+    jobs.state.apply(
+        [make_record(MEMBER_PREFIX + host, Member('north', '127.0.0.1', 1)) for host in hosts]
+    )
+    if owner == 'knows an owner':
+        jobs.state.apply([make_record(OWNER_KEY, Owner(1, 'a-peer', 'a-peer/1'))])
+    configuration = ConfigurationProjection(None, journal())
+    configuration.current = Configuration(1, QUEUES, (Service('desk', False, False),), 9999)
+    context.writer = StoringWriter()
+    relay = Relay('me', jobs.state, RefusingPeers(), clock, journal())
+    context.client_api = make_client_api(
+        configuration, jobs, AgedFollower(age), context.writer, relay, clock=clock
+    )
+
+
+@when('a client submits a job to it')
+def submit_to_host(context):
+    body = msgspec.json.encode({'spec': 'x', 'steps': [{'count': 1, 'cpu': 1000}]})
+    request = Request('POST', '/urgent/0123456789abcdef', (('host', 'h'),), body)
+    context.answer = curio.run(context.client_api.handle, request)
+
+
+@then('its own writer appended {count:d} records')
+def check_appended(context, count):
+    assert len(context.writer.written) == count, context.writer.written
+
+
+@then('the submission is answered {status:d}')
+def check_submission_status(context, status):
+    assert context.answer.status == status, context.answer
--- a/features/store.feature
+++ b/features/store.feature
@@ -210,6 +210,19 @@
       | does not answer |
       | denies it       |
 
+  # Guards against refusing the first jobs of a cell, whose peers cannot act for others yet.
+  Scenario Outline: A job is submitted before the cell has an owner
+    Given a host that read the store <age> s ago, <owner>, and whose peers cannot act
+    When a client submits a job to it
+    Then its own writer appended <count> records
+    And the submission is answered <status>
+
+    Examples:
+      | age  | owner            | count | status |
+      | 0.2  | knows no owner   | 1     | 200    |
+      | 1.25 | knows no owner   | 1     | 200    |
+      | 1.25 | knows an owner   | 0     | 503    |
+
   # Guards against forwarding no jobs to an owner because one answer was late.
   Scenario: One late answer does not stop the forwarding of jobs
     Given a peer that answers 200
