Settings say whether demand may exceed capacity; interface of run times

Cause: two deployments join whose load exceeds their capacity for seconds or whose runners differ in speed; what is built for them must not change how other deployments are served.

--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -11,6 +11,7 @@
 from dandelionreel.cell.decisions._job_rates import JobRates
 from dandelionreel.cell.decisions._job_run import ANY_RUNNER, JobRun
 from dandelionreel.cell.decisions._quotas import QuotaLedger
+from dandelionreel.cell.decisions._run_times import RunTimes
 from dandelionreel.cell.decisions._runner_losses import RunnerLosses
 from dandelionreel.cell.decisions._runner_state import (
     NEVER,
@@ -57,6 +58,7 @@
         self.unfinished_job_by_id = self._allocations.unfinished_job_by_id
         self.runner_by_id = self._allocations.runner_by_id
         self.tickets = TicketCache()
+        self.run_times = RunTimes()
         self.zone_reachability = ZoneReachability()
         #: Runners that may still run tasks of earlier owners and have not listed their runs yet.
         self.unseen_runners: set[str] = set()
--- a/dandelionreel/cell/owner/_dependencies.py
+++ b/dandelionreel/cell/owner/_dependencies.py
@@ -40,3 +40,5 @@
     status_retention: float
     #: Returns the age of the local copy of the runner list, in seconds.
     get_runner_list_age: GetRunnerListAge = zero_runner_list_age
+    #: Whether demand may exceed the capacity of the cell for seconds.
+    overload_control: bool = False
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -314,6 +314,7 @@
             max_lease=settings.max_lease,
             status_retention=settings.status_retention,
             get_runner_list_age=lambda: self._reads.runners_follower.age(self._clock.monotonic()),
+            overload_control=settings.overload_control,
         )
         while True:
             term = await self._election.wait_for_term(self._may_claim)
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -49,6 +49,10 @@
     max_fds: int = 4096
 
 
+#: The rules in force where demand may exceed the capacity of the cell for seconds.
+OVERLOAD_RULES = 'pressure'
+
+
 class _SettingsFile(msgspec.Struct, frozen=True):
     node: str
     ip: str
@@ -60,6 +64,7 @@
     seeds: tuple[str, ...] = ()
     bounds: _BoundsSection = msgspec.field(default_factory=_BoundsSection)
     limits: _LimitsSection = msgspec.field(default_factory=_LimitsSection)
+    contracts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -72,7 +77,8 @@
     are checked, ``None`` for any age. ``seeds`` are possibly outdated addresses of peers, used by a
     host that has not yet read about any peer. ``status_retention`` is how long the state of a
     finished job must be kept. ``cores`` is the processor time of the host, in cores of standard
-    speed.
+    speed. ``overload_control`` says whether demand may exceed the capacity of the cell for seconds,
+    so that work is shared out and refused by decisions of their own.
     """
 
     host: str
@@ -91,6 +97,7 @@
     max_key_age: float | None
     max_connections: int
     cores: float
+    overload_control: bool = False
 
 
 #: File descriptors reserved for files, the store, runners and peers.
@@ -157,4 +164,5 @@
         # The share of one core, times the speed of that core relative to a standard one.
         cores=decoded.limits.cpu_share * decoded.limits.cores,
         max_connections=max(MIN_CONNECTIONS, decoded.limits.max_fds - RESERVED_DESCRIPTORS),
+        overload_control=OVERLOAD_RULES in decoded.contracts,
     )
