Starved gangs no longer stop their account while its quota suffices

Cause: a gang that had waited 20 s for its account's quota kept all other tasks of the account from starting until it had started itself, or for 5 s if it found no slots or permits. Gangs that waited meanwhile counted that as a shortage of quota too, so they came next, 5 s each.

Change: quota is kept for a starved gang, and the account's other tasks use what is left; they are stopped only while the quota does not suffice for the gang. Of several gangs without enough quota one claims it at a time.

--- a/dandelionreel/cell/decisions/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -64,8 +64,10 @@
         self._cell = cell
         self._now = 0.0
         self._wait_by_gang: dict[StepName, _GangWait] = {}
-        #: The gang for which all other tasks of an account wait.
+        #: The starved gang of each account; its other tasks leave it the quota that it needs.
         self._starved_gang_by_account: dict[str, StepName] = {}
+        #: Accounts whose quota does not suffice for their starved gang; nothing else of them starts.
+        self._draining_accounts: set[str] = set()
         #: Demand of an account's gangs that have not started in this plan.
         self._claimed_by_account: dict[str, Demand] = {}
         #: Jobs that this plan has begun to block.
@@ -76,6 +78,7 @@
         self._now = now
         self._cell.quotas.refresh_unseen_usage(now, unix_time)
         self._claimed_by_account.clear()
+        self._draining_accounts.clear()
         self.newly_blocked = []
         self._wait_by_gang = {
             one.step.name: self._wait_by_gang[one.step.name]
@@ -83,6 +86,8 @@
             if one.step.name in self._wait_by_gang
         }
         self._starved_gang_by_account = self._find_starved_gangs()
+        for account, gang in self._starved_gang_by_account.items():
+            self._claim_for_starved_gang(account, gang)
 
     def count_allowed_tasks(self, candidate: Candidate) -> int:
         """Return how many waiting tasks of a step may start; all or none for a gang."""
@@ -104,16 +109,44 @@
         wait = self._wait_by_gang.get(step.name)
         if wait is None or not wait.may_claim_quota(self._now):
             return
-        if not self._may_use_quota(job, step.name):
+        if self._starved_gang_by_account.get(job.account) == step.name:
             return
-        claimed = self._claimed_by_account.get(job.account, Demand())
+        if job.account in self._draining_accounts:
+            return
+        claimed = self._claimed_by_account.get(job.account)
+        if claimed is not None and wait.granted_since is None:
+            # One gang of an account at a time waits for quota: the claims of several would block
+            # the account's other tasks for longer than any of the gangs needs.
+            return
+        claimed = claimed or Demand()
         self._claimed_by_account[job.account] = claimed + step.step.smallest_start
 
+    def _claim_for_starved_gang(self, account: str, gang: StepName) -> None:
+        """Keep quota for a starved gang; the other tasks of its account use what is left of it.
+
+        If the quota does not suffice for the gang, none of the other tasks may start.
+        """
+        job = self._cell.job_by_id[gang.job]
+        step = job.find_step(gang)
+        quota = self._cell.quota_of(job)
+        if step is None or quota is None:
+            return
+        needed = step.step.smallest_start
+        if not needed.fits(quota):
+            return
+        if needed.fits(quota - self._cell.quotas.used(account)):
+            self._claimed_by_account[account] = needed
+        else:
+            self._draining_accounts.add(account)
+
     def _count_startable_tasks(self, candidate: Candidate, quota: Demand) -> int:
         job, step = candidate.job, candidate.step
-        if not self._may_use_quota(job, step.name):
+        is_starved = self._starved_gang_by_account.get(job.account) == step.name
+        if job.account in self._draining_accounts and not is_starved:
             return 0
         claimed = self._claimed_by_account.get(job.account, Demand())
+        if is_starved and job.account not in self._draining_accounts:
+            claimed -= step.step.smallest_start
         available = quota - self._cell.quotas.used(job.account) - claimed
         return count_fitting(counted_demand(step), available, step.waiting)
 
@@ -131,10 +164,6 @@
         wait.record_sufficient_quota(self._now)
         return count
 
-    def _may_use_quota(self, job: JobRun, name: StepName) -> bool:
-        """Return whether a step may use quota: no other gang of the account is starved."""
-        return self._starved_gang_by_account.get(job.account, name) == name
-
     def _find_starved_gangs(self) -> dict[str, StepName]:
         """Return the starved gang of each account that has been blocked for the longest time."""
         gang_by_account: dict[str, StepName] = {}
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -97,6 +97,17 @@
     When a gang of 3 tasks of 2 cores waits while urgent tasks of blue arrive for 60 s
     Then urgent tasks of blue start in at least 50 of these seconds
 
+  # Guards against gangs that each block their account although the quota suffices for its tasks.
+  Scenario Outline: Many gangs wait longest while the quota has become free
+    Given the account blue with a quota of 8 cores, and 32 cores free
+    When its quota is in use for 21 s while 6 gangs of 3 tasks of 2 cores wait for a missing label
+    Then <kind> tasks of blue start in at least <seconds> of the next 60 seconds
+
+    Examples:
+      | kind        | seconds |
+      | urgent      | 60      |
+      | less urgent | 55      |
+
   # Guards against a gang that no longer fits its quota and blocks its account.
   Scenario: A quota is lowered below what a waiting gang needs
     Given the account blue with a quota of 8 cores, and 32 cores free
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -287,12 +287,33 @@
     submit_each_second(context)
 
 
-def submit_each_second(context):
-    """Submit a short urgent task of blue every second for a minute."""
+@when(
+    'its quota is in use for {seconds:d} s while {count:d} gangs of 3 tasks of 2 cores wait for a missing label'
+)
+def gangs_wait_for_label(context, seconds, count):
+    small = context.small
+    small.submit_job('blue', [step(8000)])
+    small.plan()
+    gang = step(2000, 3, gang=True, required_label='missing')
+    context.gangs = [small.submit_job('blue', [gang], 'gangs') for _ in range(count)]
+    for _ in range(10 * seconds):
+        small.plan()
+        small.now += 0.1
+    small.end_older_runs(seconds)
+
+
+@then('{kind} tasks of blue start in at least {seconds:d} of the next 60 seconds')
+def others_start_beside_gangs(context, kind, seconds):
+    submit_each_second(context, 'urgent' if kind == 'urgent' else 'batch')
+    assert context.started >= seconds, context.started
+
+
+def submit_each_second(context, queue='urgent'):
+    """Submit a short task of blue every second for a minute."""
     small = context.small
     context.started = 0
     for _ in range(60):
-        job = small.submit_job('blue', [step(2000)])
+        job = small.submit_job('blue', [step(2000)], queue)
         context.started += any(start.task.job == job.id for start in small.plan().starts)
         small.now += 0.5
         small.end_older_runs(0.5)
