--- a/dandelionreel/cell/decisions/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -66,7 +66,7 @@
         self._wait_by_gang: dict[StepName, _GangWait] = {}
         #: The starved gang of each account; its other tasks leave it the quota that it needs.
         self._starved_gang_by_account: dict[str, StepName] = {}
-        #: Accounts whose quota does not suffice for their starved gang; nothing else of them starts.
+        #: Accounts whose quota does not suffice for their starved gang; only that gang may start.
         self._draining_accounts: set[str] = set()
         #: Demand of an account's gangs that have not started in this plan.
         self._claimed_by_account: dict[str, Demand] = {}
