--- a/dandelionreel/cell/store/_follower.py
+++ b/dandelionreel/cell/store/_follower.py
@@ -199,7 +199,10 @@
             self._offset = snapshot.next_offset
             self.read_from = self.read_from or snapshot.next_offset
             return False
-        batch = await self._topic.read(self._offset, self._max_wait, self._read_size.bytes)
+        # The end of the topic is not known after a snapshot, and an owner starts nothing until it
+        # is: a read that waits for new records would delay that.
+        wait = self._max_wait if self.has_reached_end else 0.0
+        batch = await self._topic.read(self._offset, wait, self._read_size.bytes)
         self._read_size.adjust_after_read(reached_end=batch.reached_end)
         self._projection.apply(batch)
         self._offset = batch.next_offset
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -151,6 +151,42 @@
     assert context.topic.snapshots == 1
 
 
+class WaitRecordingTopic(MemoryTopic):
+    """A topic that records how long each read may wait."""
+
+    def __init__(self):
+        super().__init__()
+        self.waits = []
+
+    async def read(self, offset, wait, max_bytes):
+        self.waits.append(wait)
+        return await super().read(offset, wait, max_bytes)
+
+
+@given('a follower whose reads wait up to {seconds:g} s for records of an idle topic')
+def follower_with_long_reads(context, seconds):
+    context.topic = WaitRecordingTopic()
+    clock = SystemClock()
+    projection = CellProjection(clock, journal())
+    context.follower = Follower(
+        'cell', context.topic, projection, clock, journal(), seconds, lambda: 0.0
+    )
+
+
+@when('it has reached the end of the topic')
+def reach_end(context):
+    async def follow():
+        await curio.spawn(context.follower.run, daemon=True)
+        await until(lambda: context.follower.has_reached_end)
+
+    curio.run(follow)
+
+
+@then('its first read did not wait')
+def check_first_wait(context):
+    assert context.topic.waits[0] == 0, context.topic.waits
+
+
 class SlowTopic(MemoryTopic):
     """A topic with records of 50 KB, of which a read delivers 6 in time."""
 
--- a/features/store.feature
+++ b/features/store.feature
@@ -180,6 +180,12 @@
     When the records that it has not read have expired
     Then it knows the content of the newest records
 
+  # Guards against an owner that starts nothing while a read waits for new records.
+  Scenario: The first read after a snapshot
+    Given a follower whose reads wait up to 20 s for records of an idle topic
+    When it has reached the end of the topic
+    Then its first read did not wait
+
   Scenario: A late heartbeat does not reinstate an older owner
     Given the claims of the epochs 1 and 2, and a late heartbeat of epoch 1
     Then the owner is that of epoch 2
