An owner that is short of processor time does less and keeps the cell

Cause: on a fraction of a core, the owner's event loop handles heartbeats, answers and starts up to a second late. Peers took that for silence and claimed the cell in turn: with 0.06 core, 9 terms in 15 s, each of which blocks started jobs for up to 17 s. Peers that are late themselves also took their own delay for the silence of the owner, and timed out before they read an answer that had arrived. Starts waited behind up to 64 others and were withdrawn when the ticket, the owner's authority or the list of runners had expired.

Heartbeats that are overdue go with any append. A host allows for its own delay and for a small owner before it claims. A lease from an old clock reading is shorter, so that a successor waits long enough.

--- a/dandelionreel/cell/decisions/__init__.py
+++ b/dandelionreel/cell/decisions/__init__.py
@@ -12,7 +12,12 @@
     stop_on_draining_runners,
 )
 from dandelionreel.cell.decisions._runner_losses import apply_last_registrations
-from dandelionreel.cell.decisions._runner_state import Allocation, AllocationPhase, RunnerState
+from dandelionreel.cell.decisions._runner_state import (
+    NEVER,
+    Allocation,
+    AllocationPhase,
+    RunnerState,
+)
 from dandelionreel.cell.decisions._runner_views import PollEffect
 from dandelionreel.cell.decisions._stalled_jobs import StalledJobs
 from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, TaskRun
@@ -23,6 +28,7 @@
     'AdviceRequest',
     'Allocation',
     'MAX_CLOCK_DRIFT',
+    'NEVER',
     'Cell',
     'Crash',
     'AllocationPhase',
--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -67,6 +67,8 @@
         #: Runners whose process is proven to have ended; their entries are ignored.
         self._ended_runners: set[str] = set()
         self.gang_timeout = gang_timeout
+        #: Maximum age in seconds of the last answer of a runner on which tasks are placed.
+        self.max_knowledge_age = float('inf')
         #: Set until peers have been asked which jobs are complete. Their answer may be newer
         #: than the store, so until then no job with earlier starts is started again.
         self.awaits_completions = False
@@ -367,10 +369,12 @@
         seconds later, so the allocation is kept until a stop has ruled that out. Otherwise
         the task could start elsewhere and run twice at the same time.
         """
+        runner = self.runner_by_id.get(allocation.runner)
         if reply in {StartReply.STARTED, StartReply.OUTDATED}:
+            if runner is not None:
+                runner.order_answered_at = now
             self._allocations.confirm_start(allocation, now)
             return
-        runner = self.runner_by_id.get(allocation.runner)
         step = self.step_of(allocation)
         if runner is not None:
             if reply is StartReply.UNHEALTHY:
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -171,7 +171,12 @@
 
     def _usable_runners_by_service(self, now: float) -> dict[str, dict[str, RunnerState]]:
         by_service: dict[str, dict[str, RunnerState]] = {}
-        usable = [runner for runner in self._cell.runner_by_id.values() if runner.is_usable(now)]
+        known_since = now - self._cell.max_knowledge_age
+        usable = [
+            runner
+            for runner in self._cell.runner_by_id.values()
+            if runner.known_at >= known_since and runner.is_usable(now)
+        ]
         zones = {runner.registration.zone for runner in usable}
         unreachable_zones = self._cell.zone_reachability.unreachable_zones(zones, now)
         for runner in usable:
--- a/dandelionreel/cell/decisions/_runner_state.py
+++ b/dandelionreel/cell/decisions/_runner_state.py
@@ -85,6 +85,8 @@
         self.free_capacity = registration.capacity
         self.allocation_by_run: dict[tuple[TaskName, int], Allocation] = {}
         self.answered_at = NEVER
+        #: When the runner last answered an order.
+        self.order_answered_at = NEVER
         #: Set while polls go unanswered: nothing new is placed on the runner.
         self.suspect = False
         #: Whether the last poll was unanswered.
@@ -119,6 +121,11 @@
         """Return whether the runner has announced that it will stop."""
         return self.registration.draining
 
+    @property
+    def known_at(self) -> float:
+        """Return when the runner last answered a poll or an order."""
+        return max(self.answered_at, self.order_answered_at)
+
     def apply_registration(self, registration: Registration, now: float) -> None:
         """Apply a registration; on a new drain, compute when the runner may be gone."""
         if registration.draining and not self.registration.draining:
@@ -227,6 +234,10 @@
         """Return an estimate of the runner's clock."""
         return self._clock + (now - self._clock_at)
 
+    def clock_age(self, now: float) -> float:
+        """Return the seconds since the latest reading of the runner's clock."""
+        return now - self._clock_at
+
     def extend_lease(self, now: float, seconds: float) -> float:
         """Grant a lease; return its end on the runner's clock."""
         lease_until = self.clock_at(now) + seconds
--- a/dandelionreel/cell/membership/_election.py
+++ b/dandelionreel/cell/membership/_election.py
@@ -63,6 +63,15 @@
 #: Multiple of the usual gap between heartbeats that is allowed, so that a slow store does not look
 #: like a dead owner.
 SILENT_GAP_FACTOR = 2.5
+#: Cores below which an owner counts as short of processor time: under load it answers queries late,
+#: so a missing reply proves less, and the seconds that are added to the timeout of such a query.
+SMALL_OWNER_CORES = 0.4
+LATE_OWNER_QUERY_SECONDS = 0.5
+#: Seconds by which this host's own polls must be late before it allows for that, the seconds for
+#: which it remembers the longest delay, and the upper limit of the allowance.
+MIN_OWN_DELAY_SECONDS = 0.15
+OWN_DELAY_MEMORY_SECONDS = 2.0
+MAX_OWN_DELAY_SECONDS = 2.0
 INCARNATION_BITS = 48
 #: Sequence numbers start at a random value, so that the store never takes two claims of one epoch
 #: for the same append.
@@ -146,11 +155,15 @@
         self._journal = journal
         self._unreachable_term = ''
         self._unreachable_until = 0.0
+        #: Whether the owner's host refused connections, which no lack of processor time can cause.
+        self._owner_refused = False
         self._suspected_term = ''
         self._suspected_until = 0.0
         self._known_alive_until = 0.0
         self._handed_over_at = float('-inf')
         self._highest_tried_epoch = 0
+        self._own_delay = 0.0
+        self._own_delay_until = 0.0
         self._random = random.Random(f'{incarnation}{clock.monotonic()}{os.getpid()}')
 
     async def wait_for_term(self, eligible: Callable[[], bool]) -> Term:
@@ -190,6 +203,7 @@
         is read either.
         """
         self._record_owner_unreachable(term)
+        self._owner_refused = True
 
     def record_query_unanswered(self, term: str) -> None:
         """Record that a query to the owner with that term was not answered in time.
@@ -199,6 +213,12 @@
         """
         self._record_owner_unreachable(term)
 
+    def record_own_delay(self, seconds: float, now: float) -> None:
+        """Record by how many seconds this host's own poll was late."""
+        if seconds >= self._own_delay or now >= self._own_delay_until:
+            self._own_delay = seconds
+            self._own_delay_until = now + OWN_DELAY_MEMORY_SECONDS
+
     async def handle_successor_request(self, frame: Frame) -> Message:
         """Handle an owner's request for a successor because its appends to the store fail."""
         failing: Any = frame.message
@@ -228,7 +248,10 @@
         return Refused('does not own the cell')
 
     async def _wait_for_poll(self) -> None:
+        slept_at = self._clock.monotonic()
         await curio.sleep(POLL_SECONDS)
+        now = self._clock.monotonic()
+        self.record_own_delay(now - slept_at - POLL_SECONDS, now)
         if self._is_owner_unreachable(self._clock.monotonic()):
             # Read now: a heartbeat that is already stored must not be missed.
             await self._follower.request_read()
@@ -237,6 +260,7 @@
         return self._suspected_term == owner.term and now < self._suspected_until
 
     def _record_owner_unreachable(self, term: str) -> None:
+        self._owner_refused = self._owner_refused and term == self._unreachable_term
         self._unreachable_term = term
         self._unreachable_until = self._clock.monotonic() + SUSPECTED_SECONDS
 
@@ -251,15 +275,37 @@
 
     def _is_owner_unreachable_and_silent(self, now: float) -> bool:
         """Return whether the owner neither replies to peers nor writes heartbeats."""
-        unreachable_silence = max(
-            UNREACHABLE_SILENT_SECONDS,
-            UNREACHABLE_GAP_FACTOR * self._projection.average_heartbeat_gap,
-        )
+        gap = self._projection.average_heartbeat_gap
+        unreachable_silence = max(UNREACHABLE_SILENT_SECONDS, UNREACHABLE_GAP_FACTOR * gap)
+        if self._owner_may_be_late() and not self._owner_refused:
+            unreachable_silence = max(SILENT_SECONDS, SILENT_GAP_FACTOR * gap)
         return (
             self._is_owner_unreachable(now)
-            and now - self._projection.owner_heartbeat_at >= unreachable_silence
+            and now - self._projection.owner_heartbeat_at
+            >= unreachable_silence + self._own_delay_allowance(now)
         )
 
+    def _owner_may_be_late(self) -> bool:
+        """Return whether the owner may be too short of processor time to reply to queries."""
+        owner = self._projection.state.owner
+        member = self._projection.state.member_by_host.get(owner.host) if owner else None
+        return member is not None and member.cores < SMALL_OWNER_CORES
+
+    def _own_delay_allowance(self, now: float) -> float:
+        """Return the seconds by which this host may have read a stored heartbeat late.
+
+        A host that is short of processor time would otherwise take its own delay for the owner's
+        silence and claim the cell from an owner that acts.
+        """
+        if self._own_delay < MIN_OWN_DELAY_SECONDS or now >= self._own_delay_until:
+            return 0.0
+        return min(MAX_OWN_DELAY_SECONDS, self._own_delay)
+
+    def _owner_query_timeout(self, now: float) -> float:
+        """Return the timeout of an ownership query; a late owner or a late host gets more."""
+        owner_allowance = LATE_OWNER_QUERY_SECONDS if self._owner_may_be_late() else 0.0
+        return OWNER_QUERY_TIMEOUT + owner_allowance + self._own_delay_allowance(now)
+
     def _owner_was_restarted(self, owner: Owner) -> bool:
         """Return whether the owner's process was replaced by a later one on the same host."""
         if owner.host == self._host:
@@ -283,6 +329,7 @@
         silent = max(SILENT_SECONDS, SILENT_GAP_FACTOR * self._projection.average_heartbeat_gap)
         if heartbeat_at < self._follower.reachable_since:
             heartbeat_at, silent = self._follower.reachable_since, SILENT_AFTER_OUTAGE_SECONDS
+        silent += self._own_delay_allowance(now)
         if now - heartbeat_at < silent or now < self._known_alive_until:
             return Vacancy.HELD
         return Vacancy.SILENT
@@ -306,7 +353,9 @@
         if owner is None or member is None or silent > MAX_EXCUSED_SILENCE_SECONDS:
             return False
         try:
-            frame = await self._query_peer(member, OwnerAsked(owner.term), OWNER_QUERY_TIMEOUT)
+            frame = await self._query_peer(
+                member, OwnerAsked(owner.term), self._owner_query_timeout(now)
+            )
         except PeerError as error:
             self._journal.log(
                 Part.OWNERSHIP, f'{owner.host} did not reply to an ownership query: {error}.'
--- a/dandelionreel/cell/owner/__init__.py
+++ b/dandelionreel/cell/owner/__init__.py
@@ -2,8 +2,10 @@
 
 from dandelionreel.cell.owner._dependencies import DispatcherDependencies
 from dandelionreel.cell.owner._dispatcher import Dispatcher
+from dandelionreel.cell.owner._pacing import PacingFigures
 
 __all__ = (
     'Dispatcher',
     'DispatcherDependencies',
+    'PacingFigures',
 )
--- a/dandelionreel/cell/owner/_completion_gossip.py
+++ b/dandelionreel/cell/owner/_completion_gossip.py
@@ -49,7 +49,8 @@
         """Send peers each completed job that the store is slow to record; runs until cancelled."""
         while True:
             seen = self._owner_context.completions_changed.count
-            await curio.sleep(STORE_DELAY_SECONDS)
+            # An owner that is late stores late too; its messages to peers would delay it more.
+            await curio.sleep(self._owner_context.pacing.extend_timeout(STORE_DELAY_SECONDS))
             unstored = set(self._owner_context.unstored_completions)
             self._announced_jobs &= unstored
             new_jobs = tuple(sorted(unstored - self._announced_jobs))
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -24,6 +24,7 @@
 from dandelionreel.cell.owner._load_report import LoadReport
 from dandelionreel.cell.owner._orders import OrderSender
 from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.owner._pacing import PacingFigures
 from dandelionreel.cell.owner._periodic_checks import PeriodicChecks
 from dandelionreel.cell.owner._zone_confirmation import ZoneConfirmation
 from dandelionreel.cell.store import StoredJob, WriteOutcome
@@ -40,6 +41,8 @@
 PLAN_PAUSE_FACTOR = 1.5
 #: Timeout in seconds for storing the record that releases the cell.
 RELEASE_TIMEOUT = 1.0
+#: Seconds after which a heartbeat is overdue and goes with any append: two regular ones.
+OVERDUE_HEARTBEAT_SECONDS = 2 * HEARTBEAT_SECONDS
 #: Maximum number of jobs in one log line.
 MAX_LOGGED = 80
 #: Seconds before a failed advice request is repeated.
@@ -65,6 +68,9 @@
             dependencies.journal,
             dependencies.get_runner_list_age,
         )
+        self._heartbeat_count = 0
+        self._heartbeat_at = self._clock.monotonic()
+        self._owner_context.writer.get_overdue_records = self._get_overdue_heartbeat
         self._order_sender = OrderSender(self._owner_context)
         self._planner = Planner(self.cell)
         self._advice_pool = AdvicePool(
@@ -103,6 +109,11 @@
         """Return whether appends to the store have been failing for a while."""
         return self._owner_context.writer.store_is_failing(self._clock.monotonic())
 
+    @property
+    def pacing_figures(self) -> PacingFigures:
+        """Return how late this owner is, for the metrics."""
+        return self._owner_context.pacing.figures(self._clock.monotonic())
+
     @property
     def stored_at(self) -> float:
         """Return when the latest answered append was sent, in monotonic seconds."""
@@ -271,17 +282,32 @@
         remaining = self._periodic_checks.predecessor_leases.expire_at - self._clock.monotonic()
         return round(max(0.0, remaining), 2)
 
+    def _make_heartbeat(self) -> KeyedRecord:
+        self._heartbeat_count += 1
+        self._heartbeat_at = self._clock.monotonic()
+        owner_record = self._owner_context.term.make_owner_record(
+            self._heartbeat_count,
+            self._unsettled_seconds(),
+            version=self._dependencies.configuration.version,
+        )
+        return make_record(OWNER_KEY, owner_record)
+
+    def _get_overdue_heartbeat(self) -> list[KeyedRecord]:
+        """Return a heartbeat for the next append if the usual one is overdue.
+
+        An owner that is short of processor time would otherwise append the progress of jobs again
+        and again while its heartbeat waits, and a successor would claim the cell meanwhile.
+        """
+        overdue_at = self._heartbeat_at + OVERDUE_HEARTBEAT_SECONDS
+        if self._owner_context.end_reason or self._clock.monotonic() < overdue_at:
+            return []
+        return [self._make_heartbeat()]
+
     async def _store_heartbeats(self) -> None:
         """Store heartbeats until the term ends; a heartbeat after the release would revoke it."""
-        heartbeat = 0
         stored: frozenset[str] = frozenset()
         while not self._owner_context.end_reason:
-            heartbeat += 1
-            version = self._dependencies.configuration.version
-            owner_record = self._owner_context.term.make_owner_record(
-                heartbeat, self._unsettled_seconds(), version=version
-            )
-            records = [make_record(OWNER_KEY, owner_record)]
+            records = [self._make_heartbeat()]
             # Includes runners that only a former owner has seen: if this owner is killed, its
             # successor has to wait for them as well.
             runners_in_use = frozenset(self.cell.runner_by_id) | self.cell.unseen_runners
@@ -366,6 +392,8 @@
         although they were never sent.
         """
         started_at = self._clock.monotonic()
+        pacing = self._owner_context.pacing
+        self.cell.max_knowledge_age = pacing.max_knowledge_age - pacing.delay
         plan = self._planner.plan(
             started_at,
             self._clock.unix_time(),
@@ -380,7 +408,8 @@
         for request in plan.advice_requests:
             await self._advice_pool.submit_request(request)
         elapsed = self._clock.monotonic() - started_at
-        await curio.sleep(max(MIN_PLAN_PAUSE_SECONDS, PLAN_PAUSE_FACTOR * elapsed))
+        pause = max(MIN_PLAN_PAUSE_SECONDS, PLAN_PAUSE_FACTOR * elapsed)
+        await curio.sleep(pacing.plan_pause(pause))
 
     async def _send_stops(self) -> None:
         for allocation in self.cell.take_stops():
--- a/dandelionreel/cell/owner/_orders.py
+++ b/dandelionreel/cell/owner/_orders.py
@@ -52,7 +52,7 @@
         many others, and the permits of the policy service (tickets) that they need would expire
         meanwhile.
         """
-        return max(0, MAX_PENDING_STARTS - self._pending_starts)
+        return max(0, self._max_pending_starts - self._pending_starts)
 
     async def send_starts(self, allocations: list[Allocation]) -> None:
         """Send starts; runners that are new to their jobs are stored first.
@@ -100,6 +100,10 @@
             self._apply_stop_reply(state, allocation)
             return
 
+    @property
+    def _max_pending_starts(self) -> int:
+        return self._owner_context.pacing.max_pending_starts(MAX_PENDING_STARTS)
+
     def _apply_stop_reply(self, state: RunnerState, allocation: Allocation) -> None:
         cell = self._owner_context.cell
         cell.zone_reachability.record_zone_answer(state.registration.zone)
@@ -147,7 +151,7 @@
         self._was_at_start_limit = self._was_at_start_limit or not self.free_start_slots
         self._pending_starts -= 1
         # Planning again after each answer would use up the processor time that starts need.
-        if self._was_at_start_limit and self._pending_starts <= MAX_PENDING_STARTS // 2:
+        if self._was_at_start_limit and self._pending_starts <= self._max_pending_starts // 2:
             self._was_at_start_limit = False
             await self._owner_context.plan_needed.notify()
 
@@ -163,6 +167,10 @@
             # would delay its task and count as one during which the runner crashed.
             self._owner_context.cell.release_start(allocation)
             return
+        if not self._may_rely_on(state):
+            # The start has waited for the store and for processor time since it was planned.
+            self._owner_context.cell.release_start(allocation)
+            return
         self._log_start(state, allocation, job)
         may_have_arrived = await self._send_start_until_answered(
             state, runner, allocation, job.spec.payload
@@ -179,6 +187,11 @@
             self._owner_context.cell.release_start(allocation)
         await self._owner_context.plan_needed.notify()
 
+    def _may_rely_on(self, state: RunnerState) -> bool:
+        """Return whether the free capacity of a runner is known well enough for a start."""
+        now = self._owner_context.clock.monotonic()
+        return self._owner_context.pacing.may_start(state.known_at, now)
+
     def _make_log_fields(self, allocation: Allocation) -> dict[str, Any]:
         return self._owner_context.make_run_fields(
             allocation.runner, allocation.task, allocation.run
@@ -228,6 +241,7 @@
         for _ in range(START_ATTEMPTS):
             if not may_send_start():
                 # The owner has withdrawn the start; the runner need not be unreachable.
+                self._log_withdrawn_start(allocation, started_at)
                 return may_have_arrived
             self._record_order_sent(state)
             try:
@@ -287,6 +301,23 @@
             state.registration.zone, state.id, now
         )
 
+    def _log_withdrawn_start(self, allocation: Allocation, decided_at: float) -> None:
+        context = self._owner_context
+        step = StepName.of(allocation.task)
+        now = context.clock.monotonic()
+        context.journal.log_sampled(
+            Part.PLACEMENT,
+            f'a start on {allocation.runner} is withdrawn.',
+            **self._make_log_fields(allocation),
+            wanted=context.cell.may_send_start(allocation),
+            ticket_valid=not allocation.ticket
+            or context.cell.tickets.is_valid(step, allocation.runner, now),
+            store_age=round(now - context.writer.stored_at, 3),
+            list_age=seconds_or_none(context.get_runner_list_age()),
+            seconds=round(now - allocation.placed_at, 3),
+            sent_for=round(now - decided_at, 3),
+        )
+
     def _log_unanswered_start(self, allocation: Allocation, error: RunnerError) -> None:
         self._owner_context.journal.log_sampled(
             Part.PLACEMENT,
@@ -307,9 +338,8 @@
     def _make_start_order(
         self, state: RunnerState, allocation: Allocation, payload: str
     ) -> StartOrder:
-        lease_until = state.extend_lease(
-            self._owner_context.clock.monotonic(), self._owner_context.lease
-        )
+        now = self._owner_context.clock.monotonic()
+        lease_until = state.extend_lease(now, self._owner_context.lease_for(state, now))
         return StartOrder(
             allocation.task,
             allocation.run,
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -17,6 +17,8 @@
     Topic,
     make_progress_records,
 )
+from dandelionreel.cell.owner._pacing import Pacing
+from dandelionreel.cell.owner._predecessor_leases import MAX_CLOCK_READING_AGE_SECONDS
 from dandelionreel.cell.store import GroupWriter, WriteOutcome
 from dandelionreel.kernel import ChangeNotifier, Clock, Journal, Part, seconds_or_none
 
@@ -72,6 +74,8 @@
         self.cell = cell
         self.clock = clock
         self.journal = journal
+        #: Whether this owner is short of processor time, and the limits that follow.
+        self.pacing = Pacing()
         self.lease = min(LEASE_SECONDS, max_lease)
         self.writer = GroupWriter(topic, clock, journal, term.fence)
         claimed_at = term.claimed_at
@@ -132,6 +136,17 @@
         """
         return state.have_leases_expired(self.writer.stored_at, MAX_CLOCK_DRIFT)
 
+    def lease_for(self, state: RunnerState, now: float) -> float:
+        """Return the seconds of a lease that is granted now.
+
+        A successor waits as if the runner's clock was read recently. The lease from an older
+        reading, as a late owner has it, is shorter by what a slow clock may have lost since then.
+        """
+        excess = state.clock_age(now) - MAX_CLOCK_READING_AGE_SECONDS
+        return (
+            self.lease - MAX_CLOCK_DRIFT * max(0.0, excess) if state.knows_clock() else self.lease
+        )
+
     async def store_progress(
         self,
         jobs: list[JobRun],
--- a/dandelionreel/cell/owner/_periodic_checks.py
+++ b/dandelionreel/cell/owner/_periodic_checks.py
@@ -5,6 +5,7 @@
 import curio
 
 from dandelionreel.cell.decisions import (
+    NEVER,
     ActiveRunners,
     apply_last_registrations,
     stop_incomplete_gangs,
@@ -79,7 +80,38 @@
                 return
             await self._run_checks(stack, self._clock.monotonic())
             await self._owner_context.plan_needed.notify()
-            await curio.sleep(CHECK_SECONDS)
+            await self._sleep_and_record_delay()
+
+    async def _sleep_and_record_delay(self) -> None:
+        pacing = self._owner_context.pacing
+        seconds = pacing.check_seconds(CHECK_SECONDS)
+        slept_at = self._clock.monotonic()
+        await curio.sleep(seconds)
+        now = self._clock.monotonic()
+        longest_delay = pacing.longest_delay
+        former_seconds = pacing.seconds_since_change(now)
+        if pacing.record_delay(now - slept_at - seconds, now):
+            self._log_pacing(now, max(longest_delay, pacing.delay), former_seconds)
+
+    def _log_pacing(self, now: float, longest_delay: float, former_seconds: float) -> None:
+        """Log that the owner has become late or is in time again, with what decided it."""
+        pacing = self._owner_context.pacing
+        runners = self._cell.runner_by_id.values()
+        ages = [now - state.known_at for state in runners if state.known_at != NEVER]
+        outcome = 'is late as the owner' if pacing.is_late else 'is in time again as the owner'
+        self._journal.log(
+            Part.OWNERSHIP,
+            f'{outcome}: its loop wakes up {pacing.delay:.2f} s late.',
+            epoch=self._owner_context.term.epoch,
+            delay=round(pacing.delay, 3),
+            longest_delay=round(longest_delay, 3),
+            seconds=seconds_or_none(former_seconds),
+            oldest_answer=round(max(ages, default=0.0), 3),
+            store_age=round(now - self._owner_context.writer.stored_at, 3),
+            runners=len(runners),
+            unfinished_jobs=len(self._cell.unfinished_job_by_id),
+            held_back=pacing.held_back_starts,
+        )
 
     async def _run_checks(self, stack: AsyncExitStack, now: float) -> None:
         await self._succession.request_or_hand_over_if_due(now)
@@ -88,8 +120,10 @@
         await self._start_polling_new_runners(stack)
         await self._drop_unseen_runners(now)
         self._apply_preventive_stops(now)
-        self._load_report.log_if_due(now, self._clock.unix_time(), self._owner_context.term.epoch)
-        await self._delete_old_jobs()
+        if self._owner_context.pacing.may_do_optional_work(now):
+            epoch = self._owner_context.term.epoch
+            self._load_report.log_if_due(now, self._clock.unix_time(), epoch)
+            await self._delete_old_jobs()
 
     def _log_runner_list_freshness(self) -> None:
         is_fresh = self._owner_context.runner_list_is_fresh()
--- a/dandelionreel/cell/owner/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -51,9 +51,10 @@
 
     async def _poll_runner_once(self, state: RunnerState, runner: Runner) -> None:
         sent_at = self._owner_context.clock.monotonic()
-        lease_until = state.renew_lease(sent_at, self._owner_context.lease)
+        lease = self._owner_context.lease_for(state, sent_at)
+        lease_until = state.renew_lease(sent_at, lease)
         unstored = state.acknowledged_end < state.acknowledgeable_end
-        wait = _long_poll_seconds(state) if lease_until is not None and not unstored else 0
+        wait = self._long_poll_seconds(state) if lease_until is not None and not unstored else 0
         acknowledged = state.acknowledged_end
         try:
             view = await runner.poll(
@@ -87,6 +88,16 @@
             # each other without a pause.
             await curio.sleep(POLL_RETRY_SECONDS)
 
+    def _long_poll_seconds(self, state: RunnerState) -> float:
+        """Return the long-poll time in seconds for a runner in this state."""
+        if not state.allocation_by_run:
+            return self._owner_context.pacing.idle_poll_seconds(POLL_SECONDS)
+        stopping = any(
+            allocation.phase is AllocationPhase.STOPPING
+            for allocation in state.allocation_by_run.values()
+        )
+        return STOP_POLL_SECONDS if stopping else POLL_SECONDS
+
     def _is_current_state(self, state: RunnerState) -> bool:
         """Return whether this is still the cell's state of the runner, not an outdated one."""
         return self._owner_context.cell.runner_by_id.get(state.id) is state
@@ -256,12 +267,3 @@
                 for allocation in found[:MAX_LOGGED]
             ],
         )
-
-
-def _long_poll_seconds(state: RunnerState) -> float:
-    """Return the long-poll time in seconds for a runner in this state."""
-    stopping = any(
-        allocation.phase is AllocationPhase.STOPPING
-        for allocation in state.allocation_by_run.values()
-    )
-    return STOP_POLL_SECONDS if stopping else POLL_SECONDS
--- a/dandelionreel/cell/owner/_succession.py
+++ b/dandelionreel/cell/owner/_succession.py
@@ -1,10 +1,13 @@
 """Decides when the owner should be replaced, and asks peers to take the cell over."""
 
+from collections.abc import Mapping
+
 import curio
 
 from dandelionreel.cell.membership import Election, PeerLinks, find_larger_hosts, rank_hosts
 from dandelionreel.cell.model import Member
 from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.owner._pacing import LARGER_FACTOR
 from dandelionreel.cell.store import CellState
 from dandelionreel.kernel import Part
 from dandelionreel.peers import Done, OwnerAsked, OwnerFailing, PeerError
@@ -107,7 +110,7 @@
         if now < self._next_hand_over_at or not self._election.may_hand_over_cell():
             return
         members = self._cell_state.member_by_host
-        for host in find_larger_hosts(members, self._host)[:PEERS_PER_REQUEST]:
+        for host in self._list_larger_hosts(members, now)[:PEERS_PER_REQUEST]:
             if not await self._is_ready_to_own(host, members[host]):
                 continue
             self._election.record_cell_hand_over()
@@ -115,18 +118,30 @@
                 Part.OWNERSHIP,
                 f'hands the cell over to larger hosts: {host} is ready.',
                 epoch=self._owner_context.term.epoch,
+                late=self._owner_context.pacing.is_late,
             )
             await self._owner_context.ended.set()
             return
         self._next_hand_over_at = now + MIN_TERM_SECONDS
 
+    def _list_larger_hosts(self, members: Mapping[str, Member], now: float) -> list[str]:
+        """Return the hosts that should own the cell instead, the one with most cores first."""
+        larger = find_larger_hosts(members, self._host)
+        own = members.get(self._host)
+        if larger or own is None or not self._owner_context.pacing.should_hand_over(now):
+            return larger
+        needed_cores = LARGER_FACTOR * own.cores
+        return [host for host in rank_hosts(members) if members[host].cores >= needed_cores]
+
     async def _is_ready_to_own(self, host: str, member: Member) -> bool:
         """Return whether a host is ready to own the cell; being alive is not enough.
 
         Right after a partition it has not read the runner list yet and could start no tasks.
         """
         try:
-            frame = await self._links.request(member, OwnerAsked(''), READY_TIMEOUT)
+            frame = await self._links.request(
+                member, OwnerAsked(''), self._owner_context.pacing.extend_timeout(READY_TIMEOUT)
+            )
         except PeerError as error:
             cause = f'{error}'
         else:
--- a/dandelionreel/cell/store/_writer.py
+++ b/dandelionreel/cell/store/_writer.py
@@ -7,7 +7,7 @@
 import enum
 import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import curio
@@ -47,6 +47,15 @@
 #: failure, up to the maximum, with jitter, so that they do not fill a slow store's queue.
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
+#: Seconds for which records that are added to an append may be sent again.
+ADDED_RECORDS_TIMEOUT = 9.0
+
+
+GetRecords = Callable[[], Sequence[KeyedRecord]]
+
+
+def _get_no_records() -> Sequence[KeyedRecord]:
+    return ()
 
 
 class WriteOutcome(enum.Enum):
@@ -129,6 +138,8 @@
         self.failed_at = float('-inf')
         #: When the latest successful append was sent.
         self.stored_at = float('-inf')
+        #: Returns records that are overdue and go with the next append, whatever it contains.
+        self.get_overdue_records: GetRecords = _get_no_records
 
     def store_is_failing(self, now: float) -> bool:
         """Return whether the store currently accepts no appends of this host.
@@ -164,6 +175,10 @@
 
     def _take_waiting_writes(self) -> list[_PendingWrite]:
         taken: list[_PendingWrite] = []
+        overdue = self.get_overdue_records()
+        if overdue:
+            # First, so that a waiting record of the same key replaces it.
+            taken.append(_PendingWrite(overdue, self._clock.monotonic() + ADDED_RECORDS_TIMEOUT))
         records = 0
         size = 0
         while self._waiting_writes and records < MAX_APPEND_RECORDS and size < MAX_APPEND_BYTES:
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -22,7 +22,7 @@
     make_incarnation_id,
 )
 from dandelionreel.cell.model import MEMBER_PREFIX, Member, Registration, Runner, make_record
-from dandelionreel.cell.owner import Dispatcher, DispatcherDependencies
+from dandelionreel.cell.owner import Dispatcher, DispatcherDependencies, PacingFigures
 from dandelionreel.cell.store import GroupWriter, WriteOutcome
 from dandelionreel.entry_clients import make_client_api
 from dandelionreel.entry_metrics import EntryMetrics
@@ -339,6 +339,8 @@
                 self._reads.cell_follower.age(self._clock.monotonic()),
                 self._logs.dropped,
             )
+            figures = dispatcher.pacing_figures if dispatcher else PacingFigures()
+            self._metrics.update_pacing(figures)
             await curio.sleep(GAUGE_UPDATE_SECONDS)
 
     async def _handle_signal(self, number: int) -> None:
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -8,6 +8,7 @@
 
 from dandelionreel.cell.decisions import AllocationPhase, Cell
 from dandelionreel.cell.model import Configuration
+from dandelionreel.cell.owner import PacingFigures
 from dandelionreel.entry_accounts import RefusalCounts, list_accounts
 from dandelionreel.http import Request, Response, control_bytes_by_kind, json_response
 
@@ -59,6 +60,17 @@
             'log_lines_dropped', 'Log lines that nobody read in time.'
         )
         self._peer_bytes = self._make_gauge('outside_bytes', 'Bytes to and from servers.', 'kind')
+        self._owner_late = self._make_gauge('owner_late', 'Whether the owner is late.')
+        self._owner_delay = self._make_gauge(
+            'owner_delay_seconds', "By how much the owner's loop wakes up late."
+        )
+        self._oldest_knowledge = self._make_gauge(
+            'owner_oldest_answer_seconds', 'Age of the oldest answer that a recent start relied on.'
+        )
+        self._held_back_starts = self._make_gauge(
+            'owner_held_back_starts',
+            'Starts that were not sent for the age of what is known, in this term of the owner.',
+        )
         self._account_used = self._make_gauge(
             'account_used', 'What an account has running, at the owner.', 'account', 'resource'
         )
@@ -67,6 +79,13 @@
         )
         self._cpu_seconds = self._make_gauge('cpu_seconds', 'Processor time of this process.')
 
+    def update_pacing(self, figures: PacingFigures) -> None:
+        """Set the gauges of how late the owner is."""
+        self._owner_late.set(figures.is_late)
+        self._owner_delay.set(figures.delay)
+        self._oldest_knowledge.set(figures.oldest_knowledge_used)
+        self._held_back_starts.set(figures.held_back_starts)
+
     def set_accounts_view(self, get_view: Callable[[], dict[str, Any]]) -> None:
         """Serve the result of ``get_view()`` at ``ACCOUNTS_PATH``."""
         self._get_accounts_view = get_view
--- a/dandelionreel/peers/_link.py
+++ b/dandelionreel/peers/_link.py
@@ -14,6 +14,9 @@
 #: Peers are a few milliseconds away. Without this limit, each request across a network
 #: partition would spend its whole timeout on connecting.
 CONNECT_TIMEOUT_SECONDS = 0.3
+#: Cycles of the event loop in which an answer that has arrived is still read after the timeout.
+#: A host that is short of processor time detects the timeout before it reads the answer.
+GRACE_CYCLES = 3
 
 
 class PeerError(Exception):
@@ -99,6 +102,8 @@
                     await stream.send(frame)
                 await pending.event.wait()
         except curio.TaskTimeout as error:
+            if await self._read_arrived_answer(pending):
+                return self._answer_of(pending)
             # After a partly sent frame, later frames on the connection could not be parsed.
             if self._lock.locked() or not sent:
                 await self.close()
@@ -110,9 +115,7 @@
             raise PeerError(f'{error}', _failure_verdict(sent)) from error
         finally:
             self._pending_by_exchange.pop(exchange, None)
-        if pending.answer is None:
-            raise PeerError('connection closed before the answer', Verdict.UNKNOWN)
-        return pending.answer
+        return self._answer_of(pending)
 
     async def close(self) -> None:
         """Close the connection and fail all pending exchanges.
@@ -130,6 +133,19 @@
         for pending in tuple(self._pending_by_exchange.values()):
             await pending.event.set()
 
+    def _answer_of(self, pending: _PendingExchange) -> Frame:
+        if pending.answer is None:
+            raise PeerError('connection closed before the answer', Verdict.UNKNOWN)
+        return pending.answer
+
+    async def _read_arrived_answer(self, pending: _PendingExchange) -> bool:
+        """Let the reader handle what has arrived; return whether that included the answer."""
+        for _ in range(GRACE_CYCLES):
+            if pending.answer is not None:
+                break
+            await curio.sleep(0)
+        return pending.answer is not None
+
     async def _close_when_unlocked(self, sock: Any) -> None:
         async with self._lock:
             await sock.close()
--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -28,6 +28,8 @@
 address = "127.0.0.1:{store}"
 [bounds]
 grace_s = 4
+[limits]
+cpu_share = {cores}
 """
 CALLERS_PORT = 7801
 READINESS_PORT = 7802
@@ -55,6 +57,11 @@
 class EntryHosts:
     """Starts entry hosts, sends them signals and requests, and ends those that it started."""
 
+    #: Arguments of the Python interpreter that start a host.
+    command: tuple[str, ...] = ('-m', 'dandelionreel')
+    #: Share of a core that the settings of a host declare.
+    cores = 1.0
+
     def __init__(self, platform: UsersPlatform, count: int = 3, block: int = 1) -> None:
         """Prepare ``count`` hosts on the addresses from 127.0.``block``.1 on."""
         self._platform = platform
@@ -80,11 +87,12 @@
             readiness=READINESS_PORT,
             store=ports.get(f'store-{name}', ports['store']),
             advice=ports['advice'],
+            cores=self.cores,
         )
         settings.write_text(text)
         with (folder / f'{name}.log').open('ab') as log:
             self.process_by_name[name] = subprocess.Popen(
-                [sys.executable, '-m', 'dandelionreel'],
+                [sys.executable, *self.command],
                 env={**os.environ, 'DANDELIONREEL_NODE_FILE': str(settings)},
                 stdout=log,
                 stderr=log,
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -11,6 +11,7 @@
 import struct
 import threading
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -247,6 +248,11 @@
         self.capacity_changes: list[CapacityChange] = [(0.0, FULL_CPU)]
         #: Called with the runner after a task has crashed it.
         self.on_crash: Callable[[PlatformRunner], Awaitable[None]] | None = None
+        #: Whether a start that exceeds the capacity is rejected, as real runners do. Otherwise it
+        #: is run, and the record of the runs shows the fault of the owner.
+        self.rejects_excess_starts = False
+        #: Number of starts that were rejected, by the reason in the answer.
+        self.rejections: Counter[str] = Counter()
         self._runs = runs
         self._fencing_token = 0
         self._deadline = 0.0
@@ -357,6 +363,9 @@
         if order['deadline_ms'] / MILLISECONDS_PER_SECOND < self.clock():
             return self._reject('late')
         arguments = order['spec'].split()
+        used = sum(run.cpu for run in self._run_by_task.values())
+        if self.rejects_excess_starts and used + int(arguments[0]) > self.cpu:
+            return self._reject('room')
         now = time.monotonic()
         run = Run(task, number, self.name, int(arguments[0]), now, now + float(arguments[1]))
         run.outcome = 'failed' if 'fail' in arguments else 'done'
@@ -412,6 +421,7 @@
         return json_response({'clock_ms': self._clock_ms()})
 
     def _reject(self, reason: str) -> Response:
+        self.rejections[reason] += 1
         return json_response({'clock_ms': self._clock_ms(), 'reason': reason}, 409)
 
 
