Gangs start by the speeds of runners

Change: where RunTimes.is_uneven, usable runners are grouped by speed; a gang uses the fastest level that has its slots, or waits for a faster level if it should end sooner that way. Reservations minimize the expected end, backfill uses expected durations, and preemption weighs lost work.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -16,8 +16,13 @@
 
 from bench.replay_report import Tally, print_result
 from dandelionreel.accounts import Account, AccountDirectory, weighted_share
-from dandelionreel.cell.decisions import AdviceRequest, Allocation, Cell, Planner
-from dandelionreel.cell.decisions._preemption import Preemption, PreemptionPlan
+from dandelionreel.cell.decisions import AdviceRequest, Allocation, Cell, Planner, StepRun
+from dandelionreel.cell.decisions._preemption import (
+    LOST_WORK,
+    Preemption,
+    PreemptionPlan,
+    VictimCost,
+)
 from dandelionreel.cell.decisions._reservations import Rank
 from dandelionreel.cell.decisions._waiting_steps import RankInputs, WaitingOrder, WithinRateFirst
 from dandelionreel.cell.membership._advisors import NON_URGENT_SHARE
@@ -252,6 +257,13 @@
         self._preemption = NoPreemption(cell)
 
 
+class LostWorkPlanner(Planner):
+    """Weighs the work that preempted tasks lose also where all runners are equally fast."""
+
+    def _victim_cost(self) -> VictimCost:
+        return LOST_WORK
+
+
 class IgnoreAccountRates(WithinRateFirst):
     """Ignores the rates of accounts: orders by priority, then by the earliest objective."""
 
@@ -300,6 +312,7 @@
 POLICIES: dict[str, Callable[[Cell], Planner]] = {
     'as built': Planner,
     'no preemption': NoPreemptionPlanner,
+    'lost work': LostWorkPlanner,
     'first come, first served': ArrivalOrderPlanner,
     'no shares': lambda cell: Planner(cell, IgnoreAccountRates()),
     'shares within queues': lambda cell: Planner(cell, ShareOrderWithinQueues(cell)),
@@ -562,13 +575,7 @@
         step = job.find_step(allocation.task)
         # The tasks of a gang end together; otherwise each task has a duration of its own.
         name = step.name if step.step.gang else allocation.task
-        rng = random.Random(f'{name}{self._seed}')
-        full_duration = (
-            kind.mean_seconds / (1 + kind.estimate_error / 4)
-            if step is None
-            else step.step.estimate
-        )
-        full_duration *= rng.uniform(0.7, 1.2)
+        full_duration = self._draw_duration(allocation, step, kind)
         saved_seconds = float(allocation.checkpoint or 0)
         duration = max(0.01, full_duration - saved_seconds) + (
             RESTORE_SECONDS if saved_seconds else 0
@@ -581,6 +588,16 @@
             duration, self._end, allocation, RunOutcome.FAILED if fails else RunOutcome.DONE
         )
 
+    def _draw_duration(self, allocation: Allocation, step: StepRun | None, kind: JobKind) -> float:
+        """Return the duration of a run without checkpoint, the same for all members of a gang."""
+        name = step.name if step is not None and step.step.gang else allocation.task
+        full_duration = (
+            kind.mean_seconds / (1 + kind.estimate_error / 4)
+            if step is None
+            else step.step.estimate
+        )
+        return full_duration * random.Random(f'{name}{self._seed}').uniform(0.7, 1.2)
+
     def _stop(self, allocation: Allocation) -> None:
         self.cell.handle_stop_reply(allocation, self._now)
         self._end(allocation, RunOutcome.STOPPED)
--- a/dandelionreel/cell/decisions/_advice_requests.py
+++ b/dandelionreel/cell/decisions/_advice_requests.py
@@ -131,9 +131,7 @@
         valid = tickets.valid(reservation.at)
         if reservation.runners <= valid.keys():
             return []
-        advice_seconds = _expected_advice_seconds(
-            queue.advice, min(MAX_RUNNERS_PER_GANG_REQUEST, len(tickets.allowed))
-        )
+        advice_seconds = expected_advice_seconds(queue.advice, len(tickets.allowed))
         if reservation.at - now > advice_seconds + TICKET_LEAD_SECONDS:
             return []
         found = (self._cell.runner_by_id.get(runner) for runner in sorted(tickets.allowed))
@@ -211,5 +209,7 @@
     return sort_key
 
 
-def _expected_advice_seconds(advice: AdvicePolicy, runners: int) -> float:
-    return advice.decision_seconds + advice.seconds_per_runner * runners
+def expected_advice_seconds(advice: AdvicePolicy, runners: int) -> float:
+    """Return the seconds that the policy service takes for a gang's request."""
+    in_one_part = min(MAX_RUNNERS_PER_GANG_REQUEST, runners)
+    return advice.decision_seconds + advice.seconds_per_runner * in_one_part
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -1,28 +1,32 @@
 """Plans which waiting tasks start on which runners. No I/O; the caller passes the time."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest, AdviceRequests
 from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._gang_start import GangPlacement, GangStarts, GangWait
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._preemption import (
+    LOST_WORK,
     MAX_WAIT_WITHOUT_PREEMPTION_SECONDS,
     STOP_LATENCY_SECONDS,
+    STOPPED_CPU,
     Preemption,
     PreemptionPlan,
+    VictimCost,
 )
 from dandelionreel.cell.decisions._quota_gate import QuotaGate
 from dandelionreel.cell.decisions._reservations import (
     BACKFILL_MARGIN,
     Reservation,
     Reservations,
+    SlotSearch,
     count_slots,
 )
 from dandelionreel.cell.decisions._runner_choice import (
     TicketedRunner,
-    assign_gang,
     choose_runner,
-    group_by_location,
     has_required_label,
 )
 from dandelionreel.cell.decisions._runner_state import Allocation, RunnerState
@@ -52,13 +56,14 @@
     """Starts and advice requests to send, each in order of urgency.
 
     ``preempted`` are runs that are stopped for a gang, ``quota_blocked`` jobs that have begun to
-    wait for their account's quota.
+    wait for their account's quota, ``gang_waits`` gangs that have begun to wait for fast runners.
     """
 
     starts: list[Allocation] = field(default_factory=list)
     preempted: list[Allocation] = field(default_factory=list)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
     quota_blocked: list[JobRun] = field(default_factory=list)
+    gang_waits: list[GangWait] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -101,6 +106,7 @@
         self._quota_gate = QuotaGate(cell)
         self._advice_requests = AdviceRequests(cell)
         self._preemption = Preemption(cell)
+        self._gang_starts = GangStarts(cell)
         self._reservations = Reservations()
         self._reserved_at = float('-inf')
         self._reserved_for: list[_GangVersion] = []
@@ -124,8 +130,11 @@
         if not candidates:
             return Plan()
         self._quota_gate.begin_plan(candidates, now, unix_time)
-        self._preemption.begin_plan()
         usable = self._usable_runners_by_service(now)
+        self._gang_starts.begin_plan(
+            candidates, [runner for runners in usable.values() for runner in runners.values()]
+        )
+        self._preemption.begin_plan(self._victim_cost())
         makes_reservations = self._renew_reservations(candidates, usable, now)
         requestable_cpu = {
             service: REQUESTED_CPU_FACTOR * _total_free_cpu(runners)
@@ -146,8 +155,12 @@
             if runners:
                 self._plan_step(candidate, runners, state)
         state.plan.quota_blocked.extend(self._quota_gate.newly_blocked)
+        state.plan.gang_waits.extend(self._gang_starts.new_waits)
         return state.plan
 
+    def _victim_cost(self) -> VictimCost:
+        return LOST_WORK if self._gang_starts.is_by_speed else STOPPED_CPU
+
     def _renew_reservations(
         self,
         candidates: list[Candidate],
@@ -217,13 +230,22 @@
         """
         step = candidate.step
         demand = counted_demand(step)
-        ends_by = state.now + step.step.estimate * BACKFILL_MARGIN
         count = 0
         for runner, _ in ticketed:
-            if state.reservations.may_start_task(runner.id, candidate.rank, ends_by):
+            if self._may_start_on(runner, candidate, state):
                 count += count_slots(demand, runner.free_capacity, step.step.max_per_runner)
         return count >= step.waiting
 
+    def _may_start_on(self, runner: RunnerState, candidate: Candidate, state: _PlanState) -> bool:
+        """Return whether a task may start on a runner despite a gang's reservation."""
+        if state.reservations.may_start_task(runner.id, candidate.rank, NO_LIMIT):
+            return True
+        seconds = self._cell.run_times.expected_seconds(
+            candidate.job.submission.queue, candidate.step.step.estimate, runner
+        )
+        ends_by = state.now + seconds * BACKFILL_MARGIN
+        return state.reservations.may_start_task(runner.id, candidate.rank, ends_by)
+
     def _runners_with_tickets(
         self,
         step: StepRun,
@@ -253,12 +275,10 @@
         if not self._cell.tickets.of(step.name).may_request(state.now):
             return
         # Tickets for a reserved runner would expire before the step may start there.
-        ends_by = state.now + step.step.estimate * BACKFILL_MARGIN
         eligible = [
             runner
             for runner in runners.values()
-            if has_required_label(step, runner)
-            and state.reservations.may_start_task(runner.id, candidate.rank, ends_by)
+            if has_required_label(step, runner) and self._may_start_on(runner, candidate, state)
         ]
         requests = []
         zone = candidate.job.submission.zone
@@ -279,13 +299,12 @@
     ) -> bool:
         """Place as many tasks as fit, at most ``allowed``; return whether all were placed."""
         step = candidate.step
-        ends_by = state.now + step.step.estimate * BACKFILL_MARGIN
         demand = counted_demand(step)
         ticketed = [
             entry
             for entry in ticketed
             if demand.fits(entry[0].free_capacity)
-            and state.reservations.may_start_task(entry[0].id, candidate.rank, ends_by)
+            and self._may_start_on(entry[0], candidate, state)
         ]
         for task in step.tasks if ticketed else ():
             if task.phase is not TaskPhase.WAITING:
@@ -317,21 +336,46 @@
         step = candidate.step
         if step.waiting < len(step.tasks):
             return
-        ends_by = state.now + step.step.estimate * BACKFILL_MARGIN
+        # Until its members are chosen, the gang may turn out to be as slow as the slowest level.
+        seconds = self._gang_starts.seconds_by_level(candidate)[-1]
+        ends_by = state.now + seconds * BACKFILL_MARGIN
         rank = candidate.rank
         free = [
             entry
             for entry in ticketed
             if state.reservations.may_start_task(entry[0].id, rank, ends_by)
         ]
-        may_place = candidate.job.stored and state.starts_left > 0
-        if may_place and self._place_gang(candidate, free, state):
+        placement = None
+        if candidate.job.stored and state.starts_left > 0:
+            placement = self._gang_starts.choose_placement(candidate, free)
+        if placement is not None and not self._waits_for_faster(
+            candidate, placement, runners, state
+        ):
+            self._place_gang(candidate, placement, state)
             state.reservations.remove_step(step)
             return
         self._quota_gate.claim_quota(candidate)
         if state.makes_reservations:
             self._reserve_slots_or_request_advice(candidate, runners, state)
 
+    def _waits_for_faster(
+        self,
+        candidate: Candidate,
+        placement: GangPlacement,
+        runners: dict[str, RunnerState],
+        state: _PlanState,
+    ) -> bool:
+        if not placement.level:
+            return False
+        return self._gang_starts.should_wait(
+            candidate,
+            placement,
+            self._allowed_runners(candidate, runners),
+            state.reservations,
+            state.now,
+            may_reserve=state.makes_reservations,
+        )
+
     def _reserve_slots_or_request_advice(
         self,
         candidate: Candidate,
@@ -343,7 +387,7 @@
         if queue is None:
             return
         if queue.advice is None:
-            eligible = [runner for runner in runners.values() if has_required_label(step, runner)]
+            eligible = self._allowed_runners(candidate, runners)
             self._reserve_slots(candidate, queue, eligible, eligible, state)
             return
         tickets = self._cell.tickets.of(step.name)
@@ -351,7 +395,7 @@
             return
         reservation = None
         if not state.reservations.is_full:
-            allowed = self._allowed_runners(step, runners)
+            allowed = self._allowed_runners(candidate, runners)
             valid = tickets.valid(state.now + STOP_LATENCY_SECONDS)
             ready = [runner for runner in allowed if runner.id in valid]
             reservation = self._reserve_slots(candidate, queue, allowed, ready, state)
@@ -365,9 +409,14 @@
             requests = self._advice_requests.for_reservation(queue, step, reservation, state.now)
         _add_advice_requests(queue, requests, state)
 
-    def _allowed_runners(self, step: StepRun, runners: dict[str, RunnerState]) -> list[RunnerState]:
-        """Return the usable runners on which the policy service allows a step."""
-        found = (runners.get(runner_id) for runner_id in self._cell.tickets.of(step.name).allowed)
+    def _allowed_runners(
+        self, candidate: Candidate, runners: dict[str, RunnerState]
+    ) -> list[RunnerState]:
+        """Return the usable runners on which the policy service, if it is asked, allows a step."""
+        step, queue = candidate.step, candidate.queue
+        found: Iterable[RunnerState | None] = runners.values()
+        if queue is not None and queue.advice is not None:
+            found = map(runners.get, self._cell.tickets.of(step.name).allowed)
         return [
             runner for runner in found if runner is not None and has_required_label(step, runner)
         ]
@@ -388,51 +437,71 @@
         if reservations.is_full:
             return None
         free = reservations.unreserved_runners(runners)
-        reservation = reservations.find(candidate.step, candidate.rank, free, now)
+        search = self._gang_starts.make_search(candidate, now)
+        reservation = reservations.find(search, free)
         in_time = (
             reservation is not None and reservation.at <= now + MAX_WAIT_WITHOUT_PREEMPTION_SECONDS
         )
         if not in_time and candidate.lateness < TOO_LATE:
-            preemption = self._preemption.plan_preemption(
-                candidate.step, queue, reservations.unreserved_runners(ready), now
-            )
-            if preemption is None:
-                # The gang needs tickets first. A reservation that is due now requests them at once.
-                at = now
-                preemption = self._preemption.plan_preemption(candidate.step, queue, free, now)
-            else:
-                at = now + STOP_LATENCY_SECONDS
-                self._preempt_victims(preemption, state)
-            if preemption is not None:
-                reservation = Reservation(candidate.step, at, preemption.runners, candidate.rank)
+            ready = reservations.unreserved_runners(ready)
+            sooner = self._reserve_by_preemption(search, queue, reservation, (ready, free), state)
+            reservation = sooner or reservation
         if reservation is not None:
             reservations.add(reservation)
         return reservation
 
+    def _reserve_by_preemption(
+        self,
+        search: SlotSearch,
+        queue: Queue,
+        found: Reservation | None,
+        ready_and_free: tuple[list[RunnerState], list[RunnerState]],
+        state: _PlanState,
+    ) -> Reservation | None:
+        """Return a reservation for which other tasks are preempted, ``None`` if none is worthwhile.
+
+        ``found`` is the reservation without preemption. Faster runners than its slowest are used:
+        a gang that starts earlier on slower runners may not end earlier.
+        """
+        levels, step = search.levels, search.step
+        level = levels.count - 1 if found is None else found.level
+        ready, free = (
+            [runner for runner in runners if levels.level_of(runner.id) <= level]
+            for runners in ready_and_free
+        )
+        starts_at = state.now + STOP_LATENCY_SECONDS
+        preemption = self._preemption.plan_preemption(step, queue, ready, state.now)
+        has_tickets = preemption is not None
+        if preemption is None:
+            preemption = self._preemption.plan_preemption(step, queue, free, state.now)
+        saved_seconds = NO_LIMIT if found is None else found.at - starts_at
+        if preemption is None or not self._preemption.is_worthwhile(
+            preemption, step, saved_seconds
+        ):
+            return None
+        if has_tickets:
+            self._preempt_victims(preemption, state)
+        # The gang needs tickets first. A reservation that is due now requests them at once.
+        at = starts_at if has_tickets else state.now
+        end = at + search.seconds_by_level[level]
+        return Reservation(step, at, preemption.runners, search.rank, level, end)
+
     def _preempt_victims(self, preemption: PreemptionPlan, state: _PlanState) -> None:
         for victim in preemption.victims:
             self._cell.stop_run(victim)
         state.plan.preempted.extend(preemption.victims)
 
     def _place_gang(
-        self, candidate: Candidate, allowed: list[TicketedRunner], state: _PlanState
-    ) -> bool:
+        self, candidate: Candidate, placement: GangPlacement, state: _PlanState
+    ) -> None:
         step = candidate.step
-        for group in group_by_location(step, allowed, candidate.job.submission.zone):
-            assigned = assign_gang(step, group)
-            if assigned is None:
-                continue
-            run = self._cell.next_run_number(step.tasks)
-            checkpoint = next((task.checkpoint for task in step.tasks if task.checkpoint), '')
-            for task, (runner, ticket) in zip(step.tasks, assigned, strict=True):
-                task.checkpoint = checkpoint
-                state.plan.starts.append(
-                    self._cell.place_task(
-                        step, task, runner, run, state.now, ticket, step.step.estimate
-                    )
-                )
-            return True
-        return False
+        run = self._cell.next_run_number(step.tasks)
+        checkpoint = next((task.checkpoint for task in step.tasks if task.checkpoint), '')
+        for task, (runner, ticket) in zip(step.tasks, placement.members, strict=True):
+            task.checkpoint = checkpoint
+            state.plan.starts.append(
+                self._cell.place_task(step, task, runner, run, state.now, ticket, placement.seconds)
+            )
 
 
 def _total_free_cpu(runners: dict[str, RunnerState]) -> float:
--- a/dandelionreel/cell/decisions/_preemption.py
+++ b/dandelionreel/cell/decisions/_preemption.py
@@ -6,9 +6,11 @@
 the gang has tickets for all runners that it will use.
 """
 
+import abc
 import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import partial
 
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._reservations import count_slots
@@ -30,14 +32,73 @@
 #: Seconds until a runner lists the end of a stopped task: 0.2 to 0.4 s by the workers' contract,
 #: plus the duration of the poll in progress.
 STOP_LATENCY_SECONDS = 0.45
+#: Thousandths of a core in a core.
+MILLI = 1000
 
 
 @dataclass(frozen=True)
 class PreemptionPlan:
-    """Runners that can hold a gang once ``victims`` have been stopped."""
+    """Runners that can hold a gang once ``victims`` have been stopped.
+
+    ``cost`` is the cost of stopping them, in the unit of the ``VictimCost``.
+    """
 
     runners: frozenset[str]
     victims: tuple[Allocation, ...]
+    cost: float = 0.0
+
+
+class VictimCost(abc.ABC):
+    """What a preemption costs; the set of victims with the lowest cost is stopped."""
+
+    @abc.abstractmethod
+    def of_run(self, allocation: Allocation, now: float) -> float:
+        """Return the cost of stopping a run."""
+
+    @abc.abstractmethod
+    def sort_key(self, allocation: Allocation, now: float) -> tuple[float, float]:
+        """Return the order in which the runs of a runner are considered."""
+
+    @abc.abstractmethod
+    def is_worthwhile(self, plan: PreemptionPlan, step: StepRun, saved_seconds: float) -> bool:
+        """Return whether an earlier start by ``saved_seconds`` gains more than is lost."""
+
+
+class StoppedCpu(VictimCost):
+    """The CPU of the stopped runs: the fewest cores are stopped, whatever work they lose."""
+
+    def of_run(self, allocation: Allocation, now: float) -> float:
+        """Return the CPU of a run."""
+        return allocation.demand.cpu
+
+    def sort_key(self, allocation: Allocation, now: float) -> tuple[float, float]:
+        """Return a key that puts the runs with the most CPU first."""
+        return -allocation.demand.cpu, 0.0
+
+    def is_worthwhile(self, plan: PreemptionPlan, step: StepRun, saved_seconds: float) -> bool:
+        """Return true: the gang is more urgent than what it stops."""
+        return True
+
+
+class LostWork(VictimCost):
+    """The work that stopped runs lose, in core-seconds since their last checkpoints."""
+
+    def of_run(self, allocation: Allocation, now: float) -> float:
+        """Return the core-seconds that a run would lose."""
+        return _unsaved_seconds(allocation, now) * allocation.demand.cpu / MILLI
+
+    def sort_key(self, allocation: Allocation, now: float) -> tuple[float, float]:
+        """Return a key that puts the runs with the least work lost for each core first."""
+        return _unsaved_seconds(allocation, now), -allocation.demand.cpu
+
+    def is_worthwhile(self, plan: PreemptionPlan, step: StepRun, saved_seconds: float) -> bool:
+        """Return whether the cores of the gang would wait for longer than the victims have run."""
+        cores = len(step.tasks) * counted_demand(step).cpu / MILLI
+        return cores * saved_seconds > plan.cost
+
+
+STOPPED_CPU = StoppedCpu()
+LOST_WORK = LostWork()
 
 
 class Preemption:
@@ -48,13 +109,19 @@
         self._cell = cell
         #: Preemptible runs by runner and by priority of the gang, those with the most CPU first.
         self._victims_by_runner: dict[tuple[str, int], list[Allocation]] = {}
+        self._cost: VictimCost = STOPPED_CPU
 
-    def begin_plan(self) -> None:
-        """Begin a plan: clear the cached victims.
+    def begin_plan(self, cost: VictimCost = STOPPED_CPU) -> None:
+        """Begin a plan that weighs victims by ``cost``: clear the cached victims.
 
         Within one plan the cache stays valid, except for runs that the plan itself stops.
         """
         self._victims_by_runner.clear()
+        self._cost = cost
+
+    def is_worthwhile(self, plan: PreemptionPlan, step: StepRun, saved_seconds: float) -> bool:
+        """Return whether an earlier start by ``saved_seconds`` gains more than is lost."""
+        return self._cost.is_worthwhile(plan, step, saved_seconds)
 
     def plan_preemption(
         self,
@@ -63,29 +130,33 @@
         runners: Iterable[RunnerState],
         now: float,
     ) -> PreemptionPlan | None:
-        """Return the slots for a whole gang that preempt the least CPU, ``None`` if too few."""
+        """Return the slots for a whole gang that cost the least, ``None`` if there are too few."""
         slot_heap: list[tuple[float, str, int]] = []
         slots_by_runner = {}
         for runner in runners:
             runner_slots = self._victims_by_slot(step, queue, runner, now)
             if runner_slots:
                 slots_by_runner[runner.id] = runner_slots
-                slot_heap.append((_total_cpu(runner_slots[0]), runner.id, 0))
+                slot_heap.append((self._total_cost(runner_slots[0], now), runner.id, 0))
         heapq.heapify(slot_heap)
         chosen_runners: set[str] = set()
         victims: list[Allocation] = []
+        total_cost = 0.0
         for _ in step.tasks:
             if not slot_heap:
                 return None
-            _, runner_id, slot_index = heapq.heappop(slot_heap)
+            cost, runner_id, slot_index = heapq.heappop(slot_heap)
             slots = slots_by_runner[runner_id]
             chosen_runners.add(runner_id)
             victims.extend(slots[slot_index])
+            total_cost += cost
             if slot_index + 1 < len(slots):
-                heapq.heappush(
-                    slot_heap, (_total_cpu(slots[slot_index + 1]), runner_id, slot_index + 1)
-                )
-        return PreemptionPlan(frozenset(chosen_runners), tuple(victims))
+                next_cost = self._total_cost(slots[slot_index + 1], now)
+                heapq.heappush(slot_heap, (next_cost, runner_id, slot_index + 1))
+        return PreemptionPlan(frozenset(chosen_runners), tuple(victims), total_cost)
+
+    def _total_cost(self, victims: list[Allocation], now: float) -> float:
+        return sum(self._cost.of_run(victim, now) for victim in victims)
 
     def _victims_by_slot(
         self,
@@ -123,7 +194,7 @@
             victims = [
                 allocation for allocation in held if self._may_preempt(allocation, queue, now)
             ]
-            victims.sort(key=_by_cpu_descending)
+            victims.sort(key=partial(self._cost.sort_key, now=now))
             self._victims_by_runner[key] = victims
         return victims
 
@@ -144,9 +215,7 @@
         return in_time and end > now + STOP_LATENCY_SECONDS
 
 
-def _total_cpu(victims: list[Allocation]) -> float:
-    return sum(victim.demand.cpu for victim in victims)
-
-
-def _by_cpu_descending(allocation: Allocation) -> int:
-    return -allocation.demand.cpu
+def _unsaved_seconds(allocation: Allocation, now: float) -> float:
+    """Return for how long a run has worked since it started or since its last checkpoint."""
+    since = allocation.checkpoint_at or allocation.started_at or allocation.placed_at
+    return max(0.0, now - since)
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -8,10 +8,11 @@
 import heapq
 import sys
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from dandelionreel.cell.decisions._runner_state import RunnerState, expected_end
+from dandelionreel.cell.decisions._speed_levels import SINGLE_LEVEL, SpeedLevels
 from dandelionreel.cell.decisions._step_run import StepRun, counted_demand
 from dandelionreel.cell.model import Demand, StepName
 
@@ -57,6 +58,23 @@
     at: float
     runners: frozenset[str]
     rank: Rank
+    #: Level of the slowest of the runners, and when the gang should end if it starts at ``at``.
+    level: int = 0
+    end: float = 0.0
+
+
+@dataclass(frozen=True)
+class SlotSearch:
+    """A gang that looks for slots; times are monotonic seconds."""
+
+    step: StepRun
+    rank: Rank
+    now: float
+    levels: SpeedLevels = SINGLE_LEVEL
+    #: Expected duration if the slowest member is on that level.
+    seconds_by_level: tuple[float, ...] = (0.0,)
+    #: Earliest start on the runners for which the gang has no ticket yet.
+    ready_at_by_runner: dict[str, float] = field(default_factory=dict)
 
 
 class Reservations:
@@ -65,14 +83,14 @@
     def __init__(self, runners: int = 0) -> None:
         """Start with no reservation, for a cell with that many usable runners."""
         self._by_runner: dict[str, Reservation] = {}
-        self._count_slots = 0
+        self._reserving_steps: set[StepName] = set()
         self._max_count = max(MIN_RESERVING_GANGS, runners // RUNNERS_PER_RESERVING_GANG)
         self._freed_by_runner: dict[str, list[FreedCapacity]] = {}
 
     @property
     def is_full(self) -> bool:
         """Return whether no further gang may reserve runners."""
-        return self._count_slots >= self._max_count
+        return len(self._reserving_steps) >= self._max_count
 
     def may_start_task(self, runner: str, rank: Rank, until: float) -> bool:
         """Return whether a task that ends at ``until`` may start despite a reservation.
@@ -83,83 +101,97 @@
         held = self._by_runner.get(runner)
         return held is None or rank <= held.rank or until <= held.at
 
+    def holds(self, step: StepRun) -> bool:
+        """Return whether a gang holds a reservation."""
+        return step.name in self._reserving_steps
+
     def unreserved_runners(self, runners: Iterable[RunnerState]) -> list[RunnerState]:
         """Return the runners that no gang has reserved."""
         return [runner for runner in runners if runner.id not in self._by_runner]
 
-    def find(
-        self,
-        step: StepRun,
-        rank: Rank,
-        runners: list[RunnerState],
-        now: float,
-    ) -> Reservation | None:
-        """Return a reservation of the runners on which the gang fits earliest.
+    def find(self, search: SlotSearch, runners: list[RunnerState]) -> Reservation | None:
+        """Return a reservation of the runners on which the gang is expected to end earliest.
 
         Returns ``None`` if it would not fit even with all of them empty.
         """
-        return find_earliest_slots(step, rank, runners, now, self._freed_by_runner)
+        return find_earliest_slots(search, runners, self._freed_by_runner)
 
     def remove_step(self, step: StepRun) -> None:
         """Release the runners reserved for a step that has started."""
         runners = [runner for runner, held in self._by_runner.items() if held.step is step]
-        self._count_slots -= bool(runners)
+        self._reserving_steps.discard(step.name)
         for runner in runners:
             self._by_runner.pop(runner)
 
     def add(self, reservation: Reservation) -> None:
         """Reserve the runners of a reservation for its gang."""
-        self._count_slots += 1
+        self._reserving_steps.add(reservation.step.name)
         for runner in reservation.runners:
             self._by_runner[runner] = reservation
 
 
 def find_earliest_slots(
-    step: StepRun,
-    rank: Rank,
+    search: SlotSearch,
     runners: list[RunnerState],
-    now: float,
     freed_by_runner: dict[str, list[FreedCapacity]],
 ) -> Reservation | None:
-    """Return a reservation of the runners on which all members of a gang fit earliest.
+    """Return a reservation of the runners on which a gang is expected to end earliest.
 
-    The time follows from the expected ends of other runs.
+    The times follow from the expected ends of other runs.
 
     ``freed_by_runner`` is a cache that is filled in here: the expected ends on a runner are the
     same for all gangs.
     """
-    demand = counted_demand(step)
-    limit = step.step.max_per_runner
+    demand = counted_demand(search.step)
+    limit = search.step.step.max_per_runner
     slot_gains: list[tuple[float, str, int]] = []
     for runner in runners:
         freed = freed_by_runner.get(runner.id)
         if freed is None:
-            freed = freed_by_runner[runner.id] = _accumulate_freed(runner, now)
-        for at, gained in _slot_gains(runner, freed, demand, limit, now):
-            slot_gains.append((at, runner.id, gained))
-    return _choose_earliest_runners(step, rank, slot_gains)
+            freed = freed_by_runner[runner.id] = _accumulate_freed(runner, search.now)
+        ready_at = search.ready_at_by_runner.get(runner.id, search.now)
+        for at, gained in _slot_gains(runner, freed, demand, limit, search.now):
+            slot_gains.append((max(at, ready_at), runner.id, gained))
+    return _choose_earliest_end(search, slot_gains)
 
 
-def _choose_earliest_runners(
-    step: StepRun,
-    rank: Rank,
-    slot_gains: list[tuple[float, str, int]],
+def _choose_earliest_end(
+    search: SlotSearch, slot_gains: list[tuple[float, str, int]]
 ) -> Reservation | None:
-    """Return a reservation of the runners whose slots come free first.
+    """Return a reservation with the earliest end over all choices of the slowest level.
 
-    Slots that come free at the same time are ordered by runner id, then by their number.
+    One pass over the slots by time counts those of each level and of all faster ones. With a
+    single level, this chooses the slots that come free first. Slots that come free at the same
+    time are ordered by runner id, then by their number.
     """
-    needed = len(step.tasks)
-    chosen: set[str] = set()
-    slots = 0
+    needed = len(search.step.tasks)
+    slots_by_level = [0] * search.levels.count
+    seen: list[tuple[float, str, int]] = []
+    best: Reservation | None = None
     heapq.heapify(slot_gains)
     while slot_gains:
-        at, runner_id, gained = heapq.heappop(slot_gains)
-        slots += gained
-        chosen.add(runner_id)
-        if slots >= needed:
-            return Reservation(step, at, frozenset(chosen), rank)
-    return None
+        gain = heapq.heappop(slot_gains)
+        if best is not None and gain[0] + search.seconds_by_level[0] >= best.end:
+            break
+        seen.append(gain)
+        for level in range(search.levels.level_of(gain[1]), search.levels.count):
+            had_enough = slots_by_level[level] >= needed
+            slots_by_level[level] += gain[2]
+            end = gain[0] + search.seconds_by_level[level]
+            if had_enough or slots_by_level[level] < needed or (best and best.end <= end):
+                continue
+            runners = _first_runners(search.levels, level, seen)
+            best = Reservation(search.step, gain[0], runners, search.rank, level, end)
+    return best
+
+
+def _first_runners(
+    levels: SpeedLevels, level: int, slot_gains: list[tuple[float, str, int]]
+) -> frozenset[str]:
+    """Return the runners of the given slots that are on a level or on a faster one."""
+    return frozenset(
+        runner for _, runner, _ in slot_gains if levels.level_by_runner.get(runner, 0) <= level
+    )
 
 
 def _accumulate_freed(runner: RunnerState, now: float) -> list[FreedCapacity]:
--- a/dandelionreel/cell/decisions/_runner_choice.py
+++ b/dandelionreel/cell/decisions/_runner_choice.py
@@ -6,9 +6,11 @@
 """
 
 from collections.abc import Iterable
+from itertools import accumulate
 
 from dandelionreel.cell.decisions._reservations import count_slots
 from dandelionreel.cell.decisions._runner_state import RunnerState
+from dandelionreel.cell.decisions._speed_levels import SINGLE_LEVEL, SpeedLevels
 from dandelionreel.cell.decisions._step_run import StepRun, TaskRun, counted_demand
 from dandelionreel.cell.model import Demand
 
@@ -89,22 +91,48 @@
     yield available
 
 
-def assign_gang(step: StepRun, available: list[TicketedRunner]) -> list[TicketedRunner] | None:
-    """Return a runner for each member, or ``None`` if they do not all fit now."""
+def assign_gang(
+    step: StepRun, available: list[TicketedRunner], levels: SpeedLevels = SINGLE_LEVEL
+) -> list[TicketedRunner] | None:
+    """Return a runner for each member, or ``None`` if they do not all fit now.
+
+    The slowest member is on as fast a level as possible. Runners of that level are used before
+    faster ones, which would only wait for the slowest member.
+    """
     demand = counted_demand(step)
     limit = step.step.max_per_runner
     quarantined = any(task.quarantined for task in step.tasks)
-    assigned: list[TicketedRunner] = []
-    needed = len(step.tasks)
-    # Best fit: free capacity stays concentrated on few runners.
-    fullest_first = sorted(available, key=lambda entry: _remaining_share(demand, entry[0]))
-    for runner, ticket in fullest_first:
-        if not runner.accepts_task(quarantined=quarantined):
-            continue
+    slots_by_level = [0] * levels.count
+    entries: list[tuple[int, float, int, TicketedRunner]] = []
+    for entry in available:
+        runner = entry[0]
         slots = count_slots(demand, runner.free_capacity, limit)
         if limit:
             slots = min(slots, limit - runner.count_step(step.name))
-        assigned.extend([(runner, ticket)] * min(slots, needed - len(assigned)))
-        if len(assigned) == needed:
-            return assigned
+        if slots <= 0 or not runner.accepts_task(quarantined=quarantined):
+            continue
+        level = levels.level_of(runner.id)
+        slots_by_level[level] += slots
+        entries.append((-level, _remaining_share(demand, runner), slots, entry))
+    slowest = _slowest_needed_level(slots_by_level, len(step.tasks))
+    if slowest is None:
+        return None
+    # Best fit within a level: free capacity stays concentrated on few runners.
+    entries.sort(key=_level_and_share)
+    assigned: list[TicketedRunner] = []
+    for negative_level, _, slots, entry in entries:
+        if -negative_level <= slowest:
+            assigned.extend([entry] * min(slots, len(step.tasks) - len(assigned)))
+    return assigned
+
+
+def _slowest_needed_level(slots_by_level: list[int], needed: int) -> int | None:
+    """Return the first level up to which there are enough slots, ``None`` if there are too few."""
+    for level, slots in enumerate(accumulate(slots_by_level)):
+        if slots >= needed:
+            return level
     return None
+
+
+def _level_and_share(entry: tuple[int, float, int, TicketedRunner]) -> tuple[int, float]:
+    return entry[0], entry[1]
--- a/dandelionreel/cell/decisions/_runner_state.py
+++ b/dandelionreel/cell/decisions/_runner_state.py
@@ -51,6 +51,8 @@
     #: Expected duration of the run in seconds.
     expected: float = 0.0
     checkpoint: str = ''
+    #: When the runner last listed a new checkpoint of this run.
+    checkpoint_at: float | None = None
     #: False if the job or task of the run is unknown; ``demand`` is then zero.
     demand_known: bool = True
     #: Client account whose quota the run counts against; empty for none.
--- a/dandelionreel/cell/decisions/_runner_views.py
+++ b/dandelionreel/cell/decisions/_runner_views.py
@@ -179,7 +179,9 @@
             return 1
         allocation.percent = running.percent
         allocation.gauge = running.gauge
-        allocation.checkpoint = running.checkpoint or allocation.checkpoint
+        if running.checkpoint and running.checkpoint != allocation.checkpoint:
+            allocation.checkpoint = running.checkpoint
+            allocation.checkpoint_at = now
         self._allocations.confirm_start(allocation, now)
         self._allocations.repeat_stop(allocation, polled_at)
         return 0
