--- a/bench/gang_starts.py
+++ b/bench/gang_starts.py
@@ -99,17 +99,17 @@
     small = _queue('small', 0, 2, 1.5, 0.25, 0.012, 0.00017, 2.0)
     uneven = (
         JobKind(large, 2.6, 6, 1.2, 20, 9000, 12_000, 3.4, 0, 0.3, 1, 0.5, 0.005, (8, 14, 1.5)),
-        JobKind(medium, 4.3, 2.5, 1.5, 25, 3500, 5000, 2.3, 0, 0.45, 0, 0.8, 0.005),
+        JobKind(medium, 4.3, 2.5, 1.5, 25, 3500, 5000, 2.3, 0, 0.45, 0, 1, 0.005),
         JobKind(small, 48, 0.4, 1, 3, 5000, 7000, 0.68, 0, 0.7, 0, 0, 0.02),
     )
     scarce = (
         JobKind(large, 1.8, 7, 1.2, 20, 18_000, 25_000, 5.0, 0, 0.3, 1, 0.5, 0.005, (6, 11, 2)),
-        JobKind(medium, 6.4, 2.7, 1.5, 25, 6900, 7100, 2.7, 0, 0.45, 0, 0.8, 0.02),
+        JobKind(medium, 6.4, 2.7, 1.5, 25, 6900, 7100, 2.7, 0, 0.45, 0, 1, 0.02),
         JobKind(small, 41, 0.42, 1, 3, 9900, 14_000, 0.8, 0, 0.7, 0.3, 0, 0.02, (15, 19, 2)),
     )
     return {
-        'uneven': Load(176, 35, uneven),
-        'scarce': Load(176, 33, scarce, capacity=Demand(64_000, 131_072, 0)),
+        'uneven': Load(176, 35, uneven, saved_share=0.8),
+        'scarce': Load(176, 33, scarce, capacity=Demand(64_000, 131_072, 0), saved_share=0.8),
     }
 
 
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -152,6 +152,8 @@
     takeover: tuple[float, float] = (0.0, 0.0)
     capacity: Demand = RUNNER_CAPACITY
     accounts: Accounts | None = None
+    #: Part of the work since the last start that the checkpoint of a stopped task saves.
+    saved_share: float = 1.0
 
 
 def make_loads() -> dict[str, Load]:
@@ -613,7 +615,7 @@
         step = None if job is None else job.find_step(allocation.task)
         checkpoint = ''
         if outcome is RunOutcome.STOPPED and step is not None and step.step.checkpointing:
-            checkpoint = str(saved_seconds + run_seconds)
+            checkpoint = str(saved_seconds + self.load.saved_share * run_seconds)
         elif outcome is not RunOutcome.DONE:
             self.wasted_core_seconds += run_seconds * allocation.demand.cpu / 1000
         ended = EndedRun(next(self._end_numbers), *run, outcome, checkpoint)
--- a/dandelionreel/cell/decisions/_gang_start.py
+++ b/dandelionreel/cell/decisions/_gang_start.py
@@ -19,6 +19,7 @@
 )
 from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.decisions._speed_levels import SINGLE_LEVEL, group_by_speed
+from dandelionreel.cell.decisions._step_run import StepRun
 from dandelionreel.cell.decisions._waiting_steps import Candidate
 from dandelionreel.cell.model import StepName
 
@@ -65,10 +66,16 @@
         self._wait_until_by_gang: dict[StepName, float] = {}
         #: Gangs that have begun to wait in this plan.
         self.new_waits: list[GangWait] = []
+        #: Number of runners of each level if this plan has begun or ceased to group them.
+        self.new_groups: list[int] | None = None
 
     def begin_plan(self, candidates: Iterable[Candidate], runners: Iterable[RunnerState]) -> None:
         """Begin a plan: gangs that are no longer candidates are forgotten."""
+        was_by_speed = self.is_by_speed
         self.levels = group_by_speed(self._cell.run_times, runners)
+        self.new_groups = None
+        if self.is_by_speed != was_by_speed:
+            self.new_groups = self.levels.runners_by_level()
         self.new_waits = []
         if self._wait_until_by_gang:
             names = {candidate.step.name for candidate in candidates}
@@ -89,19 +96,16 @@
         Among equally fast ones, the first by location is taken.
         """
         step = candidate.step
-        best: tuple[int, list[TicketedRunner]] | None = None
+        members = assign_gang(step, available, self.levels)
+        if members is None:
+            return None
+        level = self._slowest_level(members)
         for group in group_by_location(step, available, candidate.job.submission.zone):
-            members = assign_gang(step, group, self.levels)
-            if members is None:
-                continue
-            level = max(self.levels.level_of(runner.id) for runner, _ in members)
-            if best is None or level < best[0]:
-                best = (level, members)
-            if not level:
+            close = assign_gang(step, group, self.levels)
+            if close is not None and self._slowest_level(close) == level:
+                members = close
                 break
-        if best is None:
-            return None
-        return GangPlacement(best[1], best[0], self._placement_seconds(candidate, best[1]))
+        return GangPlacement(members, level, self._placement_seconds(candidate, members))
 
     def should_wait(
         self,
@@ -122,10 +126,10 @@
         name = candidate.step.name
         if not placement.level or now >= self._wait_until_by_gang.get(name, NO_LIMIT):
             return False
-        if not may_reserve:
-            return reservations.holds(candidate.step) or not reservations.is_full
         found = None
         if not self._cell.tickets.of(name).is_pending:
+            if not may_reserve:
+                return reservations.holds(candidate.step) or not reservations.is_full
             found = self._find_sooner_end(candidate, placement, allowed, reservations, now)
             if found is None:
                 return False
@@ -139,6 +143,10 @@
             )
         return True
 
+    def forget(self, step: StepRun) -> None:
+        """Forget the wait of a gang that has started; it may have to start again."""
+        self._wait_until_by_gang.pop(step.name, None)
+
     def make_search(self, candidate: Candidate, now: float) -> SlotSearch:
         """Return the search for the earliest slots of a gang."""
         if not self.is_by_speed:
@@ -194,6 +202,9 @@
             candidate.job.submission.queue, candidate.step.step.estimate, runner
         )
 
+    def _slowest_level(self, members: list[TicketedRunner]) -> int:
+        return max(self.levels.level_of(runner.id) for runner, _ in members)
+
     def _placement_seconds(self, candidate: Candidate, members: list[TicketedRunner]) -> float:
         """Return the expected duration on the slowest of the runners."""
         runner_by_id = {runner.id: runner for runner, _ in members}
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -57,6 +57,8 @@
 
     ``preempted`` are runs that are stopped for a gang, ``quota_blocked`` jobs that have begun to
     wait for their account's quota, ``gang_waits`` gangs that have begun to wait for fast runners.
+    ``speed_groups`` has the number of runners by speed, the fastest first, when gangs begin to be
+    placed by speed, and is empty when they cease to be.
     """
 
     starts: list[Allocation] = field(default_factory=list)
@@ -64,6 +66,7 @@
     advice_requests: list[AdviceRequest] = field(default_factory=list)
     quota_blocked: list[JobRun] = field(default_factory=list)
     gang_waits: list[GangWait] = field(default_factory=list)
+    speed_groups: list[int] | None = None
 
 
 @dataclass(frozen=True)
@@ -156,6 +159,7 @@
                 self._plan_step(candidate, runners, state)
         state.plan.quota_blocked.extend(self._quota_gate.newly_blocked)
         state.plan.gang_waits.extend(self._gang_starts.new_waits)
+        state.plan.speed_groups = self._gang_starts.new_groups
         return state.plan
 
     def _victim_cost(self) -> VictimCost:
@@ -352,6 +356,7 @@
             candidate, placement, runners, state
         ):
             self._place_gang(candidate, placement, state)
+            self._gang_starts.forget(step)
             state.reservations.remove_step(step)
             return
         self._quota_gate.claim_quota(candidate)
@@ -469,22 +474,21 @@
             [runner for runner in runners if levels.level_of(runner.id) <= level]
             for runners in ready_and_free
         )
-        starts_at = state.now + STOP_LATENCY_SECONDS
+        stopped_at = state.now + STOP_LATENCY_SECONDS
         preemption = self._preemption.plan_preemption(step, queue, ready, state.now)
         has_tickets = preemption is not None
         if preemption is None:
             preemption = self._preemption.plan_preemption(step, queue, free, state.now)
-        saved_seconds = NO_LIMIT if found is None else found.at - starts_at
         if preemption is None or not self._preemption.is_worthwhile(
-            preemption, step, saved_seconds
+            preemption, step, NO_LIMIT if found is None else found.at - stopped_at
         ):
             return None
         if has_tickets:
             self._preempt_victims(preemption, state)
         # The gang needs tickets first. A reservation that is due now requests them at once.
-        at = starts_at if has_tickets else state.now
-        end = at + search.seconds_by_level[level]
-        return Reservation(step, at, preemption.runners, search.rank, level, end)
+        at = stopped_at if has_tickets else state.now
+        ends_at = at + search.seconds_by_level[level]
+        return Reservation(step, at, preemption.runners, search.rank, level, ends_at)
 
     def _preempt_victims(self, preemption: PreemptionPlan, state: _PlanState) -> None:
         for victim in preemption.victims:
--- a/dandelionreel/cell/decisions/_preemption.py
+++ b/dandelionreel/cell/decisions/_preemption.py
@@ -141,19 +141,20 @@
         heapq.heapify(slot_heap)
         chosen_runners: set[str] = set()
         victims: list[Allocation] = []
-        total_cost = 0.0
         for _ in step.tasks:
             if not slot_heap:
                 return None
-            cost, runner_id, slot_index = heapq.heappop(slot_heap)
+            _, runner_id, slot_index = heapq.heappop(slot_heap)
             slots = slots_by_runner[runner_id]
             chosen_runners.add(runner_id)
             victims.extend(slots[slot_index])
-            total_cost += cost
             if slot_index + 1 < len(slots):
-                next_cost = self._total_cost(slots[slot_index + 1], now)
-                heapq.heappush(slot_heap, (next_cost, runner_id, slot_index + 1))
-        return PreemptionPlan(frozenset(chosen_runners), tuple(victims), total_cost)
+                slot_index += 1
+                slot_cost = self._total_cost(slots[slot_index], now)
+                heapq.heappush(slot_heap, (slot_cost, runner_id, slot_index))
+        return PreemptionPlan(
+            frozenset(chosen_runners), tuple(victims), self._total_cost(victims, now)
+        )
 
     def _total_cost(self, victims: list[Allocation], now: float) -> float:
         return sum(self._cost.of_run(victim, now) for victim in victims)
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -164,7 +164,6 @@
     single level, this chooses the slots that come free first. Slots that come free at the same
     time are ordered by runner id, then by their number.
     """
-    needed = len(search.step.tasks)
     slots_by_level = [0] * search.levels.count
     seen: list[tuple[float, str, int]] = []
     best: Reservation | None = None
@@ -174,24 +173,33 @@
         if best is not None and gain[0] + search.seconds_by_level[0] >= best.end:
             break
         seen.append(gain)
-        for level in range(search.levels.level_of(gain[1]), search.levels.count):
-            had_enough = slots_by_level[level] >= needed
-            slots_by_level[level] += gain[2]
+        for level in _add_slots(search, slots_by_level, gain):
             end = gain[0] + search.seconds_by_level[level]
-            if had_enough or slots_by_level[level] < needed or (best and best.end <= end):
-                continue
-            runners = _first_runners(search.levels, level, seen)
-            best = Reservation(search.step, gain[0], runners, search.rank, level, end)
+            if best is None or end < best.end:
+                runners = _first_runners(search.levels, level, seen)
+                best = Reservation(search.step, gain[0], runners, search.rank, level, end)
     return best
 
 
+def _add_slots(
+    search: SlotSearch, slots_by_level: list[int], gain: tuple[float, str, int]
+) -> list[int]:
+    """Count new slots on their level and all slower ones; return those that now have enough."""
+    needed = len(search.step.tasks)
+    reached = []
+    for level in range(search.levels.level_of(gain[1]), search.levels.count):
+        before = slots_by_level[level]
+        slots_by_level[level] += gain[2]
+        if before < needed <= slots_by_level[level]:
+            reached.append(level)
+    return reached
+
+
 def _first_runners(
     levels: SpeedLevels, level: int, slot_gains: list[tuple[float, str, int]]
 ) -> frozenset[str]:
     """Return the runners of the given slots that are on a level or on a faster one."""
-    return frozenset(
-        runner for _, runner, _ in slot_gains if levels.level_by_runner.get(runner, 0) <= level
-    )
+    return frozenset(runner for _, runner, _ in slot_gains if levels.level_of(runner) <= level)
 
 
 def _accumulate_freed(runner: RunnerState, now: float) -> list[FreedCapacity]:
--- a/dandelionreel/cell/decisions/_runner_choice.py
+++ b/dandelionreel/cell/decisions/_runner_choice.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from itertools import accumulate
 
 from dandelionreel.cell.decisions._reservations import count_slots
@@ -99,31 +100,49 @@
     The slowest member is on as fast a level as possible. Runners of that level are used before
     faster ones, which would only wait for the slowest member.
     """
+    needed = len(step.tasks)
+    slots = _find_gang_slots(step, available, levels)
+    slots_by_level = [0] * levels.count
+    for found in slots:
+        slots_by_level[found.level] += found.count
+    slowest = _slowest_needed_level(slots_by_level, needed)
+    if slowest is None:
+        return None
+    slots.sort(key=_slowest_and_fullest_first)
+    assigned: list[TicketedRunner] = []
+    for found in slots:
+        if found.level <= slowest:
+            assigned.extend([found.runner] * min(found.count, needed - len(assigned)))
+    return assigned
+
+
+@dataclass(frozen=True)
+class _GangSlots:
+    """Slots for members of a gang on one runner."""
+
+    level: int
+    remaining_share: float
+    count: int
+    runner: TicketedRunner
+
+
+def _find_gang_slots(
+    step: StepRun, available: list[TicketedRunner], levels: SpeedLevels
+) -> list[_GangSlots]:
+    """Return the slots on all runners that can start members of a gang now."""
     demand = counted_demand(step)
     limit = step.step.max_per_runner
     quarantined = any(task.quarantined for task in step.tasks)
-    slots_by_level = [0] * levels.count
-    entries: list[tuple[int, float, int, TicketedRunner]] = []
+    found = []
     for entry in available:
         runner = entry[0]
-        slots = count_slots(demand, runner.free_capacity, limit)
+        count = count_slots(demand, runner.free_capacity, limit)
         if limit:
-            slots = min(slots, limit - runner.count_step(step.name))
-        if slots <= 0 or not runner.accepts_task(quarantined=quarantined):
-            continue
-        level = levels.level_of(runner.id)
-        slots_by_level[level] += slots
-        entries.append((-level, _remaining_share(demand, runner), slots, entry))
-    slowest = _slowest_needed_level(slots_by_level, len(step.tasks))
-    if slowest is None:
-        return None
-    # Best fit within a level: free capacity stays concentrated on few runners.
-    entries.sort(key=_level_and_share)
-    assigned: list[TicketedRunner] = []
-    for negative_level, _, slots, entry in entries:
-        if -negative_level <= slowest:
-            assigned.extend([entry] * min(slots, len(step.tasks) - len(assigned)))
-    return assigned
+            count = min(count, limit - runner.count_step(step.name))
+        if count > 0 and runner.accepts_task(quarantined=quarantined):
+            share = _remaining_share(demand, runner)
+            found.append(_GangSlots(levels.level_of(runner.id), share, count, entry))
+    return found
 
 
 def _slowest_needed_level(slots_by_level: list[int], needed: int) -> int | None:
@@ -134,5 +153,6 @@
     return None
 
 
-def _level_and_share(entry: tuple[int, float, int, TicketedRunner]) -> tuple[int, float]:
-    return entry[0], entry[1]
+def _slowest_and_fullest_first(slots: _GangSlots) -> tuple[int, float]:
+    """Return a sort key; best fit keeps the free capacity of a level on few runners."""
+    return -slots.level, slots.remaining_share
--- a/dandelionreel/cell/decisions/_speed_levels.py
+++ b/dandelionreel/cell/decisions/_speed_levels.py
@@ -35,8 +35,8 @@
         return self.level_by_runner.get(runner, 0)
 
     def runners_by_level(self) -> list[int]:
-        """Return the number of runners of each level."""
-        counts = [0] * self.count
+        """Return the number of listed runners of each level."""
+        counts = [0] * len(self.slowest_by_level)
         for level in self.level_by_runner.values():
             counts[level] += 1
         return counts
--- a/dandelionreel/cell/owner/_load_report.py
+++ b/dandelionreel/cell/owner/_load_report.py
@@ -48,6 +48,7 @@
         totals.starts += len(plan.starts)
         totals.preempted += len(plan.preempted)
         totals.advice_requests += len(plan.advice_requests)
+        self._log_gangs(plan)
 
     def log_if_due(self, now: float, unix_time: float, epoch: int) -> None:
         """Log stalled jobs, and the load if tasks wait, unless the last report is too recent."""
@@ -83,6 +84,27 @@
             questions=totals.advice_requests,
         )
 
+    def _log_gangs(self, plan: Plan) -> None:
+        """Log whether gangs are placed by the speeds of runners, and which of them wait."""
+        if plan.speed_groups is not None:
+            state = 'begin' if plan.speed_groups else 'cease'
+            self._journal.log(
+                Part.PLACEMENT,
+                f'gangs {state} to be placed by the speeds of runners.',
+                runners_by_level=plan.speed_groups,
+            )
+        for wait in plan.gang_waits:
+            self._journal.log_sampled(
+                Part.PLACEMENT,
+                f'a gang of job {wait.step.job} waits for faster runners.',
+                job=wait.step.job,
+                step=wait.step.step,
+                slow_seconds=wait.slow_seconds,
+                fast_seconds=wait.fast_seconds,
+                starts_in=wait.starts_in,
+                max_wait=wait.max_wait,
+            )
+
     def _log_stalled_jobs(self, now: float, unix_time: float, epoch: int) -> None:
         for stalled in self._stalled_jobs.find(now, unix_time):
             self._journal.log(
