--- a/dandelionreel/cell/decisions/_runner_choice.py
+++ b/dandelionreel/cell/decisions/_runner_choice.py
@@ -6,9 +6,12 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import accumulate
 
 from dandelionreel.cell.decisions._reservations import count_slots
 from dandelionreel.cell.decisions._runner_state import RunnerState
+from dandelionreel.cell.decisions._speed_levels import SINGLE_LEVEL, SpeedLevels
 from dandelionreel.cell.decisions._step_run import StepRun, TaskRun, counted_demand
 from dandelionreel.cell.model import Demand
 
@@ -89,22 +92,67 @@
     yield available
 
 
-def assign_gang(step: StepRun, available: list[TicketedRunner]) -> list[TicketedRunner] | None:
-    """Return a runner for each member, or ``None`` if they do not all fit now."""
+def assign_gang(
+    step: StepRun, available: list[TicketedRunner], levels: SpeedLevels = SINGLE_LEVEL
+) -> list[TicketedRunner] | None:
+    """Return a runner for each member, or ``None`` if they do not all fit now.
+
+    The slowest member is on as fast a level as possible. Runners of that level are used before
+    faster ones, which would only wait for the slowest member.
+    """
+    needed = len(step.tasks)
+    slots = _find_gang_slots(step, available, levels)
+    slots_by_level = [0] * levels.count
+    for found in slots:
+        slots_by_level[found.level] += found.count
+    slowest = _slowest_needed_level(slots_by_level, needed)
+    if slowest is None:
+        return None
+    slots.sort(key=_slowest_and_fullest_first)
+    assigned: list[TicketedRunner] = []
+    for found in slots:
+        if found.level <= slowest:
+            assigned.extend([found.runner] * min(found.count, needed - len(assigned)))
+    return assigned
+
+
+@dataclass(frozen=True)
+class _GangSlots:
+    """Slots for members of a gang on one runner."""
+
+    level: int
+    remaining_share: float
+    count: int
+    runner: TicketedRunner
+
+
+def _find_gang_slots(
+    step: StepRun, available: list[TicketedRunner], levels: SpeedLevels
+) -> list[_GangSlots]:
+    """Return the slots on all runners that can start members of a gang now."""
     demand = counted_demand(step)
     limit = step.step.max_per_runner
     quarantined = any(task.quarantined for task in step.tasks)
-    assigned: list[TicketedRunner] = []
-    needed = len(step.tasks)
-    # Best fit: free capacity stays concentrated on few runners.
-    fullest_first = sorted(available, key=lambda entry: _remaining_share(demand, entry[0]))
-    for runner, ticket in fullest_first:
-        if not runner.accepts_task(quarantined=quarantined):
-            continue
-        slots = count_slots(demand, runner.free_capacity, limit)
+    found = []
+    for entry in available:
+        runner = entry[0]
+        count = count_slots(demand, runner.free_capacity, limit)
         if limit:
-            slots = min(slots, limit - runner.count_step(step.name))
-        assigned.extend([(runner, ticket)] * min(slots, needed - len(assigned)))
-        if len(assigned) == needed:
-            return assigned
+            count = min(count, limit - runner.count_step(step.name))
+        if count > 0 and runner.accepts_task(quarantined=quarantined):
+            share = _remaining_share(demand, runner)
+            found.append(_GangSlots(levels.level_of(runner.id), share, count, entry))
+    return found
+
+
+def _slowest_needed_level(slots_by_level: list[int], needed: int) -> int | None:
+    """Return the first level up to which there are enough slots, ``None`` if there are too few."""
+    for level, slots in enumerate(accumulate(slots_by_level)):
+        if slots >= needed:
+            return level
     return None
+
+
+def _slowest_and_fullest_first(slots: _GangSlots) -> tuple[int, float]:
+    """Return a sort key; best fit keeps the free capacity of a level on few runners."""
+    return -slots.level, slots.remaining_share
