Admission: refuse jobs that would end too late to be of use

Cause: where demand exceeds capacity for seconds, jobs are accepted that end after three times their objective; their clients wait in vain and the work is wasted.

Change: the owner forecasts the starts of waiting steps and refuses such jobs; refused ids are stored with the heartbeat before the answer, so that a successor starts no late append of them. Only with overload_control.

--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -153,7 +153,8 @@
         caller = await self._access.identify_caller(request, queue, forwarded)
         if isinstance(caller, DenialReason):
             return self._answer_denied(request, path, caller)
-        call = ClientCall(request, caller, zone, received_at, forward is not None)
+        may_refuse = forward is None or forward.may_refuse
+        call = ClientCall(request, caller, zone, received_at, forward is not None, may_refuse)
         response = await self._answer_call(
             call, configuration, queue, path[len(queue.path_prefix) :]
         )
@@ -228,13 +229,16 @@
             return not_run_response(HTTP_BAD_REQUEST, 'bad-job', f'{error}')
         if not self._steps_fit_quota(call, configuration, spec):
             return self._answer_over_quota(call, job_id)
+        accepted_at = self._jobs.state.refused_jobs.acceptance_time(job_id, self._clock.unix_time())
         submission = Submission(
-            queue.name, queue.service, self._clock.unix_time(), spec, call.zone, call.caller.account
+            queue.name, queue.service, accepted_at, spec, call.zone, call.caller.account
         )
         return await self._writes.store_record(
             call,
             make_record(SUBMISSION_PREFIX + job_id, submission),
-            lambda owner, timeout: owner.accept_job(job_id, submission, timeout),
+            lambda owner, timeout: owner.accept_job(
+                job_id, submission, timeout, may_refuse=call.may_refuse
+            ),
             partial(self._log_request_outcome, request, job_id),
             queue=queue.name,
             account=call.caller.account,
--- a/dandelionreel/cell/clients/_client_call.py
+++ b/dandelionreel/cell/clients/_client_call.py
@@ -21,6 +21,7 @@
 #: Header with the cause of a refusal, for the peer that forwarded the request.
 CAUSE_HEADER = 'dandelionreel-cause'
 STORE_UNAVAILABLE_CAUSE = 'store-out-of-reach'
+OVERLOAD_CAUSE = 'overload'
 
 
 @dataclass(frozen=True)
@@ -28,7 +29,8 @@
     """A call with its caller, and where and when it arrived.
 
     ``zone`` is that of the host that received it from the client, ``received_at`` is in
-    monotonic seconds. ``relayed`` says that a peer has forwarded it.
+    monotonic seconds. ``relayed`` says that a peer has forwarded it, ``may_refuse`` that a refusal
+    for overload reaches the client.
     """
 
     request: Request
@@ -36,6 +38,7 @@
     zone: str
     received_at: float
     relayed: bool
+    may_refuse: bool = True
 
     @property
     def timeout(self) -> float:
--- a/dandelionreel/cell/clients/_client_writes.py
+++ b/dandelionreel/cell/clients/_client_writes.py
@@ -6,16 +6,17 @@
 
 from dandelionreel.cell.clients._client_call import (
     HTTP_UNAVAILABLE,
+    OVERLOAD_CAUSE,
     RETRY_AFTER_SECONDS,
     STORE_UNAVAILABLE_CAUSE,
     ClientCall,
     unavailable_response,
 )
 from dandelionreel.cell.clients._readiness import LoadBalancerRotation
-from dandelionreel.cell.clients._relay import Relay, RelayResult
+from dandelionreel.cell.clients._relay import Relay, RelayResult, is_overload_refusal
 from dandelionreel.cell.membership import PartitionDetector
 from dandelionreel.cell.model import ClientCodec, KeyedRecord
-from dandelionreel.cell.owner import Dispatcher
+from dandelionreel.cell.owner import Dispatcher, Refusal
 from dandelionreel.cell.store import Follower, GroupWriter, WriteOutcome
 from dandelionreel.http import Response, problem_response
 from dandelionreel.kernel import Clock, Problem, Verdict
@@ -44,7 +45,7 @@
 
 
 Attempt = Callable[[float, _WriteAttempts], Awaitable[Response | None]]
-StoreAtOwner = Callable[[Dispatcher, float], Awaitable[WriteOutcome]]
+StoreAtOwner = Callable[[Dispatcher, float], Awaitable[WriteOutcome | Refusal]]
 Forwarder = Callable[[ClientCall, float], Awaitable[RelayResult]]
 #: Logs the outcome of a call, with further fields.
 LogOutcome = Callable[..., None]
@@ -104,6 +105,8 @@
                     seconds=round(self._clock.monotonic() - started_at, 3),
                 )
                 return response
+            if response is not None and is_overload_refusal(response):
+                break
         log(
             'may be stored' if attempts.in_doubt else 'not stored',
             **fields,
@@ -172,9 +175,10 @@
             if dispatcher.store_is_failing:
                 attempts.outcomes.append('the owner: its store is failing')
                 return None
-            return self._record_write_outcome(
-                await store_at_owner(dispatcher, min(remaining, APPEND_TIMEOUT_SECONDS)), attempts
-            )
+            outcome = await store_at_owner(dispatcher, min(remaining, APPEND_TIMEOUT_SECONDS))
+            if isinstance(outcome, Refusal):
+                return _answer_refused(outcome)
+            return self._record_write_outcome(outcome, attempts)
 
         return by_owner
 
@@ -229,3 +233,8 @@
             return True
         writer = self._writer
         return writer.store_is_failing(now) and now - writer.failed_at < APPEND_RETRY_SECONDS
+
+
+def _answer_refused(refusal: Refusal) -> Response:
+    detail = f'the job would end too late to be of use, for {refusal.reason.value}; it is not run'
+    return unavailable_response(OVERLOAD_CAUSE, detail, refusal.retry_after)
--- a/dandelionreel/cell/clients/_relay.py
+++ b/dandelionreel/cell/clients/_relay.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 
 from dandelionreel.accounts import AUTHORIZATION
-from dandelionreel.cell.clients._client_call import ClientCall
+from dandelionreel.cell.clients._client_call import CAUSE_HEADER, OVERLOAD_CAUSE, ClientCall
 from dandelionreel.cell.membership import OWNER_QUERY_TIMEOUT, PeerLinks, find_zone_writer
 from dandelionreel.cell.model import Member
 from dandelionreel.cell.store import CellState
@@ -126,7 +126,7 @@
         call: ClientCall,
         timeout: float,
     ) -> RelayResult:
-        forward = Forward(_strip_key(call.request), timeout, 1, call.caller)
+        forward = Forward(_strip_key(call.request), timeout, 1, call.caller, may_refuse=True)
         try:
             frame = await self._links.request(member, forward, timeout)
         except PeerError as error:
@@ -140,7 +140,7 @@
         if not isinstance(reply, ForwardAnswer) or reply.no_room:
             self._skip_peer_for(host, 'it cannot use the store either', PEER_BACKOFF_SECONDS)
             return RelayResult(None)
-        if reply.response.status in FINAL_STATUSES:
+        if reply.response.status in FINAL_STATUSES or is_overload_refusal(reply.response):
             return RelayResult(reply.response)
         # The peer's configuration may be older, or the outcome of its append may be unknown:
         # neither is a response for the client.
@@ -190,6 +190,11 @@
         )
 
 
+def is_overload_refusal(response: Response) -> bool:
+    """Return whether the owner refuses a job: no host may store it, and its client is told."""
+    return response.header(CAUSE_HEADER) == OVERLOAD_CAUSE
+
+
 def _strip_key(request: Request) -> Request:
     """Return a request without its API key; the peer gets the caller instead."""
     kept = tuple(header for header in request.headers if header[0] != AUTHORIZATION)
--- a/dandelionreel/cell/decisions/__init__.py
+++ b/dandelionreel/cell/decisions/__init__.py
@@ -1,6 +1,12 @@
 """Scheduling decisions: which runs start on which runners, wait or stop. No I/O."""
 
 from dandelionreel.cell.decisions._active_runners import ActiveRunners
+from dandelionreel.cell.decisions._admission import (
+    Admission,
+    AdmissionVerdict,
+    BacklogChange,
+    RefusalReason,
+)
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest
 from dandelionreel.cell.decisions._cell import MAX_CLOCK_DRIFT, Cell
 from dandelionreel.cell.decisions._crashes import Crash
@@ -16,10 +22,15 @@
 from dandelionreel.cell.decisions._runner_views import PollEffect
 from dandelionreel.cell.decisions._stalled_jobs import StalledJobs
 from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, TaskRun
+from dandelionreel.cell.decisions._waiting_steps import WaitingOrder
 
 __all__ = (
     'ANY_RUNNER',
     'ActiveRunners',
+    'Admission',
+    'AdmissionVerdict',
+    'BacklogChange',
+    'RefusalReason',
     'AdviceRequest',
     'Allocation',
     'MAX_CLOCK_DRIFT',
@@ -35,6 +46,7 @@
     'StalledJobs',
     'StepRun',
     'TaskRun',
+    'WaitingOrder',
     'is_job_complete',
     'apply_last_registrations',
     'stop_incomplete_gangs',
--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -31,6 +31,7 @@
     Registration,
     RunnerView,
     StartReply,
+    Submission,
     find_later_incarnations,
 )
 from dandelionreel.cell.store import StoredJob
@@ -92,6 +93,15 @@
         account = self._account_of(job)
         return None if account is None else account.quota
 
+    def would_exceed_account_rate(self, submission: Submission) -> bool:
+        """Return whether a new job would be beyond its account's rate, without counting it."""
+        account = None
+        if self.configuration is not None:
+            account = self.configuration.find_account(submission.account)
+        if account is None:
+            return False
+        return not self._rates.has_token(account.name, account.weight, submission.accepted_at)
+
     def objective_of(self, job: JobRun) -> float:
         """Return the job's latency objective in seconds from its acceptance."""
         return job.objective(self.queue_of(job), self.quota_of(job))
--- a/dandelionreel/cell/decisions/_job_rates.py
+++ b/dandelionreel/cell/decisions/_job_rates.py
@@ -26,11 +26,19 @@
         Jobs may arrive out of order, as the clocks of the accepting hosts differ; the bucket is
         not refilled twice for the same period.
         """
-        burst = max(1.0, rate * BURST_SECONDS)
+        tokens = self._count_tokens(account, rate, accepted_at)
         filled_at = self._filled_at_by_account.get(account, accepted_at)
-        tokens = self._tokens_by_account.get(account, burst)
-        tokens = min(burst, tokens + rate * max(0.0, accepted_at - filled_at))
         self._filled_at_by_account[account] = max(filled_at, accepted_at)
         within = tokens >= 1
         self._tokens_by_account[account] = tokens - within
         return within
+
+    def has_token(self, account: str, rate: float, accepted_at: float) -> bool:
+        """Return whether ``take_token`` would return true."""
+        return self._count_tokens(account, rate, accepted_at) >= 1
+
+    def _count_tokens(self, account: str, rate: float, accepted_at: float) -> float:
+        burst = max(1.0, rate * BURST_SECONDS)
+        filled_at = self._filled_at_by_account.get(account, accepted_at)
+        tokens = self._tokens_by_account.get(account, burst)
+        return min(burst, tokens + rate * max(0.0, accepted_at - filled_at))
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -97,7 +97,8 @@
     def __init__(self, cell: Cell, order: WaitingOrder | None = None) -> None:
         """Place the tasks of ``cell`` in the order of ``order``."""
         self._cell = cell
-        self._order = order or WithinRateFirst()
+        #: The order in which waiting steps are placed.
+        self.order = order or WithinRateFirst()
         self._quota_gate = QuotaGate(cell)
         self._advice_requests = AdviceRequests(cell)
         self._preemption = Preemption(cell)
@@ -120,7 +121,7 @@
         are free to send them. Requests that queue at a host are sent in the order in which they
         were made, so a gang's first tickets would expire before its last ones arrive.
         """
-        candidates = list_candidates(self._cell, self._order.rank, now, unix_time)
+        candidates = list_candidates(self._cell, self.order.rank, now, unix_time)
         if not candidates:
             return Plan()
         self._quota_gate.begin_plan(candidates, now, unix_time)
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -140,7 +140,9 @@
     ``beat`` counts heartbeats. ``released`` says that the owner has stopped for good.
     ``unsettled`` is the number of seconds for which earlier owners may still renew leases without
     being noticed. ``read_from`` is the offset at which this incarnation of the host first read the
-    topic, ``version`` that of the configuration in use.
+    topic, ``version`` that of the configuration in use. ``load`` is a ``LoadDigest``, absent where
+    the owner does not control overload. It stays encoded here, so that a digest of another version
+    does not make the whole record unreadable.
     """
 
     epoch: Count
@@ -151,6 +153,7 @@
     unsettled: UnsettledSeconds = 0
     read_from: Count = 0
     version: Count = 0
+    load: msgspec.Raw = msgspec.Raw()
 
 
 class RunnersInUse(msgspec.Struct, frozen=True):
--- a/dandelionreel/cell/owner/__init__.py
+++ b/dandelionreel/cell/owner/__init__.py
@@ -2,8 +2,10 @@
 
 from dandelionreel.cell.owner._dependencies import DispatcherDependencies
 from dandelionreel.cell.owner._dispatcher import Dispatcher
+from dandelionreel.cell.owner._refusals import Refusal
 
 __all__ = (
     'Dispatcher',
     'DispatcherDependencies',
+    'Refusal',
 )
--- a/dandelionreel/cell/owner/_dependencies.py
+++ b/dandelionreel/cell/owner/_dependencies.py
@@ -1,5 +1,6 @@
 """Dependencies of the dispatcher that stay the same from term to term."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from dandelionreel.cell.membership import Completions, Election, LocalAdvisor, PeerLinks
@@ -18,6 +19,10 @@
 from dandelionreel.kernel import Clock, Journal
 
 
+def ignore_refused_job(queue: str, reason: str) -> None:
+    """Do not count a refused job."""
+
+
 @dataclass(frozen=True)
 class DispatcherDependencies:
     """Dependencies and settings of a dispatcher; built once per process, reused in every term."""
@@ -42,3 +47,5 @@
     get_runner_list_age: GetRunnerListAge = zero_runner_list_age
     #: Whether demand may exceed the capacity of the cell for seconds.
     overload_control: bool = False
+    #: Counts a refused job by queue and reason.
+    count_refused_job: Callable[[str, str], None] = ignore_refused_job
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -3,6 +3,7 @@
 from contextlib import AsyncExitStack
 
 import curio
+import msgspec
 
 from dandelionreel.cell.decisions import ANY_RUNNER, AdviceRequest, Cell, JobRun, Plan, Planner
 from dandelionreel.cell.membership import HEARTBEAT_SECONDS, AdvicePool, Term
@@ -25,6 +26,7 @@
 from dandelionreel.cell.owner._orders import OrderSender
 from dandelionreel.cell.owner._owner_context import OwnerContext
 from dandelionreel.cell.owner._periodic_checks import PeriodicChecks
+from dandelionreel.cell.owner._refusals import Refusal, Refusals
 from dandelionreel.cell.owner._zone_confirmation import ZoneConfirmation
 from dandelionreel.cell.store import StoredJob, WriteOutcome
 from dandelionreel.kernel import Part, start_task
@@ -67,6 +69,12 @@
         )
         self._order_sender = OrderSender(self._owner_context)
         self._planner = Planner(self.cell)
+        #: ``None`` where demand does not exceed capacity: no job is refused.
+        self._refusals = (
+            Refusals(dependencies, self._owner_context, self._planner.order)
+            if dependencies.overload_control
+            else None
+        )
         self._advice_pool = AdvicePool(
             dependencies.host,
             lambda: dependencies.jobs.state.member_by_host,
@@ -121,6 +129,7 @@
                 self._run_planner,
                 self._completion_gossip.query_successors,
                 self._completion_gossip.run,
+                *(() if self._refusals is None else (self._refusals.run,)),
             ):
                 await start_task(stack, work)
             await start_task(stack, self._periodic_checks.run, stack)
@@ -140,30 +149,25 @@
         """End the term so that another host can own the cell."""
         await self._owner_context.ended.set()
 
-    async def accept_job(self, job_id: str, submission: Submission, timeout: float) -> WriteOutcome:
+    async def accept_job(
+        self, job_id: str, submission: Submission, timeout: float, *, may_refuse: bool = False
+    ) -> WriteOutcome | Refusal:
         """Store a job; planning and advice requests for it begin meanwhile.
 
         While the store is slow, the job is stored as possibly running on any runner. Its starts
-        then need no append for each new runner.
+        then need no append for each new runner. With ``may_refuse``, a job that would end too late
+        to be of use is refused instead.
         """
-        known = self.cell.job_by_id.get(job_id)
-        if known is not None and known.stored:
-            return WriteOutcome.STORED
-        stored_job = StoredJob(job_id, submission, cancelled=False, progress=None)
-        self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
-        job = self.cell.job_by_id[job_id]
-        self._log_rate_exceeded(job)
-        job.stored = False
-        record = make_record(SUBMISSION_PREFIX + job_id, submission)
-        store_is_slow = self._owner_context.writer.typical_latency > SLOW_APPEND_SECONDS
-        if store_is_slow:
-            job.runners.add(ANY_RUNNER)
-        await self._owner_context.plan_needed.notify()
-        write_task = await curio.spawn(
-            self._store_submission, job, record, store_is_slow, daemon=True
-        )
-        outcome = await curio.ignore_after(timeout, write_task.join)
-        return outcome or WriteOutcome.UNKNOWN
+        if may_refuse and self._refusals is not None and job_id not in self.cell.job_by_id:
+            judged_at = self._clock.monotonic()
+            refusal = await self._refusals.refuse_if_useless(job_id, submission, timeout)
+            if refusal is not None:
+                return refusal
+            if self._dependencies.jobs.state.is_accepted(job_id):
+                return WriteOutcome.STORED
+            timeout -= self._clock.monotonic() - judged_at
+            submission = self._renew_submission(job_id, submission)
+        return await self._store_job(job_id, submission, timeout)
 
     async def cancel_job(self, job_id: str, timeout: float) -> WriteOutcome:
         """Store a client's cancellation of a job, then stop its tasks."""
@@ -195,6 +199,32 @@
         job = self.cell.job_by_id.get(job_id)
         return '' if job is None else job.account
 
+    async def _store_job(self, job_id: str, submission: Submission, timeout: float) -> WriteOutcome:
+        known = self.cell.job_by_id.get(job_id)
+        if known is not None and known.stored:
+            return WriteOutcome.STORED
+        stored_job = StoredJob(job_id, submission, cancelled=False, progress=None)
+        self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
+        job = self.cell.job_by_id[job_id]
+        self._log_rate_exceeded(job)
+        job.stored = False
+        record = make_record(SUBMISSION_PREFIX + job_id, submission)
+        store_is_slow = self._owner_context.writer.typical_latency > SLOW_APPEND_SECONDS
+        if store_is_slow:
+            job.runners.add(ANY_RUNNER)
+        await self._owner_context.plan_needed.notify()
+        write_task = await curio.spawn(
+            self._store_submission, job, record, store_is_slow, daemon=True
+        )
+        outcome = await curio.ignore_after(timeout, write_task.join)
+        return outcome or WriteOutcome.UNKNOWN
+
+    def _renew_submission(self, job_id: str, submission: Submission) -> Submission:
+        """Return a submission that is later than every refusal of the job."""
+        refused_jobs = self._dependencies.jobs.state.refused_jobs
+        accepted_at = refused_jobs.acceptance_time(job_id, submission.accepted_at)
+        return msgspec.structs.replace(submission, accepted_at=accepted_at)
+
     def _log_rate_exceeded(self, job: JobRun) -> None:
         if job.exceeds_account_rate:
             self._journal.log_sampled(
@@ -281,7 +311,13 @@
             owner_record = self._owner_context.term.make_owner_record(
                 heartbeat, self._unsettled_seconds(), version=version
             )
+            refused_count = 0
+            if self._refusals is not None:
+                load, refused_count = self._refusals.make_digest_content()
+                owner_record = msgspec.structs.replace(owner_record, load=msgspec.Raw(load))
             records = [make_record(OWNER_KEY, owner_record)]
+            if self._refusals is not None:
+                records.extend(self._refusals.make_corrections())
             # Includes runners that only a former owner has seen: if this owner is killed, its
             # successor has to wait for them as well.
             runners_in_use = frozenset(self.cell.runner_by_id) | self.cell.unseen_runners
@@ -300,6 +336,8 @@
                 return
             if outcome is WriteOutcome.STORED:
                 stored = runners_in_use
+                if self._refusals is not None:
+                    await self._refusals.record_stored_heartbeat(refused_count)
                 await self._enable_recorded_runners(stored)
             await curio.sleep(HEARTBEAT_SECONDS)
 
@@ -327,7 +365,14 @@
             await follower.changed.wait(seen, 1.0)
 
     def _reload_job(self, job_id: str) -> None:
-        stored_job = self._dependencies.jobs.state.find_job(job_id)
+        cell_state = self._dependencies.jobs.state
+        stored_job = cell_state.find_job(job_id)
+        if cell_state.has_refused_submission(job_id) or (
+            stored_job is None and cell_state.refused_jobs.contains(job_id)
+        ):
+            # A late append of an earlier attempt, or its deletion. If the job was accepted since,
+            # its submission is read later.
+            return
         if stored_job is not None and stored_job.unreadable:
             self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
             return
--- /dev/null
+++ b/dandelionreel/cell/owner/_refusals.py
@@ -0,0 +1,235 @@
+"""Refuses new jobs that would end too late to be of use, and stores which ones were refused.
+
+A client is answered "not run" only after a heartbeat of this owner that has the job's id was
+stored. A successor therefore knows the id, and starts no submission of it that the store carries
+out later. The stored heartbeat also proves that no successor had accepted the job before.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+import curio
+
+from dandelionreel.cell.decisions import (
+    Admission,
+    AdmissionVerdict,
+    BacklogChange,
+    RefusalReason,
+    WaitingOrder,
+)
+from dandelionreel.cell.model import (
+    MAX_DIGEST_REFUSALS,
+    SUBMISSION_PREFIX,
+    KeyedRecord,
+    RefusedJob,
+    Submission,
+    encode_digest,
+    make_record,
+    make_tombstone,
+)
+from dandelionreel.cell.owner._dependencies import DispatcherDependencies
+from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.kernel import ChangeNotifier, Part
+
+#: Seconds between forecasts of the load.
+FORECAST_SECONDS = 0.3
+#: Seconds after which a job is accepted whose refusal has not been stored: two heartbeats, and
+#: less than the relaying host waits.
+MAX_DECISION_SECONDS = 0.6
+#: Share of the time for a call that may pass before a job is accepted, so that it can be stored.
+MAX_DECISION_SHARE = 0.7
+#: Seconds for which a refused job is in every digest. Hosts that read all records need one; a host
+#: that starts from a snapshot reads only the newest.
+DIGEST_SECONDS = 3.0
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """A job was refused and is not run; ``retry_after`` is in whole seconds."""
+
+    reason: RefusalReason
+    retry_after: int
+
+
+class Refusals:
+    """The refusals of one term."""
+
+    def __init__(
+        self,
+        dependencies: DispatcherDependencies,
+        context: OwnerContext,
+        order: WaitingOrder,
+    ) -> None:
+        """Judge new jobs by the cell of ``context``, whose steps are placed in ``order``."""
+        self._owner_context = context
+        self._cell = context.cell
+        self._cell_state = dependencies.jobs.state
+        self._follower = dependencies.follower
+        self._clock = dependencies.clock
+        self._journal = dependencies.journal
+        self._count_refused_job = dependencies.count_refused_job
+        self._admission = Admission(context.cell, order)
+        self._recent: deque[RefusedJob] = deque()
+        #: Number of refusals, and how many of them are stored with a heartbeat.
+        self._refused_count = 0
+        self._stored_count = 0
+        self._stored = ChangeNotifier()
+
+    async def run(self) -> None:
+        """Forecast the load until the term ends."""
+        self._journal.log(
+            Part.JOBS,
+            'refuses new jobs when they would end too late to be of use.',
+            epoch=self._owner_context.term.epoch,
+        )
+        while True:
+            self._admission.refresh(self._clock.monotonic(), self._clock.unix_time())
+            self._log_changes()
+            await curio.sleep(FORECAST_SECONDS)
+
+    async def refuse_if_useless(
+        self, job_id: str, submission: Submission, timeout: float
+    ) -> Refusal | None:
+        """Return the refusal of a job that would end too late, ``None`` to accept it.
+
+        The job is accepted where a refusal cannot be relied upon: the store was not read up to a
+        time after the job's arrival, or the refusal is not stored in time.
+        """
+        now = self._clock.monotonic()
+        deadline = now + min(MAX_DECISION_SECONDS, MAX_DECISION_SHARE * timeout)
+        verdict = self._admission.judge(job_id, submission, now, self._clock.unix_time())
+        if verdict.reason is None or not self._may_refuse():
+            return None
+        if not await self._is_unknown_to_store(job_id, now, deadline):
+            return None
+        is_repeated = self._cell_state.refused_jobs.contains(job_id)
+        number = self._add(job_id)
+        if not await self._wait_until_stored(number, deadline) or self._is_known(job_id):
+            return None
+        retry_after = self._admission.next_retry_after(
+            submission.queue, verdict, self._clock.monotonic(), is_repeated=is_repeated
+        )
+        self._report(job_id, submission, verdict, verdict.reason, retry_after)
+        return Refusal(verdict.reason, retry_after)
+
+    def make_digest_content(self) -> tuple[bytes, int]:
+        """Return the encoded digest for a heartbeat, and the number of refusals it covers."""
+        oldest = self._clock.unix_time() - DIGEST_SECONDS
+        while self._recent and self._recent[0].at < oldest:
+            self._recent.popleft()
+        digest = self._admission.make_digest(tuple(self._recent))
+        return encode_digest(digest), self._refused_count
+
+    async def record_stored_heartbeat(self, number: int) -> None:
+        """Note that a heartbeat was stored whose digest covers that number of refusals."""
+        self._stored_count = max(self._stored_count, number)
+        await self._stored.notify()
+
+    def make_corrections(self) -> list[KeyedRecord]:
+        """Return the records that undo late appends of jobs which were refused since.
+
+        A job that was not accepted since is deleted. If it were cancelled, it would stay known, and
+        its client's next attempt would count as accepted.
+        """
+        late = {*self._cell_state.refused_submissions(), *self._cell_state.overwritten_jobs}
+        records = []
+        for job_id in late:
+            accepted = self._cell.job_by_id.get(job_id)
+            if accepted is None and not self._cell_state.has_refused_submission(job_id):
+                continue
+            if accepted is not None and (accepted.is_finished or not accepted.stored):
+                continue
+            outcome = 'deleted and not started' if accepted is None else 'replaced by the newer one'
+            self._journal.log(
+                Part.JOBS,
+                f'job {job_id} was stored after its refusal: the submission is {outcome}.',
+                job=job_id,
+                epoch=self._owner_context.term.epoch,
+            )
+            key = SUBMISSION_PREFIX + job_id
+            records.append(
+                make_tombstone(key) if accepted is None else make_record(key, accepted.submission)
+            )
+        return records
+
+    def _may_refuse(self) -> bool:
+        """Return whether this host acts as the owner, and the digest has room for another job."""
+        return self._owner_context.may_start_tasks() and len(self._recent) < MAX_DIGEST_REFUSALS
+
+    def _add(self, job_id: str) -> int:
+        """Add a refused job, and return its number."""
+        refused = RefusedJob(job_id, round(self._clock.unix_time(), 3))
+        self._cell_state.refused_jobs.merge((refused,), refused.at)
+        self._recent.append(refused)
+        self._refused_count += 1
+        return self._refused_count
+
+    def _is_known(self, job_id: str) -> bool:
+        return job_id in self._cell.job_by_id or self._cell_state.find_job(job_id) is not None
+
+    async def _is_unknown_to_store(self, job_id: str, since: float, deadline: float) -> bool:
+        """Return whether a read of the store that was sent after ``since`` has no such job.
+
+        Waits for the next read instead of requesting one: while many jobs are refused, each would
+        be an additional call to the store.
+        """
+        while self._follower.fresh_at < since:
+            seen = self._follower.changed.count
+            if not await self._wait(self._follower.changed, seen, deadline):
+                return False
+        return not self._is_known(job_id)
+
+    async def _wait_until_stored(self, number: int, deadline: float) -> bool:
+        while self._stored_count < number:
+            seen = self._stored.count
+            if not await self._wait(self._stored, seen, deadline):
+                return False
+        return self._owner_context.may_send_orders()
+
+    async def _wait(self, notifier: ChangeNotifier, seen: int, deadline: float) -> bool:
+        """Wait for the next change; return ``False`` once the deadline has passed."""
+        remaining = deadline - self._clock.monotonic()
+        if remaining <= 0:
+            return False
+        await notifier.wait(seen, remaining)
+        return True
+
+    def _report(
+        self,
+        job_id: str,
+        submission: Submission,
+        verdict: AdmissionVerdict,
+        reason: RefusalReason,
+        retry_after: int,
+    ) -> None:
+        self._count_refused_job(submission.queue, reason.value)
+        self._journal.log_sampled(
+            Part.JOBS,
+            f'job {job_id} is refused for {reason.value}: it would end too late to be of use.',
+            job=job_id,
+            queue=submission.queue,
+            account=submission.account,
+            wait=round(verdict.wait, 3),
+            path=round(verdict.path, 3),
+            limit=round(verdict.limit, 3),
+            retry_after=retry_after,
+            epoch=self._owner_context.term.epoch,
+        )
+
+    def _log_changes(self) -> None:
+        for change in self._admission.take_changes():
+            self._log_change(change)
+
+    def _log_change(self, change: BacklogChange) -> None:
+        verdict = change.verdict
+        outcome = 'refuses new jobs' if change.refuses else 'accepts new jobs again'
+        self._journal.log(
+            Part.JOBS,
+            f'queue {change.key.queue} {outcome}.',
+            queue=change.key.queue,
+            account=change.key.account,
+            wait=round(verdict.wait, 3),
+            path=round(verdict.path, 3),
+            limit=round(verdict.limit, 3),
+            epoch=self._owner_context.term.epoch,
+        )
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -6,7 +6,8 @@
 """
 
 import copy
-from collections.abc import Iterable
+import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -23,6 +24,7 @@
     Cancellation,
     JobState,
     KeyedRecord,
+    LoadDigest,
     Member,
     Owner,
     Progress,
@@ -33,8 +35,10 @@
     check_job_spec,
     check_leftovers,
     check_progress,
+    decode_digest,
     decode_json,
 )
+from dandelionreel.cell.store._refused_jobs import RefusedJobs
 
 _SUBMISSION = msgspec.json.Decoder(Submission)
 _CANCELLATION = msgspec.json.Decoder(Cancellation)
@@ -110,8 +114,17 @@
     ``take_changed_jobs``.
     """
 
-    def __init__(self) -> None:
-        """Start with an empty state."""
+    def __init__(self, get_unix_time: Callable[[], float] = time.time) -> None:
+        """Start with an empty state; ``get_unix_time`` returns the time by this host's clock."""
+        self._get_unix_time = get_unix_time
+        #: Kept when a snapshot is applied, which has only the newest of the owner's records.
+        self.refused_jobs = RefusedJobs()
+        #: Accepted jobs whose submission in the store was replaced by the late append of an attempt
+        #: before their refusal, or deleted with it; the owner stores them again.
+        self.overwritten_jobs: set[str] = set()
+        #: The newest digest of the cell's load, and why it cannot be read.
+        self.load_digest: LoadDigest | None = None
+        self.digest_error: UnreadableError | None = None
         self.clear()
 
     def clear(self) -> None:
@@ -136,6 +149,8 @@
         """Return the records of a job, ``None`` for an unknown job."""
         submission = self.submission_by_id.get(job)
         progress = self.progress_by_id.get(job)
+        if self.has_refused_submission(job):
+            submission = None
         stored = StoredJob(
             job,
             submission,
@@ -148,6 +163,22 @@
             return stored
         return stored if progress is not None and progress.state in FINAL_STATES else None
 
+    def is_accepted(self, job: str) -> bool:
+        """Return whether a job is stored and its client's retry must not overwrite it."""
+        stored_job = self.find_job(job)
+        return stored_job is not None and not stored_job.may_be_resubmitted
+
+    def has_refused_submission(self, job: str) -> bool:
+        """Return whether a job is stored that was refused since, and not accepted again."""
+        submission = self.submission_by_id.get(job)
+        if submission is None or job in self.progress_by_id:
+            return False
+        return self.refused_jobs.was_refused_after(job, submission.accepted_at)
+
+    def refused_submissions(self) -> list[str]:
+        """Return the jobs that are stored although they were refused."""
+        return [job for job in self.refused_jobs.ids() if self.has_refused_submission(job)]
+
     def job_accepted_at(self, job: str) -> float:
         """Return when a stored job was accepted, in Unix time."""
         return self.submission_by_id[job].accepted_at
@@ -286,15 +317,50 @@
         owner = decode_json(_OWNER, content)
         if self.owner is None or owner.epoch >= self.owner.epoch:
             self.owner = owner
+            self._apply_digest(bytes(owner.load))
+
+    def _apply_digest(self, content: bytes) -> None:
+        """Apply the digest of an owner's record; an unreadable one leaves no digest in force."""
+        self.load_digest = None
+        self.digest_error = None
+        if not content:
+            return
+        try:
+            self.load_digest = decode_digest(content)
+        except UnreadableError as error:
+            self.digest_error = error
+            return
+        self.refused_jobs.merge(self.load_digest.refused, self._get_unix_time())
 
     def _apply_submission(self, job: str, content: bytes | None) -> None:
-        if content is None:
-            self.submission_by_id.pop(job, None)
-        else:
-            submission = _decode_submission(job, content)
-            self._drop_inconsistent_progress(job, submission)
-            self.submission_by_id[job] = submission
+        submission = None if content is None else _decode_submission(job, content)
         self.changed_jobs.add(job)
+        if self._overwrites_accepted_job(job, submission):
+            self.overwritten_jobs.add(job)
+            return
+        self.overwritten_jobs.discard(job)
+        if submission is None:
+            self.submission_by_id.pop(job, None)
+            return
+        self._drop_inconsistent_progress(job, submission)
+        self.submission_by_id[job] = submission
+
+    def _overwrites_accepted_job(self, job: str, submission: Submission | None) -> bool:
+        """Return whether a record replaces or deletes a job that was accepted after its refusal.
+
+        Only the end of a job deletes its submission otherwise, and is stored before.
+        """
+        known = self.submission_by_id.get(job)
+        if known is None or not self.refused_jobs.contains(job):
+            return False
+        progress = self.progress_by_id.get(job)
+        if progress is not None and progress.state in FINAL_STATES:
+            return False
+        if self.refused_jobs.was_refused_after(job, known.accepted_at):
+            return False
+        return submission is None or self.refused_jobs.was_refused_after(
+            job, submission.accepted_at
+        )
 
     def _drop_inconsistent_progress(self, job: str, submission: Submission) -> None:
         """Mark progress that was read before its submission as unreadable if it does not match."""
--- a/dandelionreel/cell/store/_projections.py
+++ b/dandelionreel/cell/store/_projections.py
@@ -20,6 +20,8 @@
 MAX_GAP_SECONDS = 1.0
 #: Log lines on the errors in one configuration.
 MAX_LOGGED_PROBLEMS = 20
+#: Name of the owner's load digest in log lines, as if it were a record of its own.
+DIGEST_KEY = f'{OWNER_KEY}.load'
 
 
 class ConfigurationProjection(Projection):
@@ -124,7 +126,7 @@
         """Start with an empty state."""
         self._clock = clock
         self._unreadable = unreadable or UnreadableLog('cell', Part.LOG, clock, journal)
-        self.state = CellState()
+        self.state = CellState(clock.unix_time)
         #: The owner wrote its last heartbeat no later than this.
         self.owner_heartbeat_at = NEVER
         #: Moving average of the seconds between two heartbeats.
@@ -172,3 +174,7 @@
                 self._unreadable.log_readable(record.key)
                 continue
             self._unreadable.log_unreadable(record.key, error, 'its last known content is kept')
+        if self.state.digest_error is not None:
+            self._unreadable.log_unreadable(DIGEST_KEY, self.state.digest_error, 'it is ignored')
+        elif self.state.load_digest is not None:
+            self._unreadable.log_readable(DIGEST_KEY)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -315,6 +315,7 @@
             status_retention=settings.status_retention,
             get_runner_list_age=lambda: self._reads.runners_follower.age(self._clock.monotonic()),
             overload_control=settings.overload_control,
+            count_refused_job=self._metrics.count_refused_job,
         )
         while True:
             term = await self._election.wait_for_term(self._may_claim)
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -46,6 +46,12 @@
             ('topic', 'reason'),
             registry=self._registry,
         )
+        self._refused_jobs = Counter(
+            'dandelionreel_refused_jobs',
+            'Jobs that this host refused as the owner.',
+            ('queue', 'reason'),
+            registry=self._registry,
+        )
         self._owner = self._make_gauge('owner', 'Whether this host owns the cell.')
         self._store_age = self._make_gauge(
             'store_age_seconds', 'Age of what is known of the store.'
@@ -80,6 +86,10 @@
         """Count a record in the store that cannot be read."""
         self._unreadable.labels(topic, reason).inc()
 
+    def count_refused_job(self, queue: str, reason: str) -> None:
+        """Count a job that this host refused as the owner."""
+        self._refused_jobs.labels(queue, reason).inc()
+
     def update_gauges(
         self,
         cell: Cell | None,
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -175,6 +175,7 @@
             'body': request.body,
             'remainingMs': max(0, int(message.remaining * MILLISECONDS_PER_SECOND)),
             'hops': message.hops,
+            'mayRefuse': message.may_refuse,
         }
     )
     if message.caller is not None:
@@ -191,7 +192,11 @@
     node = root.forward
     request = Request(node.method, node.target, _decode_headers(node.headers), bytes(node.body))
     return Forward(
-        request, node.remainingMs / MILLISECONDS_PER_SECOND, node.hops, _decode_caller(node)
+        request,
+        node.remainingMs / MILLISECONDS_PER_SECOND,
+        node.hops,
+        _decode_caller(node),
+        node.mayRefuse,
     )
 
 
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -73,13 +73,15 @@
 
     ``remaining`` is the time to its deadline in seconds, ``hops`` the number of times it
     was forwarded. ``caller`` is the client account as identified by the sender, ``None``
-    if the sender did not check it.
+    if the sender did not check it. ``may_refuse`` says that the sender passes a refusal for
+    overload on to the client; senders of earlier versions would try another daemon.
     """
 
     request: Request
     remaining: float
     hops: int
     caller: Caller | None = None
+    may_refuse: bool = False
 
 
 @dataclass(frozen=True)
--- a/dandelionreel/records/_event_kinds.py
+++ b/dandelionreel/records/_event_kinds.py
@@ -16,6 +16,8 @@
     STALLED = 'no progress'
     HELD_BY_QUOTA = 'held by its quota'
     BEYOND_SHARE = 'beyond its share'
+    REFUSED_FOR_LOAD = 'refused for load'
+    REFUSED_FOR_QUOTA = 'refused for quota'
     START_SENT = 'asked'
     START_UNANSWERED = 'unanswered'
     START_ACCEPTED = 'taken'
@@ -52,6 +54,8 @@
         (r'jobs: job \S+ is (completed|failed|cancelled)\.', EventKind.JOB_FINISHED),
         (r'placement: job \S+ waits for its account', EventKind.HELD_BY_QUOTA),
         (r'jobs: job \S+ is beyond its account', EventKind.BEYOND_SHARE),
+        (r'jobs: job \S+ is refused for overload', EventKind.REFUSED_FOR_LOAD),
+        (r'jobs: job \S+ is refused for quota', EventKind.REFUSED_FOR_QUOTA),
         (r'placement: \d+ of \d+ runners are allowed', EventKind.WAITING),
         ('placement: no advice by ', EventKind.WAITING),
         ('placement: starts a task on ', EventKind.START_SENT),
--- a/dandelionreel/records/_job_histories.py
+++ b/dandelionreel/records/_job_histories.py
@@ -19,6 +19,8 @@
         EventKind.STOPPING,
         EventKind.HELD_BY_QUOTA,
         EventKind.BEYOND_SHARE,
+        EventKind.REFUSED_FOR_LOAD,
+        EventKind.REFUSED_FOR_QUOTA,
     )
 )
 CANCELLED = 'cancelled'
--- a/dandelionreel/records/_reasons.py
+++ b/dandelionreel/records/_reasons.py
@@ -42,6 +42,8 @@
     QUOTA = "its account's quota"
     SHARE = "its account's share"
     START_DELAYED = 'it waited for advice, seats or its gang'
+    OVERLOAD_REFUSAL = 'refused: too much work was waiting'
+    QUOTA_REFUSAL = "refused: its account's quota was in use"
     OTHER_REFUSAL = 'turned away for another cause'
     RAN_LONGER = 'it ran longer than declared'
 
@@ -76,7 +78,7 @@
     """Return why a job was not in time; ``log_end`` is the time of the last line."""
     submitted = history.submitted_at or log_end
     if history.accepted_at is None:
-        return _explain_not_accepted(
+        return _find_load_refusal(history) or _explain_not_accepted(
             submitted, history.refused_at or log_end, outages, total_outages
         )
     accepted = history.accepted_at
@@ -92,13 +94,22 @@
     if seconds_by_phase[longest_phase] <= NORMAL_DELAY_SECONDS:
         return _explain_long_run(history, outages, total_outages, TimeSpan(started, finished))
     if longest_phase == 'accepted':
-        return _explain_not_accepted(submitted, accepted, outages, total_outages)
+        return _find_load_refusal(history) or _explain_not_accepted(
+            submitted, accepted, outages, total_outages
+        )
     if longest_phase == 'started':
         return _explain_not_started(history, outages, total_outages, TimeSpan(accepted, started))
     scope = outages.find_store_outage_scope(finished, visible)
     return MissReason.STORE_END_NOT_SHOWN if scope else MissReason.STORE_SLOW
 
 
+def _find_load_refusal(history: JobHistory) -> MissReason | None:
+    """Return why the owner refused a job as useless, ``None`` if it did not."""
+    if EventKind.REFUSED_FOR_LOAD in history.incidents:
+        return MissReason.OVERLOAD_REFUSAL
+    return MissReason.QUOTA_REFUSAL if EventKind.REFUSED_FOR_QUOTA in history.incidents else None
+
+
 def _explain_not_accepted(
     since: float,
     until: float,
--- a/spec/run.py
+++ b/spec/run.py
@@ -3,6 +3,7 @@
 import sys
 
 from spec._model import check
+from spec.admission import ADMISSION
 from spec.attempts import ATTEMPTS
 from spec.behind_a_cut import BEHIND_A_CUT
 from spec.cancelling import CANCELLING
@@ -24,6 +25,7 @@
     CRASHES,
     INCARNATIONS,
     QUOTAS,
+    ADMISSION,
     OWNERSHIP,
     JOINING,
     ATTEMPTS,
