--- a/dandelionreel/cell/decisions/_admission.py
+++ b/dandelionreel/cell/decisions/_admission.py
@@ -157,12 +157,22 @@
         queue = self._cell.queue_of(job)
         if queue is None or not steps or any(step.long_running for step in job.spec.steps):
             return AdmissionVerdict()
+        task_cpu = min(step.step.counted_demand.cpu for step in steps)
+        if forecast.could_start_at_once(queue.service, job.account, task_cpu):
+            return AdmissionVerdict()
         job.exceeds_account_rate = self._cell.would_exceed_account_rate(submission)
         objective = self._cell.objective_of(job)
-        inputs = RankInputs(job, steps[0], queue.priority, 0, now + objective, now)
-        expected = forecast.expected_wait(queue.name, job.account, self._order.rank(inputs))
-        remaining = expected.after(now - forecast.made_at)
-        return self._judge_wait(job, remaining, MAX_USEFUL_LATENESS * objective, now)
+        path = self._path_seconds(job)
+        expected = ExpectedWait()
+        # A job is ranked before late ones until it is late itself. It waits behind them only if it
+        # cannot start in time.
+        for lateness in (0, 1):
+            inputs = RankInputs(job, steps[0], queue.priority, lateness, now + objective, now)
+            expected = forecast.expected_wait(queue.name, job.account, self._order.rank(inputs))
+            expected = expected.after(now - forecast.made_at)
+            if expected.seconds + path <= objective:
+                return AdmissionVerdict()
+        return self._judge_wait(job, expected, path, MAX_USEFUL_LATENESS * objective, now)
 
     def next_retry_after(
         self, queue: str, verdict: AdmissionVerdict, now: float, *, is_repeated: bool
@@ -204,17 +214,16 @@
         expected = self._forecast.expected_wait(key.queue, key.account)
         return expected.quota if key.account else expected.capacity
 
+    def _path_seconds(self, job: JobRun) -> float:
+        run_times, queue = self._cell.run_times, job.submission.queue
+        return critical_path_seconds(
+            job.spec, [run_times.expected_seconds(queue, step.estimate) for step in job.spec.steps]
+        )
+
     def _judge_wait(
-        self, job: JobRun, expected: ExpectedWait, limit: float, now: float
+        self, job: JobRun, expected: ExpectedWait, path: float, limit: float, now: float
     ) -> AdmissionVerdict:
         queue = job.submission.queue
-        path = critical_path_seconds(
-            job.spec,
-            [
-                self._cell.run_times.expected_seconds(queue, step.estimate)
-                for step in job.spec.steps
-            ],
-        )
         for reason, wait, key in (
             (RefusalReason.OVERLOAD, expected.capacity, BacklogKey(queue)),
             (RefusalReason.QUOTA, expected.quota, BacklogKey(queue, job.account)),
--- a/dandelionreel/cell/decisions/_load_forecast.py
+++ b/dandelionreel/cell/decisions/_load_forecast.py
@@ -26,9 +26,9 @@
 #: Steps of a queue ahead of a new one whose earliest start is its expected wait: single steps may
 #: wait for other reasons than load, such as a gang for slots.
 COMPARED_STEPS = 3
-#: Fraction of an expected wait for which a step ahead must have waited already; otherwise the
-#: forecast contradicts what is observed. Demand of 2.6 times the capacity gives 0.38.
-MIN_OBSERVED_FRACTION = 0.25
+#: Ratio of an expected wait to the longest wait so far of a step of the queue, above which the
+#: forecast is not relied upon. Demand of 2.6 times the capacity gives a ratio of 2.6.
+MAX_OBSERVED_RATIO = 4.0
 
 
 @dataclass
@@ -67,12 +67,31 @@
         return ExpectedWait(max(0.0, self.capacity - elapsed), max(0.0, self.quota - elapsed))
 
 
+@dataclass(frozen=True)
+class SpareCapacity:
+    """Processor capacity in millicores that a service's waiting steps leave free now."""
+
+    largest_on_runner: int
+    #: Unused quota of the accounts that have one and have steps waiting.
+    quota_by_account: dict[str, int]
+
+    def fits(self, cpu: int, account: str) -> bool:
+        """Return whether a task of an account could start at once."""
+        return cpu <= min(self.largest_on_runner, self.quota_by_account.get(account, cpu))
+
+
 class LoadForecast:
     """The simulated starts of all waiting steps, as of one time."""
 
-    def __init__(self, now: float, works: Iterable[WaitingWork]) -> None:
+    def __init__(
+        self,
+        now: float,
+        works: Iterable[WaitingWork],
+        spare_by_service: dict[str, SpareCapacity],
+    ) -> None:
         """Create the forecast of ``now`` for steps in the order of their rank."""
         self.made_at = now
+        self._spare_by_service = spare_by_service
         self._works_by_queue: dict[str, list[WaitingWork]] = {}
         for work in works:
             self._works_by_queue.setdefault(work.queue, []).append(work)
@@ -87,22 +106,30 @@
         works = self._works_by_queue.get(queue, ())
         return {work.account for work in works if work.is_at_quota}
 
+    def could_start_at_once(self, service: str, account: str, cpu: int) -> bool:
+        """Return whether capacity is left for a task now, after all waiting steps had their turn.
+
+        Steps ahead may be too wide for the free capacity of any runner.
+        """
+        spare = self._spare_by_service.get(service)
+        return spare is None or spare.fits(cpu, account)
+
     def expected_wait(self, queue: str, account: str, rank: Rank | None = None) -> ExpectedWait:
         """Return the wait of a new job, behind the steps of its queue that rank before it.
 
         Without ``rank`` it is behind all steps that can still end in time to be of use.
         """
-        ahead = [
-            work
-            for work in self._works_by_queue.get(queue, ())
-            if (not work.is_too_late if rank is None else work.rank < rank)
-        ]
-        by_quota = [work for work in ahead if work.is_at_quota and work.account == account]
-        by_capacity = [work for work in ahead if not work.is_at_quota]
-        return ExpectedWait(self._wait_behind(by_capacity), self._wait_behind(by_quota))
+        works = [work for work in self._works_by_queue.get(queue, ()) if not work.is_too_late]
+        by_quota = [work for work in works if work.is_at_quota and work.account == account]
+        by_capacity = [work for work in works if not work.is_at_quota]
+        return ExpectedWait(self._wait_behind(by_capacity, rank), self._wait_behind(by_quota, rank))
 
-    def _wait_behind(self, ahead: list[WaitingWork]) -> float:
-        """Return the wait behind these steps, 0 if too few are ahead or it is not observed yet."""
+    def _wait_behind(self, works: list[WaitingWork], rank: Rank | None) -> float:
+        """Return the wait behind the steps that rank before.
+
+        It is 0 if too few are ahead, and bounded by how long steps have waited already.
+        """
+        ahead = [work for work in works if rank is None or work.rank < rank]
         if len(ahead) < COMPARED_STEPS:
             return 0.0
         horizon = self.made_at + SIMULATED_RANGES[-1][0]
@@ -111,8 +138,8 @@
             for work in ahead[-COMPARED_STEPS:]
         ]
         wait = min(starts) - self.made_at
-        longest_observed = self.made_at - min(work.accepted_at for work in ahead)
-        return wait if longest_observed >= MIN_OBSERVED_FRACTION * wait else 0.0
+        longest_observed = self.made_at - min(work.accepted_at for work in works)
+        return min(wait, MAX_OBSERVED_RATIO * longest_observed)
 
 
 def make_forecast(
@@ -130,12 +157,15 @@
         if candidate.step.step.counted_demand.cpu and len(works) < MAX_SIMULATED_STEPS:
             works.append(_make_work(cell, candidate))
     simulated: list[WaitingWork] = []
+    spare_by_service: dict[str, SpareCapacity] = {}
     for service, waiting in works_by_service.items():
         runners = [runner for runner in cell.runner_by_id.values() if _counts(runner, service)]
         if runners:
-            _Simulation(cell, runners, waiting, now).run()
+            simulation = _Simulation(cell, runners, waiting, now)
+            spare_by_service[service] = simulation.fill_runners()
+            simulation.run()
             simulated.extend(waiting)
-    return LoadForecast(now, simulated)
+    return LoadForecast(now, simulated, spare_by_service)
 
 
 def _counts(runner: RunnerState, service: str) -> bool:
@@ -170,7 +200,8 @@
     ) -> None:
         self._now = now
         self._works = works
-        self._free = sum(max(0, runner.free_capacity.cpu) for runner in runners)
+        self._free_on_runners = [max(0, runner.free_capacity.cpu) for runner in runners]
+        self._free = sum(self._free_on_runners)
         #: When a run ends, its processor demand and its account.
         self._ends = [
             (expected_end(held, now), held.demand.cpu, held.account)
@@ -185,16 +216,28 @@
                 used = cell.quotas.used(account).cpu
                 self._quota_left_by_account[account] = configured.quota.cpu - used
 
+    def fill_runners(self) -> SpareCapacity:
+        """Start what fits on single runners now; return what is left free."""
+        largest = max(self._free_on_runners)
+        for work in self._works:
+            if work.cpu > largest:
+                continue
+            for number, free in enumerate(self._free_on_runners):
+                started = self._start_tasks(work, self._now, free)
+                self._free_on_runners[number] -= started * work.cpu
+            largest = max(self._free_on_runners)
+        return SpareCapacity(largest, dict(self._quota_left_by_account))
+
     def run(self) -> None:
         """Set the start of each step that starts within the simulated time."""
-        pending = self._works
+        pending = [work for work in self._works if work.left]
         for at in _simulated_times(self._now):
             self._end_runs(at)
             smallest = min((work.cpu for work in pending), default=0)
             for work in pending:
                 if self._free < smallest:
                     break
-                self._start_tasks(work, at)
+                self._start_tasks(work, at, self._free)
             pending = [work for work in pending if work.left]
             if not pending:
                 return
@@ -207,10 +250,11 @@
             if quota_left is not None:
                 self._quota_left_by_account[account] = quota_left + cpu
 
-    def _start_tasks(self, work: WaitingWork, at: float) -> None:
-        fitting = min(work.left, self._free // work.cpu)
+    def _start_tasks(self, work: WaitingWork, at: float, free: int) -> int:
+        """Start tasks of a step that fit into free capacity and quota; return how many."""
+        fitting = min(work.left, free // work.cpu)
         if not fitting:
-            return
+            return 0
         quota_left = self._quota_left_by_account.get(work.account)
         count = fitting
         if quota_left is not None:
@@ -218,11 +262,12 @@
             work.is_at_quota = work.is_at_quota or (not count and work.starts_at is None)
             self._quota_left_by_account[work.account] = quota_left - count * work.cpu
         if not count:
-            return
+            return 0
         work.starts_at = at if work.starts_at is None else work.starts_at
         work.left -= count
         self._free -= count * work.cpu
         heapq.heappush(self._ends, (at + work.seconds, count * work.cpu, work.account))
+        return count
 
 
 def _simulated_times(now: float) -> Iterator[float]:
--- a/features/review.feature
+++ b/features/review.feature
@@ -22,6 +22,9 @@
       | the job runs longer than declared               | late     | it ran longer than declared           |
       | the job waits for its account's quota           | late     | its account's quota                   |
       | the job is beyond its account's share           | late     | its account's share                   |
+      | the owner refuses the job for overload          | refused  | refused: too much work was waiting    |
+      | the owner refuses the job for its account's quota | refused | refused: its account's quota was in use |
+      | the owner refuses the job at first              | late     | refused: too much work was waiting    |
 
   Scenario: Jobs that were in time or cancelled
     Given the logs of hosts in three zones, in which the job is in time
--- a/features/steps/review_steps.py
+++ b/features/steps/review_steps.py
@@ -42,6 +42,13 @@
     return (at, host, 'jobs: POST ID: not stored.', {**QUEUE_FIELDS, 'seconds': 0.1, 'tried': []})
 
 
+def refused_by_owner(reason):
+    """Return the events of a job that the owner refuses as useless."""
+    sentence = f'jobs: job ID is refused for {reason}: it would end too late to be of use.'
+    fields = {**QUEUE_FIELDS, 'seconds': 0.3}
+    return ((0.99, 'b', sentence, {}), (1.0, 'a', 'jobs: POST ID: 503 by a peer.', fields))
+
+
 EVENTS_BY_CASE = {
     'the job is in time': (ACCEPTED, STARTED, job_finished(1.5), end_stored(1.51)),
     'the job is cancelled': (
@@ -134,6 +141,15 @@
         job_finished(2.9),
         end_stored(2.9),
     ),
+    'the owner refuses the job for overload': (*refused_by_owner('overload'),),
+    "the owner refuses the job for its account's quota": (*refused_by_owner('quota'),),
+    'the owner refuses the job at first': (
+        *refused_by_owner('overload'),
+        (3.0, *ACCEPTED[1:]),
+        (3.1, *STARTED[1:]),
+        job_finished(3.5),
+        end_stored(3.5),
+    ),
     'the job runs longer than declared': (
         ACCEPTED,
         STARTED,
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -82,9 +82,12 @@
 
 
 def make_dispatcher(
-    host, term, topic, clock, make_runner=make_registration, runners=None, links=None
+    host, term, topic, clock, make_runner=make_registration, runners=None, links=None, **settings
 ):
-    """Return the dispatcher of a host in ``term``, by default without runners."""
+    """Return the dispatcher of a host in ``term``, by default without runners.
+
+    ``settings`` are further fields of its dependencies.
+    """
     dependencies = DispatcherDependencies(
         topic=topic,
         follower=host.follower,
@@ -102,6 +105,7 @@
         gang_timeout=3.0,
         max_lease=10.0,
         status_retention=120,
+        **settings,
     )
     return Dispatcher(dependencies, term)
 
