Admission: nothing is refused while a task of the queue has a free slot

Cause: the forecast gave free capacity to steps of other queues that rank before, although they could not use it, for lack of permits or of capacity for a whole gang.

--- a/dandelionreel/cell/decisions/_admission.py
+++ b/dandelionreel/cell/decisions/_admission.py
@@ -158,7 +158,7 @@
         if queue is None or not steps or any(step.long_running for step in job.spec.steps):
             return AdmissionVerdict()
         task_cpu = min(step.step.counted_demand.cpu for step in steps)
-        if forecast.could_start_at_once(queue.service, job.account, task_cpu):
+        if forecast.could_start_at_once(queue.service, queue.name, job.account, task_cpu):
             return AdmissionVerdict()
         job.exceeds_account_rate = self._cell.would_exceed_account_rate(submission)
         objective = self._cell.objective_of(job)
--- a/dandelionreel/cell/decisions/_load_forecast.py
+++ b/dandelionreel/cell/decisions/_load_forecast.py
@@ -39,11 +39,13 @@
     queue: str
     account: str
     cpu: int
-    left: int
+    tasks: int
     seconds: float
     accepted_at: float
     #: Whether its job would end too late to be of use; such jobs rank behind all others.
     is_too_late: bool
+    #: Tasks that the simulation has not started yet.
+    left: int = 0
     #: When its first task starts, ``None`` if not within the simulated time.
     starts_at: float | None = None
     #: Whether capacity was free for it, but not the quota of its account.
@@ -68,16 +70,16 @@
 
 
 @dataclass(frozen=True)
-class SpareCapacity:
-    """Processor capacity in millicores that a service's waiting steps leave free now."""
+class FreeCapacity:
+    """Processor capacity in millicores that is free on a service's runners now."""
 
-    largest_on_runner: int
+    on_runners: list[int]
     #: Unused quota of the accounts that have one and have steps waiting.
     quota_by_account: dict[str, int]
 
-    def fits(self, cpu: int, account: str) -> bool:
-        """Return whether a task of an account could start at once."""
-        return cpu <= min(self.largest_on_runner, self.quota_by_account.get(account, cpu))
+    def count_slots(self, cpu: int) -> int:
+        """Return how many tasks of that demand the runners have capacity for."""
+        return sum(free // cpu for free in self.on_runners)
 
 
 class LoadForecast:
@@ -87,11 +89,11 @@
         self,
         now: float,
         works: Iterable[WaitingWork],
-        spare_by_service: dict[str, SpareCapacity],
+        free_by_service: dict[str, FreeCapacity],
     ) -> None:
         """Create the forecast of ``now`` for steps in the order of their rank."""
         self.made_at = now
-        self._spare_by_service = spare_by_service
+        self._free_by_service = free_by_service
         self._works_by_queue: dict[str, list[WaitingWork]] = {}
         for work in works:
             self._works_by_queue.setdefault(work.queue, []).append(work)
@@ -106,13 +108,26 @@
         works = self._works_by_queue.get(queue, ())
         return {work.account for work in works if work.is_at_quota}
 
-    def could_start_at_once(self, service: str, account: str, cpu: int) -> bool:
-        """Return whether capacity is left for a task now, after all waiting steps had their turn.
+    def could_start_at_once(self, service: str, queue: str, account: str, cpu: int) -> bool:
+        """Return whether there is capacity now for a task besides the waiting ones of its queue.
 
-        Steps ahead may be too wide for the free capacity of any runner.
+        Steps of other queues do not count, even if they rank before: capacity that is free while
+        they wait is of no use to them, for lack of permits or of capacity for a whole gang. Nor do
+        steps that are too wide for the free capacity of any runner.
         """
-        spare = self._spare_by_service.get(service)
-        return spare is None or spare.fits(cpu, account)
+        free = self._free_by_service.get(service)
+        if free is None or not cpu:
+            return True
+        widest = max(free.on_runners)
+        ahead = [
+            work
+            for work in self._works_by_queue.get(queue, ())
+            if work.cpu <= widest and not work.is_at_quota
+        ]
+        if free.count_slots(cpu) <= sum(work.tasks for work in ahead):
+            return False
+        needed = cpu + sum(work.tasks * work.cpu for work in ahead if work.account == account)
+        return needed <= free.quota_by_account.get(account, needed)
 
     def expected_wait(self, queue: str, account: str, rank: Rank | None = None) -> ExpectedWait:
         """Return the wait of a new job, behind the steps of its queue that rank before it.
@@ -157,15 +172,15 @@
         if candidate.step.step.counted_demand.cpu and len(works) < MAX_SIMULATED_STEPS:
             works.append(_make_work(cell, candidate))
     simulated: list[WaitingWork] = []
-    spare_by_service: dict[str, SpareCapacity] = {}
+    free_by_service: dict[str, FreeCapacity] = {}
     for service, waiting in works_by_service.items():
         runners = [runner for runner in cell.runner_by_id.values() if _counts(runner, service)]
         if runners:
             simulation = _Simulation(cell, runners, waiting, now)
-            spare_by_service[service] = simulation.fill_runners()
+            free_by_service[service] = simulation.free_capacity
             simulation.run()
             simulated.extend(waiting)
-    return LoadForecast(now, simulated, spare_by_service)
+    return LoadForecast(now, simulated, free_by_service)
 
 
 def _counts(runner: RunnerState, service: str) -> bool:
@@ -200,8 +215,8 @@
     ) -> None:
         self._now = now
         self._works = works
-        self._free_on_runners = [max(0, runner.free_capacity.cpu) for runner in runners]
-        self._free = sum(self._free_on_runners)
+        free_on_runners = [max(0, runner.free_capacity.cpu) for runner in runners]
+        self._free = sum(free_on_runners)
         #: When a run ends, its processor demand and its account.
         self._ends = [
             (expected_end(held, now), held.demand.cpu, held.account)
@@ -215,29 +230,20 @@
             if configured is not None and configured.quota is not None:
                 used = cell.quotas.used(account).cpu
                 self._quota_left_by_account[account] = configured.quota.cpu - used
-
-    def fill_runners(self) -> SpareCapacity:
-        """Start what fits on single runners now; return what is left free."""
-        largest = max(self._free_on_runners)
-        for work in self._works:
-            if work.cpu > largest:
-                continue
-            for number, free in enumerate(self._free_on_runners):
-                started = self._start_tasks(work, self._now, free)
-                self._free_on_runners[number] -= started * work.cpu
-            largest = max(self._free_on_runners)
-        return SpareCapacity(largest, dict(self._quota_left_by_account))
+        self.free_capacity = FreeCapacity(free_on_runners, dict(self._quota_left_by_account))
 
     def run(self) -> None:
         """Set the start of each step that starts within the simulated time."""
-        pending = [work for work in self._works if work.left]
+        pending = self._works
+        for work in pending:
+            work.left = work.tasks
         for at in _simulated_times(self._now):
             self._end_runs(at)
             smallest = min((work.cpu for work in pending), default=0)
             for work in pending:
                 if self._free < smallest:
                     break
-                self._start_tasks(work, at, self._free)
+                self._start_tasks(work, at)
             pending = [work for work in pending if work.left]
             if not pending:
                 return
@@ -250,11 +256,10 @@
             if quota_left is not None:
                 self._quota_left_by_account[account] = quota_left + cpu
 
-    def _start_tasks(self, work: WaitingWork, at: float, free: int) -> int:
-        """Start tasks of a step that fit into free capacity and quota; return how many."""
-        fitting = min(work.left, free // work.cpu)
+    def _start_tasks(self, work: WaitingWork, at: float) -> None:
+        fitting = min(work.left, self._free // work.cpu)
         if not fitting:
-            return 0
+            return
         quota_left = self._quota_left_by_account.get(work.account)
         count = fitting
         if quota_left is not None:
@@ -262,12 +267,11 @@
             work.is_at_quota = work.is_at_quota or (not count and work.starts_at is None)
             self._quota_left_by_account[work.account] = quota_left - count * work.cpu
         if not count:
-            return 0
+            return
         work.starts_at = at if work.starts_at is None else work.starts_at
         work.left -= count
         self._free -= count * work.cpu
         heapq.heappush(self._ends, (at + work.seconds, count * work.cpu, work.account))
-        return count
 
 
 def _simulated_times(now: float) -> Iterator[float]:
