Admission: a refusal counts from the time of the relaying host's attempt

Cause: a host whose link to the owner breaks before the refusal arrives stores the job itself. Its submission had the time of the call's arrival, which is before the refusal, so the owner would have deleted an accepted job.

--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -36,7 +36,13 @@
     make_record,
 )
 from dandelionreel.cell.owner import Dispatcher
-from dandelionreel.cell.store import CellProjection, ConfigurationProjection, Follower, StoredJob
+from dandelionreel.cell.store import (
+    MAX_CLOCK_SKEW_SECONDS,
+    CellProjection,
+    ConfigurationProjection,
+    Follower,
+    StoredJob,
+)
 from dandelionreel.http import Request, Response
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
 from dandelionreel.peers import ForwardAnswer, Frame, Message
@@ -153,8 +159,8 @@
         caller = await self._access.identify_caller(request, queue, forwarded)
         if isinstance(caller, DenialReason):
             return self._answer_denied(request, path, caller)
-        may_refuse = forward is None or forward.may_refuse
-        call = ClientCall(request, caller, zone, received_at, forward is not None, may_refuse)
+        attempted_at = self._clock.unix_time() if forward is None else forward.attempted_at
+        call = ClientCall(request, caller, zone, received_at, forward is not None, attempted_at)
         response = await self._answer_call(
             call, configuration, queue, path[len(queue.path_prefix) :]
         )
@@ -229,21 +235,40 @@
             return not_run_response(HTTP_BAD_REQUEST, 'bad-job', f'{error}')
         if not self._steps_fit_quota(call, configuration, spec):
             return self._answer_over_quota(call, job_id)
-        accepted_at = self._jobs.state.refused_jobs.acceptance_time(job_id, self._clock.unix_time())
-        submission = Submission(
-            queue.name, queue.service, accepted_at, spec, call.zone, call.caller.account
-        )
+        arrived_at = self._clock.unix_time()
+
+        def make_submission() -> Submission:
+            accepted_at = self._acceptance_time(call, job_id, arrived_at)
+            return Submission(
+                queue.name, queue.service, accepted_at, spec, call.zone, call.caller.account
+            )
+
         return await self._writes.store_record(
             call,
-            make_record(SUBMISSION_PREFIX + job_id, submission),
+            lambda: make_record(SUBMISSION_PREFIX + job_id, make_submission()),
             lambda owner, timeout: owner.accept_job(
-                job_id, submission, timeout, may_refuse=call.may_refuse
+                job_id, make_submission(), timeout, attempted_at=call.attempted_at
             ),
             partial(self._log_request_outcome, request, job_id),
             queue=queue.name,
             account=call.caller.account,
         )
 
+    def _acceptance_time(self, call: ClientCall, job_id: str, arrived_at: float) -> float:
+        """Return the time to store with a submission that is accepted now.
+
+        Where jobs may be refused, it is that of the present attempt, and not before that of the
+        host that forwarded the call, even if that host's clock is ahead: the owner may have refused
+        an earlier attempt of the same call.
+        """
+        state = self._jobs.state
+        if not state.has_read_digest:
+            return arrived_at
+        unix_time = self._clock.unix_time()
+        if call.attempted_at < unix_time + MAX_CLOCK_SKEW_SECONDS:
+            unix_time = max(unix_time, call.attempted_at)
+        return state.refused_jobs.acceptance_time(job_id, unix_time)
+
     def _steps_fit_quota(
         self, call: ClientCall, configuration: Configuration, spec: JobSpec
     ) -> bool:
@@ -315,7 +340,7 @@
         record = make_record(CANCELLATION_PREFIX + job_id, Cancellation(self._clock.unix_time()))
         return await self._writes.store_record(
             call,
-            record,
+            lambda: record,
             lambda owner, timeout: owner.cancel_job(job_id, timeout),
             partial(self._log_request_outcome, call.request, job_id),
         )
--- a/dandelionreel/cell/clients/_client_call.py
+++ b/dandelionreel/cell/clients/_client_call.py
@@ -29,8 +29,9 @@
     """A call with its caller, and where and when it arrived.
 
     ``zone`` is that of the host that received it from the client, ``received_at`` is in
-    monotonic seconds. ``relayed`` says that a peer has forwarded it, ``may_refuse`` that a refusal
-    for overload reaches the client.
+    monotonic seconds. ``relayed`` says that a peer has forwarded it. ``attempted_at`` is the Unix
+    time at which the attempt to handle it began, by the clock of the host that received it from the
+    client, 0 where a refusal for overload would not reach the client.
     """
 
     request: Request
@@ -38,7 +39,7 @@
     zone: str
     received_at: float
     relayed: bool
-    may_refuse: bool = True
+    attempted_at: float = 0.0
 
     @property
     def timeout(self) -> float:
--- a/dandelionreel/cell/clients/_client_writes.py
+++ b/dandelionreel/cell/clients/_client_writes.py
@@ -46,6 +46,9 @@
 
 Attempt = Callable[[float, _WriteAttempts], Awaitable[Response | None]]
 StoreAtOwner = Callable[[Dispatcher, float], Awaitable[WriteOutcome | Refusal]]
+#: Makes a record for one attempt; a submission has the time of the attempt, since the owner may
+#: have refused an earlier one.
+MakeRecord = Callable[[], KeyedRecord]
 Forwarder = Callable[[ClientCall, float], Awaitable[RelayResult]]
 #: Logs the outcome of a call, with further fields.
 LogOutcome = Callable[..., None]
@@ -78,7 +81,7 @@
     async def store_record(
         self,
         call: ClientCall,
-        record: KeyedRecord,
+        make_record: MakeRecord,
         store_at_owner: StoreAtOwner,
         log: LogOutcome,
         **fields: str,
@@ -91,7 +94,7 @@
         started_at = self._clock.monotonic()
         deadline = started_at + call.timeout
         attempts = _WriteAttempts()
-        for attempt in self._list_attempts(call, record, store_at_owner):
+        for attempt in self._list_attempts(call, make_record, store_at_owner):
             remaining = deadline - self._clock.monotonic()
             if remaining <= 0 or await self._is_host_cut_off(attempts):
                 break
@@ -146,7 +149,7 @@
     def _list_attempts(
         self,
         call: ClientCall,
-        record: KeyedRecord,
+        make_record: MakeRecord,
         store_at_owner: StoreAtOwner,
     ) -> Iterator[Attempt]:
         """Yield the ways to store a record, the best one first."""
@@ -163,11 +166,11 @@
             call.relayed or self._relay.find_zone_writer() is None
         )
         if appends_itself:
-            yield self._attempt_by_this_host(record)
+            yield self._attempt_by_this_host(make_record)
         if store_unreachable and not call.relayed:
             yield self._attempt_by_peer(call, self._relay.forward_to_any_peer)
         if not appends_itself and self._may_append_without_owner():
-            yield self._attempt_by_this_host(record)
+            yield self._attempt_by_this_host(make_record)
 
     def _attempt_by_owner(self, dispatcher: Dispatcher, store_at_owner: StoreAtOwner) -> Attempt:
         async def by_owner(remaining: float, attempts: _WriteAttempts) -> Response | None:
@@ -182,10 +185,11 @@
 
         return by_owner
 
-    def _attempt_by_this_host(self, record: KeyedRecord) -> Attempt:
+    def _attempt_by_this_host(self, make_record: MakeRecord) -> Attempt:
         async def by_this_host(remaining: float, attempts: _WriteAttempts) -> Response | None:
             attempts.attempted_by = 'this host'
-            outcome = await self._writer.write([record], min(remaining, APPEND_TIMEOUT_SECONDS))
+            timeout = min(remaining, APPEND_TIMEOUT_SECONDS)
+            outcome = await self._writer.write([make_record()], timeout)
             return self._record_write_outcome(outcome, attempts)
 
         return by_this_host
--- a/dandelionreel/cell/clients/_relay.py
+++ b/dandelionreel/cell/clients/_relay.py
@@ -126,7 +126,9 @@
         call: ClientCall,
         timeout: float,
     ) -> RelayResult:
-        forward = Forward(_strip_key(call.request), timeout, 1, call.caller, may_refuse=True)
+        forward = Forward(
+            _strip_key(call.request), timeout, 1, call.caller, self._clock.unix_time()
+        )
         try:
             frame = await self._links.request(member, forward, timeout)
         except PeerError as error:
--- a/dandelionreel/cell/model/_load_digest.py
+++ b/dandelionreel/cell/model/_load_digest.py
@@ -33,7 +33,10 @@
 
 
 class RefusedJob(msgspec.Struct, frozen=True, array_like=True):
-    """A job that the owner refused, and when, in Unix time by the owner's clock."""
+    """A job that the owner refused.
+
+    ``at`` is the Unix time of the refused attempt, by the clock of the host that got it.
+    """
 
     job: str
     at: float
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -150,17 +150,19 @@
         await self._owner_context.ended.set()
 
     async def accept_job(
-        self, job_id: str, submission: Submission, timeout: float, *, may_refuse: bool = False
+        self, job_id: str, submission: Submission, timeout: float, *, attempted_at: float = 0.0
     ) -> WriteOutcome | Refusal:
         """Store a job; planning and advice requests for it begin meanwhile.
 
         While the store is slow, the job is stored as possibly running on any runner. Its starts
-        then need no append for each new runner. With ``may_refuse``, a job that would end too late
-        to be of use is refused instead.
+        then need no append for each new runner. A job that would end too late to be of use is
+        refused instead if ``attempted_at`` is set, the Unix time of the client's attempt.
         """
-        if may_refuse and self._refusals is not None and job_id not in self.cell.job_by_id:
+        if attempted_at and self._refusals is not None and job_id not in self.cell.job_by_id:
             judged_at = self._clock.monotonic()
-            refusal = await self._refusals.refuse_if_useless(job_id, submission, timeout)
+            refusal = await self._refusals.refuse_if_useless(
+                job_id, submission, timeout, attempted_at
+            )
             if refusal is not None:
                 return refusal
             if self._dependencies.jobs.state.is_accepted(job_id):
--- a/dandelionreel/cell/owner/_refusals.py
+++ b/dandelionreel/cell/owner/_refusals.py
@@ -38,6 +38,9 @@
 MAX_DECISION_SECONDS = 0.6
 #: Share of the time for a call that may pass before a job is accepted, so that it can be stored.
 MAX_DECISION_SHARE = 0.7
+#: Largest difference in seconds between the time of an attempt and this host's clock at which the
+#: job may be refused: the call's timeout, with allowance for clock differences.
+MAX_ATTEMPT_SKEW_SECONDS = 4.0
 #: Seconds for which a refused job is in every digest. Hosts that read all records need one; a host
 #: that starts from a snapshot reads only the newest.
 DIGEST_SECONDS = 3.0
@@ -69,7 +72,8 @@
         self._journal = dependencies.journal
         self._count_refused_job = dependencies.count_refused_job
         self._admission = Admission(context.cell, order)
-        self._recent: deque[RefusedJob] = deque()
+        #: Jobs refused lately, each with the time in monotonic seconds.
+        self._recent: deque[tuple[float, RefusedJob]] = deque()
         #: Number of refusals, and how many of them are stored with a heartbeat.
         self._refused_count = 0
         self._stored_count = 0
@@ -88,22 +92,25 @@
             await curio.sleep(FORECAST_SECONDS)
 
     async def refuse_if_useless(
-        self, job_id: str, submission: Submission, timeout: float
+        self, job_id: str, submission: Submission, timeout: float, attempted_at: float
     ) -> Refusal | None:
         """Return the refusal of a job that would end too late, ``None`` to accept it.
 
+        The refusal counts from the time of the attempt by the clock of the host that relays it. If
+        that host does not get the answer and stores the job itself, that is a later attempt.
+
         The job is accepted where a refusal cannot be relied upon: the store was not read up to a
         time after the job's arrival, or the refusal is not stored in time.
         """
         now = self._clock.monotonic()
         deadline = now + min(MAX_DECISION_SECONDS, MAX_DECISION_SHARE * timeout)
         verdict = self._admission.judge(job_id, submission, now, self._clock.unix_time())
-        if verdict.reason is None or not self._may_refuse():
+        if verdict.reason is None or not self._may_refuse(attempted_at):
             return None
         if not await self._is_unknown_to_store(job_id, now, deadline):
             return None
         is_repeated = self._cell_state.refused_jobs.contains(job_id)
-        number = self._add(job_id)
+        number = self._add(job_id, attempted_at)
         if not await self._wait_until_stored(number, deadline) or self._is_known(job_id):
             return None
         retry_after = self._admission.next_retry_after(
@@ -114,10 +121,10 @@
 
     def make_digest_content(self) -> tuple[bytes, int]:
         """Return the encoded digest for a heartbeat, and the number of refusals it covers."""
-        oldest = self._clock.unix_time() - DIGEST_SECONDS
-        while self._recent and self._recent[0].at < oldest:
+        oldest = self._clock.monotonic() - DIGEST_SECONDS
+        while self._recent and self._recent[0][0] < oldest:
             self._recent.popleft()
-        digest = self._admission.make_digest(tuple(self._recent))
+        digest = self._admission.make_digest(tuple(refused for _, refused in self._recent))
         return encode_digest(digest), self._refused_count
 
     async def record_stored_heartbeat(self, number: int) -> None:
@@ -152,15 +159,17 @@
             )
         return records
 
-    def _may_refuse(self) -> bool:
-        """Return whether this host acts as the owner, and the digest has room for another job."""
+    def _may_refuse(self, attempted_at: float) -> bool:
+        """Return whether this host acts as the owner and can store the refusal with a heartbeat."""
+        if abs(attempted_at - self._clock.unix_time()) > MAX_ATTEMPT_SKEW_SECONDS:
+            return False
         return self._owner_context.may_start_tasks() and len(self._recent) < MAX_DIGEST_REFUSALS
 
-    def _add(self, job_id: str) -> int:
+    def _add(self, job_id: str, attempted_at: float) -> int:
         """Add a refused job, and return its number."""
-        refused = RefusedJob(job_id, round(self._clock.unix_time(), 3))
-        self._cell_state.refused_jobs.merge((refused,), refused.at)
-        self._recent.append(refused)
+        refused = RefusedJob(job_id, attempted_at)
+        self._cell_state.refused_jobs.merge((refused,), self._clock.unix_time())
+        self._recent.append((self._clock.monotonic(), refused))
         self._refused_count += 1
         return self._refused_count
 
--- a/dandelionreel/cell/store/__init__.py
+++ b/dandelionreel/cell/store/__init__.py
@@ -3,7 +3,7 @@
 from dandelionreel.cell.store._cell_state import CellState, StoredJob
 from dandelionreel.cell.store._follower import Follower, Projection
 from dandelionreel.cell.store._projections import CellProjection, ConfigurationProjection
-from dandelionreel.cell.store._refused_jobs import RefusedJobs
+from dandelionreel.cell.store._refused_jobs import MAX_CLOCK_SKEW_SECONDS, RefusedJobs
 from dandelionreel.cell.store._runner_projection import RunnerProjection
 from dandelionreel.cell.store._writer import GroupWriter, WriteOutcome
 
@@ -13,6 +13,7 @@
     'ConfigurationProjection',
     'Follower',
     'GroupWriter',
+    'MAX_CLOCK_SKEW_SECONDS',
     'Projection',
     'RefusedJobs',
     'RunnerProjection',
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -125,6 +125,8 @@
         #: The newest digest of the cell's load, and why it cannot be read.
         self.load_digest: LoadDigest | None = None
         self.digest_error: UnreadableError | None = None
+        #: Whether any owner has stored a digest, so that jobs may have been refused.
+        self.has_read_digest = False
         self.clear()
 
     def clear(self) -> None:
@@ -330,6 +332,7 @@
         except UnreadableError as error:
             self.digest_error = error
             return
+        self.has_read_digest = True
         self.refused_jobs.merge(self.load_digest.refused, self._get_unix_time())
 
     def _apply_submission(self, job: str, content: bytes | None) -> None:
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -175,7 +175,7 @@
             'body': request.body,
             'remainingMs': max(0, int(message.remaining * MILLISECONDS_PER_SECOND)),
             'hops': message.hops,
-            'mayRefuse': message.may_refuse,
+            'attemptedAt': message.attempted_at,
         }
     )
     if message.caller is not None:
@@ -196,7 +196,7 @@
         node.remainingMs / MILLISECONDS_PER_SECOND,
         node.hops,
         _decode_caller(node),
-        node.mayRefuse,
+        node.attemptedAt,
     )
 
 
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -73,15 +73,15 @@
 
     ``remaining`` is the time to its deadline in seconds, ``hops`` the number of times it
     was forwarded. ``caller`` is the client account as identified by the sender, ``None``
-    if the sender did not check it. ``may_refuse`` says that the sender passes a refusal for
-    overload on to the client; senders of earlier versions would try another daemon.
+    if the sender did not check it. ``attempted_at`` is the Unix time by the sender's clock,
+    0 from senders of earlier versions. Others pass a refusal for overload on to the client.
     """
 
     request: Request
     remaining: float
     hops: int
     caller: Caller | None = None
-    may_refuse: bool = False
+    attempted_at: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/dandelionreel/peers/schema.capnp
+++ b/dandelionreel/peers/schema.capnp
@@ -119,8 +119,9 @@
   hops @5 :UInt8;
   caller @6 :Caller;
   # Missing if the sender did not identify the client account.
-  mayRefuse @7 :Bool;
-  # The sender passes a refusal for overload on to the client instead of trying another host.
+  attemptedAt @7 :Float64;
+  # Unix time by the sender's clock. A sender that sets it passes a refusal for overload on to the
+  # client instead of trying another host.
 }
 
 struct Caller {
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -107,6 +107,13 @@
     And the answer has the owner's cause and time to retry
     And its own writer appended 0 records
 
+  # Guards against deleting a job that a host has accepted because the refusal did not reach it.
+  Scenario: The link breaks before the owner's refusal arrives
+    Given a host that relays to an owner whose refusal is lost
+    When a client submits a job to it
+    Then the submission is answered 200
+    And the stored submission is later than the refusal
+
   # Guards against a relaying host of the previous version, which would store a refused job.
   Scenario Outline: Which relayed jobs an owner may refuse
     Given an owner that gets a relayed submission of a host of the <version> version
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -46,8 +46,8 @@
     WriteOutcome,
 )
 from dandelionreel.http import Request, Response
-from dandelionreel.kernel import Journal, ManualClock
-from dandelionreel.peers import Done, Forward, ForwardAnswer, Frame, OwnerAsked
+from dandelionreel.kernel import Journal, ManualClock, Verdict
+from dandelionreel.peers import Done, Forward, ForwardAnswer, Frame, OwnerAsked, PeerError
 from dandelionreel.peers._codec import decode_frame, encode_frame
 from features.account_parts import make_account
 from features.cell_parts import QUEUES, SmallCell, make_registration, step
@@ -294,7 +294,8 @@
     async def submit(self, may_refuse=True):
         """Submit the job to the owner."""
         submission = self.make_submission()
-        return await self.dispatcher.accept_job(JOB_ID, submission, 0.9, may_refuse=may_refuse)
+        attempted_at = self.clock.unix_time() if may_refuse else 0.0
+        return await self.dispatcher.accept_job(JOB_ID, submission, 0.9, attempted_at=attempted_at)
 
     async def append(self, age=0.0, timeout=1.0):
         """Store the job through a host that appends by itself."""
@@ -505,6 +506,7 @@
             make_record(f'{MEMBER_PREFIX}peer', Member('north', '127.0.0.1', 1)),
         ]
     )
+    jobs.state.has_read_digest = True
     configuration = ConfigurationProjection(None, journal())
     configuration.current = Configuration(1, QUEUES, (Service('desk', False, False),), 9999)
     context.writer = StoringWriter()
@@ -512,6 +514,7 @@
     context.client_api = make_client_api(
         configuration, jobs, AgedFollower(0.0), context.writer, relay, get_dispatcher, clock=clock
     )
+    return clock
 
 
 @given('a host that relays to an owner which refuses jobs for overload')
@@ -524,7 +527,37 @@
 def check_relayed_refusal(context):
     assert context.answer.header(CAUSE_HEADER) == 'overload', context.answer
     assert context.answer.header('retry-after') == '7', context.answer
-    assert [message.may_refuse for message in context.links.forwarded] == [True]
+    assert [message.attempted_at > 0 for message in context.links.forwarded] == [True]
+
+
+class LostRefusal:
+    """Links to an owner whose answer to a forwarded request is lost."""
+
+    def __init__(self):
+        self.refused = []
+        self.clock = None
+
+    async def request(self, member, message, timeout):
+        if isinstance(message, OwnerAsked):
+            return Frame(1, 'peer/1', 0, 0, Done())
+        self.refused.append(RefusedJob(JOB_ID, message.attempted_at))
+        self.clock.advance(0.9)
+        raise PeerError('no answer in time', Verdict.UNKNOWN)
+
+
+@given('a host that relays to an owner whose refusal is lost')
+def relaying_without_answer(context):
+    context.links = LostRefusal()
+    context.links.clock = make_relaying_host(context, context.links)
+
+
+@then('the stored submission is later than the refusal')
+def check_later(context):
+    state = context.client_api._jobs.state
+    state.refused_jobs.merge(context.links.refused, context.links.clock.unix_time())
+    state.apply(context.writer.written)
+    assert len(context.links.refused) == 1
+    assert state.is_accepted(JOB_ID)
 
 
 class RecordingOwner:
@@ -538,9 +571,9 @@
     def account_of_job(self, job_id):
         return ''
 
-    async def accept_job(self, job_id, submission, timeout, *, may_refuse):
-        self.may_refuse = may_refuse
-        return Refusal(RefusalReason.OVERLOAD, 3) if may_refuse else WriteOutcome.STORED
+    async def accept_job(self, job_id, submission, timeout, *, attempted_at):
+        self.may_refuse = attempted_at > 0
+        return Refusal(RefusalReason.OVERLOAD, 3) if self.may_refuse else WriteOutcome.STORED
 
 
 class ReadFollower(AgedFollower):
@@ -556,7 +589,7 @@
     context.client_api._follower = ReadFollower(0.0)
     body = msgspec.json.encode({'spec': 'x', 'steps': [{'count': 1, 'cpu': 1000}]})
     request = Request('POST', f'/urgent/{JOB_ID}', (('host', 'h'),), body)
-    fields = {'may_refuse': True} if version == 'present' else {}
+    fields = {'attempted_at': 1000.0} if version == 'present' else {}
     forward = Forward(request, 1.0, 1, Caller(), **fields)
     frame = decode_frame(encode_frame(Frame(1, 'peer/1', 0, 0, forward)))
     context.reply = curio.run(context.client_api.handle_forwarded_request, frame)
