--- a/dandelionreel/cell/clients/_client_writes.py
+++ b/dandelionreel/cell/clients/_client_writes.py
@@ -6,16 +6,17 @@
 
 from dandelionreel.cell.clients._client_call import (
     HTTP_UNAVAILABLE,
+    OVERLOAD_CAUSE,
     RETRY_AFTER_SECONDS,
     STORE_UNAVAILABLE_CAUSE,
     ClientCall,
     unavailable_response,
 )
 from dandelionreel.cell.clients._readiness import LoadBalancerRotation
-from dandelionreel.cell.clients._relay import Relay, RelayResult
+from dandelionreel.cell.clients._relay import Relay, RelayResult, is_overload_refusal
 from dandelionreel.cell.membership import PartitionDetector
 from dandelionreel.cell.model import ClientCodec, KeyedRecord
-from dandelionreel.cell.owner import Dispatcher
+from dandelionreel.cell.owner import Dispatcher, Refusal
 from dandelionreel.cell.store import Follower, GroupWriter, WriteOutcome
 from dandelionreel.http import Response, problem_response
 from dandelionreel.kernel import Clock, Problem, Verdict
@@ -44,7 +45,10 @@
 
 
 Attempt = Callable[[float, _WriteAttempts], Awaitable[Response | None]]
-StoreAtOwner = Callable[[Dispatcher, float], Awaitable[WriteOutcome]]
+StoreAtOwner = Callable[[Dispatcher, float], Awaitable[WriteOutcome | Refusal]]
+#: Makes a record for one attempt; a submission has the time of the attempt, since the owner may
+#: have refused an earlier one.
+MakeRecord = Callable[[], KeyedRecord]
 Forwarder = Callable[[ClientCall, float], Awaitable[RelayResult]]
 #: Logs the outcome of a call, with further fields.
 LogOutcome = Callable[..., None]
@@ -77,7 +81,7 @@
     async def store_record(
         self,
         call: ClientCall,
-        record: KeyedRecord,
+        make_record: MakeRecord,
         store_at_owner: StoreAtOwner,
         log: LogOutcome,
         **fields: str,
@@ -90,7 +94,7 @@
         started_at = self._clock.monotonic()
         deadline = started_at + call.timeout
         attempts = _WriteAttempts()
-        for attempt in self._list_attempts(call, record, store_at_owner):
+        for attempt in self._list_attempts(call, make_record, store_at_owner):
             remaining = deadline - self._clock.monotonic()
             if remaining <= 0 or await self._is_host_cut_off(attempts):
                 break
@@ -104,6 +108,8 @@
                     seconds=round(self._clock.monotonic() - started_at, 3),
                 )
                 return response
+            if response is not None and is_overload_refusal(response):
+                break
         log(
             'may be stored' if attempts.in_doubt else 'not stored',
             **fields,
@@ -143,7 +149,7 @@
     def _list_attempts(
         self,
         call: ClientCall,
-        record: KeyedRecord,
+        make_record: MakeRecord,
         store_at_owner: StoreAtOwner,
     ) -> Iterator[Attempt]:
         """Yield the ways to store a record, the best one first."""
@@ -160,11 +166,11 @@
             call.relayed or self._relay.find_zone_writer() is None
         )
         if appends_itself:
-            yield self._attempt_by_this_host(record)
+            yield self._attempt_by_this_host(make_record)
         if store_unreachable and not call.relayed:
             yield self._attempt_by_peer(call, self._relay.forward_to_any_peer)
         if not appends_itself and self._may_append_without_owner():
-            yield self._attempt_by_this_host(record)
+            yield self._attempt_by_this_host(make_record)
 
     def _attempt_by_owner(self, dispatcher: Dispatcher, store_at_owner: StoreAtOwner) -> Attempt:
         async def by_owner(remaining: float, attempts: _WriteAttempts) -> Response | None:
@@ -172,16 +178,18 @@
             if dispatcher.store_is_failing:
                 attempts.outcomes.append('the owner: its store is failing')
                 return None
-            return self._record_write_outcome(
-                await store_at_owner(dispatcher, min(remaining, APPEND_TIMEOUT_SECONDS)), attempts
-            )
+            outcome = await store_at_owner(dispatcher, min(remaining, APPEND_TIMEOUT_SECONDS))
+            if isinstance(outcome, Refusal):
+                return _answer_refused(outcome)
+            return self._record_write_outcome(outcome, attempts)
 
         return by_owner
 
-    def _attempt_by_this_host(self, record: KeyedRecord) -> Attempt:
+    def _attempt_by_this_host(self, make_record: MakeRecord) -> Attempt:
         async def by_this_host(remaining: float, attempts: _WriteAttempts) -> Response | None:
             attempts.attempted_by = 'this host'
-            outcome = await self._writer.write([record], min(remaining, APPEND_TIMEOUT_SECONDS))
+            timeout = min(remaining, APPEND_TIMEOUT_SECONDS)
+            outcome = await self._writer.write([make_record()], timeout)
             return self._record_write_outcome(outcome, attempts)
 
         return by_this_host
@@ -229,3 +237,8 @@
             return True
         writer = self._writer
         return writer.store_is_failing(now) and now - writer.failed_at < APPEND_RETRY_SECONDS
+
+
+def _answer_refused(refusal: Refusal) -> Response:
+    detail = f'the job would end too late to be of use, for {refusal.reason.value}; it is not run'
+    return unavailable_response(OVERLOAD_CAUSE, detail, refusal.retry_after)
--- a/dandelionreel/cell/owner/__init__.py
+++ b/dandelionreel/cell/owner/__init__.py
@@ -3,9 +3,11 @@
 from dandelionreel.cell.owner._dependencies import DispatcherDependencies
 from dandelionreel.cell.owner._dispatcher import Dispatcher
 from dandelionreel.cell.owner._pacing import PacingFigures
+from dandelionreel.cell.owner._refusals import Refusal
 
 __all__ = (
     'Dispatcher',
     'DispatcherDependencies',
     'PacingFigures',
+    'Refusal',
 )
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -3,6 +3,7 @@
 from contextlib import AsyncExitStack
 
 import curio
+import msgspec
 
 from dandelionreel.cell.decisions import ANY_RUNNER, AdviceRequest, Cell, JobRun, Plan, Planner
 from dandelionreel.cell.membership import HEARTBEAT_SECONDS, AdvicePool, Term
@@ -26,6 +27,7 @@
 from dandelionreel.cell.owner._owner_context import OwnerContext
 from dandelionreel.cell.owner._pacing import PacingFigures
 from dandelionreel.cell.owner._periodic_checks import PeriodicChecks
+from dandelionreel.cell.owner._refusals import Refusal, Refusals
 from dandelionreel.cell.owner._zone_confirmation import ZoneConfirmation
 from dandelionreel.cell.store import StoredJob, WriteOutcome
 from dandelionreel.kernel import Part, start_task
@@ -73,6 +75,12 @@
         self._owner_context.writer.get_overdue_records = self._get_overdue_heartbeat
         self._order_sender = OrderSender(self._owner_context)
         self._planner = Planner(self.cell)
+        #: ``None`` where demand does not exceed capacity: no job is refused.
+        self._refusals = (
+            Refusals(dependencies, self._owner_context, self._planner.order)
+            if dependencies.overload_control
+            else None
+        )
         self._advice_pool = AdvicePool(
             dependencies.host,
             lambda: dependencies.jobs.state.member_by_host,
@@ -132,6 +140,7 @@
                 self._run_planner,
                 self._completion_gossip.query_successors,
                 self._completion_gossip.run,
+                *(() if self._refusals is None else (self._refusals.run,)),
             ):
                 await start_task(stack, work)
             await start_task(stack, self._periodic_checks.run, stack)
@@ -151,30 +160,27 @@
         """End the term so that another host can own the cell."""
         await self._owner_context.ended.set()
 
-    async def accept_job(self, job_id: str, submission: Submission, timeout: float) -> WriteOutcome:
+    async def accept_job(
+        self, job_id: str, submission: Submission, timeout: float, *, attempted_at: float = 0.0
+    ) -> WriteOutcome | Refusal:
         """Store a job; planning and advice requests for it begin meanwhile.
 
         While the store is slow, the job is stored as possibly running on any runner. Its starts
-        then need no append for each new runner.
+        then need no append for each new runner. A job that would end too late to be of use is
+        refused instead if ``attempted_at`` is set, the Unix time of the client's attempt.
         """
-        known = self.cell.job_by_id.get(job_id)
-        if known is not None and known.stored:
-            return WriteOutcome.STORED
-        stored_job = StoredJob(job_id, submission, cancelled=False, progress=None)
-        self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
-        job = self.cell.job_by_id[job_id]
-        self._log_rate_exceeded(job)
-        job.stored = False
-        record = make_record(SUBMISSION_PREFIX + job_id, submission)
-        store_is_slow = self._owner_context.writer.typical_latency > SLOW_APPEND_SECONDS
-        if store_is_slow:
-            job.runners.add(ANY_RUNNER)
-        await self._owner_context.plan_needed.notify()
-        write_task = await curio.spawn(
-            self._store_submission, job, record, store_is_slow, daemon=True
-        )
-        outcome = await curio.ignore_after(timeout, write_task.join)
-        return outcome or WriteOutcome.UNKNOWN
+        if attempted_at and self._refusals is not None and job_id not in self.cell.job_by_id:
+            judged_at = self._clock.monotonic()
+            refusal = await self._refusals.refuse_if_useless(
+                job_id, submission, timeout, attempted_at
+            )
+            if refusal is not None:
+                return refusal
+            if self._dependencies.jobs.state.is_accepted(job_id):
+                return WriteOutcome.STORED
+            timeout -= self._clock.monotonic() - judged_at
+            submission = self._renew_submission(job_id, submission)
+        return await self._store_job(job_id, submission, timeout)
 
     async def cancel_job(self, job_id: str, timeout: float) -> WriteOutcome:
         """Store a client's cancellation of a job, then stop its tasks."""
@@ -206,6 +212,32 @@
         job = self.cell.job_by_id.get(job_id)
         return '' if job is None else job.account
 
+    async def _store_job(self, job_id: str, submission: Submission, timeout: float) -> WriteOutcome:
+        known = self.cell.job_by_id.get(job_id)
+        if known is not None and known.stored:
+            return WriteOutcome.STORED
+        stored_job = StoredJob(job_id, submission, cancelled=False, progress=None)
+        self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
+        job = self.cell.job_by_id[job_id]
+        self._log_rate_exceeded(job)
+        job.stored = False
+        record = make_record(SUBMISSION_PREFIX + job_id, submission)
+        store_is_slow = self._owner_context.writer.typical_latency > SLOW_APPEND_SECONDS
+        if store_is_slow:
+            job.runners.add(ANY_RUNNER)
+        await self._owner_context.plan_needed.notify()
+        write_task = await curio.spawn(
+            self._store_submission, job, record, store_is_slow, daemon=True
+        )
+        outcome = await curio.ignore_after(timeout, write_task.join)
+        return outcome or WriteOutcome.UNKNOWN
+
+    def _renew_submission(self, job_id: str, submission: Submission) -> Submission:
+        """Return a submission that is later than every refusal of the job."""
+        refused_jobs = self._dependencies.jobs.state.refused_jobs
+        accepted_at = refused_jobs.acceptance_time(job_id, submission.accepted_at)
+        return msgspec.structs.replace(submission, accepted_at=accepted_at)
+
     def _log_rate_exceeded(self, job: JobRun) -> None:
         if job.exceeds_account_rate:
             self._journal.log_sampled(
@@ -282,7 +314,8 @@
         remaining = self._periodic_checks.predecessor_leases.expire_at - self._clock.monotonic()
         return round(max(0.0, remaining), 2)
 
-    def _make_heartbeat(self) -> KeyedRecord:
+    def _make_heartbeat(self) -> tuple[KeyedRecord, int]:
+        """Return the next heartbeat, and the number of refused jobs that its digest covers."""
         self._heartbeat_count += 1
         self._heartbeat_at = self._clock.monotonic()
         owner_record = self._owner_context.term.make_owner_record(
@@ -290,7 +323,11 @@
             self._unsettled_seconds(),
             version=self._dependencies.configuration.version,
         )
-        return make_record(OWNER_KEY, owner_record)
+        refused_count = 0
+        if self._refusals is not None:
+            load, refused_count = self._refusals.make_digest_content()
+            owner_record = msgspec.structs.replace(owner_record, load=msgspec.Raw(load))
+        return make_record(OWNER_KEY, owner_record), refused_count
 
     def _get_overdue_heartbeat(self) -> list[KeyedRecord]:
         """Return a heartbeat for the next append if the usual one is overdue.
@@ -301,13 +338,17 @@
         overdue_at = self._heartbeat_at + OVERDUE_HEARTBEAT_SECONDS
         if self._owner_context.end_reason or self._clock.monotonic() < overdue_at:
             return []
-        return [self._make_heartbeat()]
+        heartbeat, _ = self._make_heartbeat()
+        return [heartbeat]
 
     async def _store_heartbeats(self) -> None:
         """Store heartbeats until the term ends; a heartbeat after the release would revoke it."""
         stored: frozenset[str] = frozenset()
         while not self._owner_context.end_reason:
-            records = [self._make_heartbeat()]
+            heartbeat, refused_count = self._make_heartbeat()
+            records = [heartbeat]
+            if self._refusals is not None:
+                records.extend(self._refusals.make_corrections())
             # Includes runners that only a former owner has seen: if this owner is killed, its
             # successor has to wait for them as well.
             runners_in_use = frozenset(self.cell.runner_by_id) | self.cell.unseen_runners
@@ -326,6 +367,8 @@
                 return
             if outcome is WriteOutcome.STORED:
                 stored = runners_in_use
+                if self._refusals is not None:
+                    await self._refusals.record_stored_heartbeat(refused_count)
                 await self._enable_recorded_runners(stored)
             await curio.sleep(HEARTBEAT_SECONDS)
 
@@ -353,7 +396,14 @@
             await follower.changed.wait(seen, 1.0)
 
     def _reload_job(self, job_id: str) -> None:
-        stored_job = self._dependencies.jobs.state.find_job(job_id)
+        cell_state = self._dependencies.jobs.state
+        stored_job = cell_state.find_job(job_id)
+        if cell_state.has_refused_submission(job_id) or (
+            stored_job is None and cell_state.refused_jobs.contains(job_id)
+        ):
+            # A late append of an earlier attempt, or its deletion. If the job was accepted since,
+            # its submission is read later.
+            return
         if stored_job is not None and stored_job.unreadable:
             self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
             return
