A successor starts from the speeds of runners that its predecessor learned

Cause: learning which runners are slow takes some 3 s, and a successor would place urgent work on slow runners meanwhile.

Change: while speeds are uneven, the owner stores them under the key 'speeds' with a heartbeat, at most every 2 s, and once without rows when they become even. A successor starts from the rows of listed runners; speeds out of bounds are bounded or ignored and counted in one log line. Lines report when speeds become uneven and even again; the metrics dandelionreel_runner_speeds_uneven and dandelionreel_runner_speed{percentile} show the state.

--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -19,6 +19,7 @@
 PROGRESS_PREFIX = 'e/'
 MEMBER_PREFIX = 'm/'
 RUNNERS_IN_USE_KEY = 'runners'
+RUNNER_SPEEDS_KEY = 'speeds'
 
 #: How long a new owner waits for the leases that the former owner granted to expire, as only the
 #: former owner knows their ends. Also used if the record of the owner cannot be read.
@@ -164,6 +165,20 @@
     runners: tuple[str, ...]
 
 
+class RunnerSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """The relative speed of a runner incarnation, in hundredths of the usual speed."""
+
+    runner: Text
+    hundredths: int
+
+
+class RunnerSpeeds(msgspec.Struct, frozen=True):
+    """The speeds of runners that an owner has learned, for its successor."""
+
+    epoch: Count
+    rows: tuple[RunnerSpeed, ...]
+
+
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """Where a host's daemon listens for its peers; ``incarnation`` identifies its process.
 
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -25,6 +25,7 @@
 from dandelionreel.cell.owner._orders import OrderSender
 from dandelionreel.cell.owner._owner_context import OwnerContext
 from dandelionreel.cell.owner._periodic_checks import PeriodicChecks
+from dandelionreel.cell.owner._speed_records import SpeedRecords
 from dandelionreel.cell.owner._zone_confirmation import ZoneConfirmation
 from dandelionreel.cell.store import StoredJob, WriteOutcome
 from dandelionreel.kernel import Part, start_task
@@ -90,6 +91,7 @@
             self._completion_gossip,
             dependencies.host,
         ).has_reported_completions
+        self._speed_records = SpeedRecords(self.cell, term.epoch, dependencies.journal)
         self._load_report = LoadReport(self.cell, self._advice_pool, dependencies.journal)
         self._periodic_checks = PeriodicChecks(dependencies, self._owner_context, self._load_report)
 
@@ -255,6 +257,9 @@
         # In order of acceptance, since an account expects its earlier jobs to be served first.
         for job_id in sorted(cell_state.submission_by_id, key=cell_state.job_accepted_at):
             self._reload_job(job_id)
+        self._speed_records.restore(
+            cell_state.runner_speeds, dependencies.runners.registration_by_id.keys()
+        )
         unix_time = self._clock.unix_time()
         for job_id, progress in cell_state.progress_by_id.items():
             self.cell.quotas.expect_leftovers(job_id, progress, unix_time)
@@ -290,6 +295,7 @@
                     self._owner_context.term.epoch, tuple(sorted(runners_in_use))
                 )
                 records.append(make_record(RUNNERS_IN_USE_KEY, runners_record))
+            records.extend(self._speed_records.take_due_records(self._clock.monotonic()))
             outcome = await self._owner_context.store_progress(
                 self.cell.take_dirty_jobs(), *records
             )
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -18,6 +18,7 @@
     OWNER_KEY,
     PREDECESSOR_LEASE_SECONDS,
     PROGRESS_PREFIX,
+    RUNNER_SPEEDS_KEY,
     RUNNERS_IN_USE_KEY,
     SUBMISSION_PREFIX,
     Cancellation,
@@ -27,6 +28,7 @@
     Owner,
     Progress,
     RunnersInUse,
+    RunnerSpeeds,
     Submission,
     UnreadableError,
     UnreadableReason,
@@ -41,6 +43,7 @@
 _PROGRESS = msgspec.json.Decoder(Progress)
 _OWNER = msgspec.json.Decoder(Owner)
 _RUNNERS_IN_USE = msgspec.json.Decoder(RunnersInUse)
+_RUNNER_SPEEDS = msgspec.json.Decoder(RunnerSpeeds)
 _MEMBER = msgspec.json.Decoder(Member)
 
 #: Stands for an owner whose record cannot be read: it may be acting, and may have succeeded
@@ -122,6 +125,7 @@
         self.member_by_host: dict[str, Member] = {}
         self.owner: Owner | None = None
         self.runners_in_use: RunnersInUse | None = None
+        self.runner_speeds: RunnerSpeeds | None = None
         self.changed_jobs: set[str] = set()
         #: Keys whose newest record cannot be read.
         self.unreadable_keys: set[str] = set()
@@ -217,6 +221,8 @@
             self.owner = previous.owner or self._make_unknown_owner()
         if RUNNERS_IN_USE_KEY in self.unreadable_keys:
             self.runners_in_use = previous.runners_in_use
+        if RUNNER_SPEEDS_KEY in self.unreadable_keys:
+            self.runner_speeds = previous.runner_speeds
         for key in self.unreadable_keys:
             name = key[len(SUBMISSION_PREFIX) :]
             current, before = self._select_values_by_name(key), previous._select_values_by_name(key)
@@ -269,6 +275,9 @@
             if content is not None:
                 self.runners_in_use = decode_json(_RUNNERS_IN_USE, content)
             return
+        if record.key == RUNNER_SPEEDS_KEY:
+            self._apply_runner_speeds(content)
+            return
         prefix, name = record.key[: len(SUBMISSION_PREFIX)], record.key[len(SUBMISSION_PREFIX) :]
         if prefix == SUBMISSION_PREFIX:
             self._apply_submission(name, content)
@@ -287,6 +296,13 @@
         if self.owner is None or owner.epoch >= self.owner.epoch:
             self.owner = owner
 
+    def _apply_runner_speeds(self, content: bytes | None) -> None:
+        """Keep the speeds that the newest owner has stored."""
+        speeds = None if content is None else decode_json(_RUNNER_SPEEDS, content)
+        known = self.runner_speeds
+        if speeds is None or known is None or speeds.epoch >= known.epoch:
+            self.runner_speeds = speeds
+
     def _apply_submission(self, job: str, content: bytes | None) -> None:
         if content is None:
             self.submission_by_id.pop(job, None)
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -55,6 +55,12 @@
         self._crashed_runs = self._make_gauge(
             'crashed_runs', 'Runs under which a runner has crashed, in this term of the owner.'
         )
+        self._uneven_speeds = self._make_gauge(
+            'runner_speeds_uneven', 'Whether the owner places tasks by the speeds of runners.'
+        )
+        self._runner_speed = self._make_gauge(
+            'runner_speed', 'Learned speed of runners at the owner, 1 if even.', 'percentile'
+        )
         self._dropped_lines = self._make_gauge(
             'log_lines_dropped', 'Log lines that nobody read in time.'
         )
@@ -108,6 +114,9 @@
         jobs = cell.job_by_id.values() if cell else ()
         self._jobs.set(sum(not job.is_finished for job in jobs))
         self._crashed_runs.set(cell.crashed_runs if cell else 0)
+        self._uneven_speeds.set(cell.run_times.is_uneven if cell else 0)
+        self._runner_speed.labels('10').set(cell.run_times.low_speed if cell else 1)
+        self._runner_speed.labels('90').set(cell.run_times.high_speed if cell else 1)
         count_by_phase = dict.fromkeys(AllocationPhase, 0)
         for runner in cell.runner_by_id.values() if cell else ():
             for allocation in runner.allocation_by_run.values():
--- a/features/records.feature
+++ b/features/records.feature
@@ -14,4 +14,5 @@
       | progress of a finished job | {"epoch":3,"state":"completed","ended_at":9.5,"account":"blue","leftovers":[["i-1@7",{"cpu":500,"memory_mb":256,"gpu":0}]]} |
       | an owner                   | {"epoch":3,"host":"h","term":"h/1/3","beat":4,"released":true,"unsettled":1.5,"read_from":6,"version":7} |
       | runners in use             | {"epoch":3,"runners":["i-1@7","i-2"]} |
+      | speeds of runners          | {"epoch":3,"rows":[["i-1@7",55],["i-2",120]]} |
       | a member                   | {"zone":"north","address":"10.0.0.1","port":7720,"incarnation":"h/1","cores":2.0,"read_from":6} |
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -14,6 +14,8 @@
     Owner,
     Progress,
     RunnersInUse,
+    RunnerSpeed,
+    RunnerSpeeds,
     StoredStart,
     Submission,
 )
@@ -44,6 +46,7 @@
     ),
     'an owner': Owner(3, 'h', 'h/1/3', 4, True, 1.5, 6, 7),
     'runners in use': RunnersInUse(3, ('i-1@7', 'i-2')),
+    'speeds of runners': RunnerSpeeds(3, (RunnerSpeed('i-1@7', 55), RunnerSpeed('i-2', 120))),
     'a member': Member('north', '10.0.0.1', 7720, 'h/1', 2.0, 6),
 }
 
