--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -19,6 +19,7 @@
     OWNER_KEY,
     PREDECESSOR_LEASE_SECONDS,
     PROGRESS_PREFIX,
+    RUNNER_SPEEDS_KEY,
     RUNNERS_IN_USE_KEY,
     SUBMISSION_PREFIX,
     Cancellation,
@@ -29,6 +30,7 @@
     Owner,
     Progress,
     RunnersInUse,
+    RunnerSpeeds,
     Submission,
     UnreadableError,
     UnreadableReason,
@@ -45,6 +47,7 @@
 _PROGRESS = msgspec.json.Decoder(Progress)
 _OWNER = msgspec.json.Decoder(Owner)
 _RUNNERS_IN_USE = msgspec.json.Decoder(RunnersInUse)
+_RUNNER_SPEEDS = msgspec.json.Decoder(RunnerSpeeds)
 _MEMBER = msgspec.json.Decoder(Member)
 
 #: Stands for an owner whose record cannot be read: it may be acting, and may have succeeded
@@ -137,6 +140,7 @@
         self.member_by_host: dict[str, Member] = {}
         self.owner: Owner | None = None
         self.runners_in_use: RunnersInUse | None = None
+        self.runner_speeds: RunnerSpeeds | None = None
         self.changed_jobs: set[str] = set()
         #: Keys whose newest record cannot be read.
         self.unreadable_keys: set[str] = set()
@@ -250,6 +254,8 @@
             self.owner = previous.owner or self._make_unknown_owner()
         if RUNNERS_IN_USE_KEY in self.unreadable_keys:
             self.runners_in_use = previous.runners_in_use
+        if RUNNER_SPEEDS_KEY in self.unreadable_keys:
+            self.runner_speeds = previous.runner_speeds
         for key in self.unreadable_keys:
             name = key[len(SUBMISSION_PREFIX) :]
             current, before = self._select_values_by_name(key), previous._select_values_by_name(key)
@@ -302,6 +308,9 @@
             if content is not None:
                 self.runners_in_use = decode_json(_RUNNERS_IN_USE, content)
             return
+        if record.key == RUNNER_SPEEDS_KEY:
+            self._apply_runner_speeds(content)
+            return
         prefix, name = record.key[: len(SUBMISSION_PREFIX)], record.key[len(SUBMISSION_PREFIX) :]
         if prefix == SUBMISSION_PREFIX:
             self._apply_submission(name, content)
@@ -335,6 +344,13 @@
         self.has_read_digest = True
         self.refused_jobs.merge(self.load_digest.refused, self._get_unix_time())
 
+    def _apply_runner_speeds(self, content: bytes | None) -> None:
+        """Keep the speeds that the newest owner has stored."""
+        speeds = None if content is None else decode_json(_RUNNER_SPEEDS, content)
+        known = self.runner_speeds
+        if speeds is None or known is None or speeds.epoch >= known.epoch:
+            self.runner_speeds = speeds
+
     def _apply_submission(self, job: str, content: bytes | None) -> None:
         submission = None if content is None else _decode_submission(job, content)
         self.changed_jobs.add(job)
