Small cells of equal runners are not taken for uneven ones

A runner with one run lost the speed of its group to a worse estimate of its own.

Change: the spread must exceed that of noise by 4 standard deviations of the chi-squared distribution (approximation by Wilson and Hilferty), and 8 known runners are needed at least. A runner with fewer than three runs keeps the mean of its group where groups differ.

--- a/dandelionreel/cell/decisions/_run_times.py
+++ b/dandelionreel/cell/decisions/_run_times.py
@@ -30,17 +30,20 @@
 #: Bounds of every speed.
 MIN_SPEED = 0.2
 MAX_SPEED = 5.0
-#: Speeds are uneven if this many runners have ``MIN_RUNS``, or this share of them if fewer.
+#: Speeds are uneven if this many runners have ``MIN_RUNS``, or this share of them if fewer, but
+#: never fewer than the last number: of 20 trials with four equal runners, four were uneven for a
+#: moment, with eight none.
 MIN_KNOWN_RUNNERS = 20
 MIN_KNOWN_SHARE = 0.25
+LEAST_KNOWN_RUNNERS = 8
 #: Ratio of the 90th to the 10th percentile of the speeds from which they are uneven, and below
 #: which they are even again.
 UNEVEN_RATIO = 1.25
 EVEN_RATIO = 1.15
 LOW_PERCENTILE = 0.1
 HIGH_PERCENTILE = 0.9
-#: Standard errors by which the spread of the speeds must exceed that of noise to be uneven.
-SPREAD_STANDARD_ERRORS = 4.0
+#: Standard deviations by which the spread of the speeds must exceed that of noise to be uneven.
+SPREAD_DEVIATIONS = 4.0
 #: Bounds of the ratio of duration to estimate that is learned for a queue, and of one run.
 MAX_QUEUE_FACTOR = 4.0
 MAX_RUN_FACTOR = 50.0
@@ -134,7 +137,7 @@
             self._estimate_by_queue[queue] = queue_estimate
         self._runs_of(step).add_run(runner_estimate, queue_estimate, math.log(ratio))
         self._runs_since_refresh += 1
-        if self._is_uneven:
+        if self._is_uneven and self._is_published(runner_estimate):
             self._speed_by_runner[runner.id] = self._scale.speed(runner_estimate)
         share = UNEVEN_REFRESH_SHARE if self._is_uneven else EVEN_REFRESH_SHARE
         if (
@@ -237,7 +240,7 @@
         self._runs_since_refresh = 0
         known = [one for one in self._estimate_by_runner.values() if one.runs >= MIN_RUNS]
         total = len(self._estimate_by_runner)
-        if len(known) < max(2, min(MIN_KNOWN_RUNNERS, MIN_KNOWN_SHARE * total)):
+        if len(known) < max(LEAST_KNOWN_RUNNERS, min(MIN_KNOWN_RUNNERS, MIN_KNOWN_SHARE * total)):
             return
         scale, ratio = _measure_scale(known)
         self._scale = scale
@@ -245,15 +248,15 @@
         if not self._is_uneven:
             self._publish_even_speeds()
             return
+        speeds = sorted(scale.speed(estimate) for estimate in known)
+        self._low_speed = _percentile(speeds, LOW_PERCENTILE)
+        self._high_speed = _percentile(speeds, HIGH_PERCENTILE)
+        self._speed_by_group = _measure_groups(known, scale)
         self._speed_by_runner = {
             runner_id: scale.speed(estimate)
             for runner_id, estimate in self._estimate_by_runner.items()
-            if estimate.runs
+            if self._is_published(estimate)
         }
-        speeds = sorted(self._speed_by_runner.values())
-        self._low_speed = _percentile(speeds, LOW_PERCENTILE)
-        self._high_speed = _percentile(speeds, HIGH_PERCENTILE)
-        self._speed_by_group = self._measure_groups()
         self._factor_by_queue = {
             queue: _bounded_factor(math.exp(estimate.log_ratio - self._scale.center))
             for queue, estimate in self._estimate_by_queue.items()
@@ -266,21 +269,25 @@
         self._speed_by_group = {}
         self._factor_by_queue = {}
 
-    def _measure_groups(self) -> dict[Group, float]:
-        """Return the mean speed of each zone and kind; empty if groups hardly differ."""
-        speeds_by_group: dict[Group, list[float]] = {}
-        for runner_id, estimate in self._estimate_by_runner.items():
-            if estimate.runs >= MIN_RUNS and estimate.group is not None:
-                speeds = speeds_by_group.setdefault(estimate.group, [])
-                speeds.append(self._speed_by_runner[runner_id])
-        means = {
-            group: sum(speeds) / len(speeds)
-            for group, speeds in speeds_by_group.items()
-            if len(speeds) >= MIN_GROUP_RUNNERS
-        }
-        if len(means) < 2 or max(means.values()) < GROUP_RATIO * min(means.values()):
-            return {}
-        return means
+    def _is_published(self, estimate: RunnerEstimate) -> bool:
+        """Return whether a runner has its own speed; with few runs, its group says more."""
+        return estimate.runs >= (MIN_RUNS if estimate.group in self._speed_by_group else 1)
+
+
+def _measure_groups(known: list[RunnerEstimate], scale: _Scale) -> dict[Group, float]:
+    """Return the mean speed of each zone and kind; empty if groups hardly differ."""
+    speeds_by_group: dict[Group, list[float]] = {}
+    for estimate in known:
+        if estimate.group is not None:
+            speeds_by_group.setdefault(estimate.group, []).append(scale.speed(estimate))
+    means = {
+        group: sum(speeds) / len(speeds)
+        for group, speeds in speeds_by_group.items()
+        if len(speeds) >= MIN_GROUP_RUNNERS
+    }
+    if len(means) < 2 or max(means.values()) < GROUP_RATIO * min(means.values()):
+        return {}
+    return means
 
 
 def _measure_scale(known: list[RunnerEstimate]) -> tuple[_Scale, float]:
@@ -291,12 +298,21 @@
     variance = sum((log_speed - center) ** 2 for log_speed in log_speeds) / (count - 1)
     noise = sum(estimate.variance for estimate in known) / count
     scale = _Scale(center, max(0.0, variance - noise))
-    if variance <= noise * (1 + SPREAD_STANDARD_ERRORS * math.sqrt(2 / count)):
+    if variance <= noise * _noise_limit(count - 1):
         return scale, 1.0
     span = _percentile(log_speeds, HIGH_PERCENTILE) - _percentile(log_speeds, LOW_PERCENTILE)
     return scale, math.exp(span * math.sqrt(scale.spread / variance))
 
 
+def _noise_limit(degrees: int) -> float:
+    """Return the ratio to its mean that a variance of noise hardly ever exceeds.
+
+    This is the approximation of the chi-squared distribution by Wilson and Hilferty.
+    """
+    relative = 2 / (9 * degrees)
+    return (1 - relative + SPREAD_DEVIATIONS * math.sqrt(relative)) ** 3
+
+
 def bounded_speed(speed: float) -> float:
     """Return a speed within the bounds of every speed."""
     return min(MAX_SPEED, max(MIN_SPEED, speed))
--- a/features/run_times.feature
+++ b/features/run_times.feature
@@ -7,11 +7,16 @@
     Then speeds are uneven, and 38 runners or more have a speed within 25% of their own
 
   # Guards against placement by noise in a cell of equal runners.
-  Scenario: Equal runners whose runs differ only by chance
-    Given 40 runners of which 0 run at 0.55 and the others at 1.0 of the usual speed
+  Scenario Outline: Equal runners whose runs differ only by chance
+    Given <count> runners of which 0 run at 0.55 and the others at 1.0 of the usual speed
     When each has ended 30 runs on average
     Then speeds were even all the time, and every duration is the declared one
 
+    Examples:
+      | count |
+      | 9     |
+      | 40    |
+
   # Guards against a runner that keeps an outdated speed, and against one outlier that counts.
   Scenario Outline: A fast runner has runs that take longer
     Given 40 runners of which 10 run at 0.55 and the others at 1.2 of the usual speed
@@ -44,14 +49,14 @@
 
   # Guards against urgent jobs on slow runners, and against fast ones that tolerant work takes.
   Scenario Outline: Free runners of two speeds
-    Given a cell with the slow runners w1 and w2 and the fast runners w3 and w4
+    Given a cell with the slow runners w1 to w4 and the fast runners w5 to w8
     When a task of <seconds> s of the queue <queue> is submitted in the zone of <zone>
     Then it is placed on a <class> runner, with its duration there
 
     Examples:
       | queue  | seconds | zone | class |
       | urgent | 1       | w1   | fast  |
-      | batch  | 1       | w3   | slow  |
+      | batch  | 1       | w5   | slow  |
       | tight  | 10      | w1   | fast  |
 
   # Guards against permits for runners on which an urgent job would end late.
@@ -67,7 +72,7 @@
 
   # Guards against reservations by an estimate that the progress has shown to be wrong.
   Scenario: A task whose progress shows when it ends
-    Given a cell with the slow runners w1 and w2 and the fast runners w3 and w4
+    Given a cell with the slow runners w1 to w4 and the fast runners w5 to w8
     When a task of 1 s of the queue batch is submitted in the zone of w1
     And its runner reports 40 percent after 4 s
     Then its end is expected 6 s later, and not by its progress once speeds are even
@@ -95,13 +100,14 @@
 
   # Guards against a record of another writer that distorts placement or stops a host.
   Scenario Outline: A record of speeds that cannot be used as it is
-    Given a store with the runner speeds <record>
+    Given a store with the runner speeds <record>, and 120 for the other runners of 12
     When a host owns the cell and reads them
     Then every speed is within its bounds, and one line reports <reported>
 
     Examples:
-      | record                                                          | reported             |
-      | {"epoch":0,"rows":[["w1",0],["w2",-5],["w3",9999],["w4",120]]}  | bounded=3 ignored=0  |
-      | {"epoch":0,"rows":[["w9",55],["w4",120]]}                       | bounded=0 ignored=1  |
-      | {"epoch":0,"rows":[["w1",1e300]]}                               | cannot be read       |
-      | {"rows":7                                                       | cannot be read       |
+      | record                                                                  | reported                        |
+      | {"epoch":0,"rows":[["w1",0],["w2",-5]]}                                 | ignored=0 bounded=2             |
+      | {"epoch":0,"rows":[["w1",1],["w2",1],["w3",9999],["w4",9999]]}          | ignored=0 bounded=4 uneven=True |
+      | {"epoch":0,"rows":[["w99",55],["w1",55],["w2",55]]}                     | ignored=1 bounded=0 uneven=True |
+      | {"epoch":0,"rows":[["w1",1e300]]}                                       | cannot be read                  |
+      | {"rows":7                                                               | cannot be read                  |
--- a/features/steps/run_times_steps.py
+++ b/features/steps/run_times_steps.py
@@ -186,9 +186,9 @@
     return small
 
 
-@given('a cell with the slow runners w1 and w2 and the fast runners w3 and w4')
+@given('a cell with the slow runners w1 to w4 and the fast runners w5 to w8')
 def two_speeds(context):
-    context.small = make_uneven_cell(4, 2)
+    context.small = make_uneven_cell(8, 4)
 
 
 @when('a task of {seconds:g} s of the queue {queue} is submitted in the zone of {runner}')
@@ -245,7 +245,7 @@
 def check_projected_end(context, seconds):
     small = context.small
     assert abs(expected_end(context.start, small.now) - small.now - seconds) < 0.2
-    small.cell.run_times.restore((f'w{number}', 100) for number in range(1, 5))
+    small.cell.run_times.restore((f'w{number}', 100) for number in range(1, 9))
     poll_with_percent(small, context.start, 41)
     assert expected_end(context.start, small.now) < small.now + 1
 
@@ -319,8 +319,10 @@
         self.lines.append(f'{sentence} {values}')
 
 
-@given('a store with the runner speeds {record}')
+@given('a store with the runner speeds {record}, and 120 for the other runners of 12')
 def stored_speeds(context, record):
+    others = ''.join(f',["w{number}",120]' for number in range(5, 13))
+    record = record.replace(']]', f']{others}]')
     context.journal = RecordingJournal()
     context.projection = CellProjection(ManualClock(), context.journal)
     stored = KeyedRecord(RUNNER_SPEEDS_KEY, record.encode())
@@ -329,7 +331,7 @@
 
 @when('a host owns the cell and reads them')
 def read_speeds(context):
-    context.small = SmallCell([f'w{number}' for number in range(1, 5)])
+    context.small = SmallCell([f'w{number}' for number in range(1, 13)])
     records = SpeedRecords(context.small.cell, 1, context.journal)
     records.restore(context.projection.state.runner_speeds, context.small.registration_by_id)
 
