Requests of the hosts reuse validated request heads

Cause: a poll and a start each cost the owner one HTTP exchange, which is most of its processor time; a large part is the validation of headers that hardly differ from the request before.

Change: heads of requests between hosts, runners and the store are kept (4,096); requests of clients are not, as they contain API keys. A free connection is taken without setting a timeout.

--- a/bench/owner_load.py
+++ b/bench/owner_load.py
@@ -167,6 +167,7 @@
                 job = f'{options.seed:08x}{number:08x}'
                 host = self._hosts.names[number % len(self._hosts.names)]
                 pool.submit(self._submit, host, queue, job, tasks, seconds)
+            time.sleep(max(0.0, began + options.seconds - time.monotonic()))
 
     def _submit(self, host: str, queue: str, job: str, tasks: int, seconds: float) -> None:
         cpu = self._options.cpu
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -1,6 +1,7 @@
 """HTTP client with one request at a time per connection."""
 
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import Any
 
 import curio
@@ -10,6 +11,8 @@
 from dandelionreel.http._sockets import connect, shut_down
 
 READ_SIZE = 65_536
+#: Number of request heads that are kept for further requests: a few for each of 1,000 runners.
+REPEATED_HEADS = 4096
 #: Called right before a request is sent; returns whether the request may be sent.
 SendCheck = Callable[[], bool]
 HOP_BY_HOP_HEADERS = frozenset(
@@ -119,10 +122,15 @@
         progress: '_SendProgress',
         check: SendCheck | None,
     ) -> Response:
-        headers = [('host', f'{self._address}:{self._port}')]
-        headers.extend(_end_to_end_headers(request.headers))
-        headers.append(('content-length', str(len(request.body))))
-        head = h11.Request(method=request.method, target=request.target, headers=headers)
+        # Only the requests of this program repeat; those of clients contain their API keys.
+        make_head = _make_repeated_head if self._kind else _make_head
+        head = make_head(
+            f'{self._address}:{self._port}',
+            request.method,
+            request.target,
+            request.headers,
+            len(request.body),
+        )
         payload = self._http.send(head)
         if request.body:
             payload += self._http.send(h11.Data(data=request.body))
@@ -188,6 +196,19 @@
         self.sent = False
 
 
+def _make_head(
+    host: str, method: str, target: str, headers: Headers, body_size: int
+) -> h11.Request:
+    all_headers = [('host', host)]
+    all_headers.extend(_end_to_end_headers(headers))
+    all_headers.append(('content-length', str(body_size)))
+    return h11.Request(method=method, target=target, headers=all_headers)
+
+
+#: Validating the headers is a large part of the cost of a request. Polls of a runner hardly differ.
+_make_repeated_head = lru_cache(REPEATED_HEADS)(_make_head)
+
+
 def _end_to_end_headers(headers: Headers) -> list[tuple[str, str]]:
     return [
         (name, content) for name, content in headers if name not in HOP_BY_HOP_HEADERS | {'host'}
@@ -260,11 +281,7 @@
         The server may have closed an idle connection, so a ``GET`` that fails on a
         reused connection is tried once more on a new one.
         """
-        try:
-            async with curio.timeout_after(timeout):
-                await self._lock.acquire()
-        except curio.TaskTimeout as error:
-            raise ExchangeError('the connection stayed busy', sent=False) from error
+        await self._acquire_lock(timeout)
         try:
             return await self._exchange_once(request, timeout, check)
         finally:
@@ -280,6 +297,17 @@
         else:
             await self._connection.close()
 
+    async def _acquire_lock(self, timeout: float) -> None:
+        if not self._lock.locked():
+            # Returns at once, so that the timeout need not be set.
+            await self._lock.acquire()
+            return
+        try:
+            async with curio.timeout_after(timeout):
+                await self._lock.acquire()
+        except curio.TaskTimeout as error:
+            raise ExchangeError('the connection stayed busy', sent=False) from error
+
     async def _exchange_once(
         self, request: Request, timeout: float, check: SendCheck | None
     ) -> Response:
