--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -393,7 +393,7 @@
         """
         started_at = self._clock.monotonic()
         pacing = self._owner_context.pacing
-        self.cell.max_knowledge_age = pacing.max_knowledge_age - pacing.delay
+        self.cell.max_knowledge_age = pacing.max_knowledge_age - pacing.answer_delay
         plan = self._planner.plan(
             started_at,
             self._clock.unix_time(),
@@ -447,6 +447,8 @@
         permits: tuple[Permit, ...],
         until: float,
     ) -> None:
+        # The tickets are valid from when the service issued them, not from when they are handled.
+        until -= self._owner_context.pacing.answer_delay
         self.cell.tickets.record_advice(request.step, request.runners, permits, until)
         self._journal.log_sampled(
             Part.PLACEMENT,
--- a/dandelionreel/cell/owner/_pacing.py
+++ b/dandelionreel/cell/owner/_pacing.py
@@ -39,7 +39,7 @@
 #: read late.
 TIMEOUT_DELAY_FACTOR = 2.0
 #: Largest delay in seconds that is added to timeouts.
-MAX_ADDED_DELAY_SECONDS = 1.0
+MAX_ADDED_DELAY_SECONDS = 0.3
 #: Seconds over which the age of the oldest knowledge used is reported.
 AGE_REPORT_SECONDS = 10.0
 NEVER = float('-inf')
@@ -100,12 +100,17 @@
         """Return the maximum age of what is known of a runner that gets a start."""
         return MAX_KNOWLEDGE_AGE_SECONDS if self.is_late else math.inf
 
+    @property
+    def answer_delay(self) -> float:
+        """Return how long an answer that is handled now may have waited; 0 if in time."""
+        return self.delay if self.is_late else 0.0
+
     def knowledge_age(self, known_at: float, now: float) -> float:
         """Return the maximum age of what an answer said that was handled at ``known_at``.
 
         The answer may have waited for the event loop as long as the loop is late.
         """
-        return now - known_at + self.delay
+        return now - known_at + self.answer_delay
 
     def may_start(self, known_at: float, now: float) -> bool:
         """Return whether a runner is known well enough for a start; count starts held back."""
--- a/features/owner_load.feature
+++ b/features/owner_load.feature
@@ -108,3 +108,14 @@
       | 1.5 | full    |
       | 2.1 | full    |
       | 6   | shorter |
+
+  # Guards against starts with tickets that have expired while the answer waited for the owner's loop.
+  Scenario Outline: A late owner reads the answer of the policy service
+    Given an owner that is <state>
+    When tickets that are valid for 2 s are read
+    Then they can be used for <seconds> s
+
+    Examples:
+      | state   | seconds |
+      | in time | 1.85    |
+      | late    | 1.55    |
--- a/features/steps/owner_load_steps.py
+++ b/features/steps/owner_load_steps.py
@@ -10,7 +10,14 @@
 from behave import given, then, when
 
 from dandelionreel.cell.decisions import MAX_CLOCK_DRIFT
-from dandelionreel.cell.model import OWNER_KEY, KeyedRecord, StartAnswer, StartReply
+from dandelionreel.cell.model import (
+    OWNER_KEY,
+    KeyedRecord,
+    Permit,
+    StartAnswer,
+    StartReply,
+    StepName,
+)
 from dandelionreel.cell.model._records import Member
 from dandelionreel.cell.owner._dispatcher import MIN_PLAN_PAUSE_SECONDS
 from dandelionreel.cell.owner._load_report import LoadReport
@@ -114,7 +121,7 @@
     state.answered_at = small.now - poll
     state.order_answered_at = small.now - order
     small.add_job('j2', [step()]).stored_runners.add('w1')
-    small.cell.max_knowledge_age = context.pacing.max_knowledge_age - context.pacing.delay
+    small.cell.max_knowledge_age = context.pacing.max_knowledge_age - context.pacing.answer_delay
 
 
 @then('the owner {places} a task there')
@@ -335,3 +342,22 @@
 def check_lease(context, lease):
     assert context.real_seconds <= lease_upper_bound(context.owner.lease) + 1e-9
     assert (context.lease_seconds == context.owner.lease) is (lease == 'full')
+
+
+@when('tickets that are valid for {seconds:g} s are read')
+def read_tickets(context, seconds):
+    topic = MemoryTopic()
+    host = Host('me', topic, context.clock)
+    dispatcher = make_dispatcher(host, context.owner.term, topic, context.clock)
+    dispatcher._owner_context.pacing = context.pacing
+    request = SimpleNamespace(step=StepName('j1', 0, 0), runners=('w1',))
+    until_at = context.clock.monotonic() + seconds
+    curio.run(dispatcher._record_permits, request, (Permit('w1', 'ticket'),), until_at)
+    context.tickets = dispatcher.cell.tickets
+
+
+@then('they can be used for {seconds:g} s')
+def check_tickets(context, seconds):
+    now = context.clock.monotonic()
+    assert context.tickets.is_valid(StepName('j1', 0, 0), 'w1', now + seconds - 0.01)
+    assert not context.tickets.is_valid(StepName('j1', 0, 0), 'w1', now + seconds + 0.01)
