--- a/features/explain.feature
+++ b/features/explain.feature
@@ -14,6 +14,16 @@
     And its run 3001 was started by b on r1, ended done and its end was stored
     And the report has no repeated starts and no unknowns
 
+  # Guards against a report without the reason why a job was accepted late.
+  Scenario: A job that the owner refuses at first
+    Given logs of hosts a and b
+      | at  | host | text                                                                      | fields |
+      | 0.1 | b    | jobs: job ID is refused for overload: it would end too late to be of use. | {"queue": "desk", "wait": 20.0, "retry_after": 3} |
+      | 0.2 | a    | jobs: POST ID: 503 by a peer.                                             | {} |
+      | 3.2 | a    | jobs: POST ID: 200 by a peer.                                             | {} |
+    When the job is explained
+    Then the timeline has refused for load, refused, accepted in this order
+
   # Guards against a report that does not show which of two owners started a task again, and why.
   Scenario: A task is started by two owners
     Given logs of hosts a and b
