A gang that cannot get its quota no longer blocks its account for ever

Cause: after 20 s without enough quota a gang makes all other tasks of its account wait, and it keeps claiming quota before them, however long it takes. Three cases never end, with capacity and quota free: - long-running tasks keep more than the quota leaves for the gang, for example after the quota was lowered and a successor found them running; - a run hangs, and the gang needs the quota that it uses; - the runners of the gang's service become unusable while it waits: the gang is then not examined any more, so its wait never ends.

Change: quota used by long-running tasks, and by runs that take 60 s longer than expected, counts as lasting; a gang that does not fit into the rest is treated like one that exceeds the whole quota, for which nothing waits. A gang that the previous plan did not examine starts its wait anew.

--- a/dandelionreel/cell/decisions/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -11,6 +11,7 @@
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._objectives import count_fitting
+from dandelionreel.cell.decisions._runner_state import Allocation, AllocationPhase
 from dandelionreel.cell.decisions._step_run import counted_demand
 from dandelionreel.cell.decisions._waiting_steps import Candidate
 from dandelionreel.cell.model import Demand, StepName
@@ -21,6 +22,9 @@
 #: Seconds for which quota is kept for a gang that finds no slots on the runners; a gang may never
 #: find any.
 MAX_CLAIM_SECONDS = 5.0
+#: A run that has taken this many seconds longer than expected may never end, so no gang keeps the
+#: account waiting for it.
+MAX_OVERDUE_SECONDS = 60.0
 #: The reason for a blocked job in the log; readers of the log match it.
 HELD_BY_QUOTA = "its account's quota"
 
@@ -66,6 +70,11 @@
         self._wait_by_gang: dict[StepName, _GangWait] = {}
         #: The gang for which all other tasks of an account wait.
         self._starved_gang_by_account: dict[str, StepName] = {}
+        #: Gangs that the previous plan has examined. Those of a service without usable runners
+        #: are not examined, and nothing else waits for them.
+        self._examined_gangs: set[StepName] = set()
+        #: Demand of each account's runs whose end cannot be awaited, computed when needed.
+        self._lasting_by_account: dict[str, Demand] = {}
         #: Demand of an account's gangs that have not started in this plan.
         self._claimed_by_account: dict[str, Demand] = {}
         #: Jobs that this plan has begun to block.
@@ -76,11 +85,14 @@
         self._now = now
         self._cell.quotas.refresh_unseen_usage(now, unix_time)
         self._claimed_by_account.clear()
+        self._lasting_by_account.clear()
         self.newly_blocked = []
+        examined = self._examined_gangs
+        self._examined_gangs = set()
         self._wait_by_gang = {
             one.step.name: self._wait_by_gang[one.step.name]
             for one in candidates
-            if one.step.name in self._wait_by_gang
+            if one.step.name in self._wait_by_gang and one.step.name in examined
         }
         self._starved_gang_by_account = self._find_starved_gangs()
 
@@ -120,8 +132,12 @@
     def _count_startable_members(self, candidate: Candidate, quota: Demand, count: int) -> int:
         """Return how many members of a gang may start, and note since when it waits."""
         step = candidate.step
+        self._examined_gangs.add(step.name)
+        if count < len(step.tasks):
+            quota -= self._lasting_demand(candidate.job.account)
         if not step.step.smallest_start.fits(quota):
-            # The gang exceeds the whole quota and can never start: nothing else waits for it.
+            # The gang exceeds the whole quota, or what lasting runs leave of it, and cannot start:
+            # nothing else waits for it.
             self._wait_by_gang.pop(step.name, None)
             return 0
         wait = self._wait_by_gang.setdefault(step.name, _GangWait())
@@ -131,6 +147,28 @@
         wait.record_sufficient_quota(self._now)
         return count
 
+    def _lasting_demand(self, account: str) -> Demand:
+        """Return the demand of an account's runs whose end cannot be awaited."""
+        lasting = self._lasting_by_account.get(account)
+        if lasting is not None:
+            return lasting
+        lasting = Demand()
+        for job in self._cell.unfinished_job_by_id.values():
+            if job.account != account or job.is_finished:
+                continue
+            for held in self._cell.allocations_of_job(job.id):
+                if self._is_lasting(held):
+                    lasting += held.demand
+        self._lasting_by_account[account] = lasting
+        return lasting
+
+    def _is_lasting(self, held: Allocation) -> bool:
+        step = self._cell.step_of(held)
+        if step is None or held.phase is AllocationPhase.STOPPING:
+            return False
+        overdue = self._now - held.placed_at - held.expected
+        return step.step.long_running or overdue >= MAX_OVERDUE_SECONDS
+
     def _may_use_quota(self, job: JobRun, name: StepName) -> bool:
         """Return whether a step may use quota: no other gang of the account is starved."""
         return self._starved_gang_by_account.get(job.account, name) == name
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -103,6 +103,19 @@
     When a gang of 3 tasks of 2 cores waits for a quota that is lowered to 4 cores
     Then urgent tasks of blue start every second, and the gang does not
 
+  # Guards against an account that waits forever, with free capacity and quota, for a gang that
+  # cannot start.
+  Scenario Outline: A gang of an account waits for a quota that cannot become free for it
+    Given a successor finds a <kind> task of blue of <kept> cores, and a quota of 12 cores
+    When a gang of 3 tasks of 2 cores waits for the quota, and <cause>
+    Then urgent tasks of blue start every second, and the gang does not
+
+    Examples:
+      | kind         | kept | cause                                        |
+      | long-running | 10   | the long-running task goes on                |
+      | short        | 10   | the short task hangs                         |
+      | long-running | 4    | the runners of the gang's service are silent |
+
   # Guards against an account that submits many times its usual load and delays others.
   Scenario: One account sends nine times its rate
     Given the accounts blue and red with a rate of 5 jobs a second each, and 8 cores
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -30,6 +30,8 @@
         super().__init__(runners, queues=ALL, seen=seen)
         self.configure(accounts)
         self.submitted = 0
+        #: Runners whose runs do not end.
+        self.hanging = set()
 
     def configure(self, accounts):
         """Install a configuration with these accounts."""
@@ -72,6 +74,8 @@
     def end_older_runs(self, seconds):
         """End all runs that were placed at least ``seconds`` ago."""
         for runner in tuple(self.cell.runner_by_id.values()):
+            if runner.id in self.hanging:
+                continue
             for held in tuple(runner.allocation_by_run.values()):
                 if self.now - held.placed_at >= seconds - 1e-9:
                     self.end(held)
@@ -281,6 +285,43 @@
     small.end_older_runs(0.5)
 
 
+@given('a successor finds a {kind} task of blue of {cores:d} cores, and a quota of 12 cores')
+def successor_with_lowered_quota(context, kind, cores):
+    small = AccountCell((make_blue_account(12), make_red_account()), RUNNERS, seen=False)
+    context.small = small
+    small.cell.unseen_runners.update(RUNNERS)
+    progress = Progress(1, JobState.RUNNING, runners=('w1',))
+    # Its runner has no space for other runs, so the helpers never poll it without this run.
+    small.resize('w1', cores)
+    small.hanging.add('w1')
+    steps = [step(1000 * cores, long_running=kind == 'long-running')]
+    lasting = small.submit_job('blue', steps, 'batch', progress)
+    small.poll('w1', running=((lasting.steps(0)[0].tasks[0].name, 1),))
+    small.poll('w2')
+    small.poll('w3')
+
+
+@when('a gang of 3 tasks of 2 cores waits for the quota, and {cause}')
+def gang_waits_in_vain(context, cause):
+    small = context.small
+    if 'silent' in cause:
+        elsewhere = replace(GANGS, name='elsewhere', service='elsewhere')
+        small.cell.configuration = make_configuration(
+            (*ALL, elsewhere), (make_blue_account(12), make_red_account())
+        )
+        registration = small.registration_by_id['w3']
+        small.registration_by_id['w3'] = replace(registration, service='elsewhere')
+        small.update_runners()
+        small.submit_job('blue', [step(3000)])
+    queue = 'elsewhere' if 'silent' in cause else 'gangs'
+    context.gang = small.submit_job('blue', [step(2000, 3, gang=True)], queue)
+    small.plan()
+    small.cell.runner_by_id['w3'].suspect = True
+    for _ in range(90 if 'hangs' in cause else 0):
+        small.now += 1
+        small.plan()
+
+
 @when('a gang of 3 tasks of 2 cores waits while urgent tasks of blue arrive for 60 s')
 def gang_without_slots(context):
     context.gang = context.small.submit_job('blue', [step(2000, 3, gang=True)], 'gangs')
