Bench: load of customer A, more measures, differences seed by seed

Cause: the loads of the replay have no account that exceeds its quota while declared durations are wrong, and the table has no measure for small jobs and for wide jobs; the seeds differ more from each other than the policies do.

The table also has the worth of all jobs, the share of small jobs in time, and the share in time of the largest quarter of each queue and of the rest; below it, the differences to the first policy on the same seeds. `--first-seed` for fresh seeds. More orders to compare with: rates within queues, in time first, owed work.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -18,7 +18,14 @@
 #: Two-sided 95% quantiles of Student's t distribution, by the number of seeds.
 QUANTILE_BY_SEEDS = {2: 12.71, 3: 4.30, 4: 3.18, 5: 2.78, 6: 2.57, 8: 2.36, 10: 2.26}
 DEFAULT_QUANTILE = 2.0
-MEASURES = ('worth', 'worst_accounts', 'plan_p99')
+MEASURES = (
+    'worth',
+    'worst_accounts',
+    'worth_of_all',
+    'small_in_time',
+    'wide_in_time',
+    'narrow_in_time',
+)
 
 
 @dataclass(frozen=True)
@@ -48,20 +55,41 @@
 
 def print_table(scores_by_case: dict[tuple[str, str], list[Score]]) -> None:
     """Print a table with a line for each load and policy."""
-    header = f'{"load":14}{"way":28}{"worth":>16}{"worst accounts":>16}{"bound":>8}{"plan p99":>10}'
-    sys.stdout.write(f'{header}\n')
+    titles = ''.join(f'{name.replace("_", " "):>16}' for name in MEASURES)
+    sys.stdout.write(f'{"load":14}{"way":28}{titles}{"bound":>8}{"plan p99":>10}\n')
     for (load, way), scores in scores_by_case.items():
         columns = []
-        for name in MEASURES[:2]:
+        for name in MEASURES:
             values = [getattr(result, name) for result in scores]
             columns.append(f'{mean(values):.3f} ± {confidence_half_width(values):.3f}')
         bound = mean(result.bound for result in scores)
         plan = 1000 * max(result.plan_p99 for result in scores)
         sys.stdout.write(
-            f'{load:14}{way:28}{columns[0]:>16}{columns[1]:>16}{bound:8.3f}{plan:7.1f} ms\n'
+            f'{load:14}{way:28}{"".join(f"{column:>16}" for column in columns)}'
+            f'{bound:8.3f}{plan:7.1f} ms\n'
         )
 
 
+def print_differences(scores_by_case: dict[tuple[str, str], list[Score]]) -> None:
+    """Print the difference of each policy to the first one on the same load, seed by seed.
+
+    Seeds differ more from each other than policies do; differences on the same seeds show more.
+    """
+    first_by_load: dict[str, list[Score]] = {}
+    for (load, way), scores in scores_by_case.items():
+        first = first_by_load.setdefault(load, scores)
+        if first is scores:
+            continue
+        columns = []
+        for name in MEASURES:
+            values = [
+                getattr(result, name) - getattr(base, name)
+                for result, base in zip(scores, first, strict=True)
+            ]
+            columns.append(f'{mean(values):+.3f} ± {confidence_half_width(values):.3f}')
+        sys.stdout.write(f'{load:14}{way:28}{"".join(f"{column:>16}" for column in columns)}\n')
+
+
 def draw_plot(scores_by_case: dict[tuple[str, str], list[Score]], path: Path) -> None:
     """Plot the worth of each policy on each load."""
     from matplotlib import pyplot
@@ -85,12 +113,13 @@
     parser.add_argument('--load', action='append', choices=sorted(make_loads()))
     parser.add_argument('--way', action='append', choices=sorted(POLICIES))
     parser.add_argument('--seeds', type=int, default=4)
+    parser.add_argument('--first-seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=24)
     parser.add_argument('--jobs', type=int, default=2)
     parser.add_argument('--plot', type=Path)
     options = parser.parse_args()
     cases = list(product(options.load or sorted(make_loads()), options.way or sorted(POLICIES)))
-    seeds = range(1, options.seeds + 1)
+    seeds = range(options.first_seed, options.first_seed + options.seeds)
     trials = [Trial(way, load, seed, options.seconds) for load, way in cases for seed in seeds]
     with ProcessPoolExecutor(options.jobs) as pool:
         scores = list(pool.map(run_trial, trials))
@@ -99,6 +128,7 @@
         for index, case in enumerate(cases)
     }
     print_table(scores_by_case)
+    print_differences(scores_by_case)
     if options.plot is not None:
         draw_plot(scores_by_case, options.plot)
     return 0
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -14,12 +14,20 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from bench.replay_report import Tally, print_result
+from msgspec import structs
+
+from bench.replay_report import JobResult, Tally, print_result
 from dandelionreel.accounts import Account, AccountDirectory, weighted_share
-from dandelionreel.cell.decisions import AdviceRequest, Allocation, Cell, Planner
+from dandelionreel.cell.decisions import AdviceRequest, Allocation, Cell, JobRun, Planner
+from dandelionreel.cell.decisions._objectives import count_fitting
 from dandelionreel.cell.decisions._preemption import Preemption, PreemptionPlan
 from dandelionreel.cell.decisions._reservations import Rank
-from dandelionreel.cell.decisions._waiting_steps import RankInputs, WaitingOrder, WithinRateFirst
+from dandelionreel.cell.decisions._waiting_steps import (
+    MAX_DEFERRAL_SECONDS,
+    RankInputs,
+    WaitingOrder,
+    WithinRateFirst,
+)
 from dandelionreel.cell.membership._advisors import NON_URGENT_SHARE
 from dandelionreel.cell.model import (
     AdvicePolicy,
@@ -85,6 +93,9 @@
     checkpoint_share: float = 0
     failure_share: float = 0
     burst: tuple[float, float, float] = (0, 0, 1)
+    #: Standard deviation of the logarithm of the factor by which the runs of a step differ from
+    #: its declared duration.
+    duration_spread: float = 0
 
     def arrival_rate(self, now: float) -> float:
         """Return the arrivals per second, which rise during the burst."""
@@ -119,10 +130,14 @@
     rate_factor: float = 1.9
     #: The overloading account by rank of size, begin, end, and factor of its arrivals.
     overload: tuple[int, float, float, float] = (3, 0.0, 0.0, 1.0)
+    #: Exponent of the decrease of the accounts' sizes by rank.
+    skew: float = 1.0
+    #: Whether accounts submit only gangs that fit their quotas.
+    gangs_fit_quotas: bool = False
 
     def shares(self) -> list[float]:
         """Return the share of all jobs that each account usually sends."""
-        sizes = [1 / (number + 1) for number in range(self.count)]
+        sizes = [(number + 1) ** -self.skew for number in range(self.count)]
         return [size / sum(sizes) for size in sizes]
 
     def load_factor(self, number: int, now: float) -> float:
@@ -172,6 +187,7 @@
         'backlog': _make_backlog_load(),
         'accounts': _make_accounts_load(),
         'hot account': _make_accounts_load(Accounts(overload=(3, 4, 12, 9.0))),
+        'competing': _make_competing_load(),
     }
 
 
@@ -189,6 +205,25 @@
     return Load(176, 45, kinds, 0, 4, 12, capacity=half_capacity, accounts=accounts)
 
 
+def _make_competing_load() -> Load:
+    """Return customer A's cell (hard-load.md): demand exceeds capacity at times.
+
+    An account sends 7 times its usual load, then bursts of small jobs and of the other queues.
+    """
+    large = _queue('large', 1, 3, 2.2, 1.0, 0.44, 0.0064, 2.0)
+    medium = _queue('medium', 2, 2, 4.0, 3.0, 0.13, 0.0018, 2.0)
+    small = _queue('small', 0, 2, 1.5, 0.25, 0.0143, 0.0002, 2.0)
+    late = (17, 21, 1.7)
+    kinds = (
+        JobKind(large, 1.8, 7.2, 1.2, 20, 18_000, 30_000, 5, 0, 0.3, 1, 0.5, 0.01, late, 0.5),
+        JobKind(medium, 6.4, 2.7, 1.5, 25, 6900, 9000, 2.7, 0, 0.45, 0, 0.8, 0.02, late, 0.6),
+        JobKind(small, 41, 0.42, 1, 3, 9900, 14_000, 0.8, 0, 0.7, 0.3, 0, 0.03, (12, 16, 2.4), 0.5),
+    )
+    accounts = Accounts(overload=(2, 4, 9, 7.0), skew=1.2, gangs_fit_quotas=True)
+    large_runner = Demand(64_000, 131_072, 0)
+    return Load(176, 90, kinds, 0, 4, 12, capacity=large_runner, accounts=accounts)
+
+
 def _make_zones_load() -> Load:
     """Return a cell of six zones: its owner is lost after a burst, then a zone is cut off."""
     settle = _queue('settle', 1, 4, 2.2, 1.0, 0.637, 0.0091, 2.0)
@@ -297,12 +332,74 @@
         )
 
 
+class RateWithinQueues(WaitingOrder):
+    """Strict priority of queues; within a queue, jobs within their account's rate first."""
+
+    def rank(self, inputs: RankInputs) -> Rank:
+        """Return the rank of a step."""
+        rank = WithinRateFirst().rank(inputs)
+        return rank._replace(beyond_rate=False, priority=2 * rank.priority + rank.beyond_rate)
+
+
+class InTimeFirst(WaitingOrder):
+    """As built, but steps that can be in time go before late ones of more urgent queues."""
+
+    def rank(self, inputs: RankInputs) -> Rank:
+        """Return the rank of a step."""
+        rank = WithinRateFirst().rank(inputs)
+        return rank._replace(priority=rank.lateness, lateness=rank.priority)
+
+
+class OwedWork(WaitingOrder):
+    """Jobs of accounts that are owed core-seconds first, by the declared work of their jobs.
+
+    Each second, an account is owed ``factor`` times its weighted share of the cell.
+    """
+
+    def __init__(self, cell: Cell, factor: float = 1.0, burst_seconds: float = 1.0) -> None:
+        """Compute what each account is owed of that cell."""
+        self._cell = cell
+        self._factor = factor
+        self._burst_seconds = burst_seconds
+        self._beyond_by_job: dict[str, bool] = {}
+        #: Core-seconds that each account is owed, and until when they are counted.
+        self._owed_by_account: dict[str, tuple[float, float]] = {}
+
+    def rank(self, inputs: RankInputs) -> Rank:
+        """Return the rank of a step."""
+        job = inputs.job
+        if job.id not in self._beyond_by_job:
+            self._beyond_by_job[job.id] = self._is_beyond(job)
+        may_defer = inputs.now - job.accepted_at < MAX_DEFERRAL_SECONDS
+        beyond = may_defer and self._beyond_by_job[job.id]
+        return WithinRateFirst().rank(inputs)._replace(beyond_rate=beyond)
+
+    def _is_beyond(self, job: JobRun) -> bool:
+        """Return whether nothing is owed; a job may exceed what is, as wide ones would wait."""
+        accounts = self._cell.configuration.accounts.account_by_name
+        weights = sum(account.weight for account in accounts.values())
+        rate = self._factor * self._cell.capacity().cpu * accounts[job.account].weight / weights
+        most = rate * self._burst_seconds
+        owed, counted_at = self._owed_by_account.get(job.account, (most, job.accepted_at))
+        owed = min(most, owed + rate * max(0, job.accepted_at - counted_at))
+        beyond = owed <= 0
+        if not beyond:
+            owed -= sum(step.count * step.demand.cpu * step.estimate for step in job.spec.steps)
+        self._owed_by_account[job.account] = owed, max(counted_at, job.accepted_at)
+        return beyond
+
+
 POLICIES: dict[str, Callable[[Cell], Planner]] = {
     'as built': Planner,
     'no preemption': NoPreemptionPlanner,
     'first come, first served': ArrivalOrderPlanner,
     'no shares': lambda cell: Planner(cell, IgnoreAccountRates()),
     'shares within queues': lambda cell: Planner(cell, ShareOrderWithinQueues(cell)),
+    'rate within queues': lambda cell: Planner(cell, RateWithinQueues()),
+    'in time first': lambda cell: Planner(cell, InTimeFirst()),
+    'beside gangs': lambda cell: Planner(cell, overload_control=True),
+    'owed work': lambda cell: Planner(cell, OwedWork(cell)),
+    'owed work, twice': lambda cell: Planner(cell, OwedWork(cell, 2.0, 2.0)),
     'weighted shares': lambda cell: Planner(cell, ShareOrder(cell)),
 }
 
@@ -320,6 +417,8 @@
             1, queues, (Service('desk', False, False),), 9999, directory
         )
         self.tally_by_account: dict[str, Tally] = {}
+        #: All jobs, with the share of their value that they earned.
+        self.result_by_job: dict[str, JobResult] = {}
         self.planner = policy(self.cell)
         self.tally_by_queue = {kind.queue.name: Tally() for kind in load.kinds}
         self.wasted_core_seconds = 0.0
@@ -430,10 +529,13 @@
         mean_work = kind.mean_steps * kind.mean_tasks * kind.mean_cpu * kind.mean_seconds
         job_id = f'{next(self._sequence):016x}'
         account = self._draw_account()
+        if self.load.accounts is not None and self.load.accounts.gangs_fit_quotas:
+            steps = tuple(self._fit_quota(step, account) for step in steps)
         spec = JobSpec('', steps)
         submission = Submission(kind.queue.name, 'desk', self._now, spec, '', account)
         self.cell.update_job(StoredJob(job_id, submission, False, None), self._now, self._now)
         value = kind.mean_value * min(MAX_SIZE_FACTOR, 0.3 + 0.7 * work / mean_work)
+        self.result_by_job[job_id] = JobResult(kind.queue.name, account, value, work)
         if not self.cell.job_by_id[job_id].exceeds_account_rate:
             self._value_by_job[job_id] = value
             self._attainable_work.append((value, work / MILLI))
@@ -462,6 +564,13 @@
         ]
         return f'account-{self._rng.choices(numbers, sizes)[0]}'
 
+    def _fit_quota(self, step: Step, account: str) -> Step:
+        """Return a gang with as many members as its account's quota allows."""
+        quota = self.cell.configuration.find_account(account).quota
+        if not step.gang:
+            return step
+        return structs.replace(step, count=max(1, count_fitting(step.demand, quota, step.count)))
+
     def _tallies(self, queue: str, account: str) -> list[Tally]:
         tallies = [self.tally_by_queue[queue]]
         if account:
@@ -568,7 +677,7 @@
             if step is None
             else step.step.estimate
         )
-        full_duration *= rng.uniform(0.7, 1.2)
+        full_duration *= rng.uniform(0.7, 1.2) * self._duration_factor(kind, allocation)
         saved_seconds = float(allocation.checkpoint or 0)
         duration = max(0.01, full_duration - saved_seconds) + (
             RESTORE_SECONDS if saved_seconds else 0
@@ -581,6 +690,14 @@
             duration, self._end, allocation, RunOutcome.FAILED if fails else RunOutcome.DONE
         )
 
+    def _duration_factor(self, kind: JobKind, allocation: Allocation) -> float:
+        """Return the error of the declared duration, which all tasks of a step share."""
+        if not kind.duration_spread:
+            return 1.0
+        task = allocation.task
+        rng = random.Random(f'{task.job} {task.step} {self._seed}')
+        return rng.lognormvariate(-(kind.duration_spread**2) / 2, kind.duration_spread)
+
     def _stop(self, allocation: Allocation) -> None:
         self.cell.handle_stop_reply(allocation, self._now)
         self._end(allocation, RunOutcome.STOPPED)
@@ -613,12 +730,14 @@
 
     def _record_result(self, job_id: str) -> None:
         """Record once the value that a job earned; a failed job earns nothing."""
+        job = self.cell.job_by_id[job_id]
+        lateness = (self._now - job.accepted_at) / self.cell.objective_of(job)
+        if job.state is JobState.COMPLETED and lateness <= MAX_LATE_FACTOR:
+            self.result_by_job[job_id].earned_share = 1.0 if lateness <= 1 else LATE_VALUE_SHARE
         value = self._value_by_job.pop(job_id, None)
         if value is None:
             return
-        job = self.cell.job_by_id[job_id]
         kind = self._kind_of(job_id)
-        lateness = (self._now - job.accepted_at) / self.cell.objective_of(job)
         for tally in self._tallies(kind.queue.name, job.account):
             if job.state is JobState.COMPLETED and lateness <= 1:
                 tally.in_time += 1
--- a/bench/replay_report.py
+++ b/bench/replay_report.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+#: The largest jobs of a queue are one in this many.
+LARGEST_PART = 4
+
 
 @dataclass
 class Tally:
@@ -21,11 +24,28 @@
     start_delays: list[float] = field(default_factory=list)
 
 
+@dataclass
+class JobResult:
+    """Value, declared work and outcome of one job, also of one beyond the rate of its account."""
+
+    queue: str
+    account: str
+    value: float
+    work: float
+    earned_share: float = 0.0
+
+    @property
+    def in_time(self) -> bool:
+        """Return whether the job ended within its objective."""
+        return self.earned_share == 1
+
+
 class ReplayResult(Protocol):
     """The results of a replay that are reported."""
 
     tally_by_queue: dict[str, Tally]
     tally_by_account: dict[str, Tally]
+    result_by_job: dict[str, JobResult]
     bound: float
     plan_seconds: list[float]
     wasted_core_seconds: float
@@ -41,6 +61,13 @@
     #: An upper bound that no scheduling policy can exceed.
     bound: float
     plan_p99: float
+    #: Earned share of the value of all jobs, also of those beyond the rates of their accounts.
+    worth_of_all: float
+    #: Share in time of the jobs of the queue with the least value per job.
+    small_in_time: float
+    #: Mean over the queues of the share in time of their largest quarter of jobs, and of the rest.
+    wide_in_time: float
+    narrow_in_time: float
 
 
 def score(replay: 'ReplayResult') -> Score:
@@ -54,14 +81,40 @@
     )
     worst_shares = account_shares[: max(1, len(account_shares) // 10)]
     plan_times = sorted(replay.plan_seconds)
+    results_by_queue: dict[str, list[JobResult]] = {}
+    for result in replay.result_by_job.values():
+        results_by_queue.setdefault(result.queue, []).append(result)
+    wide, narrow = [], []
+    for results in results_by_queue.values():
+        results.sort(key=_work, reverse=True)
+        wide.append(_share_in_time(results[: len(results) // LARGEST_PART]))
+        narrow.append(_share_in_time(results[len(results) // LARGEST_PART :]))
+    all_results = replay.result_by_job.values()
     return Score(
         sum(tally.value_earned for tally in tallies) / attainable,
         sum(worst_shares) / len(worst_shares) if worst_shares else 1.0,
         replay.bound / attainable,
         plan_times[int(0.99 * len(plan_times))],
+        sum(result.value * result.earned_share for result in all_results)
+        / sum(result.value for result in all_results),
+        _share_in_time(min(results_by_queue.values(), key=_mean_value)),
+        sum(wide) / len(wide),
+        sum(narrow) / len(narrow),
     )
 
 
+def _work(result: JobResult) -> float:
+    return result.work
+
+
+def _mean_value(results: list[JobResult]) -> float:
+    return sum(result.value for result in results) / len(results)
+
+
+def _share_in_time(results: list[JobResult]) -> float:
+    return sum(result.in_time for result in results) / max(1, len(results))
+
+
 def print_result(name: str, replay: 'ReplayResult') -> None:
     """Print the results of one policy, with a line for each queue."""
     tallies = replay.tally_by_queue.values()
