--- a/dandelionreel/cell/decisions/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -11,6 +11,7 @@
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._objectives import count_fitting
+from dandelionreel.cell.decisions._runner_state import Allocation, AllocationPhase
 from dandelionreel.cell.decisions._step_run import counted_demand
 from dandelionreel.cell.decisions._waiting_steps import Candidate
 from dandelionreel.cell.model import Demand, StepName
@@ -21,6 +22,11 @@
 #: Seconds for which quota is kept for a gang that finds no slots on the runners; a gang may never
 #: find any.
 MAX_CLAIM_SECONDS = 5.0
+#: A run that has taken this many seconds longer than expected may never end, so no gang keeps the
+#: account waiting for it.
+MAX_OVERDUE_SECONDS = 60.0
+#: Seconds between counts of such runs, and of long-running tasks.
+LASTING_REFRESH_SECONDS = 1.0
 #: The reason for a blocked job in the log; readers of the log match it.
 HELD_BY_QUOTA = "its account's quota"
 
@@ -68,6 +74,14 @@
         self._starved_gang_by_account: dict[str, StepName] = {}
         #: Accounts whose quota does not suffice for their starved gang; only that gang may start.
         self._draining_accounts: set[str] = set()
+        #: Gangs that the previous plan has examined. Those of a service without usable runners
+        #: are not examined, and nothing else waits for them.
+        self._examined_gangs: set[StepName] = set()
+        #: Demand of each account's runs whose end cannot be awaited, and when it was counted.
+        self._lasting_by_account: dict[str, Demand] = {}
+        self._lasting_at = float('-inf')
+        #: When the next run counts as overdue.
+        self._next_overdue_at = float('inf')
         #: Demand of an account's gangs that have not started in this plan.
         self._claimed_by_account: dict[str, Demand] = {}
         #: Jobs that this plan has begun to block.
@@ -80,14 +94,18 @@
         self._claimed_by_account.clear()
         self._draining_accounts.clear()
         self.newly_blocked = []
+        examined = self._examined_gangs
+        self._examined_gangs = set()
         self._wait_by_gang = {
             one.step.name: self._wait_by_gang[one.step.name]
             for one in candidates
-            if one.step.name in self._wait_by_gang
+            if one.step.name in self._wait_by_gang and one.step.name in examined
+        }
+        self._starved_gang_by_account = {
+            account: gang
+            for account, gang in self._find_starved_gangs().items()
+            if self._claim_for_starved_gang(account, gang)
         }
-        self._starved_gang_by_account = self._find_starved_gangs()
-        for account, gang in self._starved_gang_by_account.items():
-            self._claim_for_starved_gang(account, gang)
 
     def count_allowed_tasks(self, candidate: Candidate) -> int:
         """Return how many waiting tasks of a step may start; all or none for a gang."""
@@ -121,23 +139,25 @@
         claimed = claimed or Demand()
         self._claimed_by_account[job.account] = claimed + step.step.smallest_start
 
-    def _claim_for_starved_gang(self, account: str, gang: StepName) -> None:
+    def _claim_for_starved_gang(self, account: str, gang: StepName) -> bool:
         """Keep quota for a starved gang; the other tasks of its account use what is left of it.
 
-        If the quota does not suffice for the gang, none of the other tasks may start.
+        If the quota does not suffice for the gang now, none of the other tasks may start. Returns
+        false if it can never suffice: then nothing is kept.
         """
         job = self._cell.job_by_id[gang.job]
         step = job.find_step(gang)
         quota = self._cell.quota_of(job)
         if step is None or quota is None:
-            return
+            return False
         needed = step.step.smallest_start
-        if not needed.fits(quota):
-            return
+        if not needed.fits(quota - self._lasting_demand(account)):
+            return False
         if needed.fits(quota - self._cell.quotas.used(account)):
             self._claimed_by_account[account] = needed
         else:
             self._draining_accounts.add(account)
+        return True
 
     def _count_startable_tasks(self, candidate: Candidate, quota: Demand) -> int:
         job, step = candidate.job, candidate.step
@@ -153,8 +173,12 @@
     def _count_startable_members(self, candidate: Candidate, quota: Demand, count: int) -> int:
         """Return how many members of a gang may start, and note since when it waits."""
         step = candidate.step
+        self._examined_gangs.add(step.name)
+        if count < len(step.tasks):
+            quota -= self._lasting_demand(candidate.job.account)
         if not step.step.smallest_start.fits(quota):
-            # The gang exceeds the whole quota and can never start: nothing else waits for it.
+            # The gang exceeds the whole quota, or what lasting runs leave of it, and cannot start:
+            # nothing else waits for it.
             self._wait_by_gang.pop(step.name, None)
             return 0
         wait = self._wait_by_gang.setdefault(step.name, _GangWait())
@@ -164,6 +188,28 @@
         wait.record_sufficient_quota(self._now)
         return count
 
+    def _lasting_demand(self, account: str) -> Demand:
+        """Return the demand of an account's runs whose end cannot be awaited."""
+        if self._now >= min(self._next_overdue_at, self._lasting_at + LASTING_REFRESH_SECONDS):
+            self._lasting_at = self._now
+            self._next_overdue_at = float('inf')
+            self._lasting_by_account = {}
+            for runner in self._cell.runner_by_id.values():
+                self._count_lasting(runner.allocation_by_run.values())
+        return self._lasting_by_account.get(account, Demand())
+
+    def _count_lasting(self, allocations: Iterable[Allocation]) -> None:
+        for held in allocations:
+            step = self._cell.step_of(held)
+            if step is None or not held.account or held.phase is AllocationPhase.STOPPING:
+                continue
+            overdue_at = held.placed_at + held.expected + MAX_OVERDUE_SECONDS
+            if not step.step.long_running and overdue_at > self._now:
+                self._next_overdue_at = min(self._next_overdue_at, overdue_at)
+                continue
+            counted = self._lasting_by_account.get(held.account, Demand())
+            self._lasting_by_account[held.account] = counted + held.demand
+
     def _find_starved_gangs(self) -> dict[str, StepName]:
         """Return the starved gang of each account that has been blocked for the longest time."""
         gang_by_account: dict[str, StepName] = {}
