Admission: a refusal waits for heartbeats that follow sooner

Cause: a refusal waited for a read that was sent after the job's arrival and then for a heartbeat, often longer than the 0.6 s after which the job is accepted: with three real hosts and six busy runners, 20 of 160 jobs were refused, after 0.6 s each.

Change: the owner waits until it has read back its own next heartbeat, and heartbeats follow each other after 0.1 s while refusals wait for them.

--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -315,7 +315,7 @@
             )
             refused_count = 0
             if self._refusals is not None:
-                load, refused_count = self._refusals.make_digest_content()
+                load, refused_count = self._refusals.make_digest_content(heartbeat)
                 owner_record = msgspec.structs.replace(owner_record, load=msgspec.Raw(load))
             records = [make_record(OWNER_KEY, owner_record)]
             if self._refusals is not None:
@@ -341,7 +341,10 @@
                 if self._refusals is not None:
                     await self._refusals.record_stored_heartbeat(refused_count)
                 await self._enable_recorded_runners(stored)
-            await curio.sleep(HEARTBEAT_SECONDS)
+            if self._refusals is None:
+                await curio.sleep(HEARTBEAT_SECONDS)
+            else:
+                await self._refusals.pause_between_heartbeats()
 
     async def _enable_recorded_runners(self, stored: frozenset[str]) -> None:
         """Allow tasks on the runners that are now recorded in the store."""
--- a/dandelionreel/cell/owner/_refusals.py
+++ b/dandelionreel/cell/owner/_refusals.py
@@ -17,6 +17,7 @@
     RefusalReason,
     WaitingOrder,
 )
+from dandelionreel.cell.membership import HEARTBEAT_SECONDS
 from dandelionreel.cell.model import (
     MAX_DIGEST_REFUSALS,
     SUBMISSION_PREFIX,
@@ -33,8 +34,10 @@
 
 #: Seconds between forecasts of the load.
 FORECAST_SECONDS = 0.3
-#: Seconds after which a job is accepted whose refusal has not been stored: two heartbeats, and
-#: less than the relaying host waits.
+#: Minimum seconds between two heartbeats while refusals wait for them; each refusal needs two.
+MIN_HEARTBEAT_SECONDS = 0.1
+#: Seconds after which a job is accepted whose refusal has not been stored, less than the relaying
+#: host waits.
 MAX_DECISION_SECONDS = 0.6
 #: Share of the time for a call that may pass before a job is accepted, so that it can be stored.
 MAX_DECISION_SHARE = 0.7
@@ -78,6 +81,8 @@
         self._refused_count = 0
         self._stored_count = 0
         self._stored = ChangeNotifier()
+        self._latest_heartbeat = 0
+        self._heartbeat_wanted = curio.Event()
 
     async def run(self) -> None:
         """Forecast the load until the term ends."""
@@ -99,7 +104,7 @@
         The refusal counts from the time of the attempt by the clock of the host that relays it. If
         that host does not get the answer and stores the job itself, that is a later attempt.
 
-        The job is accepted where a refusal cannot be relied upon: the store was not read up to a
+        The job is accepted where a refusal cannot be relied upon: the store is not read up to a
         time after the job's arrival, or the refusal is not stored in time.
         """
         now = self._clock.monotonic()
@@ -107,7 +112,7 @@
         verdict = self._admission.judge(job_id, submission, now, self._clock.unix_time())
         if verdict.reason is None or not self._may_refuse(attempted_at):
             return None
-        if not await self._is_unknown_to_store(job_id, now, deadline):
+        if not await self._is_unknown_to_store(job_id, deadline):
             return None
         is_repeated = self._cell_state.refused_jobs.contains(job_id)
         number = self._add(job_id, attempted_at)
@@ -119,8 +124,17 @@
         self._report(job_id, submission, verdict, verdict.reason, retry_after)
         return Refusal(verdict.reason, retry_after)
 
-    def make_digest_content(self) -> tuple[bytes, int]:
+    async def pause_between_heartbeats(self) -> None:
+        """Wait until the next heartbeat is due, sooner if a refusal waits for one."""
+        await curio.sleep(MIN_HEARTBEAT_SECONDS)
+        await curio.ignore_after(
+            HEARTBEAT_SECONDS - MIN_HEARTBEAT_SECONDS, self._heartbeat_wanted.wait
+        )
+        self._heartbeat_wanted.clear()
+
+    def make_digest_content(self, heartbeat: int) -> tuple[bytes, int]:
         """Return the encoded digest for a heartbeat, and the number of refusals it covers."""
+        self._latest_heartbeat = heartbeat
         oldest = self._clock.monotonic() - DIGEST_SECONDS
         while self._recent and self._recent[0][0] < oldest:
             self._recent.popleft()
@@ -176,19 +190,26 @@
     def _is_known(self, job_id: str) -> bool:
         return job_id in self._cell.job_by_id or self._cell_state.find_job(job_id) is not None
 
-    async def _is_unknown_to_store(self, job_id: str, since: float, deadline: float) -> bool:
-        """Return whether a read of the store that was sent after ``since`` has no such job.
+    async def _is_unknown_to_store(self, job_id: str, deadline: float) -> bool:
+        """Return whether the store has no such job, as of now or later.
 
-        Waits for the next read instead of requesting one: while many jobs are refused, each would
-        be an additional call to the store.
+        The next heartbeat has been read back: so has everything that was stored before it.
         """
-        while self._follower.fresh_at < since:
+        needed = self._latest_heartbeat + 1
+        await self._heartbeat_wanted.set()
+        while not self._has_read_heartbeat(needed):
             seen = self._follower.changed.count
             if not await self._wait(self._follower.changed, seen, deadline):
                 return False
         return not self._is_known(job_id)
 
+    def _has_read_heartbeat(self, number: int) -> bool:
+        owner = self._cell_state.owner
+        own_term = self._owner_context.term.term
+        return owner is not None and owner.term == own_term and owner.beat >= number
+
     async def _wait_until_stored(self, number: int, deadline: float) -> bool:
+        await self._heartbeat_wanted.set()
         while self._stored_count < number:
             seen = self._stored.count
             if not await self._wait(self._stored, seen, deadline):
