--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -330,7 +330,7 @@
         )
         refused_count = 0
         if self._refusals is not None:
-            load, refused_count = self._refusals.make_digest_content()
+            load, refused_count = self._refusals.make_digest_content(self._heartbeat_count)
             owner_record = msgspec.structs.replace(owner_record, load=msgspec.Raw(load))
         return make_record(OWNER_KEY, owner_record), refused_count
 
@@ -376,7 +376,10 @@
                 if self._refusals is not None:
                     await self._refusals.record_stored_heartbeat(refused_count)
                 await self._enable_recorded_runners(stored)
-            await curio.sleep(HEARTBEAT_SECONDS)
+            if self._refusals is None:
+                await curio.sleep(HEARTBEAT_SECONDS)
+            else:
+                await self._refusals.pause_between_heartbeats()
 
     async def _enable_recorded_runners(self, stored: frozenset[str]) -> None:
         """Allow tasks on the runners that are now recorded in the store."""
