A plan searches no runners for tasks that it cannot start

Cause: a late owner sends 12 starts at once, and often plans while none may be sent. The plan still went through all runners for each waiting step.

Change: a step without advice that is no gang is skipped once no start is left.

--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -198,16 +198,20 @@
             if step.step.gang:
                 self._quota_gate.claim_quota(candidate)
             return
-        if candidate.queue is None or candidate.queue.advice is None:
+        may_place = candidate.job.stored and state.starts_left > 0
+        needs_advice = candidate.queue is not None and candidate.queue.advice is not None
+        if not (may_place or needs_advice or step.step.gang):
+            # Nothing can be sent for it in this plan. A long backlog would cost a search each.
+            return
+        if needs_advice:
+            ticketed = self._runners_with_tickets(step, runners, state.now)
+        else:
             ticketed = [
                 (runner, '') for runner in runners.values() if has_required_label(step, runner)
             ]
-        else:
-            ticketed = self._runners_with_tickets(step, runners, state.now)
         if step.step.gang:
             self._plan_gang(candidate, ticketed, runners, state)
             return
-        may_place = candidate.job.stored and state.starts_left > 0
         placed = may_place and self._place_tasks(candidate, ticketed, state, allowed)
         if not placed and not self._can_place_all_tasks(candidate, ticketed, state):
             self._request_advice(candidate, runners, state)
