--- a/bench/gang_starts.py
+++ b/bench/gang_starts.py
@@ -1,8 +1,8 @@
 """Compares how gangs start on runners of different speeds, in virtual time.
 
 ``python -m bench.gang_starts``: the replay of ``bench.replay`` on a load in which a quarter of the
-runners is slow and a gang ends when its slowest member would. The speeds of runners are known to
-the planner (``by speed``) or not (``as before``).
+runners is slow (``uneven``) or a third is fast (``scarce``), and a gang ends when its slowest
+member would. The speeds of runners are known to the planner (``by speed``) or not (``as before``).
 """
 
 import argparse
@@ -16,7 +16,7 @@
 from bench.replay_report import score
 from dandelionreel.cell.decisions import Allocation, Cell, Planner, RunnerState, StepRun
 from dandelionreel.cell.decisions._gang_start import GangStarts
-from dandelionreel.cell.decisions._preemption import STOPPED_CPU, LostWork, VictimCost
+from dandelionreel.cell.decisions._preemption import STOPPED_CPU, VictimCost
 from dandelionreel.cell.decisions._run_times import RunTimes
 from dandelionreel.cell.model import Demand
 
@@ -70,8 +70,9 @@
         self.speed_by_runner = {
             f'w{number}': rng.choices(speeds, shares)[0] for number in range(load.runners)
         }
-        #: Member seconds of gangs, and the part in which faster members wait for the slowest.
-        self.gang_seconds: list[float] = []
+        #: Speed of the slowest member of each gang start.
+        self.gang_speeds: list[float] = []
+        #: Number of gang starts on runners of different speeds.
         self.mixed_gangs = 0
         super().__init__(load, WAYS[way], seed)
         if way != 'as before':
@@ -87,7 +88,7 @@
             return seconds * own / self.speed_by_runner[allocation.runner]
         speeds = {self.speed_by_runner[task.runner] for task in step.tasks if task.runner}
         if allocation.task.index == 0:
-            self.gang_seconds.append(min(speeds))
+            self.gang_speeds.append(min(speeds))
             self.mixed_gangs += len(speeds) > 1
         return seconds / min(speeds)
 
@@ -120,21 +121,6 @@
         return STOPPED_CPU
 
 
-class LostFifth(LostWork):
-    """Assumes that the checkpoint of a stopped task saves four fifths of its work."""
-
-    def of_run(self, allocation: Allocation, now: float) -> float:
-        """Return the core-seconds that a run would lose."""
-        return 0.2 * super().of_run(allocation, now)
-
-
-class LostFifthPlanner(Planner):
-    """Weighs a fifth of the work since the last checkpoint."""
-
-    def _victim_cost(self) -> VictimCost:
-        return LostFifth()
-
-
 class NeverWait(GangStarts):
     """Starts each gang as soon as it fits."""
 
@@ -156,7 +142,6 @@
     'as before': Planner,
     'by speed': Planner,
     'by speed, stopped cpu': StoppedCpuPlanner,
-    'by speed, lost fifth': LostFifthPlanner,
     'by speed, no wait': NoWaitPlanner,
 }
 
@@ -180,9 +165,9 @@
 def _print_way(way: str, replays: list[UnevenReplay]) -> None:
     scores = [score(replay) for replay in replays]
     worths = [result.worth for result in scores]
-    gangs = sum(len(replay.gang_seconds) for replay in replays)
+    gangs = sum(len(replay.gang_speeds) for replay in replays)
     mixed = sum(replay.mixed_gangs for replay in replays)
-    slowest = mean(speed for replay in replays for speed in replay.gang_seconds)
+    slowest = mean(speed for replay in replays for speed in replay.gang_speeds)
     sys.stdout.write(
         f'{way}: worth {mean(worths):.3f} ± {confidence_half_width(worths):.3f}, '
         f'{[round(worth, 3) for worth in worths]}, '
