--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -27,7 +27,7 @@
     has_required_label,
 )
 from dandelionreel.cell.decisions._runner_state import Allocation, RunnerState
-from dandelionreel.cell.decisions._speed_preference import make_speed_preference
+from dandelionreel.cell.decisions._speed_preference import URGENT_PRIORITY, make_speed_preference
 from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, counted_demand
 from dandelionreel.cell.decisions._waiting_steps import (
     TOO_LATE,
@@ -44,8 +44,6 @@
 #: Seconds between recomputations of the reservations while the same gangs wait. They are costly:
 #: each reservation is computed from all runs on all runners that its gang may use.
 RESERVATION_REFRESH_SECONDS = 0.05
-#: Priority of the queues whose advice requests are never deferred.
-URGENT_PRIORITY = 0
 NO_LIMIT = float('inf')
 
 
--- a/dandelionreel/cell/decisions/_run_observer.py
+++ b/dandelionreel/cell/decisions/_run_observer.py
@@ -7,8 +7,8 @@
 from dandelionreel.cell.decisions._runner_state import Allocation, AllocationPhase, RunnerState
 from dandelionreel.cell.model import EndedRun, RunOutcome, StepName
 
-#: Progress in percent below which a run's end is not projected: the rounding to whole percent and
-#: the delay of the first poll would distort it by more than the declared duration is wrong.
+#: Progress in percent below which a run's end is not projected: the rounding to whole percent
+#: distorts it by up to a tenth here, and by more below.
 MIN_PROJECTED_PERCENT = 5
 ALL_PERCENT = 100
 #: Runners report whole percent, rounded down.
--- a/dandelionreel/cell/decisions/_speed_preference.py
+++ b/dandelionreel/cell/decisions/_speed_preference.py
@@ -10,7 +10,8 @@
 from dandelionreel.cell.decisions._waiting_steps import Candidate, compute_lateness
 from dandelionreel.cell.model import JobSpec
 
-#: Priority of the queues whose work always takes the fast runners.
+#: Priority of the queues whose work always takes the fast runners, and whose advice requests are
+#: never deferred.
 URGENT_PRIORITY = 0
 #: Key of a runner for a step; lower keys are preferred.
 PreferenceKey = tuple[int, bool]
