Tasks may start beside a gang for which their account waits (overload control)

Cause: a gang that has waited 20 s for its account's quota makes all other tasks of the account wait, also those that fit into the quota beside it. Until its earlier runs have ended, that quota is unused and urgent jobs become late.

Change: with overload control, single tasks of the account may start as long as all that started since then, and runs whose end cannot be awaited, fit into the quota beside the gang; so the gang starts as early as before. One log line for each such gang with the inputs, metric account_starts_beside_gangs{account}. Without overload control or without accounts, the gate decides as before.

--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from dandelionreel.cell.decisions._account_shares import QuotaBesideGangs, StarvedGang
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest, AdviceRequests
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._job_run import JobRun
@@ -52,13 +53,15 @@
     """Starts and advice requests to send, each in order of urgency.
 
     ``preempted`` are runs that are stopped for a gang, ``quota_blocked`` jobs that have begun to
-    wait for their account's quota.
+    wait for their account's quota. ``starved_gangs`` are gangs for which the other tasks of their
+    account have begun to wait, except those that fit beside them.
     """
 
     starts: list[Allocation] = field(default_factory=list)
     preempted: list[Allocation] = field(default_factory=list)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
     quota_blocked: list[JobRun] = field(default_factory=list)
+    starved_gangs: list[StarvedGang] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -94,11 +97,22 @@
 class Planner:
     """Plans the starts of a cell; each call considers all waiting steps."""
 
-    def __init__(self, cell: Cell, order: WaitingOrder | None = None) -> None:
-        """Place the tasks of ``cell`` in the order of ``order``."""
+    def __init__(
+        self,
+        cell: Cell,
+        order: WaitingOrder | None = None,
+        *,
+        overload_control: bool = False,
+    ) -> None:
+        """Place the tasks of ``cell`` in the order of ``order``.
+
+        With ``overload_control``, single tasks may start beside a gang for which their account
+        waits.
+        """
         self._cell = cell
         self._order = order or WithinRateFirst()
-        self._quota_gate = QuotaGate(cell)
+        self._beside_gangs = QuotaBesideGangs(cell) if overload_control else None
+        self._quota_gate = QuotaGate(cell, self._beside_gangs)
         self._advice_requests = AdviceRequests(cell)
         self._preemption = Preemption(cell)
         self._reservations = Reservations()
@@ -146,6 +160,9 @@
             if runners:
                 self._plan_step(candidate, runners, state)
         state.plan.quota_blocked.extend(self._quota_gate.newly_blocked)
+        if self._beside_gangs is not None:
+            self._beside_gangs.count_starts(state.plan.starts)
+            state.plan.starved_gangs.extend(self._beside_gangs.newly_starved)
         return state.plan
 
     def _renew_reservations(
--- a/dandelionreel/cell/decisions/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from dandelionreel.cell.decisions._account_shares import QuotaBesideGangs
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._objectives import count_fitting
@@ -55,17 +56,23 @@
         """Return whether quota may be kept for the gang."""
         return self.granted_since is None or now - self.granted_since < MAX_CLAIM_SECONDS
 
+    @property
+    def starved_since(self) -> float:
+        """Return since when a starved gang has kept the other tasks of its account waiting."""
+        return float('inf') if self.blocked_since is None else self.blocked_since + self.max_wait
+
     def is_starved(self, now: float) -> bool:
         """Return whether the other tasks of the account have to wait for the gang."""
-        return self.blocked_since is not None and now - self.blocked_since >= self.max_wait
+        return now >= self.starved_since
 
 
 class QuotaGate:
     """Blocks the steps whose account has no quota left for them."""
 
-    def __init__(self, cell: Cell) -> None:
-        """Apply the quotas of ``cell``."""
+    def __init__(self, cell: Cell, beside_gangs: QuotaBesideGangs | None = None) -> None:
+        """Apply the quotas of ``cell``; with ``beside_gangs`` also while a gang is starved."""
         self._cell = cell
+        self._beside_gangs = beside_gangs
         self._now = 0.0
         self._wait_by_gang: dict[StepName, _GangWait] = {}
         #: The gang for which all other tasks of an account wait.
@@ -95,6 +102,13 @@
             if one.step.name in self._wait_by_gang and one.step.name in examined
         }
         self._starved_gang_by_account = self._find_starved_gangs()
+        if self._beside_gangs is not None:
+            self._beside_gangs.begin_plan(
+                {
+                    name: self._wait_by_gang[name].starved_since
+                    for name in self._starved_gang_by_account.values()
+                }
+            )
 
     def count_allowed_tasks(self, candidate: Candidate) -> int:
         """Return how many waiting tasks of a step may start; all or none for a gang."""
@@ -124,11 +138,19 @@
     def _count_startable_tasks(self, candidate: Candidate, quota: Demand) -> int:
         job, step = candidate.job, candidate.step
         if not self._may_use_quota(job, step.name):
-            return 0
+            return self._count_tasks_beside_gang(candidate)
         claimed = self._claimed_by_account.get(job.account, Demand())
         available = quota - self._cell.quotas.used(job.account) - claimed
         return count_fitting(counted_demand(step), available, step.waiting)
 
+    def _count_tasks_beside_gang(self, candidate: Candidate) -> int:
+        """Return how many single tasks may start while their account waits for a gang."""
+        step, account = candidate.step, candidate.job.account
+        if self._beside_gangs is None or step.step.gang:
+            return 0
+        available = self._beside_gangs.available(account, self._lasting_demand(account))
+        return count_fitting(counted_demand(step), available, step.waiting)
+
     def _count_startable_members(self, candidate: Candidate, quota: Demand, count: int) -> int:
         """Return how many members of a gang may start, and note since when it waits."""
         step = candidate.step
--- a/dandelionreel/cell/decisions/_quotas.py
+++ b/dandelionreel/cell/decisions/_quotas.py
@@ -6,6 +6,8 @@
 runners that this owner has not seen yet.
 """
 
+from collections import Counter
+
 from dandelionreel.cell.decisions._allocation_table import AllocationTable
 from dandelionreel.cell.decisions._job_run import ANY_RUNNER, JobRun
 from dandelionreel.cell.model import Demand, Leftover, Progress
@@ -37,6 +39,8 @@
         self._leftover_by_job_and_runner: dict[_JobOnRunner, tuple[str, Demand]] = {}
         self._unseen_by_account: dict[str, Demand] = {}
         self._refreshed_at = float('-inf')
+        #: Tasks that started while their account waited for a gang, in this owner's term.
+        self.starts_beside_gangs_by_account: Counter[str] = Counter()
 
     def expect_leftovers(self, job: str, progress: Progress, unix_time: float) -> None:
         """Count the runs that a finished job may have left, as stored by an earlier owner."""
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -66,7 +66,7 @@
             dependencies.get_runner_list_age,
         )
         self._order_sender = OrderSender(self._owner_context)
-        self._planner = Planner(self.cell)
+        self._planner = Planner(self.cell, overload_control=dependencies.overload_control)
         self._advice_pool = AdvicePool(
             dependencies.host,
             lambda: dependencies.jobs.state.member_by_host,
@@ -376,6 +376,7 @@
         await self._send_stops()
         self._log_preempted(plan)
         self._log_quota_blocked(plan)
+        self._log_starved_gangs(plan)
         await self._order_sender.send_starts(plan.starts)
         for request in plan.advice_requests:
             await self._advice_pool.submit_request(request)
@@ -412,6 +413,23 @@
                 epoch=self._owner_context.term.epoch,
             )
 
+    def _log_starved_gangs(self, plan: Plan) -> None:
+        for gang in plan.starved_gangs:
+            self._journal.log(
+                Part.PLACEMENT,
+                f'account {gang.account} waits for a gang of job {gang.step.job}: only tasks that '
+                'fit into its quota beside the gang start.',
+                job=gang.step.job,
+                account=gang.account,
+                cpu=gang.used.cpu,
+                memory_mb=gang.used.memory_mb,
+                gang_cpu=gang.needed.cpu,
+                gang_memory_mb=gang.needed.memory_mb,
+                quota_cpu=gang.quota.cpu,
+                quota_memory_mb=gang.quota.memory_mb,
+                epoch=self._owner_context.term.epoch,
+            )
+
     async def _record_permits(
         self,
         request: AdviceRequest,
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -65,6 +65,11 @@
         self._account_refused = self._make_gauge(
             'account_refused', 'Calls of an account that this host refused.', 'account'
         )
+        self._account_starts_beside_gangs = self._make_gauge(
+            'account_starts_beside_gangs',
+            'Tasks that started while their account waited for a gang, in this owner term.',
+            'account',
+        )
         self._cpu_seconds = self._make_gauge('cpu_seconds', 'Processor time of this process.')
 
     def set_accounts_view(self, get_view: Callable[[], dict[str, Any]]) -> None:
@@ -119,11 +124,16 @@
         self, cell: Cell | None, configuration: Configuration | None
     ) -> None:
         self._account_used.clear()
+        self._account_starts_beside_gangs.clear()
         if cell is not None:
+            beside_by_account = cell.quotas.starts_beside_gangs_by_account
             for account in list_accounts(configuration):
                 used = cell.quotas.used(account.name)
                 self._account_used.labels(account.name, 'cpu').set(used.cpu)
                 self._account_used.labels(account.name, 'memory_mb').set(used.memory_mb)
+                self._account_starts_beside_gangs.labels(account.name).set(
+                    beside_by_account[account.name]
+                )
         for name, count in self.refusals.count_by_account.items():
             self._account_refused.labels(name).set(count)
 
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from behave import step as any_step
 
+from dandelionreel.cell.decisions import Planner
 from dandelionreel.cell.decisions._job_rates import JobRates
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._step_run import TaskPhase
@@ -468,13 +469,17 @@
 def random_sequences(context):
     for seed in range(40):
         play_random_events(random.Random(seed))
+    # In 90 s, gangs wait long enough for their accounts to wait for them.
+    for seed in range(6):
+        play_random_events(random.Random(seed), events=450, overload_control=True)
 
 
-def play_random_events(rng):
+def play_random_events(rng, events=60, *, overload_control=False):
     """Play random events on a cell; check each start against its account's quota."""
     cores = {'blue': 8, 'red': 12}
     small = AccountCell((make_blue_account(8), make_red_account(12)), runners=RUNNERS)
-    for _ in range(60):
+    small.planner = Planner(small.cell, overload_control=overload_control)
+    for _ in range(events):
         small.now += rng.random() * 0.4
         event_draw = rng.random()
         if event_draw < 0.1:
