Merge shares: single tasks may start beside a starved gang

While the quota suffices for the gang, the gate keeps just that much; while it does not, tasks that fit beside the gang start.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -475,6 +475,7 @@
 
 POLICIES: dict[str, Callable[[Cell], Planner]] = {
     'as built': Planner,
+    'beside gangs': lambda cell: Planner(cell, overload_control=True),
     'declared times': DeclaredTimesPlanner,
     'no preemption': NoPreemptionPlanner,
     'lost work': LostWorkPlanner,
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from dandelionreel.cell.decisions._account_shares import QuotaBesideGangs, StarvedGang
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest, AdviceRequests
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._gang_start import GangPlacement, GangStarts, GangWait
@@ -57,7 +58,8 @@
     ``preempted`` are runs that are stopped for a gang, ``quota_blocked`` jobs that have begun to
     wait for their account's quota, ``gang_waits`` gangs that have begun to wait for fast runners.
     ``speed_groups`` has the number of runners by speed, the fastest first, when gangs begin to be
-    placed by speed, and is empty when they cease to be.
+    placed by speed, and is empty when they cease to be. ``starved_gangs`` are gangs for which the
+    other tasks of their account have begun to wait, except those that fit beside them.
     """
 
     starts: list[Allocation] = field(default_factory=list)
@@ -66,6 +68,7 @@
     quota_blocked: list[JobRun] = field(default_factory=list)
     gang_waits: list[GangWait] = field(default_factory=list)
     speed_groups: list[int] | None = None
+    starved_gangs: list[StarvedGang] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -101,12 +104,23 @@
 class Planner:
     """Plans the starts of a cell; each call considers all waiting steps."""
 
-    def __init__(self, cell: Cell, order: WaitingOrder | None = None) -> None:
-        """Place the tasks of ``cell`` in the order of ``order``."""
+    def __init__(
+        self,
+        cell: Cell,
+        order: WaitingOrder | None = None,
+        *,
+        overload_control: bool = False,
+    ) -> None:
+        """Place the tasks of ``cell`` in the order of ``order``.
+
+        With ``overload_control``, single tasks may start beside a gang for which their account
+        waits.
+        """
         self._cell = cell
         #: The order in which waiting steps are placed.
         self.order = order or WithinRateFirst()
-        self._quota_gate = QuotaGate(cell)
+        self._beside_gangs = QuotaBesideGangs(cell) if overload_control else None
+        self._quota_gate = QuotaGate(cell, self._beside_gangs)
         self._advice_requests = AdviceRequests(cell)
         self._preemption = Preemption(cell)
         self._gang_starts = GangStarts(cell)
@@ -160,6 +174,9 @@
         state.plan.quota_blocked.extend(self._quota_gate.newly_blocked)
         state.plan.gang_waits.extend(self._gang_starts.new_waits)
         state.plan.speed_groups = self._gang_starts.new_groups
+        if self._beside_gangs is not None:
+            self._beside_gangs.count_starts(state.plan.starts)
+            state.plan.starved_gangs.extend(self._beside_gangs.newly_starved)
         return state.plan
 
     def _victim_cost(self) -> VictimCost:
--- a/dandelionreel/cell/decisions/_quota_gate.py
+++ b/dandelionreel/cell/decisions/_quota_gate.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from dandelionreel.cell.decisions._account_shares import QuotaBesideGangs
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._objectives import count_fitting
@@ -57,17 +58,23 @@
         """Return whether quota may be kept for the gang."""
         return self.granted_since is None or now - self.granted_since < MAX_CLAIM_SECONDS
 
+    @property
+    def starved_since(self) -> float:
+        """Return since when a starved gang has kept the other tasks of its account waiting."""
+        return float('inf') if self.blocked_since is None else self.blocked_since + self.max_wait
+
     def is_starved(self, now: float) -> bool:
         """Return whether the other tasks of the account have to wait for the gang."""
-        return self.blocked_since is not None and now - self.blocked_since >= self.max_wait
+        return now >= self.starved_since
 
 
 class QuotaGate:
     """Blocks the steps whose account has no quota left for them."""
 
-    def __init__(self, cell: Cell) -> None:
-        """Apply the quotas of ``cell``."""
+    def __init__(self, cell: Cell, beside_gangs: QuotaBesideGangs | None = None) -> None:
+        """Apply the quotas of ``cell``; with ``beside_gangs`` also while a gang is starved."""
         self._cell = cell
+        self._beside_gangs = beside_gangs
         self._now = 0.0
         self._wait_by_gang: dict[StepName, _GangWait] = {}
         #: The starved gang of each account; its other tasks leave it the quota that it needs.
@@ -106,6 +113,13 @@
             for account, gang in self._find_starved_gangs().items()
             if self._claim_for_starved_gang(account, gang)
         }
+        if self._beside_gangs is not None:
+            since_by_gang = {
+                name: self._wait_by_gang[name].starved_since
+                for account, name in self._starved_gang_by_account.items()
+                if account in self._draining_accounts
+            }
+            self._beside_gangs.begin_plan(since_by_gang, now)
 
     def count_allowed_tasks(self, candidate: Candidate) -> int:
         """Return how many waiting tasks of a step may start; all or none for a gang."""
@@ -163,13 +177,21 @@
         job, step = candidate.job, candidate.step
         is_starved = self._starved_gang_by_account.get(job.account) == step.name
         if job.account in self._draining_accounts and not is_starved:
-            return 0
+            return self._count_tasks_beside_gang(candidate)
         claimed = self._claimed_by_account.get(job.account, Demand())
         if is_starved and job.account not in self._draining_accounts:
             claimed -= step.step.smallest_start
         available = quota - self._cell.quotas.used(job.account) - claimed
         return count_fitting(counted_demand(step), available, step.waiting)
 
+    def _count_tasks_beside_gang(self, candidate: Candidate) -> int:
+        """Return how many single tasks may start while their account waits for a gang."""
+        step, account = candidate.step, candidate.job.account
+        if self._beside_gangs is None or step.step.gang:
+            return 0
+        available = self._beside_gangs.available(account, self._lasting_demand(account))
+        return count_fitting(counted_demand(step), available, step.waiting)
+
     def _count_startable_members(self, candidate: Candidate, quota: Demand, count: int) -> int:
         """Return how many members of a gang may start, and note since when it waits."""
         step = candidate.step
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -75,7 +75,7 @@
         self._heartbeat_at = self._clock.monotonic()
         self._owner_context.writer.get_overdue_records = self._get_overdue_heartbeat
         self._order_sender = OrderSender(self._owner_context)
-        self._planner = Planner(self.cell)
+        self._planner = Planner(self.cell, overload_control=dependencies.overload_control)
         #: ``None`` where demand does not exceed capacity: no job is refused.
         self._refusals = (
             Refusals(dependencies, self._owner_context, self._planner.order)
@@ -463,6 +463,7 @@
         await self._send_stops()
         self._log_preempted(plan)
         self._log_quota_blocked(plan)
+        self._log_starved_gangs(plan)
         await self._order_sender.send_starts(plan.starts)
         for request in plan.advice_requests:
             await self._advice_pool.submit_request(request)
@@ -500,6 +501,23 @@
                 epoch=self._owner_context.term.epoch,
             )
 
+    def _log_starved_gangs(self, plan: Plan) -> None:
+        for gang in plan.starved_gangs:
+            self._journal.log_sampled(
+                Part.PLACEMENT,
+                f'account {gang.account} waits for a gang of job {gang.step.job}: only tasks that '
+                'fit into its quota beside the gang start.',
+                job=gang.step.job,
+                account=gang.account,
+                cpu=gang.used.cpu,
+                memory_mb=gang.used.memory_mb,
+                gang_cpu=gang.needed.cpu,
+                gang_memory_mb=gang.needed.memory_mb,
+                quota_cpu=gang.quota.cpu,
+                quota_memory_mb=gang.quota.memory_mb,
+                epoch=self._owner_context.term.epoch,
+            )
+
     async def _record_permits(
         self,
         request: AdviceRequest,
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -25,6 +25,8 @@
         """Record a line."""
         self.entries.append((sentence, fields))
 
+    log_sampled = log
+
 
 def start_report(context):
     context.lines = RecordingJournal()
