Admission: free capacity is looked up when a job is judged

Cause: free capacity was as of the forecast, up to 0.3 s old, and a refusal takes 0.2 s more; a job could be refused although capacity had become free.

Change: capacity and quota are read from the cell for each job, and again before the refused id is noted.

--- a/dandelionreel/cell/decisions/_admission.py
+++ b/dandelionreel/cell/decisions/_admission.py
@@ -11,7 +11,12 @@
 
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._job_run import JobRun
-from dandelionreel.cell.decisions._load_forecast import ExpectedWait, LoadForecast, make_forecast
+from dandelionreel.cell.decisions._load_forecast import (
+    ExpectedWait,
+    LoadForecast,
+    could_start_at_once,
+    make_forecast,
+)
 from dandelionreel.cell.decisions._objectives import critical_path_seconds
 from dandelionreel.cell.decisions._waiting_steps import (
     MAX_USEFUL_LATENESS,
@@ -165,7 +170,7 @@
         if queue is None or not steps or any(step.long_running for step in job.spec.steps):
             return AdmissionVerdict()
         for step in steps:
-            if forecast.could_start_at_once(queue.service, job.account, step.step):
+            if could_start_at_once(self._cell, job, step.step):
                 return AdmissionVerdict()
         job.exceeds_account_rate = self._cell.would_exceed_account_rate(submission)
         objective = self._cell.objective_of(job)
--- a/dandelionreel/cell/decisions/_load_forecast.py
+++ b/dandelionreel/cell/decisions/_load_forecast.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._reservations import Rank
 from dandelionreel.cell.decisions._runner_state import RunnerState, expected_end
 from dandelionreel.cell.decisions._waiting_steps import (
@@ -70,31 +71,12 @@
         return ExpectedWait(max(0.0, self.capacity - elapsed), max(0.0, self.quota - elapsed))
 
 
-@dataclass(frozen=True)
-class FreeCapacity:
-    """Processor capacity in millicores that is free on a service's runners now."""
-
-    on_runners: list[int]
-    #: Unused quota of the accounts that have one and have steps waiting.
-    quota_by_account: dict[str, int]
-
-    def count_slots(self, cpu: int) -> int:
-        """Return how many tasks of that demand the runners have capacity for."""
-        return sum(free // cpu for free in self.on_runners)
-
-
 class LoadForecast:
     """The simulated starts of all waiting steps, as of one time."""
 
-    def __init__(
-        self,
-        now: float,
-        works: Iterable[WaitingWork],
-        free_by_service: dict[str, FreeCapacity],
-    ) -> None:
+    def __init__(self, now: float, works: Iterable[WaitingWork]) -> None:
         """Create the forecast of ``now`` for steps in the order of their rank."""
         self.made_at = now
-        self._free_by_service = free_by_service
         self._works_by_queue: dict[str, list[WaitingWork]] = {}
         for work in works:
             self._works_by_queue.setdefault(work.queue, []).append(work)
@@ -109,20 +91,6 @@
         works = self._works_by_queue.get(queue, ())
         return {work.account for work in works if work.is_at_quota}
 
-    def could_start_at_once(self, service: str, account: str, step: Step) -> bool:
-        """Return whether a task of a step, or the whole gang, has capacity and quota now.
-
-        Steps that rank before do not count: capacity that is free while they wait is of no use to
-        them, for lack of permits or of capacity for a whole gang.
-        """
-        free = self._free_by_service.get(service)
-        demand = step.smallest_start.cpu
-        if free is None or not demand:
-            return True
-        if free.quota_by_account.get(account, demand) < demand:
-            return False
-        return free.count_slots(step.counted_demand.cpu) >= (step.count if step.gang else 1)
-
     def expected_wait(self, queue: str, account: str, rank: Rank | None = None) -> ExpectedWait:
         """Return the wait of a new job, behind the steps of its queue that rank before it.
 
@@ -166,15 +134,31 @@
         if candidate.step.step.counted_demand.cpu and len(works) < MAX_SIMULATED_STEPS:
             works.append(_make_work(cell, candidate))
     simulated: list[WaitingWork] = []
-    free_by_service: dict[str, FreeCapacity] = {}
     for service, waiting in works_by_service.items():
         runners = [runner for runner in cell.runner_by_id.values() if _counts(runner, service)]
         if runners:
-            simulation = _Simulation(cell, runners, waiting, now)
-            free_by_service[service] = simulation.free_capacity
-            simulation.run()
+            _Simulation(cell, runners, waiting, now).run()
             simulated.extend(waiting)
-    return LoadForecast(now, simulated, free_by_service)
+    return LoadForecast(now, simulated)
+
+
+def could_start_at_once(cell: Cell, job: JobRun, step: Step) -> bool:
+    """Return whether a task of a step, or the whole gang, has capacity and quota now.
+
+    Steps that rank before do not count: capacity that is free while they wait is of no use to
+    them, for lack of permits or of capacity for a whole gang.
+    """
+    demand, cpu = step.smallest_start.cpu, step.counted_demand.cpu
+    quota = cell.quotas.remaining(job.account, cell.quota_of(job))
+    if not cpu or (quota is not None and quota.cpu < demand):
+        return not cpu
+    service = cell.service_of(job)
+    slots = sum(
+        max(0, runner.free_capacity.cpu) // cpu
+        for runner in cell.runner_by_id.values()
+        if _counts(runner, service)
+    )
+    return slots >= (step.count if step.gang else 1)
 
 
 def _counts(runner: RunnerState, service: str) -> bool:
@@ -209,8 +193,7 @@
     ) -> None:
         self._now = now
         self._works = works
-        free_on_runners = [max(0, runner.free_capacity.cpu) for runner in runners]
-        self._free = sum(free_on_runners)
+        self._free = sum(max(0, runner.free_capacity.cpu) for runner in runners)
         #: When a run ends, its processor demand and its account.
         self._ends = [
             (expected_end(held, now), held.demand.cpu, held.account)
@@ -224,7 +207,6 @@
             if configured is not None and configured.quota is not None:
                 used = cell.quotas.used(account).cpu
                 self._quota_left_by_account[account] = configured.quota.cpu - used
-        self.free_capacity = FreeCapacity(free_on_runners, dict(self._quota_left_by_account))
 
     def run(self) -> None:
         """Set the start of each step that starts within the simulated time."""
--- a/dandelionreel/cell/owner/_refusals.py
+++ b/dandelionreel/cell/owner/_refusals.py
@@ -107,13 +107,15 @@
         The job is accepted where a refusal cannot be relied upon: the store is not read up to a
         time after the job's arrival, or the refusal is not stored in time.
         """
-        now = self._clock.monotonic()
-        deadline = now + min(MAX_DECISION_SECONDS, MAX_DECISION_SHARE * timeout)
-        verdict = self._admission.judge(job_id, submission, now, self._clock.unix_time())
-        if verdict.reason is None or not self._may_refuse(attempted_at):
+        deadline = self._clock.monotonic() + min(MAX_DECISION_SECONDS, MAX_DECISION_SHARE * timeout)
+        if self._judge(job_id, submission).reason is None or not self._may_refuse(attempted_at):
             return None
         if not await self._is_unknown_to_store(job_id, deadline):
             return None
+        # Capacity may have become free meanwhile.
+        verdict = self._judge(job_id, submission)
+        if verdict.reason is None:
+            return None
         is_repeated = self._cell_state.refused_jobs.contains(job_id)
         number = self._add(job_id, attempted_at)
         if not await self._wait_until_stored(number, deadline) or self._is_known(job_id):
@@ -173,6 +175,11 @@
             )
         return records
 
+    def _judge(self, job_id: str, submission: Submission) -> AdmissionVerdict:
+        return self._admission.judge(
+            job_id, submission, self._clock.monotonic(), self._clock.unix_time()
+        )
+
     def _may_refuse(self, attempted_at: float) -> bool:
         """Return whether this host acts as the owner and can store the refusal with a heartbeat."""
         if abs(attempted_at - self._clock.unix_time()) > MAX_ATTEMPT_SKEW_SECONDS:
