Figures of an owner under load, with tickets that expire

Cause: the stand-in accepted tickets of any age, so the effect of the delay of a late owner on tickets could not be measured; and a run ended before it was known whether the jobs that still waited would complete.

--- a/bench/owner_load.py
+++ b/bench/owner_load.py
@@ -24,9 +24,9 @@
 #: Seconds between two readings of a host's processor time.
 READ_SECONDS = 0.001
 NANOSECONDS = 1e9
-#: Seconds after the load for the jobs that are still running.
-DRAIN_SECONDS = 10.0
 MILLICORES = 1000
+#: Seconds for which tickets are valid, as in the configuration of the stand-in.
+TICKET_SECONDS = 2.0
 #: Seconds between two entries that a runner writes, and between two of this program's writes.
 HEARTBEAT_SECONDS = 1.5
 WRITE_SECONDS = 0.1
@@ -92,6 +92,7 @@
         self._platform = UsersPlatform(options.runners, options.seed)
         for runner in self._platform.runners:
             runner.rejects_excess_starts = True
+            runner.ticket_seconds = TICKET_SECONDS
         self._hosts = EntryHosts(self._platform, options.hosts, block=200 + options.seed % 50)
         self._hosts.cores = options.cores
         if options.profile:
@@ -123,7 +124,7 @@
             self._submit_jobs()
             cpu = {name: used - cpu_before[name] for name, used in self._cpu_by_host().items()}
             load_seconds = time.monotonic() - began
-            time.sleep(DRAIN_SECONDS)
+            time.sleep(options.drain)
             for quota in quotas:
                 quota.stop()
             if options.profile:
@@ -255,6 +256,8 @@
     parser.add_argument('--cpu', type=int, default=2000)
     parser.add_argument('--advised', type=float, default=0.5)
     parser.add_argument('--seconds', type=float, default=20)
+    # Seconds after the load for the jobs that still wait or run.
+    parser.add_argument('--drain', type=float, default=10)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--profile', default='')
     parser.add_argument('--log', default='')
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -251,6 +251,8 @@
         #: Whether a start that exceeds the capacity is rejected, as real runners do. Otherwise it
         #: is run, and the record of the runs shows the fault of the owner.
         self.rejects_excess_starts = False
+        #: Seconds for which a ticket of the policy service is accepted; ``None`` for no limit.
+        self.ticket_seconds: float | None = None
         #: Number of starts that were rejected, by the reason in the answer.
         self.rejections: Counter[str] = Counter()
         self._runs = runs
@@ -362,6 +364,8 @@
             return self._reject('old')
         if order['deadline_ms'] / MILLISECONDS_PER_SECOND < self.clock():
             return self._reject('late')
+        if self._has_expired_ticket(order):
+            return self._reject('ticket')
         arguments = order['spec'].split()
         used = sum(run.cpu for run in self._run_by_task.values())
         if self.rejects_excess_starts and used + int(arguments[0]) > self.cpu:
@@ -374,6 +378,12 @@
         self._runs.append(run)
         return self._ok()
 
+    def _has_expired_ticket(self, order: dict) -> bool:
+        if self.ticket_seconds is None or 'ticket' not in order:
+            return False
+        issued_at = float(order['ticket'].rpartition('@')[2])
+        return time.monotonic() - issued_at > self.ticket_seconds
+
     def _stop(self, order: dict) -> Response:
         task, number = order['task'], order['run']
         self._highest_run_by_task[task] = max(self._highest_run_by_task.get(task, 0), number)
@@ -604,4 +614,5 @@
     async def _advise(self, request: Request) -> Response:
         workers = json.loads(request.body)['workers']
         await curio.sleep(0.005)
-        return json_response({'allowed': [[worker, f't-{worker}'] for worker in workers]})
+        now = time.monotonic()
+        return json_response({'allowed': [[worker, f't-{worker}@{now}'] for worker in workers]})
