Logs and metrics: the version in force, and when a newer one was last looked for

The logs could not tell why a host answered by an older version: the line of a version had neither the read that brought it nor how long the operator's topic had been unread before it, a lost read had no duration, and no metric showed the version or its age.

- 'a configuration is in force' and refusals by it ('no such queue', 'unknown key') have read_age, the seconds since the topic was last read to its end
- 'has lost the store' has how long the failed read took and the age
- gauges dandelionreel_configuration_version and _configuration_age_seconds

No behaviour changes.

--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -153,7 +153,9 @@
         host = request.header('host').partition(':')[0]
         queue = configuration.find_queue(host, path)
         if queue is None:
-            self._log_request_outcome(request, path, 'no such queue', version=configuration.version)
+            self._log_request_outcome(
+                request, path, 'no such queue', **self._make_configuration_fields()
+            )
             return not_run_response(HTTP_NOT_FOUND, 'unknown-queue', f'no queue at {path}')
         forwarded = None if forward is None else forward.caller
         caller = await self._access.identify_caller(request, queue, forwarded)
@@ -196,7 +198,7 @@
         The response to an unknown key does not say what is wrong with the key. A key that cannot be
         checked now gets a response that asks the client to retry.
         """
-        self._log_request_outcome(request, path, denied.value, version=self._configuration.version)
+        self._log_request_outcome(request, path, denied.value, **self._make_configuration_fields())
         if denied is DenialReason.UNDECIDED:
             return unavailable_response(
                 'key-unchecked', 'whether the key is known cannot be told just now'
@@ -402,6 +404,13 @@
             **fields,
         )
 
+    def _make_configuration_fields(self) -> dict[str, Any]:
+        """Return the version in force, and how many seconds ago a newer one was last looked for."""
+        return {
+            'version': self._configuration.version,
+            'read_age': seconds_or_none(self._configuration.read_age),
+        }
+
     def _make_log_fields(self) -> dict[str, Any]:
         """Return the age of the latest read in seconds, and the owner as this host knows it."""
         owner = self._jobs.state.owner
--- a/dandelionreel/cell/store/_follower.py
+++ b/dandelionreel/cell/store/_follower.py
@@ -6,7 +6,7 @@
 import curio
 
 from dandelionreel.cell.model import RecordBatch, RecordsExpired, StoreError, Topic
-from dandelionreel.kernel import ChangeNotifier, Clock, Journal, Part
+from dandelionreel.kernel import ChangeNotifier, Clock, Journal, Part, seconds_or_none
 
 #: Seconds between attempts while the store is unreachable.
 RETRY_SECONDS = 0.15
@@ -156,8 +156,9 @@
                 self._discard_position()
                 await self._wait_for_request(SUSPENDED_CHECK_SECONDS)
                 continue
+            sent_at = self._clock.monotonic()
             try:
-                await self._read_and_notify()
+                await self._read_and_notify(sent_at)
             except RecordsExpired as error:
                 self._journal.log(Part.LOG, f'starts again from a snapshot: {error}.')
                 self._offset = None
@@ -167,11 +168,10 @@
                 self.fresh_at = NEVER
             except StoreError as error:
                 self._read_size.halve_after_failure()
-                self._record_read_failure(error)
+                self._record_read_failure(error, sent_at)
                 await curio.sleep(RETRY_SECONDS)
 
-    async def _read_and_notify(self) -> None:
-        sent_at = self._clock.monotonic()
+    async def _read_and_notify(self, sent_at: float) -> None:
         offset_before = self._offset
         reached_end = await self._read_snapshot_or_batch()
         self._record_read_answer()
@@ -214,8 +214,13 @@
             self.reachable_since = self._clock.monotonic()
             self._journal.log(Part.LOG, f'reaches the store: {self._name}.')
 
-    def _record_read_failure(self, error: StoreError) -> None:
+    def _record_read_failure(self, error: StoreError, sent_at: float) -> None:
         self.failed_at = self._clock.monotonic()
         if self.reachable_since != NEVER:
-            self._journal.log(Part.LOG, f'has lost the store: {self._name}: {error}.')
+            self._journal.log(
+                Part.LOG,
+                f'has lost the store: {self._name}: {error}.',
+                read_seconds=seconds_or_none(self.failed_at - sent_at),
+                age=seconds_or_none(self.age(self.failed_at)),
+            )
         self.reachable_since = NEVER
--- a/dandelionreel/cell/store/_projections.py
+++ b/dandelionreel/cell/store/_projections.py
@@ -1,5 +1,7 @@
 """Projections of the operator's and the cell's topics: the configuration and the jobs."""
 
+from collections.abc import Callable
+
 from dandelionreel.cell.model import (
     OWNER_KEY,
     Configuration,
@@ -11,7 +13,7 @@
 )
 from dandelionreel.cell.store._cell_state import CellState
 from dandelionreel.cell.store._follower import Projection
-from dandelionreel.kernel import Clock, Journal, Part, SystemClock
+from dandelionreel.kernel import Clock, Journal, Part, SystemClock, seconds_or_none
 
 NEVER = float('-inf')
 #: Weight of the newest gap between heartbeats in the moving average, and the upper bound
@@ -24,6 +26,10 @@
 DIGEST_KEY = f'{OWNER_KEY}.load'
 
 
+def _never_read() -> float:
+    return -NEVER
+
+
 class ConfigurationProjection(Projection):
     """Keeps the newest readable configuration; never returns to an older version."""
 
@@ -32,10 +38,15 @@
         codec: RecordCodec,
         journal: Journal,
         unreadable: UnreadableLog | None = None,
+        get_read_age: Callable[[], float] = _never_read,
     ) -> None:
-        """Start without a configuration."""
+        """Start without a configuration.
+
+        ``get_read_age()`` returns how many seconds ago the topic was last read to its end.
+        """
         self._codec = codec
         self._journal = journal
+        self._get_read_age = get_read_age
         self._unreadable = unreadable or UnreadableLog(
             'operator', Part.CONTRACTS, SystemClock(), journal
         )
@@ -65,6 +76,11 @@
         """Return the version in force, 0 where there is no configuration yet."""
         return 0 if self.current is None else self.current.version
 
+    @property
+    def read_age(self) -> float:
+        """Return how many seconds ago the operator's topic was last read to its end."""
+        return self._get_read_age()
+
     def adopt_from_peer(self, content: bytes, peer: str) -> bool:
         """Use a configuration received from a peer if it is newer; return whether it is."""
         record = KeyedRecord(self._codec.configuration_key, content)
@@ -94,6 +110,7 @@
             queues=len(decoded.queue_by_name),
             accounts=None if accounts is None else len(accounts.account_by_name),
             peer=peer,
+            read_age=seconds_or_none(self.read_age),
         )
         if accounts is not None:
             self._log_configuration_problems(decoded.version, accounts.problems)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -334,10 +334,12 @@
     async def _update_gauges(self) -> None:
         while True:
             dispatcher = self._dispatcher
+            now = self._clock.monotonic()
             self._metrics.update_gauges(
                 dispatcher.cell if dispatcher else None,
                 self._reads.configuration.current,
-                self._reads.cell_follower.age(self._clock.monotonic()),
+                self._reads.cell_follower.age(now),
+                self._reads.operator_follower.age(now),
                 self._logs.dropped,
             )
             figures = dispatcher.pacing_figures if dispatcher else PacingFigures()
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -57,6 +57,12 @@
         self._store_age = self._make_gauge(
             'store_age_seconds', 'Age of what is known of the store.'
         )
+        self._configuration_version = self._make_gauge(
+            'configuration_version', 'Version of the configuration in force, 0 without one.'
+        )
+        self._configuration_age = self._make_gauge(
+            'configuration_age_seconds', "Age of the last complete read of the operator's topic."
+        )
         self._jobs = self._make_gauge('jobs_under_way', 'Jobs that are not over, at the owner.')
         self._tasks = self._make_gauge('tasks', 'Runs held by runners, at the owner.', 'phase')
         self._crashed_runs = self._make_gauge(
@@ -125,6 +131,7 @@
         cell: Cell | None,
         configuration: Configuration | None,
         store_age: float,
+        configuration_age: float,
         dropped_lines: int,
     ) -> None:
         """Set the gauges."""
@@ -135,6 +142,7 @@
             self._peer_bytes.labels(kind).set(count)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self._cpu_seconds.set(usage.ru_utime + usage.ru_stime)
+        self._update_configuration_gauges(configuration, configuration_age)
         self._update_cell_gauges(cell)
         self._update_account_gauges(cell, configuration)
 
@@ -144,6 +152,10 @@
             return json_response(self._get_accounts_view())
         return Response(HTTP_OK, (('content-type', TEXT_TYPE),), generate_latest(self._registry))
 
+    def _update_configuration_gauges(self, configuration: Configuration | None, age: float) -> None:
+        self._configuration_version.set(0 if configuration is None else configuration.version)
+        self._configuration_age.set(age)
+
     def _update_cell_gauges(self, cell: Cell | None) -> None:
         jobs = cell.job_by_id.values() if cell else ()
         self._jobs.set(sum(not job.is_finished for job in jobs))
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -65,6 +65,7 @@
             codec,
             journal,
             self._make_unreadable_log('operator', Part.CONTRACTS),
+            lambda: self.operator_follower.age(clock.monotonic()),
         )
         self.runners = RunnerProjection(
             codec,
@@ -78,13 +79,10 @@
         self.runners_follower = self._make_follower(
             'runners', RUNNERS_TOPIC, self.runners, RUNNERS_WAIT_SECONDS
         )
-        self.followers = (
-            self.cell_follower,
-            self._make_follower(
-                'operator', OPERATOR_TOPIC, self.configuration, OPERATOR_WAIT_SECONDS
-            ),
-            self.runners_follower,
+        self.operator_follower = self._make_follower(
+            'operator', OPERATOR_TOPIC, self.configuration, OPERATOR_WAIT_SECONDS
         )
+        self.followers = (self.cell_follower, self.operator_follower, self.runners_follower)
 
     @property
     def answered_at(self) -> float:
--- a/features/steps/account_shares_steps.py
+++ b/features/steps/account_shares_steps.py
@@ -94,7 +94,7 @@
 def starts_counted(context, count):
     cell = context.small.cell
     metrics = EntryMetrics()
-    metrics.update_gauges(cell, cell.configuration, 0, 0)
+    metrics.update_gauges(cell, cell.configuration, 0, 0, 0)
     body = curio.run(metrics.handle, Request('GET', '/metrics', (), b'')).body.decode()
     assert f'starts_beside_gangs{{account="blue"}} {count}.0' in body, body
 
