Failing scenario: a read of the operator's topic that is never answered

A host waits 3.2 s for a read of the operator's topic whose answer is lost while the connection stays open, 2 s at the store and 1.2 s for the answer. Until then it answers clients by the version before. The operators' bound is 2 s (config_apply_ms), and DEPLOY names connections that go silent for good.

The stand-in store can leave the reads in progress unanswered.

--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -75,6 +75,12 @@
         self._topic_by_name: dict[str, _Topic] = {}
         self._random = random.Random(seed)
         self.faults = StoreFaults()
+        #: How often ``silence_reads`` was called.
+        self._silenced_count = 0
+
+    def silence_reads(self) -> None:
+        """Never answer the reads that wait now; their connections stay open."""
+        self._silenced_count += 1
 
     def put(self, topic: str, key: str, document: object) -> None:
         """Write a record as the operator or a runner does; ``None`` deletes the key."""
@@ -149,8 +155,11 @@
 
     async def _read(self, topic: _Topic, offset: int, wait_ms: int) -> Response:
         until = time.monotonic() + wait_ms / MILLISECONDS_PER_SECOND
+        silenced_count = self._silenced_count
         while len(topic.records) <= offset and time.monotonic() < until:
             await curio.sleep(POLL_SECONDS)
+        if self._silenced_count > silenced_count:
+            await curio.Event().wait()
         body = struct.pack('>QQ', len(topic.records), 0)
         for record in topic.records[offset:]:
             body += LENGTH_PREFIX.pack(len(record)) + record
