A lost read of the operator's topic no longer outlasts the bound of a configuration

What callers saw: after the answer to a read was lost on a connection that stayed open, a host went on answering by the version before for up to 3.2 s: 404 for a queue that had been added, success for one that had been removed. The operators' bound is 2 s (config_apply_ms).

Cause: a read of the operator's topic waited 2 s at the store and another 1.2 s for its answer, whatever the bound is. Class: a time limit of a wait that was chosen without the bound that the wait is part of.

Fix: the wait is derived from config_apply_ms, so that one lost read and the next one fit into it (0.8 s at a bound of 2 s, 1.8 s at 3 s), and the answer is waited for 0.7 s.

--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -83,6 +83,7 @@
         self._reads = EntryReads(
             settings.host,
             settings.store,
+            settings.configuration_deadline,
             lambda: self._dispatcher is not None,
             self._metrics.count_unreadable,
             self._clock,
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -24,7 +24,8 @@
 #: Seconds that a read waits at the store for new records. The owner's heartbeats end most
 #: reads of the cell's topic sooner.
 CELL_WAIT_SECONDS = 0.5
-OPERATOR_WAIT_SECONDS = 2.0
+MAX_OPERATOR_WAIT_SECONDS = 2.0
+MIN_OPERATOR_WAIT_SECONDS = 0.2
 RUNNERS_WAIT_SECONDS = 1.0
 #: Seconds between reads at the owner, in which records are collected: the cell's records, most
 #: of them its own, and the runners' heartbeats.
@@ -35,10 +36,24 @@
 CELL_PAUSE_SECONDS = 0.25
 RUNNERS_PAUSE_SECONDS = 2.0
 OPERATOR_PAUSE_SECONDS = 0.1
+#: Seconds for the answer to a read of the operator's topic after its wait, and seconds that are
+#: left for the next read if there is none.
+OPERATOR_ANSWER_SECONDS = 0.7
+OPERATOR_REREAD_SECONDS = 0.5
 
 CountUnreadable = Callable[[str, str], None]
 
 
+def compute_operator_wait(configuration_deadline: float) -> float:
+    """Return for how many seconds a read of the operator's topic may wait at the store.
+
+    Load pattern: an open connection goes silent, and the configuration changes. The read is given
+    up soon enough for the next one to bring the change before the deadline.
+    """
+    wait = configuration_deadline - OPERATOR_ANSWER_SECONDS - OPERATOR_REREAD_SECONDS
+    return min(MAX_OPERATOR_WAIT_SECONDS, max(MIN_OPERATOR_WAIT_SECONDS, wait))
+
+
 class EntryReads:
     """Topics, their projections, and the followers that keep these up to date."""
 
@@ -46,12 +61,17 @@
         self,
         host: str,
         store: Address,
+        configuration_deadline: float,
         owns_cell: Callable[[], bool],
         count_unreadable: CountUnreadable,
         clock: Clock,
         journal: Journal,
     ) -> None:
-        """Read for ``host``; ``owns_cell()`` returns whether it owns the cell."""
+        """Read for ``host``; ``owns_cell()`` returns whether it owns the cell.
+
+        A new configuration is in force ``configuration_deadline`` seconds after its
+        acknowledgement, even if one read of the operator's topic is never answered.
+        """
         self._host = host
         self._owns_cell = owns_cell
         self._count_unreadable = count_unreadable
@@ -59,7 +79,9 @@
         self._journal = journal
         codec = JsonRecordCodec()
         self.topics = {
-            name: StoreTopic(name, store) for name in (CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC)
+            CELL_TOPIC: StoreTopic(CELL_TOPIC, store),
+            OPERATOR_TOPIC: StoreTopic(OPERATOR_TOPIC, store, OPERATOR_ANSWER_SECONDS),
+            RUNNERS_TOPIC: StoreTopic(RUNNERS_TOPIC, store),
         }
         self.configuration = ConfigurationProjection(
             codec,
@@ -80,7 +102,10 @@
             'runners', RUNNERS_TOPIC, self.runners, RUNNERS_WAIT_SECONDS
         )
         self.operator_follower = self._make_follower(
-            'operator', OPERATOR_TOPIC, self.configuration, OPERATOR_WAIT_SECONDS
+            'operator',
+            OPERATOR_TOPIC,
+            self.configuration,
+            compute_operator_wait(configuration_deadline),
         )
         self.followers = (self.cell_follower, self.operator_follower, self.runners_follower)
 
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -41,6 +41,7 @@
     status_s: float = 120
     revoke_strict: bool = False
     revoke_ms: float = 5000
+    config_apply_ms: float = 2000
 
 
 class _LimitsSection(msgspec.Struct, frozen=True):
@@ -74,11 +75,12 @@
     ``peers`` is the address on which the host listens for its peers, on the first port of the
     range. ``stop_grace`` is how long a planned stop may take. Runners shorten leases to
     ``max_lease``. ``max_key_age`` is the maximum age of the configuration against which API keys
-    are checked, ``None`` for any age. ``seeds`` are possibly outdated addresses of peers, used by a
-    host that has not yet read about any peer. ``status_retention`` is how long the state of a
-    finished job must be kept. ``cores`` is the processor time of the host, in cores of standard
-    speed. ``overload_control`` says whether demand may exceed the capacity of the cell for seconds,
-    so that work is shared out and refused by decisions of their own.
+    are checked, ``None`` for any age. ``configuration_deadline`` is the maximum time from the
+    acknowledgement of a configuration until it is in force. ``seeds`` are possibly outdated
+    addresses of peers, used by a host that has not yet read about any peer. ``status_retention`` is
+    how long the state of a finished job must be kept. ``cores`` is the processor time of the host,
+    in cores of standard speed. ``overload_control`` says whether demand may exceed the capacity of
+    the cell for seconds, so that work is shared out and refused by decisions of their own.
     """
 
     host: str
@@ -95,6 +97,7 @@
     gang_timeout: float
     status_retention: float
     max_key_age: float | None
+    configuration_deadline: float
     max_connections: int
     cores: float
     overload_control: bool = False
@@ -161,6 +164,7 @@
         gang_timeout=bounds.gang_timeout_ms / MILLISECONDS_PER_SECOND,
         status_retention=bounds.status_s,
         max_key_age=bounds.revoke_ms / MILLISECONDS_PER_SECOND if bounds.revoke_strict else None,
+        configuration_deadline=bounds.config_apply_ms / MILLISECONDS_PER_SECOND,
         # The share of one core, times the speed of that core relative to a standard one.
         cores=decoded.limits.cpu_share * decoded.limits.cores,
         max_connections=max(MIN_CONNECTIONS, decoded.limits.max_fds - RESERVED_DESCRIPTORS),
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -11,6 +11,9 @@
 from features.store_parts import LONG_TIMEOUT, journal, until
 from standins import UsersPlatform
 
+#: Seconds after its acknowledgement within which the operators expect a version to be in force.
+CONFIGURATION_DEADLINE = 2.0
+
 
 def ignore_unreadable(topic, reason):
     """Do not count unreadable records."""
@@ -18,7 +21,15 @@
 
 def make_reads(platform):
     store = Address('127.0.0.1', platform.port_by_name['store'])
-    return EntryReads('me', store, lambda: False, ignore_unreadable, SystemClock(), journal())
+    return EntryReads(
+        'me',
+        store,
+        CONFIGURATION_DEADLINE,
+        lambda: False,
+        ignore_unreadable,
+        SystemClock(),
+        journal(),
+    )
 
 
 @given('a host that has version 1 of the configuration in force')
