A host no longer takes answers about other topics for a current configuration

What callers saw: while the store answered a host about jobs and runners but not about the operator's topic, the host served an outdated configuration for as long as that lasted, and refused keys and queues that had been added.

Cause: the configuration exchange asked peers only if the store had answered no read of any topic for 0.8 s, and told peers that its version was confirmed on the same ground. Class: freshness of one thing inferred from another.

Fix: the follower says until when its projection is known to be complete: a read that waits at the store confirms the present until its answer is overdue, and a failed one confirms nothing. The exchange uses that of the operator's topic.

--- a/dandelionreel/cell/membership/_configuration_exchange.py
+++ b/dandelionreel/cell/membership/_configuration_exchange.py
@@ -17,7 +17,8 @@
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
 from dandelionreel.peers import ConfigurationGiven, ConfigurationWanted, Frame, Message, PeerError
 
-#: Seconds without a reply from the store after which peers may have a newer configuration.
+#: Seconds without a sign from the store that this host has the newest configuration, after which
+#: peers may have a newer one.
 STORE_OVERDUE_SECONDS = 0.8
 #: Seconds between checks of the store's age, and between two rounds of queries to peers.
 POLL_SECONDS = 0.1
@@ -40,20 +41,22 @@
         cell_state: CellState,
         links: PeerLinks,
         projection: ConfigurationProjection,
-        store_answered_at: Callable[[], float],
+        get_current_at: Callable[[float], float],
         clock: Clock,
         journal: Journal,
         seeds: Sequence[Member] = (),
     ) -> None:
-        """Query peers as the host ``own_host``; ``store_answered_at()`` is in monotonic seconds.
+        """Query peers as the host ``own_host``.
 
-        ``seeds`` are queried while no peer is known.
+        ``get_current_at(now)`` returns until when the store has shown this host the newest
+        configuration, both in monotonic seconds. An answer about another topic does not count: the
+        read of this one may be lost. ``seeds`` are queried while no peer is known.
         """
         self._own_host = own_host
         self._cell_state = cell_state
         self._links = links
         self._projection = projection
-        self._store_answered_at = store_answered_at
+        self._get_current_at = get_current_at
         self._clock = clock
         self._journal = journal
         self._seeds = seeds
@@ -65,7 +68,8 @@
 
     def configuration_age(self) -> float:
         """Return for how many seconds this host may have been unaware of a newer configuration."""
-        return self._clock.monotonic() - max(self._store_answered_at(), self._confirmed_at)
+        now = self._clock.monotonic()
+        return now - max(self._get_current_at(now), self._confirmed_at)
 
     def record_peer_version(self, version: int) -> None:
         """Record that a peer has a version of the configuration."""
@@ -97,17 +101,17 @@
         version = self._projection.version
         document = self._projection.content if version > query.version else b''
         return ConfigurationGiven(
-            version, document, self._is_store_answering(self._clock.monotonic())
+            version, document, self._is_confirmed_by_store(self._clock.monotonic())
         )
 
-    def _is_store_answering(self, now: float) -> bool:
-        return now - self._store_answered_at() < STORE_OVERDUE_SECONDS
+    def _is_confirmed_by_store(self, now: float) -> bool:
+        return now - self._get_current_at(now) < STORE_OVERDUE_SECONDS
 
     def _may_be_outdated(self, now: float) -> bool:
         owner = self._cell_state.owner
         if owner is not None:
             self.record_peer_version(owner.version)
-        return not self._is_store_answering(now) or self._projection.version < self._peer_version
+        return not self._is_confirmed_by_store(now) or self._projection.version < self._peer_version
 
     async def _query_peers(self) -> None:
         self._queried_at = self._clock.monotonic()
@@ -148,10 +152,11 @@
             self._confirmed_at = max(self._confirmed_at, queried_at)
 
     def _adopt_configuration(self, host: str, reply: ConfigurationGiven) -> None:
+        now = self._clock.monotonic()
         if self._projection.adopt_from_peer(reply.document, host):
             self._journal.log(
                 Part.CONTRACTS,
                 f'adopted a newer configuration from {host}.',
                 version=reply.version,
-                store_age=seconds_or_none(self._clock.monotonic() - self._store_answered_at()),
+                store_age=seconds_or_none(now - self._get_current_at(now)),
             )
--- a/dandelionreel/cell/store/_follower.py
+++ b/dandelionreel/cell/store/_follower.py
@@ -17,6 +17,8 @@
 INITIAL_READ_BYTES = 524_288
 MIN_READ_BYTES = 262_144
 MAX_READ_BYTES = 1_048_576
+#: Seconds after its wait at the store within which a read is usually answered.
+USUAL_ANSWER_SECONDS = 0.3
 NEVER = float('-inf')
 
 
@@ -105,6 +107,8 @@
         self.failed_at = NEVER
         #: When the store last answered a read.
         self.answered_at = NEVER
+        #: Until when the present read, or the one before a pause, is not overdue.
+        self._answer_due_at = NEVER
         self.changed = ChangeNotifier()
 
     @property
@@ -131,6 +135,16 @@
         """Return the maximum age of the projection in seconds."""
         return now - self.fresh_at
 
+    def current_at(self, now: float) -> float:
+        """Return until when the projection is known to have every record.
+
+        The store answers a waiting read as soon as there is a record, so silence means that there
+        is none until the answer is overdue.
+        """
+        if self.has_reached_end and self.is_store_reachable and now < self._answer_due_at:
+            return now
+        return self.fresh_at
+
     async def request_read(self) -> None:
         """Read now instead of after the pause."""
         await self._read_requested.set()
@@ -202,6 +216,7 @@
         # The end of the topic is not known after a snapshot, and an owner starts nothing until it
         # is: a read that waits for new records would delay that.
         wait = self._max_wait if self.has_reached_end else 0.0
+        self._answer_due_at = self._clock.monotonic() + wait + USUAL_ANSWER_SECONDS
         batch = await self._topic.read(self._offset, wait, self._read_size.bytes)
         self._read_size.adjust_after_read(reached_end=batch.reached_end)
         self._projection.apply(batch)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -150,7 +150,7 @@
             self._cell_projection.state,
             self._peer_links,
             self._reads.configuration,
-            lambda: self._reads.answered_at,
+            self._reads.configuration_current_at,
             self._clock,
             self._journal,
             [Member('', seed.host, seed.port) for seed in settings.seeds],
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -114,6 +114,10 @@
         """Return when the store last answered a read, in monotonic seconds."""
         return max(follower.answered_at for follower in self.followers)
 
+    def configuration_current_at(self, now: float) -> float:
+        """Return until when the store has certainly shown this host the newest configuration."""
+        return min(self.answered_at, self.operator_follower.current_at(now))
+
     @property
     def has_reached_ends(self) -> bool:
         """Return whether all needed topics have been read to the end, and the store answers."""
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -113,7 +113,7 @@
         context.cell_state,
         context.links,
         projection,
-        lambda: NOW - store_age,
+        lambda now: NOW - store_age,
         clock,
         context.journal,
     )
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -5,9 +5,14 @@
 import curio
 from behave import given, then, when
 
+from dandelionreel.cell.membership import ConfigurationExchange
+from dandelionreel.cell.model import MEMBER_PREFIX, Member, make_record
+from dandelionreel.cell.store import CellState
 from dandelionreel.entry_reads import OPERATOR_PAUSE_SECONDS, EntryReads
 from dandelionreel.kernel import SystemClock
-from dandelionreel.platform import Address
+from dandelionreel.peers import ConfigurationGiven
+from dandelionreel.platform import CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC, Address
+from features.steps.account_steps import StubPeers, make_document
 from features.store_parts import LONG_TIMEOUT, journal, until
 from standins import UsersPlatform
 
@@ -47,17 +52,52 @@
 
 async def measure_seconds_to_version_2(platform):
     """Return the seconds from the write of version 2 until it is in force."""
+    reads = await read_version_1(platform)
+    for topic in (CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC):
+        platform.store.silence_reads(topic)
+    platform.configure(2)
+    return await measure_until_version_2(reads)
+
+
+async def read_version_1(platform):
+    """Return the reads of a host of which the next ones wait at the store."""
     reads = make_reads(platform)
-    await curio.spawn(reads.operator_follower.run, daemon=True)
+    for follower in reads.followers:
+        await curio.spawn(follower.run, daemon=True)
     await until(lambda: reads.configuration.version == 1)
-    # The next read begins after a pause and waits at the store.
     await curio.sleep(2 * OPERATOR_PAUSE_SECONDS)
-    platform.store.silence_reads()
-    platform.configure(2)
-    written_at = time.monotonic()
-    async with curio.timeout_after(LONG_TIMEOUT):
-        await until(lambda: reads.configuration.version == 2)
-    return time.monotonic() - written_at
+    return reads
+
+
+async def measure_until_version_2(reads):
+    started_at = time.monotonic()
+    await curio.ignore_after(LONG_TIMEOUT, until, lambda: reads.configuration.version == 2)
+    return time.monotonic() - started_at
+
+
+@when("only reads of the operator's topic are never answered, and a peer has version 2")
+def lose_reads_of_operator(context):
+    context.seconds = curio.run(measure_seconds_to_peer_version, context.platform)
+
+
+async def measure_seconds_to_peer_version(platform):
+    """Return the seconds until the version of a peer is in force."""
+    reads = await read_version_1(platform)
+    platform.store.faults.silent_topics.add(OPERATOR_TOPIC)
+    platform.store.silence_reads(OPERATOR_TOPIC)
+    cell_state = CellState()
+    cell_state.apply([make_record(f'{MEMBER_PREFIX}peer', Member('south', '127.0.0.1', 1))])
+    exchange = ConfigurationExchange(
+        'me',
+        cell_state,
+        StubPeers(ConfigurationGiven(2, make_document(2, []), True)),
+        reads.configuration,
+        reads.configuration_current_at,
+        SystemClock(),
+        journal(),
+    )
+    await curio.spawn(exchange.run, daemon=True)
+    return await measure_until_version_2(reads)
 
 
 @then('version 2 is in force within {seconds:g} s')
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -56,6 +56,8 @@
     delay: float = 0.0
     #: Source addresses whose requests are refused.
     refused_hosts: set[str] = field(default_factory=set)
+    #: Topics whose requests are never answered.
+    silent_topics: set[str] = field(default_factory=set)
 
 
 class _Topic:
@@ -65,6 +67,8 @@
         self.epoch = 0
         self.next_sequence = 0
         self.answer_by_sequence: dict[int, dict] = {}
+        #: How often the waiting reads were silenced.
+        self.silenced_count = 0
 
 
 class PlatformStore:
@@ -75,12 +79,10 @@
         self._topic_by_name: dict[str, _Topic] = {}
         self._random = random.Random(seed)
         self.faults = StoreFaults()
-        #: How often ``silence_reads`` was called.
-        self._silenced_count = 0
 
-    def silence_reads(self) -> None:
-        """Never answer the reads that wait now; their connections stay open."""
-        self._silenced_count += 1
+    def silence_reads(self, topic: str) -> None:
+        """Never answer the reads of a topic that wait now; their connections stay open."""
+        self._topic(topic).silenced_count += 1
 
     def put(self, topic: str, key: str, document: object) -> None:
         """Write a record as the operator or a runner does; ``None`` deletes the key."""
@@ -97,6 +99,8 @@
             await curio.sleep(self.faults.delay)
         if self.faults.down:
             return Response(503)
+        if request.query_by_name['topic'] in self.faults.silent_topics:
+            await curio.Event().wait()
         answer = await self._answer(request)
         if request.method == 'POST' and self._random.random() < self.faults.lose_share:
             raise CloseConnection
@@ -155,10 +159,10 @@
 
     async def _read(self, topic: _Topic, offset: int, wait_ms: int) -> Response:
         until = time.monotonic() + wait_ms / MILLISECONDS_PER_SECOND
-        silenced_count = self._silenced_count
+        silenced_count = topic.silenced_count
         while len(topic.records) <= offset and time.monotonic() < until:
             await curio.sleep(POLL_SECONDS)
-        if self._silenced_count > silenced_count:
+        if topic.silenced_count > silenced_count:
             await curio.Event().wait()
         body = struct.pack('>QQ', len(topic.records), 0)
         for record in topic.records[offset:]:
