A host without the store asks every peer before it asks one again

What callers saw: a host that the store refuses answers by an outdated configuration while the peers that it asks know no newer one.

Cause: each round asked three peers drawn at random from all that ever joined, also those that had left, were down or were refused by the store too. Class: chance where a bound is promised.

Fix: a pure module chooses the peers. The host that confirmed last is asked first, the others in rotation, and each round without a confirmation asks twice as many: 8 peers are covered in two rounds, 45 in four, 0.4 s apart.

--- a/dandelionreel/cell/membership/_configuration_exchange.py
+++ b/dandelionreel/cell/membership/_configuration_exchange.py
@@ -4,7 +4,6 @@
 revoked meanwhile. A host that only reads the store would go on accepting the key.
 """
 
-import random
 from collections.abc import Callable, Sequence
 from functools import partial
 from typing import Any
@@ -12,6 +11,7 @@
 import curio
 
 from dandelionreel.cell.membership._advisors import PeerLinks
+from dandelionreel.cell.membership._peer_rotation import PeerRotation
 from dandelionreel.cell.model import Member
 from dandelionreel.cell.store import CellState, ConfigurationProjection
 from dandelionreel.kernel import Clock, Journal, Part, seconds_or_none
@@ -23,8 +23,7 @@
 #: Seconds between checks of the store's age, and between two rounds of queries to peers.
 POLL_SECONDS = 0.1
 QUERY_INTERVAL_SECONDS = 0.4
-#: Peers queried in one round, and seconds for their replies.
-PEERS_PER_ROUND = 3
+#: Seconds for the reply of a peer.
 ANSWER_TIMEOUT = 0.25
 #: Seconds for which a confirmation is reused, which limits the queries to peers while any number
 #: of calls with unknown keys arrive.
@@ -60,6 +59,7 @@
         self._clock = clock
         self._journal = journal
         self._seeds = seeds
+        self._rotation = PeerRotation()
         self._lock = curio.Lock()
         self._queried_at = NEVER
         self._confirmed_at = NEVER
@@ -115,19 +115,18 @@
 
     async def _query_peers(self) -> None:
         self._queried_at = self._clock.monotonic()
-        peers = self._list_peers()
-        chosen = random.sample(peers, min(PEERS_PER_ROUND, len(peers)))
+        peer_by_host = self._find_peers()
         queries = [
-            await curio.spawn(partial(self._query_peer, host, member), daemon=True)
-            for host, member in chosen
+            await curio.spawn(partial(self._query_peer, host, peer_by_host[host]), daemon=True)
+            for host in self._rotation.choose_peers(tuple(peer_by_host))
         ]
         for task in queries:
             await task.wait()
 
-    def _list_peers(self) -> list[tuple[str, Member]]:
+    def _find_peers(self) -> dict[str, Member]:
         members = self._cell_state.member_by_host.items()
-        others = [(host, member) for host, member in members if host != self._own_host]
-        return others or [(seed.address, seed) for seed in self._seeds]
+        others = {host: member for host, member in members if host != self._own_host}
+        return others or {seed.address: seed for seed in self._seeds}
 
     async def _query_peer(self, host: str, member: Member) -> None:
         queried_at = self._clock.monotonic()
@@ -135,6 +134,7 @@
         try:
             frame = await self._links.request(member, query, ANSWER_TIMEOUT)
         except PeerError as error:
+            self._rotation.record_failure(host)
             self._journal.log_sampled(
                 Part.PEERS,
                 f'{host} did not reply with its configuration: {error}.',
@@ -148,7 +148,11 @@
         self.record_peer_version(reply.version)
         if reply.document:
             self._adopt_configuration(host, reply)
-        if reply.current and self._projection.version >= reply.version:
+        if not reply.current:
+            self._rotation.record_failure(host)
+            return
+        if self._projection.version >= reply.version:
+            self._rotation.record_confirmation(host)
             self._confirmed_at = max(self._confirmed_at, queried_at)
 
     def _adopt_configuration(self, host: str, reply: ConfigurationGiven) -> None:
--- /dev/null
+++ b/dandelionreel/cell/membership/_peer_rotation.py
@@ -0,0 +1,54 @@
+"""Chooses the peers that are asked for a newer configuration. No I/O.
+
+Load pattern: the store refuses some hosts for seconds while others are down or have left for good,
+so that few peers know the newest configuration.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+
+#: Peers that are asked at once while they confirm the configuration.
+MIN_PEERS_AT_ONCE = 3
+
+Shuffle = Callable[[list[str]], None]
+
+
+class PeerRotation:
+    """Asks the host that confirmed last first, then each other one before any is asked again."""
+
+    def __init__(self, shuffle: Shuffle = random.shuffle) -> None:
+        """Start with no host asked; ``shuffle`` orders the hosts of each rotation."""
+        self._shuffle = shuffle
+        self._unasked_hosts: list[str] = []
+        self._confirming_host = ''
+        self._count = MIN_PEERS_AT_ONCE
+
+    def choose_peers(self, hosts: Sequence[str]) -> list[str]:
+        """Return the hosts to ask in the next round.
+
+        Each round without a confirmation doubles their number, until all have been asked.
+        """
+        known = set(hosts)
+        chosen = [self._confirming_host] if self._confirming_host in known else []
+        unasked = [host for host in self._unasked_hosts if host in known and host not in chosen]
+        if not unasked:
+            unasked = [host for host in hosts if host not in chosen]
+            self._shuffle(unasked)
+            self._count = MIN_PEERS_AT_ONCE
+        count = self._count - len(chosen)
+        self._unasked_hosts = unasked[count:]
+        self._count *= 2
+        return chosen + unasked[:count]
+
+    def record_confirmation(self, host: str) -> None:
+        """Record that a host has confirmed the configuration in this round."""
+        self._confirming_host = host
+        self._count = MIN_PEERS_AT_ONCE
+
+    def record_failure(self, host: str) -> None:
+        """Record that a host did not reply, or cannot confirm anything."""
+        if self._confirming_host != host:
+            return
+        # What the others know may have changed as well since they were asked.
+        self._confirming_host = ''
+        self._unasked_hosts = []
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -11,3 +11,23 @@
     Given a host that has version 1 of the configuration in force
     When only reads of the operator's topic are never answered, and a peer has version 2
     Then version 2 is in force within 2 s
+
+  # Guards against an outdated configuration while the peers asked at random know no newer one.
+  Scenario Outline: A host without the store asks <hosts> peers, of which one can confirm
+    Given <hosts> peers, of which <confirming> can confirm a configuration
+    When a host without the store asks them
+    Then a peer confirms it in round <rounds> at the latest, and in each round after that
+
+    Examples:
+      | hosts | confirming | rounds |
+      | 8     | 8          | 1      |
+      | 8     | 1          | 2      |
+      | 45    | 30         | 3      |
+      | 45    | 1          | 4      |
+
+  # Guards against asking a host forever that has confirmed once and then failed.
+  Scenario: The host that confirmed last fails
+    Given 8 peers, of which 1 can confirm a configuration
+    When a host without the store asks them
+    And another peer can confirm it instead
+    Then a peer confirms it in round 3 at the latest, and in each round after that
