A host that may be behind does not deny a queue that may have been added

What callers saw: a host that could not read the store answered 404 for a queue that had been added meanwhile. A 404 is final for a client, though another host, or this one a second later, would have taken the job.

Cause: a missing queue was a 404 whatever the age of the configuration; only API keys were checked with peers first. Class: a definite answer from knowledge that may be outdated.

Fix: beyond an age of 1 s a missing queue is looked up again after peers have been asked, as for unknown keys. Where no peer can confirm the version, the answer is a 503 (queue-unchecked) with Retry-After, and the call has not run.

Evidence: five rows in configuration.feature; without the check the three rows in which a newer version exists or may exist get 404.

--- a/dandelionreel/cell/clients/__init__.py
+++ b/dandelionreel/cell/clients/__init__.py
@@ -4,6 +4,7 @@
 from dandelionreel.cell.clients._client_api import ClientApi
 from dandelionreel.cell.clients._client_writes import ClientWrites
 from dandelionreel.cell.clients._partition_reads import PartitionReads
+from dandelionreel.cell.clients._queue_lookup import QueueLookup
 from dandelionreel.cell.clients._readiness import (
     LoadBalancerRotation,
     ReadinessInputs,
@@ -17,6 +18,7 @@
     'ClientWrites',
     'ReadinessInputs',
     'PartitionReads',
+    'QueueLookup',
     'Relay',
     'LoadBalancerRotation',
     'find_unready_reason',
--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -19,6 +19,7 @@
     ClientWrites,
 )
 from dandelionreel.cell.clients._partition_reads import PartitionReads
+from dandelionreel.cell.clients._queue_lookup import MissingQueue, QueueLookup
 from dandelionreel.cell.clients._relay import Relay
 from dandelionreel.cell.membership import Completions, PartitionDetector
 from dandelionreel.cell.model import (
@@ -79,6 +80,7 @@
         zone: str,
         codec: ClientCodec,
         configuration: ConfigurationProjection,
+        queue_lookup: QueueLookup,
         access: AccessControl,
         jobs: CellProjection,
         follower: Follower,
@@ -101,6 +103,7 @@
         self._zone = zone
         self._codec = codec
         self._configuration = configuration
+        self._queue_lookup = queue_lookup
         self._access = access
         self._jobs = jobs
         self._follower = follower
@@ -146,23 +149,22 @@
         zone: str,
         forward: Any = None,
     ) -> Response:
-        configuration = self._configuration.current
-        if configuration is None:
+        known = self._configuration.current
+        if known is None:
             return unavailable_response('no-configuration', 'no configuration is known yet')
         path = request.path
         host = request.header('host').partition(':')[0]
-        queue = configuration.find_queue(host, path)
-        if queue is None:
-            self._log_request_outcome(
-                request, path, 'no such queue', **self._make_configuration_fields()
-            )
-            return not_run_response(HTTP_NOT_FOUND, 'unknown-queue', f'no queue at {path}')
+        queue = await self._queue_lookup.find_queue(host, path)
+        if isinstance(queue, MissingQueue):
+            return self._answer_missing_queue(request, path, queue)
         forwarded = None if forward is None else forward.caller
         caller = await self._access.identify_caller(request, queue, forwarded)
         if isinstance(caller, DenialReason):
             return self._answer_denied(request, path, caller)
         attempted_at = self._clock.unix_time() if forward is None else forward.attempted_at
         call = ClientCall(request, caller, zone, received_at, forward is not None, attempted_at)
+        # The lookup may have brought a newer configuration.
+        configuration = self._configuration.current or known
         response = await self._answer_call(
             call, configuration, queue, path[len(queue.path_prefix) :]
         )
@@ -192,6 +194,14 @@
             return await self._cancel_job(call, job_id)
         return not_run_response(HTTP_NOT_ALLOWED, 'bad-method', 'use POST, GET or DELETE')
 
+    def _answer_missing_queue(self, request: Request, path: str, missing: MissingQueue) -> Response:
+        self._log_request_outcome(request, path, missing.value, **self._make_configuration_fields())
+        if missing is MissingQueue.UNDECIDED:
+            return unavailable_response(
+                'queue-unchecked', 'whether the queue exists cannot be told just now'
+            )
+        return not_run_response(HTTP_NOT_FOUND, 'unknown-queue', f'no queue at {path}')
+
     def _answer_denied(self, request: Request, path: str, denied: DenialReason) -> Response:
         """Refuse a call.
 
--- a/dandelionreel/entry_clients.py
+++ b/dandelionreel/entry_clients.py
@@ -9,6 +9,7 @@
     ClientWrites,
     LoadBalancerRotation,
     PartitionReads,
+    QueueLookup,
     Relay,
 )
 from dandelionreel.cell.membership import Completions, ConfigurationExchange, PartitionDetector
@@ -47,6 +48,7 @@
         settings.zone,
         codec,
         reads.configuration,
+        QueueLookup(reads.configuration, exchange),
         AccessControl(reads.configuration, exchange, settings.max_key_age),
         reads.cell,
         follower,
--- a/features/client_parts.py
+++ b/features/client_parts.py
@@ -5,6 +5,7 @@
 from dandelionreel.cell.clients._client_api import ClientApi
 from dandelionreel.cell.clients._client_call import ClientCall
 from dandelionreel.cell.clients._client_writes import ClientWrites
+from dandelionreel.cell.clients._queue_lookup import QueueLookup
 from dandelionreel.cell.clients._readiness import LoadBalancerRotation
 from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.http import Request
@@ -56,13 +57,15 @@
     """Return the client API of a host in the zone north."""
     clock = clock or SystemClock()
     codec = JsonClientCodec()
+    exchange = exchange or ConfirmingExchange()
     partition_detector = partition_detector or ConnectedDetector()
     rotation = rotation or LoadBalancerRotation()
     return ClientApi(
         'north',
         codec,
         configuration,
-        AccessControl(configuration, exchange or ConfirmingExchange(), max_age),
+        QueueLookup(configuration, exchange),
+        AccessControl(configuration, exchange, max_age),
         jobs,
         follower,
         ClientWrites(
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -31,3 +31,17 @@
     When a host without the store asks them
     And another peer can confirm it instead
     Then a peer confirms it in round 3 at the latest, and in each round after that
+
+  # Guards against denying a queue that has been added while this host could not read the store.
+  Scenario Outline: A client calls a queue that a host does not know
+    Given a host whose configuration may be outdated by <age> s, and peers that <peers>
+    When a client calls a queue that is missing in its version
+    Then its call is answered with <status>
+
+    Examples:
+      | age | peers                          | status |
+      | 0.1 | do not answer                  | 404    |
+      | 9.0 | have a version with that queue | 200    |
+      | 9.0 | have the same version          | 404    |
+      | 9.0 | cannot read the store either   | 503    |
+      | 9.0 | do not answer                  | 503    |
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -96,9 +96,9 @@
         return Frame(1, 'peer/1', 0, 0, self.reply)
 
 
-def make_document(version, rows):
-    """Return a configuration in the format of the operator."""
-    route = {'name': 'plain', 'host': 'h', 'path_prefix': '/plain/', 'service': 'desk'}
+def make_document(version, rows, prefix='/plain/'):
+    """Return a configuration with one queue in the format of the operator."""
+    route = {'name': 'plain', 'host': 'h', 'path_prefix': prefix, 'service': 'desk'}
     return json.dumps({'version': version, 'routes': [route], 'tenants': rows}).encode()
 
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -12,7 +12,14 @@
 from dandelionreel.kernel import SystemClock
 from dandelionreel.peers import ConfigurationGiven
 from dandelionreel.platform import CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC, Address
-from features.steps.account_steps import StubPeers, make_document
+from features.steps.account_steps import (
+    StubPeers,
+    build_api,
+    make_document,
+    make_exchange,
+    rebuild_api,
+    send_request,
+)
 from features.store_parts import LONG_TIMEOUT, journal, until
 from standins import UsersPlatform
 
@@ -103,3 +110,32 @@
 @then('version 2 is in force within {seconds:g} s')
 def check_seconds_to_version_2(context, seconds):
     assert context.seconds <= seconds, f'{context.seconds:.2f} s'
+
+
+#: Replies of a peer to a host with version 5, which has the queues ``plain`` and ``open``.
+REPLY_BY_WORDS = {
+    'have a version with that queue': ConfigurationGiven(
+        6, make_document(6, None, '/added/'), current=True
+    ),
+    'have the same version': ConfigurationGiven(5, b'', current=True),
+    'cannot read the store either': ConfigurationGiven(5, b'', current=False),
+    'do not answer': None,
+}
+
+
+@given('a host whose configuration may be outdated by {age:g} s, and peers that {peers}')
+def host_with_age(context, age, peers):
+    build_api(context, None)
+    context.exchange = make_exchange(context, context.projection, REPLY_BY_WORDS[peers], age)
+    rebuild_api(context)
+
+
+@when('a client calls a queue that is missing in its version')
+def call_missing_queue(context):
+    send_request(context, 'GET', '/added/', ())
+
+
+@then('its call is answered with {status:d}')
+def check_status(context, status):
+    assert context.answer.status == status, context.answer
+    assert bool(context.answer.header('retry-after')) is (status == 503), context.answer
