A host that is behind reads the newest configuration, not each version before it

What callers saw: on a host with a link of 5 Mbit/s, versions of a large configuration that came every 0.2 s were in force up to 2.41 s after other hosts had them; the bound there is 3 s, and the gap grew while the versions came.

Cause: the operator's topic was read record by record, 512 KB at a time, though each version replaces the one before.

In the new scenario a host that has missed 100 versions of 50 kB was sent all 100; now 10 at most.

--- a/dandelionreel/cell/store/_follower.py
+++ b/dandelionreel/cell/store/_follower.py
@@ -46,10 +46,11 @@
     of the topic has been reached.
     """
 
-    def __init__(self) -> None:
-        """Start with a size that takes one second on a slow link."""
-        self.bytes = INITIAL_READ_BYTES
-        self._max_bytes = MAX_READ_BYTES
+    def __init__(self, limit: int = MAX_READ_BYTES) -> None:
+        """Start with a size that takes one second on a slow link, or with the smaller ``limit``."""
+        self.bytes = min(INITIAL_READ_BYTES, limit)
+        self._limit = limit
+        self._max_bytes = limit
 
     def halve_after_failure(self) -> None:
         """Halve the size after a read that failed."""
@@ -59,7 +60,7 @@
     def adjust_after_read(self, *, reached_end: bool) -> None:
         """Double the size unless the end of the topic was reached."""
         if reached_end:
-            self._max_bytes = MAX_READ_BYTES
+            self._max_bytes = self._limit
             return
         self.bytes = min(self._max_bytes, 2 * self.bytes)
 
@@ -77,12 +78,16 @@
         max_wait: float,
         get_pause: Callable[[], float],
         is_wanted: Callable[[], bool] = _always_wanted,
+        *,
+        skips_backlog: bool = False,
     ) -> None:
         """Let a read wait up to ``max_wait`` seconds for new records, and pause between reads.
 
         The seconds of ``get_pause()`` collect the records of a busy topic into fewer reads, as each
         read is a paid call to the store. While ``is_wanted()`` is false nothing is read;
-        afterwards reading begins again with a snapshot.
+        afterwards reading begins again with a snapshot. ``skips_backlog`` is for a projection that
+        needs only the newest record of each key: where one read does not reach the end, the next
+        one is a snapshot, so that a slow link does not carry what has been replaced.
         """
         self._name = name
         self._topic = topic
@@ -92,11 +97,12 @@
         self._max_wait = max_wait
         self._get_pause = get_pause
         self._is_wanted = is_wanted
+        self._skips_backlog = skips_backlog
         #: Whether the topic is not read because it is not wanted.
         self.suspended = False
         self._read_requested = curio.Event()
         self._offset: int | None = None
-        self._read_size = ReadSize()
+        self._read_size = ReadSize(MIN_READ_BYTES if skips_backlog else MAX_READ_BYTES)
         #: Next offset after the first snapshot that this process has read.
         self.read_from = 0
         #: Everything that was in the topic at this time has been applied.
@@ -220,7 +226,8 @@
         batch = await self._topic.read(self._offset, wait, self._read_size.bytes)
         self._read_size.adjust_after_read(reached_end=batch.reached_end)
         self._projection.apply(batch)
-        self._offset = batch.next_offset
+        skips = self._skips_backlog and not batch.reached_end
+        self._offset = None if skips else batch.next_offset
         return batch.reached_end
 
     def _record_read_answer(self) -> None:
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -140,6 +140,7 @@
             max_wait,
             lambda: self._pause_seconds(topic),
             lambda: topic != RUNNERS_TOPIC or self._needs_runner_list(),
+            skips_backlog=topic == OPERATOR_TOPIC,
         )
 
     def _needs_runner_list(self) -> bool:
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -45,3 +45,9 @@
       | 9.0 | have the same version          | 404    |
       | 9.0 | cannot read the store either   | 503    |
       | 9.0 | do not answer                  | 503    |
+
+  # Guards against a host with a slow link that reads every version of a large configuration.
+  Scenario: Many versions of a large configuration are written while a host cannot read
+    Given a host that has missed 100 versions of 50 kB
+    When it reads the operator's topic again
+    Then the newest version is in force, and 10 versions at most were sent to the host
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -6,7 +6,13 @@
 from behave import given, then, when
 
 from dandelionreel.cell.membership import ConfigurationExchange
-from dandelionreel.cell.model import MEMBER_PREFIX, Member, make_record
+from dandelionreel.cell.model import (
+    MEMBER_PREFIX,
+    KeyedRecord,
+    Member,
+    RecordBatch,
+    make_record,
+)
 from dandelionreel.cell.store import CellState
 from dandelionreel.entry_reads import OPERATOR_PAUSE_SECONDS, EntryReads
 from dandelionreel.kernel import SystemClock
@@ -21,7 +27,7 @@
     send_request,
 )
 from features.store_parts import LONG_TIMEOUT, journal, until
-from standins import UsersPlatform
+from standins import MemoryTopic, UsersPlatform
 
 #: Seconds after its acknowledgement within which the operators expect a version to be in force.
 CONFIGURATION_DEADLINE = 2.0
@@ -139,3 +145,59 @@
 def check_status(context, status):
     assert context.answer.status == status, context.answer
     assert bool(context.answer.header('retry-after')) is (status == 503), context.answer
+
+
+class CountingTopic(MemoryTopic):
+    """A topic that limits the bytes of a read, and counts the records that it has sent."""
+
+    sent = 0
+
+    async def read(self, offset, wait, max_bytes):
+        batch = await super().read(offset, wait, max_bytes)
+        size = 0
+        kept = []
+        for record in batch.records:
+            size += len(record.content)
+            if size > max_bytes:
+                break
+            kept.append(record)
+        self.sent += len(kept)
+        return RecordBatch(tuple(kept), offset + len(kept), batch.end)
+
+    async def snapshot(self):
+        snapshot = await super().snapshot()
+        self.sent += len(snapshot.records)
+        return snapshot
+
+
+@given('a host that has missed {count:d} versions of 50 kB')
+def missed_versions(context, count):
+    host_with_configuration(context)
+    context.topic = CountingTopic()
+    context.newest_version = count
+    for version in range(1, count + 1):
+        document = make_document(version, [])
+        context.topic.records.append(
+            KeyedRecord('config', document + b' ' * (50_000 - len(document)), version - 1)
+        )
+
+
+@when("it reads the operator's topic again")
+def read_missed_versions(context):
+    async def follow():
+        reads = make_reads(context.platform)
+        reads.operator_follower._topic = context.topic
+        reads.operator_follower._offset = 0
+        await curio.spawn(reads.operator_follower.run, daemon=True)
+        await curio.ignore_after(
+            LONG_TIMEOUT, until, lambda: reads.configuration.version == context.newest_version
+        )
+        context.version = reads.configuration.version
+
+    curio.run(follow)
+
+
+@then('the newest version is in force, and {count:d} versions at most were sent to the host')
+def check_sent_versions(context, count):
+    assert context.version == context.newest_version, context.version
+    assert context.topic.sent <= count, context.topic.sent
