A late event loop does not make a host take its configuration for outdated

A read counted as overdue 0.3 s after its wait, and the topic then as old as the read before it: one late answer on a busy host was enough to ask peers, and to tell them that its version was not confirmed. The sign that a waiting read gives now lasts until its wait ends, and a host asks 0.8 s after that, the time that held before for answers of the store. It still asks within the bound: 1.1 s after the last sign where that is 2 s, 2.1 s where it is 3 s.

--- a/dandelionreel/cell/store/_follower.py
+++ b/dandelionreel/cell/store/_follower.py
@@ -17,8 +17,6 @@
 INITIAL_READ_BYTES = 524_288
 MIN_READ_BYTES = 262_144
 MAX_READ_BYTES = 1_048_576
-#: Seconds after its wait at the store within which a read is usually answered.
-USUAL_ANSWER_SECONDS = 0.3
 NEVER = float('-inf')
 
 
@@ -113,8 +111,8 @@
         self.failed_at = NEVER
         #: When the store last answered a read.
         self.answered_at = NEVER
-        #: Until when the present read, or the one before a pause, is not overdue.
-        self._answer_due_at = NEVER
+        #: Until when the present read, or the one before a pause, may wait at the store.
+        self._wait_ends_at = NEVER
         self.changed = ChangeNotifier()
 
     @property
@@ -145,10 +143,10 @@
         """Return until when the projection is known to have every record.
 
         The store answers a waiting read as soon as there is a record, so silence means that there
-        is none until the answer is overdue.
+        is none until the wait ends.
         """
-        if self.has_reached_end and self.is_store_reachable and now < self._answer_due_at:
-            return now
+        if self.has_reached_end and self.is_store_reachable:
+            return min(now, self._wait_ends_at)
         return self.fresh_at
 
     async def request_read(self) -> None:
@@ -222,7 +220,7 @@
         # The end of the topic is not known after a snapshot, and an owner starts nothing until it
         # is: a read that waits for new records would delay that.
         wait = self._max_wait if self.has_reached_end else 0.0
-        self._answer_due_at = self._clock.monotonic() + wait + USUAL_ANSWER_SECONDS
+        self._wait_ends_at = self._clock.monotonic() + wait
         batch = await self._topic.read(self._offset, wait, self._read_size.bytes)
         self._read_size.adjust_after_read(reached_end=batch.reached_end)
         self._projection.apply(batch)
