--- a/bench/guards.py
+++ b/bench/guards.py
@@ -192,9 +192,41 @@
         "return Channel(address, port, 'runner')",
         'incarnations.feature:RESTARTED',
     ),
+    Guard(
+        'a lost read of the configuration leaves time for the next one',
+        'entry_reads.py',
+        'wait = configuration_deadline - READ_TIMEOUT - OPERATOR_REREAD_SECONDS',
+        'wait = MAX_OPERATOR_WAIT_SECONDS',
+        'configuration.feature:LOST READ',
+    ),
+    Guard(
+        "only the operator's topic confirms a configuration",
+        'entry_reads.py',
+        'return min(self.answered_at, self.operator_follower.current_at(now))',
+        'return self.answered_at',
+        'configuration.feature:OTHER TOPICS',
+    ),
+    Guard(
+        'a host that may be behind does not deny a queue',
+        'cell/clients/_queue_lookup.py',
+        'if self._exchange.configuration_age() < MAX_AGE_SECONDS:',
+        'if True:',
+        'configuration.feature:QUEUE',
+    ),
+    Guard(
+        'versions that have been replaced are not read',
+        'cell/store/_follower.py',
+        'skips = self._skips_backlog and not batch.reached_end',
+        'skips = False',
+        'configuration.feature:BACKLOG',
+    ),
 )
 #: The part of a scenario title that each WORD of ``Guard.feature`` stands for.
 TITLE_PART_BY_WORD = {
+    'LOST READ': 'are never answered',
+    'OTHER TOPICS': 'all topics but',
+    'QUEUE': 'a queue that a host does not know',
+    'BACKLOG': 'Many versions',
     'TWICE': 'is in the log twice',
     'MIDDLE': 'begins in the middle',
     'LEDGER': 'A ledger of 8',
