Hosts that all lack the store ask each other for a configuration in small numbers

While no peer could confirm a version, as in an outage of the store for all, each rotation over the peers asked 3, 6, 12 and 24 of them again: 27 queries a second and host with 45 hosts.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -25,6 +25,12 @@
       | 45    | 30         | 3      |
       | 45    | 1          | 4      |
 
+  # Guards against the load of all hosts asking all others while the store is down.
+  Scenario: No peer can confirm a configuration
+    Given 45 peers, of which 0 can confirm a configuration
+    When a host without the store asks them
+    Then from round 5 on it asks 3 peers at once, and each peer once in 15 rounds
+
   # Guards against asking a host forever that has confirmed once and then failed.
   Scenario: The host that confirmed last fails
     Given 8 peers, of which 1 can confirm a configuration
--- a/features/steps/peer_rotation_steps.py
+++ b/features/steps/peer_rotation_steps.py
@@ -6,7 +6,7 @@
 
 from dandelionreel.cell.membership._peer_rotation import PeerRotation
 
-ROUNDS = 12
+ROUNDS = 20
 SEEDS = 50
 
 
@@ -19,11 +19,14 @@
         self.confirming = set(self.hosts[:confirming])
         #: Whether some host confirmed the configuration, for each round.
         self.confirmed = []
+        #: The hosts that were asked in each round.
+        self.chosen = []
 
     def ask(self):
         self.confirmed = []
         for _ in range(ROUNDS):
             chosen = self.rotation.choose_peers(self.hosts)
+            self.chosen.append(chosen)
             assert len(set(chosen)) == len(chosen) <= len(self.hosts), chosen
             for host in chosen:
                 if host in self.confirming:
@@ -55,3 +58,13 @@
 def check_confirmed(context, rounds):
     for cell in context.cells:
         assert all(cell.confirmed[rounds - 1 :]), cell.confirmed
+
+
+@then(
+    'from round {first:d} on it asks {count:d} peers at once, and each peer once in {rounds:d} rounds'
+)
+def check_load(context, first, count, rounds):
+    for cell in context.cells:
+        later = cell.chosen[first - 1 : first - 1 + rounds]
+        assert {len(chosen) for chosen in later} == {count}, later
+        assert sorted(sum(later, [])) == sorted(cell.hosts), later
