Steps of the configuration: topics from the reads, no store where none is read

The names of the three topics were listed again beside the reads that have them, and the scenario of a backlog started a store that nothing connects to.

--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -17,7 +17,7 @@
 from dandelionreel.entry_reads import OPERATOR_PAUSE_SECONDS, EntryReads
 from dandelionreel.kernel import SystemClock
 from dandelionreel.peers import ConfigurationGiven
-from dandelionreel.platform import CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC, Address
+from dandelionreel.platform import OPERATOR_TOPIC, Address
 from features.steps.account_steps import (
     StubPeers,
     build_api,
@@ -37,11 +37,10 @@
     """Do not count unreadable records."""
 
 
-def make_reads(platform):
-    store = Address('127.0.0.1', platform.port_by_name['store'])
+def make_reads(store_port):
     return EntryReads(
         'me',
-        store,
+        Address('127.0.0.1', store_port),
         CONFIGURATION_DEADLINE,
         lambda: False,
         ignore_unreadable,
@@ -66,7 +65,7 @@
 async def measure_seconds_to_version_2(platform):
     """Return the seconds from the write of version 2 until it is in force."""
     reads = await read_version_1(platform)
-    for topic in (CELL_TOPIC, OPERATOR_TOPIC, RUNNERS_TOPIC):
+    for topic in reads.topics:
         platform.store.silence_reads(topic)
     platform.configure(2)
     return await measure_until_version_2(reads)
@@ -74,7 +73,7 @@
 
 async def read_version_1(platform):
     """Return the reads of a host of which the next ones wait at the store."""
-    reads = make_reads(platform)
+    reads = make_reads(platform.port_by_name['store'])
     for follower in reads.followers:
         await curio.spawn(follower.run, daemon=True)
     await until(lambda: reads.configuration.version == 1)
@@ -172,7 +171,6 @@
 
 @given('a host that has missed {count:d} versions of 50 kB')
 def missed_versions(context, count):
-    host_with_configuration(context)
     context.topic = CountingTopic()
     context.newest_version = count
     for version in range(1, count + 1):
@@ -185,7 +183,8 @@
 @when("it reads the operator's topic again")
 def read_missed_versions(context):
     async def follow():
-        reads = make_reads(context.platform)
+        # Nothing connects to the store: the topic is replaced.
+        reads = make_reads(store_port=1)
         reads.operator_follower._topic = context.topic
         reads.operator_follower._offset = 0
         await curio.spawn(reads.operator_follower.run, daemon=True)
