Logs and metrics: bytes of reads that are given up, and of answers that nobody waits for

The incident's logs and metrics do not tell whether slow links are filled by reads of the store that are begun again, or by answers of peers. A lost read is logged with the bytes that had arrived, also after the first one; metrics count abandoned bytes, bytes by message of peers, and bytes of answers whose query was given up. No decision changed.

--- a/dandelionreel/cell/membership/_advisors.py
+++ b/dandelionreel/cell/membership/_advisors.py
@@ -48,7 +48,7 @@
         self._own_host = own_host
         self._clock = clock
         self._peer_clocks = PeerClocks()
-        self._traffic = TrafficCounter()
+        self.traffic = TrafficCounter()
         self._link_by_address: dict[tuple[str, int], PeerLink] = {}
 
     async def request(self, member: Member, message: Message, timeout: float) -> Frame:
@@ -56,7 +56,7 @@
         address = (member.address, member.port)
         link = self._link_by_address.get(address)
         if link is None:
-            link = PeerLink(*address, self._own_host, self._clock, self._peer_clocks, self._traffic)
+            link = PeerLink(*address, self._own_host, self._clock, self._peer_clocks, self.traffic)
             self._link_by_address[address] = link
         return await link.request(message, timeout)
 
--- a/dandelionreel/cell/model/_services.py
+++ b/dandelionreel/cell/model/_services.py
@@ -70,12 +70,16 @@
 
 
 class StoreError(Exception):
-    """A request to the store failed; the verdict says whether it may have been executed."""
+    """A request to the store failed; the verdict says whether it may have been executed.
 
-    def __init__(self, message: str, verdict: Verdict) -> None:
+    ``received`` is how many bytes of an incomplete answer had arrived.
+    """
+
+    def __init__(self, message: str, verdict: Verdict, received: int = 0) -> None:
         """Create an error with a message and a verdict."""
         super().__init__(message)
         self.verdict = verdict
+        self.received = received
 
 
 class FencedError(StoreError):
--- a/dandelionreel/cell/store/_follower.py
+++ b/dandelionreel/cell/store/_follower.py
@@ -236,11 +236,14 @@
 
     def _record_read_failure(self, error: StoreError, sent_at: float) -> None:
         self.failed_at = self._clock.monotonic()
-        if self.reachable_since != NEVER:
+        was_reachable = self.is_store_reachable
+        if was_reachable or error.received:
+            loss = 'has lost the store' if was_reachable else 'lost another read'
             self._journal.log(
                 Part.LOG,
-                f'has lost the store: {self._name}: {error}.',
+                f'{loss}: {self._name}: {error}.',
                 read_seconds=seconds_or_none(self.failed_at - sent_at),
+                received_bytes=error.received,
                 age=seconds_or_none(self.age(self.failed_at)),
             )
         self.reachable_since = NEVER
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -343,6 +343,7 @@
                 self._reads.operator_follower.age(now),
                 self._logs.dropped,
             )
+            self._metrics.update_traffic(self._peer_links.traffic)
             figures = dispatcher.pacing_figures if dispatcher else PacingFigures()
             self._metrics.update_pacing(figures)
             await curio.sleep(GAUGE_UPDATE_SECONDS)
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -10,7 +10,14 @@
 from dandelionreel.cell.model import Configuration
 from dandelionreel.cell.owner import PacingFigures
 from dandelionreel.entry_accounts import RefusalCounts, list_accounts
-from dandelionreel.http import Request, Response, control_bytes_by_kind, json_response
+from dandelionreel.http import (
+    Request,
+    Response,
+    abandoned_bytes_by_kind,
+    control_bytes_by_kind,
+    json_response,
+)
+from dandelionreel.peers import TrafficCounter
 
 HTTP_OK = 200
 #: Path of the status of client accounts; all other paths serve the metrics.
@@ -28,6 +35,21 @@
         self._registry = CollectorRegistry()
         self.refusals = RefusalCounts()
         self._get_accounts_view: Callable[[], dict[str, Any]] = dict
+        self._configuration_version = self._make_gauge(
+            'configuration_version', 'Version of the configuration in force, 0 without one.'
+        )
+        self._configuration_age = self._make_gauge(
+            'configuration_age_seconds', "Age of the last complete read of the operator's topic."
+        )
+        self._abandoned_bytes = self._make_gauge(
+            'abandoned_answer_bytes', 'Bytes of answers of servers that were given up.', 'kind'
+        )
+        self._peer_traffic = self._make_gauge(
+            'peer_bytes', 'Bytes to peers and in their answers, by message.', 'message'
+        )
+        self._unawaited_bytes = self._make_gauge(
+            'unawaited_peer_bytes', 'Bytes of answers of peers whose query had been given up.'
+        )
         self._answers = Counter(
             'dandelionreel_answers',
             'Answers to clients.',
@@ -57,12 +79,6 @@
         self._store_age = self._make_gauge(
             'store_age_seconds', 'Age of what is known of the store.'
         )
-        self._configuration_version = self._make_gauge(
-            'configuration_version', 'Version of the configuration in force, 0 without one.'
-        )
-        self._configuration_age = self._make_gauge(
-            'configuration_age_seconds', "Age of the last complete read of the operator's topic."
-        )
         self._jobs = self._make_gauge('jobs_under_way', 'Jobs that are not over, at the owner.')
         self._tasks = self._make_gauge('tasks', 'Runs held by runners, at the owner.', 'phase')
         self._crashed_runs = self._make_gauge(
@@ -109,6 +125,17 @@
         self._oldest_knowledge.set(figures.oldest_knowledge_used)
         self._held_back_starts.set(figures.held_back_starts)
 
+    def update_traffic(self, traffic: TrafficCounter) -> None:
+        """Set the gauges of the bytes on connections that this host has opened."""
+        bytes_by_message: dict[str, int] = {}
+        for (_, message), count in traffic.bytes_by_peer.items():
+            bytes_by_message[message] = bytes_by_message.get(message, 0) + count
+        for message, count in bytes_by_message.items():
+            self._peer_traffic.labels(message).set(count)
+        self._unawaited_bytes.set(traffic.unawaited_bytes)
+        for kind, count in abandoned_bytes_by_kind.items():
+            self._abandoned_bytes.labels(kind).set(count)
+
     def set_accounts_view(self, get_view: Callable[[], dict[str, Any]]) -> None:
         """Serve the result of ``get_view()`` at ``ACCOUNTS_PATH``."""
         self._get_accounts_view = get_view
--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -7,6 +7,7 @@
     ExchangeError,
     RefusedError,
     SendForbiddenError,
+    abandoned_bytes_by_kind,
     control_bytes_by_kind,
     fetch_response,
 )
@@ -52,6 +53,7 @@
     'Server',
     'ServerLimits',
     'connect',
+    'abandoned_bytes_by_kind',
     'control_bytes_by_kind',
     'fetch_response',
     'json_response',
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -21,16 +21,22 @@
 
 
 class ExchangeError(OSError):
-    """A request failed; ``sent`` says whether any of its bytes may have been sent."""
+    """A request failed; ``sent`` says whether any of its bytes may have been sent.
 
-    def __init__(self, message: str, *, sent: bool) -> None:
-        """Set the message and whether any byte may have been sent."""
+    ``received`` is how many bytes of the response had arrived.
+    """
+
+    def __init__(self, message: str, *, sent: bool, received: int = 0) -> None:
+        """Set the message, whether any byte may have been sent, and the bytes received."""
         super().__init__(message)
         self.sent = sent
+        self.received = received
 
 
 #: Bytes sent and received, by the ``kind`` of the connection.
 control_bytes_by_kind: dict[str, int] = {}
+#: Bytes received of responses that were abandoned, by the ``kind`` of the connection.
+abandoned_bytes_by_kind: dict[str, int] = {}
 
 
 class Connection:
@@ -81,19 +87,23 @@
         including cancellation, so that a late response cannot be taken for that of
         another request.
         """
-        progress = _SendProgress()
+        progress = _ExchangeProgress()
         try:
             async with curio.timeout_after(timeout):
                 response = await self._send_and_receive(request, progress, check)
         except curio.TaskTimeout as error:
-            await self.close()
-            raise ExchangeError('no answer in time', sent=progress.sent) from error
+            await self._abandon(progress)
+            raise ExchangeError(
+                'no answer in time', sent=progress.sent, received=progress.received
+            ) from error
         except ExchangeError:
             await self.close()
             raise
         except (OSError, h11.ProtocolError) as error:
-            await self.close()
-            raise ConnectionBrokenError(f'broken answer: {error}', sent=progress.sent) from error
+            await self._abandon(progress)
+            raise ConnectionBrokenError(
+                f'broken answer: {error}', sent=progress.sent, received=progress.received
+            ) from error
         except BaseException:
             await self.close()
             raise
@@ -116,10 +126,16 @@
         if self._sock is not None:
             await shut_down(self._sock)
 
+    async def _abandon(self, progress: '_ExchangeProgress') -> None:
+        await self.close()
+        if self._kind:
+            former_total = abandoned_bytes_by_kind.get(self._kind, 0)
+            abandoned_bytes_by_kind[self._kind] = former_total + progress.received
+
     async def _send_and_receive(
         self,
         request: Request,
-        progress: '_SendProgress',
+        progress: '_ExchangeProgress',
         check: SendCheck | None,
     ) -> Response:
         # Only the requests of this program repeat; those of clients contain their API keys.
@@ -140,14 +156,14 @@
         progress.sent = True
         self._count_bytes(len(payload))
         await self._sock.sendall(payload)
-        return await self._read_response()
+        return await self._read_response(progress)
 
     def _count_bytes(self, size: int) -> None:
         if self._kind:
             former_total = control_bytes_by_kind.get(self._kind, 0)
             control_bytes_by_kind[self._kind] = former_total + size
 
-    async def _read_response(self) -> Response:
+    async def _read_response(self, progress: '_ExchangeProgress') -> Response:
         status = 0
         headers: Headers = ()
         body = bytearray()
@@ -155,6 +171,7 @@
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 received = await self._sock.recv(READ_SIZE)
+                progress.received += len(received)
                 self._count_bytes(len(received))
                 self._http.receive_data(received)
                 continue
@@ -189,11 +206,12 @@
     """The request was not sent, as its ``check`` says that the caller may no longer send it."""
 
 
-class _SendProgress:
-    """Whether any byte of the current exchange may have been sent."""
+class _ExchangeProgress:
+    """Whether any byte of the request may have been sent, and the bytes of the response so far."""
 
     def __init__(self) -> None:
         self.sent = False
+        self.received = 0
 
 
 def _make_head(
@@ -316,11 +334,16 @@
             await self._open_connection(timeout)
         try:
             return await self._connection.exchange(request, timeout, check)
-        except ExchangeError:
+        except ExchangeError as error:
             if not reused or request.method != 'GET':
                 raise
+            abandoned = error.received
         await self._open_connection(timeout)
-        return await self._connection.exchange(request, timeout, check)
+        try:
+            return await self._connection.exchange(request, timeout, check)
+        except ExchangeError as error:
+            error.received += abandoned
+            raise
 
     async def _open_connection(self, timeout: float) -> None:
         await self._connection.open(timeout, timeout)
--- a/dandelionreel/peers/_framing.py
+++ b/dandelionreel/peers/_framing.py
@@ -18,6 +18,8 @@
     def __init__(self) -> None:
         """Start with no bytes counted."""
         self.bytes_by_peer: dict[tuple[str, str], int] = {}
+        #: Bytes of answers that arrived after their request had been given up.
+        self.unawaited_bytes = 0
 
     def add(self, host: str, kind: str, size: int) -> None:
         """Count ``size`` bytes of a message of type ``kind``."""
@@ -37,6 +39,12 @@
         self._sock = sock
         self._buffer = bytearray()
         self._traffic = traffic
+        self._last_frame_bytes = 0
+
+    @property
+    def last_frame_bytes(self) -> int:
+        """Return the size of the frame that was received last."""
+        return self._last_frame_bytes
 
     async def send(self, frame: Frame) -> None:
         """Write one frame; raises ``OSError``."""
@@ -55,6 +63,7 @@
         payload = await self._read_exactly(length)
         if payload is None:
             raise FrameError('connection closed in the middle of a frame')
+        self._last_frame_bytes = length
         frame = decode_frame(payload)
         self._host = frame.sender.partition('/')[0]
         self._count_bytes(frame, length)
--- a/dandelionreel/peers/_link.py
+++ b/dandelionreel/peers/_link.py
@@ -183,6 +183,7 @@
                 self._peer_clocks.record(frame.sender, frame.clock)
                 pending = self._pending_by_exchange.get(frame.exchange)
                 if pending is None:
+                    self._traffic.unawaited_bytes += stream.last_frame_bytes
                     continue
                 pending.answer = frame
                 await pending.event.set()
--- a/dandelionreel/platform/_store.py
+++ b/dandelionreel/platform/_store.py
@@ -170,7 +170,7 @@
         return await channel.exchange(request, timeout)
     except ExchangeError as error:
         verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
-        raise StoreError(f'the store is unreachable: {error}', verdict) from error
+        raise StoreError(f'the store is unreachable: {error}', verdict, error.received) from error
 
 
 def _decode_append_reply(response: Response) -> _AppendReply:
