Failing scenarios: a large configuration on the slow link of a host

A stand-in link of a fixed rate carries the reads of the store, the answers of peers and other traffic of one host.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -57,3 +57,28 @@
     Given a host that has missed 100 versions of 50 kB
     When it reads the operator's topic again
     Then the newest version is in force, and 10 versions at most were sent to the host
+
+  # Guards against beginning a read again that is still receiving.
+  Scenario Outline: A large version takes most of the deadline on the link of a host
+    Given a host with a link of <rate> Mbit/s, <load> kB/s of other traffic, and 0 peers
+    When a version with <routes> routes is written, which the peers have at once
+    Then it is in force within the operators' deadline, or about the time that the link needs
+
+    Examples:
+      | rate | load | routes |
+      | 5    | 0    | 4200   |
+      | 5    | 80   | 4200   |
+      | 2    | 0    | 2800   |
+      | 10   | 0    | 4200   |
+
+  # Guards against answers of peers that fill the link of the host that queries them.
+  Scenario Outline: Peers have a large version that a host is still reading
+    Given a host with a link of <rate> Mbit/s, <load> kB/s of other traffic, and <peers> peers
+    When a version with <routes> routes is written, which the peers have at once
+    Then it is in force within the operators' deadline, or about the time that the link needs
+
+    Examples:
+      | rate | load | peers | routes |
+      | 5    | 0    | 8     | 4200   |
+      | 5    | 80   | 38    | 2800   |
+      | 2    | 20   | 8     | 2800   |
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -26,6 +26,7 @@
     group_requests_by_mark,
 )
 from standins._memory_topic import MemoryTopic
+from standins._narrow_link import NarrowLink
 from standins._relay import ANY_NAME, Cut, Cuts
 from standins._users_platform import AccountRow, PlatformRunner, Run, UsersPlatform
 
@@ -40,6 +41,7 @@
     'EntryHosts',
     'Layout',
     'MemoryTopic',
+    'NarrowLink',
     'PlatformRunner',
     'Reply',
     'Run',
