A read of the store is given up when it stalls, not while it receives

Cause: a read was given up 1.2 s after its wait at the store, whatever had arrived, and begun again at its first byte; the cell's and the runners' reads too. A time limit that does not follow from what it bounds: 1.2 MB take 1.9 s on a link of 5 Mbit/s.

Now the limit holds for the first bytes of an answer, and then between any two: silence is still noticed after the same time, and progress is kept.

--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -79,18 +79,26 @@
         request: Request,
         timeout: float,
         check: SendCheck | None = None,
+        stall_timeout: float | None = None,
     ) -> Response:
         """Send the request and return the complete response.
 
         ``check`` is called right before the first byte is sent; nothing is sent if it
-        returns False. Raises ``ExchangeError``. The connection is closed on every failure,
-        including cancellation, so that a late response cannot be taken for that of
+        returns False. With ``stall_timeout``, ``timeout`` ends with the first bytes of the
+        response, and each further wait for bytes has this limit: a large response on a slow link
+        takes as long as it makes progress. Raises ``ExchangeError``. The connection is closed on
+        every failure, including cancellation, so that a late response cannot be taken for that of
         another request.
         """
         progress = _ExchangeProgress()
         try:
             async with curio.timeout_after(timeout):
-                response = await self._send_and_receive(request, progress, check)
+                await self._send(request, progress, check)
+                await self._receive(progress)
+                if stall_timeout is None:
+                    response = await self._read_response(progress)
+            if stall_timeout is not None:
+                response = await self._read_response(progress, stall_timeout)
         except curio.TaskTimeout as error:
             await self._abandon(progress)
             raise ExchangeError(
@@ -132,12 +140,12 @@
             former_total = abandoned_bytes_by_kind.get(self._kind, 0)
             abandoned_bytes_by_kind[self._kind] = former_total + progress.received
 
-    async def _send_and_receive(
+    async def _send(
         self,
         request: Request,
         progress: '_ExchangeProgress',
         check: SendCheck | None,
-    ) -> Response:
+    ) -> None:
         # Only the requests of this program repeat; those of clients contain their API keys.
         make_head = _make_repeated_head if self._kind else _make_head
         head = make_head(
@@ -156,24 +164,33 @@
         progress.sent = True
         self._count_bytes(len(payload))
         await self._sock.sendall(payload)
-        return await self._read_response(progress)
 
     def _count_bytes(self, size: int) -> None:
         if self._kind:
             former_total = control_bytes_by_kind.get(self._kind, 0)
             control_bytes_by_kind[self._kind] = former_total + size
 
-    async def _read_response(self, progress: '_ExchangeProgress') -> Response:
+    async def _receive(
+        self, progress: '_ExchangeProgress', stall_timeout: float | None = None
+    ) -> None:
+        if stall_timeout is None:
+            received = await self._sock.recv(READ_SIZE)
+        else:
+            received = await curio.timeout_after(stall_timeout, self._sock.recv, READ_SIZE)
+        progress.received += len(received)
+        self._count_bytes(len(received))
+        self._http.receive_data(received)
+
+    async def _read_response(
+        self, progress: '_ExchangeProgress', stall_timeout: float | None = None
+    ) -> Response:
         status = 0
         headers: Headers = ()
         body = bytearray()
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                received = await self._sock.recv(READ_SIZE)
-                progress.received += len(received)
-                self._count_bytes(len(received))
-                self._http.receive_data(received)
+                await self._receive(progress, stall_timeout)
                 continue
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -290,18 +307,19 @@
         request: Request,
         timeout: float,
         check: SendCheck | None = None,
+        stall_timeout: float | None = None,
     ) -> Response:
         """Send the request, opening the connection first if needed.
 
         ``timeout`` applies to the wait for other requests, to connecting and to each
-        attempt separately.
+        attempt separately; ``stall_timeout`` is that of ``Connection.exchange``.
 
         The server may have closed an idle connection, so a ``GET`` that fails on a
         reused connection is tried once more on a new one.
         """
         await self._acquire_lock(timeout)
         try:
-            return await self._exchange_once(request, timeout, check)
+            return await self._exchange_once(request, timeout, check, stall_timeout)
         finally:
             if self._closed:
                 await self._connection.close()
@@ -327,20 +345,24 @@
             raise ExchangeError('the connection stayed busy', sent=False) from error
 
     async def _exchange_once(
-        self, request: Request, timeout: float, check: SendCheck | None
+        self,
+        request: Request,
+        timeout: float,
+        check: SendCheck | None,
+        stall_timeout: float | None,
     ) -> Response:
         reused = self._connection.is_open
         if not reused:
             await self._open_connection(timeout)
         try:
-            return await self._connection.exchange(request, timeout, check)
+            return await self._connection.exchange(request, timeout, check, stall_timeout)
         except ExchangeError as error:
             if not reused or request.method != 'GET':
                 raise
             abandoned = error.received
         await self._open_connection(timeout)
         try:
-            return await self._connection.exchange(request, timeout, check)
+            return await self._connection.exchange(request, timeout, check, stall_timeout)
         except ExchangeError as error:
             error.received += abandoned
             raise
--- a/dandelionreel/platform/_store.py
+++ b/dandelionreel/platform/_store.py
@@ -36,8 +36,8 @@
 #: All owners use the same producer name; the store distinguishes them by their epoch.
 OWNER_PRODUCER = 'owner'
 
-#: Timeout of a read, in seconds. The store answers in 4 ms, or in about 0.25 s when it is
-#: 60 times as slow.
+#: Seconds for the first bytes of the answer to a read, and between any two later ones. The store
+#: answers in 4 ms, or in about 0.25 s when it is 60 times as slow.
 READ_TIMEOUT = 1.2
 KILOBYTE = 1024
 
@@ -118,7 +118,7 @@
             'wait_ms': int(wait * MILLISECONDS_PER_SECOND),
         }
         request = Request('GET', f'/v1/log-read?{urlencode(fields)}')
-        response = await _send_request(self._read_channel, request, READ_TIMEOUT + wait)
+        response = await self._send_read(request, wait)
         if response.status == HTTP_GONE:
             raise RecordsExpired(f'records of {self._name} at offset {offset} have expired')
         if response.status != HTTP_OK:
@@ -159,15 +159,22 @@
             # Despite its name, the parameter makes the page start after this key.
             fields['depends_on'] = last_key
         request = Request('GET', f'/v1/log-newest?{urlencode(fields)}')
-        response = await _send_request(self._read_channel, request, READ_TIMEOUT)
+        response = await self._send_read(request)
         if response.status != HTTP_OK:
             raise _make_read_error(response)
         return decode_page(response.body)
 
+    async def _send_read(self, request: Request, wait: float = 0.0) -> Response:
+        return await _send_request(
+            self._read_channel, request, READ_TIMEOUT + wait, stall_timeout=READ_TIMEOUT
+        )
+
 
-async def _send_request(channel: Channel, request: Request, timeout: float) -> Response:
+async def _send_request(
+    channel: Channel, request: Request, timeout: float, stall_timeout: float | None = None
+) -> Response:
     try:
-        return await channel.exchange(request, timeout)
+        return await channel.exchange(request, timeout, stall_timeout=stall_timeout)
     except ExchangeError as error:
         verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
         raise StoreError(f'the store is unreachable: {error}', verdict, error.received) from error
--- a/features/entry_parts.py
+++ b/features/entry_parts.py
@@ -168,7 +168,7 @@
         #: Bytes that are cut off the end of a read's answer.
         self.cut = 0
 
-    async def exchange(self, request, timeout):
+    async def exchange(self, request, timeout, stall_timeout=None):
         """Answer the request for a page of newest records, or a read."""
         if request.path == '/v1/log-newest':
             return Response(200, (), self.pages.pop(0))
