Peers tell their version, and send a large configuration once, compressed

Cause: a host that is behind queried three to six peers every 0.45 s, and each answered with its whole version, which cannot arrive in the 0.25 s of the query. Answers that nobody waited for filled the link that the store's read needed, so the host stayed behind and queried again: it could not recover.

Now a query is answered with the version, and with documents up to 8 KB. A larger one is downloaded from one peer, of the own zone if any has it, after the store had 0.25 s; on a connection of its own, compressed, and given up only when no byte arrives for 1.2 s. A peer that reads the store is asked first again even if it is ahead: the number of queries does not double. Older builds reply with the whole document, which is still adopted.

--- a/dandelionreel/cell/membership/__init__.py
+++ b/dandelionreel/cell/membership/__init__.py
@@ -11,6 +11,7 @@
 from dandelionreel.cell.membership._completion_handler import CompletionMessageHandler
 from dandelionreel.cell.membership._completion_reports import CompletionReporter
 from dandelionreel.cell.membership._completions import Completions
+from dandelionreel.cell.membership._configuration_download import DocumentServer
 from dandelionreel.cell.membership._configuration_exchange import ConfigurationExchange
 from dandelionreel.cell.membership._election import (
     AUTHORITY_SECONDS,
@@ -32,6 +33,7 @@
     'CompletionReporter',
     'Completions',
     'ConfigurationExchange',
+    'DocumentServer',
     'PartitionDetector',
     'Election',
     'LocalAdvisor',
--- a/dandelionreel/cell/membership/_advisors.py
+++ b/dandelionreel/cell/membership/_advisors.py
@@ -24,6 +24,7 @@
     PeerError,
     PeerLink,
     TrafficCounter,
+    request_transfer,
 )
 
 #: A request times out after ``TIMEOUT_FACTOR`` times the duration that the policy service has
@@ -60,6 +61,20 @@
             self._link_by_address[address] = link
         return await link.request(message, timeout)
 
+    async def request_transfer(
+        self, member: Member, message: Message, stall_timeout: float
+    ) -> Frame:
+        """Return a member's large answer, on a connection of its own; raises ``PeerError``."""
+        return await request_transfer(
+            member.address,
+            member.port,
+            message,
+            self._own_host,
+            self._clock,
+            self.traffic,
+            stall_timeout,
+        )
+
     async def close(self) -> None:
         """Close all connections."""
         for link in tuple(self._link_by_address.values()):
--- a/dandelionreel/cell/membership/_configuration_exchange.py
+++ b/dandelionreel/cell/membership/_configuration_exchange.py
@@ -11,6 +11,7 @@
 import curio
 
 from dandelionreel.cell.membership._advisors import PeerLinks
+from dandelionreel.cell.membership._configuration_download import ConfigurationDownload
 from dandelionreel.cell.membership._peer_rotation import PeerRotation
 from dandelionreel.cell.model import Member
 from dandelionreel.cell.store import CellState, ConfigurationProjection
@@ -23,8 +24,10 @@
 #: Seconds between checks of the store's age, and between two rounds of queries to peers.
 POLL_SECONDS = 0.1
 QUERY_INTERVAL_SECONDS = 0.4
-#: Seconds for the reply of a peer.
+#: Seconds for the reply of a peer, and the largest document in it: of several replies at once, all
+#: arrive in time on a slow link. A larger document is downloaded from one peer.
 ANSWER_TIMEOUT = 0.25
+MAX_INLINE_BYTES = 8192
 #: Seconds for which a confirmation is reused, which limits the queries to peers while any number
 #: of calls with unknown keys arrive.
 CONFIRMATION_SECONDS = 0.25
@@ -60,6 +63,7 @@
         self._journal = journal
         self._seeds = seeds
         self._rotation = PeerRotation()
+        self._download = ConfigurationDownload(links, projection, clock, journal)
         self._lock = curio.Lock()
         self._queried_at = NEVER
         self._confirmed_at = NEVER
@@ -82,6 +86,7 @@
             if self._may_be_outdated(now) and now - self._queried_at >= QUERY_INTERVAL_SECONDS:
                 async with self._lock:
                     await self._query_peers()
+            await self._download.run_once(self._own_zone())
             await curio.sleep(POLL_SECONDS)
 
     async def confirm_newest(self) -> bool:
@@ -95,15 +100,21 @@
         return self.configuration_age() < STORE_OVERDUE_SECONDS
 
     async def answer_query(self, frame: Frame) -> Message:
-        """Reply to a peer's query with the configuration, if it is newer than the peer's."""
+        """Reply to a peer's query with the version, and with a newer one if it is small."""
         query: Any = frame.message
         self.record_peer_version(query.version)
         version = self._projection.version
         document = self._projection.content if version > query.version else b''
+        if len(document) > MAX_INLINE_BYTES:
+            document = b''
         return ConfigurationGiven(
             version, document, self._is_confirmed_by_store(self._clock.monotonic())
         )
 
+    def _own_zone(self) -> str:
+        member = self._cell_state.member_by_host.get(self._own_host)
+        return '' if member is None else member.zone
+
     def _is_confirmed_by_store(self, now: float) -> bool:
         return now - self._get_current_at(now) < STORE_OVERDUE_SECONDS
 
@@ -148,11 +159,12 @@
         self.record_peer_version(reply.version)
         if reply.document:
             self._adopt_configuration(host, reply)
+        self._download.offer_source(host, member, reply.version)
         if not reply.current:
             self._rotation.record_failure(host)
             return
+        self._rotation.record_confirmation(host)
         if self._projection.version >= reply.version:
-            self._rotation.record_confirmation(host)
             self._confirmed_at = max(self._confirmed_at, queried_at)
 
     def _adopt_configuration(self, host: str, reply: ConfigurationGiven) -> None:
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -14,6 +14,7 @@
     CompletionReporter,
     Completions,
     ConfigurationExchange,
+    DocumentServer,
     Election,
     LocalAdvisor,
     OwnerWatch,
@@ -249,6 +250,7 @@
                 self._completions, self._partition_detector, self._accept_completions
             ),
             self._configuration_exchange,
+            DocumentServer(self._reads.configuration),
             self._answer_owner_query,
             self._clock,
             self._journal,
--- a/dandelionreel/entry_peers.py
+++ b/dandelionreel/entry_peers.py
@@ -7,6 +7,7 @@
 from dandelionreel.cell.membership import (
     CompletionMessageHandler,
     ConfigurationExchange,
+    DocumentServer,
     Election,
     LocalAdvisor,
 )
@@ -16,6 +17,7 @@
     CompletionsSeen,
     CompletionsTold,
     CompletionsWanted,
+    ConfigurationDocumentWanted,
     ConfigurationWanted,
     Forward,
     Frame,
@@ -39,6 +41,7 @@
     advisor: LocalAdvisor,
     completions: CompletionMessageHandler,
     exchange: ConfigurationExchange,
+    documents: DocumentServer,
     answer_owner_query: OwnerQueryHandler,
     clock: Clock,
     journal: Journal,
@@ -57,6 +60,7 @@
         (CompletionsSeen, completions.merge_zone_completions),
         (CompletionsWanted, completions.answer_query),
         (ConfigurationWanted, exchange.answer_query),
+        (ConfigurationDocumentWanted, documents.answer_request),
     )
     for kind, handler in handlers:
         peers.add_handler(kind, handler)
--- a/dandelionreel/peers/__init__.py
+++ b/dandelionreel/peers/__init__.py
@@ -6,6 +6,8 @@
     CompletionsSeen,
     CompletionsTold,
     CompletionsWanted,
+    ConfigurationDocument,
+    ConfigurationDocumentWanted,
     ConfigurationGiven,
     ConfigurationWanted,
     OwnerAsked,
@@ -46,6 +48,7 @@
     hash_member,
 )
 from dandelionreel.peers._server import PeerServer
+from dandelionreel.peers._transfer import request_transfer
 
 __all__ = (
     'MAX_FRAME_BYTES',
@@ -57,6 +60,8 @@
     'CompletionsSeen',
     'CompletionsTold',
     'CompletionsWanted',
+    'ConfigurationDocument',
+    'ConfigurationDocumentWanted',
     'ConfigurationGiven',
     'ConfigurationWanted',
     'ContractState',
@@ -91,4 +96,5 @@
     'decode_frame',
     'encode_frame',
     'hash_member',
+    'request_transfer',
 )
--- a/dandelionreel/peers/_cell_messages.py
+++ b/dandelionreel/peers/_cell_messages.py
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True)
 class ConfigurationWanted:
-    """Asks for a configuration that is newer than ``version``."""
+    """Asks a host for its version, and for a small document that is newer than ``version``."""
 
     version: int
 
@@ -88,10 +88,29 @@
 class ConfigurationGiven:
     """The configuration in force at a host; answers ``ConfigurationWanted``.
 
-    ``document`` is empty if ``version`` is not newer than the one in the request.
+    ``document`` is empty if ``version`` is not newer than the one in the request, and if it is
+    too large for an answer that others wait behind.
     ``current`` says that the host can read the store and would know of a newer version.
     """
 
     version: int
     document: bytes
     current: bool
+
+
+@dataclass(frozen=True)
+class ConfigurationDocumentWanted:
+    """Asks for the document of a configuration that is newer than ``version``."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class ConfigurationDocument:
+    """A compressed document; answers ``ConfigurationDocumentWanted``.
+
+    It is empty if the host has no newer version.
+    """
+
+    version: int
+    compressed: bytes
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -18,11 +18,21 @@
     CompletionsSeen,
     CompletionsTold,
     CompletionsWanted,
+    ConfigurationDocument,
+    ConfigurationDocumentWanted,
     ConfigurationGiven,
     ConfigurationWanted,
     OwnerAsked,
     OwnerFailing,
 )
+from dandelionreel.peers._configuration_codec import (
+    decode_configuration_given,
+    decode_document,
+    encode_configuration_given,
+    encode_configuration_wanted,
+    encode_document,
+    encode_document_wanted,
+)
 from dandelionreel.peers._messages import (
     ContractState,
     ContractsWanted,
@@ -412,21 +422,6 @@
     root.completionsSeen = list(message.jobs)
 
 
-def _encode_configuration_wanted(root: Any, message: ConfigurationWanted) -> None:
-    root.configurationWanted = message.version
-
-
-def _encode_configuration_given(root: Any, message: ConfigurationGiven) -> None:
-    root.init('configuration').from_dict(
-        {'version': message.version, 'document': message.document, 'current': message.current}
-    )
-
-
-def _decode_configuration_given(root: Any) -> ConfigurationGiven:
-    node = root.configuration
-    return ConfigurationGiven(node.version, bytes(node.document), node.current)
-
-
 def _encode_done(root: Any, message: Done) -> None:
     root.done = None
 
@@ -453,8 +448,10 @@
     CompletionsTold: _encode_completions_told,
     CompletionsWanted: _encode_completions_wanted,
     CompletionsSeen: _encode_completions_seen,
-    ConfigurationWanted: _encode_configuration_wanted,
-    ConfigurationGiven: _encode_configuration_given,
+    ConfigurationWanted: encode_configuration_wanted,
+    ConfigurationGiven: encode_configuration_given,
+    ConfigurationDocumentWanted: encode_document_wanted,
+    ConfigurationDocument: encode_document,
     Done: _encode_done,
     Refused: _encode_refused,
 }
@@ -478,7 +475,11 @@
     'completionsWanted': lambda root: CompletionsWanted(root.completionsWanted),
     'completionsSeen': lambda root: CompletionsSeen(tuple(root.completionsSeen)),
     'configurationWanted': lambda root: ConfigurationWanted(root.configurationWanted),
-    'configuration': _decode_configuration_given,
+    'configuration': decode_configuration_given,
+    'configurationDocumentWanted': lambda root: ConfigurationDocumentWanted(
+        root.configurationDocumentWanted
+    ),
+    'configurationDocument': decode_document,
     'done': lambda root: Done(),
     'refused': lambda root: Refused(root.refused),
 }
--- a/dandelionreel/peers/_framing.py
+++ b/dandelionreel/peers/_framing.py
@@ -3,6 +3,8 @@
 import struct
 from typing import Any
 
+import curio
+
 from dandelionreel.peers._codec import FrameError, decode_frame, encode_frame
 from dandelionreel.peers._messages import Frame
 
@@ -30,11 +32,15 @@
 class FrameStream:
     """Reads and writes frames on one socket and counts their bytes."""
 
-    def __init__(self, sock: Any, traffic: TrafficCounter) -> None:
+    def __init__(
+        self, sock: Any, traffic: TrafficCounter, stall_timeout: float | None = None
+    ) -> None:
         """Use ``sock`` and count its bytes in ``traffic``.
 
         The host of the counted bytes is empty until the first frame of the peer names it.
+        With ``stall_timeout``, a wait of so many seconds for bytes raises ``curio.TaskTimeout``.
         """
+        self._stall_timeout = stall_timeout
         self._host = ''
         self._sock = sock
         self._buffer = bytearray()
@@ -71,7 +77,7 @@
 
     async def _read_exactly(self, count: int) -> bytes | None:
         while len(self._buffer) < count:
-            received = await self._sock.recv(READ_SIZE)
+            received = await self._receive()
             if not received:
                 return None
             self._buffer.extend(received)
@@ -79,6 +85,11 @@
         del self._buffer[:count]
         return chunk
 
+    async def _receive(self) -> bytes:
+        if self._stall_timeout is None:
+            return bytes(await self._sock.recv(READ_SIZE))
+        return bytes(await curio.timeout_after(self._stall_timeout, self._sock.recv, READ_SIZE))
+
     def _count_bytes(self, frame: Frame, length: int) -> None:
         kind = type(frame.message).__name__
         self._traffic.add(self._host, kind, length + LENGTH_PREFIX.size)
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -13,6 +13,8 @@
     CompletionsSeen,
     CompletionsTold,
     CompletionsWanted,
+    ConfigurationDocument,
+    ConfigurationDocumentWanted,
     ConfigurationGiven,
     ConfigurationWanted,
     OwnerAsked,
@@ -211,6 +213,8 @@
     | CompletionsSeen
     | ConfigurationWanted
     | ConfigurationGiven
+    | ConfigurationDocumentWanted
+    | ConfigurationDocument
     | Done
     | Refused
 )
--- a/dandelionreel/peers/schema.capnp
+++ b/dandelionreel/peers/schema.capnp
@@ -39,17 +39,26 @@
     configurationWanted @24 :UInt64;
     # The version that the requesting host has.
     configuration @25 :Configuration;
+    configurationDocumentWanted @26 :UInt64;
+    # The version that the requesting host has.
+    configurationDocument @27 :ConfigurationDocument;
   }
 }
 
 struct Configuration {
   version @0 :UInt64;
   document @1 :Data;
-  # Empty if the requesting host already has this version.
+  # Empty if the requesting host already has this version, or if it is large.
   current @2 :Bool;
   # The answering host can read the store and would know of a newer version.
 }
 
+struct ConfigurationDocument {
+  version @0 :UInt64;
+  compressed @1 :Data;
+  # Deflated with a zlib header; empty if the requesting host already has this version.
+}
+
 struct Completions {
   epoch @0 :UInt64;
   jobs @1 :List(Text);
--- a/features/steps/large_configuration_steps.py
+++ b/features/steps/large_configuration_steps.py
@@ -7,12 +7,18 @@
 import curio
 from behave import given, then, when
 
-from dandelionreel.cell.membership import ConfigurationExchange, PeerLinks
+from dandelionreel.cell.membership import ConfigurationExchange, DocumentServer, PeerLinks
 from dandelionreel.cell.model import MEMBER_PREFIX, Member, make_record
 from dandelionreel.cell.store import CellState, ConfigurationProjection
 from dandelionreel.entry_reads import EntryReads
 from dandelionreel.kernel import SystemClock
-from dandelionreel.peers import ConfigurationWanted, PeerClocks, PeerServer, TrafficCounter
+from dandelionreel.peers import (
+    ConfigurationDocumentWanted,
+    ConfigurationWanted,
+    PeerClocks,
+    PeerServer,
+    TrafficCounter,
+)
 from dandelionreel.platform import OPERATOR_TOPIC, Address, JsonRecordCodec
 from features.steps.configuration_steps import ignore_unreadable
 from features.store_parts import LONG_TIMEOUT, journal, until
@@ -110,6 +116,7 @@
     )
     server = PeerServer('peer/1', SystemClock(), PeerClocks(), journal(), TrafficCounter())
     server.add_handler(ConfigurationWanted, exchange.answer_query)
+    server.add_handler(ConfigurationDocumentWanted, DocumentServer(projection).answer_request)
     await server.start(stack, '127.0.0.1', 0)
     port = await link.open_port(stack, '127.0.0.1', server.port)
     return Member('south', '127.0.0.1', port), projection
