A host that has long known of a newer version does not act by an older one

Cause: a host that knew that it was behind went on answering by what it had; only queues and keys that it did not find were treated as unchecked.

Scenario 'A host knows of a newer version that it cannot get': without the check the row of 1.5 s is answered with 200.

Once a newer version has been known for half of the operators' deadline, calls get 503 queue-unchecked with Retry-After, and clients try another host; the other half is for hearing of it. A host that is cut off goes on serving what it can.

--- a/dandelionreel/cell/clients/_queue_lookup.py
+++ b/dandelionreel/cell/clients/_queue_lookup.py
@@ -1,6 +1,7 @@
-"""Finds the queue of a client's call, and does not deny one that may have been added meanwhile."""
+"""Finds the queue of a client's call by a configuration that is not outdated."""
 
 import enum
+from collections.abc import Callable
 
 from dandelionreel.cell.membership import ConfigurationExchange
 from dandelionreel.cell.model import Queue
@@ -22,14 +23,26 @@
     """Finds queues by the newest configuration that this host can get."""
 
     def __init__(
-        self, configuration: ConfigurationProjection, exchange: ConfigurationExchange
+        self,
+        configuration: ConfigurationProjection,
+        exchange: ConfigurationExchange,
+        max_seconds_behind: float,
+        is_cut_off: Callable[[], bool],
     ) -> None:
-        """Look queues up in ``configuration``, which ``exchange`` keeps as new as that of peers."""
+        """Look queues up in ``configuration``, which ``exchange`` keeps as new as that of peers.
+
+        A version is no longer used once a newer one has been known for ``max_seconds_behind``,
+        unless ``is_cut_off()``: a zone inside a partition goes on serving what it can.
+        """
         self._configuration = configuration
         self._exchange = exchange
+        self._max_seconds_behind = max_seconds_behind
+        self._is_cut_off = is_cut_off
 
     async def find_queue(self, host: str, path: str) -> Queue | MissingQueue:
         """Return the queue of a call to ``host`` and ``path``."""
+        if self._exchange.seconds_behind() > self._max_seconds_behind and not self._is_cut_off():
+            return MissingQueue.UNDECIDED
         queue = self._find_known_queue(host, path)
         if queue is not None:
             return queue
--- a/dandelionreel/entry_clients.py
+++ b/dandelionreel/entry_clients.py
@@ -48,7 +48,13 @@
         settings.zone,
         codec,
         reads.configuration,
-        QueueLookup(reads.configuration, exchange),
+        QueueLookup(
+            reads.configuration,
+            exchange,
+            # A host hears of a version in the first half of the deadline.
+            settings.configuration_deadline / 2,
+            lambda: partition_detector.is_cut_off,
+        ),
         AccessControl(reads.configuration, exchange, settings.max_key_age),
         reads.cell,
         follower,
--- a/features/client_parts.py
+++ b/features/client_parts.py
@@ -13,6 +13,9 @@
 from dandelionreel.platform import JsonClientCodec
 from features.store_parts import journal
 
+#: Seconds for which a host that knows of a newer configuration uses an older one.
+MAX_SECONDS_BEHIND = 1.0
+
 
 def make_call(method, target, caller=None, relayed=False):
     """Return a call that has just arrived."""
@@ -37,6 +40,9 @@
     def configuration_age(self):
         return 0.0
 
+    def seconds_behind(self):
+        return 0.0
+
     def record_peer_version(self, version):
         """Ignore a peer's version."""
 
@@ -64,7 +70,9 @@
         'north',
         codec,
         configuration,
-        QueueLookup(configuration, exchange),
+        QueueLookup(
+            configuration, exchange, MAX_SECONDS_BEHIND, lambda: partition_detector.is_cut_off
+        ),
         AccessControl(configuration, exchange, max_age),
         jobs,
         follower,
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -52,6 +52,18 @@
       | 9.0 | cannot read the store either   | 503    |
       | 9.0 | do not answer                  | 503    |
 
+  # Guards against calls that are handled by a version that is known to be outdated.
+  Scenario Outline: A host knows of a newer version that it cannot get
+    Given a host that is <contact>, and has known of a newer version for <age> s
+    When a client calls a queue of the version in force
+    Then its call is answered with <status>
+
+    Examples:
+      | contact   | age | status |
+      | connected | 0.5 | 200    |
+      | connected | 1.5 | 503    |
+      | cut off   | 1.5 | 200    |
+
   # Guards against a host with a slow link that reads every version of a large configuration.
   Scenario: Many versions of a large configuration are written while a host cannot read
     Given a host that has missed 100 versions of 50 kB
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -107,7 +107,7 @@
     context.cell_state = CellState()
     context.cell_state.apply([make_record(f'{MEMBER_PREFIX}peer', Member('south', '127.0.0.1', 1))])
     context.links = StubPeers(reply)
-    clock = ManualClock(NOW)
+    clock = context.exchange_clock = ManualClock(NOW)
     return ConfigurationExchange(
         'me',
         context.cell_state,
@@ -139,7 +139,7 @@
     rebuild_api(context, max_age)
 
 
-def rebuild_api(context, max_age=None):
+def rebuild_api(context, max_age=None, partition_detector=None):
     clock = ManualClock(NOW)
     relay = Relay('me', context.cell_projection.state, context.links, clock, context.journal)
     context.client_api = make_client_api(
@@ -151,6 +151,7 @@
         exchange=context.exchange,
         clock=clock,
         max_age=max_age,
+        partition_detector=partition_detector,
     )
 
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -18,6 +18,7 @@
 from dandelionreel.kernel import SystemClock
 from dandelionreel.peers import ConfigurationGiven
 from dandelionreel.platform import OPERATOR_TOPIC, Address
+from features.client_parts import ConnectedDetector
 from features.steps.account_steps import (
     StubPeers,
     build_api,
@@ -135,6 +136,26 @@
     rebuild_api(context)
 
 
+class CutOffDetector(ConnectedDetector):
+    """A partition detector of a host that is cut off."""
+
+    is_cut_off = True
+
+
+@given('a host that is {contact}, and has known of a newer version for {age:g} s')
+def host_behind(context, contact, age):
+    build_api(context, None)
+    detector = CutOffDetector() if contact == 'cut off' else ConnectedDetector()
+    rebuild_api(context, partition_detector=detector)
+    context.exchange.record_peer_version(6)
+    context.exchange_clock.now += age
+
+
+@when('a client calls a queue of the version in force')
+def call_known_queue(context):
+    send_request(context, 'GET', '/plain/', ())
+
+
 @when('a client calls a queue that is missing in its version')
 def call_missing_queue(context):
     send_request(context, 'GET', '/added/', ())
