A host that is receiving from the store does not count as cut off

Callers: refused at once, and sent to other hosts by the balancer, by hosts whose link was only busy.

Cause: a host without a complete answer of the store for 0.4 s, to which no peer of another zone replies in 0.2 s, counts as cut off. Both limits are independent of what the link carries: one answer of 0.8 MB takes longer.

Scenario 'A host receives a long answer while its peers do not reply in time' fails without the change (cut off), and the large versions' scenario now checks that the store is never taken for silent.

Bytes that arrive are a sign of the store, whether their answer is complete or not. What a host may tell from runners' lists still depends on complete answers.

--- a/dandelionreel/cell/membership/_partition_detector.py
+++ b/dandelionreel/cell/membership/_partition_detector.py
@@ -35,15 +35,21 @@
         cell_state: CellState,
         links: PeerLinks,
         store_answered_at: Callable[[], float],
+        store_received_at: Callable[[], float],
         clock: Clock,
         journal: Journal,
     ) -> None:
-        """Run for the host ``own_host`` in ``zone``; ``store_answered_at()`` is monotonic."""
+        """Run for the host ``own_host`` in ``zone``.
+
+        ``store_answered_at()`` is when the store last answered, ``store_received_at()`` when bytes
+        of it last arrived, both in monotonic seconds: a large answer on a slow link takes long.
+        """
         self._own_host = own_host
         self._zone = zone
         self._cell_state = cell_state
         self._links = links
         self._store_answered_at = store_answered_at
+        self._store_received_at = store_received_at
         self._clock = clock
         self._journal = journal
         self._zone_contact = ZoneContact()
@@ -57,9 +63,7 @@
     def is_cut_off(self) -> bool:
         """Return whether this host is cut off, as of the latest queries."""
         now = self._clock.monotonic()
-        return self._zone_contact.is_host_cut_off(
-            self._other_zones(), self._store_answered_at(), now
-        )
+        return self._zone_contact.is_host_cut_off(self._other_zones(), self._store_heard_at(), now)
 
     @property
     def may_answer_reads(self) -> bool:
@@ -77,7 +81,7 @@
     async def run(self) -> None:
         """Query other zones whenever the store is overdue, forever."""
         while True:
-            if self._clock.monotonic() - self._store_answered_at() >= STORE_OVERDUE_SECONDS:
+            if self._clock.monotonic() - self._store_heard_at() >= STORE_OVERDUE_SECONDS:
                 await self.check_other_zones()
             self._log_cut_off_change()
             await curio.sleep(POLL_SECONDS)
@@ -91,6 +95,9 @@
                 await self._query_other_zones(now)
         return self.is_cut_off
 
+    def _store_heard_at(self) -> float:
+        return max(self._store_answered_at(), self._store_received_at())
+
     async def _query_other_zones(self, now: float) -> None:
         """Query one host of each other zone, a different one in each round."""
         round_number = next(self._round_numbers)
--- a/dandelionreel/cell/model/_services.py
+++ b/dandelionreel/cell/model/_services.py
@@ -119,6 +119,11 @@
         """Return whether the answer to a read has begun and is not complete."""
         return False
 
+    @property
+    def received_at(self) -> float:
+        """Return when bytes of an answer to a read last arrived, in monotonic seconds."""
+        return float('-inf')
+
     @abc.abstractmethod
     async def snapshot(self) -> RecordBatch:
         """Return the newest record of each key; later ones are read from its ``next_offset`` on."""
--- a/dandelionreel/cell/store/_interruptible_topic.py
+++ b/dandelionreel/cell/store/_interruptible_topic.py
@@ -30,6 +30,11 @@
         """Return whether the answer to a read has begun and is not complete."""
         return self._topic.is_receiving
 
+    @property
+    def received_at(self) -> float:
+        """Return when bytes of an answer to a read last arrived, in monotonic seconds."""
+        return self._topic.received_at
+
     async def interrupt_read(self) -> None:
         """Let the read in progress raise ``ReadInterrupted``."""
         if self._read_task is not None:
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -123,6 +123,7 @@
             self._cell_projection.state,
             self._peer_links,
             self._store_answered_at,
+            lambda: self._reads.received_at,
             self._clock,
             self._journal,
         )
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -120,6 +120,11 @@
         """Return when the store last answered a read, in monotonic seconds."""
         return max(follower.answered_at for follower in self.followers)
 
+    @property
+    def received_at(self) -> float:
+        """Return when bytes of the store last arrived, of complete answers or not."""
+        return max(topic.received_at for topic in self.topics.values())
+
     def configuration_current_at(self, now: float) -> float:
         """Return until when the store has certainly shown this host the newest configuration."""
         return min(self.answered_at, self.operator_follower.current_at(now))
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -9,8 +9,10 @@
 
 from dandelionreel.http._messages import Headers, Request, Response
 from dandelionreel.http._sockets import connect, shut_down
+from dandelionreel.kernel import SystemClock
 
 READ_SIZE = 65_536
+_CLOCK = SystemClock()
 #: Number of request heads that are kept for further requests: a few for each of 1,000 runners.
 REPEATED_HEADS = 4096
 #: Called right before a request is sent; returns whether the request may be sent.
@@ -54,6 +56,8 @@
         self._sock: Any = None
         self._http: Any = None
         self._progress = _ExchangeProgress()
+        #: When bytes of a response last arrived, in monotonic seconds.
+        self.received_at = float('-inf')
 
     @property
     def is_receiving(self) -> bool:
@@ -186,6 +190,7 @@
         else:
             received = await curio.timeout_after(stall_timeout, self._sock.recv, READ_SIZE)
         progress.received += len(received)
+        self.received_at = _CLOCK.monotonic()
         self._count_bytes(len(received))
         self._http.receive_data(received)
 
@@ -315,6 +320,11 @@
         """Return whether a response has begun and is not complete."""
         return self._connection.is_receiving
 
+    @property
+    def received_at(self) -> float:
+        """Return when bytes of a response last arrived, in monotonic seconds."""
+        return self._connection.received_at
+
     async def exchange(
         self,
         request: Request,
--- a/dandelionreel/platform/_store.py
+++ b/dandelionreel/platform/_store.py
@@ -88,6 +88,11 @@
         """Return whether the answer to a read has begun and is not complete."""
         return self._read_channel.is_receiving
 
+    @property
+    def received_at(self) -> float:
+        """Return when bytes of an answer to a read last arrived, in monotonic seconds."""
+        return self._read_channel.received_at
+
     async def append(
         self,
         records: Sequence[KeyedRecord],
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -75,6 +75,7 @@
     Given a host with a link of <rate> Mbit/s, <load> kB/s of other traffic, and 0 peers
     When a version with <routes> routes is written, which the peers have at once
     Then it is in force within the operators' deadline, or about the time that the link needs
+    And the store has not been silent for 0.6 s meanwhile
 
     Examples:
       | rate | load | routes |
--- a/features/contact.feature
+++ b/features/contact.feature
@@ -35,6 +35,12 @@
     When 2.1 s have passed without a query
     Then the host counts as not cut off
 
+  # Guards against sending clients away from a host whose slow link is busy.
+  Scenario: A host receives a long answer while its peers do not reply in time
+    Given a host in north that is receiving an answer of the store, and whose peers do not reply
+    When it queries other zones
+    Then the host is not cut off
+
   # Guards against querying other zones once for each request during a partition.
   Scenario: Many requests at once inside a partition
     Given a host in north whose store and peers do not reply
--- a/features/steps/contact_steps.py
+++ b/features/steps/contact_steps.py
@@ -99,12 +99,19 @@
         raise PeerError('no answer in time', Verdict.UNKNOWN)
 
 
-def make_detector(clock, links, store_answered_at):
+def make_detector(clock, links, store_answered_at, store_received_at=float('-inf')):
     cell_state = CellState()
     for host, zone in (('me', 'north'), ('s-1', 'south'), ('s-2', 'south'), ('w-1', 'west')):
         cell_state.apply([make_record(f'{MEMBER_PREFIX}{host}', Member(zone, '127.0.0.1', 1))])
     return PartitionDetector(
-        'me', 'north', cell_state, links, lambda: store_answered_at, clock, journal()
+        'me',
+        'north',
+        cell_state,
+        links,
+        lambda: store_answered_at,
+        lambda: store_received_at,
+        clock,
+        journal(),
     )
 
 
@@ -115,6 +122,23 @@
     context.detector = make_detector(clock, context.links, clock.monotonic() - 9)
 
 
+@given('a host in north that is receiving an answer of the store, and whose peers do not reply')
+def receiving_host(context):
+    context.links = SilentLinks()
+    clock = SystemClock()
+    context.detector = make_detector(clock, context.links, clock.monotonic() - 9, clock.monotonic())
+
+
+@when('it queries other zones')
+def query_other_zones(context):
+    curio.run(context.detector.check_other_zones)
+
+
+@then('the host is not cut off')
+def check_not_cut_off(context):
+    assert not context.detector.is_cut_off
+
+
 @when('{count:d} requests check whether it is cut off')
 def check_concurrently(context, count):
     async def check_many():
--- a/features/steps/large_configuration_steps.py
+++ b/features/steps/large_configuration_steps.py
@@ -104,9 +104,8 @@
         carried_before = link.carried_bytes
         context.platform.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document)
         started_at = time.monotonic()
-        await curio.ignore_after(
-            LONG_TIMEOUT, until, lambda: reads.configuration.version == NEW_VERSION
-        )
+        context.silences = []
+        await curio.ignore_after(LONG_TIMEOUT, watch_until_new_version, context, reads)
         seconds = time.monotonic() - started_at
         # What the store has begun to send must not go on afterwards.
         await curio.sleep(len(context.document) / context.rate)
@@ -114,6 +113,16 @@
         return seconds
 
 
+async def watch_until_new_version(context, reads):
+    """Wait for the new version; record for how long the store has been silent meanwhile."""
+
+    def is_in_force():
+        context.silences.append(SystemClock().monotonic() - reads.received_at)
+        return reads.configuration.version == NEW_VERSION
+
+    await until(is_in_force)
+
+
 async def start_peer(stack, link):
     """Start a peer behind the link; return its member record and its configuration."""
     projection = ConfigurationProjection(JsonRecordCodec(), journal())
@@ -172,3 +181,8 @@
 @then('the link has carried fewer bytes than the version has')
 def check_carried_bytes(context):
     assert context.carried_bytes < len(context.document), context.carried_bytes
+
+
+@then('the store has not been silent for {seconds:g} s meanwhile')
+def check_silences(context, seconds):
+    assert max(context.silences) < seconds, max(context.silences)
