--- a/bench/guards.py
+++ b/bench/guards.py
@@ -220,6 +220,41 @@
         'skips = False',
         'configuration.feature:BACKLOG',
     ),
+    Guard(
+        'a read of the store that makes progress is kept',
+        'platform/_store.py',
+        'READ_TIMEOUT + wait, stall_timeout=READ_TIMEOUT',
+        'READ_TIMEOUT + wait',
+        'configuration.feature:PROGRESS',
+    ),
+    Guard(
+        'peers do not reply with large documents',
+        'cell/membership/_configuration_exchange.py',
+        'if len(document) > MAX_INLINE_BYTES:',
+        'if False:',
+        'configuration.feature:PEERS',
+    ),
+    Guard(
+        'what a peer has sent is not read from the store',
+        'cell/membership/_configuration_download.py',
+        'await self._skip_to(reply.next_offset)',
+        'pass',
+        'configuration.feature:PEERS',
+    ),
+    Guard(
+        'a version that is known to be outdated is not used for long',
+        'cell/clients/_queue_lookup.py',
+        'self._exchange.seconds_behind() > self._max_seconds_behind',
+        'False',
+        'configuration.feature:OUTDATED',
+    ),
+    Guard(
+        'a host that receives from the store is not cut off',
+        'cell/membership/_partition_detector.py',
+        'return max(self._store_answered_at(), self._store_received_at())',
+        'return self._store_answered_at()',
+        'contact.feature:RECEIVES',
+    ),
 )
 #: The part of a scenario title that each WORD of ``Guard.feature`` stands for.
 TITLE_PART_BY_WORD = {
@@ -227,6 +262,10 @@
     'OTHER TOPICS': 'all topics but',
     'QUEUE': 'a queue that a host does not know',
     'BACKLOG': 'Many versions',
+    'PROGRESS': 'takes most of the deadline',
+    'PEERS': 'Peers have a large version',
+    'OUTDATED': 'a newer version that it cannot get',
+    'RECEIVES': 'A host receives a long answer',
     'TWICE': 'is in the log twice',
     'MIDDLE': 'begins in the middle',
     'LEDGER': 'A ledger of 8',
