Queries to peers go on while a configuration is downloaded

Callers: while a download from a peer with a slow link lasts, a host could not confirm its configuration and would refuse calls to queues that it does not have.

Cause: one loop sent queries and waited for the download, which may take seconds since it is not given up while it makes progress.

Downloads have a loop of their own. Configuration and account scenarios pass.

--- a/dandelionreel/cell/membership/_configuration_exchange.py
+++ b/dandelionreel/cell/membership/_configuration_exchange.py
@@ -101,6 +101,11 @@
             now = self._clock.monotonic()
             if self._may_be_outdated(now) and now - self._queried_at >= QUERY_INTERVAL_SECONDS:
                 await self._send_queries(BACKGROUND_ANSWER_TIMEOUT)
+            await curio.sleep(POLL_SECONDS)
+
+    async def run_downloads(self) -> None:
+        """Download newer versions that peers have, forever; queries go on meanwhile."""
+        while True:
             if self.seconds_behind() >= STORE_HEAD_START_SECONDS:
                 await self._download.run_once(self._own_zone())
             await curio.sleep(POLL_SECONDS)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -231,6 +231,7 @@
             self._owner_watch.run,
             self._partition_detector.run,
             self._configuration_exchange.run,
+            self._configuration_exchange.run_downloads,
             self._completion_reporter.run,
             self._update_gauges,
         ):
--- a/features/steps/large_configuration_steps.py
+++ b/features/steps/large_configuration_steps.py
@@ -159,6 +159,7 @@
         skip_to=reads.operator_follower.skip_to,
     )
     await curio.spawn(exchange.run, daemon=True)
+    await curio.spawn(exchange.run_downloads, daemon=True)
 
 
 async def load_link(link, bytes_per_second):
