A connection that is closed without an answer is no sign of the store

Callers: a host behind a partition that resets or closes connections would have refused nothing, as it would not have counted as cut off.

Cause: the end of a connection counted as bytes that arrived.

Scenario 'A server closes the connection of a request without an answer' fails on the code before and passes now.

--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -189,8 +189,9 @@
             received = await self._sock.recv(READ_SIZE)
         else:
             received = await curio.timeout_after(stall_timeout, self._sock.recv, READ_SIZE)
+        if received:
+            self.received_at = _CLOCK.monotonic()
         progress.received += len(received)
-        self.received_at = _CLOCK.monotonic()
         self._count_bytes(len(received))
         self._http.receive_data(received)
 
--- a/features/links.feature
+++ b/features/links.feature
@@ -26,3 +26,9 @@
     Given a daemon that answers every request with 8 MB
     When a peer sends a request, reads nothing and disconnects
     Then the daemon answers the next peer
+
+  # Guards against taking a connection that is closed without an answer for a sign of life.
+  Scenario: A server closes the connection of a request without an answer
+    Given a server that accepts connections and closes them
+    When a request is sent to it on a channel
+    Then the request fails, and nothing counts as received
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -168,6 +168,36 @@
     context.listener.close()
 
 
+@given('a server that accepts connections and closes them')
+def closing_listener(context):
+    silent_listener(context)
+
+
+@when('a request is sent to it on a channel')
+def request_of_closing_server(context):
+    async def accept_and_close():
+        client, _ = await curio.run_in_thread(context.listener.accept)
+        await curio.run_in_thread(client.recv, 1000)
+        client.close()
+
+    async def run_request():
+        server = await curio.spawn(accept_and_close)
+        channel = Channel('127.0.0.1', context.port)
+        error = await exchange(channel)
+        await server.join()
+        await channel.close()
+        return error, channel.received_at
+
+    context.error, context.received_at = curio.run(run_request)
+
+
+@then('the request fails, and nothing counts as received')
+def check_nothing_received(context):
+    assert context.error, context.error
+    assert context.received_at == float('-inf'), context.received_at
+    context.listener.close()
+
+
 @given('a daemon that answers every request with 8 MB')
 def large_answers(context):
     context.server = make_server()
