--- a/dandelionreel/peers/_framing.py
+++ b/dandelionreel/peers/_framing.py
@@ -45,12 +45,8 @@
         self._sock = sock
         self._buffer = bytearray()
         self._traffic = traffic
-        self._last_frame_bytes = 0
-
-    @property
-    def last_frame_bytes(self) -> int:
-        """Return the size of the frame that was received last."""
-        return self._last_frame_bytes
+        #: Size of the frame that was received last.
+        self.last_frame_bytes = 0
 
     async def send(self, frame: Frame) -> None:
         """Write one frame; raises ``OSError``."""
@@ -69,7 +65,7 @@
         payload = await self._read_exactly(length)
         if payload is None:
             raise FrameError('connection closed in the middle of a frame')
-        self._last_frame_bytes = length
+        self.last_frame_bytes = length
         frame = decode_frame(payload)
         self._host = frame.sender.partition('/')[0]
         self._count_bytes(frame, length)
