--- a/review/3/case.py
+++ b/review/3/case.py
@@ -56,6 +56,13 @@
     return {job_of(run.task) for run in deployment.platform.collect_runs() if run.ended is None}
 
 
+def _has_room(deployment: Deployment) -> bool:
+    """Return whether under half of the capacity that is left is in use."""
+    running = [run.cpu for run in deployment.platform.collect_runs() if run.ended is None]
+    left = [runner.cpu for runner in deployment.platform.runners if not runner.is_down]
+    return sum(running) < sum(left) / 2
+
+
 def _find_idle_jobs(deployment: Deployment, paths: list[str]) -> dict[str, float]:
     """Return for how many seconds unfinished jobs have had nothing running."""
     watched_from = time.monotonic()
@@ -65,6 +72,8 @@
     idle_until_by_job = dict.fromkeys(open_jobs, watched_from)
     while time.monotonic() < watched_from + WATCH_SECONDS:
         open_jobs -= _jobs_running(deployment)
+        if not _has_room(deployment):
+            open_jobs.clear()
         idle_until_by_job.update(dict.fromkeys(open_jobs, time.monotonic()))
         time.sleep(POLL_SECONDS)
     return {job: until - watched_from for job, until in idle_until_by_job.items()}
