Review case 2: jobs run whose clients were answered 401

Cause: a host that has forwarded a job to an owner whose append is not answered tries a second host, and passes its refusal on as if nothing had been sent; only 429 and 503 are held back. Case: the owner is cut off from the store's answers while a key is taken away; the clients are answered 401, and some of their jobs run (REFUSED).

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import logging
 import os
 import random
 import shlex
@@ -24,6 +25,7 @@
 from tempfile import TemporaryDirectory
 
 from standins import UsersPlatform
+from standins._relay import ANY_NAME, Cut, Cuts
 
 ROOT = Path(__file__).resolve().parent.parent
 ZONES = ('hall-a', 'hall-b', 'hall-c')
@@ -47,9 +49,10 @@
 SECOND_BYTES = (20, 250)
 THIRD_BYTES = (1, 250)
 ADDRESS_TRIES = 100
-#: Exit statuses of a case.
+#: Exit statuses of ``case.py``, of which ``run.sh`` makes its own: an exception that nobody
+#: handles has status 1, and must not count as a broken rule.
 HELD = 0
-BROKEN = 1
+BROKEN = 10
 CANNOT_RUN = 2
 #: Whether the case brings its disruption about.
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
@@ -150,6 +153,28 @@
         self._ended = threading.Event()
         self._heartbeats = threading.Thread(target=self._run_heartbeats, daemon=True)
 
+    def add_store_links(self, names: list[str]) -> None:
+        """Give each of these hosts a link of its own to the store; only before ``start``."""
+        for name in names:
+            self.add_relay(f'store-{name}', 'store')
+
+    def cut_answers_of_store(self, name: str) -> None:
+        """Drop what the store sends to a host; what the host sends arrives."""
+        self.link_faults.replace(Cuts((Cut(f'store-{name}', ANY_NAME),)))
+        self.record.add(f'the path from the store to {name} is cut')
+
+    def heal_links(self) -> None:
+        """End all cuts."""
+        self.link_faults.replace(Cuts())
+        self.record.add('the cut heals')
+
+    def last_conditional_writer(self) -> str:
+        """Return the host that last wrote the record of the cell's owner."""
+        for record in reversed(self.store._topic('keyed.cell').records):
+            if record[1 : 1 + record[0]] == b'owner':
+                return json.loads(record[1 + record[0] :])['host']
+        raise CannotRunError('the cell has no owner')
+
     def start(self) -> None:
         """Serve, and write heartbeats."""
         super().start()
@@ -252,12 +277,16 @@
             self.process_by_name[killed].wait()
         self._record.add(f'{", ".join(names)}: killed')
 
-    def request(self, name: str, method: str, path: str, body: object = None) -> tuple[int, dict]:
+    def request(
+        self, name: str, method: str, path: str, body: object = None, key: str = ''
+    ) -> tuple[int, dict]:
         """Send a client's request; return the status, 0 for no answer, and the body."""
         connection = HTTPConnection(
             self._address_by_name[name], self._first_port, timeout=CALL_SECONDS + 1
         )
         headers = {'Host': 'desk.example', 'X-Deadline-Ms': str(int(CALL_SECONDS * MILLISECONDS))}
+        if key:
+            headers['Authorization'] = f'Bearer {key}'
         try:
             connection.request(method, path, json.dumps(body) if body else None, headers)
             answer = connection.getresponse()
@@ -314,7 +343,7 @@
             seeds=json.dumps([f'{address}:{self._first_port + 2}' for address in addresses[:3]]),
             bootstrap=str(bootstrap).lower(),
             advice=ports['advice'],
-            store=ports['store'],
+            store=ports.get(f'store-{name}', ports['store']),
         )
 
     def _is_ready(self, name: str) -> bool:
@@ -389,13 +418,27 @@
 
 
 def run_case(
-    folder: Path, hosts: int, runners: int, play: Callable[[Deployment], list[str]]
+    folder: Path,
+    hosts: int,
+    runners: int,
+    play: Callable[[Deployment], list[str]],
+    *,
+    store_links: bool = False,
 ) -> None:
-    """Play a case and exit with its status; ``play`` returns the breaks of the rule."""
+    """Play a case and exit with its status; ``play`` returns the breaks of the rule.
+
+    With ``store_links``, each host has a link of its own to the store, which can be cut.
+    """
+    # A case that takes too long ends by SIGTERM, and has to end its processes as well.
+    signal.signal(signal.SIGTERM, _exit_on_signal)
+    # The relays of the stand-in poll; that a poll ends some microseconds late is no news.
+    logging.getLogger('curio').setLevel(logging.ERROR)
     with ExitStack() as stack:
         record = Record(folder / 'record.txt')
         stack.callback(record.close)
         platform = Platform(runners, record)
+        if store_links:
+            platform.add_store_links([f'entry-{number}' for number in range(1, hosts + 1)])
         platform.start()
         stack.callback(platform.stop)
         entry_hosts = Hosts(platform, hosts, record)
@@ -404,6 +447,10 @@
     sys.exit(status)
 
 
+def _exit_on_signal(number: int, _frame: object) -> None:
+    sys.exit(CANNOT_RUN)
+
+
 def _play(deployment: Deployment, play: Callable[[Deployment], list[str]]) -> int:
     try:
         broken = play(deployment)
