A job is shown as completed only once its end is stored

What callers saw: jobs that hosts had shown as `completed` ran again.

Cause: what was shown stood in memory only. An owner showed a completion once one peer had acknowledged it, and a host of a partitioned zone once another host of that zone had. Hosts keep nothing, and the runner that lists the end is lost like any other, so the completion could be taken back. Queries to peers at a takeover and to the hosts of a zone before its runs counted as lost protected it only while one of them survived; an empty answer of a new process counted like any other. Ruled out: ends acknowledged before they were stored (the ends of the seven other runners were all found after the restart).

Change: nothing is shown before the store has it, so nothing can be taken back. Removed with that: reports and queries of completions between hosts, reads of runners inside a partition, their messages (the schema keeps their numbers; a daemon of an earlier build gets a refusal instead of a closed connection), and the list of runners at hosts that cannot own the cell. A lost zone is still waited for; that is a fault of its own.

--- a/dandelionreel/cell/clients/__init__.py
+++ b/dandelionreel/cell/clients/__init__.py
@@ -1,9 +1,8 @@
-"""The client API: access control, writes, job states and reads inside a partition."""
+"""The client API: access control, writes and job states."""
 
 from dandelionreel.cell.clients._access import AccessControl
 from dandelionreel.cell.clients._client_api import ClientApi
 from dandelionreel.cell.clients._client_writes import ClientWrites
-from dandelionreel.cell.clients._partition_reads import PartitionReads
 from dandelionreel.cell.clients._queue_lookup import QueueLookup
 from dandelionreel.cell.clients._readiness import (
     LoadBalancerRotation,
@@ -17,7 +16,6 @@
     'ClientApi',
     'ClientWrites',
     'ReadinessInputs',
-    'PartitionReads',
     'QueueLookup',
     'Relay',
     'LoadBalancerRotation',
--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -18,10 +18,9 @@
     STALE_READ_SECONDS,
     ClientWrites,
 )
-from dandelionreel.cell.clients._partition_reads import PartitionReads
 from dandelionreel.cell.clients._queue_lookup import MissingQueue, QueueLookup
 from dandelionreel.cell.clients._relay import Relay
-from dandelionreel.cell.membership import Completions, PartitionDetector
+from dandelionreel.cell.membership import PartitionDetector
 from dandelionreel.cell.model import (
     CANCELLATION_PREFIX,
     FINAL_STATES,
@@ -30,7 +29,6 @@
     ClientCodec,
     Configuration,
     JobSpec,
-    JobState,
     Queue,
     Submission,
     SubmissionError,
@@ -87,8 +85,6 @@
         writes: ClientWrites,
         relay: Relay,
         get_dispatcher: Callable[[], Dispatcher | None],
-        completions: Completions,
-        partition_reads: PartitionReads,
         partition_detector: PartitionDetector,
         clock: Clock,
         journal: Journal,
@@ -110,8 +106,6 @@
         self._writes = writes
         self._relay = relay
         self._get_dispatcher = get_dispatcher
-        self._completions = completions
-        self._partition_reads = partition_reads
         self._partition_detector = partition_detector
         self._clock = clock
         self._journal = journal
@@ -308,8 +302,6 @@
         stored_job = self._jobs.state.find_job(job_id)
         if stored_job is not None and stored_job.state in FINAL_STATES:
             return self._codec.answer_state(stored_job.state)
-        if stored_job is not None and self._completions.contains(job_id):
-            return self._codec.answer_state(JobState.COMPLETED)
         # The job may have ended meanwhile, and clients measure their wait until they see that; an
         # unknown job may have been stored meanwhile.
         dispatcher = self._get_dispatcher()
@@ -318,9 +310,7 @@
             return self._codec.answer_state(state)
         timeout = LOOKUP_TIMEOUT_SECONDS if stored_job is None else REFRESH_TIMEOUT_SECONDS
         if self._partition_detector.is_cut_off:
-            # Only completions inside this zone can be found, and reads of the store would time out.
-            if await self._partition_reads.is_job_complete(job_id):
-                return self._codec.answer_state(JobState.COMPLETED)
+            # Neither the store nor a peer that reads it can be reached.
             timeout = 0.0
         elif dispatcher is None and not call.relayed:
             response = await self._get_state_from_peers(call, timeout)
@@ -346,8 +336,7 @@
             stored_job = self._find_visible_job(call, job_id)
         if stored_job is None:
             return self._answer_unknown_job(call, job_id)
-        finished = stored_job.state in FINAL_STATES or self._completions.contains(job_id)
-        if stored_job.cancelled or finished:
+        if stored_job.cancelled or stored_job.state in FINAL_STATES:
             return self._codec.answer_accepted()
         record = make_record(CANCELLATION_PREFIX + job_id, Cancellation(self._clock.unix_time()))
         return await self._writes.store_record(
--- a/dandelionreel/cell/decisions/__init__.py
+++ b/dandelionreel/cell/decisions/__init__.py
@@ -10,7 +10,6 @@
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest
 from dandelionreel.cell.decisions._cell import MAX_CLOCK_DRIFT, Cell
 from dandelionreel.cell.decisions._crashes import Crash
-from dandelionreel.cell.decisions._job_completeness import is_job_complete
 from dandelionreel.cell.decisions._job_run import ANY_RUNNER, JobRun
 from dandelionreel.cell.decisions._planner import Plan, Planner
 from dandelionreel.cell.decisions._preventive_stops import (
@@ -53,7 +52,6 @@
     'StepRun',
     'TaskRun',
     'WaitingOrder',
-    'is_job_complete',
     'apply_last_registrations',
     'stop_incomplete_gangs',
     'stop_on_draining_runners',
--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -72,9 +72,6 @@
         self.gang_timeout = gang_timeout
         #: Maximum age in seconds of the last answer of a runner on which tasks are placed.
         self.max_knowledge_age = float('inf')
-        #: Set until peers have been asked which jobs are complete. Their answer may be newer
-        #: than the store, so until then no job with earlier starts is started again.
-        self.awaits_completions = False
         #: Number of runs during which a runner crashed, in this owner's term.
         self.crashed_runs = 0
         self.quotas = QuotaLedger(self._allocations, self.unseen_runners)
@@ -128,8 +125,6 @@
 
         Starting the task of such a run on another runner could make it run twice at the same time.
         """
-        if self.awaits_completions and job.runners:
-            return True
         if ANY_RUNNER in job.runners:
             return bool(self.unseen_runners)
         return not self.unseen_runners.isdisjoint(job.runners)
@@ -167,18 +162,6 @@
         if job is not None and not job.is_finished:
             self._cancel_job(job)
 
-    def mark_jobs_complete(self, jobs: Iterable[str]) -> list[str]:
-        """Mark jobs that earlier owners report as complete; return those that were not yet."""
-        marked = []
-        for job_id in jobs:
-            job = self.job_by_id.get(job_id)
-            if job is None or not job.mark_job_complete():
-                continue
-            self._allocations.dirty.add(job_id)
-            self._allocations.stop_job(job.id)
-            marked.append(job_id)
-        return marked
-
     def forget_job(self, job_id: str, unix_time: float) -> None:
         """Remove a job whose records the store has dropped."""
         self.unfinished_job_by_id.pop(job_id, None)
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -215,14 +215,6 @@
             self.state = JobState.FAILED
         return True
 
-    def mark_job_complete(self) -> bool:
-        """Mark the whole job as complete; return whether it was unfinished."""
-        if self.is_finished:
-            return False
-        self.state = JobState.COMPLETED
-        self.dirty = True
-        return True
-
     def mark_crashes_incomplete(self) -> None:
         """Note that runners may have crashed during its tasks without a record of it."""
         self.dirty = self.dirty or not self.crashes.incomplete
--- a/dandelionreel/cell/decisions/_load_forecast.py
+++ b/dandelionreel/cell/decisions/_load_forecast.py
@@ -126,7 +126,7 @@
 
     Returns ``None`` while it is unknown what runs: after a take-over, until all runners were seen.
     """
-    if cell.unseen_runners or cell.awaits_completions:
+    if cell.unseen_runners:
         return None
     works_by_service: dict[str, list[WaitingWork]] = {}
     for candidate in list_candidates(cell, order.rank, now, unix_time):
--- a/dandelionreel/cell/membership/__init__.py
+++ b/dandelionreel/cell/membership/__init__.py
@@ -2,15 +2,11 @@
 
 from dandelionreel.cell.membership._advisors import AdvicePool, LocalAdvisor, PeerLinks
 from dandelionreel.cell.membership._claim_order import (
-    SUCCESSOR_COUNT,
     find_larger_hosts,
     find_zone_writer,
-    follows_runner_list,
+    is_successor,
     rank_hosts,
 )
-from dandelionreel.cell.membership._completion_handler import CompletionMessageHandler
-from dandelionreel.cell.membership._completion_reports import CompletionReporter
-from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.cell.membership._configuration_download import DocumentServer
 from dandelionreel.cell.membership._configuration_exchange import ConfigurationExchange
 from dandelionreel.cell.membership._election import (
@@ -29,9 +25,6 @@
     'AUTHORITY_SECONDS',
     'AdvicePool',
     'HEARTBEAT_SECONDS',
-    'CompletionMessageHandler',
-    'CompletionReporter',
-    'Completions',
     'ConfigurationExchange',
     'DocumentServer',
     'PartitionDetector',
@@ -39,10 +32,9 @@
     'LocalAdvisor',
     'OwnerWatch',
     'PeerLinks',
-    'SUCCESSOR_COUNT',
     'Term',
     'find_zone_writer',
-    'follows_runner_list',
+    'is_successor',
     'find_larger_hosts',
     'make_incarnation_id',
     'rank_hosts',
--- a/dandelionreel/cell/membership/_claim_order.py
+++ b/dandelionreel/cell/membership/_claim_order.py
@@ -21,8 +21,6 @@
 #: The first hosts in the claim order, which follow the runner list to be ready to take over. If
 #: every host read the runners' heartbeats, they would use much of the store's read capacity.
 SUCCESSOR_COUNT = 9
-#: Hosts of each zone that follow the runner list, to answer for its runners during a partition.
-FOLLOWERS_PER_ZONE = 2
 
 
 def rank_hosts(member_by_host: Mapping[str, Member]) -> list[str]:
@@ -47,21 +45,6 @@
     )
 
 
-def follows_runner_list(member_by_host: Mapping[str, Member], own_host: str) -> bool:
-    """Return whether ``own_host`` follows the runner list, as a successor or for its zone."""
-    own = member_by_host.get(own_host)
-    if own is None or is_successor(member_by_host, own_host):
-        return True
-    same_zone = [
-        host for host in rank_hosts(member_by_host) if _is_same_zone(member_by_host, host, own)
-    ]
-    return own_host in same_zone[:FOLLOWERS_PER_ZONE]
-
-
-def _is_same_zone(member_by_host: Mapping[str, Member], host: str, own: Member) -> bool:
-    return member_by_host[host].zone == own.zone
-
-
 def find_larger_hosts(member_by_host: Mapping[str, Member], own_host: str) -> list[str]:
     """Return the hosts that can own a large cell if ``own_host`` has too few cores, else none."""
     own = member_by_host.get(own_host)
--- a/dandelionreel/cell/membership/_partition_detector.py
+++ b/dandelionreel/cell/membership/_partition_detector.py
@@ -57,7 +57,6 @@
         self._lock = curio.Lock()
         self._queried_at = float('-inf')
         self._logged_cut_off = False
-        self._owner_queried_at = float('-inf')
 
     @property
     def is_cut_off(self) -> bool:
@@ -65,19 +64,6 @@
         now = self._clock.monotonic()
         return self._zone_contact.is_host_cut_off(self._other_zones(), self._store_heard_at(), now)
 
-    @property
-    def may_answer_reads(self) -> bool:
-        """Return whether this host may answer clients from the ended runs that runners list.
-
-        It may not after an owner has queried the completed jobs that this host knows: the owner
-        relies on the completeness of that reply until the store answers this host again.
-        """
-        return self.is_cut_off and self._owner_queried_at < self._store_answered_at()
-
-    def record_owner_query(self) -> None:
-        """Record that an owner has queried the completed jobs of this host."""
-        self._owner_queried_at = self._clock.monotonic()
-
     async def run(self) -> None:
         """Query other zones whenever the store is overdue, forever."""
         while True:
--- a/dandelionreel/cell/owner/_dependencies.py
+++ b/dandelionreel/cell/owner/_dependencies.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from dandelionreel.cell.membership import Completions, Election, LocalAdvisor, PeerLinks
+from dandelionreel.cell.membership import Election, LocalAdvisor, PeerLinks
 from dandelionreel.cell.model import Topic
 from dandelionreel.cell.owner._owner_context import (
     GetRunnerListAge,
@@ -35,7 +35,6 @@
     election: Election
     links: PeerLinks
     advisor: LocalAdvisor
-    completions: Completions
     make_runner: MakeRunner
     clock: Clock
     journal: Journal
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -20,7 +20,6 @@
     Submission,
     make_record,
 )
-from dandelionreel.cell.owner._completion_gossip import CompletionGossip
 from dandelionreel.cell.owner._dependencies import DispatcherDependencies
 from dandelionreel.cell.owner._load_report import LoadReport
 from dandelionreel.cell.owner._orders import OrderSender
@@ -46,8 +45,6 @@
 RELEASE_TIMEOUT = 1.0
 #: Seconds after which a heartbeat is overdue and goes with any append: two regular ones.
 OVERDUE_HEARTBEAT_SECONDS = 2 * HEARTBEAT_SECONDS
-#: Maximum number of jobs in one log line.
-MAX_LOGGED = 80
 #: Seconds before a failed advice request is repeated.
 ADVICE_RETRY_SECONDS = 0.1
 
@@ -92,19 +89,12 @@
             self._record_permits,
             self._record_advice_failure,
         )
-        self._completion_gossip = CompletionGossip(
+        self._owner_context.confirm_zone = ZoneConfirmation(
             self._owner_context,
             dependencies.jobs.state,
             dependencies.links,
-            dependencies.completions,
             dependencies.host,
-        )
-        self._owner_context.confirm_zone_completions = ZoneConfirmation(
-            self._owner_context,
-            dependencies.jobs.state,
-            self._completion_gossip,
-            dependencies.host,
-        ).has_reported_completions
+        ).has_answered
         self._speed_records = SpeedRecords(self.cell, term.epoch, dependencies.journal)
         self._load_report = LoadReport(self.cell, self._advice_pool, dependencies.journal)
         self._periodic_checks = PeriodicChecks(dependencies, self._owner_context, self._load_report)
@@ -132,7 +122,6 @@
     async def run(self) -> None:
         """Dispatch until the term is lost or ended by ``end_term``."""
         self._load_state()
-        self._completion_gossip.block_started_jobs()
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._owner_context.close_runner_clients)
             for work in (
@@ -140,8 +129,6 @@
                 self._store_heartbeats,
                 self._follow_jobs,
                 self._run_planner,
-                self._completion_gossip.query_successors,
-                self._completion_gossip.run,
                 *(() if self._refusals is None else (self._refusals.run,)),
             ):
                 await start_task(stack, work)
@@ -190,20 +177,6 @@
         write_task = await curio.spawn(self._store_cancellation, job_id, record, daemon=True)
         return await curio.ignore_after(timeout, write_task.join) or WriteOutcome.UNKNOWN
 
-    async def mark_jobs_complete(self, jobs: tuple[str, ...]) -> None:
-        """Mark jobs complete that partitioned hosts have shown to clients as complete."""
-        completed = self.cell.mark_jobs_complete(jobs)
-        if not completed:
-            return
-        self._journal.log(
-            Part.JOBS,
-            'marked jobs complete that were shown to clients during a partition.',
-            jobs=completed[:MAX_LOGGED],
-            count=len(completed),
-            epoch=self._owner_context.term.epoch,
-        )
-        await self._owner_context.plan_needed.notify()
-
     def state_of_job(self, job_id: str) -> JobState | None:
         """Return the state of a job that clients are shown, ``None`` if it is unknown."""
         job = self.cell.job_by_id.get(job_id)
--- a/dandelionreel/cell/owner/_orders.py
+++ b/dandelionreel/cell/owner/_orders.py
@@ -285,9 +285,7 @@
         return not allocation.ticket or cell.tickets.is_valid(step, allocation.runner, now)
 
     async def _end_replaced_runner(self, state: RunnerState) -> None:
-        if await self._owner_context.confirm_zone_completions(
-            state.registration.zone, state.answered_at
-        ):
+        if await self._owner_context.confirm_zone(state.registration.zone, state.answered_at):
             self._owner_context.remove_ended_runner(
                 state, 'another runner answers at its address', proven=True
             )
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -8,7 +8,6 @@
 from dandelionreel.cell.decisions import MAX_CLOCK_DRIFT, Cell, Crash, JobRun, RunnerState
 from dandelionreel.cell.membership import AUTHORITY_SECONDS, Term
 from dandelionreel.cell.model import (
-    JobState,
     KeyedRecord,
     Progress,
     Registration,
@@ -38,7 +37,7 @@
 MAX_LOGGED = 40
 
 GetRunnerListAge = Callable[[], float]
-ConfirmZoneCompletions = Callable[[str, float], Awaitable[bool]]
+ConfirmZone = Callable[[str, float], Awaitable[bool]]
 MakeRunner = Callable[[Registration], Runner]
 
 
@@ -48,7 +47,7 @@
 
 
 async def confirm_any_zone(zone: str, since: float) -> bool:
-    """Confirm any zone, for contexts in which no host answers clients during a partition."""
+    """Confirm any zone."""
     return True
 
 
@@ -83,18 +82,14 @@
         #: Notified whenever a task may be startable or has to be stopped.
         self.plan_needed = ChangeNotifier()
         self.ended = curio.Event()
-        #: Jobs whose completion is being written to the store. ``completions_changed`` is notified
-        #: when jobs are added.
-        self.unstored_completions: set[str] = set()
-        self.completions_changed = ChangeNotifier()
         #: Why the term has ended; empty while it lasts.
         self.end_reason = ''
         self.runner_by_id: dict[str, Runner] = {}
         self.get_runner_list_age = get_runner_list_age
         self._make_runner = make_runner
-        #: Returns whether the hosts of a zone have reported the completions that they have shown to
-        #: clients since a time. Until then no run in that zone counts as lost.
-        self.confirm_zone_completions: ConfirmZoneCompletions = confirm_any_zone
+        #: Returns whether a host of a zone has answered since a time; until then no run in that
+        #: zone counts as lost.
+        self.confirm_zone: ConfirmZone = confirm_any_zone
 
     async def end_term(self, cause: str) -> None:
         """End the term: another host owns the cell or may own it."""
@@ -162,11 +157,9 @@
         records = list(other_records)
         for job, progress in progress_by_job.items():
             records.extend(make_progress_records(job.id, progress))
-        await self._add_unstored_completions(progress_by_job)
         outcome = await self.writer.write(records, timeout)
         for job, progress in progress_by_job.items():
             if outcome is WriteOutcome.STORED:
-                self.unstored_completions.discard(job.id)
                 job.stored_state = progress.state
                 job.stored_runners.update(progress.runners)
             else:
@@ -240,16 +233,6 @@
         for runner in self.runner_by_id.values():
             await runner.close()
 
-    async def _add_unstored_completions(self, progress_by_job: dict[JobRun, Progress]) -> None:
-        complete = [
-            job.id
-            for job, progress in progress_by_job.items()
-            if progress.state is JobState.COMPLETED
-        ]
-        if complete:
-            self.unstored_completions.update(complete)
-            await self.completions_changed.notify()
-
     def _log_lost_runs(self, state: RunnerState) -> None:
         """Log the runs that are lost with a runner.
 
--- a/dandelionreel/cell/owner/_periodic_checks.py
+++ b/dandelionreel/cell/owner/_periodic_checks.py
@@ -169,7 +169,7 @@
         """Treat tasks as ended if their runner was replaced by a later incarnation of it."""
         replaced = []
         for incarnation, later in self._cell.find_replaced_runners().items():
-            if await self._owner_context.confirm_zone_completions(
+            if await self._owner_context.confirm_zone(
                 later.registration.zone, self._term_started_at
             ):
                 replaced.append(incarnation)
@@ -184,13 +184,11 @@
         self._owner_context.log_crashes(self._cell.drop_unseen_runners(replaced))
 
     async def _runner_zone_is_confirmed(self, runner: str) -> bool:
-        """Return whether the zone of an unseen runner has reported the completions it has shown."""
+        """Return whether a host in the zone of an unseen runner has answered."""
         registration = self._dependencies.runners.find_registration(runner)
         if registration is None:
             return True
-        return await self._owner_context.confirm_zone_completions(
-            registration.zone, self._term_started_at
-        )
+        return await self._owner_context.confirm_zone(registration.zone, self._term_started_at)
 
     def _log_unseen_runners(self, sentence: str, now: float) -> None:
         self._journal.log(
--- a/dandelionreel/cell/owner/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -198,9 +198,7 @@
         await curio.sleep(POLL_RETRY_SECONDS)
 
     async def _end_replaced_runner(self, state: RunnerState) -> None:
-        if await self._owner_context.confirm_zone_completions(
-            state.registration.zone, state.answered_at
-        ):
+        if await self._owner_context.confirm_zone(state.registration.zone, state.answered_at):
             self._owner_context.remove_ended_runner(
                 state, 'another runner answers at its address', proven=True
             )
@@ -209,9 +207,7 @@
         await curio.sleep(POLL_RETRY_SECONDS)
 
     async def _expire_runner_leases(self, state: RunnerState) -> None:
-        if await self._owner_context.confirm_zone_completions(
-            state.registration.zone, state.answered_at
-        ):
+        if await self._owner_context.confirm_zone(state.registration.zone, state.answered_at):
             self._owner_context.expire_runner_leases(state)
 
     def _log_readability(self, state: RunnerState, view: RunnerView) -> None:
--- a/dandelionreel/entry_clients.py
+++ b/dandelionreel/entry_clients.py
@@ -8,11 +8,10 @@
     ClientApi,
     ClientWrites,
     LoadBalancerRotation,
-    PartitionReads,
     QueueLookup,
     Relay,
 )
-from dandelionreel.cell.membership import Completions, ConfigurationExchange, PartitionDetector
+from dandelionreel.cell.membership import ConfigurationExchange, PartitionDetector
 from dandelionreel.cell.owner import Dispatcher
 from dandelionreel.cell.store import GroupWriter
 from dandelionreel.entry_accounts import make_accounts_view
@@ -29,8 +28,6 @@
     relay: Relay,
     exchange: ConfigurationExchange,
     get_dispatcher: Callable[[], Dispatcher | None],
-    completions: Completions,
-    partition_reads: PartitionReads,
     partition_detector: PartitionDetector,
     rotation: LoadBalancerRotation,
     clock: Clock,
@@ -61,8 +58,6 @@
         writes,
         relay,
         get_dispatcher,
-        completions,
-        partition_reads,
         partition_detector,
         clock,
         journal,
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -8,11 +8,8 @@
 
 import curio
 
-from dandelionreel.cell.clients import PartitionReads, Relay
+from dandelionreel.cell.clients import Relay
 from dandelionreel.cell.membership import (
-    CompletionMessageHandler,
-    CompletionReporter,
-    Completions,
     ConfigurationExchange,
     DocumentServer,
     Election,
@@ -97,7 +94,6 @@
         self._writer = GroupWriter(self._reads.topics[CELL_TOPIC], self._clock, self._journal)
         incarnation = make_incarnation_id(settings.host)
         self._peer_links = PeerLinks(incarnation, self._clock)
-        self._completions = Completions(self._clock)
         self._election = Election(
             self._owner_topic,
             self._reads.cell_follower,
@@ -127,26 +123,6 @@
             self._clock,
             self._journal,
         )
-        self._completion_reporter = CompletionReporter(
-            settings.host,
-            self._cell_projection.state,
-            self._peer_links,
-            self._completions,
-            self._clock,
-            self._journal,
-        )
-        self._partition_reads = PartitionReads(
-            settings.host,
-            settings.zone,
-            self._cell_projection.state,
-            self._reads.runners,
-            self._partition_detector,
-            self._completions,
-            self._peer_links,
-            _make_runner,
-            self._clock,
-            self._journal,
-        )
         self._configuration_exchange = ConfigurationExchange(
             settings.host,
             self._cell_projection.state,
@@ -180,8 +156,6 @@
             self._relay,
             self._configuration_exchange,
             lambda: self._dispatcher,
-            self._completions,
-            self._partition_reads,
             self._partition_detector,
             self._readiness.rotation,
             self._clock,
@@ -215,7 +189,6 @@
             incarnation=self._election.incarnation,
         )
         closeables: list[Any] = [*self._reads.topics.values(), self._owner_topic, self._peer_links]
-        closeables.append(self._partition_reads)
         if self._advice is not None:
             closeables.append(self._advice)
         for closeable in closeables:
@@ -232,7 +205,6 @@
             self._partition_detector.run,
             self._configuration_exchange.run,
             self._configuration_exchange.run_downloads,
-            self._completion_reporter.run,
             self._update_gauges,
         ):
             await start_task(stack, run_part)
@@ -249,9 +221,6 @@
             self._client_api,
             self._election,
             self._advisor,
-            CompletionMessageHandler(
-                self._completions, self._partition_detector, self._accept_completions
-            ),
             self._configuration_exchange,
             DocumentServer(self._reads.configuration),
             self._answer_owner_query,
@@ -270,13 +239,6 @@
         ready = self._may_claim() and self._reads.has_reached_ends
         return self._election.answer_owner_query(frame, acting, ready)
 
-    async def _accept_completions(self, jobs: tuple[str, ...]) -> bool:
-        dispatcher = self._dispatcher
-        if dispatcher is None or not dispatcher.may_send_orders:
-            return False
-        await dispatcher.mark_jobs_complete(jobs)
-        return True
-
     def _store_answered_at(self) -> float:
         dispatcher = self._dispatcher
         stored_at = self._writer.stored_at if dispatcher is None else dispatcher.stored_at
@@ -311,7 +273,6 @@
             election=self._election,
             links=self._peer_links,
             advisor=self._advisor,
-            completions=self._completions,
             make_runner=_make_runner,
             clock=self._clock,
             journal=self._journal,
--- a/dandelionreel/entry_peers.py
+++ b/dandelionreel/entry_peers.py
@@ -5,7 +5,6 @@
 
 from dandelionreel.cell.clients import ClientApi
 from dandelionreel.cell.membership import (
-    CompletionMessageHandler,
     ConfigurationExchange,
     DocumentServer,
     Election,
@@ -14,9 +13,6 @@
 from dandelionreel.kernel import Clock, Journal
 from dandelionreel.peers import (
     AdviceWanted,
-    CompletionsSeen,
-    CompletionsTold,
-    CompletionsWanted,
     ConfigurationDocumentWanted,
     ConfigurationWanted,
     Forward,
@@ -39,7 +35,6 @@
     client_api: ClientApi,
     election: Election,
     advisor: LocalAdvisor,
-    completions: CompletionMessageHandler,
     exchange: ConfigurationExchange,
     documents: DocumentServer,
     answer_owner_query: OwnerQueryHandler,
@@ -56,9 +51,6 @@
         (OwnerFailing, election.handle_successor_request),
         (OwnerAsked, answer_owner_query),
         (AdviceWanted, advisor.answer_advice_request),
-        (CompletionsTold, completions.merge_completions),
-        (CompletionsSeen, completions.merge_zone_completions),
-        (CompletionsWanted, completions.answer_query),
         (ConfigurationWanted, exchange.answer_query),
         (ConfigurationDocumentWanted, documents.answer_request),
     )
--- a/dandelionreel/entry_reads.py
+++ b/dandelionreel/entry_reads.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from dandelionreel.cell.membership import follows_runner_list
+from dandelionreel.cell.membership import is_successor
 from dandelionreel.cell.model import Topic, UnreadableLog
 from dandelionreel.cell.store import (
     CellProjection,
@@ -157,7 +157,7 @@
         )
 
     def _needs_runner_list(self) -> bool:
-        return self._owns_cell() or follows_runner_list(self.cell.state.member_by_host, self._host)
+        return self._owns_cell() or is_successor(self.cell.state.member_by_host, self._host)
 
     def _make_unreadable_log(self, topic: str, part: Part) -> UnreadableLog:
         return UnreadableLog(topic, part, self._clock, self._journal, self._count_unreadable)
--- a/dandelionreel/peers/_cell_messages.py
+++ b/dandelionreel/peers/_cell_messages.py
@@ -46,37 +46,6 @@
     term: str
 
 
-@dataclass(frozen=True)
-class CompletionsTold:
-    """Completed jobs whose completion may not be in the store yet.
-
-    Sent by the owner of ``epoch`` to its peers, and by a peer in answer to ``CompletionsWanted``.
-    """
-
-    epoch: int
-    jobs: tuple[str, ...]
-
-
-@dataclass(frozen=True)
-class CompletionsWanted:
-    """The new owner of ``epoch`` asks for known completions.
-
-    After receiving it, a peer must accept no completions from owners of earlier epochs.
-    """
-
-    epoch: int
-
-
-@dataclass(frozen=True)
-class CompletionsSeen:
-    """Jobs that the runners of a zone report as done.
-
-    Sent by a host of the zone that believes that a network partition cuts the zone off.
-    """
-
-    jobs: tuple[str, ...]
-
-
 @dataclass(frozen=True)
 class ConfigurationWanted:
     """Asks a host for its version, and for a small document that is newer than ``version``."""
--- a/dandelionreel/peers/_codec.py
+++ b/dandelionreel/peers/_codec.py
@@ -15,9 +15,6 @@
 from dandelionreel.peers._cell_messages import (
     AdviceGiven,
     AdviceWanted,
-    CompletionsSeen,
-    CompletionsTold,
-    CompletionsWanted,
     ConfigurationDocument,
     ConfigurationDocumentWanted,
     ConfigurationGiven,
@@ -50,6 +47,7 @@
     ServiceSlots,
     TaskAction,
     TaskReport,
+    Unsupported,
     WorkerReport,
 )
 
@@ -406,22 +404,6 @@
     root.ownerAsked = message.term
 
 
-def _encode_completions_told(root: Any, message: CompletionsTold) -> None:
-    root.init('completionsTold').from_dict({'epoch': message.epoch, 'jobs': list(message.jobs)})
-
-
-def _decode_completions_told(root: Any) -> CompletionsTold:
-    return CompletionsTold(root.completionsTold.epoch, tuple(root.completionsTold.jobs))
-
-
-def _encode_completions_wanted(root: Any, message: CompletionsWanted) -> None:
-    root.completionsWanted = message.epoch
-
-
-def _encode_completions_seen(root: Any, message: CompletionsSeen) -> None:
-    root.completionsSeen = list(message.jobs)
-
-
 def _encode_done(root: Any, message: Done) -> None:
     root.done = None
 
@@ -445,9 +427,6 @@
     AdviceGiven: _encode_advice_given,
     OwnerFailing: _encode_owner_failing,
     OwnerAsked: _encode_owner_asked,
-    CompletionsTold: _encode_completions_told,
-    CompletionsWanted: _encode_completions_wanted,
-    CompletionsSeen: _encode_completions_seen,
     ConfigurationWanted: encode_configuration_wanted,
     ConfigurationGiven: encode_configuration_given,
     ConfigurationDocumentWanted: encode_document_wanted,
@@ -471,9 +450,9 @@
     'advised': _decode_advice_given,
     'ownerFailing': lambda root: OwnerFailing(root.ownerFailing),
     'ownerAsked': lambda root: OwnerAsked(root.ownerAsked),
-    'completionsTold': _decode_completions_told,
-    'completionsWanted': lambda root: CompletionsWanted(root.completionsWanted),
-    'completionsSeen': lambda root: CompletionsSeen(tuple(root.completionsSeen)),
+    'obsoleteCompletionsTold': lambda root: Unsupported(root.which()),
+    'obsoleteCompletionsWanted': lambda root: Unsupported(root.which()),
+    'obsoleteCompletionsSeen': lambda root: Unsupported(root.which()),
     'configurationWanted': lambda root: ConfigurationWanted(root.configurationWanted),
     'configuration': decode_configuration_given,
     'configurationDocumentWanted': lambda root: ConfigurationDocumentWanted(
--- a/dandelionreel/peers/_messages.py
+++ b/dandelionreel/peers/_messages.py
@@ -10,9 +10,6 @@
 from dandelionreel.peers._cell_messages import (
     AdviceGiven,
     AdviceWanted,
-    CompletionsSeen,
-    CompletionsTold,
-    CompletionsWanted,
     ConfigurationDocument,
     ConfigurationDocumentWanted,
     ConfigurationGiven,
@@ -186,6 +183,13 @@
     """The message was accepted."""
 
 
+@dataclass(frozen=True)
+class Unsupported:
+    """A message that only other builds handle; ``kind`` is its name in the schema."""
+
+    kind: str
+
+
 @dataclass(frozen=True)
 class Refused:
     """The message was rejected, with the cause."""
@@ -208,15 +212,13 @@
     | AdviceGiven
     | OwnerFailing
     | OwnerAsked
-    | CompletionsTold
-    | CompletionsWanted
-    | CompletionsSeen
     | ConfigurationWanted
     | ConfigurationGiven
     | ConfigurationDocumentWanted
     | ConfigurationDocument
     | Done
     | Refused
+    | Unsupported
 )
 
 
--- a/dandelionreel/peers/schema.capnp
+++ b/dandelionreel/peers/schema.capnp
@@ -31,11 +31,10 @@
     # The term of an owner that cannot use the store and asks a peer to take over.
     ownerAsked @20 :Text;
     # The term of an owner whose heartbeats are missing in the store.
-    completionsTold @21 :Completions;
-    completionsWanted @22 :UInt64;
-    # The epoch of the requesting new owner.
-    completionsSeen @23 :List(Text);
-    # Jobs that the runners of a zone report as done while the zone is cut off.
+    obsoleteCompletionsTold @21 :ObsoleteCompletions;
+    obsoleteCompletionsWanted @22 :UInt64;
+    obsoleteCompletionsSeen @23 :List(Text);
+    # Sent by daemons of earlier builds; refused.
     configurationWanted @24 :UInt64;
     # The version that the requesting host has.
     configuration @25 :Configuration;
@@ -61,7 +60,7 @@
   # After the record of this version in the operators' topic, 0 if not known.
 }
 
-struct Completions {
+struct ObsoleteCompletions {
   epoch @0 :UInt64;
   jobs @1 :List(Text);
 }
--- a/dandelionreel/records/_event_kinds.py
+++ b/dandelionreel/records/_event_kinds.py
@@ -25,7 +25,6 @@
     RUNS_LISTED = 'found'
     RUN_ENDED = 'ended'
     END_STORED = 'noted'
-    COMPLETION_SHOWN = 'shown'
     END_NOT_STORED = 'not noted'
     STOPPING = 'stopping'
     STOP_ACCEPTED = 'stop taken'
@@ -66,7 +65,6 @@
         ('placement: (stops|stopped|moves) ', EventKind.STOPPING),
         ('workers: a run has ended ', EventKind.RUN_ENDED),
         (r'workers: ends on \S+ stored', EventKind.END_STORED),
-        ('jobs: shown as complete', EventKind.COMPLETION_SHOWN),
         (r'workers: ends on \S+ ', EventKind.END_NOT_STORED),
         ('workers: .* does not have a run', EventKind.RUN_MISSING),
         (r'workers: found \d+ tasks on ', EventKind.RUNS_LISTED),
--- a/dandelionreel/records/_job_histories.py
+++ b/dandelionreel/records/_job_histories.py
@@ -75,7 +75,7 @@
 
     def add(self, event: LogEvent, job: str, jobs: Iterable[str]) -> None:
         """Add an event of ``job``, or one that reports the ends of ``jobs``."""
-        if event.kind in {EventKind.END_STORED, EventKind.COMPLETION_SHOWN}:
+        if event.kind is EventKind.END_STORED:
             self._stored_ends.extend((event.at, name) for name in jobs)
             return
         submitted = _POST_TEXT.match(event.text)
--- a/features/cell_parts.py
+++ b/features/cell_parts.py
@@ -101,11 +101,7 @@
 
         Without ``complete``, the runner has more ends than it lists.
         """
-        running_tasks = tuple(RunningTask(name, run, '', 0, 0.0) for name, run in running)
-        ends = []
-        for number, name, run, outcome in ended:
-            ends.append(EndedRun(number, name, run, RunOutcome(outcome), ''))
-        view = RunnerView(self.now, running_tasks, tuple(ends), complete)
+        view = make_view(self.now, running, ended, complete)
         state = self.cell.runner_by_id[runner]
         return self.cell.handle_view(
             state, view, self.now if polled_at is None else polled_at, self.now
@@ -120,6 +116,15 @@
         return self.cell.runner_by_id[runner].used.cpu
 
 
+def make_view(now, running=(), ended=(), complete=True):
+    """Return the answer of a runner with runs and ends as in ``SmallCell.poll``."""
+    running_tasks = tuple(RunningTask(name, run, '', 0, 0.0) for name, run in running)
+    ends = []
+    for number, name, run, outcome in ended:
+        ends.append(EndedRun(number, name, run, RunOutcome(outcome), ''))
+    return RunnerView(now, running_tasks, tuple(ends), complete)
+
+
 def step(cpu=2000, count=1, seconds=0.5, **fields):
     """Return a step; by default one task of 2000 millicores for half a second."""
     return Step(count, Demand(cpu, 100, 0), seconds, **fields)
--- a/features/client_parts.py
+++ b/features/client_parts.py
@@ -7,7 +7,6 @@
 from dandelionreel.cell.clients._client_writes import ClientWrites
 from dandelionreel.cell.clients._queue_lookup import QueueLookup
 from dandelionreel.cell.clients._readiness import LoadBalancerRotation
-from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.http import Request
 from dandelionreel.kernel import SystemClock
 from dandelionreel.platform import JsonClientCodec
@@ -81,8 +80,6 @@
         ),
         relay,
         get_dispatcher,
-        Completions(clock),
-        None,
         partition_detector,
         clock,
         journal(),
--- a/features/completions.feature
+++ b/features/completions.feature
@@ -1,43 +1,45 @@
-Feature: Jobs that complete before their end is stored
+Feature: Jobs are shown as completed once their end is stored
 
-  # Guards against clients that learn of completed jobs only once the store is available again.
-  Scenario Outline: The store is unavailable when a job ends
-    Given an owner whose store is unavailable, and a peer that <answers>
+  # Guards against reporting a job as completed that runs again once the hosts that know its end, and
+  # the runner that lists it, are lost.
+  Scenario Outline: A runner lists the end of a job
+    Given an owner whose store is <store>
     When a runner lists the end of its job
-    Then clients are told <state> within a second
+    Then a client that asks <host> is told that the job is <state>
 
     Examples:
-      | answers                      | state       |
-      | accepts its reports          | completed   |
-      | was queried by a later owner | nothing yet |
-      | does not answer              | nothing yet |
+      | store                     | host                                      | state     |
+      | available                 | the owner                                 | completed |
+      | available                 | another host                              | completed |
+      | unavailable               | the owner                                 | running   |
+      | unavailable               | another host                              | running   |
+      | unavailable               | a host that is cut off with its runner    | running   |
+      | losing answers of appends | the owner                                 | running   |
+      | losing answers of appends | another host                              | running   |
 
-  # Telling peers of every job that ends would cost two messages a job while the store is healthy.
-  Scenario: The store accepts the ends of jobs
-    Given an owner whose store answers, and a peer that accepts its reports
+  # Guards against clients that learn late of jobs that have ended during an outage.
+  Scenario Outline: The store is available again
+    Given an owner whose store is unavailable
     When a runner lists the end of its job
-    Then no message is sent to the peer
-
-  # Guards against starting a task again after a client was told that its job is complete.
-  Scenario Outline: The owner and the runner fail after a job was shown as complete
-    Given a store in which a job runs on w1
-    And a peer that was told that the job is complete and that <answers>
-    When a host that was not told owns the cell and w1 has crashed
-    Then the job's task is <outcome>
+    And its store is available again
+    Then a client that asks <host> is told within 0.5 s that the job is completed
 
     Examples:
-      | answers     | outcome           |
-      | replies     | not started again |
-      | has crashed | started again     |
+      | host         |
+      | the owner    |
+      | another host |
 
-  # Guards against showing a job as complete that a former owner reports after a later owner's query.
-  Scenario: A former owner's report after a later owner's query
-    Given a host that the owner of epoch 7 has queried
-    When the owner of epoch 6 tells it that a job is complete
-    Then its report is refused, and clients are not told
-    When the owner of epoch 7 tells it that a job is complete
-    Then clients are told that it is completed
+  # Guards against running a task again whose end is stored or listed by a runner that has survived.
+  Scenario Outline: A new owner finds a job that has run on w1
+    Given a store in which a job runs on w1, and its end is <stored>
+    When a host owns the cell and w1 <answers>
+    Then the job's task is <outcome>
 
-  Scenario: A store that is unavailable for an hour
-    Given a host that is told of 30000 complete jobs over an hour
-    Then it keeps those of the last minute, and at most 20000
+    Examples:
+      | stored     | answers                  | outcome                           |
+      | stored     | has restarted            | not started, and the job complete |
+      | stored     | does not answer          | not started, and the job complete |
+      | not stored | lists it as done         | not started, and the job complete |
+      | not stored | still runs the task      | not started                       |
+      | not stored | does not answer          | not started                       |
+      | not stored | has restarted            | started again                     |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -106,10 +106,17 @@
     Then the other hosts report that the job is completed
     And no task ran twice and no runner exceeded its capacity
 
-  # Guards against restarting a task whose job was reported as completed while the store was down.
-  Scenario: A job ends while the store is down, and its owner and its runner crash
-    When the store goes down while a long job runs
-    Then every host reports that it is completed
-    When the owner and the runner crash before the platform is available again
-    Then the other hosts report that the job is completed
-    And its task has run once
+  # Guards against reporting a job as completed that only hosts and a runner know to be done: once
+  # they are lost, its task starts again.
+  Scenario Outline: Jobs end while the store is down, and hosts and a runner are lost
+    When the store goes down while 12 jobs run, until all of them have ended
+    Then no host reports any of them as completed
+    When <hosts> and a runner on which jobs ended crash before the platform is available again
+    Then all of them are reported as completed, each only once the store has its end
+    And no task was started after its job was reported as completed
+    And each job that ended on another runner has run once
+
+    Examples:
+      | hosts     |
+      | the owner |
+      | all hosts |
--- a/features/store_parts.py
+++ b/features/store_parts.py
@@ -4,7 +4,6 @@
 
 import curio
 
-from dandelionreel.cell.membership._completions import Completions
 from dandelionreel.cell.membership._election import Election, Term
 from dandelionreel.cell.model import WriterFence
 from dandelionreel.cell.owner._dependencies import DispatcherDependencies
@@ -97,7 +96,6 @@
         election=host.election,
         links=links,
         advisor=None,
-        completions=Completions(clock),
         make_runner=make_runner,
         clock=clock,
         journal=journal(),
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -28,6 +28,7 @@
 from standins._memory_topic import MemoryTopic
 from standins._narrow_link import NarrowLink
 from standins._relay import ANY_NAME, Cut, Cuts
+from standins._state_watch import StateWatch
 from standins._users_platform import AccountRow, PlatformRunner, Run, UsersPlatform
 
 __all__ = (
@@ -45,6 +46,7 @@
     'PlatformRunner',
     'Reply',
     'Run',
+    'StateWatch',
     'UsersPlatform',
     'count_crashes_by_task',
     'exchange',
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -93,6 +93,14 @@
         """Write arbitrary bytes as a record, as another writer may."""
         self._topic(topic).records.append(record)
 
+    def newest_value(self, topic: str, key: str) -> bytes:
+        """Return the newest value of a key, empty without one."""
+        prefix = bytes([len(key)]) + key.encode()
+        for record in reversed(self._topic(topic).records):
+            if record.startswith(prefix):
+                return record[len(prefix) :]
+        return b''
+
     async def handle(self, request: Request) -> Response:
         """Answer a request, or fail as ``faults`` says."""
         if self.faults.delay:
