Logs: the attempts behind the answer to a submission, and whether one is in doubt

The line of an answered call named the host that answered, not what had been tried before, so it could not tell a doubt that was dropped from one that was lost on the way.

--- a/dandelionreel/cell/clients/_client_writes.py
+++ b/dandelionreel/cell/clients/_client_writes.py
@@ -106,6 +106,8 @@
                     f'{response.status} by {attempts.attempted_by}',
                     **fields,
                     seconds=round(self._clock.monotonic() - started_at, 3),
+                    tried=attempts.outcomes,
+                    in_doubt=attempts.in_doubt,
                 )
                 return response
             if response is not None and is_overload_refusal(response):
