No refusal is passed on after an attempt that may have stored a record

Cause: a host that had forwarded a call to the owner and got no answer went on to the writer of its zone and passed on whatever that answered, unless it was 429 or 503. The writer had a newer configuration, without the key. So 400, 401, 409 and 413 (for cancellations 410, too) said that nothing had been done while the owner's append was carried out. Evidence: with the attempts in the log line all 12 lines "401 by a peer" have `tried` "a peer: may have acted", "a peer: 401" and `in_doubt` true. Ruled out: that the doubt was lost on the way, and that the second host was wrong to check the key.

Change: `WriteAttempts` collects the attempts of a call and makes the one answer, for submissions and cancellations, of peers, of the owner and of this host: success is passed on, a refusal only if no attempt is in doubt, else the answer is 504 with the verdict `unknown`. There is no other way to an answer in store_record. A peer's status that does not say "not run" (500, 502) counts as doubt, too, as 504 did.

Seen to fail before: features/refusals.feature, 8 of 27 rows (400, 401, 409, 413 and 410 after an owner that gave no answer, 504 or 500).

--- a/dandelionreel/cell/clients/_client_writes.py
+++ b/dandelionreel/cell/clients/_client_writes.py
@@ -1,25 +1,23 @@
 """Stores clients' submissions and cancellations through the owner, a peer or this host."""
 
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, field
-from typing import Any
 
 from dandelionreel.cell.clients._client_call import (
     HTTP_UNAVAILABLE,
     OVERLOAD_CAUSE,
     RETRY_AFTER_SECONDS,
-    STORE_UNAVAILABLE_CAUSE,
     ClientCall,
     unavailable_response,
 )
 from dandelionreel.cell.clients._readiness import LoadBalancerRotation
-from dandelionreel.cell.clients._relay import Relay, RelayResult, is_overload_refusal
+from dandelionreel.cell.clients._relay import Relay, RelayResult
+from dandelionreel.cell.clients._write_attempts import AttemptResult, WriteAttempts
 from dandelionreel.cell.membership import PartitionDetector
 from dandelionreel.cell.model import ClientCodec, KeyedRecord
 from dandelionreel.cell.owner import Dispatcher, Refusal
 from dandelionreel.cell.store import Follower, GroupWriter, WriteOutcome
-from dandelionreel.http import Response, problem_response
-from dandelionreel.kernel import Clock, Problem, Verdict
+from dandelionreel.http import Response
+from dandelionreel.kernel import Clock
 
 #: Timeout in seconds of an append by this host, before a peer is asked to append: more than a slow
 #: store needs, and a third of the time that a client waits.
@@ -29,22 +27,9 @@
 #: Age in seconds of the latest read of the store above which a peer may have newer records. Reads
 #: complete at least twice a second, since the owner writes heartbeats.
 STALE_READ_SECONDS = 1.2
-HTTP_TIMEOUT = 504
 RETRYABLE_STATUSES = frozenset((429, HTTP_UNAVAILABLE))
 
-
-@dataclass
-class _WriteAttempts:
-    """The attempts so far to store a record."""
-
-    attempted_by: str = ''
-    #: Whether a record may have been appended although no attempt succeeded.
-    in_doubt: bool = False
-    #: The outcome of each attempt, for the log line of a call that was not answered 2xx.
-    outcomes: list[str] = field(default_factory=list)
-
-
-Attempt = Callable[[float, _WriteAttempts], Awaitable[Response | None]]
+Attempt = Callable[[float], Awaitable[AttemptResult]]
 StoreAtOwner = Callable[[Dispatcher, float], Awaitable[WriteOutcome | Refusal]]
 #: Makes a record for one attempt; a submission has the time of the attempt, since the owner may
 #: have refused an earlier one.
@@ -93,35 +78,26 @@
         """
         started_at = self._clock.monotonic()
         deadline = started_at + call.timeout
-        attempts = _WriteAttempts()
+        attempts = WriteAttempts()
         for attempt in self._list_attempts(call, make_record, store_at_owner):
             remaining = deadline - self._clock.monotonic()
             if remaining <= 0 or await self._is_host_cut_off(attempts):
                 break
-            response = await attempt(remaining, attempts)
-            if response is not None and (
-                response.status not in RETRYABLE_STATUSES or not attempts.in_doubt
-            ):
-                log(
-                    f'{response.status} by {attempts.attempted_by}',
-                    **fields,
-                    seconds=round(self._clock.monotonic() - started_at, 3),
-                    tried=attempts.outcomes,
-                    in_doubt=attempts.in_doubt,
-                )
-                return response
-            if response is not None and is_overload_refusal(response):
+            attempts.add(await attempt(remaining))
+            if attempts.is_decided:
                 break
+        answer = attempts.make_answer(self._retry_after_seconds())
         log(
-            'may be stored' if attempts.in_doubt else 'not stored',
+            attempts.summary,
             **fields,
             seconds=round(self._clock.monotonic() - started_at, 3),
             store_failing=round(max(0.0, deadline - self._writer.failing_since), 3),
             tried=attempts.outcomes,
+            in_doubt=attempts.in_doubt,
         )
-        return self._answer_failed_write(attempts)
+        return answer
 
-    async def _is_host_cut_off(self, attempts: _WriteAttempts) -> bool:
+    async def _is_host_cut_off(self, attempts: WriteAttempts) -> bool:
         """Return whether this host is cut off, so that further attempts are pointless.
 
         The client's few retries are better spent on hosts of another zone.
@@ -130,13 +106,6 @@
             return True
         return bool(attempts.outcomes) and await self._partition_detector.check_other_zones()
 
-    def _answer_failed_write(self, attempts: _WriteAttempts) -> Response:
-        if attempts.in_doubt:
-            detail = 'what was asked for may have been stored'
-            return problem_response(Problem(Verdict.UNKNOWN, HTTP_TIMEOUT, 'store-silent', detail))
-        detail = 'the store takes nothing just now; it was not accepted'
-        return unavailable_response(STORE_UNAVAILABLE_CAUSE, detail, self._retry_after_seconds())
-
     def _retry_after_seconds(self) -> float:
         """Return the seconds after which another host is likely to accept a request.
 
@@ -175,49 +144,41 @@
             yield self._attempt_by_this_host(make_record)
 
     def _attempt_by_owner(self, dispatcher: Dispatcher, store_at_owner: StoreAtOwner) -> Attempt:
-        async def by_owner(remaining: float, attempts: _WriteAttempts) -> Response | None:
-            attempts.attempted_by = 'the owner'
+        async def by_owner(remaining: float) -> AttemptResult:
+            attempted_by = 'the owner'
             if dispatcher.store_is_failing:
-                attempts.outcomes.append('the owner: its store is failing')
-                return None
+                return AttemptResult(attempted_by, 'its store is failing')
             outcome = await store_at_owner(dispatcher, min(remaining, APPEND_TIMEOUT_SECONDS))
             if isinstance(outcome, Refusal):
-                return _answer_refused(outcome)
-            return self._record_write_outcome(outcome, attempts)
+                return AttemptResult(attempted_by, 'refused for overload', _answer_refused(outcome))
+            return self._make_write_result(attempted_by, outcome)
 
         return by_owner
 
     def _attempt_by_this_host(self, make_record: MakeRecord) -> Attempt:
-        async def by_this_host(remaining: float, attempts: _WriteAttempts) -> Response | None:
-            attempts.attempted_by = 'this host'
+        async def by_this_host(remaining: float) -> AttemptResult:
             timeout = min(remaining, APPEND_TIMEOUT_SECONDS)
             outcome = await self._writer.write([make_record()], timeout)
-            return self._record_write_outcome(outcome, attempts)
+            return self._make_write_result('this host', outcome)
 
         return by_this_host
 
     def _attempt_by_peer(self, call: ClientCall, forward: Forwarder) -> Attempt:
-        async def by_peer(remaining: float, attempts: _WriteAttempts) -> Response | None:
-            attempts.attempted_by = 'a peer'
+        async def by_peer(remaining: float) -> AttemptResult:
             forwarded = await forward(call, remaining)
-            attempts.in_doubt = attempts.in_doubt or forwarded.in_doubt
-            status: Any = forwarded.response.status if forwarded.response else 'none could act'
-            attempts.outcomes.append(
-                f'a peer: {"may have acted" if forwarded.in_doubt else status}'
-            )
-            return forwarded.response
+            outcomes = ['may have acted'] if forwarded.in_doubt else []
+            if forwarded.response is not None:
+                outcomes.append(f'{forwarded.response.status}')
+            outcome = ', then '.join(outcomes) or 'none could act'
+            return AttemptResult('a peer', outcome, forwarded.response, forwarded.in_doubt)
 
         return by_peer
 
-    def _record_write_outcome(
-        self, outcome: WriteOutcome, attempts: _WriteAttempts
-    ) -> Response | None:
-        """Return the response if the record was stored, else record the outcome."""
+    def _make_write_result(self, attempted_by: str, outcome: WriteOutcome) -> AttemptResult:
         if outcome is WriteOutcome.STORED:
-            return self._codec.answer_accepted()
-        attempts.in_doubt = attempts.in_doubt or outcome is not WriteOutcome.REFUSED
-        attempts.outcomes.append(f'{attempts.attempted_by}: {outcome.value}')
-        return None
+            return AttemptResult(attempted_by, outcome.value, self._codec.answer_accepted())
+        in_doubt = outcome is not WriteOutcome.REFUSED
+        return AttemptResult(attempted_by, outcome.value, in_doubt=in_doubt)
 
     def _may_append_without_owner(self) -> bool:
         """Return whether this host appends although a peer should, as the cell has no owner yet.
--- a/dandelionreel/cell/clients/_relay.py
+++ b/dandelionreel/cell/clients/_relay.py
@@ -24,9 +24,10 @@
 MAX_PEERS_TRIED = 3
 #: Methods of requests that may be sent to any number of peers.
 IDEMPOTENT_METHODS = frozenset(('GET',))
-HTTP_TIMEOUT = 504
 #: Statuses that are valid from any host: done, bad input, an unknown key, no such job.
 FINAL_STATUSES = frozenset((200, 400, 401, 409, 410, 413))
+#: Other statuses by which a peer says that it has done nothing.
+NOT_RUN_STATUSES = frozenset((403, 404, 405, 429, 503))
 #: Seconds for which a peer is skipped that did not reply or cannot use the store either. The time
 #: doubles with each further missing reply, up to the maximum.
 PEER_BACKOFF_SECONDS = 1.5
@@ -146,7 +147,7 @@
             return RelayResult(reply.response)
         # The peer's configuration may be older, or the outcome of its append may be unknown:
         # neither is a response for the client.
-        return RelayResult(None, reply.response.status == HTTP_TIMEOUT)
+        return RelayResult(None, reply.response.status not in NOT_RUN_STATUSES)
 
     async def _can_peer_act(self, host: str, member: Member) -> bool:
         """Query whether a peer can act before sending it a request that is not idempotent.
