A daemon without a free slot no longer hides that its runner may have run a request

A peer that is forwarded an idempotent request, whose runner breaks it off after it was sent, and that has no free slot for the retry, answered "no room". The forwarding daemon took that for "nothing was sent" and could end with `not_run`.

Cause: the doubt of earlier attempts was applied to RequestErrors only; the signal for "no free slot" passed it by. Change: it is applied there as well, and an answer that is turned into `unknown` by an earlier attempt has the status 504, as docs/API.md has for this verdict, in place of a 503 or 404 that reads like a refusal.

Seen to fail before: features/refusals.feature, "A forwarded request may have run, and no slot is free for another attempt" (no_room=True). After: passes, with requests.feature.

--- a/dandelionreel/routing/_router.py
+++ b/dandelionreel/routing/_router.py
@@ -294,7 +294,15 @@
             if not history.may_have_run or problem.verdict is not Verdict.NOT_RUN:
                 raise
             # The last attempt did not run, but an earlier one may have.
-            raise outcome_unknown_error(problem.status, problem.cause, problem.detail) from error
+            raise outcome_unknown_error(HTTP_TIMEOUT, problem.cause, problem.detail) from error
+        except _NoFreeSlotError as error:
+            if not history.may_have_run:
+                raise
+            raise outcome_unknown_error(
+                HTTP_TIMEOUT,
+                'runner-failed',
+                'an attempt got no answer, and no slot is free for another one',
+            ) from error
 
     async def _try_until_answered(self, call: ServiceCall, history: '_AttemptHistory') -> Response:
         while True:
--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -46,3 +46,10 @@
     When the client is answered
     Then it is told that nothing was done only if none of them is in doubt
     And it is told of a success only if one was answered so
+
+  # Guards against a refusal by a host that has no free slot, after its runner may have run the
+  # request.
+  Scenario: A forwarded request may have run, and no slot is free for another attempt
+    Given a daemon that was forwarded an idempotent request
+    When its runner breaks off the request, and no slot is free any more
+    Then the forwarding daemon is told that the request may have run
