A cancellation that has taken effect in one zone is not reported as not run

`POST /v1/jobs/cancel` for jobs of several zones cancelled those of the first zone, and answered 503 `zone-unreachable`, verdict `not_run`, when the next zone could not be reached.

Cause: an error of one zone was passed on without regard to the zones before it. Change: once jobs are cancelled, the error has the verdict `unknown` and the cause `partly-cancelled`; cancelling again is safe.

Seen to fail before: features/refusals.feature, "Jobs of two zones are cancelled, and the second zone cannot", first row (not_run). After: passes.

--- a/dandelionreel/callers/_caller_api.py
+++ b/dandelionreel/callers/_caller_api.py
@@ -5,7 +5,7 @@
 from dandelionreel.callers._relay import ZoneRelay
 from dandelionreel.http import Request, Response, json_response, problem_response
 from dandelionreel.jobs import CancelResult, JobApi, JobMover, MoveBody, zone_of_job
-from dandelionreel.kernel import RequestError, clip_text, not_run_error
+from dandelionreel.kernel import RequestError, clip_text, not_run_error, outcome_unknown_error
 from dandelionreel.life import Lifecycle
 from dandelionreel.peers import Forward, ForwardAnswer, Frame, Message, Refused
 from dandelionreel.routing import Router
@@ -19,6 +19,7 @@
 HTTP_NOT_FOUND = 404
 HTTP_METHOD_NOT_ALLOWED = 405
 HTTP_UNAVAILABLE = 503
+HTTP_TIMEOUT = 504
 NOT_READY_RETRY_SECONDS = 1.0
 
 
@@ -110,7 +111,16 @@
         cancelled = 0
         missing: list[str] = []
         for zone, jobs in sorted(jobs_by_zone.items()):
-            cancel_result = await self._cancel_jobs_in_zone(zone, tuple(jobs))
+            try:
+                cancel_result = await self._cancel_jobs_in_zone(zone, tuple(jobs))
+            except RequestError as error:
+                if not cancelled:
+                    raise
+                raise outcome_unknown_error(
+                    HTTP_TIMEOUT,
+                    'partly-cancelled',
+                    f'{cancelled} jobs are cancelled; zone {zone}: {error}; cancel again',
+                ) from error
             cancelled += cancel_result.cancelled
             missing.extend(cancel_result.unknown)
         return json_response(CancelResult(cancelled, tuple(missing)))
--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -53,3 +53,16 @@
     Given a daemon that was forwarded an idempotent request
     When its runner breaks off the request, and no slot is free any more
     Then the forwarding daemon is told that the request may have run
+
+  # Guards against telling a caller that nothing was cancelled although one zone's jobs were.
+  Scenario Outline: Jobs of two zones are cancelled, and the second zone cannot
+    Given a daemon whose other zone <other> when it is asked to cancel
+    When a caller cancels jobs of <zones>
+    Then the error has the verdict <verdict>
+
+    Examples:
+      | other            | zones        | verdict |
+      | is out of reach  | both zones   | unknown |
+      | is out of reach  | that zone    | not_run |
+      | does not answer  | both zones   | unknown |
+      | does not answer  | that zone    | unknown |
--- a/features/steps/request_refusal_steps.py
+++ b/features/steps/request_refusal_steps.py
@@ -6,9 +6,12 @@
 import msgspec
 from behave import given, then, when
 
+from dandelionreel.callers._caller_api import CallerApi
+from dandelionreel.callers._relay import ZoneRelay
 from dandelionreel.http import ExchangeError, Request
-from dandelionreel.kernel import ManualClock
-from dandelionreel.peers import Forward, Frame
+from dandelionreel.jobs import CancelBody, CancelResult
+from dandelionreel.kernel import ManualClock, RequestError, Verdict
+from dandelionreel.peers import Forward, Frame, PeerError
 from dandelionreel.routing._router import Router
 from features.store_parts import journal
 
@@ -79,3 +82,56 @@
     assert not context.reply.no_room, context.reply
     document = msgspec.json.decode(context.reply.response.body)
     assert document['verdict'] == 'unknown', document
+
+
+class OtherZone:
+    """A directory with one daemon of the zone there, which handles requests as it is told."""
+
+    def __init__(self, behaviour):
+        self._behaviour = behaviour
+        self.address = SimpleNamespace(host='there-1')
+        self.heard_at = 0.0
+        self.link = self
+
+    def states(self, zone):
+        """Return the state of the daemon."""
+        return (self,)
+
+    async def request(self, message, timeout):
+        """Fail as the scenario says."""
+        verdict = Verdict.NOT_RUN if self._behaviour == 'is out of reach' else Verdict.UNKNOWN
+        raise PeerError('no answer', verdict)
+
+
+class CancellingJobApi:
+    """Cancels all jobs of its zone."""
+
+    def decode_cancel_body(self, request):
+        """Return the jobs that the request names."""
+        return msgspec.json.decode(request.body, type=CancelBody)
+
+    async def cancel(self, jobs):
+        """Cancel the jobs."""
+        return CancelResult(len(jobs), ())
+
+
+@given('a daemon whose other zone {other} when it is asked to cancel')
+def daemon_of_two_zones(context, other):
+    relay = ZoneRelay(('here', 'there'), OtherZone(other), ManualClock(1000))
+    life = SimpleNamespace(knows_contracts=lambda: True)
+    context.caller_api = CallerApi('here', None, CancellingJobApi(), None, relay, life)
+
+
+@when('a caller cancels jobs of {zones}')
+def cancel_jobs(context, zones):
+    jobs = ('there.1',) if zones == 'that zone' else ('here.1', 'there.1')
+    request = Request('POST', '/v1/jobs/cancel', body=msgspec.json.encode(CancelBody(jobs)))
+    try:
+        curio.run(context.caller_api.handle, request)
+    except RequestError as error:
+        context.problem = error.problem
+
+
+@then('the error has the verdict {verdict}')
+def check_verdict(context, verdict):
+    assert context.problem.verdict.value == verdict, context.problem
