Runs of a lost zone no longer wait for an answer of its hosts

Cause: a run on a lost runner counted as lost only once a host of the runner's zone had answered, or after 60 s. That protected what hosts of a cut-off zone had shown to clients before it was stored. Hosts that are gone for good never answer, and one that has left as planned stays a member. Evidence: "has not reported its completed jobs: connection refused" twice a second from the end of the leases to "zone hall-c counts as lost".

Change: nothing is shown before it is stored, so there is nothing to ask for. Leases that have expired by the slowest clock, another runner at the address, or a later incarnation prove that a run is over; the query of zones and its limit are removed on all four paths (silent, replaced and unseen runners, replies to starts).

--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -263,16 +263,15 @@
         self._losses.record_lapsed_runner(runner)
         self._allocations.drop_all_lost_runs(runner)
 
-    def find_replaced_runners(self) -> dict[str, RunnerState]:
-        """Return the unseen incarnations that have ended, each with its answering successor.
+    def find_replaced_runners(self) -> tuple[str, ...]:
+        """Return the unseen incarnations that have ended, as a later one answers.
 
         Only an answer proves a later incarnation: another writer may have written its entry.
         """
         if not self.unseen_runners:
-            return {}
+            return ()
         answered = [state.id for state in self.runner_by_id.values() if state.answered_at != NEVER]
-        later_by_unseen = find_later_incarnations(self.unseen_runners, answered)
-        return {unseen: self.runner_by_id[later] for unseen, later in later_by_unseen.items()}
+        return tuple(find_later_incarnations(self.unseen_runners, answered))
 
     def drop_unseen_runners(self, runners: Iterable[str]) -> list[Crash]:
         """Stop waiting for runs that earlier owners may have started on unseen runners.
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -28,7 +28,6 @@
 from dandelionreel.cell.owner._periodic_checks import PeriodicChecks
 from dandelionreel.cell.owner._refusals import Refusal, Refusals
 from dandelionreel.cell.owner._speed_records import SpeedRecords
-from dandelionreel.cell.owner._zone_confirmation import ZoneConfirmation
 from dandelionreel.cell.store import StoredJob, WriteOutcome
 from dandelionreel.kernel import Part, start_task
 
@@ -89,12 +88,6 @@
             self._record_permits,
             self._record_advice_failure,
         )
-        self._owner_context.confirm_zone = ZoneConfirmation(
-            self._owner_context,
-            dependencies.jobs.state,
-            dependencies.links,
-            dependencies.host,
-        ).has_answered
         self._speed_records = SpeedRecords(self.cell, term.epoch, dependencies.journal)
         self._load_report = LoadReport(self.cell, self._advice_pool, dependencies.journal)
         self._periodic_checks = PeriodicChecks(dependencies, self._owner_context, self._load_report)
--- a/dandelionreel/cell/owner/_orders.py
+++ b/dandelionreel/cell/owner/_orders.py
@@ -95,7 +95,7 @@
                 await self._owner_context.end_term(f'{allocation.runner} has seen a higher epoch')
                 return
             except RunnerReplaced:
-                await self._end_replaced_runner(state)
+                self._owner_context.remove_replaced_runner(state)
                 return
             self._apply_stop_reply(state, allocation)
             return
@@ -284,15 +284,6 @@
         now = self._owner_context.clock.monotonic()
         return not allocation.ticket or cell.tickets.is_valid(step, allocation.runner, now)
 
-    async def _end_replaced_runner(self, state: RunnerState) -> None:
-        if await self._owner_context.confirm_zone(state.registration.zone, state.answered_at):
-            self._owner_context.remove_ended_runner(
-                state, 'another runner answers at its address', proven=True
-            )
-            return
-        # The next poll detects the replacement again and retries the confirmation.
-        state.suspect = True
-
     def _record_order_sent(self, state: RunnerState) -> None:
         now = self._owner_context.clock.monotonic()
         self._owner_context.cell.zone_reachability.record_sent_order(
@@ -363,7 +354,7 @@
             if not in_doubt:
                 # The task never ran there, so a crash of the runner does not count against it.
                 self._owner_context.cell.release_start(allocation)
-            await self._end_replaced_runner(state)
+            self._owner_context.remove_replaced_runner(state)
         else:
             now = self._owner_context.clock.monotonic()
             self._owner_context.cell.handle_start_reply(allocation, reply, now, in_doubt=in_doubt)
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -1,6 +1,6 @@
 """State that the parts of the dispatcher share during one term, and writes to the store."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -37,7 +37,6 @@
 MAX_LOGGED = 40
 
 GetRunnerListAge = Callable[[], float]
-ConfirmZone = Callable[[str, float], Awaitable[bool]]
 MakeRunner = Callable[[Registration], Runner]
 
 
@@ -46,11 +45,6 @@
     return 0.0
 
 
-async def confirm_any_zone(zone: str, since: float) -> bool:
-    """Confirm any zone."""
-    return True
-
-
 class OwnerContext:
     """Cell state of one term, the checks of the owner's authority, and the writer to the store."""
 
@@ -87,9 +81,6 @@
         self.runner_by_id: dict[str, Runner] = {}
         self.get_runner_list_age = get_runner_list_age
         self._make_runner = make_runner
-        #: Returns whether a host of a zone has answered since a time; until then no run in that
-        #: zone counts as lost.
-        self.confirm_zone: ConfirmZone = confirm_any_zone
 
     async def end_term(self, cause: str) -> None:
         """End the term: another host owns the cell or may own it."""
@@ -188,6 +179,10 @@
         self._log_lost_runs(state)
         self.log_crashes(self.cell.handle_ended_runner(state.id, proven=proven))
 
+    def remove_replaced_runner(self, state: RunnerState) -> None:
+        """Remove a runner at whose address another one answers."""
+        self.remove_ended_runner(state, 'another runner answers at its address', proven=True)
+
     def expire_runner_leases(self, state: RunnerState) -> None:
         """Treat all runs on a silent runner as ended, since its leases have expired."""
         self.journal.log(
--- a/dandelionreel/cell/owner/_periodic_checks.py
+++ b/dandelionreel/cell/owner/_periodic_checks.py
@@ -58,7 +58,6 @@
         self.predecessor_leases = PredecessorLeases(
             context.term, context.lease, dependencies.clock.monotonic()
         )
-        self._term_started_at = dependencies.clock.monotonic()
         self._last_deletion_at = float('-inf')
         self._runner_list_was_fresh = True
 
@@ -118,7 +117,7 @@
         self._cell.configuration = self._dependencies.configuration.current
         self._log_runner_list_freshness()
         await self._start_polling_new_runners(stack)
-        await self._drop_unseen_runners(now)
+        self._drop_unseen_runners(now)
         self._apply_preventive_stops(now)
         if self._owner_context.pacing.may_do_optional_work(now):
             epoch = self._owner_context.term.epoch
@@ -149,30 +148,21 @@
             'blocks the jobs that may run on runners that have not answered yet.', now
         )
 
-    async def _drop_unseen_runners(self, now: float) -> None:
+    def _drop_unseen_runners(self, now: float) -> None:
         """Treat tasks on runners not polled yet as ended once their leases must have expired."""
         if not self._cell.unseen_runners:
             return
-        await self._drop_replaced_runners()
+        self._drop_replaced_runners()
         if self.predecessor_leases.shorten_if_owner_ended(self._dependencies.jobs.state, now):
             self._log_unseen_runners('the former owner has ended.', now)
         if now > self.predecessor_leases.expire_at:
             unseen = tuple(self._cell.unseen_runners)
-            confirmed = [
-                runner for runner in unseen if await self._runner_zone_is_confirmed(runner)
-            ]
-            if confirmed:
-                self._log_unseen_runners('takes the leases on unseen runners for run out.', now)
-                self._owner_context.log_crashes(self._cell.drop_unseen_runners(confirmed))
+            self._log_unseen_runners('takes the leases on unseen runners for run out.', now)
+            self._owner_context.log_crashes(self._cell.drop_unseen_runners(unseen))
 
-    async def _drop_replaced_runners(self) -> None:
+    def _drop_replaced_runners(self) -> None:
         """Treat tasks as ended if their runner was replaced by a later incarnation of it."""
-        replaced = []
-        for incarnation, later in self._cell.find_replaced_runners().items():
-            if await self._owner_context.confirm_zone(
-                later.registration.zone, self._term_started_at
-            ):
-                replaced.append(incarnation)
+        replaced = self._cell.find_replaced_runners()
         if not replaced:
             return
         self._journal.log(
@@ -183,13 +173,6 @@
         )
         self._owner_context.log_crashes(self._cell.drop_unseen_runners(replaced))
 
-    async def _runner_zone_is_confirmed(self, runner: str) -> bool:
-        """Return whether a host in the zone of an unseen runner has answered."""
-        registration = self._dependencies.runners.find_registration(runner)
-        if registration is None:
-            return True
-        return await self._owner_context.confirm_zone(registration.zone, self._term_started_at)
-
     def _log_unseen_runners(self, sentence: str, now: float) -> None:
         self._journal.log(
             Part.OWNERSHIP,
--- a/dandelionreel/cell/owner/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -64,7 +64,7 @@
             await self._owner_context.end_term(f'{state.id} has seen a higher epoch')
             return
         except RunnerReplaced:
-            await self._end_replaced_runner(state)
+            self._owner_context.remove_replaced_runner(state)
             return
         except RunnerError as error:
             await self._handle_poll_failure(state, error)
@@ -182,7 +182,7 @@
                 epoch=self._owner_context.term.epoch,
             )
         if state.allocation_by_run and self._owner_context.have_leases_expired(state):
-            await self._expire_runner_leases(state)
+            self._owner_context.expire_runner_leases(state)
         if (
             not state.listed
             and not state.allocation_by_run
@@ -197,19 +197,6 @@
             return
         await curio.sleep(POLL_RETRY_SECONDS)
 
-    async def _end_replaced_runner(self, state: RunnerState) -> None:
-        if await self._owner_context.confirm_zone(state.registration.zone, state.answered_at):
-            self._owner_context.remove_ended_runner(
-                state, 'another runner answers at its address', proven=True
-            )
-            return
-        state.suspect = True
-        await curio.sleep(POLL_RETRY_SECONDS)
-
-    async def _expire_runner_leases(self, state: RunnerState) -> None:
-        if await self._owner_context.confirm_zone(state.registration.zone, state.answered_at):
-            self._owner_context.expire_runner_leases(state)
-
     def _log_readability(self, state: RunnerState, view: RunnerView) -> None:
         if view.complete is state.readable:
             return
--- a/features/steps/entry_record_steps.py
+++ b/features/steps/entry_record_steps.py
@@ -248,7 +248,7 @@
     cell = context.dispatcher.cell
     assert cell.is_blocked(cell.job_by_id[JOB])
     checks = context.dispatcher._periodic_checks
-    curio.run(checks._drop_unseen_runners, checks.predecessor_leases.expire_at + 0.1)
+    checks._drop_unseen_runners(checks.predecessor_leases.expire_at + 0.1)
     assert not cell.is_blocked(cell.job_by_id[JOB])
 
 
--- a/features/steps/wait_steps.py
+++ b/features/steps/wait_steps.py
@@ -58,9 +58,9 @@
     cell = context.dispatcher.cell
     job = cell.job_by_id['j1']
     drop_unseen_runners = context.dispatcher._periodic_checks._drop_unseen_runners
-    curio.run(drop_unseen_runners, context.started_at + MAX_WAIT_SECONDS)
+    drop_unseen_runners(context.started_at + MAX_WAIT_SECONDS)
     assert cell.is_blocked(job)
-    curio.run(drop_unseen_runners, context.started_at + MAX_WAIT_SECONDS + LEASE_SECONDS)
+    drop_unseen_runners(context.started_at + MAX_WAIT_SECONDS + LEASE_SECONDS)
     assert not cell.is_blocked(job)
 
 
--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -17,7 +17,7 @@
 SETTINGS = """\
 node = "{name}"
 ip = "{address}"
-zone = "north"
+zone = "{zone}"
 port_range = [{peers}, {last}]
 advice = "127.0.0.1:{advice}"
 seeds = {seeds}
@@ -70,6 +70,10 @@
         self._address_by_name = {
             name: f'127.0.{block}.{number}' for number, name in enumerate(self.names, 1)
         }
+        zones = platform.zones
+        self.zone_by_name = {
+            name: zones[number % len(zones)] for number, name in enumerate(self.names)
+        }
         self.process_by_name: dict[str, subprocess.Popen] = {}
 
     def start(self, name: str) -> None:
@@ -80,6 +84,7 @@
         text = SETTINGS.format(
             name=name,
             address=self._address_by_name[name],
+            zone=self.zone_by_name[name],
             peers=PEERS_PORT,
             seeds=json.dumps([f'{address}:1' for address in self._address_by_name.values()]),
             last=PEERS_PORT + 5,
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -477,9 +477,14 @@
     """Store, runners and policy service on one loopback address, in one thread."""
 
     def __init__(
-        self, runners: int = 3, seed: int = 1, *, reports_incarnation: bool = False
+        self,
+        runners: int = 3,
+        seed: int = 1,
+        *,
+        reports_incarnation: bool = False,
+        zones: Sequence[str] = ('north',),
     ) -> None:
-        """Prepare ``runners`` runners of the service ``desk``.
+        """Prepare ``runners`` runners of the service ``desk``, in each of the zones in turn.
 
         If they report their incarnation, they keep their names after a restart.
         """
@@ -490,6 +495,11 @@
             PlatformRunner(f'i-{number}', self.runs, reports_incarnation=reports_incarnation)
             for number in range(runners)
         ]
+        self.zones = tuple(zones)
+        self.zone_by_runner = {
+            runner: self.zones[number % len(self.zones)]
+            for number, runner in enumerate(self.runners)
+        }
         self.port_by_name: dict[str, int] = {}
         self.link_faults = LinkFaults({})
         self._original_name_by_runner: dict[PlatformRunner, str] = {}
@@ -529,7 +539,7 @@
             **incarnation_fields,
             'service': 'desk',
             'address': f'127.0.0.1:{port}',
-            'zone': 'north',
+            'zone': self.zone_by_runner[runner],
             'version': 'v1',
             'slots': 8,
             'state': state,
@@ -585,6 +595,16 @@
             runner.advance()
         return list(self.runs)
 
+    def lose_zone(self, zone: str) -> float:
+        """Crash all runners of a zone, remove their entries, and return the monotonic time."""
+        lost_at = time.monotonic()
+        for runner in self.runners:
+            if self.zone_by_runner[runner] != zone:
+                continue
+            runner.crash()
+            self.store.put('keyed.servers', runner.name, None)
+        return lost_at
+
     async def _restart_after_crash(self, runner: PlatformRunner) -> None:
         """Restart a crashed runner, and remove its old entry if its name changes."""
         await curio.sleep(RESTART_SECONDS)
