Leases end a bounded time after the owner's last answered append

Cause: a successor cannot tell a lost owner from one that is cut off with some runners and renews leases there. It waited for the longest lease of the longest authority: 9 s without the store, then 8.7 s. An owner granted a full lease to the end of its authority, though it knows how long ago the store last answered.

Change: a lease ends 11 s after the owner's last answered append at the latest, 11.3 s by the slowest clock, and the owner's record says so, so that successors of other builds and other limits can be told apart; a record that does not say it counts as 17.8 s. A successor waits that long from its claim, which the store has taken after the last append of any former owner.

spec/cell.py: leases have the limit, B may claim at any time, and a mutant without the limit is killed, as all others are.

Seen to fail before: features/lost_zones.feature, "A zone is lost with its hosts and its runners", row "the owner's zone": 17.71 s, bound 14 s.

--- a/dandelionreel/cell/membership/_election.py
+++ b/dandelionreel/cell/membership/_election.py
@@ -11,8 +11,9 @@
 
 from dandelionreel.cell.membership._claim_order import compute_claim_delay
 from dandelionreel.cell.model import (
+    LEASES_END_SECONDS,
     OWNER_KEY,
-    PREDECESSOR_LEASE_SECONDS,
+    UNKNOWN_LEASES_END_SECONDS,
     ConflictError,
     Member,
     Owner,
@@ -127,7 +128,15 @@
         """Return the record of this term for the store."""
         host = self.term.partition('/')[0]
         return Owner(
-            self.epoch, host, self.term, beat, released, unsettled, self.read_from, version
+            self.epoch,
+            host,
+            self.term,
+            beat,
+            released,
+            unsettled,
+            self.read_from,
+            version,
+            leases_end=LEASES_END_SECONDS,
         )
 
 
@@ -453,14 +462,19 @@
 
         Raises ``ConflictError`` if the topic does not end at ``expected_end``.
         """
+        former = self._projection.state.owner
         # The former owner may still renew leases; the first heartbeat stores the exact
         # remaining time.
+        unsettled = UNKNOWN_LEASES_END_SECONDS
+        if former is not None:
+            unsettled = max(former.leases_end, former.unsettled)
         owner = Owner(
             fence.epoch,
             self._host,
             self.incarnation,
-            unsettled=PREDECESSOR_LEASE_SECONDS,
+            unsettled=unsettled,
             read_from=self._follower.read_from,
+            leases_end=LEASES_END_SECONDS,
         )
         claim = make_record(OWNER_KEY, owner)
         try:
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -21,9 +21,11 @@
 RUNNERS_IN_USE_KEY = 'runners'
 RUNNER_SPEEDS_KEY = 'speeds'
 
-#: How long a new owner waits for the leases that the former owner granted to expire, as only the
-#: former owner knows their ends. Also used if the record of the owner cannot be read.
-PREDECESSOR_LEASE_SECONDS = 17.8
+#: Seconds after an owner's last answered append by which all leases that it has granted have
+#: expired, by the slowest clock of a runner.
+LEASES_END_SECONDS = 11.3
+#: The same for an owner whose record does not say it, or cannot be read.
+UNKNOWN_LEASES_END_SECONDS = 17.8
 #: Largest valid ``Owner.unsettled``. No owner writes more; an absurd value would keep its successor
 #: from ever starting tasks.
 MAX_UNSETTLED_SECONDS = 60
@@ -143,7 +145,8 @@
     being noticed. ``read_from`` is the offset at which this incarnation of the host first read the
     topic, ``version`` that of the configuration in use. ``load`` is a ``LoadDigest``, absent where
     the owner does not control overload. It stays encoded here, so that a digest of another version
-    does not make the whole record unreadable.
+    does not make the whole record unreadable. ``leases_end`` is the number of seconds after the
+    owner's last answered append by which all leases that it has granted have expired.
     """
 
     epoch: Count
@@ -155,6 +158,7 @@
     read_from: Count = 0
     version: Count = 0
     load: msgspec.Raw = msgspec.Raw()
+    leases_end: UnsettledSeconds = UNKNOWN_LEASES_END_SECONDS
 
 
 class RunnersInUse(msgspec.Struct, frozen=True):
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -25,6 +25,11 @@
 #: partitions.
 LEASE_SECONDS = 8.5
 
+#: Seconds after the owner's last answered append at which its leases end at the latest, so that a
+#: successor need not wait longer: a job may be without a run for 14 s. Longer than an outage of the
+#: store that is followed by a partition.
+LEASE_LIMIT_SECONDS = 11.0
+
 #: Seconds without an answered append after which no task is started: less than a successor needs
 #: to claim the cell and poll the runners.
 START_AUTHORITY_SECONDS = 1.5
@@ -128,10 +133,11 @@
         A successor waits as if the runner's clock was read recently. The lease from an older
         reading, as a late owner has it, is shorter by what a slow clock may have lost since then.
         """
+        lease = min(self.lease, self.writer.stored_at + LEASE_LIMIT_SECONDS - now)
+        if not state.knows_clock():
+            return lease
         excess = state.clock_age(now) - MAX_CLOCK_READING_AGE_SECONDS
-        return (
-            self.lease - MAX_CLOCK_DRIFT * max(0.0, excess) if state.knows_clock() else self.lease
-        )
+        return lease - MAX_CLOCK_DRIFT * max(0.0, excess)
 
     async def store_progress(
         self,
--- a/dandelionreel/cell/owner/_predecessor_leases.py
+++ b/dandelionreel/cell/owner/_predecessor_leases.py
@@ -5,7 +5,8 @@
 """
 
 from dandelionreel.cell.decisions import MAX_CLOCK_DRIFT
-from dandelionreel.cell.membership import AUTHORITY_SECONDS, Term
+from dandelionreel.cell.membership import Term
+from dandelionreel.cell.model import UNKNOWN_LEASES_END_SECONDS
 from dandelionreel.cell.store import CellState
 
 #: Maximum age in seconds of the last reading of a runner's clock when a lease is granted from it.
@@ -26,20 +27,20 @@
 
     def __init__(self, term: Term, lease: float, now: float) -> None:
         """Compute the end as of ``now``; earlier owners grant leases of ``lease`` seconds."""
-        self._former_owner = term.former
+        former = term.former
+        self._former_owner = former
         self._max_lease_seconds = lease_upper_bound(lease)
         # A former owner that was killed may itself have succeeded one that is partitioned and
         # still renews leases.
         self._earlier_leases_end_at = now + term.unsettled
         self.silent_seconds = 0.0 if term.silent_since is None else now - term.silent_since
         self.former_owner_ended = term.released or term.former_ended
-        remaining_authority = (
-            0.0 if self.former_owner_ended else max(0.0, AUTHORITY_SECONDS - self.silent_seconds)
-        )
+        # The claim of this term was stored after the former owner's last answered append.
+        leases_end = UNKNOWN_LEASES_END_SECONDS if former is None else former.leases_end
+        if self.former_owner_ended:
+            leases_end = min(leases_end, self._max_lease_seconds)
         #: When every lease of an earlier owner has expired, in monotonic seconds.
-        self.expire_at = max(
-            now + remaining_authority + self._max_lease_seconds, self._earlier_leases_end_at
-        )
+        self.expire_at = max(now + leases_end, self._earlier_leases_end_at)
 
     def shorten_if_owner_ended(self, cell_state: CellState, now: float) -> bool:
         """Set an earlier ``expire_at`` if the former owner is now known to have ended.
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -17,11 +17,11 @@
     FINAL_STATES,
     MEMBER_PREFIX,
     OWNER_KEY,
-    PREDECESSOR_LEASE_SECONDS,
     PROGRESS_PREFIX,
     RUNNER_SPEEDS_KEY,
     RUNNERS_IN_USE_KEY,
     SUBMISSION_PREFIX,
+    UNKNOWN_LEASES_END_SECONDS,
     Cancellation,
     JobState,
     KeyedRecord,
@@ -52,7 +52,7 @@
 
 #: Stands for an owner whose record cannot be read: it may be acting, and may have succeeded
 #: another one. Its heartbeats are waited for like those of any owner.
-UNKNOWN_OWNER = Owner(0, '', '', unsettled=PREDECESSOR_LEASE_SECONDS)
+UNKNOWN_OWNER = Owner(0, '', '', unsettled=UNKNOWN_LEASES_END_SECONDS)
 #: Stands for runners whose names cannot be read. No runner has this name, so the tasks that
 #: may run on them are not started elsewhere until all leases must have expired.
 UNKNOWN_RUNNER = '?'
--- a/features/lost_zones.feature
+++ b/features/lost_zones.feature
@@ -27,3 +27,4 @@
     Examples:
       | zone                     |
       | a zone without the owner |
+      | the owner's zone         |
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -4,16 +4,18 @@
 from behave import given, then, when
 
 from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.decisions._cell import MAX_CLOCK_DRIFT
+from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.membership._election import AUTHORITY_SECONDS, Term
 from dandelionreel.cell.model import RecordBatch, WriterFence
 from dandelionreel.cell.model._records import MEMBER_PREFIX, OWNER_KEY, Member, Owner, make_record
 from dandelionreel.cell.owner._owner_context import LEASE_SECONDS
 from dandelionreel.cell.owner._predecessor_leases import PredecessorLeases
 from dandelionreel.kernel import ManualClock
+from features.cell_parts import make_registration
 from features.client_parts import make_call
 from features.steps.release_steps import SlowTopic
 from features.store_parts import (
-    DRIFT,
     LONG_TIMEOUT,
     Host,
     SilentPeerLinks,
@@ -33,6 +35,17 @@
     context.topic.delay = seconds
 
 
+def find_last_lease_end(owner):
+    """Return when the last lease ends that an owner may grant without another answered append."""
+    state = RunnerState(make_registration('w1'))
+    ends = []
+    for tenth in range(int(10 * AUTHORITY_SECONDS)):
+        now = owner.writer.stored_at + tenth / 10
+        state.record_clock(0.0, now)
+        ends.append(now + owner.lease_for(state, now) / (1 - MAX_CLOCK_DRIFT))
+    return max(ends)
+
+
 @when('a host claims the cell and is partitioned from the store at once')
 def claims_and_is_partitioned(context):
     async def claim():
@@ -47,12 +60,11 @@
     other, me, dispatcher = curio.run(claim)
     assert other.projection.state.owner.term == 'me/1'
     # From here on no append of the new owner is answered.
-    context.last_lease = (
-        dispatcher._owner_context.writer.stored_at + AUTHORITY_SECONDS + LEASE_SECONDS * DRIFT
-    )
+    context.last_lease = find_last_lease_end(dispatcher._owner_context)
     now = me.clock.monotonic() + 1.5
     heard_at = other.projection.owner_heartbeat_at
-    term = Term(2, 'other/1', WriterFence(2, 1), heard_at, False, False)
+    former = other.projection.state.owner
+    term = Term(2, 'other/1', WriterFence(2, 1), heard_at, False, False, former=former)
     context.wait_end = PredecessorLeases(term, LEASE_SECONDS, now).expire_at
 
 
--- a/features/steps/entry_record_steps.py
+++ b/features/steps/entry_record_steps.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 
 from dandelionreel.cell.membership._election import (
-    PREDECESSOR_LEASE_SECONDS,
     SILENT_SECONDS,
+    UNKNOWN_LEASES_END_SECONDS,
     Term,
     Vacancy,
 )
@@ -226,7 +226,7 @@
     late.follower.fresh_at = late.clock.now
     assert late.election._find_vacancy() is Vacancy.SILENT
     # A host that claims then must expect running tasks of the unknown owner.
-    assert late.projection.state.owner.unsettled == PREDECESSOR_LEASE_SECONDS
+    assert late.projection.state.owner.unsettled == UNKNOWN_LEASES_END_SECONDS
 
 
 @given('a job that an owner has started on the runner i-1')
--- a/features/wait.feature
+++ b/features/wait.feature
@@ -1,15 +1,43 @@
 Feature: How long a successor waits for the leases of earlier owners
 
   # Each scenario here fails on a change of the code that no scenario of succession.feature detects.
-  Scenario: A job on a runner that only the previous owner reaches
-    Given a store with an owner that a new host has never heard from, and its job on w9
-    When that host owns the cell
-    Then that job stays blocked for all 17.7 s, and not for longer
+  Scenario Outline: A job on a runner that only the previous owner reaches
+    Given a store with an owner whose record <says> when its leases end, and its job on w9
+    When a host that has never heard from it owns the cell
+    Then that job stays blocked for all <seconds> s, and not for longer
+
+    Examples:
+      | says         | seconds |
+      | does not say | 17.7    |
+      | says         | 11.3    |
+
+  # Guards against a lease that outlasts what the owner's record says of it.
+  Scenario Outline: The leases that an owner grants while the store does not answer
+    Given an owner whose latest answered append is <age> s old
+    And a runner whose clock is 2% slow, read by it <reading> s ago
+    When the owner grants a lease there
+    Then the lease ends by when the owner's record says, and lasts <lease> s
+
+    Examples:
+      | age | reading | lease |
+      | 0   | 0       | 8.5   |
+      | 2.5 | 2.2     | 8.5   |
+      | 4   | 0       | 7     |
+      | 8.9 | 0       | 2.1   |
+      | 8.9 | 2.2     | 2.1   |
+      | 8.9 | 8.9     | 1.966 |
 
   # Guards against a claim that announces too short a wait.
-  Scenario: The wait for earlier owners' leases that a claim announces
-    Given the longest lease that an owner may grant at the end of its authority
-    Then the wait that a claim announces covers it
+  Scenario Outline: The wait for earlier owners' leases that a claim announces
+    Given a former owner whose record <says> when its leases end
+    When a host claims the cell
+    Then the wait that its claim announces is <seconds> s
+
+    Examples:
+      | says                                     | seconds |
+      | does not say                             | 17.8    |
+      | says                                     | 11.3    |
+      | says, after one for which 15 s were left | 15      |
 
   Scenario: No proof that the previous owner has ended
     Given a wait for an owner that was heard from just now
--- a/spec/cell.py
+++ b/spec/cell.py
@@ -6,12 +6,14 @@
 
 from spec._model import Spec, Steps
 
-#: For how long A may renew leases after its last acknowledged append, and the duration of a
-#: lease and of the deadline of a start order, in ticks.
-AUTHORITY_TICKS = 2
+#: For how long A may renew leases after its last acknowledged append, the longest duration of a
+#: lease and of the deadline of a start order, and the time after that append at which all leases
+#: end, in ticks.
+AUTHORITY_TICKS = 3
 LEASE_TICKS = 2
+LIMIT_TICKS = 3
 #: Ticks after its claim at which B assumes that the tasks on a runner it has not polled ended.
-WAIT_TICKS = AUTHORITY_TICKS + LEASE_TICKS
+WAIT_TICKS = LIMIT_TICKS
 RUNNERS = (1, 2)
 
 INITIAL = {
@@ -38,6 +40,7 @@
     *,
     checks_fence: bool = True,
     wait: int = WAIT_TICKS,
+    limit: int = LIMIT_TICKS,
     stores_before_start: bool = True,
     starts_expire: bool = True,
 ) -> None:
@@ -46,10 +49,9 @@
     state = steps.state
     if not state['b_claimed']:
         steps.step("A's append is answered", a_append_age=0)
-        if state['a_append_age']:
-            steps.step('B claims', b_claimed=True)
+        steps.step('B claims', b_claimed=True)
     for runner in RUNNERS:
-        _former_owner(steps, runner, checks_fence, stores_before_start)
+        _former_owner(steps, runner, limit, checks_fence, stores_before_start)
         _runner(steps, runner)
         if state['b_claimed']:
             _successor(steps, runner, wait)
@@ -71,8 +73,11 @@
     steps.step('tick', **changes)
 
 
-def _former_owner(steps: Steps, runner: int, checks_fence: bool, stores_before_start: bool) -> None:
+def _former_owner(
+    steps: Steps, runner: int, limit: int, checks_fence: bool, stores_before_start: bool
+) -> None:
     state = steps.state
+    lease = min(LEASE_TICKS, limit - state['a_append_age'])
     obeys_a = state[f'fence_{runner}'] == 1
     if not state['b_claimed'] and not state[f'stored_{runner}']:
         steps.step(f'A stores that the task may run on {runner}', **{f'stored_{runner}': True})
@@ -84,14 +89,16 @@
             f'A sends a start to {runner}',
             a_placed_on=runner,
             start_sent_to=runner,
-            start_ticks_left=LEASE_TICKS,
+            start_ticks_left=lease,
         )
     if state['start_sent_to'] == runner and (obeys_a or not checks_fence):
-        _start(steps, f'the start arrives at {runner}', runner, 1, start_sent_to=0)
+        lease_left = state['start_ticks_left']
+        _start(steps, f'the start arrives at {runner}', runner, 1, lease_left, start_sent_to=0)
     if state['start_sent_to'] == runner:
         steps.step('the start is lost', start_sent_to=0)
     if obeys_a and state[f'run_{runner}'] and state['a_append_age'] < AUTHORITY_TICKS:
-        steps.step(f'A renews the lease on {runner}', **{f'lease_{runner}': LEASE_TICKS})
+        renewed = max(lease, state[f'lease_{runner}'])
+        steps.step(f'A renews the lease on {runner}', **{f'lease_{runner}': renewed})
     is_missing = (
         not state[f'run_{runner}']
         and not state[f'ended_{runner}']
@@ -129,20 +136,20 @@
         and not state['b_placed_on']
         and not state['b_noted_done']
     ):
-        _start(steps, f'B starts it on {runner}', runner, 2, b_placed_on=runner)
+        _start(steps, f'B starts it on {runner}', runner, 2, LEASE_TICKS, b_placed_on=runner)
     if state['b_placed_on'] == runner and state[f'seen_{runner}'] and running:
         steps.step(f'B renews the lease on {runner}', **{f'lease_{runner}': LEASE_TICKS})
     if state['b_placed_on'] == runner and not running and not state[f'ended_{runner}']:
         steps.step(f'B finds that {runner} does not have it', b_placed_on=0)
 
 
-def _start(steps: Steps, label: str, runner: int, epoch: int, **changes: int) -> None:
+def _start(steps: Steps, label: str, runner: int, epoch: int, lease: int, **changes: int) -> None:
     """A start takes effect; ``started_after_done`` records one after B saw the task done."""
     state = steps.state
     steps.step(
         label,
         started_after_done=state['started_after_done'] or state['b_noted_done'],
-        **{f'run_{runner}': epoch, f'lease_{runner}': LEASE_TICKS},
+        **{f'run_{runner}': epoch, f'lease_{runner}': lease},
         **changes,
     )
 
@@ -166,6 +173,7 @@
         'runners take orders of a former owner': {'checks_fence': False},
         'no wait for unseen runners': {'wait': 0},
         'one lease as the wait for an owner that may renew': {'wait': LEASE_TICKS},
+        'leases without a limit after the last append': {'limit': AUTHORITY_TICKS + LEASE_TICKS},
         'starts on runners that the store does not name': {'stores_before_start': False},
         'starts without a deadline': {'starts_expire': False},
     },
