Members that have left or are lost are removed from the store's records

Read, for each reader of the member records: such a host keeps a place among the nine successors that follow the list of runners and delays claims of those behind it; as the first host of its zone it is asked to write for the others, 0.25 s each time, over and over; detectors of partitions, the exchange of configurations, advice and requests for a successor query it.

Cause: only a host itself wrote its record, and nobody ever deleted one.

Change: a host that stops deletes its record once it has handed the cell over. The owner queries one member a second, a silent one every second time, and deletes the record of one that has answered nothing for 30 s and three queries. With two owners: the deletion is a fenced append, so a former owner's is refused. A host that was removed although it lives, or whose record an earlier process overwrote with a late append, finds that the newest record is not its own and writes it again within 2 s. Nothing relies on the absence of a record: whether an owner's process has ended is told by a later record of its host only, as before.

--- a/dandelionreel/cell/membership/__init__.py
+++ b/dandelionreel/cell/membership/__init__.py
@@ -17,6 +17,7 @@
     Term,
     make_incarnation_id,
 )
+from dandelionreel.cell.membership._member_record import MemberRecord
 from dandelionreel.cell.membership._owner_watch import OwnerWatch
 from dandelionreel.cell.membership._partition_detector import PartitionDetector
 
@@ -30,6 +31,7 @@
     'PartitionDetector',
     'Election',
     'LocalAdvisor',
+    'MemberRecord',
     'OwnerWatch',
     'PeerLinks',
     'Term',
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -22,6 +22,7 @@
 )
 from dandelionreel.cell.owner._dependencies import DispatcherDependencies
 from dandelionreel.cell.owner._load_report import LoadReport
+from dandelionreel.cell.owner._member_cleanup import MemberCleanup
 from dandelionreel.cell.owner._orders import OrderSender
 from dandelionreel.cell.owner._owner_context import OwnerContext
 from dandelionreel.cell.owner._pacing import PacingFigures
@@ -88,6 +89,9 @@
             self._record_permits,
             self._record_advice_failure,
         )
+        self._member_cleanup = MemberCleanup(
+            self._owner_context, dependencies.jobs.state, dependencies.links, dependencies.host
+        )
         self._speed_records = SpeedRecords(self.cell, term.epoch, dependencies.journal)
         self._load_report = LoadReport(self.cell, self._advice_pool, dependencies.journal)
         self._periodic_checks = PeriodicChecks(dependencies, self._owner_context, self._load_report)
@@ -122,6 +126,7 @@
                 self._store_heartbeats,
                 self._follow_jobs,
                 self._run_planner,
+                self._member_cleanup.run,
                 *(() if self._refusals is None else (self._refusals.run,)),
             ):
                 await start_task(stack, work)
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -14,14 +14,15 @@
     DocumentServer,
     Election,
     LocalAdvisor,
+    MemberRecord,
     OwnerWatch,
     PartitionDetector,
     PeerLinks,
     make_incarnation_id,
 )
-from dandelionreel.cell.model import MEMBER_PREFIX, Member, Registration, Runner, make_record
+from dandelionreel.cell.model import Member, Registration, Runner
 from dandelionreel.cell.owner import Dispatcher, DispatcherDependencies, PacingFigures
-from dandelionreel.cell.store import GroupWriter, WriteOutcome
+from dandelionreel.cell.store import GroupWriter
 from dandelionreel.entry_clients import make_client_api
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_peers import start_peer_server
@@ -58,7 +59,6 @@
 #: Seconds between the end of a host's shutdown and the time at which it would be killed.
 EXIT_MARGIN_SECONDS = 1.0
 POLL_SECONDS = 0.05
-MEMBER_WRITE_TIMEOUT = 5.0
 #: SIGTERM and SIGINT stop the host; SIGHUP checks its settings file.
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -76,6 +76,7 @@
         self._journal = Journal(self._logs, settings.host)
         self._metrics = EntryMetrics()
         self._dispatcher: Dispatcher | None = None
+        self._member_record: MemberRecord | None = None
         self._stopping = False
         self._stop_requested = curio.Event()
         self._reads = EntryReads(
@@ -199,7 +200,7 @@
         await start_task(stack, self._writer.run)
         await self._start_servers(stack)
         for run_part in (
-            self._announce_member,
+            self._keep_member_record,
             self._dispatch_in_terms,
             self._owner_watch.run,
             self._partition_detector.run,
@@ -244,8 +245,8 @@
         stored_at = self._writer.stored_at if dispatcher is None else dispatcher.stored_at
         return max(self._reads.answered_at, stored_at)
 
-    async def _announce_member(self) -> None:
-        """Publish in the store where this host listens for peers."""
+    async def _keep_member_record(self) -> None:
+        """Publish in the store where this host listens for peers, once it has read the store."""
         settings = self._settings
         while not self._reads.cell_follower.has_snapshot:
             await curio.sleep(POLL_SECONDS)
@@ -257,9 +258,14 @@
             settings.cores,
             self._reads.cell_follower.read_from,
         )
-        record = make_record(MEMBER_PREFIX + settings.host, member)
-        while await self._writer.write([record], MEMBER_WRITE_TIMEOUT) is not WriteOutcome.STORED:
-            self._journal.log(Part.PEERS, 'has not published its member record yet; trying again.')
+        self._member_record = MemberRecord(
+            settings.host, member, self._cell_projection.state, self._writer, self._journal
+        )
+        await self._member_record.run()
+
+    async def _delete_member_record(self) -> None:
+        if self._member_record is not None:
+            await self._member_record.delete()
 
     async def _dispatch_in_terms(self) -> None:
         """Dispatch the cell's jobs during each term that this host wins."""
@@ -340,9 +346,12 @@
         deadline = stop_started_at + self._settings.stop_grace - EXIT_MARGIN_SECONDS
         while self._clock.monotonic() < min(deadline, stop_started_at + BALANCER_NOTICE_SECONDS):
             await curio.sleep(POLL_SECONDS)
+        # The cell has been handed over or released by now.
+        deletion = await curio.spawn(self._delete_member_record, daemon=True)
         self._client_server.disable_keep_alive()
         while self._client_server.requests_in_progress and self._clock.monotonic() < deadline:
             await curio.sleep(POLL_SECONDS)
+        await curio.ignore_after(deadline - self._clock.monotonic(), deletion.join)
         self._journal.log(
             Part.LIFE, 'has stopped.', unanswered=self._client_server.requests_in_progress
         )
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -92,6 +92,9 @@
     When the owner is stopped while jobs are submitted to the others
     Then all of them are completed
     And the stopped host has exited with status 0
+    And the store has no member record of the stopped host
+    When the stopped host is started again
+    Then the store has a member record of each host
 
   # Guards against losing or repeating tasks while another writer fills the runners' topic.
   Scenario: Another writer fills the runners' topic while jobs run
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -240,6 +240,25 @@
     assert context.hosts.process_by_name[context.killed].wait(60) == 0
 
 
+def find_member_record(context, name):
+    return context.platform.store.newest_value('keyed.cell', f'm/{name}')
+
+
+@then('the store has no member record of the stopped host')
+def check_member_deleted(context):
+    assert not find_member_record(context, context.killed)
+
+
+@when('the stopped host is started again')
+def start_stopped_host(context):
+    context.hosts.start(context.killed)
+
+
+@then('the store has a member record of each host')
+def check_members(context):
+    wait_for(lambda: all(find_member_record(context, name) for name in context.hosts.names))
+
+
 def start_writer(context):
     context.writer = context.platform.make_other_writer('1')
     context.writer.start()
