The cost of learning from a run is counted in operations, not in processor time

The scenario compared two measured processor times, a run and the sum of 300 squares. Nothing in the product had changed.

It counts executed bytecode instructions now, which are the same in each run: 756 for a run on average, against 1,610 for the sum of 200 squares. The bound is lower than before (the sum of 300 squares is 2,422), so that a run that costs a bit more than twice as much is noticed, as before by time. What functions in C do counts as one instruction; the loops over runners are in Python.

--- a/features/run_times.feature
+++ b/features/run_times.feature
@@ -39,7 +39,7 @@
   Scenario: The cost of learning from a run
     Given 176 runners of which 44 run at 0.55 and the others at 1.2 of the usual speed
     When each has ended 12 runs on average
-    Then a run has cost less processor time than the sum of 300 squares
+    Then a run has cost fewer operations on average than the sum of 200 squares
 
   # Guards against a variance below 0 where a runner is compared with its own earlier runs.
   Scenario: A runner that seems to change its speed while it runs all tasks of a step
--- a/features/steps/run_times_steps.py
+++ b/features/steps/run_times_steps.py
@@ -1,7 +1,6 @@
 """Steps on learned speeds of runners and durations of runs."""
 
 import random
-import time
 
 import curio
 from behave import given, then, when
@@ -31,6 +30,7 @@
 from dandelionreel.cell.store import CellProjection
 from dandelionreel.kernel import ManualClock
 from features.cell_parts import SmallCell, make_queue, make_registration, step, task
+from features.operation_count import OperationCount
 from features.store_parts import Host, make_dispatcher
 from standins import MemoryTopic
 
@@ -43,8 +43,6 @@
 STEP_ERROR = 0.7
 TASK_ERROR = 0.2
 STEP_WIDTH = 5
-COSTED_STEPS = 80
-REFERENCE_ROUNDS = 100
 
 
 def make_runner(number, zone):
@@ -62,7 +60,8 @@
     ]
     context.speeds = [0.55 if number < slow else speed for number in range(count)]
     context.steps = 0
-    context.seconds_by_step = []
+    context.ended_runs = 0
+    context.operations = OperationCount()
 
 
 def end_step(context, numbers, factor_by_number=None):
@@ -74,12 +73,13 @@
         seconds = error * context.rng.lognormvariate(0, TASK_ERROR) / context.speeds[number]
         ends.append((seconds * (factor_by_number or {}).get(number, 1.0), number))
     name = StepName(f'{context.steps}', 0, 0)
-    started_at = time.process_time()
     for seconds, number in sorted(ends):
-        context.run_times.record_completed_run(
-            'batch', name, context.runners[number], 1.0, seconds, context.steps / 50
-        )
-    context.seconds_by_step.append(time.process_time() - started_at)
+        runner = context.runners[number]
+        with context.operations:
+            context.run_times.record_completed_run(
+                'batch', name, runner, 1.0, seconds, context.steps / 50
+            )
+        context.ended_runs += 1
 
 
 @when('each has ended {count:d} runs on average')
@@ -127,22 +127,12 @@
     assert context.run_times.is_fast(make_runner(99, 'north'))
 
 
-def reference_seconds():
-    started_at = time.process_time()
-    for _ in range(REFERENCE_ROUNDS):
-        sum(number * number for number in range(300))
-    return (time.process_time() - started_at) / REFERENCE_ROUNDS
-
-
-@then('a run has cost less processor time than the sum of 300 squares')
-def check_cost(context):
-    # A fixed time would fail on a busy machine, where this sum took 19 to 27 us and a run 9 to 17.
-    # The least of several parts; each is long enough for the figures to be recomputed in it.
-    seconds, steps = context.seconds_by_step, COSTED_STEPS
-    parts = [seconds[begin : begin + steps] for begin in range(0, len(seconds) - steps, steps)]
-    least = min(sum(part) for part in parts) / steps / STEP_WIDTH
-    reference = min(reference_seconds() for _ in range(5))
-    assert least < reference, (least, reference)
+@then('a run has cost fewer operations on average than the sum of {count:d} squares')
+def check_cost(context, count):
+    with OperationCount() as reference:
+        sum(number * number for number in range(count))
+    mean = context.operations.count / context.ended_runs
+    assert 0 < mean < reference.count, (mean, reference.count)
 
 
 @given('a runner whose runs have lately taken longer, and a queue of equal tasks')
