A job keeps the terms of its queue when a version removes that queue

What callers saw: jobs shown as `failed` for good after one failed run, with max_attempts 3 in each version that has the route.

Cause: terms were looked up in the newest configuration only. A queue that it does not have counted as one with one attempt, without advice, of the highest priority and without an objective.

Change: a configuration keeps the queues that earlier versions had, up to 5,000, for the jobs that were accepted by them; clients still get 404. A submission has the limit of attempts for an owner that has never read the queue; such an owner still knows no advice for it, and its starts may be rejected until the route is back.

Seen to fail before: features/removed_queues.feature, rows 1, 2, 4 and 5 of the attempts and the first of the advice; rows of the submission could not run. After: all pass, with the related files.

--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -246,7 +246,13 @@
         def make_submission() -> Submission:
             accepted_at = self._acceptance_time(call, job_id, arrived_at)
             return Submission(
-                queue.name, queue.service, accepted_at, spec, call.zone, call.caller.account
+                queue.name,
+                queue.service,
+                accepted_at,
+                spec,
+                call.zone,
+                call.caller.account,
+                queue.max_attempts,
             )
 
         return await self._writes.store_record(
--- a/dandelionreel/cell/model/_model.py
+++ b/dandelionreel/cell/model/_model.py
@@ -203,6 +203,10 @@
 Accounts = AccountDirectory[Demand]
 
 
+#: Removed queues whose terms are kept for their unfinished jobs.
+MAX_REMOVED_QUEUES = 5000
+
+
 class Configuration:
     """One version of the operator's configuration."""
 
@@ -219,6 +223,7 @@
         self.body_bytes = body_bytes
         self.accounts = accounts
         self.queue_by_name = {queue.name: queue for queue in queues}
+        self._removed_queue_by_name: dict[str, Queue] = {}
         self.service_by_name = {service.name: service for service in services}
         self._routes_by_host: dict[str, _HostRoutes] = {}
         for queue in queues:
@@ -233,6 +238,19 @@
         routed = {queue.service for queue in self.queue_by_name.values()}
         return routed | self.service_by_name.keys()
 
+    def keep_removed_queues(self, former: 'Configuration') -> None:
+        """Keep the queues that an earlier version has and this one has not."""
+        known = {**former._removed_queue_by_name, **former.queue_by_name}
+        removed = [name for name in known if name not in self.queue_by_name]
+        self._removed_queue_by_name = {name: known[name] for name in removed[-MAX_REMOVED_QUEUES:]}
+
+    def find_job_queue(self, name: str) -> Queue | None:
+        """Return the queue of a job, also if a version has removed it since the job's acceptance.
+
+        Such a job is not failed or started by other terms than those under which it was accepted.
+        """
+        return self.queue_by_name.get(name) or self._removed_queue_by_name.get(name)
+
     def find_account(self, name: str) -> Account[Demand] | None:
         """Return the client account with this name, ``None`` if this version has none."""
         return None if self.accounts is None else self.accounts.account_by_name.get(name)
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -48,7 +48,8 @@
     """An accepted job; ``accepted_at`` is a Unix time by the clock of the accepting host.
 
     ``zone`` is the availability zone of that host, ``account`` the client account that owns the
-    job, empty for none.
+    job, empty for none. ``max_attempts`` is the limit of its queue at that time, 0 if that is not
+    known.
     """
 
     queue: str
@@ -57,6 +58,7 @@
     spec: JobSpec
     zone: str = ''
     account: str = ''
+    max_attempts: Count = 0
 
 
 class Cancellation(msgspec.Struct, frozen=True):
--- a/dandelionreel/cell/store/_projections.py
+++ b/dandelionreel/cell/store/_projections.py
@@ -101,6 +101,8 @@
         self._unreadable.log_readable(record.key)
         if self.current is not None and decoded.version <= self.current.version:
             return False
+        if self.current is not None:
+            decoded.keep_removed_queues(self.current)
         self.current = decoded
         self.content = record.content or b''
         self.next_offset = record.offset + 1
