--- a/bench/guards.py
+++ b/bench/guards.py
@@ -255,6 +255,48 @@
         'return self._store_answered_at()',
         'contact.feature:RECEIVES',
     ),
+    Guard(
+        'only a stored state is shown',
+        'cell/decisions/_job_run.py',
+        'return self.stored_state',
+        'return self.state',
+        'completions.feature:LISTED END',
+    ),
+    Guard(
+        'no refusal is passed on after an attempt in doubt',
+        'cell/clients/_write_attempts.py',
+        'return None if self.in_doubt else self._response',
+        'return self._response',
+        'refusals.feature:DOUBT',
+    ),
+    Guard(
+        'a lease ends a bounded time after the last append',
+        'cell/owner/_owner_context.py',
+        'min(self.lease, self.writer.stored_at + LEASE_LIMIT_SECONDS - now)',
+        'self.lease',
+        'wait.feature:LAST LEASE',
+    ),
+    Guard(
+        'a successor waits for the leases that the record of its predecessor names',
+        'cell/owner/_predecessor_leases.py',
+        'self.expire_at = max(now + leases_end, self._earlier_leases_end_at)',
+        'self.expire_at = now + self._max_lease_seconds',
+        'wait.feature:REACHES',
+    ),
+    Guard(
+        'only a current owner removes members',
+        'cell/owner/_member_cleanup.py',
+        'if not self._owner_context.may_start_tasks():',
+        'if False:',
+        'members.feature:MEMBER',
+    ),
+    Guard(
+        'a job is denied only after a read that follows the request',
+        'cell/clients/_client_api.py',
+        'if self._follower.fresh_at < call.received_at and',
+        'if self._follower.fresh_at < call.received_at - MAX_STATE_AGE_SECONDS and',
+        'completions.feature:NOT READ',
+    ),
 )
 #: The part of a scenario title that each WORD of ``Guard.feature`` stands for.
 TITLE_PART_BY_WORD = {
@@ -286,6 +328,12 @@
     'ROOM': 'between a decision',
     'RENEW': 'An owner dies while the log is unavailable',
     'RESTARTED': 'A call to a runner that has restarted',
+    'LISTED END': 'A runner lists the end',
+    'NOT READ': 'that the host has not read',
+    'DOUBT': 'gives no clear answer',
+    'LAST LEASE': 'grants while the store does not answer',
+    'REACHES': 'only the previous owner reaches',
+    'MEMBER': 'An owner queries a member',
 }
 
 
