A host whose member record is refused at first writes it again at once

A failed write is repeated after 0.1 s now. members.feature, "The store refuses the record at first": 1 s after the outage, the writer's longest pause being 0.8 s.

--- a/dandelionreel/cell/membership/_member_record.py
+++ b/dandelionreel/cell/membership/_member_record.py
@@ -14,6 +14,8 @@
 
 #: Seconds between checks of the record: several times the time until a write is read back.
 CHECK_SECONDS = 2.0
+#: Seconds before a failed write is repeated.
+RETRY_SECONDS = 0.1
 WRITE_TIMEOUT = 5.0
 #: Timeout in seconds of the deletion by a host that is shutting down.
 LEAVE_TIMEOUT = 1.0
@@ -41,14 +43,14 @@
     async def run(self) -> None:
         """Keep the record until the host leaves."""
         while not self._leaving:
-            await self.write_if_missing()
-            await curio.sleep(CHECK_SECONDS)
+            is_stored = await self.write_if_missing()
+            await curio.sleep(CHECK_SECONDS if is_stored else RETRY_SECONDS)
 
-    async def write_if_missing(self) -> None:
-        """Write the record unless the newest one is of this process."""
+    async def write_if_missing(self) -> bool:
+        """Write the record unless the newest one is of this process; return ``False`` to retry."""
         known = self._cell_state.member_by_host.get(self._host)
         if self._leaving or (known is not None and known.incarnation == self._member.incarnation):
-            return
+            return True
         record = make_record(MEMBER_PREFIX + self._host, self._member)
         outcome = await self._writer.write([record], WRITE_TIMEOUT)
         self._journal.log(
@@ -56,6 +58,7 @@
             f'publishes its member record: {outcome.value}.',
             replaced='' if known is None else known.incarnation,
         )
+        return outcome is WriteOutcome.STORED
 
     async def delete(self) -> None:
         """Delete the record, so that no peer relies on this host any more."""
--- a/features/members.feature
+++ b/features/members.feature
@@ -14,6 +14,13 @@
       | its own                    | writes nothing       |
       | missing, as it is stopping | writes nothing       |
 
+  # Guards against a host that no peer knows for long after an outage in which it started.
+  Scenario: The store refuses the record at first
+    Given a host whose newest member record is missing
+    And a store that takes no append for 6 s
+    When it keeps its record
+    Then its record is stored within 1 s after the outage
+
   Scenario: A host stops
     Given a host whose newest member record is its own
     When it leaves
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -9,10 +9,10 @@
 from dandelionreel.cell.owner._member_cleanup import QUERY_SECONDS, MemberCleanup
 from dandelionreel.cell.store import GroupWriter
 from dandelionreel.cell.store._cell_state import CellState
-from dandelionreel.kernel import ManualClock, Verdict
+from dandelionreel.kernel import ManualClock, SystemClock, Verdict
 from dandelionreel.peers import Done, Frame, PeerError, Refused
 from features.cell_parts import SmallCell
-from features.store_parts import journal, make_owner_context
+from features.store_parts import journal, make_owner_context, until
 from standins import MemoryTopic
 
 OWN = Member('north', '127.0.0.1', 1, 'me/2')
@@ -48,6 +48,35 @@
     run_with_writer(context, context.record.write_if_missing)
 
 
+@given('a store that takes no append for {seconds:g} s')
+def outage(context, seconds):
+    context.outage_seconds = seconds
+
+
+@when('it keeps its record')
+def keep_record(context):
+    clock = SystemClock()
+    # The write is given up during the outage, and has to be repeated.
+    context.writer = GroupWriter(context.topic, clock, journal())
+    context.record = MemberRecord('me', OWN, CellState(), context.writer, journal())
+
+    async def keep():
+        context.topic.down = True
+        await curio.spawn(context.record.run, daemon=True)
+        await curio.sleep(context.outage_seconds)
+        context.topic.down = False
+        context.restored_at = clock.monotonic()
+        await curio.timeout_after(30, until, lambda: context.topic.records)
+        context.stored_at = clock.monotonic()
+
+    run_with_writer(context, keep)
+
+
+@then('its record is stored within {seconds:g} s after the outage')
+def check_stored_in_time(context, seconds):
+    assert context.stored_at - context.restored_at <= seconds
+
+
 @when('it leaves')
 def leave(context):
     run_with_writer(context, context.record.delete)
