Submissions have the terms of their queue

The submission has all terms now, some 20 bytes, in place of the limit alone; terms of another writer are bounded.

Seen to fail before: features/removed_queues.feature, the row of the advice with a host that has never read the queue (it could not run; the limit alone was there).

--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -33,6 +33,7 @@
     Submission,
     SubmissionError,
     make_record,
+    make_terms,
 )
 from dandelionreel.cell.owner import Dispatcher
 from dandelionreel.cell.store import (
@@ -252,7 +253,7 @@
                 spec,
                 call.zone,
                 call.caller.account,
-                queue.max_attempts,
+                make_terms(queue),
             )
 
         return await self._writes.store_record(
--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -84,10 +84,10 @@
     # Jobs
 
     def queue_of(self, job: JobRun) -> Queue | None:
-        """Return the job's queue, ``None`` if no configuration that this host has read has it."""
+        """Return the job's queue, ``None`` if neither configurations nor the job have its terms."""
         if self.configuration is None:
             return None
-        return self.configuration.find_job_queue(job.submission.queue)
+        return self.configuration.find_job_queue(job.submission.queue) or job.accepted_queue
 
     def quota_of(self, job: JobRun) -> Demand | None:
         """Return the resource quota of the job's account, ``None`` for no limit."""
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -16,6 +16,7 @@
     StepName,
     Submission,
     TaskName,
+    make_queue,
 )
 
 HEX_BASE = 16
@@ -34,6 +35,8 @@
         self.id = job
         self.submission = submission
         self.accepted_at = accepted_at
+        #: Its queue as of its acceptance, ``None`` if an earlier build has accepted it.
+        self.accepted_queue = make_queue(submission)
         self.cancelled = False
         self.has_started = False
         self.state = JobState.QUEUED
--- a/dandelionreel/cell/decisions/_runner_views.py
+++ b/dandelionreel/cell/decisions/_runner_views.py
@@ -147,9 +147,7 @@
     ) -> None:
         queue = self._queue_of(job)
         task.avoid.add(runner.id)
-        # An owner that has not read the queue, as it was removed before, goes by the submission.
-        max_attempts = queue.max_attempts if queue else max(1, job.submission.max_attempts)
-        job.record_failed_run(ended.task, ended.run, max_attempts)
+        job.record_failed_run(ended.task, ended.run, queue.max_attempts if queue else 1)
         self._allocations.dirty.add(job.id)
         if job.state is JobState.FAILED:
             self._allocations.stop_job(job.id)
--- a/dandelionreel/cell/model/__init__.py
+++ b/dandelionreel/cell/model/__init__.py
@@ -30,6 +30,7 @@
     StepName,
     TaskName,
 )
+from dandelionreel.cell.model._queue_terms import make_queue, make_terms
 from dandelionreel.cell.model._records import (
     CANCELLATION_PREFIX,
     FINAL_STATES,
@@ -49,6 +50,7 @@
     Member,
     Owner,
     Progress,
+    QueueTerms,
     RunnersInUse,
     RunnerSpeed,
     RunnerSpeeds,
@@ -122,6 +124,7 @@
     'MAX_DIGEST_REFUSALS',
     'MAX_DIGEST_ROWS',
     'QueueLoad',
+    'QueueTerms',
     'RefusedJob',
     'JobSpec',
     'JobState',
@@ -175,7 +178,9 @@
     'find_later_incarnations',
     'incarnation_id',
     'make_progress_records',
+    'make_queue',
     'make_record',
+    'make_terms',
     'make_tombstone',
     'runner_id',
 )
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -44,12 +44,22 @@
 UnsettledSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNSETTLED_SECONDS)]
 
 
+class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
+    """How the jobs of a queue are scheduled; times are in seconds, ``advice`` as in its policy."""
+
+    priority: int
+    max_attempts: int
+    slack: float
+    latency: float
+    advice: tuple[float, float, float] | None = None
+
+
 class Submission(msgspec.Struct, frozen=True, omit_defaults=True):
     """An accepted job; ``accepted_at`` is a Unix time by the clock of the accepting host.
 
     ``zone`` is the availability zone of that host, ``account`` the client account that owns the
-    job, empty for none. ``max_attempts`` is the limit of its queue at that time, 0 if that is not
-    known.
+    job, empty for none. ``terms`` are those of its queue at that time, absent for jobs that an
+    earlier build has accepted.
     """
 
     queue: str
@@ -58,7 +68,7 @@
     spec: JobSpec
     zone: str = ''
     account: str = ''
-    max_attempts: Count = 0
+    terms: QueueTerms | None = None
 
 
 class Cancellation(msgspec.Struct, frozen=True):
--- a/features/removed_queues.feature
+++ b/features/removed_queues.feature
@@ -21,13 +21,26 @@
   # Guards against starts without a ticket, which runners reject, and against jobs that wait for good.
   Scenario Outline: Tasks wait while their queue, which needs advice, is away
     Given a job of a queue that needs advice, whose task waits
-    When a version <change>, and the owner stays
+    When a version <change>, and <owner>
     Then <outcome>
 
     Examples:
-      | change                   | outcome                                      |
-      | removes the queue        | advice is requested and no task is started   |
-      | keeps the queue          | advice is requested and no task is started   |
+      | change            | owner                              | outcome                                    |
+      | removes the queue | the owner stays                    | advice is requested and no task is started |
+      | keeps the queue   | the owner stays                    | advice is requested and no task is started |
+      | removes the queue | a host that has never read it owns | advice is requested and no task is started |
+
+  # Guards against a submission whose terms keep an owner from planning.
+  Scenario Outline: A submission with terms of another writer
+    Given a job of a removed queue, whose submission has the terms <terms>
+    Then it is planned with <attempts> attempts, an objective of <objective> s and priority <priority>
+
+    Examples:
+      | terms                    | attempts | objective | priority |
+      | [1, 3, 2.0, 0.25]        | 3        | 1.25      | 1        |
+      | [-7, 0, -2.0, -5]        | 1        | 0         | 0        |
+      | [1, 3, 1e300, 1e300]     | 3        | 1.5e9     | 1        |
+      | none                     | 1        | 0.5       | 0        |
 
   Scenario: Versions that remove many queues
     Given 20 versions that each replace 1000 queues by others
--- a/features/steps/removed_queue_steps.py
+++ b/features/steps/removed_queue_steps.py
@@ -1,12 +1,23 @@
 """Steps on jobs whose queue a new configuration has removed."""
 
 import json
+import math
 
+import msgspec
 from behave import given, then, when
 
-from dandelionreel.cell.model import Configuration, Service
+from dandelionreel.cell.model import (
+    SUBMISSION_PREFIX,
+    Configuration,
+    JobSpec,
+    QueueTerms,
+    Service,
+    Submission,
+    make_record,
+    make_terms,
+)
 from dandelionreel.cell.model._model import JobState
-from dandelionreel.cell.store import StoredJob
+from dandelionreel.cell.store._cell_state import CellState
 from dandelionreel.cell.store._projections import ConfigurationProjection
 from dandelionreel.platform import JsonRecordCodec
 from features.cell_parts import SmallCell, make_queue, step, task
@@ -79,16 +90,22 @@
         context.versions.extend(later)
         context.small.cell.configuration = read_versions(*context.versions).current
         return
-    submission = context.job.submission
+    queue = context.small.cell.queue_of(context.job)
+    submission = msgspec.structs.replace(context.job.submission, terms=make_terms(queue))
     context.versions = later
     successor = make_cell(context, epoch=2)
-    accepted = type(submission)(
-        submission.queue, submission.service, successor.now, submission.spec, max_attempts=3
-    )
-    stored = StoredJob(JOB, accepted, cancelled=False, progress=None)
-    successor.cell.update_job(stored, successor.now, successor.now)
-    context.small, context.job = successor, successor.cell.job_by_id[JOB]
-    assert successor.plan().starts
+    take_job(context, successor, submission)
+    if queue.advice is None:
+        assert successor.plan().starts
+
+
+def take_job(context, small, submission):
+    """Give a cell the job as read from the store, encoded and decoded."""
+    record = make_record(SUBMISSION_PREFIX + JOB, submission)
+    cell_state = CellState()
+    assert cell_state.apply([record]) == [None]
+    small.cell.update_job(cell_state.find_job(JOB), small.now, small.now)
+    context.small, context.job = small, small.cell.job_by_id[JOB]
 
 
 @when('{count:d} run of the task fail one after the other')
@@ -114,6 +131,29 @@
     assert plan.advice_requests and not plan.starts, plan
 
 
+@given('a job of a removed queue, whose submission has the terms {terms}')
+def job_with_terms(context, terms):
+    small = SmallCell()
+    submission = Submission('removed', 'desk', small.now, JobSpec('payload', (step(),)))
+    if terms != 'none':
+        decoded = msgspec.json.decode(terms, type=QueueTerms)
+        submission = msgspec.structs.replace(submission, terms=decoded)
+    take_job(context, small, submission)
+
+
+@then(
+    'it is planned with {attempts:d} attempts, an objective of {objective:g} s and '
+    'priority {priority:d}'
+)
+def check_terms(context, attempts, objective, priority):
+    cell = context.small.cell
+    queue = cell.queue_of(context.job)
+    assert (queue.max_attempts if queue else 1) == attempts
+    assert (queue.priority if queue else 0) == priority
+    assert math.isclose(cell.objective_of(context.job), objective), cell.objective_of(context.job)
+    assert context.small.plan().starts
+
+
 @given('{count:d} versions that each replace {queues:d} queues by others')
 def many_versions(context, count, queues):
     context.queues = queues
