Log lines and metrics tell how each advice request ended

A step that waited for the policy service left only "no advice by HOST" or "N of M runners are allowed". Neither told which host had answered, whether the time went into the queue of the pool or into the call, or how often the step had failed, so a lost request, a slow host and a request without an end looked alike.

The line of each answer and the new line of each failed request have the host, the time in the queue, the time of the call and the number of calls; the failed one also has the failures in a row and the open requests of the step. The line of a failed call has the announced time and the failures in a row of the host. Lines are sampled like the others of placement. The metrics count calls by outcome, and have the longest times by phase and the requests that wait.

--- a/dandelionreel/cell/decisions/_tickets.py
+++ b/dandelionreel/cell/decisions/_tickets.py
@@ -28,6 +28,8 @@
     #: Number of requests that were answered or failed.
     answers: int = 0
     not_before: float = 0.0
+    #: Number of requests in a row that failed.
+    failures: int = 0
 
     @property
     def is_pending(self) -> bool:
@@ -77,6 +79,7 @@
         tickets = self.of(step)
         tickets.pending = max(0, tickets.pending - 1)
         tickets.answers += 1
+        tickets.failures = 0
         tickets.asked_runners.update(asked_runners)
         for permit in permits:
             tickets.allowed.add(permit.runner)
@@ -88,6 +91,7 @@
         tickets = self.of(step)
         tickets.pending = max(0, tickets.pending - 1)
         tickets.answers += 1
+        tickets.failures += 1
         tickets.not_before = not_before
 
     def revoke(self, step: StepName, runner: str) -> None:
--- a/dandelionreel/cell/membership/__init__.py
+++ b/dandelionreel/cell/membership/__init__.py
@@ -1,5 +1,6 @@
 """Cell membership: owner election, partition detection and exchanges between peers."""
 
+from dandelionreel.cell.membership._advice_figures import AdviceFigures, AdviceTrace
 from dandelionreel.cell.membership._advisors import AdvicePool, LocalAdvisor, PeerLinks
 from dandelionreel.cell.membership._claim_order import (
     find_larger_hosts,
@@ -24,7 +25,9 @@
 __all__ = (
     'OWNER_QUERY_TIMEOUT',
     'AUTHORITY_SECONDS',
+    'AdviceFigures',
     'AdvicePool',
+    'AdviceTrace',
     'HEARTBEAT_SECONDS',
     'ConfigurationExchange',
     'DocumentServer',
--- a/dandelionreel/cell/membership/_advisors.py
+++ b/dandelionreel/cell/membership/_advisors.py
@@ -13,6 +13,7 @@
 import curio
 
 from dandelionreel.cell.decisions import AdviceRequest
+from dandelionreel.cell.membership._advice_figures import AdviceFigures, AdviceTrace
 from dandelionreel.cell.model import AdviceError, AdviceService, Member, Permit, StepName
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.peers import (
@@ -37,8 +38,8 @@
 #: requests would wait for them.
 NON_URGENT_SHARE = 0.75
 
-OnAnswered = Callable[[AdviceRequest, tuple[Permit, ...], float], Awaitable[None]]
-OnFailed = Callable[[AdviceRequest], Awaitable[None]]
+OnAnswered = Callable[[AdviceRequest, tuple[Permit, ...], float, AdviceTrace], Awaitable[None]]
+OnFailed = Callable[[AdviceRequest, AdviceTrace], Awaitable[None]]
 
 
 class PeerLinks:
@@ -133,12 +134,20 @@
         self._journal = journal
         self._on_answered = answered
         self._on_failed = failed
-        self._waiting_requests: list[tuple[int, int, AdviceRequest]] = []
+        self._waiting_requests: list[tuple[int, int, float, AdviceRequest]] = []
         self._sequence = itertools.count()
         self._busy_hosts: set[str] = set()
         #: Hosts that are busy with a non-urgent request.
         self._non_urgent_hosts: set[str] = set()
         self._backoff_until_by_host: dict[str, float] = {}
+        self._failures_by_host: dict[str, int] = {}
+        self._figures = AdviceFigures()
+
+    @property
+    def figures(self) -> AdviceFigures:
+        """Return the counts of this term, for the metrics."""
+        self._figures.waiting = self.waiting_count
+        return self._figures
 
     @property
     def waiting_count(self) -> int:
@@ -148,12 +157,13 @@
     @property
     def free_non_urgent_requests(self) -> int:
         """Return how many more non-urgent requests could be sent now."""
-        waiting = sum(priority > 0 for priority, _, _ in self._waiting_requests)
+        waiting = sum(entry[0] > 0 for entry in self._waiting_requests)
         return self._max_non_urgent_requests() - len(self._non_urgent_hosts) - waiting
 
     async def submit_request(self, request: AdviceRequest) -> None:
         """Queue a request; it is sent as soon as a host is free."""
-        heapq.heappush(self._waiting_requests, (request.priority, next(self._sequence), request))
+        entry = (request.priority, next(self._sequence), self._clock.monotonic(), request)
+        heapq.heappush(self._waiting_requests, entry)
         await self._send_waiting_requests()
 
     async def _send_waiting_requests(self) -> None:
@@ -163,11 +173,11 @@
             host = self._find_free_host() if allowed else None
             if host is None:
                 return
-            request = heapq.heappop(self._waiting_requests)[2]
+            _, _, submitted_at, request = heapq.heappop(self._waiting_requests)
             self._busy_hosts.add(host)
             if not urgent:
                 self._non_urgent_hosts.add(host)
-            await curio.spawn(self._request_advice_from, host, request, daemon=True)
+            await curio.spawn(self._request_advice_from, host, request, submitted_at, daemon=True)
 
     def _max_non_urgent_requests(self) -> int:
         return max(1, int(NON_URGENT_SHARE * len(self._get_members())))
@@ -182,7 +192,10 @@
             return host
         return None
 
-    async def _request_advice_from(self, host: str, request: AdviceRequest) -> None:
+    async def _request_advice_from(
+        self, host: str, request: AdviceRequest, submitted_at: float
+    ) -> None:
+        started_at = self._clock.monotonic()
         advice = request.advice
         expected_seconds = advice.decision_seconds + advice.seconds_per_runner * len(
             request.runners
@@ -191,21 +204,39 @@
         try:
             permits = await self._request_permits(host, request, timeout)
         except (AdviceError, PeerError) as error:
+            trace = self._end_call(host, submitted_at, started_at, 'failed')
             self._journal.log_sampled(
                 Part.PLACEMENT,
                 f'no advice by {host}: {error}.',
                 job=request.step.job,
+                step=request.step.step,
+                priority=request.priority,
+                runners=len(request.runners),
+                expected=round(expected_seconds, 3),
+                host_failures=self._failures_by_host[host],
+                **trace.log_fields(),
             )
             self._backoff_until_by_host[host] = self._clock.monotonic() + PEER_BACKOFF_SECONDS
-            await self._on_failed(request)
+            await self._on_failed(request, trace)
         else:
+            trace = self._end_call(host, submitted_at, started_at, 'answered')
             until = self._clock.monotonic() + request.advice.valid_seconds
-            await self._on_answered(request, permits, until)
+            await self._on_answered(request, permits, until, trace)
         finally:
             self._busy_hosts.discard(host)
             self._non_urgent_hosts.discard(host)
         await self._send_waiting_requests()
 
+    def _end_call(
+        self, host: str, submitted_at: float, started_at: float, outcome: str
+    ) -> AdviceTrace:
+        failures = 0 if outcome == 'answered' else self._failures_by_host.get(host, 0) + 1
+        self._failures_by_host[host] = failures
+        call_seconds = self._clock.monotonic() - started_at
+        trace = AdviceTrace(host, started_at - submitted_at, call_seconds)
+        self._figures.count_call(outcome, trace.queued_seconds, call_seconds)
+        return trace
+
     async def _request_permits(
         self,
         host: str,
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -6,7 +6,13 @@
 import msgspec
 
 from dandelionreel.cell.decisions import ANY_RUNNER, AdviceRequest, Cell, JobRun, Plan, Planner
-from dandelionreel.cell.membership import HEARTBEAT_SECONDS, AdvicePool, Term
+from dandelionreel.cell.membership import (
+    HEARTBEAT_SECONDS,
+    AdviceFigures,
+    AdvicePool,
+    AdviceTrace,
+    Term,
+)
 from dandelionreel.cell.model import (
     CANCELLATION_PREFIX,
     OWNER_KEY,
@@ -111,6 +117,11 @@
         """Return how late this owner is, for the metrics."""
         return self._owner_context.pacing.figures(self._clock.monotonic())
 
+    @property
+    def advice_figures(self) -> AdviceFigures:
+        """Return the counts of requests to the policy service, for the metrics."""
+        return self._advice_pool.figures
+
     @property
     def stored_at(self) -> float:
         """Return when the latest answered append was sent, in monotonic seconds."""
@@ -494,6 +505,7 @@
         request: AdviceRequest,
         permits: tuple[Permit, ...],
         until: float,
+        trace: AdviceTrace,
     ) -> None:
         # The tickets are valid from when the service issued them, not from when they are handled.
         until -= self._owner_context.pacing.answer_delay
@@ -504,9 +516,22 @@
             job=request.step.job,
             step=request.step.step,
             valid=round(until - self._clock.monotonic(), 3),
+            **trace.log_fields(),
         )
         await self._owner_context.plan_needed.notify()
 
-    async def _record_advice_failure(self, request: AdviceRequest) -> None:
+    async def _record_advice_failure(self, request: AdviceRequest, trace: AdviceTrace) -> None:
         not_before = self._clock.monotonic() + ADVICE_RETRY_SECONDS
         self.cell.tickets.record_failed_request(request.step, not_before)
+        tickets = self.cell.tickets.of(request.step)
+        self._journal.log_sampled(
+            Part.PLACEMENT,
+            f'a request for advice for job {request.step.job} failed.',
+            job=request.step.job,
+            step=request.step.step,
+            priority=request.priority,
+            runners=len(request.runners),
+            step_failures=tickets.failures,
+            step_pending=tickets.pending,
+            **trace.log_fields(),
+        )
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -10,6 +10,7 @@
 
 from dandelionreel.cell.clients import Relay
 from dandelionreel.cell.membership import (
+    AdviceFigures,
     ConfigurationExchange,
     DocumentServer,
     Election,
@@ -318,6 +319,9 @@
             self._metrics.update_traffic(self._peer_links.traffic)
             figures = dispatcher.pacing_figures if dispatcher else PacingFigures()
             self._metrics.update_pacing(figures)
+            self._metrics.update_advice(
+                dispatcher.advice_figures if dispatcher else AdviceFigures()
+            )
             await curio.sleep(GAUGE_UPDATE_SECONDS)
 
     async def _handle_signal(self, number: int) -> None:
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from dandelionreel.cell.decisions import AllocationPhase, Cell
+from dandelionreel.cell.membership import AdviceFigures
 from dandelionreel.cell.model import Configuration
 from dandelionreel.cell.owner import PacingFigures
 from dandelionreel.entry_accounts import RefusalCounts, list_accounts
@@ -105,6 +106,17 @@
             'owner_held_back_starts',
             'Starts that were not sent for the age of what is known, in this term of the owner.',
         )
+        self._advice_calls = self._make_gauge(
+            'advice_calls', 'Calls to the policy service, in this term of the owner.', 'outcome'
+        )
+        self._advice_waiting = self._make_gauge(
+            'advice_waiting', 'Advice requests that wait for a free host, at the owner.'
+        )
+        self._advice_seconds = self._make_gauge(
+            'advice_longest_seconds',
+            'Longest time of an advice request in this term of the owner, by phase.',
+            'phase',
+        )
         self._account_used = self._make_gauge(
             'account_used', 'What an account has running, at the owner.', 'account', 'resource'
         )
@@ -125,6 +137,14 @@
         self._oldest_knowledge.set(figures.oldest_knowledge_used)
         self._held_back_starts.set(figures.held_back_starts)
 
+    def update_advice(self, figures: AdviceFigures) -> None:
+        """Set the gauges of the owner's requests to the policy service."""
+        for outcome, count in figures.calls_by_outcome.items():
+            self._advice_calls.labels(outcome).set(count)
+        self._advice_waiting.set(figures.waiting)
+        self._advice_seconds.labels('queued').set(figures.longest_queued_seconds)
+        self._advice_seconds.labels('call').set(figures.longest_call_seconds)
+
     def update_traffic(self, traffic: TrafficCounter) -> None:
         """Set the gauges of the bytes on connections that this host has opened."""
         bytes_by_message: dict[str, int] = {}
--- a/features/steps/owner_load_steps.py
+++ b/features/steps/owner_load_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from dandelionreel.cell.decisions import MAX_CLOCK_DRIFT
+from dandelionreel.cell.membership import AdviceTrace
 from dandelionreel.cell.model import (
     OWNER_KEY,
     KeyedRecord,
@@ -352,7 +353,8 @@
     dispatcher._owner_context.pacing = context.pacing
     request = SimpleNamespace(step=StepName('j1', 0, 0), runners=('w1',))
     until_at = context.clock.monotonic() + seconds
-    curio.run(dispatcher._record_permits, request, (Permit('w1', 'ticket'),), until_at)
+    permits = (Permit('w1', 'ticket'),)
+    curio.run(dispatcher._record_permits, request, permits, until_at, AdviceTrace('me', 0, 1))
     context.tickets = dispatcher.cell.tickets
 
 
