Failing scenarios: advice requests that fail, are late or get no answer

The pool runs in virtual time on five hosts whose calls take 0.73 s, the announced time of a request for 45 runners. With the pool as it is:

* a lost call, one to a host that leaves or one part of a gang: 2.69 s to the answer, of the 3 s in which a ready gang must start;
* a late first call (four times the announced time): never answered, since each repetition goes to the own host again and queues behind the call given up;
* the own host's calls all lost: 2.69 s for each of ten requests, as the own host is asked first again and again; all refused: 10 to 12.8 s;
* an error of the program in the call: no callback at all, so the step counts as pending for good; one in the callback of an answer: the request that waits behind it is never sent.

Ruled out by the second outline, which passes: requests of equal priority (the queue does not compare them), a refusal by each host in turn, a connection cut under the call and hosts that leave while requests wait.

--- a/features/advice.feature
+++ b/features/advice.feature
@@ -6,3 +6,33 @@
     When the first call is lost in the pool
     Then the log tells that h0 gave no advice, and how long the call took
     And the metrics have 1 call that failed and 1 that was answered
+
+  # Guards against a failed call that delays a step for good or until it is of no use.
+  Scenario Outline: A request whose call fails is answered by another host in time
+    Given 5 hosts whose calls take 0.73 s
+    When <situation> in the pool
+    Then each request ends once and is answered within 2 s
+
+    Examples:
+      | situation                                     |
+      | the first call is lost                        |
+      | the first call is late                        |
+      | the first call raises an error of the program |
+      | the own host's calls are all lost             |
+      | the own host's calls are all refused          |
+      | a host leaves with its call                   |
+      | one part of a gang is lost                    |
+      | the handler of an answer fails                |
+
+  # Guards against requests that stay in the queue or end twice.
+  Scenario Outline: Each request ends once whatever happens to the hosts
+    Given 5 hosts whose calls take 0.73 s
+    When <situation> in the pool
+    Then each request ends once and is answered within 2 s
+
+    Examples:
+      | situation                                 |
+      | the first call is refused by each host    |
+      | the connection to the first host is cut   |
+      | all other hosts leave while requests wait |
+      | requests of equal priorities wait         |
