A failed or overdue advice request goes to another host at once

What callers saw: a gang that was ready and fitted waited for a ticket of one part longer than a ready step may, as one call to the policy service was lost.

Cause: a request was given up only after twice its announced time and 0.4 s, and then repeated from the beginning, by the own host first even if that had just failed. An error of the program in a call or in a callback left the request without an end, and its step counted it as pending for good; after one in a callback, requests that waited were not sent.

Each submitted request now ends in exactly one callback. A call that is not answered within 1.2 times its announced time and 0.1 s counts as failed, and a second host is asked while the first one is still awaited; the first answer ends the request. A failed call goes to another host at once. A request has three calls at most, the second and third go to hosts that have not failed recently only, and calls beside an unanswered one use a quarter of the hosts at most: a service that is slow for all of them gets no multiple of the calls. Hosts that have failed, the own one too, come after the others, those within their backoff last. A host stays busy until the announced time of a call that was cut is over, as the service handles the calls of a host in turn. `close` ends the requests that wait.

Without failures each request has one call, as before.

--- a/dandelionreel/cell/membership/_advice_figures.py
+++ b/dandelionreel/cell/membership/_advice_figures.py
@@ -1,8 +1,18 @@
 """Figures on requests to the policy service, for log lines and metrics."""
 
+import enum
 from dataclasses import dataclass, field
 
 
+class CallOutcome(enum.Enum):
+    """How a call ended; the value is the label of the metric."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    #: Its answer came after the request had ended.
+    UNUSED = 'unused'
+
+
 @dataclass(frozen=True)
 class AdviceTrace:
     """How a request was answered, or failed. All times are in seconds."""
@@ -30,16 +40,16 @@
 class AdviceFigures:
     """Counts of one owner's term. All times are in seconds."""
 
-    #: Number of calls by outcome: ``answered`` or ``failed``.
-    calls_by_outcome: dict[str, int] = field(
-        default_factory=lambda: dict.fromkeys(('answered', 'failed'), 0)
+    calls_by_outcome: dict[CallOutcome, int] = field(
+        default_factory=lambda: dict.fromkeys(CallOutcome, 0)
     )
+    overdue_calls: int = 0
     waiting: int = 0
     longest_queued_seconds: float = 0.0
     longest_call_seconds: float = 0.0
 
-    def count_call(self, outcome: str, queued_seconds: float, call_seconds: float) -> None:
+    def count_call(self, outcome: CallOutcome, trace: AdviceTrace) -> None:
         """Count a call that has ended."""
         self.calls_by_outcome[outcome] += 1
-        self.longest_queued_seconds = max(self.longest_queued_seconds, queued_seconds)
-        self.longest_call_seconds = max(self.longest_call_seconds, call_seconds)
+        self.longest_queued_seconds = max(self.longest_queued_seconds, trace.queued_seconds)
+        self.longest_call_seconds = max(self.longest_call_seconds, trace.call_seconds)
--- a/dandelionreel/cell/membership/_advisors.py
+++ b/dandelionreel/cell/membership/_advisors.py
@@ -2,20 +2,32 @@
 
 The service handles the calls of one host one after the other, and a busy cell has more requests
 than one host can send. So each host sends one request at a time, and the most urgent waiting
-request goes to the next free host.
+request goes to the next free host. A request whose call fails or is overdue goes to another host,
+and the first answer counts.
 """
 
-import heapq
+import bisect
 import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
+import eliot
 
 from dandelionreel.cell.decisions import AdviceRequest
-from dandelionreel.cell.membership._advice_figures import AdviceFigures, AdviceTrace
+from dandelionreel.cell.membership._advice_calls import (
+    TIMEOUT_MARGIN_SECONDS,
+    Call,
+    OpenRequest,
+)
+from dandelionreel.cell.membership._advice_figures import (
+    AdviceFigures,
+    AdviceTrace,
+    CallOutcome,
+)
+from dandelionreel.cell.membership._advice_hosts import AdviceHosts
 from dandelionreel.cell.model import AdviceError, AdviceService, Member, Permit, StepName
-from dandelionreel.kernel import Clock, Journal, Part
+from dandelionreel.kernel import Clock, Journal, Part, Verdict
 from dandelionreel.peers import (
     AdviceGiven,
     AdviceWanted,
@@ -28,15 +40,15 @@
     request_transfer,
 )
 
-#: A request times out after ``TIMEOUT_FACTOR`` times the duration that the policy service has
-#: announced for it, plus ``TIMEOUT_MARGIN_SECONDS``.
-TIMEOUT_FACTOR = 2.0
-TIMEOUT_MARGIN_SECONDS = 0.4
-#: Seconds for which a host that did not answer gets no further requests.
-PEER_BACKOFF_SECONDS = 2.0
-#: Share of hosts that may be busy with non-urgent requests: those take a second each, and urgent
-#: requests would wait for them.
-NON_URGENT_SHARE = 0.75
+#: Limits the calls for one request: with two lost calls, the third is answered within four times
+#: the announced duration.
+MAX_CALLS_PER_REQUEST = 3
+#: Share of hosts that may send second calls for overdue requests at the same time. A service that
+#: is slow for all hosts would otherwise get twice the calls.
+OVERDUE_SHARE = 0.25
+#: Cycles of the event loop in which an answer that has arrived is still read after a call is
+#: overdue. A host that is short of processor time notices the delay before it reads the answer.
+GRACE_CYCLES = 3
 
 OnAnswered = Callable[[AdviceRequest, tuple[Permit, ...], float, AdviceTrace], Awaitable[None]]
 OnFailed = Callable[[AdviceRequest, AdviceTrace], Awaitable[None]]
@@ -112,7 +124,10 @@
 
 
 class AdvicePool:
-    """Queues advice requests by priority and sends each one through the next free host."""
+    """Queues advice requests by priority and sends each one through the next free host.
+
+    Each submitted request ends with one call of ``answered`` or ``failed``.
+    """
 
     def __init__(
         self,
@@ -134,13 +149,12 @@
         self._journal = journal
         self._on_answered = answered
         self._on_failed = failed
-        self._waiting_requests: list[tuple[int, int, float, AdviceRequest]] = []
+        self._waiting_requests: list[OpenRequest] = []
         self._sequence = itertools.count()
-        self._busy_hosts: set[str] = set()
-        #: Hosts that are busy with a non-urgent request.
-        self._non_urgent_hosts: set[str] = set()
-        self._backoff_until_by_host: dict[str, float] = {}
-        self._failures_by_host: dict[str, int] = {}
+        self._hosts = AdviceHosts(own_host, members, clock)
+        #: Number of calls in progress beside an earlier call for the same request.
+        self._additional_calls = 0
+        self._closed = False
         self._figures = AdviceFigures()
 
     @property
@@ -157,93 +171,201 @@
     @property
     def free_non_urgent_requests(self) -> int:
         """Return how many more non-urgent requests could be sent now."""
-        waiting = sum(entry[0] > 0 for entry in self._waiting_requests)
-        return self._max_non_urgent_requests() - len(self._non_urgent_hosts) - waiting
+        waiting = sum(not request.urgent for request in self._waiting_requests)
+        return self._hosts.free_non_urgent_hosts - waiting
 
     async def submit_request(self, request: AdviceRequest) -> None:
         """Queue a request; it is sent as soon as a host is free."""
-        entry = (request.priority, next(self._sequence), self._clock.monotonic(), request)
-        heapq.heappush(self._waiting_requests, entry)
+        now = self._clock.monotonic()
+        open_request = OpenRequest(request, next(self._sequence), now, now)
+        self._queue_request(open_request)
+        await self._send_waiting_requests()
+
+    async def close(self) -> None:
+        """Fail the requests that wait; calls in progress end by themselves."""
+        self._closed = True
         await self._send_waiting_requests()
 
+    def _queue_request(self, open_request: OpenRequest) -> None:
+        if open_request not in self._waiting_requests:
+            bisect.insort(self._waiting_requests, open_request, key=_get_position)
+
     async def _send_waiting_requests(self) -> None:
-        while self._waiting_requests:
-            urgent = self._waiting_requests[0][0] == 0
-            allowed = urgent or len(self._non_urgent_hosts) < self._max_non_urgent_requests()
-            host = self._find_free_host() if allowed else None
-            if host is None:
-                return
-            _, _, submitted_at, request = heapq.heappop(self._waiting_requests)
-            self._busy_hosts.add(host)
-            if not urgent:
-                self._non_urgent_hosts.add(host)
-            await curio.spawn(self._request_advice_from, host, request, submitted_at, daemon=True)
-
-    def _max_non_urgent_requests(self) -> int:
-        return max(1, int(NON_URGENT_SHARE * len(self._get_members())))
-
-    def _find_free_host(self) -> str | None:
-        if self._own_host not in self._busy_hosts:
-            return self._own_host
-        now = self._clock.monotonic()
-        for host in self._get_members():
-            if host in self._busy_hosts or self._backoff_until_by_host.get(host, 0) > now:
+        await self._end_unsendable_requests()
+        call = self._take_sendable_call()
+        while call is not None:
+            await curio.spawn(self._make_call, call, daemon=True)
+            call = self._take_sendable_call()
+
+    async def _end_unsendable_requests(self) -> None:
+        """Take the requests from the queue that no host should be asked for any more."""
+        for open_request in tuple(self._waiting_requests):
+            if not self._closed and self._may_be_sent(open_request):
                 continue
-            return host
+            if open_request in self._waiting_requests:
+                self._waiting_requests.remove(open_request)
+            if not open_request.calls_in_progress and not open_request.ended:
+                await self._fail_request(open_request)
+
+    def _may_be_sent(self, open_request: OpenRequest) -> bool:
+        """Return whether a host should be asked: any for the first call, else a reliable one."""
+        tried = open_request.tried_hosts
+        return not tried or self._hosts.has_reliable_host(tried)
+
+    def _take_sendable_call(self) -> Call | None:
+        """Take the first waiting request that can be sent from the queue; its host is now busy."""
+        free_hosts = self._hosts.list_free_hosts()
+        if not free_hosts:
+            return None
+        for open_request in self._waiting_requests:
+            host = self._choose_host(open_request, free_hosts)
+            if host is not None:
+                self._waiting_requests.remove(open_request)
+                return self._begin_call(open_request, host)
         return None
 
-    async def _request_advice_from(
-        self, host: str, request: AdviceRequest, submitted_at: float
-    ) -> None:
-        started_at = self._clock.monotonic()
-        advice = request.advice
-        expected_seconds = advice.decision_seconds + advice.seconds_per_runner * len(
-            request.runners
-        )
-        timeout = expected_seconds * TIMEOUT_FACTOR + TIMEOUT_MARGIN_SECONDS
+    def _begin_call(self, open_request: OpenRequest, host: str) -> Call:
+        now = self._clock.monotonic()
+        if not open_request.tried_hosts:
+            open_request.sent_at = now
+        call = Call(open_request, host, now, open_request.calls_in_progress > 0)
+        open_request.tried_hosts.add(host)
+        open_request.calls_in_progress += 1
+        self._additional_calls += call.additional
+        self._hosts.mark_busy(host, urgent=open_request.urgent)
+        return call
+
+    def _end_call(self, call: Call) -> None:
+        call.in_progress = False
+        call.open_request.calls_in_progress -= 1
+        self._additional_calls -= call.additional
+
+    def _choose_host(self, open_request: OpenRequest, free_hosts: list[str]) -> str | None:
+        if not open_request.urgent and self._hosts.free_non_urgent_hosts <= 0:
+            return None
+        if not open_request.tried_hosts:
+            return free_hosts[0]
+        limit = max(1, int(OVERDUE_SHARE * len(self._get_members())))
+        if open_request.calls_in_progress and self._additional_calls >= limit:
+            return None
+        for host in free_hosts:
+            if host not in open_request.tried_hosts:
+                return None if self._hosts.is_in_backoff(host) else host
+        return None
+
+    async def _make_call(self, call: Call) -> None:
+        await curio.spawn(self._watch_call, call, daemon=True)
         try:
-            permits = await self._request_permits(host, request, timeout)
-        except (AdviceError, PeerError) as error:
-            trace = self._end_call(host, submitted_at, started_at, 'failed')
-            self._journal.log_sampled(
-                Part.PLACEMENT,
-                f'no advice by {host}: {error}.',
-                job=request.step.job,
-                step=request.step.step,
-                priority=request.priority,
-                runners=len(request.runners),
-                expected=round(expected_seconds, 3),
-                host_failures=self._failures_by_host[host],
-                **trace.log_fields(),
-            )
-            self._backoff_until_by_host[host] = self._clock.monotonic() + PEER_BACKOFF_SECONDS
-            await self._on_failed(request, trace)
+            permits = await self._request_permits(call)
+        except (Exception, curio.TaskTimeout) as error:
+            self._end_call(call)
+            await self._handle_failure(call, error)
+            await self._wait_until_service_is_free(call, error)
         else:
-            trace = self._end_call(host, submitted_at, started_at, 'answered')
-            until = self._clock.monotonic() + request.advice.valid_seconds
-            await self._on_answered(request, permits, until, trace)
+            self._end_call(call)
+            await self._handle_answer(call, permits)
         finally:
-            self._busy_hosts.discard(host)
-            self._non_urgent_hosts.discard(host)
+            self._hosts.release(call.host)
         await self._send_waiting_requests()
 
-    def _end_call(
-        self, host: str, submitted_at: float, started_at: float, outcome: str
-    ) -> AdviceTrace:
-        failures = 0 if outcome == 'answered' else self._failures_by_host.get(host, 0) + 1
-        self._failures_by_host[host] = failures
-        call_seconds = self._clock.monotonic() - started_at
-        trace = AdviceTrace(host, started_at - submitted_at, call_seconds)
-        self._figures.count_call(outcome, trace.queued_seconds, call_seconds)
-        return trace
-
-    async def _request_permits(
-        self,
-        host: str,
-        request: AdviceRequest,
-        timeout: float,
-    ) -> tuple[Permit, ...]:
-        step = request.step
+    async def _watch_call(self, call: Call) -> None:
+        """Ask another host if a call is overdue."""
+        open_request = call.open_request
+        await curio.sleep(open_request.overdue_seconds)
+        for _ in range(GRACE_CYCLES):
+            await curio.sleep(0)
+        if not call.in_progress:
+            return
+        call.overdue = True
+        self._hosts.record_failure(call.host)
+        if open_request.ended or len(open_request.tried_hosts) >= MAX_CALLS_PER_REQUEST:
+            return
+        self._figures.overdue_calls += 1
+        self._journal.log_sampled(
+            Part.PLACEMENT,
+            f'advice by {call.host} is overdue.',
+            job=open_request.request.step.job,
+            step=open_request.request.step.step,
+            expected=round(open_request.expected_seconds, 3),
+            host_failures=self._hosts.count_failures(call.host),
+            **call.make_trace(self._clock.monotonic()).log_fields(),
+        )
+        self._queue_request(open_request)
+        await self._send_waiting_requests()
+
+    async def _wait_until_service_is_free(self, call: Call, error: BaseException) -> None:
+        """Wait while the service may still handle a failed call and delay the host's next one."""
+        if isinstance(error, PeerError) and error.verdict is Verdict.NOT_RUN:
+            return
+        left = call.started_at + call.open_request.expected_seconds - self._clock.monotonic()
+        if left > 0:
+            await self._send_waiting_requests()
+            await curio.sleep(left)
+
+    async def _handle_answer(self, call: Call, permits: tuple[Permit, ...]) -> None:
+        now = self._clock.monotonic()
+        open_request = call.open_request
+        trace = call.make_trace(now)
+        if not call.overdue:
+            self._hosts.record_answer(call.host)
+        outcome = CallOutcome.UNUSED if open_request.ended else CallOutcome.ANSWERED
+        self._figures.count_call(outcome, trace)
+        if open_request.ended:
+            return
+        self._end_request(open_request)
+        until = now + open_request.request.advice.valid_seconds
+        try:
+            await self._on_answered(open_request.request, permits, until, trace)
+        except Exception:
+            eliot.write_traceback()
+
+    async def _handle_failure(self, call: Call, error: BaseException) -> None:
+        open_request = call.open_request
+        if call.overdue:
+            self._hosts.extend_backoff(call.host)
+        else:
+            self._hosts.record_failure(call.host)
+        open_request.trace = call.make_trace(self._clock.monotonic())
+        self._figures.count_call(CallOutcome.FAILED, open_request.trace)
+        self._log_failure(call, error)
+        if open_request.ended:
+            return
+        if len(open_request.tried_hosts) < MAX_CALLS_PER_REQUEST:
+            self._queue_request(open_request)
+        elif not open_request.calls_in_progress:
+            await self._fail_request(open_request)
+
+    def _log_failure(self, call: Call, error: BaseException) -> None:
+        request = call.open_request.request
+        self._journal.log_sampled(
+            Part.PLACEMENT,
+            f'no advice by {call.host}: {error}.',
+            job=request.step.job,
+            step=request.step.step,
+            priority=request.priority,
+            runners=len(request.runners),
+            expected=round(call.open_request.expected_seconds, 3),
+            host_failures=self._hosts.count_failures(call.host),
+            **call.open_request.trace.log_fields(),
+        )
+        if not isinstance(error, (AdviceError, PeerError)):
+            eliot.write_traceback()
+
+    async def _fail_request(self, open_request: OpenRequest) -> None:
+        self._end_request(open_request)
+        try:
+            await self._on_failed(open_request.request, open_request.trace)
+        except Exception:
+            eliot.write_traceback()
+
+    def _end_request(self, open_request: OpenRequest) -> None:
+        open_request.ended = True
+        if open_request in self._waiting_requests:
+            self._waiting_requests.remove(open_request)
+
+    async def _request_permits(self, call: Call) -> tuple[Permit, ...]:
+        host, request = call.host, call.open_request.request
+        step, timeout = request.step, call.open_request.timeout
         if host == self._own_host:
             return await self._local_advisor.request(step, request.runners, timeout)
         query = AdviceWanted(step.job, step.occurrence, step.step, request.runners, timeout)
@@ -255,3 +377,7 @@
         if not isinstance(reply, AdviceGiven) or not reply.answered:
             raise AdviceError('the peer got no advice')
         return tuple(Permit(runner, ticket) for runner, ticket in reply.permits)
+
+
+def _get_position(open_request: OpenRequest) -> tuple[int, int]:
+    return open_request.position
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -109,6 +109,9 @@
         self._advice_calls = self._make_gauge(
             'advice_calls', 'Calls to the policy service, in this term of the owner.', 'outcome'
         )
+        self._overdue_advice_calls = self._make_gauge(
+            'advice_calls_overdue', 'Calls after which another host was asked, in this owner term.'
+        )
         self._advice_waiting = self._make_gauge(
             'advice_waiting', 'Advice requests that wait for a free host, at the owner.'
         )
@@ -140,7 +143,8 @@
     def update_advice(self, figures: AdviceFigures) -> None:
         """Set the gauges of the owner's requests to the policy service."""
         for outcome, count in figures.calls_by_outcome.items():
-            self._advice_calls.labels(outcome).set(count)
+            self._advice_calls.labels(outcome.value).set(count)
+        self._overdue_advice_calls.set(figures.overdue_calls)
         self._advice_waiting.set(figures.waiting)
         self._advice_seconds.labels('queued').set(figures.longest_queued_seconds)
         self._advice_seconds.labels('call').set(figures.longest_call_seconds)
--- a/dandelionreel/records/_event_kinds.py
+++ b/dandelionreel/records/_event_kinds.py
@@ -57,6 +57,7 @@
         (r'jobs: job \S+ is refused for quota', EventKind.REFUSED_FOR_QUOTA),
         (r'placement: \d+ of \d+ runners are allowed', EventKind.WAITING),
         ('placement: no advice by ', EventKind.WAITING),
+        (r'placement: advice by \S+ is overdue', EventKind.WAITING),
         (r'placement: a request for advice for job \S+ failed', EventKind.WAITING),
         ('placement: starts a task on ', EventKind.START_SENT),
         ('placement: a start was not answered', EventKind.START_UNANSWERED),
--- a/features/steps/advice_pool_steps.py
+++ b/features/steps/advice_pool_steps.py
@@ -234,5 +234,6 @@
 
 @then('the metrics have {failed:d} call that failed and {answered:d} that was answered')
 def check_call_counts(context, failed, answered):
-    counts = context.pool_run.pool.figures.calls_by_outcome
+    counts_by_outcome = context.pool_run.pool.figures.calls_by_outcome
+    counts = {outcome.value: count for outcome, count in counts_by_outcome.items()}
     assert (counts['failed'], counts['answered']) == (failed, answered), counts
