A seeded simulation of advice requests on 41 hosts

Gangs of three requests for 45 runners arrive at random, two a second; the service handles the calls of each host in turn. The scenarios check that the fault-free case has one call for each request, that four failing and four slow hosts delay no gang beyond 3 s, and that eight of each with 20% of the calls lost leave no request without an end.

--- a/features/advice.feature
+++ b/features/advice.feature
@@ -36,3 +36,36 @@
       | the connection to the first host is cut   |
       | all other hosts leave while requests wait |
       | requests of equal priorities wait         |
+
+  # Guards against calls that cost the service time without need.
+  Scenario: Without failures each request has one call
+    Given 41 hosts whose calls take 0.73 s
+    When gangs request advice at random with seed 1, 0 hosts that fail, 0 slow ones and 0 % of calls lost
+    Then each request ends once and is answered within 3 s
+    And there is one call for each request
+
+  # Guards against hosts that delay one request after another.
+  Scenario Outline: Hosts that fail or are slow delay no gang beyond its time to start
+    Given 41 hosts whose calls take 0.73 s
+    When gangs request advice at random with seed <seed>, 4 hosts that fail, 4 slow ones and 0 % of calls lost
+    Then each request ends once and is answered within 3 s
+    And there are at most 1.1 calls for each request
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  # Guards against requests without an end, and calls that wait behind a call given up.
+  Scenario Outline: Many failures leave no request without an end
+    Given 41 hosts whose calls take 0.73 s
+    When gangs request advice at random with seed <seed>, 8 hosts that fail, 8 slow ones and 20 % of calls lost
+    Then each request ends once
+    And there are at most 2 calls for each request
+    And no call waits in the service behind another one of its host
+
+    Examples:
+      | seed |
+      | 4    |
+      | 5    |
--- a/features/steps/advice_pool_steps.py
+++ b/features/steps/advice_pool_steps.py
@@ -1,5 +1,7 @@
 """Steps on the pool of requests to the policy service, in virtual time."""
 
+import random
+
 import curio
 from behave import given, then, when
 
@@ -15,6 +17,12 @@
 RETRY_SECONDS = 0.1
 #: More faults than any scenario has calls.
 ALWAYS = 1000
+#: Gangs of the seeded simulation, and the requests of each.
+RANDOM_GANGS = 60
+PARTS = 3
+GANGS_PER_SECOND = 2.0
+SLOW_FACTOR = 3
+SETTLE_SECONDS = 20
 
 
 class PoolRun:
@@ -237,3 +245,64 @@
     counts_by_outcome = context.pool_run.pool.figures.calls_by_outcome
     counts = {outcome.value: count for outcome, count in counts_by_outcome.items()}
     assert (counts['failed'], counts['answered']) == (failed, answered), counts
+
+
+class RandomGangs:
+    """Gangs whose parts are requested at random times, through hosts that fail at random."""
+
+    def __init__(self, run, seed):
+        self.run = run
+        self.random = random.Random(seed)
+
+    def harm_hosts(self, failing, slow, lost):
+        hosts = list(self.run.hosts.members)
+        chosen = self.random.sample(hosts, failing + slow)
+        for host in hosts:
+            self.run.hosts.faults_by_host[host] = [
+                LOST if self.random.random() < lost else '' for _ in range(ALWAYS)
+            ]
+        for host in chosen[:failing]:
+            fault = self.random.choice((LOST, CUT, REFUSED))
+            self.run.hosts.faults_by_host[host] = [fault] * ALWAYS
+        for host in chosen[failing:]:
+            self.run.hosts.factor_by_host[host] = SLOW_FACTOR
+
+    async def submit_all(self):
+        for number in range(RANDOM_GANGS):
+            for part in range(PARTS):
+                await self.run.submit(f'gang{number:02}-{part}', runners=45)
+            await curio.sleep(self.random.expovariate(GANGS_PER_SECOND))
+        await curio.sleep(SETTLE_SECONDS)
+
+
+@when(
+    'gangs request advice at random with seed {seed:d}, {failing:d} hosts that fail, {slow:d} slow '
+    'ones and {lost:d} % of calls lost'
+)
+def submit_random_gangs(context, seed, failing, slow, lost):
+    run = context.pool_run
+    gangs = RandomGangs(run, seed)
+    gangs.harm_hosts(failing, slow, lost / 100)
+
+    async def play(clock):
+        run.open_pool(clock)
+        await gangs.submit_all()
+
+    run_in_virtual_time(play)
+
+
+@then('there is one call for each request')
+def check_call_count(context):
+    run = context.pool_run
+    assert len(run.hosts.calls) == len(run.submitted_at_by_job), len(run.hosts.calls)
+
+
+@then('there are at most {factor:g} calls for each request')
+def check_most_calls(context, factor):
+    run = context.pool_run
+    assert len(run.hosts.calls) <= factor * len(run.submitted_at_by_job), len(run.hosts.calls)
+
+
+@then('no call waits in the service behind another one of its host')
+def check_service_queue(context):
+    assert max(context.hosts.queued_seconds) < 0.001, max(context.hosts.queued_seconds)
