A lost call is followed by one other call, not two

When the first call of a request timed out, a third host was asked although the second one had been asked shortly before and was not overdue: the policy service handled a call that nobody needed. A failed call now leads to a further one only if no other call of the request is in progress that is not overdue.

--- a/dandelionreel/cell/membership/_advice_calls.py
+++ b/dandelionreel/cell/membership/_advice_calls.py
@@ -24,7 +24,7 @@
     submitted_at: float
     sent_at: float
     tried_hosts: set[str] = field(default_factory=set)
-    calls_in_progress: int = 0
+    calls_in_progress: list['Call'] = field(default_factory=list)
     ended: bool = False
     #: The call that failed last.
     trace: AdviceTrace = AdviceTrace('', 0, 0, calls=0)
@@ -34,6 +34,11 @@
         """Return whether hosts are reserved for such requests."""
         return self.request.priority == 0
 
+    @property
+    def awaits_timely_call(self) -> bool:
+        """Return whether a call is in progress that is not overdue."""
+        return any(not call.overdue for call in self.calls_in_progress)
+
     @property
     def position(self) -> tuple[int, int]:
         """Return the sort key of the queue."""
--- a/dandelionreel/cell/membership/_advisors.py
+++ b/dandelionreel/cell/membership/_advisors.py
@@ -228,16 +228,16 @@
         now = self._clock.monotonic()
         if not open_request.tried_hosts:
             open_request.sent_at = now
-        call = Call(open_request, host, now, open_request.calls_in_progress > 0)
+        call = Call(open_request, host, now, additional=bool(open_request.calls_in_progress))
         open_request.tried_hosts.add(host)
-        open_request.calls_in_progress += 1
+        open_request.calls_in_progress.append(call)
         self._additional_calls += call.additional
         self._hosts.mark_busy(host, urgent=open_request.urgent)
         return call
 
     def _end_call(self, call: Call) -> None:
         call.in_progress = False
-        call.open_request.calls_in_progress -= 1
+        call.open_request.calls_in_progress.remove(call)
         self._additional_calls -= call.additional
 
     def _choose_host(self, open_request: OpenRequest, free_hosts: list[str]) -> str | None:
@@ -328,7 +328,8 @@
         open_request.trace = call.make_trace(self._clock.monotonic())
         self._figures.count_call(CallOutcome.FAILED, open_request.trace)
         self._log_failure(call, error)
-        if open_request.ended:
+        if open_request.ended or open_request.awaits_timely_call:
+            # If that call is overdue as well, the request goes to a further host then.
             return
         if len(open_request.tried_hosts) < MAX_CALLS_PER_REQUEST:
             self._queue_request(open_request)
--- a/features/advice.feature
+++ b/features/advice.feature
@@ -37,6 +37,13 @@
       | all other hosts leave while requests wait |
       | requests of equal priorities wait         |
 
+  # Guards against a third call beside a second one that is not overdue.
+  Scenario: A lost call is followed by one other call
+    Given 41 hosts whose calls take 0.73 s
+    When the first call is lost and the second one takes 0.95 s in the pool
+    Then each request ends once and is answered within 2 s
+    And there are 2 calls
+
   # Guards against calls that cost the service time without need.
   Scenario: Without failures each request has one call
     Given 41 hosts whose calls take 0.73 s
--- a/features/steps/advice_pool_steps.py
+++ b/features/steps/advice_pool_steps.py
@@ -108,6 +108,12 @@
     await submit_one(run)
 
 
+async def lose_call_then_answer_slowly(run):
+    run.hosts.faults_by_host[OWN_HOST] = [LOST]
+    run.hosts.factor_by_host['h1'] = 1.3
+    await submit_one(run)
+
+
 async def break_first_call(run):
     run.hosts.faults_by_host[OWN_HOST] = [BROKEN]
     await submit_one(run)
@@ -183,6 +189,7 @@
 SITUATION_BY_NAME = {
     'the first call is lost': lose_first_call,
     'the first call is late': answer_late,
+    'the first call is lost and the second one takes 0.95 s': lose_call_then_answer_slowly,
     'the first call raises an error of the program': break_first_call,
     'the first call is refused by each host': refuse_first_calls,
     'the connection to the first host is cut': cut_first_call,
@@ -297,6 +304,11 @@
     assert len(run.hosts.calls) == len(run.submitted_at_by_job), len(run.hosts.calls)
 
 
+@then('there are {count:d} calls')
+def check_calls(context, count):
+    assert len(context.hosts.calls) == count, context.hosts.calls
+
+
 @then('there are at most {factor:g} calls for each request')
 def check_most_calls(context, factor):
     run = context.pool_run
