A request whose last call is overdue is repeated at once

After two lost calls the third one was awaited until its timeout, twice the announced time and 0.4 s, although it was as overdue as the others: 4.64 s to the answer of the repetition. Now the request fails when the last of its three calls is overdue, and its step may request again.

--- a/dandelionreel/cell/membership/_advisors.py
+++ b/dandelionreel/cell/membership/_advisors.py
@@ -269,7 +269,7 @@
         await self._send_waiting_requests()
 
     async def _watch_call(self, call: Call) -> None:
-        """Ask another host if a call is overdue."""
+        """Ask another host if a call is overdue; end the request if that was its last call."""
         open_request = call.open_request
         await curio.sleep(open_request.overdue_seconds)
         for _ in range(GRACE_CYCLES):
@@ -278,7 +278,7 @@
             return
         call.overdue = True
         self._hosts.record_failure(call.host)
-        if open_request.ended or len(open_request.tried_hosts) >= MAX_CALLS_PER_REQUEST:
+        if open_request.ended or open_request.awaits_timely_call:
             return
         self._figures.overdue_calls += 1
         self._journal.log_sampled(
@@ -290,8 +290,12 @@
             host_failures=self._hosts.count_failures(call.host),
             **call.make_trace(self._clock.monotonic()).log_fields(),
         )
-        self._queue_request(open_request)
-        await self._send_waiting_requests()
+        if len(open_request.tried_hosts) < MAX_CALLS_PER_REQUEST:
+            self._queue_request(open_request)
+            await self._send_waiting_requests()
+        else:
+            open_request.trace = call.make_trace(self._clock.monotonic())
+            await self._fail_request(open_request)
 
     async def _wait_until_service_is_free(self, call: Call, error: BaseException) -> None:
         """Wait while the service may still handle a failed call and delay the host's next one."""
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -110,7 +110,7 @@
             'advice_calls', 'Calls to the policy service, in this term of the owner.', 'outcome'
         )
         self._overdue_advice_calls = self._make_gauge(
-            'advice_calls_overdue', 'Calls after which another host was asked, in this owner term.'
+            'advice_calls_overdue', 'Calls without an answer in time, in this owner term.'
         )
         self._advice_waiting = self._make_gauge(
             'advice_waiting', 'Advice requests that wait for a free host, at the owner.'
--- a/features/advice.feature
+++ b/features/advice.feature
@@ -44,6 +44,12 @@
     Then each request ends once and is answered within 2 s
     And there are 2 calls
 
+  # Guards against a request that waits for its last call although that is overdue.
+  Scenario: A request whose three calls are lost is repeated when the last one is overdue
+    Given 41 hosts whose calls take 0.73 s
+    When the first three calls are lost in the pool
+    Then each request ends once and is answered within 4 s
+
   # Guards against calls that cost the service time without need.
   Scenario: Without failures each request has one call
     Given 41 hosts whose calls take 0.73 s
--- a/features/steps/advice_pool_steps.py
+++ b/features/steps/advice_pool_steps.py
@@ -114,6 +114,12 @@
     await submit_one(run)
 
 
+async def lose_three_calls(run):
+    for host in (OWN_HOST, 'h1', 'h2'):
+        run.hosts.faults_by_host[host] = [LOST]
+    await submit_one(run)
+
+
 async def break_first_call(run):
     run.hosts.faults_by_host[OWN_HOST] = [BROKEN]
     await submit_one(run)
@@ -190,6 +196,7 @@
     'the first call is lost': lose_first_call,
     'the first call is late': answer_late,
     'the first call is lost and the second one takes 0.95 s': lose_call_then_answer_slowly,
+    'the first three calls are lost': lose_three_calls,
     'the first call raises an error of the program': break_first_call,
     'the first call is refused by each host': refuse_first_calls,
     'the connection to the first host is cut': cut_first_call,
