A failed advice request causes a plan when it may be repeated

Nothing woke the planner when a failed request could be sent again: on a cell in which nothing else changed, the step waited up to a second for the next regular plan, a third of the time in which a ready step must start. The failure now causes a plan after the pause of 0.1 s.

--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -535,3 +535,8 @@
             step_pending=tickets.pending,
             **trace.log_fields(),
         )
+        await curio.spawn(self._plan_after, ADVICE_RETRY_SECONDS, daemon=True)
+
+    async def _plan_after(self, seconds: float) -> None:
+        await curio.sleep(seconds)
+        await self._owner_context.plan_needed.notify()
--- a/features/advice.feature
+++ b/features/advice.feature
@@ -82,3 +82,9 @@
       | seed |
       | 4    |
       | 5    |
+
+  # Guards against a failed request that is repeated only when something else causes a plan.
+  Scenario: A failed request is repeated without another cause for a plan
+    Given an owner whose only request for advice fails at once
+    When the owner runs
+    Then it requests advice again within 0.3 s
