Advice requests of a plan are sent before anything else of it

A plan counts its requests as pending when it is made. They were submitted after its stops, log lines and starts, so an exception in any of these left the steps waiting for good for answers to requests that were never sent: the planner task starts again, but a step with a pending request makes no other. They are now submitted first. The scenario, a plan whose starts raise an error, sent no request before.

--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -441,14 +441,16 @@
             self._advice_pool.free_non_urgent_requests,
             self._order_sender.free_start_slots,
         )
+        # First, as the requests count as pending from the plan on: an exception further below would
+        # leave their steps waiting for answers to requests that were never sent.
+        for request in plan.advice_requests:
+            await self._advice_pool.submit_request(request)
         self._load_report.add_plan(plan, self._clock.monotonic() - started_at)
         await self._send_stops()
         self._log_preempted(plan)
         self._log_quota_blocked(plan)
         self._log_starved_gangs(plan)
         await self._order_sender.send_starts(plan.starts)
-        for request in plan.advice_requests:
-            await self._advice_pool.submit_request(request)
         elapsed = self._clock.monotonic() - started_at
         pause = max(MIN_PLAN_PAUSE_SECONDS, PLAN_PAUSE_FACTOR * elapsed)
         await curio.sleep(pacing.plan_pause(pause))
--- a/features/advice.feature
+++ b/features/advice.feature
@@ -88,3 +88,9 @@
     Given an owner whose only request for advice fails at once
     When the owner runs
     Then it requests advice again within 0.3 s
+
+  # Guards against a step that waits for good for an answer to a request that was never sent.
+  Scenario: A plan whose starts cannot be sent still requests advice
+    Given an owner whose planner cannot send the starts of a plan
+    When the owner runs
+    Then the requests of the plan are sent
