An owner whose term has ended sends no further advice requests

The requests that waited in the pool were sent by tasks of their own, which went on after the term: with five requests and one host, four more calls were made after the end. The service handles the calls of a host in turn, so those of the successor waited behind them, and the hosts' calls were paid for nothing. The pool is now closed with the term; its waiting requests end as failed.

--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -132,6 +132,7 @@
         self._load_state()
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._owner_context.close_runner_clients)
+            stack.push_async_callback(self._advice_pool.close)
             for work in (
                 self._owner_context.writer.run,
                 self._store_heartbeats,
--- a/features/advice.feature
+++ b/features/advice.feature
@@ -94,3 +94,9 @@
     Given an owner whose planner cannot send the starts of a plan
     When the owner runs
     Then the requests of the plan are sent
+
+  # Guards against requests of a former owner that delay those of its successor in the service.
+  Scenario: An owner whose term has ended sends no further requests
+    Given an owner whose term ends while 5 requests for advice wait
+    When the owner runs
+    Then no request is sent after its end
