The timeout of a call to the policy service includes its wait for an earlier one

The timeout applied to the wait for the connection, to connecting and to the call separately, so a call that came behind one that was given up took up to three times its timeout. The host that the owner had given up by then was still busy, and its next call waited in turn. One deadline now covers all three.

--- a/dandelionreel/platform/_advice.py
+++ b/dandelionreel/platform/_advice.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+import curio
 import msgspec
 
 from dandelionreel.cell.model import (
@@ -43,6 +44,7 @@
     ) -> tuple[Permit, ...]:
         """Return permits for those of ``runners`` that may run the step.
 
+        ``timeout`` includes the wait for an earlier call on the connection.
         ``runners`` are ids of incarnations; the service knows only the ids of runners.
         """
         incarnation_by_id = {
@@ -55,7 +57,9 @@
         headers = (('content-type', 'application/json'),)
         request = Request('POST', '/v1/advise', headers, msgspec.json.encode(fields))
         try:
-            response = await self._channel.exchange(request, timeout)
+            response = await curio.timeout_after(timeout, self._channel.exchange, request, timeout)
+        except curio.TaskTimeout as error:
+            raise AdviceError('the policy service did not answer in time') from error
         except ExchangeError as error:
             raise AdviceError(f'the policy service is unreachable: {error}') from error
         if response.status != HTTP_OK:
--- a/features/advice.feature
+++ b/features/advice.feature
@@ -100,3 +100,9 @@
     Given an owner whose term ends while 5 requests for advice wait
     When the owner runs
     Then no request is sent after its end
+
+  # Guards against a call that takes several times its timeout, as it waits for another one first.
+  Scenario: The timeout of a call includes its wait for an earlier call of the host
+    Given a policy service that never answers
+    When a call with a timeout of 1 s is made 0.1 s after another one
+    Then it fails within 1.6 s
--- a/features/steps/advice_owner_steps.py
+++ b/features/steps/advice_owner_steps.py
@@ -1,4 +1,7 @@
-"""Steps on an owner whose requests to the policy service fail, in virtual time."""
+"""Steps on owners and clients of a policy service that fails or does not answer."""
+
+import time
+from contextlib import AsyncExitStack
 
 import curio
 from behave import given, then, when
@@ -7,6 +10,8 @@
 from dandelionreel.cell.membership import LocalAdvisor
 from dandelionreel.cell.membership._election import Term
 from dandelionreel.cell.model import AdviceError, AdvicePolicy, StepName, WriterFence
+from dandelionreel.http import Server
+from dandelionreel.platform import Address, HttpAdvice
 from features.cell_parts import SmallCell, make_queue, step
 from features.store_parts import Host, make_dispatcher
 from features.virtual_time import run_in_virtual_time
@@ -112,3 +117,40 @@
 @then('no request is sent after its end')
 def check_no_calls(context):
     assert len(context.service.times) == context.calls_at_end, context.service.times
+
+
+@given('a policy service that never answers')
+def silent_service(context):
+    async def answer(request):
+        await curio.sleep(30)
+
+    context.answer = answer
+
+
+@when('a call with a timeout of {timeout:g} s is made {pause:g} s after another one')
+def call_twice(context, timeout, pause):
+    async def call(advice):
+        started_at = time.monotonic()
+        try:
+            await advice.request_permits(StepName('j1', 0, 0), ('w1',), timeout)
+        except AdviceError:
+            return time.monotonic() - started_at
+
+    async def call_both():
+        async with AsyncExitStack() as stack:
+            server = Server(context.answer)
+            await server.start(stack, '127.0.0.1', 0)
+            advice = HttpAdvice(Address('127.0.0.1', server.port))
+            first = await curio.spawn(call, advice)
+            await curio.sleep(pause)
+            seconds = await call(advice)
+            await first.join()
+            await advice.close()
+            return seconds
+
+    context.seconds = curio.run(call_both)
+
+
+@then('it fails within {seconds:g} s')
+def check_seconds(context, seconds):
+    assert context.seconds <= seconds, context.seconds
