--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -6,7 +6,13 @@
 import msgspec
 
 from dandelionreel.cell.decisions import ANY_RUNNER, AdviceRequest, Cell, JobRun, Plan, Planner
-from dandelionreel.cell.membership import HEARTBEAT_SECONDS, AdvicePool, Term
+from dandelionreel.cell.membership import (
+    HEARTBEAT_SECONDS,
+    AdviceFigures,
+    AdvicePool,
+    AdviceTrace,
+    Term,
+)
 from dandelionreel.cell.model import (
     CANCELLATION_PREFIX,
     OWNER_KEY,
@@ -111,6 +117,11 @@
         """Return how late this owner is, for the metrics."""
         return self._owner_context.pacing.figures(self._clock.monotonic())
 
+    @property
+    def advice_figures(self) -> AdviceFigures:
+        """Return the counts of requests to the policy service, for the metrics."""
+        return self._advice_pool.figures
+
     @property
     def stored_at(self) -> float:
         """Return when the latest answered append was sent, in monotonic seconds."""
@@ -121,6 +132,7 @@
         self._load_state()
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._owner_context.close_runner_clients)
+            stack.push_async_callback(self._advice_pool.close)
             for work in (
                 self._owner_context.writer.run,
                 self._store_heartbeats,
@@ -430,14 +442,16 @@
             self._advice_pool.free_non_urgent_requests,
             self._order_sender.free_start_slots,
         )
+        # First, as the requests count as pending from the plan on: an exception further below would
+        # leave their steps waiting for answers to requests that were never sent.
+        for request in plan.advice_requests:
+            await self._advice_pool.submit_request(request)
         self._load_report.add_plan(plan, self._clock.monotonic() - started_at)
         await self._send_stops()
         self._log_preempted(plan)
         self._log_quota_blocked(plan)
         self._log_starved_gangs(plan)
         await self._order_sender.send_starts(plan.starts)
-        for request in plan.advice_requests:
-            await self._advice_pool.submit_request(request)
         elapsed = self._clock.monotonic() - started_at
         pause = max(MIN_PLAN_PAUSE_SECONDS, PLAN_PAUSE_FACTOR * elapsed)
         await curio.sleep(pacing.plan_pause(pause))
@@ -494,6 +508,7 @@
         request: AdviceRequest,
         permits: tuple[Permit, ...],
         until: float,
+        trace: AdviceTrace,
     ) -> None:
         # The tickets are valid from when the service issued them, not from when they are handled.
         until -= self._owner_context.pacing.answer_delay
@@ -504,9 +519,27 @@
             job=request.step.job,
             step=request.step.step,
             valid=round(until - self._clock.monotonic(), 3),
+            **trace.log_fields(),
         )
         await self._owner_context.plan_needed.notify()
 
-    async def _record_advice_failure(self, request: AdviceRequest) -> None:
+    async def _record_advice_failure(self, request: AdviceRequest, trace: AdviceTrace) -> None:
         not_before = self._clock.monotonic() + ADVICE_RETRY_SECONDS
         self.cell.tickets.record_failed_request(request.step, not_before)
+        tickets = self.cell.tickets.of(request.step)
+        self._journal.log_sampled(
+            Part.PLACEMENT,
+            f'a request for advice for job {request.step.job} failed.',
+            job=request.step.job,
+            step=request.step.step,
+            priority=request.priority,
+            runners=len(request.runners),
+            step_failures=tickets.failures,
+            step_pending=tickets.pending,
+            **trace.log_fields(),
+        )
+        await curio.spawn(self._plan_after, ADVICE_RETRY_SECONDS, daemon=True)
+
+    async def _plan_after(self, seconds: float) -> None:
+        await curio.sleep(seconds)
+        await self._owner_context.plan_needed.notify()
