Log what a stopping host has open

A client whose connection a stopping host cut was not visible in that host's log: 'has stopped' counted only requests that had been read whole, by the same measure by which the stop decides to end. Whether a request was in the listener's queue, in a socket's buffer, half read or at work could not be told apart.

The server keeps what each connection is doing. The stop moves unchanged to a module of its own.

--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -28,6 +28,7 @@
 from dandelionreel.entry_peers import start_peer_server
 from dandelionreel.entry_readiness import EntryReadiness
 from dandelionreel.entry_reads import EntryReads
+from dandelionreel.entry_stop import HostStop
 from dandelionreel.http import Server, ServerLimits
 from dandelionreel.kernel import (
     Environment,
@@ -53,11 +54,6 @@
 METRICS_PORT = 9464
 #: Seconds between updates of the gauges.
 GAUGE_UPDATE_SECONDS = 1.0
-#: Seconds for which a stopping host still accepts connections: the balancer removes it after
-#: two failed checks, one second apart.
-BALANCER_NOTICE_SECONDS = 2.5
-#: Seconds between the end of a host's shutdown and the time at which it would be killed.
-EXIT_MARGIN_SECONDS = 1.0
 POLL_SECONDS = 0.05
 #: SIGTERM and SIGINT stop the host; SIGHUP checks its settings file.
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -216,7 +212,7 @@
         await readiness.start(stack, settings.readiness.host, settings.readiness.port)
         metrics = Server(self._metrics.handle)
         await metrics.start(stack, settings.peers.host, METRICS_PORT)
-        await start_peer_server(
+        self._peer_server = await start_peer_server(
             stack,
             settings.peers,
             self._client_api,
@@ -338,23 +334,18 @@
         self._journal.log(Part.LIFE, 'the settings file is valid; changes apply after a restart.')
 
     async def _stop_host(self) -> None:
-        """Hand over the cell, wait for the balancer to notice, and finish open requests."""
-        stop_started_at = self._clock.monotonic()
-        self._journal.log(Part.LIFE, 'is stopping; it is not ready any more.')
+        stop = HostStop(
+            self._client_server,
+            self._peer_server,
+            self._settings.stop_grace,
+            self._clock,
+            self._journal,
+        )
+        await stop.run(self._hand_over_cell, self._delete_member_record)
+
+    async def _hand_over_cell(self) -> None:
         if self._dispatcher is not None:
             await self._dispatcher.end_term()
-        deadline = stop_started_at + self._settings.stop_grace - EXIT_MARGIN_SECONDS
-        while self._clock.monotonic() < min(deadline, stop_started_at + BALANCER_NOTICE_SECONDS):
-            await curio.sleep(POLL_SECONDS)
-        # The cell has been handed over or released by now.
-        deletion = await curio.spawn(self._delete_member_record, daemon=True)
-        self._client_server.disable_keep_alive()
-        while self._client_server.requests_in_progress and self._clock.monotonic() < deadline:
-            await curio.sleep(POLL_SECONDS)
-        await curio.ignore_after(deadline - self._clock.monotonic(), deletion.join)
-        self._journal.log(
-            Part.LIFE, 'has stopped.', unanswered=self._client_server.requests_in_progress
-        )
 
 
 def _make_runner(registration: Registration) -> Runner:
--- a/dandelionreel/entry_peers.py
+++ b/dandelionreel/entry_peers.py
@@ -40,8 +40,8 @@
     answer_owner_query: OwnerQueryHandler,
     clock: Clock,
     journal: Journal,
-) -> None:
-    """Answer peers at an address until the stack closes.
+) -> PeerServer:
+    """Answer peers at an address until the stack closes; return the server.
 
     ``answer_owner_query`` replies whether this host acts as the owner, or could.
     """
@@ -57,3 +57,4 @@
     for kind, handler in handlers:
         peers.add_handler(kind, handler)
     await peers.start(stack, address.host, address.port)
+    return peers
--- /dev/null
+++ b/dandelionreel/http/_connections.py
@@ -0,0 +1,95 @@
+"""The open connections of a server and what each of them is doing."""
+
+import enum
+import select
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from socket import MSG_DONTWAIT, MSG_PEEK
+from typing import Any
+
+import h11
+
+from dandelionreel.http._messages import Request
+
+#: Bytes of unread data that are inspected: enough for the first line of a request.
+PEEK_SIZE = 512
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = 'idle'
+    READING = 'reading'
+    ANSWERING = 'answering'
+    CLOSING = 'closing'
+
+
+@dataclass(frozen=True)
+class ServerLoad:
+    """Counts of the open connections of a server.
+
+    ``reading`` have received a part of a request, ``in_progress`` are at work on a whole one.
+    ``unread`` have received bytes that the process has not read. ``unaccepted`` says whether
+    connections wait in the listener's queue.
+    """
+
+    connections: int = 0
+    reading: int = 0
+    in_progress: int = 0
+    unread: int = 0
+    unaccepted: bool = False
+
+
+class ServerConnection:
+    """One connection of a client: its socket, the state of HTTP and the request in progress."""
+
+    def __init__(self, client: Any, header_bytes: int) -> None:
+        """Serve the socket ``client``; a head of over ``header_bytes`` is invalid."""
+        self.client = client
+        self.http: Any = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+        self.request: Request | None = None
+        self.phase = Phase.IDLE
+        #: When the phase began, in seconds of ``time.monotonic()``.
+        self.phase_since = time.monotonic()
+
+    def enter(self, phase: Phase, request: Request | None = None) -> None:
+        """Enter a phase, with the request that is in progress."""
+        self.phase = phase
+        self.phase_since = time.monotonic()
+        self.request = request
+
+    def peek(self) -> bytes:
+        """Return the first bytes that the process has not read, empty if there are none."""
+        try:
+            return self.client._socket.recv(PEEK_SIZE, MSG_PEEK | MSG_DONTWAIT)
+        except OSError:
+            return b''
+
+    def describe_request(self) -> str:
+        """Return method and target of the request that is in progress or unread, or ``''``."""
+        if self.request is not None:
+            return f'{self.request.method} {self.request.target}'
+        first_line = self.peek().partition(b'\r\n')[0].decode('latin-1')
+        if first_line:
+            return first_line.rpartition(' HTTP/')[0] or first_line
+        return 'a part of a request' if self.phase is Phase.READING else ''
+
+
+def measure_load(connections: Iterable[ServerConnection], listener: Any) -> ServerLoad:
+    """Return the counts of open connections and of what waits at the socket ``listener``."""
+    measured = tuple(connections)
+    phases = [connection.phase for connection in measured]
+    return ServerLoad(
+        connections=len(measured),
+        reading=phases.count(Phase.READING),
+        in_progress=phases.count(Phase.ANSWERING),
+        unread=sum(bool(connection.peek()) for connection in measured),
+        unaccepted=listener is not None and _has_pending_connection(listener),
+    )
+
+
+def _has_pending_connection(listener: Any) -> bool:
+    poller = select.poll()
+    poller.register(listener.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -10,6 +10,7 @@
 import h11
 
 from dandelionreel.http._client import READ_SIZE, _decode_headers
+from dandelionreel.http._connections import Phase, ServerConnection, ServerLoad, measure_load
 from dandelionreel.http._messages import Headers, Request, Response, problem_response
 from dandelionreel.http._sockets import listen
 from dandelionreel.kernel import Problem, RequestError, Verdict, start_task
@@ -65,15 +66,32 @@
         self._handler = handler
         self._is_draining = is_draining
         self._limits = limits or ServerLimits()
-        self._open_connections = 0
         self._keep_alive_disabled = False
-        self._tasks: set[Any] = set()
-        self.requests_in_progress = 0
+        self._listener: Any = None
+        self._connection_by_task: dict[Any, ServerConnection] = {}
         self.port = 0
 
+    @property
+    def requests_in_progress(self) -> int:
+        """Return the number of whole requests that are not answered yet."""
+        phases = [connection.phase for connection in self._connection_by_task.values()]
+        return phases.count(Phase.ANSWERING)
+
+    def measure_load(self) -> ServerLoad:
+        """Return what the open connections are doing."""
+        return measure_load(self._connection_by_task.values(), self._listener)
+
+    def list_open_requests(self) -> list[str]:
+        """Return method and target of each request that is in progress, or begun, or unread."""
+        described = (
+            connection.describe_request() for connection in self._connection_by_task.values()
+        )
+        return [text for text in described if text]
+
     async def start(self, stack: AsyncExitStack, address: str, port: int) -> None:
         """Bind at once and accept connections in the background until ``stack`` closes."""
         sock = listen(address, port)
+        self._listener = sock
         stack.push_async_callback(sock.close)
         self.port = sock.getsockname()[1]
         stack.push_async_callback(self._cancel_tasks)
@@ -86,35 +104,32 @@
     async def _accept_connections(self, sock: Any) -> None:
         while True:
             client, _ = await sock.accept()
-            if self._open_connections >= self._limits.connections:
+            if len(self._connection_by_task) >= self._limits.connections:
                 await client.close()
                 continue
-            self._open_connections += 1
-            task = await curio.spawn(self._serve_connection, client, daemon=True)
-            self._tasks.add(task)
+            connection = ServerConnection(client, self._limits.header_bytes)
+            task = await curio.spawn(self._serve_connection, connection, daemon=True)
+            self._connection_by_task[task] = connection
 
     async def _cancel_tasks(self) -> None:
-        for task in tuple(self._tasks):
+        for task in tuple(self._connection_by_task):
             await task.cancel()
 
-    async def _serve_connection(self, client: Any) -> None:
-        http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.header_bytes,
-        )
+    async def _serve_connection(self, connection: ServerConnection) -> None:
         try:
-            await self._serve_requests(client, http)
+            await self._serve_requests(connection)
         except (OSError, curio.TaskTimeout, CloseConnection):
             return
         finally:
-            self._open_connections -= 1
-            self._tasks.discard(await curio.current_task())
-            await client.close()
+            self._connection_by_task.pop(await curio.current_task(), None)
+            await connection.client.close()
 
-    async def _serve_requests(self, client: Any, http: Any) -> None:
+    async def _serve_requests(self, connection: ServerConnection) -> None:
+        client, http = connection.client, connection.http
         while http.our_state is h11.IDLE:
+            connection.enter(Phase.IDLE)
             try:
-                request = await self._read_request(client, http)
+                request = await self._read_request(connection)
             except BadMessage as error:
                 await self._send_problem(client, http, error.problem)
                 return
@@ -129,12 +144,9 @@
                 return
             if request is None:
                 return
-            self.requests_in_progress += 1
-            try:
-                response = await self._handle_request(request)
-                await self._send_response(client, http, response)
-            finally:
-                self.requests_in_progress -= 1
+            connection.enter(Phase.ANSWERING, request)
+            response = await self._handle_request(request)
+            await self._send_response(client, http, response)
             if http.our_state is h11.MUST_CLOSE:
                 return
             http.start_next_cycle()
@@ -158,9 +170,10 @@
             )
             return problem_response(problem)
 
-    async def _read_request(self, client: Any, http: Any) -> Request | None:
+    async def _read_request(self, connection: ServerConnection) -> Request | None:
         """Return the next complete request, ``None`` if the client closed the connection."""
-        first = await self._read_request_head(client, http)
+        client, http = connection.client, connection.http
+        first = await self._read_request_head(connection)
         if not isinstance(first, h11.Request):
             return None
         headers = _decode_headers(first.headers)
@@ -178,10 +191,11 @@
             bytes(body),
         )
 
-    async def _read_request_head(self, client: Any, http: Any) -> Any:
+    async def _read_request_head(self, connection: ServerConnection) -> Any:
         # An idle connection may wait for its next request for ``idle_seconds``. Once a
         # request has begun, each read has ``read_seconds``, so that a client that stops
         # in the middle of its headers cannot keep the connection forever.
+        client, http = connection.client, connection.http
         started = False
         while True:
             event = http.next_event()
@@ -193,7 +207,9 @@
                 if started and received is None:
                     raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the head took too long')
                 return None
-            started = True
+            if not started:
+                started = True
+                connection.enter(Phase.READING)
             http.receive_data(received)
 
     async def _read_request_body(self, client: Any, http: Any, body: bytearray) -> None:
--- a/dandelionreel/peers/_server.py
+++ b/dandelionreel/peers/_server.py
@@ -1,5 +1,6 @@
 """Server for the messages of peers: one task per connection and one per message."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from typing import Any
@@ -35,8 +36,13 @@
         self._traffic = traffic
         self._handler_by_type: dict[type, MessageHandler] = {}
         self._tasks: set[Any] = set()
+        self._in_progress_by_type: Counter[type] = Counter()
         self.port = 0
 
+    def count_in_progress(self, kind: type) -> int:
+        """Return the number of messages of type ``kind`` that are not answered yet."""
+        return self._in_progress_by_type[kind]
+
     def add_handler(self, kind: type, handler: MessageHandler) -> None:
         """Answer messages of type ``kind`` by ``handler``."""
         self._handler_by_type[kind] = handler
@@ -90,6 +96,8 @@
         self._tasks.add(task)
 
     async def _answer_frame(self, stream: FrameStream, lock: Any, frame: Frame) -> None:
+        kind = type(frame.message)
+        self._in_progress_by_type[kind] += 1
         try:
             message = await self._dispatch_frame(frame)
             answer = Frame(
@@ -104,6 +112,7 @@
         except OSError:
             return
         finally:
+            self._in_progress_by_type[kind] -= 1
             self._tasks.discard(await curio.current_task())
 
     async def _dispatch_frame(self, frame: Frame) -> Message:
