Failing: requests that a stopping host cuts

Real hosts are stopped one after the other while 20 clients each go on using kept connections until the process is gone.

At the level of the server, each way of its own: cut are a head and a body whose end arrives after the notice, a call during the deletion of the member record, calls at work at the end of the grace, and a body whose end never arrives. Connections in the listener's queue and unread bytes of a process that was late for 0.8 s were answered. A request that ended after all waits but the one for the deletion was accepted although nothing waited for its answer.

--- /dev/null
+++ b/features/server_stops.feature
@@ -0,0 +1,39 @@
+Feature: A stopping host answers or refuses each request that reached it
+
+  # Guards against requests that are cut as the process ends before it has read or answered them.
+  Scenario Outline: A request reaches a stopping host
+    Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
+    When a client sends a request as <way>
+    Then the caller gets the status <status> and the verdict <verdict>
+    And the stop has taken between <least> and <most> seconds
+
+    Examples:
+      | way                                                | status | verdict | least | most |
+      | a new connection that the late process has not yet accepted | 200 | none | 0.4 | 1.5 |
+      | bytes that the late process has not yet read       | 200    | none    | 0.4   | 1.5  |
+      | a head whose end arrives after the notice          | 200    | none    | 0.4   | 1.5  |
+      | a body whose end arrives after the notice          | 200    | none    | 0.4   | 1.5  |
+      | a call while the member record is being deleted    | 200    | none    | 0.4   | 1.5  |
+      | a POST that is at work until the end of the grace  | 504    | unknown | 1.2   | 1.55 |
+      | a GET that is at work until the end of the grace   | 503    | not_run | 1.2   | 1.55 |
+      | a POST just before the end of the grace            | 503    | not_run | 1.2   | 1.55 |
+      | a body whose end never arrives                     | 503    | not_run | 1.2   | 1.55 |
+
+  # Guards against a stop that waits for clients that send nothing.
+  Scenario: Idle connections are closed
+    Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
+    When a client keeps a connection open and sends nothing
+    Then its connection has been closed by the server without an answer
+    And the stop has taken between 0.4 and 1.2 seconds
+
+  # Guards against a deletion of the member record that keeps the process from its end.
+  Scenario: The member record cannot be deleted
+    Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
+    When the store never answers the deletion of its member record
+    Then the stop has taken between 1.2 and 1.55 seconds
+
+  # Guards against an answer that is lost as its connection is reset over unread bytes.
+  Scenario: A request that is refused before it was read whole
+    Given a server that reads bodies of up to 1000 bytes
+    When a client sends a body of 3000000 bytes
+    Then the caller gets the status 413 and the verdict not_run
--- /dev/null
+++ b/features/steps/server_stop_steps.py
@@ -0,0 +1,327 @@
+"""Steps on a server that stops while clients still use it."""
+
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import AsyncExitStack
+from http.client import HTTPResponse
+from threading import Event, Thread
+from unittest.mock import patch
+
+import curio
+from behave import given, then, when
+
+from dandelionreel import entry_stop
+from dandelionreel.entry_stop import HostStop
+from dandelionreel.http import Request, Response, Server, ServerLimits
+from dandelionreel.kernel import SystemClock
+from dandelionreel.peers import (
+    Forward,
+    ForwardAnswer,
+    PeerClocks,
+    PeerLink,
+    PeerServer,
+    TrafficCounter,
+)
+from features.store_parts import journal
+
+TIMEOUT = 5
+BODY = 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {0}\r\n\r\n'
+
+
+class StoppingServer:
+    """A server with the stop of an entry host, in a thread of its own."""
+
+    def __init__(self, grace=2.5, limits=None):
+        self.grace = grace
+        #: Seconds for which the process does nothing at the start of its stop.
+        self.late_seconds = 0
+        self.work_seconds = 0
+        self.deletion_seconds = 0
+        self.stop_seconds = None
+        self.peer_port = 0
+        self.is_stopping = False
+        self._limits = limits
+        self._ready = Event()
+        self._stop = Event()
+        self.deleting = Event()
+        self._thread = Thread(target=curio.run, args=(self._serve,), daemon=True)
+
+    def start(self):
+        self._thread.start()
+        assert self._ready.wait(TIMEOUT)
+
+    def stop(self):
+        self._stop.set()
+
+    def close(self):
+        self._stop.set()
+        self._thread.join(2 * TIMEOUT)
+        assert not self._thread.is_alive()
+
+    def connect(self):
+        return socket.create_connection(('127.0.0.1', self.port), TIMEOUT)
+
+    async def _serve(self):
+        async with AsyncExitStack() as stack:
+            server = Server(self._answer, self._limits, lambda: self.is_stopping)
+            await server.start(stack, '127.0.0.1', 0)
+            peers = PeerServer('h/1', SystemClock(), PeerClocks(), journal(), TrafficCounter())
+            peers.add_handler(Forward, self._answer_forward)
+            await peers.start(stack, '127.0.0.1', 0)
+            self.port, self.peer_port = server.port, peers.port
+            self._ready.set()
+            while not self._stop.is_set():
+                await curio.sleep(0.005)
+            self.is_stopping = True
+            began = time.monotonic()
+            stop = HostStop(server, peers, self.grace, SystemClock(), journal())
+            await stop.run(self._be_late, self._delete_member_record)
+            self.stop_seconds = time.monotonic() - began
+
+    async def _answer(self, request):
+        await curio.sleep(self.work_seconds)
+        return Response(200)
+
+    async def _answer_forward(self, frame):
+        await curio.sleep(self.work_seconds)
+        return ForwardAnswer(Response(200), no_room=False)
+
+    async def _be_late(self):
+        time.sleep(self.late_seconds)
+
+    async def _delete_member_record(self):
+        self.deleting.set()
+        await curio.sleep(self.deletion_seconds)
+
+
+def _read_answer(sock):
+    """Return status and verdict; the status is 0 without a complete answer."""
+    try:
+        answer = HTTPResponse(sock)
+        answer.begin()
+        answer.read()
+    except OSError:
+        return 0, 'none'
+    return answer.status, answer.getheader('dandelionreel-verdict') or 'none'
+
+
+def _begin(context, **settings):
+    for name, setting in settings.items():
+        setattr(context.server, name, setting)
+    context.server.start()
+
+
+def _send_unaccepted(context):
+    _begin(context, late_seconds=0.8)
+    context.server.stop()
+    time.sleep(0.4)
+    sock = context.server.connect()
+    sock.sendall(BODY.format(0).encode())
+    return sock
+
+
+def _send_unread(context):
+    _begin(context, late_seconds=0.8)
+    sock = context.server.connect()
+    time.sleep(0.1)
+    context.server.stop()
+    time.sleep(0.4)
+    sock.sendall(BODY.format(0).encode())
+    return sock
+
+
+def _send_in_halves(context, first, second):
+    _begin(context)
+    sock = context.server.connect()
+    context.server.stop()
+    time.sleep(0.2)
+    sock.sendall(first)
+    time.sleep(0.5)
+    sock.sendall(second)
+    return sock
+
+
+def _send_head_in_halves(context):
+    head = BODY.format(0).encode()
+    return _send_in_halves(context, head[:20], head[20:])
+
+
+def _send_body_in_halves(context):
+    return _send_in_halves(context, BODY.format(4).encode() + b'ab', b'cd')
+
+
+def _send_during_deletion(context):
+    # The first poll after the notice finds nothing in progress.
+    _begin(context, deletion_seconds=0.4, work_seconds=0.5)
+    sock = context.server.connect()
+    context.server.stop()
+    assert context.server.deleting.wait(TIMEOUT)
+    time.sleep(0.1)
+    sock.sendall(BODY.format(0).encode())
+    return sock
+
+
+def _send_long_call(context, method='POST'):
+    _begin(context, work_seconds=30)
+    sock = context.server.connect()
+    sock.sendall(BODY.replace('POST', method).format(0).encode())
+    context.server.stop()
+    return sock
+
+
+def _send_long_read(context):
+    return _send_long_call(context, 'GET')
+
+
+def _send_late_call(context):
+    _begin(context, deletion_seconds=30)
+    sock = context.server.connect()
+    context.server.stop()
+    sock.sendall(BODY.format(4).encode() + b'ab')
+    time.sleep(1.3)
+    sock.sendall(b'cd')
+    return sock
+
+
+def _send_half_a_body(context):
+    _begin(context)
+    sock = context.server.connect()
+    sock.sendall(BODY.format(4).encode() + b'ab')
+    context.server.stop()
+    return sock
+
+
+SENDERS = {
+    'a new connection that the late process has not yet accepted': _send_unaccepted,
+    'bytes that the late process has not yet read': _send_unread,
+    'a head whose end arrives after the notice': _send_head_in_halves,
+    'a body whose end arrives after the notice': _send_body_in_halves,
+    'a call while the member record is being deleted': _send_during_deletion,
+    'a POST that is at work until the end of the grace': _send_long_call,
+    'a GET that is at work until the end of the grace': _send_long_read,
+    'a POST just before the end of the grace': _send_late_call,
+    'a body whose end never arrives': _send_half_a_body,
+}
+
+
+@given(
+    'a server that stops within {grace:g} seconds, {notice:g} of them until the balancer has noticed'
+)
+def use_stopping_server(context, grace, notice):
+    context.stack.enter_context(patch.object(entry_stop, 'BALANCER_NOTICE_SECONDS', notice))
+    context.server = StoppingServer(grace)
+    context.stack.callback(context.server.close)
+
+
+@given('a server that reads bodies of up to {size:d} bytes')
+def use_server_of_small_bodies(context, size):
+    context.server = StoppingServer(limits=ServerLimits(body_bytes=size))
+    context.stack.callback(context.server.close)
+    context.server.start()
+
+
+@given('a server with a limit of {count:d} connections')
+def use_server_of_few_connections(context, count):
+    context.server = StoppingServer(limits=ServerLimits(connections=count))
+    context.stack.callback(context.server.close)
+    context.server.start()
+
+
+@when('a client sends a request as {way}')
+def send_request(context, way):
+    sock = context.stack.enter_context(SENDERS[way](context))
+    context.answer = _read_answer(sock)
+
+
+@when('a client sends a body of {size:d} bytes')
+def send_large_body(context, size):
+    sock = context.stack.enter_context(context.server.connect())
+    with ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(sock.sendall, BODY.format(size).encode() + b'a' * size)
+        context.answer = _read_answer(sock)
+        sock.close()
+        sent.exception(TIMEOUT)
+
+
+@when('{count:d} clients keep connections open and a third one sends a request')
+def send_beyond_limit(context, count):
+    for _ in range(count):
+        context.stack.enter_context(context.server.connect())
+    time.sleep(0.1)
+    sock = context.stack.enter_context(context.server.connect())
+    sock.sendall(BODY.format(0).encode())
+    context.answer = _read_answer(sock)
+
+
+@when('a client keeps a connection open and sends nothing')
+def keep_idle(context):
+    context.server.start()
+    context.sock = context.stack.enter_context(context.server.connect())
+    time.sleep(0.1)
+    context.server.stop()
+
+
+@when('the store never answers the deletion of its member record')
+def delete_in_vain(context):
+    _begin(context, deletion_seconds=30)
+    context.server.stop()
+
+
+@when('a request is at work and a client connects after the notice')
+def connect_late(context):
+    sock = context.stack.enter_context(_send_long_call(context))
+    time.sleep(0.8)
+    try:
+        context.stack.enter_context(context.server.connect())
+    except ConnectionRefusedError as error:
+        context.refusal = error
+    _read_answer(sock)
+
+
+@when('a peer forwards a request that is at work for {seconds:g} seconds')
+def forward_request(context, seconds):
+    _begin(context, work_seconds=seconds)
+
+    async def forward():
+        link = PeerLink(
+            '127.0.0.1',
+            context.server.peer_port,
+            'me/1',
+            SystemClock(),
+            PeerClocks(),
+            TrafficCounter(),
+        )
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(link.close)
+            context.server.stop()
+            frame = await link.request(Forward(Request('POST', '/a'), TIMEOUT, 1), TIMEOUT)
+            return frame.message.response.status
+
+    context.forwarded_status = curio.run(forward)
+
+
+@then('the forwarded request gets the status {status:d}')
+def check_forwarded(context, status):
+    assert context.forwarded_status == status
+
+
+@then('the connection of the client is refused')
+def check_refused(context):
+    assert context.refusal
+
+
+@then('its connection has been closed by the server without an answer')
+def check_closed(context):
+    assert context.sock.recv(1) == b''
+
+
+@then('the caller gets the status {status:d} and the verdict {verdict}')
+def check_answer(context, status, verdict):
+    assert context.answer == (status, verdict), context.answer
+
+
+@then('the stop has taken between {least:g} and {most:g} seconds')
+def check_stop_time(context, least, most):
+    context.server.close()
+    assert least <= context.server.stop_seconds <= most, context.server.stop_seconds
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -27,6 +27,7 @@
 )
 from standins._memory_topic import MemoryTopic
 from standins._narrow_link import NarrowLink
+from standins._persistent_clients import ClientExchange, ClientPace, PersistentClients
 from standins._relay import ANY_NAME, Cut, Cuts
 from standins._state_watch import StateWatch
 from standins._users_platform import AccountRow, PlatformRunner, Run, UsersPlatform
@@ -35,6 +36,8 @@
     'ANY_NAME',
     'FAST_TIMINGS',
     'AccountRow',
+    'ClientExchange',
+    'ClientPace',
     'Cluster',
     'Cut',
     'Cuts',
@@ -43,6 +46,7 @@
     'Layout',
     'MemoryTopic',
     'NarrowLink',
+    'PersistentClients',
     'PlatformRunner',
     'Reply',
     'Run',
--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -144,6 +144,10 @@
         """Return the IP address of a host."""
         return self._address_by_name[name]
 
+    def client_address_of(self, name: str) -> tuple[str, int]:
+        """Return the address and port at which a host serves clients."""
+        return self._address_by_name[name], CALLERS_PORT
+
     def is_ready(self, name: str) -> bool:
         """Query the readiness endpoint, as the load balancer does."""
         connection = HTTPConnection(self._address_by_name[name], READINESS_PORT, timeout=2)
