A stopping host answers or refuses each request that reached it

Callers saw their connection end without an answer about 2.6 s after a host was told to stop, far inside its grace. The host waited 2.5 s for the balancer, looked once whether a whole request was in progress, then waited for the deletion of its member record and ended, with the listener open. What was half read by then, or arrived during the deletion, was cut, and so was what was still at work at the end of the grace.

Now the host closes its listener once the balancer has noticed, after it has accepted what the queue holds, and ends when no connection is open, no forwarded request of a peer is in progress and the deletion has ended. Connections on which nothing begins for 0.3 s are closed; bytes that have arrived before are still read. Requests that are read in the last 0.5 s are refused (503, not run, Retry-After), those still open 0.25 s before the end get their verdict: not run if they were not read whole or change nothing, else unknown. A connection on which the client may still send is read to its end before it is closed, since a close with unread bytes resets it. An idle connection whose timeout expires while bytes wait is read.

--- a/dandelionreel/entry_stop.py
+++ b/dandelionreel/entry_stop.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from dandelionreel.http import Server
+from dandelionreel.http import Server, drain_server
 from dandelionreel.kernel import Clock, Journal, Part
 from dandelionreel.peers import Forward, PeerServer
 
@@ -14,6 +14,8 @@
 BALANCER_NOTICE_SECONDS = 2.5
 #: Seconds between the end of a host's shutdown and the time at which it would be killed.
 EXIT_MARGIN_SECONDS = 1.0
+#: Least seconds for which a host handles what has arrived before it closed its listener.
+MIN_DRAIN_SECONDS = 0.5
 POLL_SECONDS = 0.05
 
 
@@ -45,18 +47,23 @@
         self._log_load('is stopping; it is not ready any more.')
         await hand_over_cell()
         deadline = started_at + self._stop_grace - EXIT_MARGIN_SECONDS
-        while self._clock.monotonic() < min(deadline, started_at + BALANCER_NOTICE_SECONDS):
+        accept_until = min(deadline - MIN_DRAIN_SECONDS, started_at + BALANCER_NOTICE_SECONDS)
+        while self._clock.monotonic() < accept_until:
             await curio.sleep(POLL_SECONDS)
         # The cell has been handed over or released by now.
         deletion = await curio.spawn(delete_member_record, daemon=True)
-        self._clients.disable_keep_alive()
-        while self._clients.requests_in_progress and self._clock.monotonic() < deadline:
-            await curio.sleep(POLL_SECONDS)
-        await curio.ignore_after(deadline - self._clock.monotonic(), deletion.join)
+        drained = await drain_server(
+            self._clients,
+            deadline,
+            self._clock.monotonic,
+            lambda: bool(self._peers.count_in_progress(Forward)) or not deletion.terminated,
+        )
+        for request in drained.ended:
+            self._journal.log(Part.LIFE, f'ends {request} at the end of its grace.')
         for request in self._clients.list_open_requests():
             self._journal.log(Part.LIFE, f'stops without an answer to {request}.')
         seconds = round(self._clock.monotonic() - started_at, 3)
-        self._log_load('has stopped.', seconds=seconds)
+        self._log_load('has stopped.', seconds=seconds, refused=drained.refused)
 
     def _log_load(self, sentence: str, **fields: float) -> None:
         self._journal.log(
--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -11,6 +11,7 @@
     control_bytes_by_kind,
     fetch_response,
 )
+from dandelionreel.http._drain import DrainResult, drain_server
 from dandelionreel.http._messages import (
     JSON_TYPE,
     PROBLEM_TYPE,
@@ -42,6 +43,7 @@
     'CloseConnection',
     'Connection',
     'ConnectionBrokenError',
+    'DrainResult',
     'ExchangeError',
     'Handler',
     'Headers',
@@ -55,6 +57,7 @@
     'connect',
     'abandoned_bytes_by_kind',
     'control_bytes_by_kind',
+    'drain_server',
     'fetch_response',
     'json_response',
     'listen',
--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -4,16 +4,21 @@
 import select
 import time
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass
-from socket import MSG_DONTWAIT, MSG_PEEK
+from socket import MSG_DONTWAIT, MSG_PEEK, SHUT_RD, SHUT_WR
 from typing import Any
 
+import curio
 import h11
 
 from dandelionreel.http._messages import Request
 
 #: Bytes of unread data that are inspected: enough for the first line of a request.
 PEEK_SIZE = 512
+READ_SIZE = 65_536
+#: Seconds for which a server reads on after its last answer, so that the client can take it.
+LINGER_SECONDS = 1.0
 
 
 class Phase(enum.Enum):
@@ -66,6 +71,37 @@
         except OSError:
             return b''
 
+    def close_if_idle(self, seconds: float) -> None:
+        """Make the connection's task close it if no request has begun for some seconds.
+
+        After this shutdown the task still reads what has arrived before it.
+        """
+        idle_seconds = time.monotonic() - self.phase_since
+        if self.phase is Phase.IDLE and idle_seconds >= seconds and not self.peek():
+            with suppress(OSError):
+                self.client._socket.shutdown(SHUT_RD)
+
+    async def discard_unread(self) -> None:
+        """Read and discard what the client still sends, until it closes or for some time.
+
+        A connection that is closed with unread bytes is reset, and its client may lose the answer.
+        """
+        self.enter(Phase.CLOSING)
+        with suppress(OSError):
+            self.client._socket.shutdown(SHUT_WR)
+            await curio.ignore_after(LINGER_SECONDS, self._read_to_end)
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether a request has begun and no byte of its answer was made."""
+        has_begun = self.phase in {Phase.READING, Phase.ANSWERING}
+        return has_begun and self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
+    def send_now(self, payload: bytes) -> None:
+        """Send what the kernel takes at once, from a task other than the connection's own."""
+        with suppress(OSError):
+            self.client._socket.send(payload)
+
     def describe_request(self) -> str:
         """Return method and target of the request that is in progress or unread, or ``''``."""
         if self.request is not None:
@@ -75,6 +111,11 @@
             return first_line.rpartition(' HTTP/')[0] or first_line
         return 'a part of a request' if self.phase is Phase.READING else ''
 
+    async def _read_to_end(self) -> None:
+        received = b'-'
+        while received:
+            received = await self.client.recv(READ_SIZE)
+
 
 def measure_load(connections: Iterable[ServerConnection], listener: Any) -> ServerLoad:
     """Return the counts of open connections and of what waits at the socket ``listener``."""
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -8,6 +8,7 @@
 import curio
 import eliot
 import h11
+from curio.io import Socket
 
 from dandelionreel.http._client import READ_SIZE, _decode_headers
 from dandelionreel.http._connections import Phase, ServerConnection, ServerLoad, measure_load
@@ -20,6 +21,25 @@
 HTTP_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
 HTTP_INTERNAL_ERROR = 500
+HTTP_UNAVAILABLE = 503
+HTTP_GATEWAY_TIMEOUT = 504
+#: Methods of requests that change nothing.
+SAFE_METHODS = frozenset(('GET', 'HEAD'))
+#: Seconds after which the client of a refused request may try another host.
+RETRY_AFTER_SECONDS = 1.0
+REFUSAL = Problem(
+    Verdict.NOT_RUN,
+    HTTP_UNAVAILABLE,
+    'stopping',
+    'the host is stopping; send the request to another one',
+    RETRY_AFTER_SECONDS,
+)
+UNKNOWN_END = Problem(
+    Verdict.UNKNOWN,
+    HTTP_GATEWAY_TIMEOUT,
+    'stopped',
+    'the host has stopped; what was asked for may have been done',
+)
 
 
 @dataclass(frozen=True)
@@ -68,9 +88,18 @@
         self._limits = limits or ServerLimits()
         self._keep_alive_disabled = False
         self._listener: Any = None
+        self._accept_task: Any = None
         self._connection_by_task: dict[Any, ServerConnection] = {}
+        self._is_refusing = False
+        #: Requests that were refused because the server is stopping.
+        self.refused_requests = 0
         self.port = 0
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are open."""
+        return len(self._connection_by_task)
+
     @property
     def requests_in_progress(self) -> int:
         """Return the number of whole requests that are not answered yet."""
@@ -95,21 +124,75 @@
         stack.push_async_callback(sock.close)
         self.port = sock.getsockname()[1]
         stack.push_async_callback(self._cancel_tasks)
-        await start_task(stack, self._accept_connections, sock)
+        self._accept_task = await start_task(stack, self._accept_connections, sock)
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its current response from now on."""
         self._keep_alive_disabled = True
 
+    async def stop_accepting(self) -> None:
+        """Take the connections that wait in the listener's queue, then close the listener.
+
+        From now on each connection is closed after its current response.
+        """
+        self._keep_alive_disabled = True
+        if self._listener is None:
+            return
+        await self._accept_task.cancel()
+        await self._accept_queued_connections()
+        listener = self._listener
+        self._listener = None
+        await listener.close()
+
+    def close_idle_connections(self, seconds: float) -> None:
+        """Close the connections on which no request has begun for ``seconds``."""
+        for connection in self._connection_by_task.values():
+            connection.close_if_idle(seconds)
+
+    def refuse_requests(self) -> None:
+        """Refuse each request that is read from now on."""
+        self._is_refusing = True
+
+    async def end_requests(self) -> list[str]:
+        """Answer the requests that are open; return method and target of each.
+
+        One that has not been read whole has not been run. The work on the others ends, and what it
+        has done is unknown unless the request changes nothing.
+        """
+        self._is_refusing = True
+        ended = []
+        for task, connection in tuple(self._connection_by_task.items()):
+            if not connection.is_unanswered:
+                continue
+            ended.append(connection.describe_request())
+            request = connection.request
+            is_run = request is not None and request.method not in SAFE_METHODS
+            response = problem_response(UNKNOWN_END if is_run else REFUSAL)
+            connection.send_now(self._encode_response(connection.http, response, last=True))
+            if request is not None:
+                await task.cancel(blocking=False)
+        return ended
+
     async def _accept_connections(self, sock: Any) -> None:
         while True:
             client, _ = await sock.accept()
-            if len(self._connection_by_task) >= self._limits.connections:
-                await client.close()
-                continue
-            connection = ServerConnection(client, self._limits.header_bytes)
-            task = await curio.spawn(self._serve_connection, connection, daemon=True)
-            self._connection_by_task[task] = connection
+            await self._open_connection(client)
+
+    async def _accept_queued_connections(self) -> None:
+        while True:
+            try:
+                accepted = self._listener._socket.accept()
+            except OSError:
+                return
+            await self._open_connection(Socket(accepted[0]))
+
+    async def _open_connection(self, client: Any) -> None:
+        if self.open_connections >= self._limits.connections:
+            await client.close()
+            return
+        connection = ServerConnection(client, self._limits.header_bytes)
+        task = await curio.spawn(self._serve_connection, connection, daemon=True)
+        self._connection_by_task[task] = connection
 
     async def _cancel_tasks(self) -> None:
         for task in tuple(self._connection_by_task):
@@ -131,7 +214,7 @@
             try:
                 request = await self._read_request(connection)
             except BadMessage as error:
-                await self._send_problem(client, http, error.problem)
+                await self._send_last_problem(connection, error.problem)
                 return
             except h11.RemoteProtocolError as error:
                 problem = Problem(
@@ -140,18 +223,26 @@
                     'bad-http',
                     f'{error}',
                 )
-                await self._send_problem(client, http, problem)
+                await self._send_last_problem(connection, problem)
                 return
             if request is None:
                 return
+            if http.our_state is not h11.SEND_RESPONSE:
+                # The end of the request has come after the answer of ``end_requests``.
+                return
             connection.enter(Phase.ANSWERING, request)
             response = await self._handle_request(request)
             await self._send_response(client, http, response)
             if http.our_state is h11.MUST_CLOSE:
+                if connection.peek():
+                    await connection.discard_unread()
                 return
             http.start_next_cycle()
 
     async def _handle_request(self, request: Request) -> Response:
+        if self._is_refusing:
+            self.refused_requests += 1
+            return problem_response(REFUSAL)
         try:
             return await self._handler(request)
         except RequestError as error:
@@ -195,22 +286,30 @@
         # An idle connection may wait for its next request for ``idle_seconds``. Once a
         # request has begun, each read has ``read_seconds``, so that a client that stops
         # in the middle of its headers cannot keep the connection forever.
-        client, http = connection.client, connection.http
-        started = False
         while True:
-            event = http.next_event()
+            event = connection.http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            read_timeout = self._limits.read_seconds if started else self._limits.idle_seconds
-            received = await curio.ignore_after(read_timeout, client.recv, READ_SIZE)
+            received = await self._receive_head(connection)
+            if received is None and connection.phase is Phase.READING:
+                raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the head took too long')
             if not received:
-                if started and received is None:
-                    raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the head took too long')
                 return None
-            if not started:
-                started = True
+            if connection.phase is Phase.IDLE:
                 connection.enter(Phase.READING)
-            http.receive_data(received)
+            connection.http.receive_data(received)
+
+    async def _receive_head(self, connection: ServerConnection) -> bytes | None:
+        """Return the next bytes, ``b''`` at the end and ``None`` after a timeout."""
+        is_idle = connection.phase is Phase.IDLE
+        timeout = self._limits.idle_seconds if is_idle else self._limits.read_seconds
+        received: bytes | None = await curio.ignore_after(
+            timeout, connection.client.recv, READ_SIZE
+        )
+        if received is None and connection.peek():
+            # A late process finds the timeout expired although bytes have arrived in time.
+            received = await connection.client.recv(READ_SIZE)
+        return received
 
     async def _read_request_body(self, client: Any, http: Any, body: bytearray) -> None:
         while True:
@@ -241,11 +340,12 @@
                 f'the body is over {self._limits.body_bytes} bytes',
             )
 
-    async def _send_problem(self, client: Any, http: Any, problem: Problem) -> None:
-        if http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
-            return
-        response = problem_response(problem)
-        await self._send_response(client, http, response, last=True)
+    async def _send_last_problem(self, connection: ServerConnection, problem: Problem) -> None:
+        """Answer a request that is not read to its end, and close the connection."""
+        client, http = connection.client, connection.http
+        if http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            await self._send_response(client, http, problem_response(problem), last=True)
+        await connection.discard_unread()
 
     async def _send_response(
         self,
@@ -255,6 +355,11 @@
         *,
         last: bool = False,
     ) -> None:
+        payload = self._encode_response(http, response, last=last)
+        async with curio.timeout_after(self._limits.idle_seconds):
+            await client.sendall(payload)
+
+    def _encode_response(self, http: Any, response: Response, *, last: bool) -> bytes:
         headers = [
             (name, content)
             for name, content in response.headers
@@ -263,9 +368,7 @@
         headers.append(('content-length', str(len(response.body))))
         if last or self._keep_alive_disabled or self._is_draining():
             headers.append(('connection', 'close'))
-        payload = http.send(h11.Response(status_code=response.status, headers=headers))
+        payload: bytes = http.send(h11.Response(status_code=response.status, headers=headers))
         if response.body:
             payload += http.send(h11.Data(data=response.body))
-        payload += http.send(h11.EndOfMessage())
-        async with curio.timeout_after(self._limits.idle_seconds):
-            await client.sendall(payload)
+        return payload + http.send(h11.EndOfMessage())
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -16,9 +16,16 @@
       | a call while the member record is being deleted    | 200    | none    | 0.4   | 1.5  |
       | a POST that is at work until the end of the grace  | 504    | unknown | 1.2   | 1.55 |
       | a GET that is at work until the end of the grace   | 503    | not_run | 1.2   | 1.55 |
-      | a POST just before the end of the grace            | 503    | not_run | 1.2   | 1.55 |
+      | a POST whose end comes when the grace has nearly ended | 503    | not_run | 1.2   | 1.55 |
       | a body whose end never arrives                     | 503    | not_run | 1.2   | 1.55 |
 
+  # Guards against forwarded requests that are cut as the process ends.
+  Scenario: A peer has forwarded a request
+    Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
+    When a peer forwards a request that is at work for 0.8 seconds
+    Then the forwarded request gets the status 200
+    And the stop has taken between 0.6 and 1.5 seconds
+
   # Guards against a stop that waits for clients that send nothing.
   Scenario: Idle connections are closed
     Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
@@ -32,6 +39,12 @@
     When the store never answers the deletion of its member record
     Then the stop has taken between 1.2 and 1.55 seconds
 
+  # Guards against clients that are sent to a stopping host for longer than the balancer needs.
+  Scenario: The listener closes once the balancer has noticed
+    Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
+    When a request is at work and a client connects after the notice
+    Then the connection of the client is refused
+
   # Guards against an answer that is lost as its connection is reset over unread bytes.
   Scenario: A request that is refused before it was read whole
     Given a server that reads bodies of up to 1000 bytes
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -152,13 +152,15 @@
 
 
 def _send_during_deletion(context):
-    # The first poll after the notice finds nothing in progress.
-    _begin(context, deletion_seconds=0.4, work_seconds=0.5)
+    # The request is not in progress yet when the deletion begins.
+    _begin(context, deletion_seconds=0.3, work_seconds=0.4)
+    head = BODY.format(0).encode()
     sock = context.server.connect()
     context.server.stop()
+    sock.sendall(head[:20])
     assert context.server.deleting.wait(TIMEOUT)
     time.sleep(0.1)
-    sock.sendall(BODY.format(0).encode())
+    sock.sendall(head[20:])
     return sock
 
 
@@ -200,7 +202,7 @@
     'a call while the member record is being deleted': _send_during_deletion,
     'a POST that is at work until the end of the grace': _send_long_call,
     'a GET that is at work until the end of the grace': _send_long_read,
-    'a POST just before the end of the grace': _send_late_call,
+    'a POST whose end comes when the grace has nearly ended': _send_late_call,
     'a body whose end never arrives': _send_half_a_body,
 }
 
