Connections beyond the limit get a refusal

A client beyond the limit of connections saw its connection reset: the server closed it at once, with the request unread. Now 64 connections beyond the limit are read for one request, which is refused (503, not run, Retry-After); only those beyond are closed.

features/server_stops 'More connections than the limit' failed before with no answer; server_stops and input: 47 passed, 0 failed.

--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -13,6 +13,7 @@
 import h11
 
 from dandelionreel.http._messages import Request
+from dandelionreel.kernel import Problem
 
 #: Bytes of unread data that are inspected: enough for the first line of a request.
 PEEK_SIZE = 512
@@ -49,9 +50,13 @@
 class ServerConnection:
     """One connection of a client: its socket, the state of HTTP and the request in progress."""
 
-    def __init__(self, client: Any, header_bytes: int) -> None:
-        """Serve the socket ``client``; a head of over ``header_bytes`` is invalid."""
+    def __init__(self, client: Any, header_bytes: int, refusal: Problem | None = None) -> None:
+        """Serve the socket ``client``; a head of over ``header_bytes`` is invalid.
+
+        ``refusal`` answers the first request in place of the handler.
+        """
         self.client = client
+        self.refusal = refusal
         self.http: Any = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
         self.request: Request | None = None
         self.phase = Phase.IDLE
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -34,6 +34,15 @@
     'the host is stopping; send the request to another one',
     RETRY_AFTER_SECONDS,
 )
+#: Connections beyond the limit on which one request is read and refused.
+REFUSED_CONNECTIONS = 64
+TOO_MANY = Problem(
+    Verdict.NOT_RUN,
+    HTTP_UNAVAILABLE,
+    'too-many-connections',
+    'the host has as many connections as it may have; send the request to another one',
+    RETRY_AFTER_SECONDS,
+)
 UNKNOWN_END = Problem(
     Verdict.UNKNOWN,
     HTTP_GATEWAY_TIMEOUT,
@@ -187,10 +196,12 @@
             await self._open_connection(Socket(accepted[0]))
 
     async def _open_connection(self, client: Any) -> None:
-        if self.open_connections >= self._limits.connections:
+        excess = self.open_connections - self._limits.connections
+        if excess >= REFUSED_CONNECTIONS:
             await client.close()
             return
-        connection = ServerConnection(client, self._limits.header_bytes)
+        refusal = None if excess < 0 else TOO_MANY
+        connection = ServerConnection(client, self._limits.header_bytes, refusal)
         task = await curio.spawn(self._serve_connection, connection, daemon=True)
         self._connection_by_task[task] = connection
 
@@ -231,6 +242,9 @@
                 # The end of the request has come after the answer of ``end_requests``.
                 return
             connection.enter(Phase.ANSWERING, request)
+            if connection.refusal is not None:
+                await self._send_last_problem(connection, connection.refusal)
+                return
             response = await self._handle_request(request)
             await self._send_response(client, http, response)
             if http.our_state is h11.MUST_CLOSE:
@@ -301,7 +315,7 @@
 
     async def _receive_head(self, connection: ServerConnection) -> bytes | None:
         """Return the next bytes, ``b''`` at the end and ``None`` after a timeout."""
-        is_idle = connection.phase is Phase.IDLE
+        is_idle = connection.phase is Phase.IDLE and connection.refusal is None
         timeout = self._limits.idle_seconds if is_idle else self._limits.read_seconds
         received: bytes | None = await curio.ignore_after(
             timeout, connection.client.recv, READ_SIZE
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -50,3 +50,9 @@
     Given a server that reads bodies of up to 1000 bytes
     When a client sends a body of 3000000 bytes
     Then the caller gets the status 413 and the verdict not_run
+
+  # Guards against connections that end without an answer at the limit of connections.
+  Scenario: More connections than the limit
+    Given a server with a limit of 2 connections
+    When 2 clients keep connections open and a third one sends a request
+    Then the caller gets the status 503 and the verdict not_run
