A gang that is ready and does not start is logged with what it waits for

Cause: a gang passes through waits for quota, record, advice, tickets, reservations and faster runners. Only the wait for faster runners and the one for quota had a line, so the log of a gang that did not start could not tell which of them it was in.

--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -1,11 +1,16 @@
 """Plans which waiting tasks start on which runners. No I/O; the caller passes the time."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dandelionreel.cell.decisions._account_shares import QuotaBesideGangs, StarvedGang
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest, AdviceRequests
 from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._gang_delays import (
+    NO_TICKETS,
+    GangSlots,
+    describe_delay,
+)
 from dandelionreel.cell.decisions._gang_start import GangPlacement, GangStarts, GangWait
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._preemption import (
@@ -32,6 +37,7 @@
 )
 from dandelionreel.cell.decisions._runner_state import Allocation, RunnerState
 from dandelionreel.cell.decisions._speed_preference import URGENT_PRIORITY, make_speed_preference
+from dandelionreel.cell.decisions._start_delays import GangDelay, StartDelays, WaitReason
 from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, counted_demand
 from dandelionreel.cell.decisions._waiting_steps import (
     TOO_LATE,
@@ -60,6 +66,7 @@
     ``speed_groups`` has the number of runners by speed, the fastest first, when gangs begin to be
     placed by speed, and is empty when they cease to be. ``starved_gangs`` are gangs for which the
     other tasks of their account have begun to wait, except those that fit beside them.
+    ``gang_delays`` are overdue gangs that are due for a report, with what they wait for.
     """
 
     starts: list[Allocation] = field(default_factory=list)
@@ -69,6 +76,7 @@
     gang_waits: list[GangWait] = field(default_factory=list)
     speed_groups: list[int] | None = None
     starved_gangs: list[StarvedGang] = field(default_factory=list)
+    gang_delays: list[GangDelay] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -124,6 +132,7 @@
         self._advice_requests = AdviceRequests(cell)
         self._preemption = Preemption(cell)
         self._gang_starts = GangStarts(cell)
+        self._start_delays = StartDelays()
         self._reservations = Reservations()
         self._reserved_at = float('-inf')
         self._reserved_for: list[_GangVersion] = []
@@ -144,14 +153,12 @@
         were made, so a gang's first tickets would expire before its last ones arrive.
         """
         candidates = list_candidates(self._cell, self.order.rank, now, unix_time)
+        self._start_delays.begin_plan(candidates, now)
         if not candidates:
             return Plan()
         self._quota_gate.begin_plan(candidates, now, unix_time)
         usable = self._usable_runners_by_service(now)
-        self._gang_starts.begin_plan(
-            candidates, [runner for runners in usable.values() for runner in runners.values()]
-        )
-        self._preemption.begin_plan(self._victim_cost())
+        self._begin_gangs(candidates, usable)
         makes_reservations = self._renew_reservations(candidates, usable, now)
         requestable_cpu = {
             service: REQUESTED_CPU_FACTOR * _total_free_cpu(runners)
@@ -171,14 +178,28 @@
             runners = state.runners_by_service.get(service)
             if runners:
                 self._plan_step(candidate, runners, state)
-        state.plan.quota_blocked.extend(self._quota_gate.newly_blocked)
-        state.plan.gang_waits.extend(self._gang_starts.new_waits)
-        state.plan.speed_groups = self._gang_starts.new_groups
-        if self._beside_gangs is not None:
-            self._beside_gangs.count_starts(state.plan.starts)
-            state.plan.starved_gangs.extend(self._beside_gangs.newly_starved)
+            elif candidate.step.step.gang:
+                self._report_delay(candidate, WaitReason.NO_RUNNER, {}, state)
+        self._add_new_waits(state.plan)
         return state.plan
 
+    def _begin_gangs(
+        self, candidates: list[Candidate], usable: dict[str, dict[str, RunnerState]]
+    ) -> None:
+        self._gang_starts.begin_plan(
+            candidates, [runner for runners in usable.values() for runner in runners.values()]
+        )
+        self._preemption.begin_plan(self._victim_cost())
+
+    def _add_new_waits(self, plan: Plan) -> None:
+        """Add the jobs and gangs that have begun to wait in this plan."""
+        plan.quota_blocked.extend(self._quota_gate.newly_blocked)
+        plan.gang_waits.extend(self._gang_starts.new_waits)
+        plan.speed_groups = self._gang_starts.new_groups
+        if self._beside_gangs is not None:
+            self._beside_gangs.count_starts(plan.starts)
+            plan.starved_gangs.extend(self._beside_gangs.newly_starved)
+
     def _victim_cost(self) -> VictimCost:
         return LOST_WORK if self._gang_starts.is_by_speed else STOPPED_CPU
 
@@ -231,6 +252,7 @@
         if not allowed:
             if step.step.gang:
                 self._quota_gate.claim_quota(candidate)
+                self._report_delay(candidate, WaitReason.QUOTA, runners, state)
             return
         may_place = candidate.job.stored and state.starts_left > 0
         needs_advice = candidate.queue is not None and candidate.queue.advice is not None
@@ -387,6 +409,7 @@
     ) -> None:
         step = candidate.step
         if step.waiting < len(step.tasks):
+            self._report_delay(candidate, WaitReason.FORMER_RUN, runners, state)
             return
         # Until its members are chosen, the gang may turn out to be as slow as the slowest level.
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
@@ -410,6 +433,30 @@
         self._quota_gate.claim_quota(candidate)
         if state.makes_reservations:
             self._reserve_slots_or_request_advice(candidate, runners, state)
+        reason = None if placement is None else WaitReason.FASTER_RUNNERS
+        self._report_delay(candidate, reason, runners, state)
+
+    def _report_delay(
+        self,
+        candidate: Candidate,
+        reason: WaitReason | None,
+        runners: dict[str, RunnerState],
+        state: _PlanState,
+    ) -> None:
+        """Report a gang that has not started, if it is due; without a reason, find it."""
+        if not self._start_delays.take_report(candidate.step.name):
+            return
+        if not candidate.job.stored:
+            reason = WaitReason.NOT_STORED
+        elif reason is None and state.starts_left <= 0:
+            reason = WaitReason.START_LIMIT
+        tickets = NO_TICKETS
+        if candidate.queue is not None and candidate.queue.advice is not None:
+            tickets = self._cell.tickets.of(candidate.step.name)
+        slots = GangSlots(candidate, runners.values(), tickets, state.now)
+        delay = describe_delay(candidate.step, reason, slots, tickets, state.reservations)
+        seconds = self._start_delays.seconds(candidate.step.name)
+        state.plan.gang_delays.append(replace(delay, seconds=seconds))
 
     def _waits_for_faster(
         self,
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -105,6 +105,11 @@
         """Return whether a gang holds a reservation."""
         return step.name in self._reserving_steps
 
+    def start_of(self, step: StepRun) -> float | None:
+        """Return when the reservation of a gang starts, ``None`` if it has none."""
+        starts = (held.at for held in self._by_runner.values() if held.step is step)
+        return next(starts, None)
+
     def unreserved_runners(self, runners: Iterable[RunnerState]) -> list[RunnerState]:
         """Return the runners that no gang has reserved."""
         return [runner for runner in runners if runner.id not in self._by_runner]
@@ -254,6 +259,16 @@
     return _count_slots(demand, free.cpu, free.memory_mb, free.gpu, limit)
 
 
+def count_startable_slots(step: StepRun, runner: RunnerState) -> int:
+    """Return how many more tasks of a step could start on a runner now."""
+    limit = step.step.max_per_runner
+    slots = count_slots(counted_demand(step), runner.free_capacity, limit)
+    if slots and limit:
+        slots = max(0, min(slots, limit - runner.count_step(step.name)))
+    quarantined = any(task.quarantined for task in step.tasks)
+    return slots if slots and runner.accepts_task(quarantined=quarantined) else 0
+
+
 def _count_slots(demand: Demand, cpu: int, memory_mb: int, gpu: int, limit: int) -> int:
     """Return how many tasks fit; takes plain numbers, as building a ``Demand`` is slow here."""
     slots = UNLIMITED
--- a/dandelionreel/cell/owner/_load_report.py
+++ b/dandelionreel/cell/owner/_load_report.py
@@ -104,6 +104,23 @@
                 starts_in=wait.starts_in,
                 max_wait=wait.max_wait,
             )
+        for delay in plan.gang_delays:
+            self._journal.log(
+                Part.PLACEMENT,
+                f'a gang of job {delay.step.job} is ready and waits for {delay.reason.value}.',
+                job=delay.step.job,
+                step=delay.step.step,
+                seconds=round(delay.seconds, 3),
+                tasks=delay.tasks,
+                asked=delay.asked,
+                allowed=delay.allowed,
+                valid_tickets=delay.valid_tickets,
+                pending_requests=delay.pending_requests,
+                allowed_slots=delay.allowed_slots,
+                ticketed_slots=delay.ticketed_slots,
+                unasked_slots=delay.unasked_slots,
+                reserved_in=delay.reserved_in and round(delay.reserved_in, 3),
+            )
 
     def _log_stalled_jobs(self, now: float, unix_time: float, epoch: int) -> None:
         for stalled in self._stalled_jobs.find(now, unix_time):
--- a/dandelionreel/records/_event_kinds.py
+++ b/dandelionreel/records/_event_kinds.py
@@ -72,6 +72,7 @@
         (r'workers: \S+ has ended', EventKind.RUNNER_GONE),
         (r'workers: \S+ has taken the place of ', EventKind.RUNNER_GONE),
         (r'placement: job \S+ makes no progress', EventKind.STALLED),
+        (r'placement: a gang of job \S+ is ready and waits for ', EventKind.WAITING),
         ('workers: a run was lost with ', EventKind.RUN_LOST),
         (r'workers: \S+ has crashed under a task', EventKind.RUN_LOST),
         ('ownership: owns the cell', EventKind.TAKEOVER),
