Reproduce steps that fit twice over and do not start

Change: a simulation of hosts, runners and a policy service in the features, which measures how long a step waits that fits twice over on the runners that its policy allows, while less than half of the processors are in use. The limit is 3 s.

--- a/features/start_delays.feature
+++ b/features/start_delays.feature
@@ -18,3 +18,29 @@
       | reservation  | runners that are reserved for other gangs     |
       | fast runner  | faster runners                                |
       | runner       | a usable runner                               |
+
+  # Guards against a step that waits although it fits twice over on the runners that its policy
+  # allows, and less than half of the processors are in use.
+  Scenario Outline: A step that fits twice over starts within 3 s
+    Given a cell in which <situation>
+    When it is played for <seconds> s
+    Then no step that fits twice over has waited for more than 3 s
+
+    Examples: Single waits
+      | seconds | situation                                                    |
+      | 12      | the runners that a gang knows are taken until long after     |
+      | 12      | more gangs wait than may reserve runners                     |
+      | 12      | a gang waits for faster runners again and again              |
+      | 12      | a quarantined gang knows only runners with unanswered starts |
+      | 12      | a task may not join another one on the only known runner     |
+      | 12      | idle runners are reserved for a gang that starts much later  |
+      | 12      | two requests for the first tickets of a gang fail            |
+      | 12      | a wide step that fits nowhere comes before a small one       |
+
+    # Some gangs never end, some requests fail, and idle runners are replaced all the while.
+    Examples: Many gangs
+      | seconds | situation                                                                           |
+      | 20      | 2 gangs a second may use 0.15 of 176 runners, 0 endless, 0 unanswered, seed 6   |
+      | 20      | 2 gangs a second may use 0.15 of 176 runners, 0.1 endless, 0 unanswered, seed 4 |
+      | 20      | 1 gangs a second may use 0.12 of 100 runners, 0.15 endless, 0 unanswered, seed 8 |
+      | 20      | 2 gangs a second may use 0.3 of 176 runners, 0 endless, 0.1 unanswered, seed 8  |
