--- a/dandelionreel/cell/decisions/_advice_requests.py
+++ b/dandelionreel/cell/decisions/_advice_requests.py
@@ -16,7 +16,7 @@
 from zlib import crc32
 
 from dandelionreel.cell.decisions._cell import Cell
-from dandelionreel.cell.decisions._reservations import Reservation, count_slots
+from dandelionreel.cell.decisions._reservations import Reservation, StepSlots, count_slots
 from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.decisions._speed_preference import (
     NO_PREFERENCE,
@@ -24,6 +24,7 @@
     SpeedPreference,
 )
 from dandelionreel.cell.decisions._step_run import StepRun, counted_demand
+from dandelionreel.cell.decisions._tickets import StepTickets
 from dandelionreel.cell.model import AdvicePolicy, Demand, Queue, StepName
 
 #: The service answers for at most this many runners in one request.
@@ -41,6 +42,9 @@
 #: A runner with more free slots than this is not preferred over others: more tasks of one step
 #: seldom start there, as other steps use the capacity in the meantime.
 SUFFICIENT_SLOTS = 2
+#: A step asks about no new runners while those known to be allowed have this many times the slots
+#: that it needs: other steps may take some of them before its tickets arrive.
+SPARE_SLOTS_FACTOR = 2
 #: Seconds before the start of a reservation at which its tickets should have arrived.
 TICKET_LEAD_SECONDS = 0.25
 
@@ -55,6 +59,44 @@
     advice: AdvicePolicy
 
 
+@dataclass(frozen=True)
+class FreeSlotSearch:
+    """Runners whose free slots a step may use, and how many of them a request may name.
+
+    ``allowed_share`` is the share of new runners that is counted on.
+    """
+
+    runners: list[RunnerState]
+    limit: int
+    allowed_share: float
+
+
+class _FreeSlots:
+    """The runners with slots for a step that are free now, by whether they were asked about."""
+
+    def __init__(self, step: StepRun, runners: Iterable[RunnerState], tickets: StepTickets) -> None:
+        step_slots = StepSlots(step)
+        self._slots_by_runner: dict[str, int] = {}
+        self.known: list[RunnerState] = []
+        self.unasked: list[RunnerState] = []
+        for runner in runners:
+            is_known = runner.id in tickets.allowed
+            if not is_known and runner.id in tickets.asked_runners:
+                continue
+            slots = step_slots.on_runner(runner)
+            if slots:
+                self._slots_by_runner[runner.id] = slots
+                (self.known if is_known else self.unasked).append(runner)
+
+    def count(self, runners: Iterable[RunnerState]) -> int:
+        """Return the number of slots on some of the runners."""
+        return sum(self._slots_by_runner[runner.id] for runner in runners)
+
+    def most_slots_first(self, runner: RunnerState) -> int:
+        """Return a sort key."""
+        return -self._slots_by_runner[runner.id]
+
+
 class AdviceRequests:
     """Builds the requests to the policy service for the steps of one cell."""
 
@@ -94,7 +136,7 @@
             slots_and_runners = [entry for entry in slots_and_runners if entry[0]]
             slots_and_runners.sort(key=_make_hash_sort_key(step.name, zone, preference))
         unasked = [runner for _, runner in slots_and_runners]
-        return self._split_request(queue, step, unasked[: self._count_runners_to_ask(step)])
+        return self._split_request(queue, step, unasked[: self.count_runners_to_ask(step)], now)
 
     def for_expired_tickets(
         self,
@@ -112,16 +154,15 @@
         tickets = self._cell.tickets.of(step.name)
         if not tickets.may_request(now):
             return []
-        demand = counted_demand(step)
-        limit = step.step.max_per_runner
+        step_slots = StepSlots(step)
         chosen = []
         slots_found = 0
         for runner in sorted(runners, key=partial(_make_zone_sort_key, zone, preference)):
-            slots = count_slots(demand, runner.free_capacity, limit)
+            slots = step_slots.on_runner(runner)
             if runner.id in tickets.allowed and slots and slots_found < step.waiting:
                 chosen.append(runner)
                 slots_found += slots
-        return self._split_request(queue, step, chosen)
+        return self._split_request(queue, step, chosen, now)
 
     def for_reservation(
         self,
@@ -146,9 +187,37 @@
             return []
         found = (self._cell.runner_by_id.get(runner) for runner in sorted(tickets.allowed))
         chosen = [runner for runner in found if runner is not None and runner.id not in valid]
-        return self._split_request(queue, step, chosen)
+        return self._split_request(queue, step, chosen, now)
+
+    def for_free_slots(
+        self,
+        queue: Queue,
+        step: StepRun,
+        search: FreeSlotSearch,
+        now: float,
+    ) -> list[AdviceRequest]:
+        """Return requests for the tickets with which a step could start on what is free now.
 
-    def _count_runners_to_ask(self, step: StepRun) -> int:
+        They renew tickets that expire before the answers arrive, and name runners with free slots
+        that were not asked about yet, those with the most slots first. There are none if even
+        these slots are too few: answers would not let the step start.
+        """
+        tickets = self._cell.tickets.of(step.name)
+        if queue.advice is None or not tickets.may_request_again(now):
+            return []
+        free = _FreeSlots(step, search.runners, tickets)
+        needed = len(step.tasks) if step.step.gang else 1
+        known_slots = free.count(free.known)
+        if known_slots + search.allowed_share * free.count(free.unasked) < needed:
+            return []
+        advice_seconds = expected_advice_seconds(queue.advice, search.limit)
+        valid = tickets.valid(now + advice_seconds + TICKET_LEAD_SECONDS)
+        chosen = [runner for runner in free.known if runner.id not in valid]
+        if known_slots < SPARE_SLOTS_FACTOR * needed:
+            chosen.extend(sorted(free.unasked, key=free.most_slots_first))
+        return self._split_request(queue, step, chosen[: search.limit], now)
+
+    def count_runners_to_ask(self, step: StepRun) -> int:
         """Return how many runners to ask about so that the whole step is likely to fit."""
         demand = counted_demand(step)
         per_runner = max(1, self._median_slots(demand, step.step.max_per_runner))
@@ -173,7 +242,7 @@
         return slots[len(slots) // 2] if slots else 1
 
     def _split_request(
-        self, queue: Queue, step: StepRun, runners: list[RunnerState]
+        self, queue: Queue, step: StepRun, runners: list[RunnerState], now: float
     ) -> list[AdviceRequest]:
         if not runners or queue.advice is None:
             return []
@@ -184,7 +253,11 @@
         )
         # Equal parts, as a gang waits for the slowest answer.
         parts = [tuple(ids[number::count]) for number in range(count)]
-        self._cell.tickets.of(step.name).pending += len(parts)
+        tickets = self._cell.tickets.of(step.name)
+        tickets.pending += len(parts)
+        tickets.answers_due_at = (
+            now + _advice_seconds(queue.advice, len(parts[0])) + (TICKET_LEAD_SECONDS)
+        )
         return [AdviceRequest(step.name, part, queue.priority, queue.advice) for part in parts]
 
 
@@ -236,5 +309,8 @@
 
 def expected_advice_seconds(advice: AdvicePolicy, runners: int) -> float:
     """Return the seconds that the policy service takes for a gang's request."""
-    in_one_part = min(MAX_RUNNERS_PER_GANG_REQUEST, runners)
-    return advice.decision_seconds + advice.seconds_per_runner * in_one_part
+    return _advice_seconds(advice, min(MAX_RUNNERS_PER_GANG_REQUEST, runners))
+
+
+def _advice_seconds(advice: AdvicePolicy, runners: int) -> float:
+    return advice.decision_seconds + advice.seconds_per_runner * runners
--- a/dandelionreel/cell/decisions/_gang_delays.py
+++ b/dandelionreel/cell/decisions/_gang_delays.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from dandelionreel.cell.decisions._reservations import Reservations, count_startable_slots
+from dandelionreel.cell.decisions._reservations import Reservations, StepSlots
 from dandelionreel.cell.decisions._runner_choice import has_required_label
 from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.decisions._start_delays import GangDelay, WaitReason
@@ -26,8 +26,9 @@
         """Count the slots on those of the usable ``runners`` that have the required label."""
         step = candidate.step
         self.now = now
+        step_slots = StepSlots(step)
         self._slots_by_runner = {
-            runner.id: count_startable_slots(step, runner)
+            runner.id: step_slots.on_runner(runner)
             for runner in runners
             if has_required_label(step, runner)
         }
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -6,6 +6,7 @@
 from dandelionreel.cell.decisions._account_shares import QuotaBesideGangs, StarvedGang
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest, AdviceRequests
 from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._escalation import Escalation
 from dandelionreel.cell.decisions._gang_delays import (
     NO_TICKETS,
     GangSlots,
@@ -28,7 +29,7 @@
     Reservation,
     Reservations,
     SlotSearch,
-    count_slots,
+    StepSlots,
 )
 from dandelionreel.cell.decisions._runner_choice import (
     TicketedRunner,
@@ -133,6 +134,7 @@
         self._preemption = Preemption(cell)
         self._gang_starts = GangStarts(cell)
         self._start_delays = StartDelays()
+        self._escalation = Escalation(cell, self._start_delays)
         self._reservations = Reservations()
         self._reserved_at = float('-inf')
         self._reserved_for: list[_GangVersion] = []
@@ -158,6 +160,7 @@
             return Plan()
         self._quota_gate.begin_plan(candidates, now, unix_time)
         usable = self._usable_runners_by_service(now)
+        self._escalation.begin_plan(usable)
         self._begin_gangs(candidates, usable)
         makes_reservations = self._renew_reservations(candidates, usable, now)
         requestable_cpu = {
@@ -281,12 +284,12 @@
         not request advice again in each of them.
         """
         step = candidate.step
-        demand = counted_demand(step)
+        step_slots = StepSlots(step)
         count = 0
         startable = self._startable_runners(candidate, (runner for runner, _ in ticketed), state)
         for runner, _ in ticketed:
             if runner.id in startable:
-                count += count_slots(demand, runner.free_capacity, step.step.max_per_runner)
+                count += step_slots.on_runner(runner)
         return count >= step.waiting
 
     def _runners_with_tickets(
@@ -312,32 +315,63 @@
         service = self._cell.service_of(candidate.job)
         if queue is None or queue.advice is None or not _may_request_advice(queue, state):
             return
-        if state.requestable_cpu_by_service[service] <= 0:
+        is_escalated = self._escalation.is_escalated(candidate)
+        if state.requestable_cpu_by_service[service] <= 0 and not is_escalated:
             return
         state.requestable_cpu_by_service[service] -= step.waiting * counted_demand(step).cpu
-        if not self._cell.tickets.of(step.name).may_request(state.now):
-            return
         # Tickets for a reserved runner would expire before the step may start there.
         labelled = _labelled_runners(step, runners)
         startable = self._startable_runners(candidate, labelled, state)
         eligible = [runner for runner in labelled if runner.id in startable]
         requests = []
+        if is_escalated:
+            requests = self._request_free_slots(candidate, queue, eligible, state)
+        if not requests and self._cell.tickets.of(step.name).may_request(state.now):
+            requests = self._request_usual_advice(candidate, queue, eligible, state)
+        _add_advice_requests(queue, requests, state)
+
+    def _request_usual_advice(
+        self,
+        candidate: Candidate,
+        queue: Queue,
+        eligible: list[RunnerState],
+        state: _PlanState,
+    ) -> list[AdviceRequest]:
+        step, zone = candidate.step, candidate.job.submission.zone
+        requests = []
         preference = make_speed_preference(self._cell, candidate, state.now)
-        zone = candidate.job.submission.zone
         if self._cell.tickets.of(step.name).asked_runners:
             requests = self._advice_requests.for_expired_tickets(
                 queue, step, eligible, state.now, zone, preference
             )
-        if not requests:
-            requests = self._advice_requests.for_new_runners(
-                queue, step, eligible, state.now, zone, preference
-            )
-        _add_advice_requests(queue, requests, state)
+        return requests or self._advice_requests.for_new_runners(
+            queue, step, eligible, state.now, zone, preference
+        )
+
+    def _request_free_slots(
+        self,
+        candidate: Candidate,
+        queue: Queue,
+        runners: list[RunnerState],
+        state: _PlanState,
+    ) -> list[AdviceRequest]:
+        """Request the tickets with which a step could start on what is free now."""
+        if state.deferrable_requests_left < 1:
+            return []
+        if not self._start_delays.take_check(candidate.step.name):
+            return []
+        usual_limit = self._advice_requests.count_runners_to_ask(candidate.step)
+        search = self._escalation.search_free_slots(
+            candidate, runners, usual_limit, state.deferrable_requests_left
+        )
+        return self._advice_requests.for_free_slots(queue, candidate.step, search, state.now)
 
     def _startable_runners(
         self, candidate: Candidate, runners: Iterable[RunnerState], state: _PlanState
     ) -> set[str]:
         """Return the runners on which no reservation keeps a task from starting."""
+        if self._escalation.is_escalated(candidate):
+            return {runner.id for runner in runners}
         run_times = self._cell.run_times
         seconds = BACKFILL_MARGIN * run_times.expected_seconds(
             candidate.job.submission.queue, candidate.step.step.estimate
@@ -415,11 +449,13 @@
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
         ends_by = state.now + seconds * BACKFILL_MARGIN
         rank = candidate.rank
-        free = [
-            entry
-            for entry in ticketed
-            if state.reservations.may_start_task(entry[0].id, rank, ends_by)
-        ]
+        free = ticketed
+        if not self._escalation.is_escalated(candidate):
+            free = [
+                entry
+                for entry in ticketed
+                if state.reservations.may_start_task(entry[0].id, rank, ends_by)
+            ]
         placement = None
         if candidate.job.stored and state.starts_left > 0:
             placement = self._gang_starts.choose_placement(candidate, free)
@@ -468,10 +504,13 @@
         # Without a queue, no runners are reserved for the gang while it waits.
         if not placement.level or candidate.queue is None:
             return False
+        allowed = self._allowed_runners(candidate, runners)
+        if self._escalation.takes_slow_runners(candidate, allowed):
+            return False
         return self._gang_starts.should_wait(
             candidate,
             placement,
-            self._allowed_runners(candidate, runners),
+            allowed,
             state.reservations,
             state.now,
             may_reserve=state.makes_reservations,
@@ -492,27 +531,31 @@
             self._reserve_slots(candidate, queue, eligible, eligible, state)
             return
         tickets = self._cell.tickets.of(step.name)
-        if tickets.is_pending and not tickets.asked_runners:
-            return
         reservation = None
-        if not state.reservations.is_full:
+        if tickets.asked_runners and not state.reservations.is_full:
             allowed = self._allowed_runners(candidate, runners)
             valid = tickets.valid(state.now + STOP_LATENCY_SECONDS)
             ready = [runner for runner in allowed if runner.id in valid]
             reservation = self._reserve_slots(candidate, queue, allowed, ready, state)
-        if not _may_request_advice(queue, state) or not tickets.may_request(state.now):
+        if not _may_request_advice(queue, state):
             return
-        if reservation is None:
+        labelled = _labelled_runners(step, runners)
+        requests = []
+        if self._start_delays.is_overdue(step.name) or self._escalation.is_distant(
+            candidate, reservation, state.now
+        ):
+            requests = self._request_free_slots(candidate, queue, labelled, state)
+        if not requests and reservation is not None:
+            requests = self._advice_requests.for_reservation(queue, step, reservation, state.now)
+        elif not requests:
             requests = self._advice_requests.for_new_runners(
                 queue,
                 step,
-                _labelled_runners(step, runners),
+                labelled,
                 state.now,
                 candidate.job.submission.zone,
                 make_speed_preference(self._cell, candidate, state.now),
             )
-        else:
-            requests = self._advice_requests.for_reservation(queue, step, reservation, state.now)
         _add_advice_requests(queue, requests, state)
 
     def _allowed_runners(
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -24,6 +24,9 @@
 #: A task may start on a reserved runner (backfill) if it would end before the reservation starts
 #: even when it takes this many times its estimate.
 BACKFILL_MARGIN = 1.25
+#: Seconds after which a runner with capacity that does not accept a task is expected to do so:
+#: usually a start is answered or a run has stopped by then.
+REFUSAL_SECONDS = 0.5
 #: Larger than any number of slots: stands for "not limited by any resource".
 UNLIMITED = sys.maxsize
 
@@ -149,12 +152,15 @@
     """
     demand = counted_demand(search.step)
     limit = search.step.step.max_per_runner
+    step_slots = StepSlots(search.step)
     slot_gains: list[tuple[float, str, int]] = []
     for runner in runners:
         freed = freed_by_runner.get(runner.id)
         if freed is None:
             freed = freed_by_runner[runner.id] = _accumulate_freed(runner, search.now)
         ready_at = search.ready_at_by_runner.get(runner.id, search.now)
+        if step_slots.is_refused(runner):
+            ready_at = max(ready_at, search.now + REFUSAL_SECONDS)
         for at, gained in _slot_gains(runner, freed, demand, limit, search.now):
             slot_gains.append((max(at, ready_at), runner.id, gained))
     return _choose_earliest_end(search, slot_gains)
@@ -259,14 +265,32 @@
     return _count_slots(demand, free.cpu, free.memory_mb, free.gpu, limit)
 
 
-def count_startable_slots(step: StepRun, runner: RunnerState) -> int:
-    """Return how many more tasks of a step could start on a runner now."""
-    limit = step.step.max_per_runner
-    slots = count_slots(counted_demand(step), runner.free_capacity, limit)
-    if slots and limit:
-        slots = max(0, min(slots, limit - runner.count_step(step.name)))
-    quarantined = any(task.quarantined for task in step.tasks)
-    return slots if slots and runner.accepts_task(quarantined=quarantined) else 0
+class StepSlots:
+    """Counts the tasks of one step that could start on a runner now.
+
+    Searches and placements count alike: a runner that looks free, but refuses the tasks, would be
+    reserved again and again.
+    """
+
+    def __init__(self, step: StepRun) -> None:
+        """Count slots for tasks of ``step``."""
+        self._name = step.name
+        self._demand = counted_demand(step)
+        self._limit = step.step.max_per_runner
+        are_quarantined = (task.quarantined for task in step.tasks)
+        self._quarantined = any(are_quarantined) if step.step.gang else all(are_quarantined)
+
+    def on_runner(self, runner: RunnerState) -> int:
+        """Return how many more tasks could start on a runner."""
+        slots = count_slots(self._demand, runner.free_capacity, self._limit)
+        if slots and self._limit:
+            slots = max(0, min(slots, self._limit - runner.count_step(self._name)))
+        return slots if slots and runner.accepts_task(quarantined=self._quarantined) else 0
+
+    def is_refused(self, runner: RunnerState) -> bool:
+        """Return whether a runner has capacity for the step and could not start its tasks."""
+        slots = count_slots(self._demand, runner.free_capacity, self._limit)
+        return self.on_runner(runner) < slots
 
 
 def _count_slots(demand: Demand, cpu: int, memory_mb: int, gpu: int, limit: int) -> int:
--- a/dandelionreel/cell/decisions/_runner_choice.py
+++ b/dandelionreel/cell/decisions/_runner_choice.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from itertools import accumulate
 
-from dandelionreel.cell.decisions._reservations import count_slots
+from dandelionreel.cell.decisions._reservations import StepSlots
 from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.decisions._speed_levels import SINGLE_LEVEL, SpeedLevels
 from dandelionreel.cell.decisions._speed_preference import NO_PREFERENCE, SpeedPreference
@@ -138,15 +138,12 @@
 ) -> list[_GangSlots]:
     """Return the slots on all runners that can start members of a gang now."""
     demand = counted_demand(step)
-    limit = step.step.max_per_runner
-    quarantined = any(task.quarantined for task in step.tasks)
+    step_slots = StepSlots(step)
     found = []
     for entry in available:
         runner = entry[0]
-        count = count_slots(demand, runner.free_capacity, limit)
-        if limit:
-            count = min(count, limit - runner.count_step(step.name))
-        if count > 0 and runner.accepts_task(quarantined=quarantined):
+        count = step_slots.on_runner(runner)
+        if count:
             share = _remaining_share(demand, runner)
             found.append(_GangSlots(levels.level_of(runner.id), share, count, entry))
     return found
--- a/dandelionreel/cell/decisions/_start_delays.py
+++ b/dandelionreel/cell/decisions/_start_delays.py
@@ -14,6 +14,8 @@
 
 #: Seconds after which a step that is ready, but has not started, is overdue.
 OVERDUE_SECONDS = 1.0
+#: Seconds between two checks whether an overdue step could use the slots that are free.
+CHECK_INTERVAL_SECONDS = 0.2
 #: Seconds between two reports of the same gang, and the gangs in the reports of one plan.
 REPORT_INTERVAL_SECONDS = 4.0
 MAX_REPORTED_GANGS = 5
@@ -61,9 +63,10 @@
 
 @dataclass
 class _Delay:
-    """Since when a step has been ready, and when it was last reported (monotonic seconds)."""
+    """Since when a step has been ready, and its last report and check (monotonic seconds)."""
 
     since: float
+    checked_at: float = float('-inf')
     reported_at: float = float('-inf')
 
 
@@ -94,6 +97,14 @@
         """Return whether a step should have started by now."""
         return self.seconds(step) >= OVERDUE_SECONDS
 
+    def take_check(self, step: StepName) -> bool:
+        """Return whether the free slots are to be searched for a step, and count the search."""
+        delay = self._delay_by_step.get(step)
+        if delay is None or self._now < delay.checked_at + CHECK_INTERVAL_SECONDS:
+            return False
+        delay.checked_at = self._now
+        return True
+
     def take_report(self, step: StepName) -> bool:
         """Return whether a step that waits is due for a report, and count the report."""
         delay = self._delay_by_step.get(step)
--- a/dandelionreel/cell/decisions/_tickets.py
+++ b/dandelionreel/cell/decisions/_tickets.py
@@ -28,6 +28,8 @@
     #: Number of requests that were answered or failed.
     answers: int = 0
     not_before: float = 0.0
+    #: When the answers of the latest requests should have arrived.
+    answers_due_at: float = 0.0
 
     @property
     def is_pending(self) -> bool:
@@ -38,6 +40,10 @@
         """Return whether a request may be sent: none is pending and none failed recently."""
         return not self.is_pending and now >= self.not_before
 
+    def may_request_again(self, now: float) -> bool:
+        """Return whether a request may be sent beside one whose answer is late."""
+        return now >= self.not_before and (not self.is_pending or now >= self.answers_due_at)
+
     def valid(self, now: float) -> dict[str, str]:
         """Return the tickets that are valid at ``now``, by runner."""
         return {
--- a/features/steps/start_delay_steps.py
+++ b/features/steps/start_delay_steps.py
@@ -74,8 +74,9 @@
 
 
 def lack_reservation(small):
-    occupy(small, 1)
-    small.add_job('g0', [step(SLOT, 2, 4.0, gang=True)], 'urgent')
+    # In a cell with more idle capacity, an overdue gang starts there all the same.
+    occupy(small, 2)
+    small.add_job('g0', [step(SLOT, 3, 4.0, gang=True)], 'urgent')
     add_gang(small, 1, seconds=LONG_SECONDS)
 
 
@@ -99,7 +100,7 @@
     'ticket': (lack_ticket, 2),
     'record': (lack_record, 2),
     'former end': (lack_former_end, 2),
-    'reservation': (lack_reservation, 2),
+    'reservation': (lack_reservation, 3),
     'fast runner': (lack_fast_runner, 2),
     'runner': (lack_runner, 2),
 }
