--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -1,11 +1,17 @@
 """Plans which waiting tasks start on which runners. No I/O; the caller passes the time."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dandelionreel.cell.decisions._account_shares import QuotaBesideGangs, StarvedGang
 from dandelionreel.cell.decisions._advice_requests import AdviceRequest, AdviceRequests
 from dandelionreel.cell.decisions._cell import Cell
+from dandelionreel.cell.decisions._escalation import Escalation
+from dandelionreel.cell.decisions._gang_delays import (
+    NO_TICKETS,
+    GangSlots,
+    describe_delay,
+)
 from dandelionreel.cell.decisions._gang_start import GangPlacement, GangStarts, GangWait
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._preemption import (
@@ -23,7 +29,7 @@
     Reservation,
     Reservations,
     SlotSearch,
-    count_slots,
+    StepSlots,
 )
 from dandelionreel.cell.decisions._runner_choice import (
     TicketedRunner,
@@ -32,6 +38,7 @@
 )
 from dandelionreel.cell.decisions._runner_state import Allocation, RunnerState
 from dandelionreel.cell.decisions._speed_preference import URGENT_PRIORITY, make_speed_preference
+from dandelionreel.cell.decisions._start_delays import GangDelay, StartDelays, WaitReason
 from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, counted_demand
 from dandelionreel.cell.decisions._waiting_steps import (
     TOO_LATE,
@@ -60,6 +67,7 @@
     ``speed_groups`` has the number of runners by speed, the fastest first, when gangs begin to be
     placed by speed, and is empty when they cease to be. ``starved_gangs`` are gangs for which the
     other tasks of their account have begun to wait, except those that fit beside them.
+    ``gang_delays`` are overdue gangs that are due for a report, with what they wait for.
     """
 
     starts: list[Allocation] = field(default_factory=list)
@@ -69,6 +77,7 @@
     gang_waits: list[GangWait] = field(default_factory=list)
     speed_groups: list[int] | None = None
     starved_gangs: list[StarvedGang] = field(default_factory=list)
+    gang_delays: list[GangDelay] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -124,6 +133,8 @@
         self._advice_requests = AdviceRequests(cell)
         self._preemption = Preemption(cell)
         self._gang_starts = GangStarts(cell)
+        self._start_delays = StartDelays()
+        self._escalation = Escalation(cell, self._start_delays)
         self._reservations = Reservations()
         self._reserved_at = float('-inf')
         self._reserved_for: list[_GangVersion] = []
@@ -144,14 +155,13 @@
         were made, so a gang's first tickets would expire before its last ones arrive.
         """
         candidates = list_candidates(self._cell, self.order.rank, now, unix_time)
+        self._start_delays.begin_plan(candidates, now)
         if not candidates:
             return Plan()
         self._quota_gate.begin_plan(candidates, now, unix_time)
         usable = self._usable_runners_by_service(now)
-        self._gang_starts.begin_plan(
-            candidates, [runner for runners in usable.values() for runner in runners.values()]
-        )
-        self._preemption.begin_plan(self._victim_cost())
+        self._escalation.begin_plan(usable)
+        self._begin_gangs(candidates, usable)
         makes_reservations = self._renew_reservations(candidates, usable, now)
         requestable_cpu = {
             service: REQUESTED_CPU_FACTOR * _total_free_cpu(runners)
@@ -171,14 +181,28 @@
             runners = state.runners_by_service.get(service)
             if runners:
                 self._plan_step(candidate, runners, state)
-        state.plan.quota_blocked.extend(self._quota_gate.newly_blocked)
-        state.plan.gang_waits.extend(self._gang_starts.new_waits)
-        state.plan.speed_groups = self._gang_starts.new_groups
-        if self._beside_gangs is not None:
-            self._beside_gangs.count_starts(state.plan.starts)
-            state.plan.starved_gangs.extend(self._beside_gangs.newly_starved)
+            elif candidate.step.step.gang:
+                self._report_delay(candidate, WaitReason.NO_RUNNER, {}, state)
+        self._add_new_waits(state.plan)
         return state.plan
 
+    def _begin_gangs(
+        self, candidates: list[Candidate], usable: dict[str, dict[str, RunnerState]]
+    ) -> None:
+        self._gang_starts.begin_plan(
+            candidates, [runner for runners in usable.values() for runner in runners.values()]
+        )
+        self._preemption.begin_plan(self._victim_cost())
+
+    def _add_new_waits(self, plan: Plan) -> None:
+        """Add the jobs and gangs that have begun to wait in this plan."""
+        plan.quota_blocked.extend(self._quota_gate.newly_blocked)
+        plan.gang_waits.extend(self._gang_starts.new_waits)
+        plan.speed_groups = self._gang_starts.new_groups
+        if self._beside_gangs is not None:
+            self._beside_gangs.count_starts(plan.starts)
+            plan.starved_gangs.extend(self._beside_gangs.newly_starved)
+
     def _victim_cost(self) -> VictimCost:
         return LOST_WORK if self._gang_starts.is_by_speed else STOPPED_CPU
 
@@ -231,6 +255,7 @@
         if not allowed:
             if step.step.gang:
                 self._quota_gate.claim_quota(candidate)
+                self._report_delay(candidate, WaitReason.QUOTA, runners, state)
             return
         may_place = candidate.job.stored and state.starts_left > 0
         needs_advice = candidate.queue is not None and candidate.queue.advice is not None
@@ -259,12 +284,12 @@
         not request advice again in each of them.
         """
         step = candidate.step
-        demand = counted_demand(step)
+        step_slots = StepSlots(step)
         count = 0
         startable = self._startable_runners(candidate, (runner for runner, _ in ticketed), state)
         for runner, _ in ticketed:
             if runner.id in startable:
-                count += count_slots(demand, runner.free_capacity, step.step.max_per_runner)
+                count += step_slots.on_runner(runner)
         return count >= step.waiting
 
     def _runners_with_tickets(
@@ -290,32 +315,63 @@
         service = self._cell.service_of(candidate.job)
         if queue is None or queue.advice is None or not _may_request_advice(queue, state):
             return
-        if state.requestable_cpu_by_service[service] <= 0:
+        is_escalated = self._escalation.is_escalated(candidate)
+        if state.requestable_cpu_by_service[service] <= 0 and not is_escalated:
             return
         state.requestable_cpu_by_service[service] -= step.waiting * counted_demand(step).cpu
-        if not self._cell.tickets.of(step.name).may_request(state.now):
-            return
         # Tickets for a reserved runner would expire before the step may start there.
         labelled = _labelled_runners(step, runners)
         startable = self._startable_runners(candidate, labelled, state)
         eligible = [runner for runner in labelled if runner.id in startable]
         requests = []
+        if is_escalated:
+            requests = self._request_free_slots(candidate, queue, eligible, state)
+        if not requests and self._cell.tickets.of(step.name).may_request(state.now):
+            requests = self._request_usual_advice(candidate, queue, eligible, state)
+        _add_advice_requests(queue, requests, state)
+
+    def _request_usual_advice(
+        self,
+        candidate: Candidate,
+        queue: Queue,
+        eligible: list[RunnerState],
+        state: _PlanState,
+    ) -> list[AdviceRequest]:
+        step, zone = candidate.step, candidate.job.submission.zone
+        requests = []
         preference = make_speed_preference(self._cell, candidate, state.now)
-        zone = candidate.job.submission.zone
         if self._cell.tickets.of(step.name).asked_runners:
             requests = self._advice_requests.for_expired_tickets(
                 queue, step, eligible, state.now, zone, preference
             )
-        if not requests:
-            requests = self._advice_requests.for_new_runners(
-                queue, step, eligible, state.now, zone, preference
-            )
-        _add_advice_requests(queue, requests, state)
+        return requests or self._advice_requests.for_new_runners(
+            queue, step, eligible, state.now, zone, preference
+        )
+
+    def _request_free_slots(
+        self,
+        candidate: Candidate,
+        queue: Queue,
+        runners: list[RunnerState],
+        state: _PlanState,
+    ) -> list[AdviceRequest]:
+        """Request the tickets with which a step could start on what is free now."""
+        if state.deferrable_requests_left < 1:
+            return []
+        if not self._start_delays.take_check(candidate.step.name):
+            return []
+        usual_limit = self._advice_requests.count_runners_to_ask(candidate.step)
+        search = self._escalation.search_free_slots(
+            candidate, runners, usual_limit, state.deferrable_requests_left
+        )
+        return self._advice_requests.for_free_slots(queue, candidate.step, search, state.now)
 
     def _startable_runners(
         self, candidate: Candidate, runners: Iterable[RunnerState], state: _PlanState
     ) -> set[str]:
         """Return the runners on which no reservation keeps a task from starting."""
+        if self._escalation.is_escalated(candidate):
+            return {runner.id for runner in runners}
         run_times = self._cell.run_times
         seconds = BACKFILL_MARGIN * run_times.expected_seconds(
             candidate.job.submission.queue, candidate.step.step.estimate
@@ -387,16 +443,19 @@
     ) -> None:
         step = candidate.step
         if step.waiting < len(step.tasks):
+            self._report_delay(candidate, WaitReason.FORMER_RUN, runners, state)
             return
         # Until its members are chosen, the gang may turn out to be as slow as the slowest level.
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
         ends_by = state.now + seconds * BACKFILL_MARGIN
         rank = candidate.rank
-        free = [
-            entry
-            for entry in ticketed
-            if state.reservations.may_start_task(entry[0].id, rank, ends_by)
-        ]
+        free = ticketed
+        if not self._escalation.is_escalated(candidate):
+            free = [
+                entry
+                for entry in ticketed
+                if state.reservations.may_start_task(entry[0].id, rank, ends_by)
+            ]
         placement = None
         if candidate.job.stored and state.starts_left > 0:
             placement = self._gang_starts.choose_placement(candidate, free)
@@ -410,6 +469,30 @@
         self._quota_gate.claim_quota(candidate)
         if state.makes_reservations:
             self._reserve_slots_or_request_advice(candidate, runners, state)
+        reason = None if placement is None else WaitReason.FASTER_RUNNERS
+        self._report_delay(candidate, reason, runners, state)
+
+    def _report_delay(
+        self,
+        candidate: Candidate,
+        reason: WaitReason | None,
+        runners: dict[str, RunnerState],
+        state: _PlanState,
+    ) -> None:
+        """Report a gang that has not started, if it is due; without a reason, find it."""
+        if not self._start_delays.take_report(candidate.step.name):
+            return
+        if not candidate.job.stored:
+            reason = WaitReason.NOT_STORED
+        elif reason is None and state.starts_left <= 0:
+            reason = WaitReason.START_LIMIT
+        tickets = NO_TICKETS
+        if candidate.queue is not None and candidate.queue.advice is not None:
+            tickets = self._cell.tickets.of(candidate.step.name)
+        slots = GangSlots(candidate, runners.values(), tickets, state.now)
+        delay = describe_delay(candidate.step, reason, slots, tickets, state.reservations)
+        seconds = self._start_delays.seconds(candidate.step.name)
+        state.plan.gang_delays.append(replace(delay, seconds=seconds))
 
     def _waits_for_faster(
         self,
@@ -421,10 +504,13 @@
         # Without a queue, no runners are reserved for the gang while it waits.
         if not placement.level or candidate.queue is None:
             return False
+        allowed = self._allowed_runners(candidate, runners)
+        if self._escalation.takes_slow_runners(candidate, allowed):
+            return False
         return self._gang_starts.should_wait(
             candidate,
             placement,
-            self._allowed_runners(candidate, runners),
+            allowed,
             state.reservations,
             state.now,
             may_reserve=state.makes_reservations,
@@ -445,27 +531,31 @@
             self._reserve_slots(candidate, queue, eligible, eligible, state)
             return
         tickets = self._cell.tickets.of(step.name)
-        if tickets.is_pending and not tickets.asked_runners:
-            return
         reservation = None
-        if not state.reservations.is_full:
+        if tickets.asked_runners and not state.reservations.is_full:
             allowed = self._allowed_runners(candidate, runners)
             valid = tickets.valid(state.now + STOP_LATENCY_SECONDS)
             ready = [runner for runner in allowed if runner.id in valid]
             reservation = self._reserve_slots(candidate, queue, allowed, ready, state)
-        if not _may_request_advice(queue, state) or not tickets.may_request(state.now):
+        if not _may_request_advice(queue, state):
             return
-        if reservation is None:
+        labelled = _labelled_runners(step, runners)
+        requests = []
+        if self._start_delays.is_overdue(step.name) or self._escalation.is_distant(
+            candidate, reservation, state.now
+        ):
+            requests = self._request_free_slots(candidate, queue, labelled, state)
+        if not requests and reservation is not None:
+            requests = self._advice_requests.for_reservation(queue, step, reservation, state.now)
+        elif not requests:
             requests = self._advice_requests.for_new_runners(
                 queue,
                 step,
-                _labelled_runners(step, runners),
+                labelled,
                 state.now,
                 candidate.job.submission.zone,
                 make_speed_preference(self._cell, candidate, state.now),
             )
-        else:
-            requests = self._advice_requests.for_reservation(queue, step, reservation, state.now)
         _add_advice_requests(queue, requests, state)
 
     def _allowed_runners(
