The line of a stalled job names the wait of each step

Cause: 'makes no progress' had the counts of a step and its tickets. They do not tell a wait for advice from one for capacity, for unseen runners, for former runs or for a step that was refused as invalid. Five older jobs kept a newly stalled one out of the log, also in an idle cell, and a run that was being stopped postponed the line by twice its expected duration.

--- a/features/reports.feature
+++ b/features/reports.feature
@@ -38,6 +38,30 @@
       | whose long-running tasks are all placed         |
       | whose step depends on another that does not end |
 
+  # Guards against a stalled job whose log line leaves open which wait it is in.
+  Scenario Outline: A stalled job is logged with the wait that it is in
+    Given an owner of 2 runners with a stalled <job>
+    When nothing changes for 4 seconds
+    Then the line of the stalled job says that its step waits for <wait>
+
+    Examples:
+      | job                                   | wait                                      |
+      | job that may run on an unseen runner  | w9 not seen                               |
+      | job that may run on any runner        | w9 not seen, and it may have runs on any  |
+      | job that is not stored                | the submission to be stored               |
+      | job whose start was invalid           | 6.0 s after an invalid start              |
+      | gang with one run being stopped       | 1 runs to end, 0 of them starting, 1 stop |
+      | job without a usable runner           | usable runners (2 suspect)                |
+      | job that fits nowhere                 | capacity, 0 slots are free (2 usable)     |
+      | job whose advice is requested         | advice requested (32 slots, 2 usable)     |
+      | job without valid tickets             | advice or reserved runners, 0 slots have  |
+
+  # Guards against a newly stalled job that older ones keep out of the log of an idle cell.
+  Scenario: More stalled jobs than a report of a busy cell has
+    Given an owner of 2 runners with 7 jobs of which no task is placed
+    When nothing changes for 4 seconds
+    Then the log names 7 stalled jobs
+
   Scenario: More known failures than are allowed
     Given a list of known failures of 4 lines
     Then CI rejects the list
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from dandelionreel.cell.model import StepName
 from dandelionreel.cell.model._model import JobState
 from dandelionreel.cell.model._records import Progress
 from dandelionreel.cell.owner._load_report import LoadReport
@@ -143,6 +144,51 @@
     context.small.plan()
 
 
+@given('an owner of 2 runners with {count:d} jobs of which no task is placed')
+def many_stalled_jobs(context, count):
+    make_owner(context, step(seconds=0.5))
+    for number in range(2, count + 1):
+        context.small.add_job(f'j{number}', [step(seconds=0.5)])
+
+
+@given('an owner of 2 runners with a stalled {job}')
+def stalled_job_in_wait(context, job):
+    gang = job.startswith('gang')
+    make_owner(context, step(seconds=0.5, gang=gang, count=2 if gang else 1))
+    small = context.small
+    added = small.cell.job_by_id['j1']
+    cell = small.cell
+    if 'advice' in job or 'tickets' in job:
+        cell.forget_job('j1', small.now)
+        small.add_job('j1', [step(seconds=0.5)], queue='advised')
+        small.plan()
+    if 'tickets' in job:
+        cell.tickets.record_advice(task_step('j1'), ('w1', 'w2'), (), small.now)
+    if 'unseen' in job or 'any runner' in job:
+        cell.unseen_runners.add('w9')
+        added.runners.add('w9' if 'unseen' in job else '*')
+    if 'not stored' in job:
+        added.stored = False
+    if 'invalid' in job:
+        added.steps(0)[0].not_before = small.now + 10
+    if gang:
+        first, second = small.plan().starts
+        cell.stop_run(first)
+        small.poll(second.runner, ended=[(1, second.task, second.run, 'stopped')])
+        small.poll(first.runner, running=[(first.task, first.run)])
+    for state in cell.runner_by_id.values():
+        state.suspect = 'usable' in job
+    if 'nowhere' in job:
+        small.add_job('filling', [step(RUNNER_MILLICORES, count=2)], queue='batch')
+        cell.unfinished_job_by_id.pop('j1')
+        small.plan()
+        cell.unfinished_job_by_id['j1'] = added
+
+
+def task_step(job):
+    return StepName(job, 0, 0)
+
+
 @when('nothing changes for {seconds:d} seconds')
 def nothing_changes(context, seconds):
     now = context.small.now
@@ -163,6 +209,19 @@
     assert not fields['runs'], fields
 
 
+@then('the line of the stalled job says that its step waits for {wait}')
+def wait_named(context, wait):
+    (fields,) = [line for line in stall_lines(context) if line['job'] == 'j1']
+    (described,) = fields['steps']
+    assert f'; waits for {wait}' in described, described
+
+
+@then('the log names {count:d} stalled jobs')
+def stalls_named(context, count):
+    jobs = {fields['job'] for fields in stall_lines(context)}
+    assert len(jobs) == count, jobs
+
+
 @then('it is not logged again within {seconds:d} seconds, and once more after {later:d}')
 def stall_repeated(context, seconds, later):
     nothing_changes(context, seconds - 1)
