A failing scenario: each owner waits anew for unseen runners

Cause: an owner waits for the leases on runners that it has not reached: 11.3 s from its claim, 8.7 s if the owner before it has ended. It cannot know that the owner before it never reached such a runner either, so the wait starts anew with each owner, also with one to which the cell is handed over 1.5 s after a claim. The sum over several owners has no bound.

Change: a scenario in virtual time, with owners that follow one another while w9 is silent. Its bound is the time for which a job may be without a run, 14 s.

--- a/features/wait.feature
+++ b/features/wait.feature
@@ -48,3 +48,18 @@
     Given a host that has long known the owner
     When it reads a snapshot with a later heartbeat of that owner
     Then the owner counts as heard from just now
+
+  # Guards against a wait for leases that starts anew with each owner: a job may be without a run for
+  # 14 s (finish_s).
+  Scenario Outline: Owners follow one another while a runner does not answer
+    Given an owner that was lost, with a job on w9, which does not answer
+    When <count> owners follow it, each of which is lost after <seconds> s
+    Then the job on w9 waits until the leases of the lost owner have expired
+    And it can start within 14 s after the loss
+
+    Examples:
+      | count | seconds |
+      | 0     | 0       |
+      | 1     | 1.5     |
+      | 2     | 3.3     |
+      | 1     | 9       |
