A successor does not wait anew for runners that no owner has reached

What callers saw: a job that may have a run on a silent runner was not started for 11.3 s from each claim. With a hand-over 1.5 s after the first claim that is 14.8 s after the loss of the first owner, with further owners more, without a limit; a job may be without a run for 14 s.

Cause: a successor takes every runner in use for one on which the owner before it may have granted leases. It cannot see that this owner has never reached the runner.

Change: an owner stores which runners it has not reached 0.7 s into its term and later, with the runners in use, and grants no lease and sends no start there until a record without them is stored. Its successor waits there for the leases of earlier owners only, whose end the owner record has as 'unsettled', from its last heartbeat on. This counts for the owner of the next epoch only: with an epoch between them, another owner may have granted leases and stored nothing. Records of earlier builds name no such runners, and are waited for as before.

Three further scenarios check that such a runner gets no lease while it is named, that all leases are waited for afterwards and after a skipped epoch, and that a runner silent for a whole term blocks nothing in the next.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -283,6 +283,20 @@
         'self.expire_at = now + self._max_lease_seconds',
         'wait.feature:REACHES',
     ),
+    Guard(
+        'an owner grants no lease on a runner that the store names as unreached',
+        'cell/owner/_runner_poller.py',
+        'if state.id in self._owner_context.unreached_runners.withheld:',
+        'if False:',
+        'wait.feature:UNREACHED',
+    ),
+    Guard(
+        'a record of unreached runners counts for the next owner only',
+        'cell/owner/_predecessor_leases.py',
+        'if former is None or term.epoch != former.epoch + 1:',
+        'if former is None:',
+        'wait.feature:CONSECUTIVE',
+    ),
     Guard(
         'only a current owner removes members',
         'cell/owner/_member_cleanup.py',
@@ -334,6 +348,8 @@
     'LAST LEASE': 'grants while the store does not answer',
     'REACHES': 'only the previous owner reaches',
     'MEMBER': 'An owner queries a member',
+    'UNREACHED': 'has named it as unreached',
+    'CONSECUTIVE': 'is not that of the consecutive epoch',
 }
 
 
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -173,15 +173,17 @@
     leases_end: UnsettledSeconds = UNKNOWN_LEASES_END_SECONDS
 
 
-class RunnersInUse(msgspec.Struct, frozen=True):
+class RunnersInUse(msgspec.Struct, frozen=True, omit_defaults=True):
     """The runners on which an owner's tasks may run.
 
     Stored before the first start on a runner, so that a successor waits only for leases of these
-    runners.
+    runners. On the ``unreached`` ones this owner has granted no lease, and grants none before a
+    later record leaves them out.
     """
 
     epoch: Count
     runners: tuple[str, ...]
+    unreached: tuple[str, ...] = ()
 
 
 class RunnerSpeed(msgspec.Struct, frozen=True, array_like=True):
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -281,14 +281,16 @@
     def _unsettled_seconds(self) -> float:
         """Return for how many more seconds leases of earlier owners may last on unseen runners.
 
-        Unseen runners are those that this owner has not polled successfully yet. Every owner
-        record has this time, including the record of a release. Otherwise a successor would only
-        wait for this owner's last lease while an earlier owner still renews others.
+        Unseen runners are those that this owner has not polled successfully yet, or that the store
+        still names as such. Every owner record has this time, including the record of a release.
+        Otherwise a successor would only wait for this owner's last lease while an earlier owner
+        still renews others.
         """
-        if not self.cell.unseen_runners:
-            return 0.0
-        remaining = self._periodic_checks.predecessor_leases.expire_at - self._clock.monotonic()
-        return round(max(0.0, remaining), 2)
+        leases = self._periodic_checks.predecessor_leases
+        unsettled = self.cell.unseen_runners | self._owner_context.unreached_runners.withheld
+        now = self._clock.monotonic()
+        expire_at = max((leases.expire_at_on(runner) for runner in unsettled), default=now)
+        return round(max(0.0, expire_at - now), 2)
 
     def _make_heartbeat(self) -> tuple[KeyedRecord, int]:
         """Return the next heartbeat, and the number of refused jobs that its digest covers."""
@@ -319,7 +321,7 @@
 
     async def _store_heartbeats(self) -> None:
         """Store heartbeats until the term ends; a heartbeat after the release would revoke it."""
-        stored: frozenset[str] = frozenset()
+        stored: RunnersInUse | None = None
         while not self._owner_context.end_reason:
             heartbeat, refused_count = self._make_heartbeat()
             records = [heartbeat]
@@ -327,12 +329,10 @@
                 records.extend(self._refusals.make_corrections())
             # Includes runners that only a former owner has seen: if this owner is killed, its
             # successor has to wait for them as well.
-            runners_in_use = frozenset(self.cell.runner_by_id) | self.cell.unseen_runners
+            runners_in_use = self._make_runners_in_use()
             if runners_in_use != stored:
-                runners_record = RunnersInUse(
-                    self._owner_context.term.epoch, tuple(sorted(runners_in_use))
-                )
-                records.append(make_record(RUNNERS_IN_USE_KEY, runners_record))
+                records.append(make_record(RUNNERS_IN_USE_KEY, runners_in_use))
+                stored = None
             records.extend(self._speed_records.take_due_records(self._clock.monotonic()))
             outcome = await self._owner_context.store_progress(
                 self.cell.take_dirty_jobs(), *records
@@ -346,16 +346,26 @@
                 stored = runners_in_use
                 if self._refusals is not None:
                     await self._refusals.record_stored_heartbeat(refused_count)
-                await self._enable_recorded_runners(stored)
+                await self._enable_recorded_runners(runners_in_use)
             if self._refusals is None:
                 await curio.sleep(HEARTBEAT_SECONDS)
             else:
                 await self._refusals.pause_between_heartbeats()
 
-    async def _enable_recorded_runners(self, stored: frozenset[str]) -> None:
-        """Allow tasks on the runners that are now recorded in the store."""
+    def _make_runners_in_use(self) -> RunnersInUse:
+        """Return the runners to store, with those on which no lease is granted from now on."""
+        runners = self.cell.runner_by_id.keys() | self.cell.unseen_runners
+        unreached = self._owner_context.unreached_runners.name_runners(self._clock.monotonic())
+        epoch = self._owner_context.term.epoch
+        return RunnersInUse(epoch, tuple(sorted(runners)), tuple(sorted(unreached)))
+
+    async def _enable_recorded_runners(self, stored: RunnersInUse) -> None:
+        """Allow leases and tasks on the runners that the newest record in the store allows."""
+        unreached = frozenset(stored.unreached)
+        self._owner_context.unreached_runners.record_stored(unreached)
+        startable = frozenset(stored.runners) - unreached
         for runner_id, state in self.cell.runner_by_id.items():
-            if runner_id in stored and not state.recorded:
+            if runner_id in startable and not state.recorded:
                 state.recorded = True
                 await self._owner_context.plan_needed.notify()
 
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -18,6 +18,7 @@
 )
 from dandelionreel.cell.owner._pacing import Pacing
 from dandelionreel.cell.owner._predecessor_leases import MAX_CLOCK_READING_AGE_SECONDS
+from dandelionreel.cell.owner._unreached_runners import UnreachedRunners
 from dandelionreel.cell.store import GroupWriter, WriteOutcome
 from dandelionreel.kernel import ChangeNotifier, Clock, Journal, Part, seconds_or_none
 
@@ -75,6 +76,7 @@
         #: Whether this owner is short of processor time, and the limits that follow.
         self.pacing = Pacing()
         self.lease = min(LEASE_SECONDS, max_lease)
+        self.unreached_runners = UnreachedRunners(cell, clock.monotonic())
         self.writer = GroupWriter(topic, clock, journal, term.fence)
         claimed_at = term.claimed_at
         self.writer.stored_at = clock.monotonic() if claimed_at is None else claimed_at
--- a/dandelionreel/cell/owner/_periodic_checks.py
+++ b/dandelionreel/cell/owner/_periodic_checks.py
@@ -1,5 +1,6 @@
 """Checks that the owner makes ten times a second because no event triggers them."""
 
+from collections.abc import Iterable
 from contextlib import AsyncExitStack
 
 import curio
@@ -22,7 +23,10 @@
 from dandelionreel.cell.owner._dependencies import DispatcherDependencies
 from dandelionreel.cell.owner._load_report import LoadReport
 from dandelionreel.cell.owner._owner_context import OwnerContext
-from dandelionreel.cell.owner._predecessor_leases import PredecessorLeases
+from dandelionreel.cell.owner._predecessor_leases import (
+    PredecessorLeases,
+    find_unreached_runners,
+)
 from dandelionreel.cell.owner._runner_poller import RunnerPoller
 from dandelionreel.cell.owner._succession import Succession
 from dandelionreel.kernel import Part, seconds_or_none, start_task
@@ -56,7 +60,10 @@
             dependencies.host,
         )
         self.predecessor_leases = PredecessorLeases(
-            context.term, context.lease, dependencies.clock.monotonic()
+            context.term,
+            context.lease,
+            dependencies.clock.monotonic(),
+            find_unreached_runners(context.term, dependencies.jobs.state),
         )
         self._last_deletion_at = float('-inf')
         self._runner_list_was_fresh = True
@@ -145,7 +152,9 @@
         """
         self._cell.unseen_runners.update(self._dependencies.jobs.state.runners_possibly_in_use())
         self._log_unseen_runners(
-            'blocks the jobs that may run on runners that have not answered yet.', now
+            'blocks the jobs that may run on runners that have not answered yet.',
+            now,
+            self._cell.unseen_runners,
         )
 
     def _drop_unseen_runners(self, now: float) -> None:
@@ -154,11 +163,17 @@
             return
         self._drop_replaced_runners()
         if self.predecessor_leases.shorten_if_owner_ended(self._dependencies.jobs.state, now):
-            self._log_unseen_runners('the former owner has ended.', now)
-        if now > self.predecessor_leases.expire_at:
-            unseen = tuple(self._cell.unseen_runners)
-            self._log_unseen_runners('takes the leases on unseen runners for run out.', now)
-            self._owner_context.log_crashes(self._cell.drop_unseen_runners(unseen))
+            self._log_unseen_runners('the former owner has ended.', now, self._cell.unseen_runners)
+        expired = [
+            runner
+            for runner in self._cell.unseen_runners
+            if now > self.predecessor_leases.expire_at_on(runner)
+        ]
+        if expired:
+            self._log_unseen_runners(
+                'takes the leases on unseen runners for run out.', now, expired
+            )
+            self._owner_context.log_crashes(self._cell.drop_unseen_runners(expired))
 
     def _drop_replaced_runners(self) -> None:
         """Treat tasks as ended if their runner was replaced by a later incarnation of it."""
@@ -173,15 +188,18 @@
         )
         self._owner_context.log_crashes(self._cell.drop_unseen_runners(replaced))
 
-    def _log_unseen_runners(self, sentence: str, now: float) -> None:
+    def _log_unseen_runners(self, sentence: str, now: float, runners: Iterable[str]) -> None:
+        leases = self.predecessor_leases
         self._journal.log(
             Part.OWNERSHIP,
             sentence,
             epoch=self._owner_context.term.epoch,
-            runners=sorted(self._cell.unseen_runners),
-            seconds=round(self.predecessor_leases.expire_at - now, 3),
-            former_silent=round(self.predecessor_leases.silent_seconds, 3),
-            former_ended=self.predecessor_leases.former_owner_ended,
+            runners=sorted(runners),
+            seconds=round(leases.expire_at - now, 3),
+            unreached_seconds=round(leases.unreached_expire_at - now, 3),
+            unreached=sorted(leases.unreached),
+            former_silent=round(leases.silent_seconds, 3),
+            former_ended=leases.former_owner_ended,
             unsettled=self._owner_context.term.unsettled,
         )
 
--- a/dandelionreel/cell/owner/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -51,8 +51,7 @@
 
     async def _poll_runner_once(self, state: RunnerState, runner: Runner) -> None:
         sent_at = self._owner_context.clock.monotonic()
-        lease = self._owner_context.lease_for(state, sent_at)
-        lease_until = state.renew_lease(sent_at, lease)
+        lease_until = self._renew_lease(state, sent_at)
         unstored = state.acknowledged_end < state.acknowledgeable_end
         wait = self._long_poll_seconds(state) if lease_until is not None and not unstored else 0
         acknowledged = state.acknowledged_end
@@ -83,11 +82,20 @@
             await self._start_storing_ends(state, effect)
             if unstored and state.acknowledged_end < state.acknowledgeable_end:
                 await curio.sleep(POLL_RETRY_SECONDS)
-        if not view.complete or state.acknowledgeable_end < state.processed_end:
-            # The runner answers at once while it has an unacknowledged end, so polls would follow
-            # each other without a pause.
+        if (
+            not view.complete
+            or state.acknowledgeable_end < state.processed_end
+            or state.id in self._owner_context.unreached_runners.withheld
+        ):
+            # The runner answers at once while it has an unacknowledged end or gets no lease, so
+            # polls would follow each other without a pause.
             await curio.sleep(POLL_RETRY_SECONDS)
 
+    def _renew_lease(self, state: RunnerState, now: float) -> float | None:
+        if state.id in self._owner_context.unreached_runners.withheld:
+            return None
+        return state.renew_lease(now, self._owner_context.lease_for(state, now))
+
     def _long_poll_seconds(self, state: RunnerState) -> float:
         """Return the long-poll time in seconds for a runner in this state."""
         if not state.allocation_by_run:
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -212,6 +212,12 @@
             runners.update(progress.runners)
         return runners
 
+    def unreached_runners(self, epoch: int) -> frozenset[str]:
+        """Return the runners on which the owner with this epoch has granted no lease."""
+        if self.runners_in_use is None or self.runners_in_use.epoch != epoch:
+            return frozenset()
+        return frozenset(self.runners_in_use.unreached)
+
     def current_owner_has_ended(self) -> bool:
         """Return whether the owner's process has been replaced by a later one on its host."""
         return self.owner is not None and self.process_has_ended(self.owner)
--- a/features/steps/successor_wait_steps.py
+++ b/features/steps/successor_wait_steps.py
@@ -67,11 +67,15 @@
         self.dispatcher._periodic_checks._drop_unseen_runners(self.now)
         return cell.is_blocked(cell.job_by_id['j1'])
 
-    def claim(self):
+    @property
+    def stored_runners(self):
+        return self._read_store().projection.state.runners_in_use
+
+    def claim(self, skipped_epochs=0):
         """Let the next owner claim the cell, and poll w1 but not w9."""
         self.clock.advance(CLAIM_SECONDS)
         former = self._read_store().projection.state.owner
-        epoch = former.epoch + 1
+        epoch = former.epoch + 1 + skipped_epochs
         name = f'h{epoch}'
         claim = Owner(
             epoch,
@@ -96,6 +100,7 @@
         registrations = {runner: make_registration(runner) for runner in ('w1', 'w9')}
         cell = self.dispatcher.cell
         cell.update_runners(registrations, self.now)
+        cell.runner_by_id['w9'].suspect = True
         cell.handle_view(cell.runner_by_id['w1'], make_view(self.now), self.now, self.now)
 
     def act(self, seconds):
@@ -152,3 +157,64 @@
     while owners.is_blocked:
         owners.clock.advance(0.1)
     assert owners.now - owners.lost_at <= seconds, owners.now - owners.lost_at
+
+
+@then('that job can start, also once another owner has claimed the cell')
+def not_blocked_again(context):
+    assert not context.owners.is_blocked
+    context.owners.claim()
+    assert not context.owners.is_blocked
+
+
+@when('an owner follows it for {seconds:g} s')
+def owner_follows(context, seconds):
+    owners_follow(context, 1, seconds)
+
+
+@when('an owner follows it for {seconds:g} s, and w9 then answers')
+def runner_answers(context, seconds):
+    owners = context.owners
+    owner_follows(context, seconds)
+    context.runner = AnsweringRunner(owners.clock)
+    for _ in range(3):
+        owners.poll(context.runner)
+
+
+@then('it grants no lease on w9 before the store names w9 no longer')
+def no_lease(context):
+    owners = context.owners
+    assert owners.stored_runners.unreached == ('w9',), owners.stored_runners
+    assert context.runner.leases == [None, None, None], context.runner.leases
+    context.was_usable = owners.dispatcher.cell.runner_by_id['w9'].is_usable(owners.now)
+    owners.act(HEARTBEAT_SECONDS)
+    assert owners.stored_runners.unreached == (), owners.stored_runners
+    owners.poll(context.runner)
+    assert context.runner.leases[-1] is not None
+
+
+@then('a task is started there only from then on')
+def startable(context):
+    assert not context.was_usable
+    owners = context.owners
+    assert owners.dispatcher.cell.runner_by_id['w9'].is_usable(owners.now)
+
+
+@when('an owner follows it for {seconds:g} s, and the one after it skips an epoch')
+def epoch_skipped(context, seconds):
+    owner_follows(context, seconds)
+    context.owners.claim(skipped_epochs=1)
+
+
+@then('the owner after it waits for all leases of it')
+def waits_for_its_leases(context):
+    context.owners.claim()
+    waits_for_leases(context)
+
+
+@then('it waits for all leases that an owner between them may have granted')
+def waits_for_leases(context):
+    owners = context.owners
+    claimed_at = owners.now
+    while owners.is_blocked:
+        owners.clock.advance(0.1)
+    assert owners.now - claimed_at >= LEASES_END_SECONDS - CLAIM_SECONDS
--- a/features/wait.feature
+++ b/features/wait.feature
@@ -63,3 +63,25 @@
       | 1     | 1.5     |
       | 2     | 3.3     |
       | 1     | 9       |
+
+  # Guards against a wait that starts anew although all leases on the runner have expired.
+  Scenario: A runner does not answer throughout the term of an owner
+    Given an owner that was lost, with a job on w9, which does not answer
+    When an owner follows it for 20 s
+    Then that job can start, also once another owner has claimed the cell
+
+  # Guards against tasks that run twice because an owner between two others has granted leases and
+  # stored nothing.
+  Scenario: The record of unreached runners is not that of the consecutive epoch
+    Given an owner that was lost, with a job on w9, which does not answer
+    When an owner follows it for 3 s, and the one after it skips an epoch
+    Then it waits for all leases that an owner between them may have granted
+
+  # Guards against tasks that run twice because an owner grants leases on a runner that its successor
+  # does not wait for.
+  Scenario: A runner answers an owner after the store has named it as unreached
+    Given an owner that was lost, with a job on w9, which does not answer
+    When an owner follows it for 3 s, and w9 then answers
+    Then it grants no lease on w9 before the store names w9 no longer
+    And a task is started there only from then on
+    And the owner after it waits for all leases of it
