Failing: a run is taken for ended while its lease lasts

Cause: an owner that has named a runner as unreached grants it no lease, so its state of the runner has no end of a lease. When the runner has answered once and then fails a poll, all leases on it count as expired (RunnerState._lease_until is 0), though the run that it lists has a lease of an earlier owner. Its task is started again elsewhere while the former run lives.

--- a/features/steps/successor_wait_steps.py
+++ b/features/steps/successor_wait_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from dandelionreel.cell.membership._election import HEARTBEAT_SECONDS, Term
-from dandelionreel.cell.model import WriterFence
+from dandelionreel.cell.model import RunnerError, WriterFence
 from dandelionreel.cell.model._model import JobSpec, JobState
 from dandelionreel.cell.model._records import (
     LEASES_END_SECONDS,
@@ -18,9 +18,10 @@
     Submission,
     make_record,
 )
+from dandelionreel.cell.owner._owner_context import LEASE_SECONDS
 from dandelionreel.cell.owner._runner_poller import RunnerPoller
-from dandelionreel.kernel import ManualClock
-from features.cell_parts import make_registration, make_view, step
+from dandelionreel.kernel import ManualClock, Verdict
+from features.cell_parts import make_registration, make_view, step, task
 from features.store_parts import Host, make_dispatcher, until
 from standins import MemoryTopic
 
@@ -40,6 +41,16 @@
         return make_view(self._clock.monotonic())
 
 
+class OnceAnsweringRunner(AnsweringRunner):
+    """A runner that lists a run in its first answer, and gives no other answer."""
+
+    async def poll(self, epoch, acknowledged, lease_until, wait):
+        self.leases.append(lease_until)
+        if len(self.leases) > 1:
+            raise RunnerError('reset', Verdict.UNKNOWN, connection_broken=True)
+        return make_view(self._clock.monotonic(), running=((task('j1'), 1),))
+
+
 class Owners:
     """Owners of one cell, one after the other, on a simulated clock."""
 
@@ -218,3 +229,20 @@
     while owners.is_blocked:
         owners.clock.advance(0.1)
     assert owners.now - claimed_at >= LEASES_END_SECONDS - CLAIM_SECONDS
+
+
+@when('an owner follows it for {seconds:g} s, and w9 answers one poll, with the run of the job')
+def runner_answers_once(context, seconds):
+    owners = context.owners
+    owner_follows(context, seconds)
+    runner = OnceAnsweringRunner(owners.clock)
+    for _ in range(2):
+        owners.poll(runner)
+
+
+@then('that run counts as running while w9 answers no more')
+def run_is_kept(context):
+    owners = context.owners
+    state = owners.dispatcher.cell.runner_by_id['w9']
+    assert owners.now - owners.lost_at < LEASE_SECONDS
+    assert (task('j1'), 1) in state.allocation_by_run, state.allocation_by_run
--- a/features/wait.feature
+++ b/features/wait.feature
@@ -85,3 +85,10 @@
     Then it grants no lease on w9 before the store names w9 no longer
     And a task is started there only from then on
     And the owner after it waits for all leases of it
+
+  # Guards against tasks that run twice because a runner without a lease of its owner counts as one
+  # on which all leases have expired.
+  Scenario: A runner answers an owner once before it may have a lease
+    Given an owner that was lost, with a job on w9, which does not answer
+    When an owner follows it for 1.5 s, and w9 answers one poll, with the run of the job
+    Then that run counts as running while w9 answers no more
