A runner without a lease of its owner keeps the leases of earlier owners

What callers saw: none, found in review: a task may run twice. Cause: an owner that has named a runner as unreached sends it no lease. Its state of the runner then has no end of a lease, so after one answer and one failed poll all leases on it counted as expired, and the runs that it had just listed as ended.

Change: each poll of such a runner counts like one that grants a lease. A lease of an earlier owner was granted before the runner's first answer to this one, so it ends no later than a lease of full length that is granted after this answer.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -290,6 +290,13 @@
         'if False:',
         'wait.feature:UNREACHED',
     ),
+    Guard(
+        'the leases of earlier owners last on a runner without a lease of its owner',
+        'cell/owner/_runner_poller.py',
+        'state.renew_lease(now, self._owner_context.lease)',
+        'pass',
+        'wait.feature:LISTS',
+    ),
     Guard(
         'a record of unreached runners counts for the next owner only',
         'cell/owner/_predecessor_leases.py',
@@ -349,6 +356,7 @@
     'REACHES': 'only the previous owner reaches',
     'MEMBER': 'An owner queries a member',
     'UNREACHED': 'has named it as unreached',
+    'LISTS': 'answers an owner once',
     'CONSECUTIVE': 'is not that of the consecutive epoch',
 }
 
--- a/dandelionreel/cell/owner/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -93,6 +93,8 @@
 
     def _renew_lease(self, state: RunnerState, now: float) -> float | None:
         if state.id in self._owner_context.unreached_runners.withheld:
+            # A lease of an earlier owner may last as long as one that is granted now.
+            state.renew_lease(now, self._owner_context.lease)
             return None
         return state.renew_lease(now, self._owner_context.lease_for(state, now))
 
