Failing: overdue single tasks take the runners that a gang has reserved

Cause: Escalation counts a service as idle by its free processors only. In one that is short of memory, two fifths of the processors are free all the time, so each single task that has waited for a second starts on any runner, reserved or not. A gang that needs several whole runners is never next, though it was ready earlier.

Change: a scenario with ten runners, whose memory is used up by tasks of 3 s that arrive every 0.13 s, and a gang that needs the memory of six.

--- a/features/start_delays.feature
+++ b/features/start_delays.feature
@@ -44,3 +44,10 @@
       | 20      | 2 gangs a second may use 0.15 of 176 runners, 0.1 endless, 0 unanswered, seed 4 |
       | 20      | 1 gangs a second may use 0.12 of 100 runners, 0.15 endless, 0 unanswered, seed 8 |
       | 20      | 2 gangs a second may use 0.3 of 176 runners, 0 endless, 0.1 unanswered, seed 8  |
+
+  # Guards against a gang that never starts in a cell that is short of memory but not of processors:
+  # overdue single tasks take the runners that it has reserved.
+  Scenario: Single tasks arrive while a gang waits for memory
+    Given a cell whose memory is used up by single tasks of 3 s, and whose processors are half idle
+    When a gang that needs the memory of six runners joins them
+    Then it starts within 14 s
--- a/features/steps/start_simulation_steps.py
+++ b/features/steps/start_simulation_steps.py
@@ -12,6 +12,9 @@
 #: The largest gang of the random arrivals, in tasks.
 MAX_GANG = 40
 REPLACEMENT_SECONDS = 1.0
+SINGLE_TASK_INTERVAL_SECONDS = 0.13
+#: A quarter of the processors and half of the memory of a runner.
+HALF_OF_MEMORY = type(CAPACITY)(8000, CAPACITY.memory_mb // 2, 0)
 
 
 def fill(simulation, runners, seconds, estimate=None):
@@ -186,3 +189,41 @@
 def no_long_wait(context):
     seconds, job = context.simulation.longest_wait()
     assert seconds <= LIMIT_SECONDS, f'{job} has waited for {seconds:.2f} s'
+
+
+class SingleTasks:
+    """Submits single tasks steadily; two of them take the memory of a runner."""
+
+    def __init__(self, simulation):
+        self._simulation = simulation
+        self._arrives_at = simulation.now
+
+    def add_task(self):
+        """Add the task that is due."""
+        simulation = self._simulation
+        if simulation.now < self._arrives_at:
+            return
+        self._arrives_at += SINGLE_TASK_INTERVAL_SECONDS
+        name = f's{len(simulation.seconds_by_job)}'
+        simulation.submit(name, HALF_OF_MEMORY, 1, 3.0, 'plain')
+
+
+@given('a cell whose memory is used up by single tasks of 3 s, and whose processors are half idle')
+def memory_used_up(context):
+    context.simulation = StartSimulation(10)
+    context.simulation.on_tick = SingleTasks(context.simulation).add_task
+    context.simulation.advance(6.0)
+
+
+@when('a gang that needs the memory of six runners joins them')
+def gang_joins(context):
+    demand = type(CAPACITY)(8000, CAPACITY.memory_mb, 0)
+    context.job = context.simulation.submit('g', demand, 6, 3.0, 'plain', gang=True)
+
+
+@then('it starts within {seconds:g} s')
+def gang_starts(context, seconds):
+    began_at, step = context.simulation.now, context.job.steps(0)[0]
+    while step.waiting:
+        assert context.simulation.now - began_at <= seconds
+        context.simulation.advance(0.1)
