--- a/dandelionreel/cell/decisions/_tickets.py
+++ b/dandelionreel/cell/decisions/_tickets.py
@@ -28,6 +28,10 @@
     #: Number of requests that were answered or failed.
     answers: int = 0
     not_before: float = 0.0
+    #: Number of requests in a row that failed.
+    failures: int = 0
+    #: When the answers of the latest requests should have arrived.
+    answers_due_at: float = 0.0
 
     @property
     def is_pending(self) -> bool:
@@ -38,6 +42,10 @@
         """Return whether a request may be sent: none is pending and none failed recently."""
         return not self.is_pending and now >= self.not_before
 
+    def may_request_again(self, now: float) -> bool:
+        """Return whether a request may be sent beside one whose answer is late."""
+        return now >= self.not_before and (not self.is_pending or now >= self.answers_due_at)
+
     def valid(self, now: float) -> dict[str, str]:
         """Return the tickets that are valid at ``now``, by runner."""
         return {
@@ -77,6 +85,7 @@
         tickets = self.of(step)
         tickets.pending = max(0, tickets.pending - 1)
         tickets.answers += 1
+        tickets.failures = 0
         tickets.asked_runners.update(asked_runners)
         for permit in permits:
             tickets.allowed.add(permit.runner)
@@ -88,6 +97,7 @@
         tickets = self.of(step)
         tickets.pending = max(0, tickets.pending - 1)
         tickets.answers += 1
+        tickets.failures += 1
         tickets.not_before = not_before
 
     def revoke(self, step: StepName, runner: str) -> None:
