--- a/features/advice.feature
+++ b/features/advice.feature
@@ -44,6 +44,26 @@
     Then each request ends once and is answered within 2 s
     And there are 2 calls
 
+  # Guards against a second call for each request while the service is slow for all hosts.
+  Scenario: Calls beside an unanswered one use a quarter of the hosts at most
+    Given 40 hosts whose calls take 0.73 s
+    When all calls of 20 urgent requests take twice as long in the pool
+    Then each request ends once and is answered within 2 s
+    And there are at most 30 calls in all
+
+  # Guards against three calls instead of one in each repetition while the service refuses all.
+  Scenario: Hosts that have just failed get no second calls
+    Given 5 hosts whose calls take 0.73 s
+    When all calls are refused for 2 s in the pool
+    Then there are at most 25 calls in all
+
+  # Guards against a call that waits in the service behind one whose connection was cut.
+  Scenario: A host whose call was cut is not used until the service has handled that call
+    Given 1 hosts whose calls take 0.73 s
+    When the connection to the first host is cut in the pool
+    Then each request ends once and is answered within 2 s
+    And no call waits in the service behind another one of its host
+
   # Guards against a request that waits for its last call although that is overdue.
   Scenario: A request whose three calls are lost is repeated when the last one is overdue
     Given 41 hosts whose calls take 0.73 s
--- a/features/steps/advice_pool_steps.py
+++ b/features/steps/advice_pool_steps.py
@@ -131,6 +131,20 @@
     await submit_one(run)
 
 
+async def refuse_all_calls(run):
+    for host in run.hosts.members:
+        run.hosts.faults_by_host[host] = [REFUSED] * ALWAYS
+    await run.submit('j0')
+    await curio.sleep(2)
+
+
+async def slow_down_all_hosts(run):
+    run.hosts.factor_by_host = dict.fromkeys(run.hosts.members, 2)
+    for number in range(20):
+        await run.submit(f'j{number}', priority=0)
+    await curio.sleep(15)
+
+
 async def cut_first_call(run):
     run.hosts.faults_by_host[OWN_HOST] = [CUT]
     await submit_one(run)
@@ -199,6 +213,8 @@
     'the first three calls are lost': lose_three_calls,
     'the first call raises an error of the program': break_first_call,
     'the first call is refused by each host': refuse_first_calls,
+    'all calls are refused for 2 s': refuse_all_calls,
+    'all calls of 20 urgent requests take twice as long': slow_down_all_hosts,
     'the connection to the first host is cut': cut_first_call,
     "the own host's calls are all lost": never_answer_own_host,
     "the own host's calls are all refused": refuse_own_host,
@@ -316,6 +332,11 @@
     assert len(context.hosts.calls) == count, context.hosts.calls
 
 
+@then('there are at most {count:d} calls in all')
+def check_most_calls_in_all(context, count):
+    assert len(context.hosts.calls) <= count, len(context.hosts.calls)
+
+
 @then('there are at most {factor:g} calls for each request')
 def check_most_calls(context, factor):
     run = context.pool_run
