A stopping daemon answers requests until its listener is closed

Callers of a daemon that was told to stop lost requests at its end: it kept its listener open while it wrote its leave records, up to two seconds each with a slow log, and ended with the requests that had come meanwhile in progress. Its forwarded requests ended with it, too.

The daemon ends its server as entry hosts do, before it writes its leave records: all connections are closed by then. A second signal, which skips the waits, leaves half a second in which open requests get their verdict. Forwarded requests that come while the records are written are awaited.

--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -483,13 +483,14 @@
         in_flight = InFlightCounter()
         in_flight.add(lambda: self._router.in_flight)
         in_flight.add(lambda: self._callers_server.requests_in_progress)
+        in_flight.add(lambda: self._peer_server.count_in_progress(Forward))
         await self._lifecycle.drain(
             self._claimer,
             in_flight,
             self._zone_writer,
             self._cell_writer,
             self.own_member,
-            self._callers_server.disable_keep_alive,
+            self._callers_server,
         )
 
     def _was_declared_ended(self) -> bool:
--- a/dandelionreel/entry_stop.py
+++ b/dandelionreel/entry_stop.py
@@ -54,7 +54,7 @@
         deletion = await curio.spawn(delete_member_record, daemon=True)
         drained = await drain_server(
             self._clients,
-            deadline,
+            lambda: deadline,
             self._clock.monotonic,
             lambda: bool(self._peers.count_in_progress(Forward)) or not deletion.terminated,
         )
--- a/dandelionreel/http/_drain.py
+++ b/dandelionreel/http/_drain.py
@@ -28,22 +28,23 @@
 
 async def drain_server(
     server: Server,
-    deadline: float,
+    get_deadline: Callable[[], float],
     now: Callable[[], float],
     is_busy: Callable[[], bool],
 ) -> DrainResult:
     """Stop accepting connections, and return once all are closed and ``is_busy()`` is false.
 
-    Requests are handled until shortly before ``deadline``, in seconds of ``now()``. Those that come
-    later are refused. At the end, those that are open get the verdict that is true then.
+    Requests are handled until shortly before ``get_deadline()``, in seconds of ``now()``. Those
+    that come later are refused. At the end, those that are open get the verdict that is true then.
     """
     await server.stop_accepting()
     ended: list[str] = []
-    while now() < deadline and (server.open_connections or is_busy()):
+    while now() < get_deadline() and (server.open_connections or is_busy()):
         server.close_idle_connections(IDLE_SECONDS)
-        if now() >= deadline - REFUSAL_SECONDS:
+        remaining = get_deadline() - now()
+        if remaining <= REFUSAL_SECONDS:
             server.refuse_requests()
-        if now() >= deadline - LAST_ANSWER_SECONDS:
+        if remaining <= LAST_ANSWER_SECONDS:
             ended.extend(await server.end_requests())
         await curio.sleep(POLL_SECONDS)
     return DrainResult(server.refused_requests, tuple(ended))
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -135,10 +135,6 @@
         stack.push_async_callback(self._cancel_tasks)
         self._accept_task = await start_task(stack, self._accept_connections, sock)
 
-    def disable_keep_alive(self) -> None:
-        """Close each connection after its current response from now on."""
-        self._keep_alive_disabled = True
-
     async def stop_accepting(self) -> None:
         """Take the connections that wait in the listener's queue, then close the listener.
 
--- a/dandelionreel/life.py
+++ b/dandelionreel/life.py
@@ -1,16 +1,21 @@
 """Readiness of a daemon, and the sequence of its shutdown."""
 
+import math
 from collections.abc import Callable
+from dataclasses import asdict
 
 import curio
 
 from dandelionreel.backing import LogError, StreamReader, StreamWriter
 from dandelionreel.contracts import ContractProjection
+from dandelionreel.http import Server, drain_server
 from dandelionreel.kernel import Clock, Journal, Part, Settings
 from dandelionreel.ownership import Left, ShardClaimer
 
 POLL_SECONDS = 0.1
 LEAVE_WRITE_SECONDS = 2.0
+#: Seconds in which open requests are ended once the waits of the drain are skipped.
+SKIPPED_DRAIN_SECONDS = 0.5
 
 
 class Lifecycle:
@@ -33,7 +38,8 @@
         self._contracts = contracts
         self._journal = journal
         self.stopping = False
-        self.drain_skipped = False
+        #: When the drain ends, in monotonic seconds.
+        self._drain_deadline = math.inf
         self.stop_requested = curio.Event()
         #: Set once the gossip of a peer shows the same contracts as this daemon knows.
         self.peer_contracts_match = False
@@ -57,7 +63,8 @@
     async def request_stop(self) -> None:
         """Begin a graceful stop; a second call skips the waits of the drain."""
         if self.stopping:
-            self.drain_skipped = True
+            skipped_deadline = self._clock.monotonic() + SKIPPED_DRAIN_SECONDS
+            self._drain_deadline = min(self._drain_deadline, skipped_deadline)
         self.stopping = True
         await self.stop_requested.set()
 
@@ -68,26 +75,38 @@
         zone_writer: StreamWriter,
         cell_writer: StreamWriter,
         own_member: str,
-        finish_connections: Callable[[], None],
+        callers: Server,
     ) -> None:
         """Report not ready, hand over all shards, finish the requests and write leave records.
 
-        Once the load balancer must have noticed, ``finish_connections`` makes each
-        answer close its connection, so that no caller sends a request on a
-        connection that ends with this process.
+        Once the load balancer must have noticed, ``callers`` accepts no connections any more, and
+        closes those that it has after their answers.
         """
         timings = self._settings.timings
-        self._journal.log(Part.LIFE, 'is stopping and reports not ready.')
+        self._log_load('is stopping and reports not ready.', callers)
         await self._wait_unless_skipped(timings.drain_balancer_lag)
-        finish_connections()
         claimer.draining = True
-        deadline = self._clock.monotonic() + timings.drain_limit
-        while self._clock.monotonic() < deadline and not self.drain_skipped:
-            if not in_flight.count() and not claimer.owned_claims():
-                break
-            await curio.sleep(POLL_SECONDS)
+        self._drain_deadline = min(
+            self._drain_deadline, self._clock.monotonic() + timings.drain_limit
+        )
+        drained = await drain_server(
+            callers,
+            lambda: self._drain_deadline,
+            self._clock.monotonic,
+            lambda: bool(in_flight.count() or claimer.owned_claims()),
+        )
+        for request in drained.ended:
+            self._journal.log(Part.LIFE, f'ends {request} at the end of its drain.')
         await self._write_leave_records(claimer, zone_writer, cell_writer, own_member)
-        self._journal.log(Part.LIFE, 'has stopped.')
+        # Peers may have forwarded requests before they read the leave records.
+        while in_flight.count() and self._clock.monotonic() < self._drain_deadline:
+            await curio.sleep(POLL_SECONDS)
+        for request in callers.list_open_requests():
+            self._journal.log(Part.LIFE, f'stops without an answer to {request}.')
+        self._log_load('has stopped.', callers, refused=drained.refused)
+
+    def _log_load(self, sentence: str, callers: Server, **fields: int) -> None:
+        self._journal.log(Part.LIFE, sentence, **fields, **asdict(callers.measure_load()))
 
     async def _write_leave_records(
         self,
@@ -109,7 +128,7 @@
 
     async def _wait_unless_skipped(self, seconds: float) -> None:
         deadline = self._clock.monotonic() + seconds
-        while self._clock.monotonic() < deadline and not self.drain_skipped:
+        while self._clock.monotonic() < min(deadline, self._drain_deadline):
             await curio.sleep(POLL_SECONDS)
 
 
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -27,7 +27,12 @@
 )
 from standins._memory_topic import MemoryTopic
 from standins._narrow_link import NarrowLink
-from standins._persistent_clients import ClientExchange, ClientPace, PersistentClients
+from standins._persistent_clients import (
+    ClientExchange,
+    ClientPace,
+    PersistentClients,
+    encode_request,
+)
 from standins._relay import ANY_NAME, Cut, Cuts
 from standins._state_watch import StateWatch
 from standins._users_platform import AccountRow, PlatformRunner, Run, UsersPlatform
@@ -53,6 +58,7 @@
     'StateWatch',
     'UsersPlatform',
     'count_crashes_by_task',
+    'encode_request',
     'exchange',
     'find_duplicate_runs',
     'find_overallocated_runners',
