A late process ends its open requests after its grace, too

A process that was late for the whole rest of its grace ended without an answer to what was at work: the drain looked at its deadline first. It now ends open requests once more after its last round.

--- a/dandelionreel/http/_drain.py
+++ b/dandelionreel/http/_drain.py
@@ -47,4 +47,6 @@
         if remaining <= LAST_ANSWER_SECONDS:
             ended.extend(await server.end_requests())
         await curio.sleep(POLL_SECONDS)
+    # A late process may have missed the last seconds.
+    ended.extend(await server.end_requests())
     return DrainResult(server.refused_requests, tuple(ended))
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -17,6 +17,7 @@
       | a POST that is at work until the end of the grace  | 504    | unknown | 1.2   | 1.55 |
       | a GET that is at work until the end of the grace   | 503    | not_run | 1.2   | 1.55 |
       | a POST whose end comes when the grace has nearly ended | 503    | not_run | 1.2   | 1.55 |
+      | a POST that is at work while the process is late beyond its grace | 504 | unknown | 1.6 | 1.9 |
       | a body whose end never arrives                     | 503    | not_run | 1.2   | 1.55 |
 
   # Guards against forwarded requests that are cut as the process ends.
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -172,6 +172,11 @@
     return sock
 
 
+def _send_beyond_grace(context):
+    context.server.late_seconds = 1.6
+    return _send_long_call(context)
+
+
 def _send_long_read(context):
     return _send_long_call(context, 'GET')
 
@@ -197,6 +202,7 @@
 SENDERS = {
     'a new connection that the late process has not yet accepted': _send_unaccepted,
     'bytes that the late process has not yet read': _send_unread,
+    'a POST that is at work while the process is late beyond its grace': _send_beyond_grace,
     'a head whose end arrives after the notice': _send_head_in_halves,
     'a body whose end arrives after the notice': _send_body_in_halves,
     'a call while the member record is being deleted': _send_during_deletion,
