The comparison of gang starts knows the range of its speeds again

Cause: KnownSpeeds did not call the constructor of RunTimes, which since then has the low and the high speed: bench.gang_starts ended with an AttributeError in its first plan.

Change: it is called, and the two speeds are those of the load.

--- a/bench/gang_starts.py
+++ b/bench/gang_starts.py
@@ -37,6 +37,9 @@
 
     def __init__(self, speed_by_runner: dict[str, float], seed: int) -> None:
         """Know the speeds of some runners."""
+        super().__init__()
+        self._low_speed = min(speed_by_runner.values())
+        self._high_speed = max(speed_by_runner.values())
         self._speed_by_runner = {
             name: speed * random.Random(f'{name}{seed}').lognormvariate(0, LEARNED_SPEED_SIGMA)
             for name, speed in speed_by_runner.items()
