The search for overdue steps costs runners plus steps, not their product

Cause: each overdue gang searched all runners for free slots in a plan: 595 calls for each additional runner with 80 gangs in a full cell, where questions.feature allows 40.

Change: a plan searches for 10 steps at most, the least recently searched first, each 5 times a second at most, and only among runners with free processors; reports count slots on the same runners.

--- a/dandelionreel/cell/decisions/_advice_requests.py
+++ b/dandelionreel/cell/decisions/_advice_requests.py
@@ -61,14 +61,15 @@
 
 @dataclass(frozen=True)
 class FreeSlotSearch:
-    """Runners whose free slots a step may use, and how many of them a request may name.
+    """Runners whose free slots a step may use, and how many of them its requests may name.
 
-    ``allowed_share`` is the share of new runners that is counted on.
+    ``allowed_share`` is the share of new runners that is counted on. Without a limit, as many are
+    named as for a step that asks for the first time.
     """
 
     runners: list[RunnerState]
-    limit: int
     allowed_share: float
+    limit: int | None = None
 
 
 class _FreeSlots:
@@ -136,7 +137,7 @@
             slots_and_runners = [entry for entry in slots_and_runners if entry[0]]
             slots_and_runners.sort(key=_make_hash_sort_key(step.name, zone, preference))
         unasked = [runner for _, runner in slots_and_runners]
-        return self._split_request(queue, step, unasked[: self.count_runners_to_ask(step)], now)
+        return self._split_request(queue, step, unasked[: self._count_runners_to_ask(step)], now)
 
     def for_expired_tickets(
         self,
@@ -210,14 +211,15 @@
         known_slots = free.count(free.known)
         if known_slots + search.allowed_share * free.count(free.unasked) < needed:
             return []
-        advice_seconds = expected_advice_seconds(queue.advice, search.limit)
+        limit = search.limit or self._count_runners_to_ask(step)
+        advice_seconds = expected_advice_seconds(queue.advice, limit)
         valid = tickets.valid(now + advice_seconds + TICKET_LEAD_SECONDS)
         chosen = [runner for runner in free.known if runner.id not in valid]
         if known_slots < SPARE_SLOTS_FACTOR * needed:
             chosen.extend(sorted(free.unasked, key=free.most_slots_first))
-        return self._split_request(queue, step, chosen[: search.limit], now)
+        return self._split_request(queue, step, chosen[:limit], now)
 
-    def count_runners_to_ask(self, step: StepRun) -> int:
+    def _count_runners_to_ask(self, step: StepRun) -> int:
         """Return how many runners to ask about so that the whole step is likely to fit."""
         demand = counted_demand(step)
         per_runner = max(1, self._median_slots(demand, step.step.max_per_runner))
--- a/dandelionreel/cell/decisions/_escalation.py
+++ b/dandelionreel/cell/decisions/_escalation.py
@@ -19,6 +19,7 @@
 )
 from dandelionreel.cell.decisions._cell import Cell
 from dandelionreel.cell.decisions._reservations import Reservation, StepSlots
+from dandelionreel.cell.decisions._runner_choice import has_required_label
 from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.decisions._start_delays import StartDelays
 from dandelionreel.cell.decisions._waiting_steps import Candidate
@@ -38,12 +39,22 @@
         self._cell = cell
         self._delays = delays
         self._idle_services: set[str] = set()
+        self._runners_with_room: dict[str, list[RunnerState]] = {}
 
     def begin_plan(self, usable: dict[str, dict[str, RunnerState]]) -> None:
         """Begin a plan with the usable runners by service."""
         self._idle_services = {
             service for service, runners in usable.items() if _is_idle(runners.values())
         }
+        self._runners_with_room = {
+            service: [runner for runner in runners.values() if runner.free_capacity.cpu > 0]
+            for service, runners in usable.items()
+        }
+
+    def runners_with_room(self, candidate: Candidate) -> list[RunnerState]:
+        """Return the runners with free CPU and the label that a step requires."""
+        runners = self._runners_with_room.get(self._cell.service_of(candidate.job), [])
+        return [runner for runner in runners if has_required_label(candidate.step, runner)]
 
     def is_escalated(self, candidate: Candidate) -> bool:
         """Return whether a step is overdue in spite of idle capacity."""
@@ -75,22 +86,20 @@
         return reservation.at > now + advice_seconds + TICKET_LEAD_SECONDS
 
     def search_free_slots(
-        self,
-        candidate: Candidate,
-        runners: list[RunnerState],
-        usual_limit: int,
-        requests_left: float,
-    ) -> FreeSlotSearch:
-        """Return how many of the runners a step may ask about.
+        self, candidate: Candidate, runners: list[RunnerState], requests_left: float
+    ) -> FreeSlotSearch | None:
+        """Return which of the runners a step may ask about, ``None`` if it does not ask now.
 
         A step that is not escalated names as many as usual, and only if it is likely to fit. An
         escalated one names all, as far as hosts are free to send the requests: otherwise its first
         tickets would expire before the last ones arrive.
         """
+        if requests_left < 1 or not self._delays.may_search(candidate.step.name):
+            return None
         if not self.is_escalated(candidate):
-            return FreeSlotSearch(runners, usual_limit, EXPECTED_ALLOWED_SHARE)
+            return FreeSlotSearch(runners, EXPECTED_ALLOWED_SHARE)
         requests = min(requests_left, len(runners))
-        return FreeSlotSearch(runners, int(requests) * MAX_RUNNERS_PER_GANG_REQUEST, 1.0)
+        return FreeSlotSearch(runners, 1.0, int(requests) * MAX_RUNNERS_PER_GANG_REQUEST)
 
 
 def _is_idle(runners: Iterable[RunnerState]) -> bool:
--- a/dandelionreel/cell/decisions/_gang_delays.py
+++ b/dandelionreel/cell/decisions/_gang_delays.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 
 from dandelionreel.cell.decisions._reservations import Reservations, StepSlots
-from dandelionreel.cell.decisions._runner_choice import has_required_label
 from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.decisions._start_delays import GangDelay, WaitReason
 from dandelionreel.cell.decisions._step_run import StepRun
@@ -23,15 +22,11 @@
         tickets: StepTickets,
         now: float,
     ) -> None:
-        """Count the slots on those of the usable ``runners`` that have the required label."""
+        """Count the slots on usable ``runners`` with the required label."""
         step = candidate.step
         self.now = now
         step_slots = StepSlots(step)
-        self._slots_by_runner = {
-            runner.id: step_slots.on_runner(runner)
-            for runner in runners
-            if has_required_label(step, runner)
-        }
+        self._slots_by_runner = {runner.id: step_slots.on_runner(runner) for runner in runners}
         self.needs_advice = candidate.queue is not None and candidate.queue.advice is not None
         self.known = set(self._slots_by_runner)
         self.ticketed = self.known
@@ -84,7 +79,7 @@
         tasks=len(step.tasks),
         asked=len(tickets.asked_runners),
         allowed=len(tickets.allowed),
-        valid_tickets=len(slots.ticketed) if slots.needs_advice else 0,
+        valid_tickets=len(tickets.valid(slots.now)),
         pending_requests=tickets.pending,
         allowed_slots=slots.count(slots.known),
         ticketed_slots=slots.count(slots.ticketed),
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -182,7 +182,7 @@
             if runners:
                 self._plan_step(candidate, runners, state)
             elif candidate.step.step.gang:
-                self._report_delay(candidate, WaitReason.NO_RUNNER, {}, state)
+                self._report_delay(candidate, WaitReason.NO_RUNNER, state)
         self._add_new_waits(state.plan)
         return state.plan
 
@@ -255,7 +255,7 @@
         if not allowed:
             if step.step.gang:
                 self._quota_gate.claim_quota(candidate)
-                self._report_delay(candidate, WaitReason.QUOTA, runners, state)
+                self._report_delay(candidate, WaitReason.QUOTA, state)
             return
         may_place = candidate.job.stored and state.starts_left > 0
         needs_advice = candidate.queue is not None and candidate.queue.advice is not None
@@ -356,14 +356,11 @@
         state: _PlanState,
     ) -> list[AdviceRequest]:
         """Request the tickets with which a step could start on what is free now."""
-        if state.deferrable_requests_left < 1:
-            return []
-        if not self._start_delays.take_check(candidate.step.name):
-            return []
-        usual_limit = self._advice_requests.count_runners_to_ask(candidate.step)
         search = self._escalation.search_free_slots(
-            candidate, runners, usual_limit, state.deferrable_requests_left
+            candidate, runners, state.deferrable_requests_left
         )
+        if search is None:
+            return []
         return self._advice_requests.for_free_slots(queue, candidate.step, search, state.now)
 
     def _startable_runners(
@@ -443,7 +440,7 @@
     ) -> None:
         step = candidate.step
         if step.waiting < len(step.tasks):
-            self._report_delay(candidate, WaitReason.FORMER_RUN, runners, state)
+            self._report_delay(candidate, WaitReason.FORMER_RUN, state)
             return
         # Until its members are chosen, the gang may turn out to be as slow as the slowest level.
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
@@ -470,13 +467,12 @@
         if state.makes_reservations:
             self._reserve_slots_or_request_advice(candidate, runners, state)
         reason = None if placement is None else WaitReason.FASTER_RUNNERS
-        self._report_delay(candidate, reason, runners, state)
+        self._report_delay(candidate, reason, state)
 
     def _report_delay(
         self,
         candidate: Candidate,
         reason: WaitReason | None,
-        runners: dict[str, RunnerState],
         state: _PlanState,
     ) -> None:
         """Report a gang that has not started, if it is due; without a reason, find it."""
@@ -489,7 +485,8 @@
         tickets = NO_TICKETS
         if candidate.queue is not None and candidate.queue.advice is not None:
             tickets = self._cell.tickets.of(candidate.step.name)
-        slots = GangSlots(candidate, runners.values(), tickets, state.now)
+        with_room = self._escalation.runners_with_room(candidate)
+        slots = GangSlots(candidate, with_room, tickets, state.now)
         delay = describe_delay(candidate.step, reason, slots, tickets, state.reservations)
         seconds = self._start_delays.seconds(candidate.step.name)
         state.plan.gang_delays.append(replace(delay, seconds=seconds))
@@ -539,19 +536,19 @@
             reservation = self._reserve_slots(candidate, queue, allowed, ready, state)
         if not _may_request_advice(queue, state):
             return
-        labelled = _labelled_runners(step, runners)
         requests = []
         if self._start_delays.is_overdue(step.name) or self._escalation.is_distant(
             candidate, reservation, state.now
         ):
-            requests = self._request_free_slots(candidate, queue, labelled, state)
+            with_room = self._escalation.runners_with_room(candidate)
+            requests = self._request_free_slots(candidate, queue, with_room, state)
         if not requests and reservation is not None:
             requests = self._advice_requests.for_reservation(queue, step, reservation, state.now)
-        elif not requests:
+        elif not requests and tickets.may_request(state.now):
             requests = self._advice_requests.for_new_runners(
                 queue,
                 step,
-                labelled,
+                _labelled_runners(step, runners),
                 state.now,
                 candidate.job.submission.zone,
                 make_speed_preference(self._cell, candidate, state.now),
--- a/dandelionreel/cell/decisions/_start_delays.py
+++ b/dandelionreel/cell/decisions/_start_delays.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -14,8 +15,11 @@
 
 #: Seconds after which a step that is ready, but has not started, is overdue.
 OVERDUE_SECONDS = 1.0
-#: Seconds between two checks whether an overdue step could use the slots that are free.
-CHECK_INTERVAL_SECONDS = 0.2
+#: Steps for which one plan searches the free slots, the least recently searched first: a search
+#: for each would cost runners times steps.
+MAX_SEARCHES = 10
+#: Seconds between two searches for the same step.
+SEARCH_INTERVAL_SECONDS = 0.2
 #: Seconds between two reports of the same gang, and the gangs in the reports of one plan.
 REPORT_INTERVAL_SECONDS = 4.0
 MAX_REPORTED_GANGS = 5
@@ -63,10 +67,10 @@
 
 @dataclass
 class _Delay:
-    """Since when a step has been ready, and its last report and check (monotonic seconds)."""
+    """Since when a step has been ready, and its last report and search (monotonic seconds)."""
 
     since: float
-    checked_at: float = float('-inf')
+    searched_at: float = float('-inf')
     reported_at: float = float('-inf')
 
 
@@ -78,8 +82,9 @@
         self._delay_by_step: dict[StepName, _Delay] = {}
         self._now = 0.0
         self._reports_left = 0
+        self._searched_steps: set[StepName] = set()
 
-    def begin_plan(self, candidates: Iterable[Candidate], now: float) -> None:
+    def begin_plan(self, candidates: list[Candidate], now: float) -> None:
         """Begin a plan: steps that are no longer candidates are forgotten."""
         previous = self._delay_by_step
         self._delay_by_step = {
@@ -87,6 +92,7 @@
         }
         self._now = now
         self._reports_left = MAX_REPORTED_GANGS
+        self._searched_steps = self._choose_searches(candidates)
 
     def seconds(self, step: StepName) -> float:
         """Return for how long a step has been ready, in seconds."""
@@ -97,13 +103,9 @@
         """Return whether a step should have started by now."""
         return self.seconds(step) >= OVERDUE_SECONDS
 
-    def take_check(self, step: StepName) -> bool:
-        """Return whether the free slots are to be searched for a step, and count the search."""
-        delay = self._delay_by_step.get(step)
-        if delay is None or self._now < delay.checked_at + CHECK_INTERVAL_SECONDS:
-            return False
-        delay.checked_at = self._now
-        return True
+    def may_search(self, step: StepName) -> bool:
+        """Return whether this plan searches the free slots for a step."""
+        return step in self._searched_steps
 
     def take_report(self, step: StepName) -> bool:
         """Return whether a step that waits is due for a report, and count the report."""
@@ -115,3 +117,16 @@
         delay.reported_at = self._now
         self._reports_left -= 1
         return True
+
+    def _choose_searches(self, candidates: Iterable[Candidate]) -> set[StepName]:
+        """Return the steps on queues with advice that have not been searched for the longest."""
+        due = []
+        for candidate in candidates:
+            delay = self._delay_by_step[candidate.step.name]
+            needs_advice = candidate.queue is not None and candidate.queue.advice is not None
+            if needs_advice and self._now >= delay.searched_at + SEARCH_INTERVAL_SECONDS:
+                due.append((delay.searched_at, candidate.step.name))
+        chosen = {name for _, name in heapq.nsmallest(MAX_SEARCHES, due)}
+        for name in chosen:
+            self._delay_by_step[name].searched_at = self._now
+        return chosen
