Plans search no runners for steps whose request is pending

Cause: since the escalation, a single task's step listed all runners in each plan before it was checked whether it may send a request; and each search for reservations counted the slots of a runner twice more.

Change: the check comes first, as before; a runner's refusal is counted only for steps that have a limit per runner.

--- a/dandelionreel/cell/decisions/_advice_requests.py
+++ b/dandelionreel/cell/decisions/_advice_requests.py
@@ -257,9 +257,8 @@
         parts = [tuple(ids[number::count]) for number in range(count)]
         tickets = self._cell.tickets.of(step.name)
         tickets.pending += len(parts)
-        tickets.answers_due_at = (
-            now + _advice_seconds(queue.advice, len(parts[0])) + (TICKET_LEAD_SECONDS)
-        )
+        seconds = _advice_seconds(queue.advice, len(parts[0]))
+        tickets.answers_due_at = now + seconds + TICKET_LEAD_SECONDS
         return [AdviceRequest(step.name, part, queue.priority, queue.advice) for part in parts]
 
 
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -321,14 +321,18 @@
         if state.requestable_cpu_by_service[service] <= 0 and not is_escalated:
             return
         state.requestable_cpu_by_service[service] -= step.waiting * counted_demand(step).cpu
+        may_request = self._cell.tickets.of(step.name).may_request(state.now)
+        may_search = is_escalated and self._start_delays.may_search(step.name)
+        if not may_request and not may_search:
+            return
         # Tickets for a reserved runner would expire before the step may start there.
         labelled = _labelled_runners(step, runners)
         startable = self._startable_runners(candidate, labelled, state)
         eligible = [runner for runner in labelled if runner.id in startable]
         requests = []
-        if is_escalated:
+        if may_search:
             requests = self._request_free_slots(candidate, queue, eligible, state)
-        if not requests and self._cell.tickets.of(step.name).may_request(state.now):
+        if not requests and may_request:
             requests = self._request_usual_advice(candidate, queue, eligible, state)
         _add_advice_requests(queue, requests, state)
 
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -288,9 +288,10 @@
         return slots if slots and runner.accepts_task(quarantined=self._quarantined) else 0
 
     def is_refused(self, runner: RunnerState) -> bool:
-        """Return whether a runner has capacity for the step and could not start its tasks."""
-        slots = count_slots(self._demand, runner.free_capacity, self._limit)
-        return self.on_runner(runner) < slots
+        """Return whether a runner does not accept as many tasks as it has capacity for."""
+        if not self._limit:
+            return not runner.accepts_task(quarantined=self._quarantined)
+        return self.on_runner(runner) < count_slots(self._demand, runner.free_capacity, self._limit)
 
 
 def _count_slots(demand: Demand, cpu: int, memory_mb: int, gpu: int, limit: int) -> int:
