--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -163,6 +163,8 @@
         self._escalation.begin_plan(usable)
         self._begin_gangs(candidates, usable)
         makes_reservations = self._renew_reservations(candidates, usable, now)
+        if makes_reservations:
+            self._start_delays.choose_searches(candidates)
         requestable_cpu = {
             service: REQUESTED_CPU_FACTOR * _total_free_cpu(runners)
             for service, runners in usable.items()
@@ -182,7 +184,7 @@
             if runners:
                 self._plan_step(candidate, runners, state)
             elif candidate.step.step.gang:
-                self._report_delay(candidate, WaitReason.NO_RUNNER, {}, state)
+                self._report_delay(candidate, WaitReason.NO_RUNNER, state)
         self._add_new_waits(state.plan)
         return state.plan
 
@@ -255,7 +257,7 @@
         if not allowed:
             if step.step.gang:
                 self._quota_gate.claim_quota(candidate)
-                self._report_delay(candidate, WaitReason.QUOTA, runners, state)
+                self._report_delay(candidate, WaitReason.QUOTA, state)
             return
         may_place = candidate.job.stored and state.starts_left > 0
         needs_advice = candidate.queue is not None and candidate.queue.advice is not None
@@ -319,14 +321,18 @@
         if state.requestable_cpu_by_service[service] <= 0 and not is_escalated:
             return
         state.requestable_cpu_by_service[service] -= step.waiting * counted_demand(step).cpu
+        may_request = self._cell.tickets.of(step.name).may_request(state.now)
+        may_search = is_escalated and self._start_delays.may_search(step.name)
+        if not may_request and not may_search:
+            return
         # Tickets for a reserved runner would expire before the step may start there.
         labelled = _labelled_runners(step, runners)
         startable = self._startable_runners(candidate, labelled, state)
         eligible = [runner for runner in labelled if runner.id in startable]
         requests = []
-        if is_escalated:
+        if may_search:
             requests = self._request_free_slots(candidate, queue, eligible, state)
-        if not requests and self._cell.tickets.of(step.name).may_request(state.now):
+        if not requests and may_request:
             requests = self._request_usual_advice(candidate, queue, eligible, state)
         _add_advice_requests(queue, requests, state)
 
@@ -356,14 +362,11 @@
         state: _PlanState,
     ) -> list[AdviceRequest]:
         """Request the tickets with which a step could start on what is free now."""
-        if state.deferrable_requests_left < 1:
-            return []
-        if not self._start_delays.take_check(candidate.step.name):
-            return []
-        usual_limit = self._advice_requests.count_runners_to_ask(candidate.step)
         search = self._escalation.search_free_slots(
-            candidate, runners, usual_limit, state.deferrable_requests_left
+            candidate, runners, state.deferrable_requests_left
         )
+        if search is None:
+            return []
         return self._advice_requests.for_free_slots(queue, candidate.step, search, state.now)
 
     def _startable_runners(
@@ -443,7 +446,7 @@
     ) -> None:
         step = candidate.step
         if step.waiting < len(step.tasks):
-            self._report_delay(candidate, WaitReason.FORMER_RUN, runners, state)
+            self._report_delay(candidate, WaitReason.FORMER_RUN, state)
             return
         # Until its members are chosen, the gang may turn out to be as slow as the slowest level.
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
@@ -470,13 +473,12 @@
         if state.makes_reservations:
             self._reserve_slots_or_request_advice(candidate, runners, state)
         reason = None if placement is None else WaitReason.FASTER_RUNNERS
-        self._report_delay(candidate, reason, runners, state)
+        self._report_delay(candidate, reason, state)
 
     def _report_delay(
         self,
         candidate: Candidate,
         reason: WaitReason | None,
-        runners: dict[str, RunnerState],
         state: _PlanState,
     ) -> None:
         """Report a gang that has not started, if it is due; without a reason, find it."""
@@ -489,7 +491,8 @@
         tickets = NO_TICKETS
         if candidate.queue is not None and candidate.queue.advice is not None:
             tickets = self._cell.tickets.of(candidate.step.name)
-        slots = GangSlots(candidate, runners.values(), tickets, state.now)
+        with_room = self._escalation.runners_with_room(candidate)
+        slots = GangSlots(candidate, with_room, tickets, state.now)
         delay = describe_delay(candidate.step, reason, slots, tickets, state.reservations)
         seconds = self._start_delays.seconds(candidate.step.name)
         state.plan.gang_delays.append(replace(delay, seconds=seconds))
@@ -539,19 +542,19 @@
             reservation = self._reserve_slots(candidate, queue, allowed, ready, state)
         if not _may_request_advice(queue, state):
             return
-        labelled = _labelled_runners(step, runners)
         requests = []
         if self._start_delays.is_overdue(step.name) or self._escalation.is_distant(
             candidate, reservation, state.now
         ):
-            requests = self._request_free_slots(candidate, queue, labelled, state)
+            with_room = self._escalation.runners_with_room(candidate)
+            requests = self._request_free_slots(candidate, queue, with_room, state)
         if not requests and reservation is not None:
             requests = self._advice_requests.for_reservation(queue, step, reservation, state.now)
-        elif not requests:
+        elif not requests and tickets.may_request(state.now):
             requests = self._advice_requests.for_new_runners(
                 queue,
                 step,
-                labelled,
+                _labelled_runners(step, runners),
                 state.now,
                 candidate.job.submission.zone,
                 make_speed_preference(self._cell, candidate, state.now),
--- a/features/start_delays.feature
+++ b/features/start_delays.feature
@@ -51,3 +51,9 @@
     Given a cell whose memory is used up by single tasks of 3 s, and whose processors are half idle
     When a gang that needs the memory of six runners joins them
     Then it starts within 14 s
+
+  # Guards against overdue gangs that take the time of the policy service in a full cell.
+  Scenario: Overdue gangs that cannot fit request nothing
+    Given a cell in which ten gangs are too wide for what is free
+    When it is played for 4 s
+    Then nothing is requested in the next 6 s
