A step does not wait for runners that only finished steps have used

What callers saw: after a change of owners a job was not started for up to 11.3 s although the step that was due had never run anywhere. One silent runner was enough that had run a task of the step before, which was done and stored as done.

Cause: a job keeps all runners on which any of its tasks was ever started, until it ends. A successor blocks the whole job for each of them that it has not reached. Jobs that were accepted while the store was slow are blocked by any runner, also until they end.

Change: when a step is complete, the job's next record names the runners on which runs of it may still exist: those with an allocation, and those that this owner has not reached. An allocation stays until the end of its run is proven. '*' is left out as well unless the store is slow or a runner is unreached; the runners of runs that were found are then named. A runner that was left out is stored again before the next start there, and an answer to an earlier record does not count as storing it.

Result: the new row 'where its first step is done' failed before (no start in the successor's plan) and passes; the other six rows and the scenario on any runner, where a run may exist, wait.

--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -115,6 +115,15 @@
         """Return the allocations of a job on all runners."""
         return self._allocations.allocations_of_job(job_id)
 
+    def runners_in_use(self, job: JobRun) -> set[str]:
+        """Return the runners on which runs of the job may exist.
+
+        All runs on other runners are known to have ended: this owner has their ends, an answer
+        without them, or proof that the runner or its leases have ended.
+        """
+        held = {allocation.runner for allocation in self.allocations_of_job(job.id)}
+        return held | self.unseen_runners
+
     def service_of(self, job: JobRun) -> str:
         """Return the service (pool of runners) that runs the job."""
         queue = self.queue_of(job)
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -1,5 +1,7 @@
 """State of one job: which of its tasks are done, running or waiting. No I/O."""
 
+from collections.abc import Collection, Iterable
+
 from dandelionreel.cell.decisions._crashes import JobCrashes
 from dandelionreel.cell.decisions._objectives import compute_latency_objective
 from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, TaskRun, counted_demand
@@ -60,6 +62,10 @@
         #: Runners on which its tasks may have been started, and those already stored.
         self.runners: set[str] = set()
         self.stored_runners: set[str] = set()
+        #: How many times runners were left out of ``runners``.
+        self.runners_version = 0
+        #: Whether a step was completed since then.
+        self._has_new_complete_step = False
 
     @property
     def account(self) -> str:
@@ -184,6 +190,7 @@
             # acknowledged. Only the first report changes the progress.
             self.dirty = self.dirty or task.phase is not TaskPhase.DONE
             step.finish_task(task)
+        self._has_new_complete_step = self._has_new_complete_step or step.is_complete
         self._complete_job_if_done()
 
     def record_failed_run(self, name: TaskName, run: int, max_failures: int) -> None:
@@ -236,6 +243,31 @@
         stored = self.may_have_runs_on(runner)
         return self.crashes.record_start(name, run, runner) or not stored
 
+    def forget_runners(self, in_use: Collection[str]) -> None:
+        """Leave out the runners that are not ``in_use`` once a step is complete.
+
+        A successor would wait for them although no task that may start again can run there. In
+        between, they are kept: another start on them needs no append.
+        """
+        if not self._has_new_complete_step:
+            return
+        self._has_new_complete_step = False
+        if ANY_RUNNER in self.runners:
+            # The runners of runs that an earlier owner has started are not stored by name.
+            self.runners.update(in_use)
+        self.runners.intersection_update(in_use)
+        # A record that is stored from now on may not name the others any more.
+        self.stored_runners.intersection_update(in_use)
+        self.runners_version += 1
+
+    def confirm_stored_runners(self, runners: Iterable[str], version: int) -> None:
+        """Note that a record with ``runners`` is stored, made at this ``runners_version``.
+
+        After a later change, the newest record may not name all of these runners.
+        """
+        if version == self.runners_version:
+            self.stored_runners.update(runners)
+
     def record_ended_run(self, name: TaskName, run: int) -> None:
         """Record that a run has ended in any way."""
         self.dirty = self.crashes.record_run_end(name, run) or self.dirty
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -24,7 +24,7 @@
 from dandelionreel.cell.owner._load_report import LoadReport
 from dandelionreel.cell.owner._member_cleanup import MemberCleanup
 from dandelionreel.cell.owner._orders import OrderSender
-from dandelionreel.cell.owner._owner_context import OwnerContext
+from dandelionreel.cell.owner._owner_context import SLOW_APPEND_SECONDS, OwnerContext
 from dandelionreel.cell.owner._pacing import PacingFigures
 from dandelionreel.cell.owner._periodic_checks import PeriodicChecks
 from dandelionreel.cell.owner._refusals import Refusal, Refusals
@@ -32,8 +32,6 @@
 from dandelionreel.cell.store import StoredJob, WriteOutcome
 from dandelionreel.kernel import Part, start_task
 
-#: Typical append latency in seconds above which the store counts as slow.
-SLOW_APPEND_SECONDS = 0.05
 #: Seconds of failed appends after which a new job or a cancellation is refused.
 CLIENT_WRITE_TIMEOUT = 0.25
 #: Minimum seconds between plans, in which changes are collected for the next one.
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -5,7 +5,14 @@
 
 import curio
 
-from dandelionreel.cell.decisions import MAX_CLOCK_DRIFT, Cell, Crash, JobRun, RunnerState
+from dandelionreel.cell.decisions import (
+    ANY_RUNNER,
+    MAX_CLOCK_DRIFT,
+    Cell,
+    Crash,
+    JobRun,
+    RunnerState,
+)
 from dandelionreel.cell.membership import AUTHORITY_SECONDS, Term
 from dandelionreel.cell.model import (
     KeyedRecord,
@@ -39,6 +46,9 @@
 #: drain or lost capacity since.
 MAX_RUNNER_LIST_AGE_SECONDS = 2.5
 
+#: Typical append latency in seconds above which the store counts as slow.
+SLOW_APPEND_SECONDS = 0.05
+
 #: Maximum number of lost runs that are logged for one runner.
 MAX_LOGGED = 40
 
@@ -153,6 +163,7 @@
         newest record of a job, and an older record queued later would revert it.
         """
         progress_by_job = self._make_progress_by_job(jobs)
+        version_by_job = {job: job.runners_version for job in jobs}
         records = list(other_records)
         for job, progress in progress_by_job.items():
             records.extend(make_progress_records(job.id, progress))
@@ -160,7 +171,7 @@
         for job, progress in progress_by_job.items():
             if outcome is WriteOutcome.STORED:
                 job.stored_state = progress.state
-                job.stored_runners.update(progress.runners)
+                job.confirm_stored_runners(progress.runners, version_by_job[job])
             else:
                 self.cell.mark_dirty(job)
         return outcome
@@ -254,10 +265,18 @@
                 seconds=round(now - allocation.placed_at, 3),
             )
 
+    def _forget_unused_runners(self, job: JobRun) -> None:
+        in_use = self.cell.runners_in_use(job)
+        if self.writer.typical_latency > SLOW_APPEND_SECONDS or self.cell.unseen_runners:
+            # While the store is slow, a start must not wait for an append.
+            in_use.add(ANY_RUNNER)
+        job.forget_runners(in_use)
+
     def _make_progress_by_job(self, jobs: list[JobRun]) -> dict[JobRun, Progress]:
         unix_time = self.clock.unix_time()
         progress_by_job = {}
         for job in jobs:
+            self._forget_unused_runners(job)
             leftovers = self.cell.leftovers_of(job, unix_time) if job.is_finished else ()
             progress = job.progress(self.term.epoch, unix_time, leftovers)
             progress_by_job[job] = progress
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -41,3 +41,25 @@
       | outcome | state   | done |
       | done    | running | 1    |
       | failed  | failed  | 0    |
+
+  # Guards against a step that waits for a runner on which only steps that are done have run.
+  Scenario Outline: A runner that only an earlier step may have used
+    Given an owner whose job has run on w1, <where>
+    When its successor does not reach w1
+    Then the second step of the job <fate>
+
+    Examples:
+      | where                                               | fate      |
+      | where its first step is done                        | can start |
+      | where one of two tasks of its first step still runs | waits     |
+      | and whose second step has started there             | waits     |
+      | where its second step may have started              | waits     |
+      | where a start is decided while the end is stored    | waits     |
+      | where an earlier record is answered after the end   | waits     |
+      | and this owner has not reached w1 either            | waits     |
+
+  # Guards against a run on a runner that is not stored by name, and that no successor waits for.
+  Scenario: A step of a job that may run on any runner is done
+    Given an owner whose job has run on any runner, and its second step runs on w1
+    When its successor does not reach w1
+    Then the second step of the job waits
