Runners named as unreached count also after a claim that was refused

What callers saw: with real hosts the change for unreached runners had no effect.

Cause: the names counted only for the next epoch, as proof that no other owner was between.

Change: the proof is the order of the records. A rival's claim between the two is noticed by the same.

Result: claims in the scenario now skip an epoch, as after a refusal.

--- a/dandelionreel/cell/owner/_predecessor_leases.py
+++ b/dandelionreel/cell/owner/_predecessor_leases.py
@@ -27,11 +27,11 @@
 def find_unreached_runners(term: Term, cell_state: CellState) -> frozenset[str]:
     """Return the runners on which the owner before ``term`` has granted no lease.
 
-    The record of an owner before it does not count. Claims of consecutive epochs have no other
-    owner between them, which could have granted leases and stored nothing.
+    The record of an owner before that one does not count: another owner, of which the store has the
+    claim only, may have granted leases.
     """
     former = term.former
-    if former is None or term.epoch != former.epoch + 1:
+    if former is None or former.epoch != cell_state.former_epoch:
         return NO_RUNNERS
     return cell_state.unreached_runners(former.epoch)
 
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -139,6 +139,9 @@
         self.progress_by_id: dict[str, Progress] = {}
         self.member_by_host: dict[str, Member] = {}
         self.owner: Owner | None = None
+        #: Epoch of the owner right before the current one; ``None`` if records between them may
+        #: not have been read.
+        self.former_epoch: int | None = None
         self.runners_in_use: RunnersInUse | None = None
         self.runner_speeds: RunnerSpeeds | None = None
         self.changed_jobs: set[str] = set()
@@ -333,9 +336,16 @@
             return
         owner = decode_json(_OWNER, content)
         if self.owner is None or owner.epoch >= self.owner.epoch:
+            self._update_former_epoch(owner)
             self.owner = owner
             self._apply_digest(bytes(owner.load))
 
+    def _update_former_epoch(self, owner: Owner) -> None:
+        if self.owner is None or OWNER_KEY in self.unreadable_keys:
+            self.former_epoch = None
+        elif owner.epoch != self.owner.epoch:
+            self.former_epoch = self.owner.epoch
+
     def _apply_digest(self, content: bytes) -> None:
         """Apply the digest of an owner's record; an unreadable one leaves no digest in force."""
         self.load_digest = None
--- a/features/steps/successor_wait_steps.py
+++ b/features/steps/successor_wait_steps.py
@@ -71,20 +71,17 @@
     def stored_runners(self):
         return self._read_store().projection.state.runners_in_use
 
-    def claim(self, skipped_epochs=0):
-        """Let the next owner claim the cell, and poll w1 but not w9."""
+    def claim(self, *, has_rival=False):
+        """Let the next owner claim the cell, and poll w1 but not w9.
+
+        Its first claim is refused, as the topic has grown, or because a rival has claimed meanwhile.
+        """
         self.clock.advance(CLAIM_SECONDS)
         former = self._read_store().projection.state.owner
-        epoch = former.epoch + 1 + skipped_epochs
-        name = f'h{epoch}'
-        claim = Owner(
-            epoch,
-            name,
-            f'{name}/1',
-            unsettled=max(former.leases_end, former.unsettled),
-            leases_end=LEASES_END_SECONDS,
-        )
-        curio.run(self.topic.append, [make_record(OWNER_KEY, claim)], 0.1, WriterFence(epoch, 1))
+        if has_rival:
+            self._append_claim(former, former.epoch + 1)
+        epoch = former.epoch + 2
+        claim = self._append_claim(former, epoch)
         term = Term(
             epoch,
             claim.term,
@@ -119,9 +116,20 @@
 
     def _read_store(self):
         host = Host('me', self.topic, self.clock)
-        host.projection.load_snapshot(curio.run(self.topic.snapshot))
+        host.projection.apply(curio.run(self.topic.read, 0, 0, 0))
         return host
 
+    def _append_claim(self, former, epoch):
+        claim = Owner(
+            epoch,
+            f'h{epoch}',
+            f'h{epoch}/1',
+            unsettled=max(former.leases_end, former.unsettled),
+            leases_end=LEASES_END_SECONDS,
+        )
+        curio.run(self.topic.append, [make_record(OWNER_KEY, claim)], 0.1, WriterFence(epoch, 1))
+        return claim
+
     async def _store_heartbeat(self):
         appends = self.topic.appends
         await curio.spawn(self.dispatcher._owner_context.writer.run, daemon=True)
@@ -199,10 +207,10 @@
     assert owners.dispatcher.cell.runner_by_id['w9'].is_usable(owners.now)
 
 
-@when('an owner follows it for {seconds:g} s, and the one after it skips an epoch')
-def epoch_skipped(context, seconds):
+@when('an owner follows it for {seconds:g} s, and two claims follow each other at once')
+def rival_claims(context, seconds):
     owner_follows(context, seconds)
-    context.owners.claim(skipped_epochs=1)
+    context.owners.claim(has_rival=True)
 
 
 @then('the owner after it waits for all leases of it')
--- a/features/wait.feature
+++ b/features/wait.feature
@@ -72,9 +72,9 @@
 
   # Guards against tasks that run twice because an owner between two others has granted leases and
   # stored nothing.
-  Scenario: The record of unreached runners is not that of the consecutive epoch
+  Scenario: An owner between two others has only stored its claim
     Given an owner that was lost, with a job on w9, which does not answer
-    When an owner follows it for 3 s, and the one after it skips an epoch
+    When an owner follows it for 3 s, and two claims follow each other at once
     Then it waits for all leases that an owner between them may have granted
 
   # Guards against tasks that run twice because an owner grants leases on a runner that its successor
