A model of the runners that an owner stores as unreached

Cause: the record of unreached runners shortens a wait that keeps tasks from running twice, and spec/cell.py has one change of owners only.

--- a/spec/run.py
+++ b/spec/run.py
@@ -15,9 +15,11 @@
 from spec.ownership import OWNERSHIP
 from spec.publication import PUBLICATION
 from spec.quotas import QUOTAS
+from spec.unreached import UNREACHED
 
 SPECS = (
     CELL,
+    UNREACHED,
     CANCELLING,
     COMPLETIONS,
     CRASHES,
