Refused connections take no place of connections that are served

Cause: refused connections, which stay open for up to a second until their client has closed them (five while nothing is sent), counted against the limit.

Change: only connections that are served count against it.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -196,11 +196,12 @@
             await self._open_connection(Socket(accepted[0]))
 
     async def _open_connection(self, client: Any) -> None:
-        excess = self.open_connections - self._limits.connections
-        if excess >= REFUSED_CONNECTIONS:
+        connections = self._connection_by_task.values()
+        served = sum(connection.refusal is None for connection in connections)
+        refusal = None if served < self._limits.connections else TOO_MANY
+        if refusal is not None and len(connections) - served >= REFUSED_CONNECTIONS:
             await client.close()
             return
-        refusal = None if excess < 0 else TOO_MANY
         connection = ServerConnection(client, self._limits.header_bytes, refusal)
         task = await curio.spawn(self._serve_connection, connection, daemon=True)
         self._connection_by_task[task] = connection
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -56,3 +56,9 @@
     Given a server with a limit of 2 connections
     When 2 clients keep connections open and a third one sends a request
     Then the caller gets the status 503 and the verdict not_run
+
+  # Guards against refused connections that take the place of others: they stay open for a second.
+  Scenario: A client connects after others have left
+    Given a server with a limit of 2 connections
+    When 2 clients are served, 3 more are refused, the first 2 leave and another one sends a request
+    Then the caller gets the status 200 and the verdict none
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -256,6 +256,26 @@
     context.answer = _read_answer(sock)
 
 
+@when(
+    '{served:d} clients are served, {refused:d} more are refused, the first {left:d} leave and '
+    'another one sends a request'
+)
+def connect_after_others_left(context, served, refused, left):
+    def send_request():
+        sock = context.stack.enter_context(context.server.connect())
+        sock.sendall(BODY.format(0).encode())
+        return sock, _read_answer(sock)
+
+    first = [send_request() for _ in range(served)]
+    assert all(answer == (200, 'none') for _, answer in first), first
+    others = [send_request() for _ in range(refused)]
+    assert all(answer == (503, 'not_run') for _, answer in others), others
+    for sock, _ in first[:left]:
+        sock.close()
+    time.sleep(0.1)
+    context.answer = send_request()[1]
+
+
 @when('a client keeps a connection open and sends nothing')
 def keep_idle(context):
     context.server.start()
