A request for the headers of an answer only gets an answer

Callers saw their connection close without an answer to a HEAD request. Cause: the answer's body was passed to h11, which refuses it for such a request; the error ended the task of the connection. A stop that ends such a request at the end of its grace would have failed by the same error, with all others unanswered.

Change: the answer to a HEAD request has no body.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -177,7 +177,7 @@
             request = connection.request
             is_run = request is not None and request.method not in SAFE_METHODS
             response = problem_response(UNKNOWN_END if is_run else REFUSAL)
-            connection.send_now(self._encode_response(connection.http, response, last=True))
+            connection.send_now(self._encode_response(connection, response, last=True))
             if request is not None:
                 await task.cancel(blocking=False)
         return ended
@@ -220,7 +220,7 @@
             await connection.client.close()
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
-        client, http = connection.client, connection.http
+        http = connection.http
         while http.our_state is h11.IDLE:
             connection.enter(Phase.IDLE)
             try:
@@ -247,7 +247,7 @@
                 await self._send_last_problem(connection, connection.refusal)
                 return
             response = await self._handle_request(request)
-            await self._send_response(client, http, response)
+            await self._send_response(connection, response)
             if http.our_state is h11.MUST_CLOSE:
                 if connection.peek():
                     await connection.discard_unread()
@@ -357,24 +357,25 @@
 
     async def _send_last_problem(self, connection: ServerConnection, problem: Problem) -> None:
         """Answer a request that is not read to its end, and close the connection."""
-        client, http = connection.client, connection.http
-        if http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            await self._send_response(client, http, problem_response(problem), last=True)
+        if connection.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            await self._send_response(connection, problem_response(problem), last=True)
         await connection.discard_unread()
 
     async def _send_response(
         self,
-        client: Any,
-        http: Any,
+        connection: ServerConnection,
         response: Response,
         *,
         last: bool = False,
     ) -> None:
-        payload = self._encode_response(http, response, last=last)
+        payload = self._encode_response(connection, response, last=last)
         async with curio.timeout_after(self._limits.idle_seconds):
-            await client.sendall(payload)
+            await connection.client.sendall(payload)
 
-    def _encode_response(self, http: Any, response: Response, *, last: bool) -> bytes:
+    def _encode_response(
+        self, connection: ServerConnection, response: Response, *, last: bool
+    ) -> bytes:
+        http, request = connection.http, connection.request
         headers = [
             (name, content)
             for name, content in response.headers
@@ -384,6 +385,6 @@
         if last or self._keep_alive_disabled or self._is_draining():
             headers.append(('connection', 'close'))
         payload: bytes = http.send(h11.Response(status_code=response.status, headers=headers))
-        if response.body:
+        if response.body and (request is None or request.method != 'HEAD'):
             payload += http.send(h11.Data(data=response.body))
         return payload + http.send(h11.EndOfMessage())
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -62,3 +62,9 @@
     Given a server with a limit of 2 connections
     When 2 clients are served, 3 more are refused, the first 2 leave and another one sends a request
     Then the caller gets the status 200 and the verdict none
+
+  # Guards against a request that gets no answer, as the answer may not have its body.
+  Scenario: A request for the headers of an answer only
+    Given a server with a limit of 2 connections
+    When a client sends a HEAD request, and the answer of the server has a body
+    Then the caller gets the status 405 and the verdict not_run
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -13,8 +13,8 @@
 
 from dandelionreel import entry_stop
 from dandelionreel.entry_stop import HostStop
-from dandelionreel.http import Request, Response, Server, ServerLimits
-from dandelionreel.kernel import SystemClock
+from dandelionreel.http import Request, Response, Server, ServerLimits, problem_response
+from dandelionreel.kernel import Problem, SystemClock, Verdict
 from dandelionreel.peers import (
     Forward,
     ForwardAnswer,
@@ -37,6 +37,7 @@
         #: Seconds for which the process does nothing at the start of its stop.
         self.late_seconds = 0
         self.work_seconds = 0
+        self.response = Response(200)
         self.deletion_seconds = 0
         self.stop_seconds = None
         self.peer_port = 0
@@ -81,7 +82,7 @@
 
     async def _answer(self, request):
         await curio.sleep(self.work_seconds)
-        return Response(200)
+        return self.response
 
     async def _answer_forward(self, frame):
         await curio.sleep(self.work_seconds)
@@ -95,10 +96,10 @@
         await curio.sleep(self.deletion_seconds)
 
 
-def _read_answer(sock):
+def _read_answer(sock, method='GET'):
     """Return status and verdict; the status is 0 without a complete answer."""
     try:
-        answer = HTTPResponse(sock)
+        answer = HTTPResponse(sock, method=method)
         answer.begin()
         answer.read()
     except OSError:
@@ -276,6 +277,15 @@
     context.answer = send_request()[1]
 
 
+@when('a client sends a HEAD request, and the answer of the server has a body')
+def send_head(context):
+    problem = Problem(Verdict.NOT_RUN, 405, 'bad-method', 'use another method')
+    context.server.response = problem_response(problem)
+    sock = context.stack.enter_context(context.server.connect())
+    sock.sendall(b'HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n')
+    context.answer = _read_answer(sock, 'HEAD')
+
+
 @when('a client keeps a connection open and sends nothing')
 def keep_idle(context):
     context.server.start()
