An overdue step keeps off runners that a gang has reserved for the next 3 s

What callers saw: none, found in review: in a busy cell a gang that needs several whole runners never starts, though it starts after some seconds without escalation.

Cause: a step that had been ready for a second passed all reservations once two fifths of the processors were free. The runners that a gang has reserved are empty until the last of them is: a gang that needs that many makes the cell look idle itself, and each overdue single task then starts on them. In a cell that is short of memory, processors are free all the time.

Change: an overdue step passes only reservations that start later than the 3 s within which a ready step has to start. They were passed for gangs that start much later, and that stays.

--- a/dandelionreel/cell/decisions/_escalation.py
+++ b/dandelionreel/cell/decisions/_escalation.py
@@ -18,7 +18,7 @@
     expected_advice_seconds,
 )
 from dandelionreel.cell.decisions._cell import Cell
-from dandelionreel.cell.decisions._reservations import Reservation, StepSlots
+from dandelionreel.cell.decisions._reservations import NEVER_PASSED, Reservation, StepSlots
 from dandelionreel.cell.decisions._runner_state import RunnerState
 from dandelionreel.cell.decisions._start_delays import StartDelays
 from dandelionreel.cell.decisions._waiting_steps import Candidate
@@ -26,6 +26,9 @@
 #: Free share of the CPU from which on a service counts as idle: some runs that have ended are not
 #: known yet, so this is less than half.
 IDLE_SHARE = 0.4
+#: Seconds within which a ready step has to start. An overdue step passes reservations that start
+#: later; it keeps off the others, since their gangs would never start in a busy cell.
+MAX_START_SECONDS = 3.0
 #: A gang starts on slower runners if the free slots are this many times its tasks.
 SPARE_SLOTS_FACTOR = 1.5
 
@@ -54,6 +57,10 @@
             or self._cell.service_of(candidate.job) in self._idle_services
         )
 
+    def passes_reservations_from(self, candidate: Candidate, now: float) -> float:
+        """Return the start from which on reservations do not keep a step from starting."""
+        return now + MAX_START_SECONDS if self.is_escalated(candidate) else NEVER_PASSED
+
     def takes_slow_runners(self, candidate: Candidate, allowed: Iterable[RunnerState]) -> bool:
         """Return whether a gang that fits no longer waits for faster ones of its runners."""
         if not self.is_escalated(candidate):
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -370,20 +370,23 @@
         self, candidate: Candidate, runners: Iterable[RunnerState], state: _PlanState
     ) -> set[str]:
         """Return the runners on which no reservation keeps a task from starting."""
-        if self._escalation.is_escalated(candidate):
-            return {runner.id for runner in runners}
         run_times = self._cell.run_times
         seconds = BACKFILL_MARGIN * run_times.expected_seconds(
             candidate.job.submission.queue, candidate.step.step.estimate
         )
         may_start, rank = state.reservations.may_start_task, candidate.rank
+        passed_from = self._escalation.passes_reservations_from(candidate, state.now)
         if not run_times.is_uneven:
             ends_by = state.now + seconds
-            return {runner.id for runner in runners if may_start(runner.id, rank, ends_by)}
+            return {
+                runner.id for runner in runners if may_start(runner.id, rank, ends_by, passed_from)
+            }
         return {
             runner.id
             for runner in runners
-            if may_start(runner.id, rank, state.now + seconds / run_times.speed_of(runner))
+            if may_start(
+                runner.id, rank, state.now + seconds / run_times.speed_of(runner), passed_from
+            )
         }
 
     def _expected_seconds(self, candidate: Candidate, runner: RunnerState) -> float:
@@ -449,13 +452,12 @@
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
         ends_by = state.now + seconds * BACKFILL_MARGIN
         rank = candidate.rank
-        free = ticketed
-        if not self._escalation.is_escalated(candidate):
-            free = [
-                entry
-                for entry in ticketed
-                if state.reservations.may_start_task(entry[0].id, rank, ends_by)
-            ]
+        passed_from = self._escalation.passes_reservations_from(candidate, state.now)
+        free = [
+            entry
+            for entry in ticketed
+            if state.reservations.may_start_task(entry[0].id, rank, ends_by, passed_from)
+        ]
         placement = None
         if candidate.job.stored and state.starts_left > 0:
             placement = self._gang_starts.choose_placement(candidate, free)
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -27,6 +27,8 @@
 #: Seconds after which a runner with capacity that does not accept a task is expected to do so:
 #: usually a start is answered or a run has stopped by then.
 REFUSAL_SECONDS = 0.5
+#: Stands for a step that keeps off all reservations.
+NEVER_PASSED = float('inf')
 #: Larger than any number of slots: stands for "not limited by any resource".
 UNLIMITED = sys.maxsize
 
@@ -95,14 +97,20 @@
         """Return whether no further gang may reserve runners."""
         return len(self._reserving_steps) >= self._max_count
 
-    def may_start_task(self, runner: str, rank: Rank, until: float) -> bool:
+    def may_start_task(
+        self, runner: str, rank: Rank, until: float, passed_from: float = NEVER_PASSED
+    ) -> bool:
         """Return whether a task that ends at ``until`` may start despite a reservation.
 
+        Reservations that start later than ``passed_from`` do not keep it from starting.
+
         Steps that rank before the gang may always start: they can arrive after the reservation
         was made, as it is kept for several plans.
         """
         held = self._by_runner.get(runner)
-        return held is None or rank <= held.rank or until <= held.at
+        if held is None or held.at > passed_from:
+            return True
+        return rank <= held.rank or until <= held.at
 
     def holds(self, step: StepRun) -> bool:
         """Return whether a gang holds a reservation."""
