Requests ended by a stop are logged once

A request that a stop had ended with a verdict was also logged as cut if the work on it had not unwound by the exit. Its connection now counts as closing.

features/server_stops, stops and contact: 39 passed, 0 failed.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -174,6 +174,7 @@
             is_run = request is not None and request.method not in SAFE_METHODS
             response = problem_response(UNKNOWN_END if is_run else REFUSAL)
             connection.send_now(self._encode_response(connection.http, response, last=True))
+            connection.enter(Phase.CLOSING)
             if request is not None:
                 await task.cancel(blocking=False)
         return ended
