--- a/features/start_delays.feature
+++ b/features/start_delays.feature
@@ -44,3 +44,9 @@
       | 20      | 2 gangs a second may use 0.15 of 176 runners, 0.1 endless, 0 unanswered, seed 4 |
       | 20      | 1 gangs a second may use 0.12 of 100 runners, 0.15 endless, 0 unanswered, seed 8 |
       | 20      | 2 gangs a second may use 0.3 of 176 runners, 0 endless, 0.1 unanswered, seed 8  |
+
+  # Guards against overdue gangs that take the time of the policy service in a full cell.
+  Scenario: Overdue gangs that cannot fit request nothing
+    Given a cell in which ten gangs are too wide for what is free
+    When it is played for 4 s
+    Then nothing is requested in the next 6 s
--- a/features/start_simulation.py
+++ b/features/start_simulation.py
@@ -58,6 +58,7 @@
         self.on_tick = None
         #: Runners that answer no poll.
         self.silent_runners = set()
+        self.requests_sent = 0
         self._order = itertools.count()
         self._answers, self._queued, self._busy = [], [], 0
         self._end_by_run = {runner: {} for runner in self.registration_by_id}
@@ -144,6 +145,7 @@
 
     def _send(self, request):
         self._busy += 1
+        self.requests_sent += 1
         seconds = ADVICE[0] + ADVICE[1] * len(request.runners)
         failures = self.failures_by_job.get(request.step.job, 0)
         self.failures_by_job[request.step.job] = max(0, failures - 1)
--- a/features/steps/start_simulation_steps.py
+++ b/features/steps/start_simulation_steps.py
@@ -109,7 +109,16 @@
     return simulation
 
 
+def gangs_too_wide():
+    simulation = StartSimulation(60)
+    fill(simulation, names(0, 56), ENDLESS)
+    for number in range(10):
+        simulation.submit(f'g{number}', WHOLE_RUNNER, 8, 3.4, 'map', gang=True)
+    return simulation
+
+
 SITUATIONS = {
+    'ten gangs are too wide for what is free': gangs_too_wide,
     'the runners that a gang knows are taken until long after': known_runners_taken,
     'more gangs wait than may reserve runners': reservations_full,
     'a gang waits for faster runners again and again': faster_overrun,
@@ -186,3 +195,11 @@
 def no_long_wait(context):
     seconds, job = context.simulation.longest_wait()
     assert seconds <= LIMIT_SECONDS, f'{job} has waited for {seconds:.2f} s'
+
+
+@then('nothing is requested in the next {seconds:g} s')
+def nothing_requested(context, seconds):
+    before = context.simulation.requests_sent
+    assert before
+    context.simulation.advance(seconds)
+    assert context.simulation.requests_sent == before, context.simulation.requests_sent
