Failing: a stopping daemon cuts requests that it has not read whole

Cause: the fix for entry hosts is not in the daemon. Lifecycle.drain (life.py) ends as soon as no whole request is in progress, with the listener open, and so cuts what is half read, unread or in the listener's queue.

--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -68,3 +68,9 @@
     Given a server with a limit of 2 connections
     When a client sends a HEAD request, and the answer of the server has a body
     Then the caller gets the status 405 and the verdict not_run
+
+  # Guards against requests that a stopping daemon cuts as it has not read them whole.
+  Scenario: A request reaches a stopping daemon
+    Given a server of a daemon that drains for up to 3 s
+    When a client sends a body whose end arrives after the balancer has noticed
+    Then the caller gets the status 200 and the verdict none
