--- a/features/steps/daemon_stop_steps.py
+++ b/features/steps/daemon_stop_steps.py
@@ -63,7 +63,7 @@
             claimer = SimpleNamespace(draining=False, owned_claims=tuple)
             writer = SimpleNamespace(write=_write_nothing)
             await _make_lifecycle(context.drain_seconds).drain(
-                claimer, in_flight, writer, writer, 'm', server.disable_keep_alive
+                claimer, in_flight, writer, writer, 'm', server
             )
 
     connected = Future()
