--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 [ -d target/deps ] || { echo 'run the build of deploy/system.toml first'; exit 2; }
 python3 -m compileall -q review/platform_log.py review/platform_runner.py \
-    review/platform_fleet.py review/small_deployment.py review/4 review/5 review/6
+    review/platform_fleet.py review/small_deployment.py review/4 review/5 review/6 review/7
--- a/review/platform_fleet.py
+++ b/review/platform_fleet.py
@@ -108,6 +108,10 @@
         """Crash a runner; after a while another life begins at its address, with a new id."""
         self._call(self._crash(number, down_seconds))
 
+    def lose(self, number: int) -> None:
+        """Lose a runner for good: it and its address answer nothing any more."""
+        self._call(self._lose(number))
+
     def running_cpu(self, cpu_by_job: dict[str, int]) -> int:
         """Return the processors that runs use now."""
         now = time.monotonic()
@@ -124,6 +128,8 @@
         async def answer(
             path: str, query: dict[str, str], header_by_name: dict[str, str], body: bytes
         ) -> Reply:
+            if runner.is_lost:
+                await asyncio.Event().wait()
             if runner.is_down:
                 return 0, b''
             life = runner.life
@@ -194,6 +200,12 @@
         self._loop.create_task(self._restart(number, down_seconds))
         self._loop.create_task(self._remove_entry(former))
 
+    async def _lose(self, number: int) -> None:
+        runner = self.runners[number]
+        runner.crash()
+        runner.is_lost = True
+        self._loop.create_task(self._remove_entry(runner.life.name))
+
     async def _restart(self, number: int, down_seconds: float) -> None:
         await asyncio.sleep(down_seconds)
         self._lives += 1
--- a/review/platform_runner.py
+++ b/review/platform_runner.py
@@ -73,6 +73,8 @@
         """Begin the first life; each run is added to ``runs``."""
         self.life = Life(name, time.monotonic())
         self.is_down = False
+        #: Whether nothing answers at its address any more, not even by closing connections.
+        self.is_lost = False
         self.rejections: list[tuple[float, str, str, int]] = []
         self._runs = runs
         self._images = images
