Keep a failure of a review script from looking like a broken rule

Cause: with its ports in use a script ended with an exception, so with status 1.

Change: the scripts try other ports, and end with 2 after any exception.

--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
@@ -215,13 +215,23 @@
             connection.close()
 
     def _find_free_ports(self) -> int:
-        first = LOWEST_PORT + os.getpid() % PORT_BLOCKS * PORT_COUNT
-        for address in self._address_by_name.values():
-            for port in (METRICS_PORT, *range(first, first + PORT_COUNT)):
-                with socket.socket() as probe:
-                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind((address, port))
-        return first
+        for attempt in range(PORT_BLOCKS):
+            first = LOWEST_PORT + (os.getpid() + attempt) % PORT_BLOCKS * PORT_COUNT
+            ports = (METRICS_PORT, *range(first, first + PORT_COUNT))
+            if all(_are_free(address, ports) for address in self._address_by_name.values()):
+                return first
+        raise OSError('no free ports')
+
+
+def _are_free(address: str, ports: Iterable[int]) -> bool:
+    for port in ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((address, port))
+            except OSError:
+                return False
+    return True
 
 
 def run_case(folder: Path, play: Callable[[PlatformFleet, SmallDeployment, Record], bool]) -> int:
@@ -230,22 +240,33 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder)
     fleet = PlatformFleet()
-    deployment = SmallDeployment(fleet)
     fleet.start()
     try:
-        deployment.start()
-        status = BROKEN if play(fleet, deployment, record) else HELD
-    except (TimeoutError, OSError) as error:
-        record.note(f'the case could not run: {error}')
+        status = _play_on_hosts(fleet, play, record)
+    except Exception as error:
+        # A failure of the script itself must not look like a broken rule.
+        record.note(f'the case could not run: {type(error).__name__}: {error}')
         status = CANNOT_RUN
     finally:
-        deployment.stop()
         fleet.stop()
     record.note(f'exit status {status}')
     record.write()
     return status
 
 
+def _play_on_hosts(
+    fleet: PlatformFleet,
+    play: Callable[[PlatformFleet, SmallDeployment, Record], bool],
+    record: Record,
+) -> int:
+    deployment = SmallDeployment(fleet)
+    try:
+        deployment.start()
+        return BROKEN if play(fleet, deployment, record) else HELD
+    finally:
+        deployment.stop()
+
+
 def wait_until(condition: Callable[[], bool], seconds: float, what: str) -> None:
     """Wait until a condition is met; raises ``TimeoutError``."""
     until = time.monotonic() + seconds
