--- a/standins/_entry_hosts.py
+++ b/standins/_entry_hosts.py
@@ -30,6 +30,8 @@
 grace_s = 4
 [limits]
 cpu_share = {cores}
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 """
 CALLERS_PORT = 7801
 READINESS_PORT = 7802
@@ -61,6 +63,9 @@
     command: tuple[str, ...] = ('-m', 'dandelionreel')
     #: Share of a core that the settings of a host declare.
     cores = 1.0
+    #: Memory and file descriptors of the machine that the settings of a host declare.
+    memory_mb = 300
+    max_fds = 4100
 
     def __init__(self, platform: UsersPlatform, count: int = 3, block: int = 1) -> None:
         """Prepare ``count`` hosts on the addresses from 127.0.``block``.1 on."""
@@ -93,6 +98,8 @@
             store=ports.get(f'store-{name}', ports['store']),
             advice=ports['advice'],
             cores=self.cores,
+            memory_mb=self.memory_mb,
+            max_fds=self.max_fds,
         )
         settings.write_text(text)
         with (folder / f'{name}.log').open('ab') as log:
