Release requests that a connection no longer serves

200 clients that sent bodies over the limit took 275 MB, and 300 of them took 385 MB of a daemon: the traceback of the refusal kept the bytes read so far while the connection lingered for its client. An idle connection also kept its last request and response, as locals of its task, until the next request came.

The bytes are dropped before the refusal is raised, and a connection forgets request and response when it becomes idle.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -34,6 +34,8 @@
     'the host is stopping; send the request to another one',
     RETRY_AFTER_SECONDS,
 )
+#: Stands for the response of an idle connection, which keeps no earlier one.
+NO_RESPONSE = Response(0)
 #: Connections beyond the limit on which one request is read and refused.
 REFUSED_CONNECTIONS = 64
 TOO_MANY = Problem(
@@ -250,6 +252,8 @@
                     await connection.discard_unread()
                 return
             http.start_next_cycle()
+            # An idle connection keeps neither its last request nor the response.
+            request, response = None, NO_RESPONSE
 
     async def _handle_request(self, request: Request) -> Response:
         if self._is_refusing:
@@ -286,7 +290,12 @@
             async with curio.timeout_after(self._limits.read_seconds):
                 await self._read_request_body(client, http, body)
         except curio.TaskTimeout as error:
+            body.clear()
             raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the body took too long') from error
+        except Exception:
+            # The traceback would keep the bytes until the client has taken the refusal.
+            body.clear()
+            raise
         return Request(
             first.method.decode('ascii'),
             first.target.decode('latin-1'),
