Bound the memory of all request bodies by one budget

The servers of a process share a RequestBudget: a sixteenth of the memory for bodies of up to 32 KB, and as much for larger ones, which hold what they announce. So large bodies cannot take the room of ordinary jobs, which are smaller than 32 KB. Where a body does not fit, the oldest one that has been unfinished for over a second gives way; else the body is refused with 503, not_run and Retry-After. A charge is held until the answer has been sent. The daemon's limits.memory_mb is 256 unless set.

--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -11,7 +11,7 @@
 from dandelionreel.backing import HostWatch, LogError, StreamReader, StreamWriter
 from dandelionreel.callers import CallerApi, ZoneRelay
 from dandelionreel.contracts import ContractProjection, ContractPublisher, ContractRecord
-from dandelionreel.http import Server, ServerLimits
+from dandelionreel.http import RequestBudget, Server, ServerLimits
 from dandelionreel.jobs import (
     Dispatcher,
     JobApi,
@@ -89,6 +89,7 @@
 INCARNATION_BYTES = 3
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 MILLISECONDS_PER_SECOND = 1000
+MEGABYTE = 1_048_576
 
 CellRecord = MembershipRecord | ContractRecord
 ZoneRecord = MembershipRecord | ShardRecord | JobRecord | RequestRecord
@@ -402,8 +403,10 @@
             read_seconds=limits.header_seconds,
             connections=limits.connections,
         )
-        self._callers_server = Server(caller_api.handle, server_limits)
-        self._admin_server = Server(admin_api.handle, server_limits)
+        # The servers share the memory of the process.
+        self._request_budget = RequestBudget(limits.memory_mb * MEGABYTE, limits.body_bytes)
+        self._callers_server = Server(caller_api.handle, server_limits, budget=self._request_budget)
+        self._admin_server = Server(admin_api.handle, server_limits, budget=self._request_budget)
         self._register_peer_handlers(caller_api)
 
     def _register_peer_handlers(self, caller_api: CallerApi) -> None:
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -31,7 +31,7 @@
 from dandelionreel.entry_readiness import EntryReadiness
 from dandelionreel.entry_reads import EntryReads
 from dandelionreel.entry_stop import HostStop
-from dandelionreel.http import Server, ServerLimits
+from dandelionreel.http import RequestBudget, Server, ServerLimits
 from dandelionreel.kernel import (
     Environment,
     ExitStatus,
@@ -161,12 +161,14 @@
             self._journal,
             self._metrics,
         )
+        self._request_budget = RequestBudget(settings.memory_bytes)
         self._client_server = Server(
             self._client_api.handle,
             ServerLimits(connections=settings.max_connections),
             # Closes kept connections of an unready host: its clients would otherwise go on
             # sending requests in vain to a host that the balancer has taken out.
             self._readiness.is_unready,
+            self._request_budget,
         )
 
     async def run(self) -> int:
--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -24,6 +24,7 @@
     json_response,
     problem_response,
 )
+from dandelionreel.http._request_budget import RequestBudget
 from dandelionreel.http._server import (
     BadMessage,
     CloseConnection,
@@ -50,6 +51,7 @@
     'ProblemDocument',
     'RefusedError',
     'Request',
+    'RequestBudget',
     'Response',
     'SendForbiddenError',
     'Server',
--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -13,6 +13,7 @@
 import h11
 
 from dandelionreel.http._messages import Request
+from dandelionreel.http._request_budget import RequestBudget
 from dandelionreel.kernel import Problem
 
 #: Bytes of unread data that are inspected: enough for the first line of a request.
@@ -50,13 +51,21 @@
 class ServerConnection:
     """One connection of a client: its socket, the state of HTTP and the request in progress."""
 
-    def __init__(self, client: Any, header_bytes: int, refusal: Problem | None = None) -> None:
+    def __init__(
+        self,
+        client: Any,
+        header_bytes: int,
+        budget: RequestBudget,
+        refusal: Problem | None = None,
+    ) -> None:
         """Serve the socket ``client``; a head of over ``header_bytes`` is invalid.
 
-        ``refusal`` answers the first request in place of the handler.
+        ``budget`` has the memory of the bodies. ``refusal`` answers the first request in place of
+        the handler.
         """
         self.client = client
         self.refusal = refusal
+        self.charge = budget.open_charge(self.stop_receiving)
         self.http: Any = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
         self.request: Request | None = None
         self.phase = Phase.IDLE
@@ -69,6 +78,11 @@
         self.phase_since = time.monotonic()
         self.request = request
 
+    def stop_receiving(self) -> None:
+        """Wake the connection's task if it waits for bytes; it finds no more of them."""
+        with suppress(OSError):
+            self.client._socket.shutdown(SHUT_RD)
+
     def peek(self) -> bytes:
         """Return the first bytes that the process has not read, empty if there are none."""
         try:
--- /dev/null
+++ b/dandelionreel/http/_request_body.py
@@ -0,0 +1,71 @@
+"""Reads the bodies of requests within the limits of one body and of all together."""
+
+from typing import Any
+
+import h11
+
+from dandelionreel.http._messages import Headers
+from dandelionreel.http._request_budget import BodyCharge
+from dandelionreel.kernel import not_run_error
+
+HTTP_TOO_LARGE = 413
+#: Bytes read at a time: what is read beyond a request stays in memory until its answer is sent.
+READ_SIZE = 16_384
+
+
+class BodyReader:
+    """Reads one body from a connection; its bytes are held by a charge of the server's budget."""
+
+    def __init__(self, client: Any, http: Any, charge: BodyCharge, body_bytes: int) -> None:
+        """Read what the socket ``client`` receives, up to ``body_bytes``."""
+        self._client = client
+        self._http = http
+        self._charge = charge
+        self._body_bytes = body_bytes
+        self._announced = 0
+        self._body = bytearray()
+
+    async def read(self, headers: Headers) -> bytes:
+        """Return the whole body; raises ``RequestError``."""
+        lengths = [content for name, content in headers if name == 'content-length']
+        self._announced = int(lengths[0]) if lengths else 0
+        try:
+            self._check_size(self._announced)
+            await self._read_events()
+            self._charge.is_whole = True
+            return bytes(self._body)
+        finally:
+            # The traceback of an error would keep the bytes while its answer is sent.
+            self._body = bytearray()
+
+    async def _read_events(self) -> None:
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive()
+                continue
+            if not isinstance(event, h11.Data):
+                return
+            self._add(event)
+
+    async def _receive(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(status_code=100, headers=[])
+            await self._client.sendall(self._http.send(continue_response))
+        received = await self._client.recv(READ_SIZE)
+        self._charge.check()
+        self._http.receive_data(received)
+
+    def _add(self, event: Any) -> None:
+        size = len(self._body) + len(event.data)
+        self._check_size(size)
+        self._charge.grow(size, self._announced)
+        self._body.extend(event.data)
+
+    def _check_size(self, size: int) -> None:
+        if size > self._body_bytes:
+            raise not_run_error(
+                HTTP_TOO_LARGE,
+                'body-too-large',
+                f'the body is over {self._body_bytes} bytes',
+            )
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -10,16 +10,17 @@
 import h11
 from curio.io import Socket
 
-from dandelionreel.http._client import READ_SIZE, _decode_headers
+from dandelionreel.http._client import _decode_headers
 from dandelionreel.http._connections import Phase, ServerConnection, ServerLoad, measure_load
-from dandelionreel.http._messages import Headers, Request, Response, problem_response
+from dandelionreel.http._messages import Request, Response, problem_response
+from dandelionreel.http._request_body import READ_SIZE, BodyReader
+from dandelionreel.http._request_budget import RequestBudget
 from dandelionreel.http._sockets import listen
 from dandelionreel.kernel import Problem, RequestError, Verdict, start_task
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 HTTP_TIMEOUT = 408
-HTTP_TOO_LARGE = 413
 HTTP_INTERNAL_ERROR = 500
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -64,13 +65,12 @@
     connections: int = 512
 
 
-class BadMessage(Exception):
+class BadMessage(RequestError):
     """The client sent an invalid request or one that exceeds a limit."""
 
     def __init__(self, status: int, cause: str, detail: str) -> None:
         """Set the HTTP status, the cause code and the error text."""
-        super().__init__(detail)
-        self.problem = Problem(Verdict.NOT_RUN, status, cause, detail)
+        super().__init__(Problem(Verdict.NOT_RUN, status, cause, detail))
 
 
 class CloseConnection(Exception):
@@ -89,14 +89,16 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         is_draining: Callable[[], bool] = _never_draining,
+        budget: RequestBudget | None = None,
     ) -> None:
-        """Call ``handler`` for every request.
+        """Call ``handler`` for every request; ``budget`` has the memory of all of them.
 
         While ``is_draining()`` is true, each connection is closed after its current response.
         """
         self._handler = handler
         self._is_draining = is_draining
         self._limits = limits or ServerLimits()
+        self._budget = budget or RequestBudget(largest_body=self._limits.body_bytes)
         self._keep_alive_disabled = False
         self._listener: Any = None
         self._accept_task: Any = None
@@ -201,7 +203,7 @@
         if refusal is not None and len(connections) - served >= REFUSED_CONNECTIONS:
             await client.close()
             return
-        connection = ServerConnection(client, self._limits.header_bytes, refusal)
+        connection = ServerConnection(client, self._limits.header_bytes, self._budget, refusal)
         task = await curio.spawn(self._serve_connection, connection, daemon=True)
         self._connection_by_task[task] = connection
 
@@ -216,6 +218,7 @@
             return
         finally:
             self._connection_by_task.pop(await curio.current_task(), None)
+            connection.charge.release()
             await connection.client.close()
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
@@ -224,7 +227,7 @@
             connection.enter(Phase.IDLE)
             try:
                 request = await self._read_request(connection)
-            except BadMessage as error:
+            except RequestError as error:
                 await self._send_last_problem(connection, error.problem)
                 return
             except h11.RemoteProtocolError as error:
@@ -263,8 +266,6 @@
             return await self._handler(request)
         except RequestError as error:
             return problem_response(error.problem)
-        except BadMessage as error:
-            return problem_response(error.problem)
         except CloseConnection:
             raise
         except Exception as error:
@@ -279,28 +280,24 @@
 
     async def _read_request(self, connection: ServerConnection) -> Request | None:
         """Return the next complete request, ``None`` if the client closed the connection."""
-        client, http = connection.client, connection.http
+        connection.charge.begin()
         first = await self._read_request_head(connection)
         if not isinstance(first, h11.Request):
             return None
         headers = _decode_headers(first.headers)
-        self._check_request_headers(headers)
-        body = bytearray()
+        reader = BodyReader(
+            connection.client, connection.http, connection.charge, self._limits.body_bytes
+        )
         try:
             async with curio.timeout_after(self._limits.read_seconds):
-                await self._read_request_body(client, http, body)
+                body = await reader.read(headers)
         except curio.TaskTimeout as error:
-            body.clear()
             raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the body took too long') from error
-        except Exception:
-            # The traceback would keep the bytes until the client has taken the refusal.
-            body.clear()
-            raise
         return Request(
             first.method.decode('ascii'),
             first.target.decode('latin-1'),
             headers,
-            bytes(body),
+            body,
         )
 
     async def _read_request_head(self, connection: ServerConnection) -> Any:
@@ -332,35 +329,6 @@
             received = await connection.client.recv(READ_SIZE)
         return received
 
-    async def _read_request_body(self, client: Any, http: Any, body: bytearray) -> None:
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                if http.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(status_code=100, headers=[])
-                    await client.sendall(http.send(continue_response))
-                http.receive_data(await client.recv(READ_SIZE))
-                continue
-            if isinstance(event, h11.Data):
-                body.extend(event.data)
-                if len(body) > self._limits.body_bytes:
-                    raise BadMessage(
-                        HTTP_TOO_LARGE,
-                        'body-too-large',
-                        f'the body is over {self._limits.body_bytes} bytes',
-                    )
-                continue
-            return
-
-    def _check_request_headers(self, headers: Headers) -> None:
-        lengths = [content for name, content in headers if name == 'content-length']
-        if lengths and int(lengths[0]) > self._limits.body_bytes:
-            raise BadMessage(
-                HTTP_TOO_LARGE,
-                'body-too-large',
-                f'the body is over {self._limits.body_bytes} bytes',
-            )
-
     async def _send_last_problem(self, connection: ServerConnection, problem: Problem) -> None:
         """Answer a request that is not read to its end, and close the connection."""
         if connection.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/dandelionreel/kernel/_settings.py
+++ b/dandelionreel/kernel/_settings.py
@@ -80,13 +80,14 @@
 
 
 class Limits(Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits on sizes, counts and rates of one daemon."""
+    """Limits on sizes, counts and rates of one daemon; ``memory_mb`` is what it may use."""
 
     body_bytes: Bytes = MEGABYTE
     answer_bytes: Bytes = 8 * MEGABYTE
     header_bytes: Bytes = 16_384
     header_seconds: Seconds = 5
     connections: Count = 512
+    memory_mb: Annotated[int, Meta(ge=64, le=1_048_576)] = 256
     queue_length: Count = 2000
     known_jobs: Count = 5000
     known_keys: Count = 100_000
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -48,6 +48,7 @@
     cpu_share: float = 1
     cores: float = 1
     max_fds: int = 4096
+    memory_mb: int = 256
 
 
 #: The rules in force where demand may exceed the capacity of the cell for seconds.
@@ -79,8 +80,9 @@
     acknowledgement of a configuration until it is in force. ``seeds`` are possibly outdated
     addresses of peers, used by a host that has not yet read about any peer. ``status_retention`` is
     how long the state of a finished job must be kept. ``cores`` is the processor time of the host,
-    in cores of standard speed. ``overload_control`` says whether demand may exceed the capacity of
-    the cell for seconds, so that work is shared out and refused by decisions of their own.
+    in cores of standard speed. ``memory_bytes`` is what the process may use. ``overload_control``
+    says whether demand may exceed the capacity of the cell for seconds, so that work is shared out
+    and refused by decisions of their own.
     """
 
     host: str
@@ -99,6 +101,7 @@
     max_key_age: float | None
     configuration_deadline: float
     max_connections: int
+    memory_bytes: int
     cores: float
     overload_control: bool = False
 
@@ -107,6 +110,7 @@
 RESERVED_DESCRIPTORS = 1200
 MIN_CONNECTIONS = 256
 MILLISECONDS_PER_SECOND = 1000
+MEGABYTE = 1_048_576
 #: A name or an IPv4 address.
 HOST_PATTERN = re.compile('[0-9A-Za-z._-]{1,253}')
 PORT_PATTERN = re.compile('[0-9]{1,5}')
@@ -168,5 +172,6 @@
         # The share of one core, times the speed of that core relative to a standard one.
         cores=decoded.limits.cpu_share * decoded.limits.cores,
         max_connections=max(MIN_CONNECTIONS, decoded.limits.max_fds - RESERVED_DESCRIPTORS),
+        memory_bytes=decoded.limits.memory_mb * MEGABYTE,
         overload_control=OVERLOAD_RULES in decoded.contracts,
     )
