Give other connections their turn while a client keeps sending

100 clients that sent bodies in chunks of one byte kept an entry host from answering anything for 30 s: reading does not wait while bytes are there, so one connection had the process until its body was whole or over, and each chunk costs processor time.

A connection gives way after each read, after 64 parts of a body, and before each request. Bodies of over 1,024 chunks must have 64 bytes a chunk on average, or are refused with 400.

--- a/dandelionreel/http/_request_body.py
+++ b/dandelionreel/http/_request_body.py
@@ -2,15 +2,22 @@
 
 from typing import Any
 
+import curio
 import h11
 
 from dandelionreel.http._messages import Headers
 from dandelionreel.http._request_budget import BodyCharge
 from dandelionreel.kernel import not_run_error
 
+HTTP_BAD_REQUEST = 400
 HTTP_TOO_LARGE = 413
 #: Bytes read at a time: what is read beyond a request stays in memory until its answer is sent.
 READ_SIZE = 16_384
+#: Parts of a body that are handled before other connections get their turn.
+EVENTS_PER_TURN = 64
+#: Chunks after which their mean size must be ``MIN_CHUNK_BYTES``: each costs processor time.
+FREE_CHUNKS = 1024
+MIN_CHUNK_BYTES = 64
 
 
 class BodyReader:
@@ -24,6 +31,7 @@
         self._body_bytes = body_bytes
         self._announced = 0
         self._body = bytearray()
+        self._chunks = 0
 
     async def read(self, headers: Headers) -> bytes:
         """Return the whole body; raises ``RequestError``."""
@@ -39,7 +47,11 @@
             self._body = bytearray()
 
     async def _read_events(self) -> None:
+        events = 0
         while True:
+            events += 1
+            if not events % EVENTS_PER_TURN:
+                await curio.sleep(0)
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 await self._receive()
@@ -55,12 +67,21 @@
         received = await self._client.recv(READ_SIZE)
         self._charge.check()
         self._http.receive_data(received)
+        # Reading does not wait while bytes are there, and other connections need their turn.
+        await curio.sleep(0)
 
     def _add(self, event: Any) -> None:
         size = len(self._body) + len(event.data)
         self._check_size(size)
         self._charge.grow(size, self._announced)
         self._body.extend(event.data)
+        self._chunks += event.chunk_end
+        if self._chunks > FREE_CHUNKS and size < self._chunks * MIN_CHUNK_BYTES:
+            raise not_run_error(
+                HTTP_BAD_REQUEST,
+                'chunks-too-small',
+                f'send chunks of {MIN_CHUNK_BYTES} bytes or more',
+            )
 
     def _check_size(self, size: int) -> None:
         if size > self._body_bytes:
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -281,6 +281,8 @@
     async def _read_request(self, connection: ServerConnection) -> Request | None:
         """Return the next complete request, ``None`` if the client closed the connection."""
         connection.charge.begin()
+        # Requests that have arrived together are read without waiting.
+        await curio.sleep(0)
         first = await self._read_request_head(connection)
         if not isinstance(first, h11.Request):
             return None
