Bound what is read after a refusal, and let others have their turn

After its last answer a connection is read for up to a second, so that the client can take the answer. A client that sent faster than it was read never met that limit, as a timeout takes effect only where a task waits; its bytes were read without end and without a turn for others.

At most 4 MB are read, in pieces of 16 KB with a turn for others after each.

No test sends faster than a host reads for over a second: that part follows from the code alone.

--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -18,9 +18,11 @@
 
 #: Bytes of unread data that are inspected: enough for the first line of a request.
 PEEK_SIZE = 512
-READ_SIZE = 65_536
+READ_SIZE = 16_384
 #: Seconds for which a server reads on after its last answer, so that the client can take it.
 LINGER_SECONDS = 1.0
+#: Bytes that a server reads on at most.
+MAX_DISCARDED_BYTES = 4_194_304
 
 
 class Phase(enum.Enum):
@@ -131,9 +133,14 @@
         return 'a part of a request' if self.phase is Phase.READING else ''
 
     async def _read_to_end(self) -> None:
-        received = b'-'
-        while received:
+        remaining = MAX_DISCARDED_BYTES
+        while remaining > 0:
             received = await self.client.recv(READ_SIZE)
+            if not received:
+                return
+            remaining -= len(received)
+            # Without a pause, a fast sender would keep the process and never meet the timeout.
+            await curio.sleep(0)
 
 
 def measure_load(connections: Iterable[ServerConnection], listener: Any) -> ServerLoad:
