Refuse requests with over 100 header fields

A head of 16 KB may have 4,000 fields, and takes 0.7 MB once it is decoded: 200 clients that sent such heads and no body took 190 MB of the 96 MB of a host.

Such a request is refused with 431. Errors of reading are raised again without their traceback, which would keep the decoded head while the refusal is delivered.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -21,6 +21,7 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 HTTP_TIMEOUT = 408
+HTTP_HEAD_TOO_LARGE = 431
 HTTP_INTERNAL_ERROR = 500
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -56,10 +57,11 @@
 
 @dataclass(frozen=True)
 class ServerLimits:
-    """Limits of a server: sizes in bytes, timeouts in seconds, open connections."""
+    """Limits of a server: sizes in bytes, timeouts in seconds, header fields, open connections."""
 
     body_bytes: int = 1_048_576
     header_bytes: int = 16_384
+    header_fields: int = 100
     read_seconds: float = 5
     idle_seconds: float = 60
     connections: int = 512
@@ -280,12 +282,26 @@
 
     async def _read_request(self, connection: ServerConnection) -> Request | None:
         """Return the next complete request, ``None`` if the client closed the connection."""
+        try:
+            return await self._read_whole_request(connection)
+        except RequestError as error:
+            problem = error.problem
+        # Raised here without the traceback, which keeps what was read of the request.
+        raise RequestError(problem)
+
+    async def _read_whole_request(self, connection: ServerConnection) -> Request | None:
         connection.charge.begin()
         # Requests that have arrived together are read without waiting.
         await curio.sleep(0)
         first = await self._read_request_head(connection)
         if not isinstance(first, h11.Request):
             return None
+        if len(first.headers) > self._limits.header_fields:
+            raise BadMessage(
+                HTTP_HEAD_TOO_LARGE,
+                'too-many-fields',
+                f'the head has over {self._limits.header_fields} fields',
+            )
         headers = _decode_headers(first.headers)
         reader = BodyReader(
             connection.client, connection.http, connection.charge, self._limits.body_bytes
