Bound what a connection holds while its client reads no answers

Each connection could hold 64 KB read beyond its request and, in the kernel, as much as the system's buffers grow to: 600 clients that sent requests and read no answers took 120 MB of the 96 MB of a host, unread bytes included.

The number of connections of an entry host is bounded by its memory, too: 64 KB each may take two fifths of it, 1,920 connections of a host with 300 MB, and never under 256.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -25,6 +25,9 @@
 HTTP_INTERNAL_ERROR = 500
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
+#: Bytes that may wait unread on a connection while its request is answered; the system doubles it
+#: for its own use. A body of 1 MB takes about 32 round trips.
+RECEIVE_BUFFER_BYTES = 32_768
 #: Methods of requests that change nothing.
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
 #: Seconds after which the client of a refused request may try another host.
@@ -134,7 +137,7 @@
 
     async def start(self, stack: AsyncExitStack, address: str, port: int) -> None:
         """Bind at once and accept connections in the background until ``stack`` closes."""
-        sock = listen(address, port)
+        sock = listen(address, port, RECEIVE_BUFFER_BYTES)
         self._listener = sock
         stack.push_async_callback(sock.close)
         self.port = sock.getsockname()[1]
--- a/dandelionreel/http/_sockets.py
+++ b/dandelionreel/http/_sockets.py
@@ -60,10 +60,17 @@
     )
 
 
-def listen(address: str, port: int) -> Any:
-    """Bind and listen; raises ``OSError`` if the address is in use."""
+def listen(address: str, port: int, receive_buffer: int = 0) -> Any:
+    """Bind and listen; raises ``OSError`` if the address is in use.
+
+    ``receive_buffer`` bounds the bytes that each accepted connection holds unread, 0 leaves the
+    bound to the system.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, True)
+    if receive_buffer:
+        # Accepted connections inherit it; the window is offered before a connection is accepted.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     try:
         sock.bind((address, port))
     except OSError:
--- a/dandelionreel/platform/_settings.py
+++ b/dandelionreel/platform/_settings.py
@@ -109,6 +109,10 @@
 #: File descriptors reserved for files, the store, runners and peers.
 RESERVED_DESCRIPTORS = 1200
 MIN_CONNECTIONS = 256
+#: Fraction of the memory that connections may take, and what one takes at most beside its body:
+#: its task, a head, what was read beyond the request and what waits unread.
+CONNECTIONS_FRACTION = 0.4
+CONNECTION_BYTES = 65_536
 MILLISECONDS_PER_SECOND = 1000
 MEGABYTE = 1_048_576
 #: A name or an IPv4 address.
@@ -171,7 +175,12 @@
         configuration_deadline=bounds.config_apply_ms / MILLISECONDS_PER_SECOND,
         # The share of one core, times the speed of that core relative to a standard one.
         cores=decoded.limits.cpu_share * decoded.limits.cores,
-        max_connections=max(MIN_CONNECTIONS, decoded.limits.max_fds - RESERVED_DESCRIPTORS),
+        max_connections=_limit_connections(decoded.limits),
         memory_bytes=decoded.limits.memory_mb * MEGABYTE,
         overload_control=OVERLOAD_RULES in decoded.contracts,
     )
+
+
+def _limit_connections(limits: _LimitsSection) -> int:
+    by_memory = int(limits.memory_mb * MEGABYTE * CONNECTIONS_FRACTION / CONNECTION_BYTES)
+    return max(MIN_CONNECTIONS, min(limits.max_fds - RESERVED_DESCRIPTORS, by_memory))
