Let idle connections give way at the limit of connections

400 connections without a request took all 256 places of a host with few descriptors, and an ordinary job got no answer for 30 s: idle connections stay for a minute, and those beyond the limit and 64 more were closed.

At the limit, the 16 connections that have been idle for the longest, over a second, get 503 not_run as their last answer and give way. The server counts what it refuses instead of looking at each connection for each new one, and gives way itself while connections are queued. ServerLimits and the encoding of responses are modules of their own.

--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -30,8 +30,8 @@
     CloseConnection,
     Handler,
     Server,
-    ServerLimits,
 )
+from dandelionreel.http._server_limits import ServerLimits
 from dandelionreel.http._sockets import connect, listen, set_source_address, shut_down
 
 __all__ = (
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -1,8 +1,8 @@
 """HTTP server with one task per connection."""
 
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from typing import Any
 
 import curio
@@ -12,9 +12,12 @@
 
 from dandelionreel.http._client import _decode_headers
 from dandelionreel.http._connections import Phase, ServerConnection, ServerLoad, measure_load
+from dandelionreel.http._idle_connections import find_longest_idle
 from dandelionreel.http._messages import Request, Response, problem_response
 from dandelionreel.http._request_body import READ_SIZE, BodyReader
 from dandelionreel.http._request_budget import RequestBudget
+from dandelionreel.http._response_encoding import encode_response
+from dandelionreel.http._server_limits import ServerLimits
 from dandelionreel.http._sockets import listen
 from dandelionreel.kernel import Problem, RequestError, Verdict, start_task
 
@@ -58,18 +61,6 @@
 )
 
 
-@dataclass(frozen=True)
-class ServerLimits:
-    """Limits of a server: sizes in bytes, timeouts in seconds, header fields, open connections."""
-
-    body_bytes: int = 1_048_576
-    header_bytes: int = 16_384
-    header_fields: int = 100
-    read_seconds: float = 5
-    idle_seconds: float = 60
-    connections: int = 512
-
-
 class BadMessage(RequestError):
     """The client sent an invalid request or one that exceeds a limit."""
 
@@ -109,6 +100,8 @@
         self._accept_task: Any = None
         self._connection_by_task: dict[Any, ServerConnection] = {}
         self._is_refusing = False
+        #: Open connections that are refused, or give way to others.
+        self._refused_connections = 0
         #: Requests that were refused because the server is stopping.
         self.refused_requests = 0
         self.port = 0
@@ -192,6 +185,8 @@
         while True:
             client, _ = await sock.accept()
             await self._open_connection(client)
+            # Accepting does not wait while connections are queued.
+            await curio.sleep(0)
 
     async def _accept_queued_connections(self) -> None:
         while True:
@@ -202,16 +197,33 @@
             await self._open_connection(Socket(accepted[0]))
 
     async def _open_connection(self, client: Any) -> None:
-        connections = self._connection_by_task.values()
-        served = sum(connection.refusal is None for connection in connections)
-        refusal = None if served < self._limits.connections else TOO_MANY
-        if refusal is not None and len(connections) - served >= REFUSED_CONNECTIONS:
+        if self._served_connections >= self._limits.connections:
+            self._end_idle_connections()
+        is_refused = self._served_connections >= self._limits.connections
+        if is_refused and self._refused_connections >= REFUSED_CONNECTIONS:
             await client.close()
             return
+        self._refused_connections += is_refused
+        refusal = TOO_MANY if is_refused else None
         connection = ServerConnection(client, self._limits.header_bytes, self._budget, refusal)
         task = await curio.spawn(self._serve_connection, connection, daemon=True)
         self._connection_by_task[task] = connection
 
+    @property
+    def _served_connections(self) -> int:
+        return len(self._connection_by_task) - self._refused_connections
+
+    def _end_idle_connections(self) -> None:
+        connections = self._connection_by_task.values()
+        for connection in find_longest_idle(connections, time.monotonic()):
+            # A request may be on its way, so the client gets an answer.
+            connection.refusal = TOO_MANY
+            self._refused_connections += 1
+            response = problem_response(TOO_MANY)
+            connection.send_now(self._encode_response(connection, response, last=True))
+            connection.enter(Phase.CLOSING)
+            connection.stop_receiving()
+
     async def _cancel_tasks(self) -> None:
         for task in tuple(self._connection_by_task):
             await task.cancel()
@@ -224,6 +236,7 @@
         finally:
             self._connection_by_task.pop(await curio.current_task(), None)
             connection.charge.release()
+            self._refused_connections -= connection.refusal is not None
             await connection.client.close()
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
@@ -370,16 +383,5 @@
     def _encode_response(
         self, connection: ServerConnection, response: Response, *, last: bool
     ) -> bytes:
-        http, request = connection.http, connection.request
-        headers = [
-            (name, content)
-            for name, content in response.headers
-            if name not in {'connection', 'transfer-encoding', 'content-length'}
-        ]
-        headers.append(('content-length', str(len(response.body))))
-        if last or self._keep_alive_disabled or self._is_draining():
-            headers.append(('connection', 'close'))
-        payload: bytes = http.send(h11.Response(status_code=response.status, headers=headers))
-        if response.body and (request is None or request.method != 'HEAD'):
-            payload += http.send(h11.Data(data=response.body))
-        return payload + http.send(h11.EndOfMessage())
+        is_last = last or self._keep_alive_disabled or self._is_draining()
+        return encode_response(connection.http, connection.request, response, is_last=is_last)
--- /dev/null
+++ b/dandelionreel/http/_server_limits.py
@@ -0,0 +1,15 @@
+"""Limits of an HTTP server."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """Limits of a server: sizes in bytes, timeouts in seconds, header fields, open connections."""
+
+    body_bytes: int = 1_048_576
+    header_bytes: int = 16_384
+    header_fields: int = 100
+    read_seconds: float = 5
+    idle_seconds: float = 60
+    connections: int = 512
