--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -31,7 +31,7 @@
 from dandelionreel.entry_readiness import EntryReadiness
 from dandelionreel.entry_reads import EntryReads
 from dandelionreel.entry_stop import HostStop
-from dandelionreel.http import RequestBudget, Server, ServerLimits
+from dandelionreel.http import CONTROL_LIMITS, RequestBudget, Server, ServerLimits
 from dandelionreel.kernel import (
     Environment,
     ExitStatus,
@@ -212,9 +212,11 @@
 
     async def _start_servers(self, stack: AsyncExitStack) -> None:
         settings = self._settings
-        readiness = Server(self._readiness.answer_check)
+        readiness = Server(
+            self._readiness.answer_check, CONTROL_LIMITS, budget=self._request_budget
+        )
         await readiness.start(stack, settings.readiness.host, settings.readiness.port)
-        metrics = Server(self._metrics.handle)
+        metrics = Server(self._metrics.handle, CONTROL_LIMITS, budget=self._request_budget)
         await metrics.start(stack, settings.peers.host, METRICS_PORT)
         self._peer_server = await start_peer_server(
             stack,
--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -31,10 +31,11 @@
     Handler,
     Server,
 )
-from dandelionreel.http._server_limits import ServerLimits
+from dandelionreel.http._server_limits import CONTROL_LIMITS, ServerLimits
 from dandelionreel.http._sockets import connect, listen, set_source_address, shut_down
 
 __all__ = (
+    'CONTROL_LIMITS',
     'JSON_TYPE',
     'PROBLEM_TYPE',
     'PROBLEM_URN',
--- a/dandelionreel/http/_server_limits.py
+++ b/dandelionreel/http/_server_limits.py
@@ -13,3 +13,9 @@
     read_seconds: float = 5
     idle_seconds: float = 60
     connections: int = 512
+
+
+CONTROL_BODY_BYTES = 4096
+CONTROL_CONNECTIONS = 128
+#: Limits of a server to which only small requests of a few clients are sent.
+CONTROL_LIMITS = ServerLimits(body_bytes=CONTROL_BODY_BYTES, connections=CONTROL_CONNECTIONS)
