Bound the frames that a server of peers receives

A frame of up to 16 MB was kept for each connection before it was known who sends it, without a limit of connections or of silence: 20 connections that sent 8 MB each and stopped short took 204 MB of the 96 MB of a host.

Links that a host has opened itself read as before.

--- a/dandelionreel/peers/_server.py
+++ b/dandelionreel/peers/_server.py
@@ -10,10 +10,13 @@
 from dandelionreel.http import listen, shut_down
 from dandelionreel.kernel import Clock, Journal, Part, start_task
 from dandelionreel.peers._codec import FrameError
-from dandelionreel.peers._framing import FrameStream, TrafficCounter
+from dandelionreel.peers._framing import FrameBudget, FrameStream, TrafficCounter
 from dandelionreel.peers._link import PeerClocks
 from dandelionreel.peers._messages import Frame, Message, Refused
 
+#: Connections that are served: a few for each host of the largest cell.
+MAX_CONNECTIONS = 1024
+
 MessageHandler = Callable[[Frame], Awaitable[Message]]
 
 
@@ -37,6 +40,8 @@
         self._handler_by_type: dict[type, MessageHandler] = {}
         self._tasks: set[Any] = set()
         self._in_progress_by_type: Counter[type] = Counter()
+        self._frame_budget = FrameBudget()
+        self._connections = 0
         self.port = 0
 
     def count_in_progress(self, kind: type) -> int:
@@ -63,6 +68,10 @@
     async def _accept_connections(self, sock: Any) -> None:
         while True:
             client, _ = await sock.accept()
+            if self._connections >= MAX_CONNECTIONS:
+                await client.close()
+                continue
+            self._connections += 1
             self._tasks.add(await curio.spawn(self._serve_connection, client, daemon=True))
 
     async def _cancel_tasks(self) -> None:
@@ -70,7 +79,7 @@
             await task.cancel()
 
     async def _serve_connection(self, client: Any) -> None:
-        stream = FrameStream(client, self._traffic)
+        stream = FrameStream(client, self._traffic, budget=self._frame_budget)
         lock = curio.Lock()
         try:
             while True:
@@ -81,9 +90,10 @@
                 await self._spawn_answer_task(stream, lock, frame)
         except FrameError as error:
             self._journal.log(Part.PEERS, f'closed a connection of a peer: {error}.')
-        except OSError:
+        except (OSError, curio.TaskTimeout):
             return
         finally:
+            self._connections -= 1
             self._tasks.discard(await curio.current_task())
             await shut_down(client)
             # The shutdown makes a task that is blocked in sending an answer release the lock.
