Count and log the requests that are refused before they are handled

Refusals by a server itself (413, 431, 408, 503) left no trace: an operator could not tell a crowd of clients from calm.

dandelionreel_refused_requests counts them by cause on entry hosts and daemons, and one log line in ten seconds has the new ones.

--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -10,6 +10,7 @@
 from dandelionreel.admin import AdminApi
 from dandelionreel.backing import HostWatch, LogError, StreamReader, StreamWriter
 from dandelionreel.callers import CallerApi, ZoneRelay
+from dandelionreel.client_refusals import RefusalReport
 from dandelionreel.contracts import ContractProjection, ContractPublisher, ContractRecord
 from dandelionreel.http import RequestBudget, Server, ServerLimits
 from dandelionreel.jobs import (
@@ -405,6 +406,7 @@
         )
         # The servers share the memory of the process.
         self._request_budget = RequestBudget(limits.memory_mb * MEGABYTE, limits.body_bytes)
+        self._refusals = RefusalReport(self._request_budget, self._clock, self._journal)
         self._callers_server = Server(caller_api.handle, server_limits, budget=self._request_budget)
         self._admin_server = Server(admin_api.handle, server_limits, budget=self._request_budget)
         self._register_peer_handlers(caller_api)
@@ -546,6 +548,7 @@
                 self._jobs,
                 self._dispatcher.planner,
                 self._claimer,
+                self._refusals.update(),
             )
             await curio.sleep(1)
 
--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -25,6 +25,7 @@
 from dandelionreel.cell.model import Member, Registration, Runner
 from dandelionreel.cell.owner import Dispatcher, DispatcherDependencies, PacingFigures
 from dandelionreel.cell.store import GroupWriter
+from dandelionreel.client_refusals import RefusalReport
 from dandelionreel.entry_clients import make_client_api
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_peers import start_peer_server
@@ -162,6 +163,7 @@
             self._metrics,
         )
         self._request_budget = RequestBudget(settings.memory_bytes)
+        self._refusals = RefusalReport(self._request_budget, self._clock, self._journal)
         self._client_server = Server(
             self._client_api.handle,
             ServerLimits(connections=settings.max_connections),
@@ -317,6 +319,7 @@
                 self._reads.operator_follower.age(now),
                 self._logs.dropped,
             )
+            self._metrics.update_refused_requests(self._refusals.update())
             self._metrics.update_traffic(self._peer_links.traffic)
             figures = dispatcher.pacing_figures if dispatcher else PacingFigures()
             self._metrics.update_pacing(figures)
--- a/dandelionreel/entry_metrics.py
+++ b/dandelionreel/entry_metrics.py
@@ -131,6 +131,9 @@
             'Tasks that started while their account waited for a gang, in this owner term.',
             'account',
         )
+        self._refused_requests = self._make_gauge(
+            'refused_requests', 'Requests refused before they were handled.', 'cause'
+        )
         self._cpu_seconds = self._make_gauge('cpu_seconds', 'Processor time of this process.')
 
     def update_pacing(self, figures: PacingFigures) -> None:
@@ -149,6 +152,11 @@
         self._advice_seconds.labels('queued').set(figures.longest_queued_seconds)
         self._advice_seconds.labels('call').set(figures.longest_call_seconds)
 
+    def update_refused_requests(self, count_by_cause: dict[str, int]) -> None:
+        """Set the gauge of the requests that were refused before they were handled."""
+        for cause, count in count_by_cause.items():
+            self._refused_requests.labels(cause).set(count)
+
     def update_traffic(self, traffic: TrafficCounter) -> None:
         """Set the gauges of the bytes on connections that this host has opened."""
         bytes_by_message: dict[str, int] = {}
--- a/dandelionreel/http/_request_budget.py
+++ b/dandelionreel/http/_request_budget.py
@@ -66,12 +66,12 @@
             self._pool = self._budget.large
         held = size if self._pool is self._budget.small else max(size, announced)
         if not self._pool.hold(self, held):
-            self._budget.refuse(OUT_OF_MEMORY)
+            raise RequestError(OUT_OF_MEMORY)
 
     def check(self) -> None:
         """Raise ``RequestError`` if the charge was evicted."""
         if self._is_evicted:
-            self._budget.refuse(OUT_OF_MEMORY)
+            raise RequestError(OUT_OF_MEMORY)
 
     def evict(self) -> None:
         """Give back all bytes, and make the task that reads the body refuse it."""
@@ -98,18 +98,13 @@
         pool_bytes = int(memory_bytes * BUDGET_FRACTION)
         self.small = _Pool(pool_bytes)
         self.large = _Pool(max(pool_bytes, LARGEST_BODIES * largest_body))
-        #: Refused requests by the cause that their clients are told.
+        #: Requests that were refused before they were handled, by the cause that clients are told.
         self.refused_by_cause: Counter[str] = Counter()
 
     def open_charge(self, evict: Callable[[], None]) -> BodyCharge:
         """Return the charge of a connection."""
         return BodyCharge(self, evict)
 
-    def refuse(self, problem: Problem) -> None:
-        """Count a refused request, and raise ``RequestError``."""
-        self.refused_by_cause[problem.cause] += 1
-        raise RequestError(problem)
-
 
 class _Pool:
     def __init__(self, capacity: int) -> None:
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -17,7 +17,7 @@
 from dandelionreel.http._request_body import READ_SIZE, BodyReader
 from dandelionreel.http._request_budget import RequestBudget
 from dandelionreel.http._response_encoding import encode_response
-from dandelionreel.http._server_limits import ServerLimits
+from dandelionreel.http._server_limits import RECEIVE_BUFFER_BYTES, ServerLimits
 from dandelionreel.http._sockets import listen
 from dandelionreel.kernel import Problem, RequestError, Verdict, start_task
 
@@ -28,9 +28,6 @@
 HTTP_INTERNAL_ERROR = 500
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
-#: Bytes that may wait unread on a connection while its request is answered; the system doubles it
-#: for its own use. A body of 1 MB takes about 32 round trips.
-RECEIVE_BUFFER_BYTES = 32_768
 #: Methods of requests that change nothing.
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
 #: Seconds after which the client of a refused request may try another host.
@@ -218,6 +215,7 @@
         for connection in find_longest_idle(connections, time.monotonic()):
             # A request may be on its way, so the client gets an answer.
             connection.refusal = TOO_MANY
+            self._budget.refused_by_cause[TOO_MANY.cause] += 1
             self._refused_connections += 1
             response = problem_response(TOO_MANY)
             connection.send_now(self._encode_response(connection, response, last=True))
@@ -365,6 +363,7 @@
 
     async def _send_last_problem(self, connection: ServerConnection, problem: Problem) -> None:
         """Answer a request that is not read to its end, and close the connection."""
+        self._budget.refused_by_cause[problem.cause] += 1
         if connection.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await self._send_response(connection, problem_response(problem), last=True)
         await connection.discard_unread()
--- a/dandelionreel/http/_server_limits.py
+++ b/dandelionreel/http/_server_limits.py
@@ -15,6 +15,9 @@
     connections: int = 512
 
 
+#: Bytes that may wait unread on a connection while its request is answered; the system doubles it
+#: for its own use. A body of 1 MB takes about 32 round trips.
+RECEIVE_BUFFER_BYTES = 32_768
 CONTROL_BODY_BYTES = 4096
 CONTROL_CONNECTIONS = 128
 #: Limits of a server to which only small requests of a few clients are sent.
--- a/dandelionreel/metrics.py
+++ b/dandelionreel/metrics.py
@@ -59,6 +59,9 @@
         )
         self._used = self._add_gauge('used', 'Use of the zone by resource.', 'resource')
         self._capacity = self._add_gauge('capacity', 'What the zone has.', 'resource')
+        self._refused_requests = self._add_gauge(
+            'refused_requests', 'Requests refused before they were handled.', 'cause'
+        )
         self._cpu_seconds = self._add_gauge('cpu_seconds', 'Processor time of this process.')
         self._resident_bytes = self._add_gauge('memory_bytes', 'Resident memory of this process.')
 
@@ -70,8 +73,11 @@
         jobs: JobProjection,
         planner: Planner,
         claimer: ShardClaimer,
+        refused_by_cause: dict[str, int],
     ) -> None:
         """Set all gauges."""
+        for cause, count in refused_by_cause.items():
+            self._refused_requests.labels(cause).set(count)
         self._log_outage.set(reader.outage_seconds)
         self._log_read.set(reader.read_seconds)
         self._log_append.set(writer.append_seconds)
