Bound the time of a whole head instead of that of each read

Each read of a head had 5 s, so a client that sent a byte now and then kept its connection, and up to 16 KB, for hours.

A head has read_seconds from its first byte on.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -333,9 +333,7 @@
         )
 
     async def _read_request_head(self, connection: ServerConnection) -> Any:
-        # An idle connection may wait for its next request for ``idle_seconds``. Once a
-        # request has begun, each read has ``read_seconds``, so that a client that stops
-        # in the middle of its headers cannot keep the connection forever.
+        # A request may begin within ``idle_seconds``; its head must end within ``read_seconds``.
         while True:
             event = connection.http.next_event()
             if event is not h11.NEED_DATA:
@@ -352,7 +350,10 @@
     async def _receive_head(self, connection: ServerConnection) -> bytes | None:
         """Return the next bytes, ``b''`` at the end and ``None`` after a timeout."""
         is_idle = connection.phase is Phase.IDLE and connection.refusal is None
-        timeout = self._limits.idle_seconds if is_idle else self._limits.read_seconds
+        timeout = self._limits.idle_seconds
+        if not is_idle:
+            read_until = connection.phase_since + self._limits.read_seconds
+            timeout = max(0.0, read_until - time.monotonic())
         received: bytes | None = await curio.ignore_after(
             timeout, connection.client.recv, READ_SIZE
         )
--- a/features/client_limits.feature
+++ b/features/client_limits.feature
@@ -145,3 +145,9 @@
   Scenario: A single large job is sent to a daemon
     Given a daemon with 256 MB of memory
     Then a job of the largest size is accepted
+
+  # Guards against a head that keeps its connection for as long as single bytes of it arrive.
+  Scenario: A head is sent byte by byte
+    Given a server that waits 0.5 seconds for a request
+    When a client sends 60 bytes of a head, one every 0.1 seconds
+    Then it gets the status 408 before it has sent them all
--- a/features/steps/client_limit_steps.py
+++ b/features/steps/client_limit_steps.py
@@ -1,10 +1,12 @@
 """Steps on processes whose clients do not stay within the limits."""
 
 import json
+import select
 from itertools import repeat
 
 from behave import given, then, when
 
+from dandelionreel.http import ServerLimits
 from features.cells import contract, job
 from features.client_crowd import (
     FINISHING_SHARE,
@@ -15,6 +17,7 @@
     split,
 )
 from features.steps.platform_steps import make_job
+from features.steps.server_stop_steps import StoppingServer
 from standins import Cluster, EntryHosts, Layout, UsersPlatform, wait_for
 from standins._entry_hosts import PEERS_PORT, READINESS_PORT
 
@@ -270,3 +273,25 @@
 @then('a job of the largest size is accepted')
 def check_largest_job(context):
     assert context.target.submit(_legal_body(context.target)) == 200
+
+
+@given('a server that waits {seconds:g} seconds for a request')
+def start_impatient_server(context, seconds):
+    context.server = StoppingServer(limits=ServerLimits(read_seconds=seconds))
+    context.stack.callback(context.server.close)
+    context.server.start()
+
+
+@when('a client sends {count:d} bytes of a head, one every {pause:g} seconds')
+def trickle_head(context, count, pause):
+    context.sock = context.stack.enter_context(context.server.connect())
+    context.unsent = count
+    while context.unsent and not select.select([context.sock], [], [], pause)[0]:
+        context.sock.sendall(b'G')
+        context.unsent -= 1
+
+
+@then('it gets the status {status:d} before it has sent them all')
+def check_trickle_refused(context, status):
+    assert context.unsent
+    assert context.sock.recv(64).startswith(f'HTTP/1.1 {status} '.encode())
