Give up a task only if it is proven to crash its runners

Seen by clients: a job is shown as failed although no run of it ended failed. Cause: every loss of a runner counted against the tasks that ran there, and a start on a connection whose process had already ended counted as one that had crashed the runner. The connection breaks in both cases; only an answer right before the start tells them apart. A crash is proven if the connection then closes without a byte of the answer, no other start was pending on the runner, it was not heard since, and its process is proven to have ended. Two proven crashes end a job, or one of five; losses by chance never do; a step that lasts is never given up. Five rows of a task are stored at the most, and none once it is done, since the number of losses has no limit any more. The proofs are stored in a field of their own, which earlier builds neither write nor read; the rows keep their form.

--- a/dandelionreel/cell/decisions/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -2,20 +2,20 @@
 
 Load pattern: a task crashes each runner that starts it. A crashed runner reports nothing, so if
 only failed runs were counted, the task would be restarted forever. Most tasks on a crashed runner
-are not the cause. Two signs identify the culprit: its start was still unanswered when the
-connection broke, and it crashes a runner on which nothing else starts.
+are not the cause, and runners also crash by chance, so no number of crashes alone shows the
+culprit. A proven crash does: the runner answered on the same connection right before the start was
+sent, the connection closed without an answer, and nothing else was starting there.
 """
 
 from dataclasses import dataclass
 
-from dandelionreel.cell.model import CrashedRun, StoredStart, TaskName
+from dandelionreel.cell.model import CrashedRun, ProvenCrash, StoredStart, TaskName
 
-#: Number of runner crashes during starts of a task after which the task is not started again. After
-#: the first crash the task starts alone, so a second crash is no coincidence.
-START_CRASH_LIMIT = 2
-#: Number of runner crashes, during the start or later, after which a task is not started again.
-#: Covers tasks that crash their runner some time after the start.
-CRASH_LIMIT = 3
+#: Number of proven crashes after which a task is not started again.
+PROVEN_CRASH_LIMIT = 2
+#: Number of runner crashes after which a task is not started again if one of them is proven. Covers
+#: owners that are lost before they have seen the proof.
+CRASH_LIMIT = 5
 #: Number of runner crashes, during the start or later, after which a task is quarantined: it then
 #: starts alone on its runner.
 QUARANTINE_CRASHES = 2
@@ -30,14 +30,15 @@
 class Crash:
     """A runner crash during a run; ``during_start`` as in ``CrashedRun``.
 
-    ``count`` is the number of crashes during runs of the task. If ``given_up``, the task is not
-    started again.
+    If ``proven``, the start of the run has crashed the runner. ``count`` is the number of crashes
+    during runs of the task, ``CRASH_LIMIT`` at most. If ``given_up``, the job has failed.
     """
 
     task: TaskName
     run: int
     runner: str
     during_start: bool
+    proven: bool
     count: int
     given_up: bool
 
@@ -48,6 +49,8 @@
     def __init__(self) -> None:
         """Create an empty history."""
         self._runs_by_task: dict[_TaskKey, dict[int, CrashedRun]] = {}
+        #: The runs of these whose crash is proven.
+        self._proven_runs_by_task: dict[_TaskKey, set[int]] = {}
         self._start_by_task: dict[_TaskKey, StoredStart] = {}
         #: Set when a runner of the job was lost together with an earlier owner. Which tasks that
         #: owner had started there, and whether the runner crashed during them, is unknown.
@@ -59,6 +62,16 @@
         found = [run for runs in self._runs_by_task.values() for run in runs.values()]
         return tuple(sorted(found, key=_run_sort_key))
 
+    @property
+    def proven(self) -> tuple[ProvenCrash, ...]:
+        """Return the counted runs whose crash is proven."""
+        found = [
+            ProvenCrash(*key, run)
+            for key, runs in self._proven_runs_by_task.items()
+            for run in runs
+        ]
+        return tuple(sorted(found, key=_run_sort_key))
+
     @property
     def starts(self) -> tuple[StoredStart, ...]:
         """Return the starts in progress that are recorded individually."""
@@ -68,24 +81,39 @@
         self,
         crashed: tuple[CrashedRun, ...],
         starts: tuple[StoredStart, ...],
+        proven: tuple[ProvenCrash, ...] = (),
     ) -> None:
         """Restore the history that an earlier owner stored."""
         for run in crashed:
             self._runs_by_task.setdefault(_task_key(run), {})[run.run] = run
+        for proof in proven:
+            if proof.run in self._runs_by_task.get(_task_key(proof), {}):
+                self._proven_runs_by_task.setdefault(_task_key(proof), set()).add(proof.run)
         for start in starts:
             self._start_by_task[_task_key(start)] = start
 
-    def record_crash(self, task: TaskName, run: int, *, during_start: bool) -> bool:
+    def record_crash(
+        self, task: TaskName, run: int, *, during_start: bool = False, proven: bool = False
+    ) -> bool:
         """Count a runner crash during a run; return whether it was not counted before."""
         key = _task_key(task)
         runs = self._runs_by_task.setdefault(key, {})
         if run in runs:
             return False
         runs[run] = CrashedRun(*key, run, during_start)
+        proven_runs = self._proven_runs_by_task.setdefault(key, set())
+        if proven:
+            proven_runs.add(run)
+        if len(runs) > CRASH_LIMIT:
+            # More rows change no decision, and a record of the store has a maximum size.
+            dropped = min(runs, key=lambda number: (number in proven_runs, number))
+            del runs[dropped]
+            proven_runs.discard(dropped)
         return True
 
     def clear(self, task: TaskName) -> bool:
         """Clear the crashes of a task that did not cause them; return whether there were any."""
+        self._proven_runs_by_task.pop(_task_key(task), None)
         return bool(self._runs_by_task.pop(_task_key(task), None))
 
     def count(self, task: TaskName) -> int:
@@ -97,10 +125,13 @@
         return self._count_start_crashes(task) > 0 or self.count(task) >= QUARANTINE_CRASHES
 
     def has_reached_crash_limit(self, task: TaskName) -> bool:
-        """Return whether a task has crashed too many runners to be started again."""
-        return (
-            self._count_start_crashes(task) >= START_CRASH_LIMIT or self.count(task) >= CRASH_LIMIT
-        )
+        """Return whether a task is proven to crash its runners."""
+        proven = len(self._proven_runs_by_task.get(_task_key(task), ()))
+        return proven >= PROVEN_CRASH_LIMIT or (proven > 0 and self.count(task) >= CRASH_LIMIT)
+
+    def may_crash_runners(self, task: TaskName) -> bool:
+        """Return whether runners have crashed during runs of a task, or may have."""
+        return self.incomplete or _task_key(task) in self._runs_by_task
 
     def record_start(self, task: TaskName, run: int, runner: str) -> bool:
         """Record a start that is about to be sent; return whether to store it first.
@@ -110,7 +141,7 @@
         one more runner.
         """
         key = _task_key(task)
-        if not self.incomplete and key not in self._runs_by_task:
+        if not self.may_crash_runners(task):
             return False
         self._start_by_task[key] = StoredStart(*key, run, runner)
         return True
@@ -132,9 +163,9 @@
         return sum(run.during_start for run in runs.values())
 
 
-def _task_key(row: TaskName | CrashedRun | StoredStart) -> _TaskKey:
+def _task_key(row: TaskName | CrashedRun | ProvenCrash | StoredStart) -> _TaskKey:
     return row.occurrence, row.step, row.index
 
 
-def _run_sort_key(row: CrashedRun | StoredStart) -> tuple[int, int, int, int]:
+def _run_sort_key(row: CrashedRun | ProvenCrash | StoredStart) -> tuple[int, int, int, int]:
     return row.occurrence, row.step, row.index, row.run
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -190,6 +190,7 @@
             # acknowledged. Only the first report changes the progress.
             self.dirty = self.dirty or task.phase is not TaskPhase.DONE
             step.finish_task(task)
+            self.crashes.clear(task.name)
         self._has_new_complete_step = self._has_new_complete_step or step.is_complete
         self._complete_job_if_done()
 
@@ -209,19 +210,22 @@
         if task.failures >= max_failures and not step.step.long_running and not self.is_finished:
             self.state = JobState.FAILED
 
-    def record_crashed_run(self, name: TaskName, run: int, *, during_start: bool) -> bool:
+    def record_crashed_run(
+        self, name: TaskName, run: int, *, during_start: bool = False, proven: bool = False
+    ) -> bool:
         """Count a runner crash during a run once; return whether it was not counted before.
 
-        After too many crashes the job has failed, even if its step is long-running.
+        Once a task is proven to crash its runners, the job has failed. A task of a long-running
+        step has no such limit and stays quarantined.
         """
         found = self.find_task(name)
         if found is None or self.is_finished or found[1].phase is TaskPhase.DONE:
             return False
-        if not self.crashes.record_crash(name, run, during_start=during_start):
+        if not self.crashes.record_crash(name, run, during_start=during_start, proven=proven):
             return False
         self.dirty = True
         found[1].quarantined = self.crashes.is_quarantined(name)
-        if self.crashes.has_reached_crash_limit(name):
+        if self.crashes.has_reached_crash_limit(name) and not found[0].step.long_running:
             self.state = JobState.FAILED
         return True
 
@@ -362,10 +366,11 @@
             self.crashes.starts,
             self.crashes.incomplete,
             self.account,
+            proven=self.crashes.proven,
         )
 
     def _restore_crashes(self, progress: Progress) -> None:
-        self.crashes.restore(progress.crashed, progress.starts)
+        self.crashes.restore(progress.crashed, progress.starts, progress.proven)
         self.crashes.incomplete = progress.doubtful
         for crashed in progress.crashed:
             task = self.steps(crashed.occurrence)[crashed.step].tasks[crashed.index]
--- a/dandelionreel/cell/decisions/_runner_losses.py
+++ b/dandelionreel/cell/decisions/_runner_losses.py
@@ -10,17 +10,21 @@
 from dandelionreel.cell.decisions._crashes import HEALTHY_SECONDS, Crash
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._runner_state import NEVER, Allocation, RunnerState
-from dandelionreel.cell.model import Registration, StoredStart, TaskName
+from dandelionreel.cell.model import JobState, Registration, StoredStart, TaskName
 
 Address = tuple[str, int]
 
 
 @dataclass(frozen=True)
-class _LapsedRunner:
-    """A silent runner whose leases have expired, with the runs that it may have lost."""
+class _LostRunner:
+    """A runner that has ended or whose leases have expired, with the runs that it may have lost.
+
+    ``answered_at`` is when it last answered a poll, ``known_at`` a poll or an order.
+    """
 
     runner: str
     answered_at: float
+    known_at: float
     runs: tuple[Allocation, ...]
 
 
@@ -35,14 +39,15 @@
         """
         self._unfinished_job_by_id = unfinished_job_by_id
         self._dirty = dirty
-        self._lapsed_by_address: dict[Address, _LapsedRunner] = {}
+        self._lapsed_by_address: dict[Address, _LostRunner] = {}
 
     def count_crashes_on_ended_runner(self, runner: RunnerState) -> list[Crash]:
         """Count the runs that were lost with a runner whose process is proven to have ended."""
         if runner.draining:
             return []
+        runs = tuple(runner.allocation_by_run.values())
         crashes = self._count_crashes(
-            runner.id, runner.answered_at, tuple(runner.allocation_by_run.values())
+            _LostRunner(runner.id, runner.answered_at, runner.known_at, runs)
         )
         lapsed = self._lapsed_by_address.get(_runner_address(runner))
         if lapsed is not None and lapsed.runner == runner.id:
@@ -55,8 +60,8 @@
         """Keep the runs of a silent runner until it is known whether the runner has crashed."""
         if not runner.draining:
             runs = tuple(runner.allocation_by_run.values())
-            self._lapsed_by_address[_runner_address(runner)] = _LapsedRunner(
-                runner.id, runner.answered_at, runs
+            self._lapsed_by_address[_runner_address(runner)] = _LostRunner(
+                runner.id, runner.answered_at, runner.known_at, runs
             )
 
     def handle_first_answer(self, runner: RunnerState) -> list[Crash]:
@@ -86,33 +91,33 @@
                 self._dirty.add(job.id)
             for start in job.crashes.starts_on_runner(runner_id):
                 task = _task_name(job.id, start)
-                crashes.extend(
-                    self._record_crash(job, task, start.run, runner_id, during_start=False)
-                )
+                crashes.extend(self._record_crash(job, task, start.run, runner_id))
         return crashes
 
     def _count_crashes_on_lapsed_runner(self, address: Address) -> list[Crash]:
-        lapsed = self._lapsed_by_address.pop(address)
-        return self._count_crashes(lapsed.runner, lapsed.answered_at, lapsed.runs)
+        return self._count_crashes(self._lapsed_by_address.pop(address))
 
-    def _count_crashes(
-        self,
-        runner_id: str,
-        answered_at: float,
-        held: Iterable[Allocation],
-    ) -> list[Crash]:
+    def _count_crashes(self, runner: _LostRunner) -> list[Crash]:
         crashes: list[Crash] = []
-        for run in held:
+        for run in runner.runs:
             job = self._unfinished_job_by_id.get(run.task.job)
             if job is None or not run.may_have_run:
                 continue
-            if run.started_at is not None and answered_at - run.started_at >= HEALTHY_SECONDS:
+            if (
+                run.started_at is not None
+                and runner.answered_at - run.started_at >= HEALTHY_SECONDS
+            ):
                 job.clear_crashes(run.task)
                 self._dirty.add(job.id)
                 continue
             crashes.extend(
                 self._record_crash(
-                    job, run.task, run.run, runner_id, during_start=run.connection_broken
+                    job,
+                    run.task,
+                    run.run,
+                    runner.runner,
+                    during_start=run.connection_broken,
+                    proven=_is_proven_crash(run, runner),
                 )
             )
         return crashes
@@ -124,15 +129,15 @@
         run: int,
         runner: str,
         *,
-        during_start: bool,
+        during_start: bool = False,
+        proven: bool = False,
     ) -> list[Crash]:
-        if not job.record_crashed_run(task, run, during_start=during_start):
+        if not job.record_crashed_run(task, run, during_start=during_start, proven=proven):
             return []
         self._dirty.add(job.id)
         count = job.crashes.count(task)
-        return [
-            Crash(task, run, runner, during_start, count, job.crashes.has_reached_crash_limit(task))
-        ]
+        given_up = job.state is JobState.FAILED
+        return [Crash(task, run, runner, during_start, proven, count, given_up)]
 
 
 def apply_last_registrations(
@@ -151,6 +156,19 @@
             runner.apply_registration(last, now)
 
 
+def _is_proven_crash(run: Allocation, runner: _LostRunner) -> bool:
+    """Return whether the start of a run has crashed its runner, whose process has ended.
+
+    An answer after the connection broke shows that the runner outlived the start, and of two starts
+    that were pending it is unknown which one caused the crash.
+    """
+    if run.crash_seen_at is None or run.started_at is not None:
+        return False
+    if max(runner.known_at, run.order_answered_at or NEVER) > run.crash_seen_at:
+        return False
+    return not any(other.is_start_pending for other in runner.runs if other is not run)
+
+
 def _task_name(job: str, start: StoredStart) -> TaskName:
     return TaskName(job, start.occurrence, start.step, start.index)
 
--- a/dandelionreel/cell/decisions/_runner_state.py
+++ b/dandelionreel/cell/decisions/_runner_state.py
@@ -72,12 +72,20 @@
     start_unanswered: bool = False
     #: Whether the connection broke while the first attempt to start the run was unanswered.
     connection_broken: bool = False
+    #: When that happened, if the runner had answered on the connection right before the attempt.
+    crash_seen_at: float | None = None
 
     @property
     def may_have_run(self) -> bool:
         """Return whether the run may have started on its runner."""
         return self.start_unanswered or self.started_at is not None
 
+    @property
+    def is_start_pending(self) -> bool:
+        """Return whether a start of the run may still be sent, or was sent and not answered."""
+        unanswered = self.start_unanswered and self.started_at is None
+        return unanswered or self.phase is AllocationPhase.STARTING
+
 
 class RunnerState:
     """State of one runner: registration, clock, free capacity and allocations."""
--- a/dandelionreel/cell/model/_checks.py
+++ b/dandelionreel/cell/model/_checks.py
@@ -5,7 +5,13 @@
 """
 
 from dandelionreel.cell.model._model import JobSpec, Step
-from dandelionreel.cell.model._records import CrashedRun, FailedRun, Progress, StoredStart
+from dandelionreel.cell.model._records import (
+    CrashedRun,
+    FailedRun,
+    Progress,
+    ProvenCrash,
+    StoredStart,
+)
 from dandelionreel.cell.model._unreadable import UnreadableError, UnreadableReason
 
 MAX_STEPS = 100
@@ -58,9 +64,10 @@
         step = _get_step(spec, done.occurrence, done.step)
         if int(done.mask, HEX_BASE) >> step.count:
             raise _range_error(f'more tasks of step {done.step} are done than it has')
-    rows: tuple[FailedRun | CrashedRun | StoredStart, ...] = (
+    rows: tuple[FailedRun | CrashedRun | ProvenCrash | StoredStart, ...] = (
         *progress.failed,
         *progress.crashed,
+        *progress.proven,
         *progress.starts,
     )
     for row in rows:
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -102,6 +102,15 @@
     during_start: bool = False
 
 
+class ProvenCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crashed run whose start is proven to have crashed its runner."""
+
+    occurrence: Count
+    step: Count
+    index: Count
+    run: Count
+
+
 class StoredStart(msgspec.Struct, frozen=True, array_like=True):
     """A start of a task that has, or may have, crashed runners; stored before it is sent."""
 
@@ -134,6 +143,7 @@
     before the first start there, so a successor that cannot reach some runner knows which jobs it
     must not start again. ``doubtful`` is ``JobCrashes.incomplete``. ``account`` is stored because
     no other record of a finished job has it, and the ``leftovers`` count against its quota.
+    ``proven`` names rows of ``crashed``; earlier builds neither write nor read it.
     """
 
     epoch: Count
@@ -147,6 +157,7 @@
     doubtful: bool = False
     account: str = ''
     leftovers: tuple[Leftover, ...] = ()
+    proven: tuple[ProvenCrash, ...] = ()
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/dandelionreel/cell/model/_services.py
+++ b/dandelionreel/cell/model/_services.py
@@ -160,7 +160,11 @@
 
 @dataclass(frozen=True)
 class StartOrder:
-    """The order to start one run of a task; ``lease_until`` is by the runner's clock."""
+    """The order to start one run of a task; ``lease_until`` is by the runner's clock.
+
+    With ``verify_peer``, the runner must answer on the same connection right before the start is
+    sent. Otherwise the start is not sent.
+    """
 
     task: TaskName
     run: int
@@ -169,6 +173,7 @@
     lease_until: float
     checkpoint: str = ''
     ticket: str = ''
+    verify_peer: bool = False
 
 
 @dataclass(frozen=True)
@@ -223,14 +228,24 @@
     """A runner gave no usable answer; the verdict says whether it may have executed the request.
 
     ``connection_broken`` says that the connection closed while the request was pending, as it does
-    at once when the process of the runner exits. Otherwise the runner was silent.
+    at once when the process of the runner exits. Otherwise the runner was silent. ``was_alive``
+    says that it closed without a byte of the answer, and that the runner had answered on it right
+    before the request was sent.
     """
 
-    def __init__(self, message: str, verdict: Verdict, *, connection_broken: bool = False) -> None:
-        """Create an error with a message, a verdict and whether the connection broke."""
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict,
+        *,
+        connection_broken: bool = False,
+        was_alive: bool = False,
+    ) -> None:
+        """Create an error with a message, a verdict and what is known of the connection."""
         super().__init__(message)
         self.verdict = verdict
         self.connection_broken = connection_broken
+        self.was_alive = was_alive
 
 
 class RunnerFenced(Exception):
--- a/dandelionreel/cell/owner/_orders.py
+++ b/dandelionreel/cell/owner/_orders.py
@@ -172,9 +172,7 @@
             self._owner_context.cell.release_start(allocation)
             return
         self._log_start(state, allocation, job)
-        may_have_arrived = await self._send_start_until_answered(
-            state, runner, allocation, job.spec.payload
-        )
+        may_have_arrived = await self._send_start_until_answered(state, runner, allocation, job)
         if may_have_arrived is None:
             return
         if may_have_arrived:
@@ -226,11 +224,12 @@
         state: RunnerState,
         runner: Runner,
         allocation: Allocation,
-        payload: str,
+        job: JobRun,
     ) -> bool | None:
         """Send a start and retry it until it is answered.
 
-        Return ``None`` if it was answered, otherwise whether it may have arrived.
+        If runners have crashed during earlier runs of the task, the runner is checked first. Return
+        ``None`` if it was answered, otherwise whether it may have arrived.
         """
         may_have_arrived = False
 
@@ -245,22 +244,11 @@
                 return may_have_arrived
             self._record_order_sent(state)
             try:
-                answer = await runner.start_task(
-                    self._make_start_order(state, allocation, payload), may_send_start
-                )
+                order = self._make_start_order(state, allocation, job)
+                answer = await runner.start_task(order, may_send_start)
             except RunnerError as error:
-                arrived = error.verdict is not Verdict.NOT_RUN
-                # Only the first attempt can show that the runner crashed during the start: after a
-                # crash the connections that later attempts use are already closed.
-                allocation.connection_broken = allocation.connection_broken or (
-                    arrived and error.connection_broken and not may_have_arrived
-                )
-                may_have_arrived = may_have_arrived or arrived
-                allocation.start_unanswered = may_have_arrived
-                # Send this runner no more starts until it answers a poll: a start that may have
-                # arrived blocks its task until the lease has expired.
-                state.suspect = True
-                self._log_unanswered_start(allocation, error)
+                self._record_unanswered_start(state, allocation, error)
+                may_have_arrived = allocation.start_unanswered
                 if not may_have_arrived or not may_send_start():
                     return may_have_arrived
                 await curio.sleep(START_RETRY_SECONDS)
@@ -275,6 +263,21 @@
             return None
         return may_have_arrived
 
+    def _record_unanswered_start(
+        self, state: RunnerState, allocation: Allocation, error: RunnerError
+    ) -> None:
+        # Only the first attempt can show that the runner crashed during the start: after a crash
+        # the connections that later attempts use are already closed.
+        if error.verdict is not Verdict.NOT_RUN and not allocation.start_unanswered:
+            allocation.start_unanswered = True
+            allocation.connection_broken = error.connection_broken
+            if error.was_alive:
+                allocation.crash_seen_at = self._owner_context.clock.monotonic()
+        # Send this runner no more starts until it answers a poll: a start that may have arrived
+        # blocks its task until the lease has expired.
+        state.suspect = True
+        self._log_unanswered_start(allocation, error)
+
     def _is_start_wanted(self, allocation: Allocation) -> bool:
         """Return whether a start is still wanted and its ticket, if any, is still valid."""
         cell = self._owner_context.cell
@@ -325,18 +328,19 @@
             )
 
     def _make_start_order(
-        self, state: RunnerState, allocation: Allocation, payload: str
+        self, state: RunnerState, allocation: Allocation, job: JobRun
     ) -> StartOrder:
         now = self._owner_context.clock.monotonic()
         lease_until = state.extend_lease(now, self._owner_context.lease_for(state, now))
         return StartOrder(
             allocation.task,
             allocation.run,
-            payload,
+            job.spec.payload,
             self._owner_context.term.epoch,
             lease_until,
             allocation.checkpoint,
             allocation.ticket,
+            verify_peer=job.crashes.may_crash_runners(allocation.task),
         )
 
     async def _apply_start_reply(
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -223,6 +223,7 @@
                 f'{crash.runner} has crashed under a task: {outcome}.',
                 **self.make_run_fields(crash.runner, crash.task, crash.run),
                 close=crash.during_start,
+                proven=crash.proven,
                 crashes=crash.count,
             )
 
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -332,17 +332,25 @@
         timeout: float,
         check: SendCheck | None = None,
         stall_timeout: float | None = None,
+        *,
+        verify_peer: PeerCheck | None = None,
     ) -> Response:
         """Send the request, opening the connection first if needed.
 
         ``timeout`` applies to the wait for other requests, to connecting and to each
-        attempt separately; ``stall_timeout`` is that of ``Connection.exchange``.
+        attempt separately; ``stall_timeout`` is that of ``Connection.exchange``. With
+        ``verify_peer``, the peer is checked right before the request, also on an open connection:
+        if that check fails, the request is not sent.
 
         The server may have closed an idle connection, so a ``GET`` that fails on a
         reused connection is tried once more on a new one.
         """
         await self._acquire_lock(timeout)
         try:
+            if verify_peer is not None:
+                if not self._connection.is_open:
+                    await self._open_connection(timeout)
+                await self._run_check(verify_peer)
             return await self._exchange_once(request, timeout, check, stall_timeout)
         finally:
             if self._closed:
@@ -393,10 +401,13 @@
 
     async def _open_connection(self, timeout: float) -> None:
         await self._connection.open(timeout, timeout)
+        await self._run_check(self._check_peer)
+
+    async def _run_check(self, check_peer: PeerCheck) -> None:
         try:
-            await self._check_peer(self._connection)
+            await check_peer(self._connection)
         except ExchangeError as error:
-            # Only bytes of the peer check may have been sent, none of the request.
+            # Only bytes of the check may have been sent, none of the request.
             error.sent = False
             raise
         except BaseException:
--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -99,7 +99,9 @@
     async def start_task(self, order: StartOrder, check: SendPrecondition) -> StartAnswer:
         """Start a task; ``check`` is called right before the request is sent.
 
-        If ``check`` returns false, nothing is sent.
+        If ``check`` returns false, nothing is sent. With ``verify_peer`` of the order, the runner
+        is polled on the same connection first: a start on a connection whose process has ended
+        would break it like a start that crashes the runner.
         """
         fields: dict[str, object] = {
             'task': encode_task(order.task),
@@ -113,7 +115,9 @@
         if order.ticket:
             fields['ticket'] = order.ticket
         try:
-            response = await self._send_order('/v1/run-start', fields, check)
+            response = await self._send_order(
+                '/v1/run-start', fields, check, verify_peer=order.verify_peer
+            )
         except RunnerReplaced:
             return StartAnswer(StartReply.REPLACED, None)
         except RunnerFenced:
@@ -206,11 +210,18 @@
         raise RunnerError(f'the runner answered {response.status}', Verdict.NOT_RUN)
 
     async def _send_order(
-        self, path: str, fields: dict[str, Any], check: SendPrecondition | None = None
+        self,
+        path: str,
+        fields: dict[str, Any],
+        check: SendPrecondition | None = None,
+        *,
+        verify_peer: bool = False,
     ) -> Response:
         self._next_channel = (self._next_channel + 1) % ORDER_CONNECTIONS
         channel = self._order_channels[self._next_channel]
-        return await self._send_request(channel, path, fields, ORDER_TIMEOUT, check)
+        return await self._send_request(
+            channel, path, fields, ORDER_TIMEOUT, check, verify_peer=verify_peer
+        )
 
     async def _send_request(
         self,
@@ -219,14 +230,26 @@
         fields: dict[str, Any],
         timeout: float,
         check: SendPrecondition | None = None,
+        *,
+        verify_peer: bool = False,
     ) -> Response:
         self._epoch = fields['fencing_token']
         try:
-            return await channel.exchange(self._make_request(path, fields), timeout, check)
+            return await channel.exchange(
+                self._make_request(path, fields),
+                timeout,
+                check,
+                verify_peer=self._check_peer if verify_peer else None,
+            )
         except ExchangeError as error:
             verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
             broken = isinstance(error, ConnectionBrokenError)
-            raise RunnerError(f'{error}', verdict, connection_broken=broken) from error
+            raise RunnerError(
+                f'{error}',
+                verdict,
+                connection_broken=broken,
+                was_alive=verify_peer and broken and error.sent and not error.received,
+            ) from error
 
 
 def _decode_order_reply(response: Response) -> tuple[float | None, str]:
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -79,6 +79,21 @@
       | i-2@9 has answered        | is not started | 0     |
       | i-1 has answered          | is not started | 0     |
 
+  # Guards against taking a process that was gone, or a silent one, for one that a start has crashed.
+  Scenario Outline: What is known of a runner that breaks the connection of a start
+    Given a runner that has run a task and is known from its entry
+    When <what> on an open connection, by a start that <checks> the runner first
+    Then the start <sent>, and the runner <lived> when it was sent
+
+    Examples:
+      | what                          | checks        | sent            | lived               |
+      | its process has ended         | checks        | was not sent    | is not known to live |
+      | its process has ended         | does not check | may have arrived | is not known to live |
+      | its process is crashed        | checks        | may have arrived | lived               |
+      | its process is crashed        | does not check | may have arrived | is not known to live |
+      | the start is never answered   | checks        | may have arrived | is not known to live |
+      | the check is never answered   | checks        | was not sent    | is not known to live |
+
   # Guards against treating tasks of a former process as tasks of the process that answers.
   Scenario Outline: A worker with the native worker API restarts
     Given an owner that has listed a worker with one task, at revision 1
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -43,14 +43,53 @@
     Then its job is reported as <state>
 
     Examples:
-      | before                                                        | state   |
-      | nothing has crashed, and that runs on w1                      | running |
-      | 1 runner crashed, and that runs on w1                         | running |
-      | 2 runners crashed, and that runs on w1                        | failed  |
-      | 1 runner crashed, and that broke w1's connection              | running |
-      | 1 runner crashed at its start, and that runs on w1            | running |
-      | 1 runner crashed at its start, and that broke w1's connection | failed  |
-      | 2 runners crashed, and that ran on w1 for 30 s                | running |
+      | before                                                         | state   |
+      | nothing has crashed, and that runs on w1                       | running |
+      | nothing has crashed, and that is proven to crash w1            | running |
+      | 1 runner crashed, and that runs on w1                          | running |
+      | 1 runner crashed, and that broke w1's connection               | running |
+      | 1 runner crashed at its start, and that runs on w1             | running |
+      | 1 runner crashed, 1 of them proven, and that runs on w1        | running |
+      | 1 runner crashed, 1 of them proven, and is proven to crash w1  | failed  |
+      | 3 runners crashed, and that is proven to crash w1              | running |
+      | 3 runners crashed, 1 of them proven, and that runs on w1       | running |
+      | 4 runners crashed, and that is proven to crash w1              | failed  |
+      | 4 runners crashed, 1 of them proven, and that runs on w1       | failed  |
+      | 4 runners crashed, 1 of them proven, and ran on w1 for 30 s    | running |
+
+  # Guards against convicting a task for a crash that it has no part in.
+  Scenario Outline: What proves that a start has crashed its runner
+    Given an owner with a start on w1 that breaks its connection right after an answer
+    When it is seen that <then>, and then that w1 has ended
+    Then <proven> crashes of the task are proven
+
+    Examples:
+      | then                                | proven |
+      | nothing else happens                | 1      |
+      | the leases on w1 expire             | 1      |
+      | w1 answers a poll                   | 0      |
+      | w1 answers another start            | 0      |
+      | the start is confirmed by a repeat  | 0      |
+      | another start was pending on w1     | 0      |
+
+  # Guards against proofs that are lost with the owner, and against rows of earlier builds as proofs.
+  Scenario Outline: A successor relies on stored proofs only
+    Given a crash that an owner has stored <how>
+    Then a successor counts it with <proven> proofs
+
+    Examples:
+      | how                         | proven |
+      | as earlier builds do        | 0      |
+      | without a proof             | 0      |
+      | with a proof of another run | 0      |
+      | with a proof                | 1      |
+
+  # Guards against records that grow with every runner that is lost.
+  Scenario: Many runners are lost by chance
+    Given an owner with a task during whose runs 1 runner crashed, 1 of them proven, and that runs on w1
+    When 100 more runners are lost during the runs of a task that is long-lived
+    Then 5 rows are stored for the task, 1 of them proven
+    And none once the task is done
 
   # Guards against giving up jobs whose tasks crash no runner: only runs that end failed are attempts.
   Scenario Outline: Runners that are lost by chance end no job
@@ -66,6 +105,7 @@
       | that ends          | 4 runners crashed at its start, and that broke w1's connection  |
       | that is long-lived | 2 runners crashed, and that runs on w1                          |
       | that is long-lived | 4 runners crashed at its start, and that broke w1's connection  |
+      | that is long-lived | 4 runners crashed, 4 of them proven, and is proven to crash w1  |
 
   # Guards against blaming a start for a process that had ended before it was sent.
   Scenario: Starts are sent on connections to processes that have ended
@@ -74,7 +114,7 @@
     Then its job is reported as queued
 
   Scenario Outline: A finished job keeps its state
-    Given an owner with a task during whose runs 2 runners crashed, and that runs on w1
+    Given an owner with a task during whose runs 1 runner crashed, 1 of them proven, and is proven to crash w1
     When its job is <over>, and another incarnation answers at w1's address
     Then its job is reported as <over>
 
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -122,6 +122,60 @@
     curio.run(call_all)
 
 
+@when('{what} on an open connection, by a start that {checks} the runner first')
+def break_start(context, what, checks):
+    runner, silent_path = context.runner, ''
+    if 'never answered' in what:
+        silent_path = '/v1/hold' if 'check' in what else '/v1/run-start'
+    payload = '500 5 crash' if 'is crashed' in what else '500 5'
+    order = StartOrder(
+        TaskName(JOB, 0, 0, 2),
+        9,
+        payload,
+        EPOCH,
+        runner.clock() + LEASE,
+        verify_peer=checks == 'checks',
+    )
+    handle = runner.handle
+
+    async def handle_unless_silent(request):
+        if request.path == silent_path:
+            await curio.Event().wait()
+        runner.override_handler = None
+        try:
+            return await handle(request)
+        finally:
+            runner.override_handler = handle_unless_silent
+
+    async def start():
+        for _ in range(3):
+            await context.client.stop_run(TaskName(JOB, 0, 0, 7), 1, EPOCH)
+        if 'has ended' in what:
+            runner.crash(is_dark=True)
+            runner.restart()
+        if silent_path:
+            runner.override_handler = handle_unless_silent
+        try:
+            await context.client.start_task(order, lambda: True)
+        finally:
+            await context.client.close()
+
+    try:
+        context.result = curio.run(start)
+    except RunnerError as error:
+        context.result = error
+
+
+@then('the start {sent}, and the runner {lived} when it was sent')
+def check_broken_start(context, sent, lived):
+    error = context.result
+    assert isinstance(error, RunnerError), error
+    assert error.verdict is (Verdict.NOT_RUN if 'not sent' in sent else Verdict.UNKNOWN)
+    assert error.was_alive is (lived == 'lived'), error
+    runs = [run for run in context.platform.runs if run.number == 9]
+    assert not runs or error.verdict is Verdict.UNKNOWN, runs
+
+
 @then('the caller learns that the runner was replaced')
 def check_replaced(context):
     assert context.result is StartReply.REPLACED or isinstance(context.result, RunnerReplaced), (
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -1,15 +1,17 @@
 """Steps for runs that are lost with their runner; no processes are started."""
 
+import json
 from dataclasses import replace
 
 import curio
+import msgspec
 from behave import given, then, when
 
 from dandelionreel.cell.decisions._runner_losses import RunnerLosses, apply_last_registrations
 from dandelionreel.cell.decisions._runner_state import QUARANTINE_SECONDS
 from dandelionreel.cell.model import RunnerView, RunningTask, StartReply
 from dandelionreel.cell.model._model import JobState
-from dandelionreel.cell.model._records import CrashedRun, Progress, StoredStart
+from dandelionreel.cell.model._records import CrashedRun, Progress, ProvenCrash, StoredStart
 from dandelionreel.cell.model._services import RunnerError, StartAnswer
 from dandelionreel.cell.owner._orders import OrderSender
 from dandelionreel.cell.owner._runner_poller import RunnerPoller
@@ -155,20 +157,105 @@
 @given('an owner with a task during whose runs {before}')
 def crashed_before(context, before, lasting=False):
     count = int(before[0]) if before[0].isdigit() else 0
+    proven = int(before.partition(' of them proven')[0][-1]) if 'of them' in before else 0
     during_start = 'at its start' in before
-    crashed = tuple(
-        CrashedRun(0, 0, 0, EARLIER_RUN + number, during_start) for number in range(count)
+    runs = range(EARLIER_RUN, EARLIER_RUN + count)
+    progress = Progress(
+        1,
+        JobState.RUNNING,
+        crashed=tuple(CrashedRun(0, 0, 0, run, during_start) for run in runs),
+        proven=tuple(ProvenCrash(0, 0, 0, run) for run in runs[:proven]),
     )
-    progress = Progress(1, JobState.RUNNING, crashed=crashed)
     make_owner(context, progress=progress, lasting=lasting)
     context.start.start_unanswered = context.start.connection_broken = 'broke w1' in before
-    if not context.start.connection_broken:
+    if 'is proven' in before:
+        crash_at_start(context)
+    elif not context.start.connection_broken:
         confirm_start(context)
     if '30 s' in before:
         context.small.now += LONG_RUN_SECONDS
         context.small.poll('w1', running=[(context.start.task, context.start.run)])
 
 
+def crash_at_start(context):
+    start = context.start
+    start.start_unanswered = start.connection_broken = True
+    start.crash_seen_at = context.small.now
+
+
+@given('an owner with a start on w1 that breaks its connection right after an answer')
+def broken_after_answer(context):
+    make_owner(context)
+    crash_at_start(context)
+
+
+@when('it is seen that {what}, and then that w1 has ended')
+def see_then_replace(context, what):
+    small = context.small
+    small.now += 1
+    if 'leases' in what:
+        lapse_then_next(context)
+        return
+    if 'poll' in what:
+        small.poll('w1')
+    elif 'another start was' in what:
+        small.add_job('j2', [step()])
+        assert [other.runner for other in small.plan(start=False).starts] == ['w1']
+    elif 'another start' in what:
+        small.add_job('j2', [step()])
+        small.plan()
+    elif 'confirmed' in what:
+        confirm_start(context)
+    replace_runner(context)
+
+
+@then('{count:d} crashes of the task are proven')
+def check_proofs(context, count):
+    crashes = context.job.crashes
+    (crashed,) = crashes.crashed
+    assert crashed.during_start
+    assert [proof.run for proof in crashes.proven] == [crashed.run] * count, crashes.proven
+
+
+@given('a crash that an owner has stored {how}')
+def stored_crash(context, how):
+    fields = {'epoch': 1, 'state': 'running', 'crashed': [[0, 0, 0, EARLIER_RUN, True]]}
+    if 'earlier builds' not in how:
+        runs = [EARLIER_RUN + ('another' in how)] if 'with a' in how else []
+        fields['proven'] = [[0, 0, 0, run] for run in runs]
+    progress = msgspec.json.decode(json.dumps(fields), type=Progress)
+    context.small = SmallCell(('w1',), epoch=2, seen=False)
+    context.job = context.small.add_job('j1', [step()], progress=progress)
+
+
+@then('a successor counts it with {proven:d} proofs')
+def counts_stored_proofs(context, proven):
+    assert context.job.crashes.count(task('j1')) == 1
+    stored = context.job.progress(2, 0.0)
+    assert [row.run for row in stored.crashed] == [EARLIER_RUN], stored
+    assert [row.run for row in stored.proven] == [EARLIER_RUN] * proven, stored
+
+
+@when('{count:d} more runners are lost during the runs of a task that is long-lived')
+def lose_many_runners(context, count):
+    make_owner(context, progress=context.job.progress(1, 0.0), lasting=True)
+    first = EARLIER_RUN + 1
+    for run in range(first, first + count):
+        assert context.job.record_crashed_run(task('j1'), run)
+
+
+@then('{count:d} rows are stored for the task, {proven:d} of them proven')
+def check_stored_rows(context, count, proven):
+    stored = context.job.progress(1, 0.0)
+    assert (len(stored.crashed), len(stored.proven)) == (count, proven), stored
+
+
+@then('none once the task is done')
+def check_no_rows(context):
+    context.job.mark_task_done(task('j1'))
+    assert not context.job.crashes.crashed, context.job.crashes.crashed
+
+
 @when("its job is {over}, and another incarnation answers at w1's address")
 def end_job_then_replace(context, over):
     if over == 'cancelled':
@@ -372,9 +459,9 @@
 class EndedRunner:
     """Runner whose process has ended: its open connections break at the next bytes."""
 
-    async def start_task(self, order, check, *, verify_peer=False):
+    async def start_task(self, order, check):
         """Break the connection: of the check, if there is one, else of the start."""
-        verdict = Verdict.NOT_RUN if verify_peer else Verdict.UNKNOWN
+        verdict = Verdict.NOT_RUN if order.verify_peer else Verdict.UNKNOWN
         raise RunnerError('broken answer', verdict, connection_broken=True)
 
 
