Model of crashes: runners crash by chance, and only proofs give a task up

Cause: in the model, every crash was the task's, so giving up by the number of crashes could not be wrong there. Change: runners crash by chance before a start is sent, before it arrives, while the task runs, and in a cut. Starts in doubt and after a crash are checked. Properties: a task that crashes its runners takes five at the most, as before; a task is given up only if it has crashed a runner itself and two were lost; no more crashes are counted than there were. Assumption, stated in the module: no runner crashes by chance within the few milliseconds between its answer to a check and that to the start which follows. The property "at least two crashes" had no difference between crashes by the task and by chance; it is kept for their sum beside the stricter one.

--- a/spec/run.py
+++ b/spec/run.py
@@ -8,7 +8,7 @@
 from spec.cancelling import CANCELLING
 from spec.cell import CELL
 from spec.completions import COMPLETIONS
-from spec.crashes import CRASHES
+from spec.crashes import CHANCE_CRASHES, CRASHES
 from spec.escrow import ESCROW
 from spec.incarnations import INCARNATIONS
 from spec.joining import JOINING
@@ -23,6 +23,7 @@
     CANCELLING,
     COMPLETIONS,
     CRASHES,
+    CHANCE_CRASHES,
     INCARNATIONS,
     QUOTAS,
     ADMISSION,
