Count connections that a stopping host closes as idle, and what crosses the close

Cause: `has stopped` counted what was left at the end, which is nothing after an orderly stop. A connection that was closed as idle left no trace, so a request that crossed its close, one that a late process had not read and a connection that was reset with the listener looked the same.

Change: a line when the host stops accepting, with the load at that time (also of connections that wait in the listener's queue). `has stopped` has how many connections were closed as idle, the shortest and longest idle time, and on how many of them bytes arrived after the decision. One more line for each stop.

--- a/dandelionreel/entry_stop.py
+++ b/dandelionreel/entry_stop.py
@@ -50,6 +50,7 @@
         accept_until = min(deadline - MIN_DRAIN_SECONDS, started_at + BALANCER_NOTICE_SECONDS)
         while self._clock.monotonic() < accept_until:
             await curio.sleep(POLL_SECONDS)
+        self._log_load('stops accepting connections.')
         # The cell has been handed over or released by now.
         deletion = await curio.spawn(delete_member_record, daemon=True)
         drained = await drain_server(
@@ -63,7 +64,9 @@
         for request in self._clients.list_open_requests():
             self._journal.log(Part.LIFE, f'stops without an answer to {request}.')
         seconds = round(self._clock.monotonic() - started_at, 3)
-        self._log_load('has stopped.', seconds=seconds, refused=drained.refused)
+        self._log_load(
+            'has stopped.', seconds=seconds, refused=drained.refused, **asdict(drained.idle)
+        )
 
     def _log_load(self, sentence: str, **fields: float) -> None:
         self._journal.log(
--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -47,6 +47,20 @@
     unaccepted: bool = False
 
 
+@dataclass(frozen=True)
+class IdleCloses:
+    """Connections that a server has closed because no request had begun on them.
+
+    ``shortest_idle`` and ``longest_idle`` are seconds since their last answer. On ``crossed`` of
+    them, bytes arrived after the decision to close.
+    """
+
+    closed_idle: int = 0
+    shortest_idle: float = 0.0
+    longest_idle: float = 0.0
+    crossed: int = 0
+
+
 class ServerConnection:
     """One connection of a client: its socket, the state of HTTP and the request in progress."""
 
@@ -62,6 +76,9 @@
         self.phase = Phase.IDLE
         #: When the phase began, in seconds of ``time.monotonic()``.
         self.phase_since = time.monotonic()
+        self.is_closed_as_idle = False
+        #: Whether bytes have arrived after the decision to close the connection as idle.
+        self.is_crossed = False
 
     def enter(self, phase: Phase, request: Request | None = None) -> None:
         """Enter a phase, with the request that is in progress."""
@@ -76,15 +93,25 @@
         except OSError:
             return b''
 
-    def close_if_idle(self, seconds: float) -> None:
+    def close_if_idle(self, seconds: float) -> float | None:
         """Make the connection's task close it if no request has begun for some seconds.
 
-        After this shutdown the task still reads what has arrived before it.
+        After this shutdown the task still reads what has arrived before it. Returns for how long
+        the connection was idle, ``None`` if it stays open.
         """
         idle_seconds = time.monotonic() - self.phase_since
-        if self.phase is Phase.IDLE and idle_seconds >= seconds and not self.peek():
-            with suppress(OSError):
-                self.client._socket.shutdown(SHUT_RD)
+        if self.is_closed_as_idle or self.phase is not Phase.IDLE:
+            return None
+        if idle_seconds < seconds or self.peek():
+            return None
+        self.is_closed_as_idle = True
+        with suppress(OSError):
+            self.client._socket.shutdown(SHUT_RD)
+        return idle_seconds
+
+    def note_arrival(self) -> None:
+        """Record that bytes have arrived."""
+        self.is_crossed = self.is_crossed or self.is_closed_as_idle
 
     async def discard_unread(self) -> None:
         """Read and discard what the client still sends, until it closes or for some time.
--- a/dandelionreel/http/_drain.py
+++ b/dandelionreel/http/_drain.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from dandelionreel.http._connections import IdleCloses
 from dandelionreel.http._server import Server
 
 #: Seconds after which a stopping server closes a connection whose client sends nothing.
@@ -20,10 +21,14 @@
 
 @dataclass(frozen=True)
 class DrainResult:
-    """How many requests a drain has refused, and method and target of those that it has ended."""
+    """How many requests a drain has refused, and method and target of those that it has ended.
+
+    ``idle`` counts the connections that it has closed as idle.
+    """
 
     refused: int
     ended: tuple[str, ...]
+    idle: IdleCloses
 
 
 async def drain_server(
@@ -49,4 +54,4 @@
         await curio.sleep(POLL_SECONDS)
     # A late process may have missed the last seconds.
     ended.extend(await server.end_requests())
-    return DrainResult(server.refused_requests, tuple(ended))
+    return DrainResult(server.refused_requests, tuple(ended), server.measure_idle_closes())
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -11,7 +11,13 @@
 from curio.io import Socket
 
 from dandelionreel.http._client import READ_SIZE, _decode_headers
-from dandelionreel.http._connections import Phase, ServerConnection, ServerLoad, measure_load
+from dandelionreel.http._connections import (
+    IdleCloses,
+    Phase,
+    ServerConnection,
+    ServerLoad,
+    measure_load,
+)
 from dandelionreel.http._messages import Headers, Request, Response, problem_response
 from dandelionreel.http._sockets import listen
 from dandelionreel.kernel import Problem, RequestError, Verdict, start_task
@@ -100,6 +106,9 @@
         self._accept_task: Any = None
         self._connection_by_task: dict[Any, ServerConnection] = {}
         self._is_refusing = False
+        #: Seconds for which each connection that was closed as idle had been idle.
+        self._closed_idle_seconds: list[float] = []
+        self._crossed_connections = 0
         #: Requests that were refused because the server is stopping.
         self.refused_requests = 0
         self.port = 0
@@ -152,7 +161,19 @@
     def close_idle_connections(self, seconds: float) -> None:
         """Close the connections on which no request has begun for ``seconds``."""
         for connection in self._connection_by_task.values():
-            connection.close_if_idle(seconds)
+            idle_seconds = connection.close_if_idle(seconds)
+            if idle_seconds is not None:
+                self._closed_idle_seconds.append(idle_seconds)
+
+    def measure_idle_closes(self) -> IdleCloses:
+        """Return what is known of the connections that were closed as idle."""
+        closed = self._closed_idle_seconds
+        return IdleCloses(
+            len(closed),
+            round(min(closed, default=0.0), 3),
+            round(max(closed, default=0.0), 3),
+            self._crossed_connections,
+        )
 
     def refuse_requests(self) -> None:
         """Refuse each request that is read from now on."""
@@ -213,6 +234,9 @@
         except (OSError, curio.TaskTimeout, CloseConnection):
             return
         finally:
+            if connection.peek():
+                connection.note_arrival()
+            self._crossed_connections += connection.is_crossed
             self._connection_by_task.pop(await curio.current_task(), None)
             await connection.client.close()
 
@@ -321,6 +345,8 @@
         if received is None and connection.peek():
             # A late process finds the timeout expired although bytes have arrived in time.
             received = await connection.client.recv(READ_SIZE)
+        if received:
+            connection.note_arrival()
         return received
 
     async def _read_request_body(self, client: Any, http: Any, body: bytearray) -> None:
--- a/dandelionreel/life.py
+++ b/dandelionreel/life.py
@@ -89,6 +89,7 @@
         self._drain_deadline = min(
             self._drain_deadline, self._clock.monotonic() + timings.drain_limit
         )
+        self._log_load('stops accepting connections.', callers)
         drained = await drain_server(
             callers,
             lambda: self._drain_deadline,
@@ -103,9 +104,9 @@
             await curio.sleep(POLL_SECONDS)
         for request in callers.list_open_requests():
             self._journal.log(Part.LIFE, f'stops without an answer to {request}.')
-        self._log_load('has stopped.', callers, refused=drained.refused)
+        self._log_load('has stopped.', callers, refused=drained.refused, **asdict(drained.idle))
 
-    def _log_load(self, sentence: str, callers: Server, **fields: int) -> None:
+    def _log_load(self, sentence: str, callers: Server, **fields: float) -> None:
         self._journal.log(Part.LIFE, sentence, **fields, **asdict(callers.measure_load()))
 
     async def _write_leave_records(
