Give idle connections a last answer when a stopping server closes them

Cause: a stopping server closed a connection that was idle to it although a request could be on its way. The request met a closed socket and was reset, with neither an answer nor a refusal. HTTP/1.1 gives a server no way to close a kept connection that cannot cross a request, unless the close has an answer.

Change: an idle connection gets 503 "stopping" (not_run, Retry-After, Connection: close), its sending side is shut down, and what arrives is read and discarded until the client closes, for one second at most (or until the end of the grace). The server handles nothing that it reads after the last answer, so the refusal is true. Reading is no longer shut down on an open connection: what a socket does with bytes that arrive after that differs by system. Connections that are idle at the end of the grace get the same answer.

The end of a request's head after a last answer raised an error within h11, and a handler that finished right after it raised LocalProtocolError; both are checked now. A drain that ends with open connections runs their tasks once more.

Scenario "Idle connections are closed" asked for a close without an answer, which is the fault. Its replacement asks for the refusal and the close, for clients that close their side and for those that never do; the latter hold up the stop by the second.

--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -18,7 +18,8 @@
 #: Bytes of unread data that are inspected: enough for the first line of a request.
 PEEK_SIZE = 512
 READ_SIZE = 65_536
-#: Seconds for which a server reads on after its last answer, so that the client can take it.
+#: Seconds for which a server reads on after its last answer, so that the client can take it. Long
+#: enough for a request that was on its way, even if a segment of it was lost and sent again.
 LINGER_SECONDS = 1.0
 
 
@@ -86,6 +87,13 @@
         self.phase_since = time.monotonic()
         self.request = request
 
+    @property
+    def idle_seconds(self) -> float:
+        """Return for how long no byte of a request has arrived, 0 if one has begun."""
+        if self.phase is not Phase.IDLE or self.peek():
+            return 0.0
+        return time.monotonic() - self.phase_since
+
     def peek(self) -> bytes:
         """Return the first bytes that the process has not read, empty if there are none."""
         try:
@@ -93,22 +101,6 @@
         except OSError:
             return b''
 
-    def close_if_idle(self, seconds: float) -> float | None:
-        """Make the connection's task close it if no request has begun for some seconds.
-
-        After this shutdown the task still reads what has arrived before it. Returns for how long
-        the connection was idle, ``None`` if it stays open.
-        """
-        idle_seconds = time.monotonic() - self.phase_since
-        if self.is_closed_as_idle or self.phase is not Phase.IDLE:
-            return None
-        if idle_seconds < seconds or self.peek():
-            return None
-        self.is_closed_as_idle = True
-        with suppress(OSError):
-            self.client._socket.shutdown(SHUT_RD)
-        return idle_seconds
-
     def note_arrival(self) -> None:
         """Record that bytes have arrived."""
         self.is_crossed = self.is_crossed or self.is_closed_as_idle
@@ -118,16 +110,30 @@
 
         A connection that is closed with unread bytes is reset, and its client may lose the answer.
         """
-        self.enter(Phase.CLOSING)
+        self.shut_down_sending()
+        if self._linger_seconds <= 0:
+            return
+        with suppress(OSError):
+            await curio.ignore_after(self._linger_seconds, self._read_to_end)
+
+    def shut_down_sending(self) -> None:
+        """Send no more, so that the client reads the end of the connection."""
+        if self.phase is not Phase.CLOSING:
+            self.enter(Phase.CLOSING)
         with suppress(OSError):
             self.client._socket.shutdown(SHUT_WR)
-            await curio.ignore_after(LINGER_SECONDS, self._read_to_end)
+
+    def end_linger(self) -> None:
+        """Make the connection's task close it if its client has had the time to do so."""
+        if self.phase is Phase.CLOSING and self._linger_seconds <= 0:
+            with suppress(OSError):
+                self.client._socket.shutdown(SHUT_RD)
 
     @property
     def is_unanswered(self) -> bool:
-        """Return whether a request has begun and no byte of its answer was made."""
-        has_begun = self.phase in {Phase.READING, Phase.ANSWERING}
-        return has_begun and self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+        """Return whether a request may have begun and no byte of its answer was made."""
+        is_open = self.phase is not Phase.CLOSING
+        return is_open and self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
 
     def send_now(self, payload: bytes) -> None:
         """Send what the kernel takes at once, from a task other than the connection's own."""
@@ -143,6 +149,10 @@
             return first_line.rpartition(' HTTP/')[0] or first_line
         return 'a part of a request' if self.phase is Phase.READING else ''
 
+    @property
+    def _linger_seconds(self) -> float:
+        return self.phase_since + LINGER_SECONDS - time.monotonic()
+
     async def _read_to_end(self) -> None:
         received = b'-'
         while received:
--- a/dandelionreel/http/_drain.py
+++ b/dandelionreel/http/_drain.py
@@ -8,7 +8,8 @@
 from dandelionreel.http._connections import IdleCloses
 from dandelionreel.http._server import Server
 
-#: Seconds after which a stopping server closes a connection whose client sends nothing.
+#: Seconds after which a stopping server closes a connection whose client sends nothing. A client
+#: that goes on using it has its next request answered, and the connection closed after that.
 IDLE_SECONDS = 0.3
 #: Seconds before the end of a drain from which on requests are refused: their answers may come
 #: too late.
@@ -54,4 +55,7 @@
         await curio.sleep(POLL_SECONDS)
     # A late process may have missed the last seconds.
     ended.extend(await server.end_requests())
+    if server.open_connections:
+        # A connection that ends with unread bytes is reset, and may lose its last answer.
+        await curio.sleep(POLL_SECONDS)
     return DrainResult(server.refused_requests, tuple(ended), server.measure_idle_closes())
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -129,9 +129,14 @@
         return measure_load(self._connection_by_task.values(), self._listener)
 
     def list_open_requests(self) -> list[str]:
-        """Return method and target of each request that is in progress, or begun, or unread."""
+        """Return method and target of each request that is in progress, or begun, or unread.
+
+        Connections that have had their last answer are left out.
+        """
         described = (
-            connection.describe_request() for connection in self._connection_by_task.values()
+            connection.describe_request()
+            for connection in self._connection_by_task.values()
+            if connection.phase is not Phase.CLOSING
         )
         return [text for text in described if text]
 
@@ -159,11 +164,18 @@
         await listener.close()
 
     def close_idle_connections(self, seconds: float) -> None:
-        """Close the connections on which no request has begun for ``seconds``."""
+        """Close the connections on which no request has begun for ``seconds``.
+
+        A request may be on its way on a connection that looks idle. So each gets a refusal as its
+        last answer, and is read until its client closes it or ``LINGER_SECONDS`` have passed.
+        """
         for connection in self._connection_by_task.values():
-            idle_seconds = connection.close_if_idle(seconds)
-            if idle_seconds is not None:
+            connection.end_linger()
+            idle_seconds = connection.idle_seconds
+            if idle_seconds >= seconds:
                 self._closed_idle_seconds.append(idle_seconds)
+                connection.is_closed_as_idle = True
+                self._send_last_answer(connection, connection.refusal or REFUSAL)
 
     def measure_idle_closes(self) -> IdleCloses:
         """Return what is known of the connections that were closed as idle."""
@@ -183,23 +195,30 @@
         """Answer the requests that are open; return method and target of each.
 
         One that has not been read whole has not been run. The work on the others ends, and what it
-        has done is unknown unless the request changes nothing.
+        has done is unknown unless the request changes nothing. Connections without a request get
+        an answer too, as one may be on its way.
         """
         self._is_refusing = True
         ended = []
         for task, connection in tuple(self._connection_by_task.items()):
             if not connection.is_unanswered:
                 continue
-            ended.append(connection.describe_request())
+            described = connection.describe_request()
+            if described:
+                ended.append(described)
             request = connection.request
             is_run = request is not None and request.method not in SAFE_METHODS
-            response = problem_response(UNKNOWN_END if is_run else REFUSAL)
-            connection.send_now(self._encode_response(connection, response, last=True))
-            connection.enter(Phase.CLOSING)
+            self._send_last_answer(connection, UNKNOWN_END if is_run else REFUSAL)
             if request is not None:
                 await task.cancel(blocking=False)
         return ended
 
+    def _send_last_answer(self, connection: ServerConnection, problem: Problem) -> None:
+        # The connection's task reads what arrives from now on, and handles none of it.
+        payload = self._encode_response(connection, problem_response(problem), last=True)
+        connection.send_now(payload)
+        connection.shut_down_sending()
+
     async def _accept_connections(self, sock: Any) -> None:
         while True:
             client, _ = await sock.accept()
@@ -258,16 +277,20 @@
                 )
                 await self._send_last_problem(connection, problem)
                 return
-            if request is None:
+            if connection.phase is Phase.CLOSING:
+                # The last answer was sent before the request was read whole.
+                await connection.discard_unread()
                 return
-            if http.our_state is not h11.SEND_RESPONSE:
-                # The end of the request has come after the answer of ``end_requests``.
+            if request is None:
                 return
             connection.enter(Phase.ANSWERING, request)
             if connection.refusal is not None:
                 await self._send_last_problem(connection, connection.refusal)
                 return
             response = await self._handle_request(request)
+            if connection.phase is Phase.CLOSING:
+                # The answer of ``end_requests`` has been sent in the meantime.
+                return
             await self._send_response(connection, response)
             if http.our_state is h11.MUST_CLOSE:
                 if connection.peek():
@@ -327,6 +350,9 @@
             if event is not h11.NEED_DATA:
                 return event
             received = await self._receive_head(connection)
+            if connection.phase is Phase.CLOSING:
+                # h11 raises errors of its own on a request that comes after the last answer.
+                return None
             if received is None and connection.phase is Phase.READING:
                 raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the head took too long')
             if not received:
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -19,6 +19,7 @@
       | a POST whose end comes when the grace has nearly ended | 503    | not_run | 1.2   | 1.55 |
       | a POST that is at work while the process is late beyond its grace | 504 | unknown | 1.6 | 1.9 |
       | a body whose end never arrives                     | 503    | not_run | 1.2   | 1.55 |
+      | bytes that are held up until their idle connection has been closed | 503 | not_run | 0.4 | 1.55 |
 
   # Guards against forwarded requests that are cut as the process ends.
   Scenario: A peer has forwarded a request
@@ -28,11 +29,17 @@
     And the stop has taken between 0.6 and 1.5 seconds
 
   # Guards against a stop that waits for clients that send nothing.
-  Scenario: Idle connections are closed
-    Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
-    When a client keeps a connection open and sends nothing
-    Then its connection has been closed by the server without an answer
-    And the stop has taken between 0.4 and 1.2 seconds
+  Scenario Outline: Idle connections are closed
+    Given a server that stops within 4 seconds, 0.4 of them until the balancer has noticed
+    When a client keeps a connection open, sends nothing and <end>
+    Then the caller gets the status 503 and the verdict not_run
+    And its connection has been closed by the server
+    And the stop has taken between <least> and <most> seconds
+
+    Examples:
+      | end                        | least | most |
+      | closes it after the answer | 0.4   | 1.2  |
+      | never closes it            | 0.4   | 1.9  |
 
   # Guards against a deletion of the member record that keeps the process from its end.
   Scenario: The member record cannot be deleted
