Give a connection a last answer when it has been idle for too long

Cause: after idle_seconds (60) the server closed a kept connection with no answer. A request that crossed the close was reset, as at a stopping server.

Change: the connection ends as one that a stopping server closes: 503 "idle" (not_run, Retry-After, Connection: close), and it is read to its end for a second at most. A refused connection gets its own refusal. 408 would be the usual status, but the platform's clients know 503 as "never runs", and 408 not.

Measured: features/server_stops.feature without the change: (0, none) in the new scenario, 21 passed, 1 failed; with it 22 passed.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -49,6 +49,13 @@
     'the host has as many connections as it may have; send the request to another one',
     RETRY_AFTER_SECONDS,
 )
+IDLE_TIMEOUT = Problem(
+    Verdict.NOT_RUN,
+    HTTP_UNAVAILABLE,
+    'idle',
+    'the connection was idle for too long; send the request on another one',
+    RETRY_AFTER_SECONDS,
+)
 UNKNOWN_END = Problem(
     Verdict.UNKNOWN,
     HTTP_GATEWAY_TIMEOUT,
@@ -355,6 +362,9 @@
                 return None
             if received is None and connection.phase is Phase.READING:
                 raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the head took too long')
+            if received is None:
+                # A request may be on its way to the connection that is closed.
+                self._send_last_answer(connection, connection.refusal or IDLE_TIMEOUT)
             if not received:
                 return None
             if connection.phase is Phase.IDLE:
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -71,6 +71,12 @@
     When 2 clients are served, 3 more are refused, the first 2 leave and another one sends a request
     Then the caller gets the status 200 and the verdict none
 
+  # Guards against a request that is cut as it crosses the close of an idle connection.
+  Scenario: A request arrives as its connection has been idle for too long
+    Given a server that closes connections after 0.3 idle seconds
+    When a client sends a request 0.6 seconds after it has connected
+    Then the caller gets the status 503 and the verdict not_run
+
   # Guards against a request that gets no answer, as the answer may not have its body.
   Scenario: A request for the headers of an answer only
     Given a server with a limit of 2 connections
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -248,6 +248,21 @@
     context.server.start()
 
 
+@given('a server that closes connections after {seconds:g} idle seconds')
+def use_server_of_short_idle_time(context, seconds):
+    context.server = StoppingServer(limits=ServerLimits(idle_seconds=seconds))
+    context.stack.callback(context.server.close)
+    context.server.start()
+
+
+@when('a client sends a request {seconds:g} seconds after it has connected')
+def send_after_idle_time(context, seconds):
+    sock = context.stack.enter_context(context.server.connect())
+    time.sleep(seconds)
+    sock.sendall(BODY.format(0).encode())
+    context.answer = _read_answer(sock)
+
+
 @when('a client sends a request as {way}')
 def send_request(context, way):
     sock = context.stack.enter_context(SENDERS[way](context))
