platform_soak: hold up requests to stopping hosts on their way

Cause: the clients of the soak sent each request at once, and a connection that closed within 0.2 s of it was excused as a crossing.

Change: eight more clients at each stop, of whose requests half are held up by 0.1 to 0.5 s, as by a lost segment, while their connections are idle to the host. A client looks for the end of its connection before it sends, so a request that was sent has no excuse any more but an unplanned fault of the process.

--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -7,8 +7,15 @@
 from standins import ClientPace, EntryHosts, PersistentClients
 
 CLIENTS_PER_STOP = 4
+#: Clients whose requests are held up on their way by some tenths of a second.
+HELD_CLIENTS_PER_STOP = 8
 #: Seconds between two requests of one client, at most.
 CLIENT_PAUSE_SECONDS = 0.2
+#: Seconds between two requests of a client whose requests are held up, and for which they are, at
+#: most. Its connection is idle to the host for long enough to be closed while a request is on its
+#: way.
+HELD_CLIENT_PAUSE_SECONDS = 1.0
+HOLD_SECONDS = 0.5
 #: Seconds before a stop within which an unplanned fault of the host excuses cut requests.
 CALM_SECONDS = 3.0
 
@@ -41,7 +48,7 @@
             lambda: process.poll() is not None,
             f'{self._seed}/{len(self._threads)}',
         )
-        clients.start(ClientPace(pause=CLIENT_PAUSE_SECONDS) for _ in range(CLIENTS_PER_STOP))
+        clients.start(_make_paces())
         stopped_at = time.monotonic()
         process.send_signal(signal.SIGTERM)
         thread = Thread(target=self._check_exchanges, args=(host, clients, stopped_at))
@@ -64,6 +71,13 @@
                 return
             self.violations.extend(
                 f'{host} cut {exchange.path} {exchange.ended_at - exchange.sent_at:.2f} s after it '
-                f'was sent, {exchange.sent_at - stopped_at:.2f} s after SIGTERM'
+                f'was sent, {exchange.sent_at - stopped_at:.2f} s after SIGTERM, '
+                f'held up for {exchange.held_seconds:.2f} s'
                 for exchange in cut
             )
+
+
+def _make_paces() -> list[ClientPace]:
+    steady = [ClientPace(pause=CLIENT_PAUSE_SECONDS) for _ in range(CLIENTS_PER_STOP)]
+    held = ClientPace(pause=HELD_CLIENT_PAUSE_SECONDS, hold=HOLD_SECONDS)
+    return [*steady, *(held for _ in range(HELD_CLIENTS_PER_STOP))]
--- a/standins/_persistent_clients.py
+++ b/standins/_persistent_clients.py
@@ -2,18 +2,21 @@
 
 import json
 import random
+import select
 import socket
 import time
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from http.client import HTTPException, HTTPResponse
 from threading import Thread
 
 #: Seconds that a client waits for an answer.
 ANSWER_TIMEOUT = 10.0
-#: Seconds after the last byte of a request within which its connection may still be closed: a host
-#: may close an idle connection while a request is on its way.
-CLOSE_SLACK_SECONDS = 0.2
+#: Share of the requests whose bytes are held up on their way, and seconds for which they are at
+#: least, as by one lost segment.
+HOLD_SHARE = 0.5
+MIN_HOLD_SECONDS = 0.1
 RECONNECT_SECONDS = 0.02
 REQUEST = (
     '{method} {path} HTTP/1.1\r\nHost: desk.example\r\nX-Deadline-Ms: 3000\r\n'
@@ -25,27 +28,38 @@
 class ClientExchange:
     """A request that was sent whole; times are monotonic seconds.
 
-    Without a complete answer, ``status`` is 0.
+    Without a complete answer, ``status`` is 0. ``held_seconds`` is how long its bytes were held up
+    on their way, after ``sent_at``.
     """
 
     path: str
     sent_at: float
     ended_at: float
     status: int
+    held_seconds: float = 0.0
 
     @property
     def is_cut(self) -> bool:
-        """Return whether the host took the request and neither answered nor refused it."""
-        seconds = self.ended_at - self.sent_at
-        return self.status == 0 and seconds > CLOSE_SLACK_SECONDS
+        """Return whether the host neither answered nor refused the request."""
+        return self.status == 0
 
 
 @dataclass(frozen=True)
 class ClientPace:
-    """Seconds before the first request and, at most, between two requests."""
+    """Seconds before the first request and, at most, between two requests.
+
+    With ``hold``, bytes of some requests are held up for that many seconds at most.
+    """
 
     first: float = 0.0
     pause: float = 0.05
+    hold: float = 0.0
+
+    def draw_hold(self, rng: random.Random) -> float:
+        """Return the seconds for which the bytes of the next request are held up."""
+        if not self.hold or rng.random() >= HOLD_SHARE:
+            return 0.0
+        return rng.uniform(MIN_HOLD_SECONDS, self.hold)
 
 
 def make_platform_request(rng: random.Random) -> tuple[str, bytes]:
@@ -107,7 +121,7 @@
     def _run(self, sock: socket.socket | None, pace: ClientPace, rng: random.Random) -> None:
         time.sleep(pace.first)
         while True:
-            if sock is not None and not self._exchange(sock, rng):
+            if sock is not None and not self._exchange(sock, rng, pace.draw_hold(rng)):
                 sock.close()
                 sock = None
             if self._is_gone():
@@ -118,20 +132,29 @@
                 continue
             time.sleep(rng.uniform(0, pace.pause))
 
-    def _exchange(self, sock: socket.socket, rng: random.Random) -> bool:
+    def _exchange(self, sock: socket.socket, rng: random.Random, hold: float) -> bool:
         """Send one request and read the answer; return whether the connection stays open."""
         path, content = self._make_request(rng)
-        try:
-            sock.sendall(content)
-        except OSError:
+        if _has_ended(sock):
             return False
+        # The client has sent the request from now on; the network delivers it later.
         sent_at = time.monotonic()
+        time.sleep(hold)
         answer = HTTPResponse(sock)
         try:
+            with suppress(OSError):
+                sock.sendall(content)
             answer.begin()
             answer.read()
         except (OSError, HTTPException):
-            self.exchanges.append(ClientExchange(path, sent_at, time.monotonic(), 0))
+            self.exchanges.append(ClientExchange(path, sent_at, time.monotonic(), 0, hold))
             return False
-        self.exchanges.append(ClientExchange(path, sent_at, time.monotonic(), answer.status))
+        self.exchanges.append(ClientExchange(path, sent_at, time.monotonic(), answer.status, hold))
         return not answer.will_close
+
+
+def _has_ended(sock: socket.socket) -> bool:
+    """Return whether the server has closed a connection that has no request."""
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
