Name the requests that crossed the close of their connection in the log

Cause: `has stopped` counted them; which ones they were, and whether a request of a report was among them, was not told.

Change: one line each, the first 20 of a stop, with method and path as far as the first bytes have them. A scenario checks the line and the count.

--- a/dandelionreel/entry_stop.py
+++ b/dandelionreel/entry_stop.py
@@ -61,11 +61,13 @@
         )
         for request in drained.ended:
             self._journal.log(Part.LIFE, f'ends {request} at the end of its grace.')
+        for request in drained.idle.crossed_requests:
+            self._journal.log(Part.LIFE, f'refuses {request}, sent as its connection was closed.')
         for request in self._clients.list_open_requests():
             self._journal.log(Part.LIFE, f'stops without an answer to {request}.')
         seconds = round(self._clock.monotonic() - started_at, 3)
         self._log_load(
-            'has stopped.', seconds=seconds, refused=drained.refused, **asdict(drained.idle)
+            'has stopped.', seconds=seconds, refused=drained.refused, **drained.idle.counts()
         )
 
     def _log_load(self, sentence: str, **fields: float) -> None:
--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Iterable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from socket import MSG_DONTWAIT, MSG_PEEK, SHUT_RD, SHUT_WR
 from typing import Any
 
@@ -53,13 +53,21 @@
     """Connections that a server has closed because no request had begun on them.
 
     ``shortest_idle`` and ``longest_idle`` are seconds since their last answer. On ``crossed`` of
-    them, bytes arrived after the decision to close.
+    them, bytes arrived after the decision to close; ``crossed_requests`` has method and target of
+    the first ones.
     """
 
     closed_idle: int = 0
     shortest_idle: float = 0.0
     longest_idle: float = 0.0
     crossed: int = 0
+    crossed_requests: tuple[str, ...] = ()
+
+    def counts(self) -> dict[str, float]:
+        """Return all but the names of requests, for a log line."""
+        fields = asdict(self)
+        del fields['crossed_requests']
+        return fields
 
 
 class ServerConnection:
@@ -78,8 +86,8 @@
         #: When the phase began, in seconds of ``time.monotonic()``.
         self.phase_since = time.monotonic()
         self.is_closed_as_idle = False
-        #: Whether bytes have arrived after the decision to close the connection as idle.
-        self.is_crossed = False
+        #: The first line of what has arrived after the decision to close the connection as idle.
+        self.crossed_line = ''
 
     def enter(self, phase: Phase, request: Request | None = None) -> None:
         """Enter a phase, with the request that is in progress."""
@@ -101,9 +109,10 @@
         except OSError:
             return b''
 
-    def note_arrival(self) -> None:
-        """Record that bytes have arrived."""
-        self.is_crossed = self.is_crossed or self.is_closed_as_idle
+    def note_arrival(self, received: bytes) -> None:
+        """Record the first bytes that arrive after the decision to close it as idle."""
+        if self.is_closed_as_idle and not self.crossed_line:
+            self.crossed_line = _describe_bytes(received)
 
     async def discard_unread(self) -> None:
         """Read and discard what the client still sends, until it closes or for some time.
@@ -144,9 +153,9 @@
         """Return method and target of the request that is in progress or unread, or ``''``."""
         if self.request is not None:
             return f'{self.request.method} {self.request.target}'
-        first_line = self.peek().partition(b'\r\n')[0].decode('latin-1')
-        if first_line:
-            return first_line.rpartition(' HTTP/')[0] or first_line
+        unread = self.peek()
+        if unread:
+            return _describe_bytes(unread)
         return 'a part of a request' if self.phase is Phase.READING else ''
 
     @property
@@ -159,6 +168,12 @@
             received = await self.client.recv(READ_SIZE)
 
 
+def _describe_bytes(received: bytes) -> str:
+    """Return method and target of a request that begins with ``received``."""
+    first_line = received[:PEEK_SIZE].partition(b'\r\n')[0].decode('latin-1')
+    return first_line.rpartition(' HTTP/')[0] or first_line or 'an empty line'
+
+
 def measure_load(connections: Iterable[ServerConnection], listener: Any) -> ServerLoad:
     """Return the counts of open connections and of what waits at the socket ``listener``."""
     measured = tuple(connections)
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -40,6 +40,8 @@
     'the host is stopping; send the request to another one',
     RETRY_AFTER_SECONDS,
 )
+#: Requests that crossed the close of their connection and are named in the log.
+NAMED_REQUESTS = 20
 #: Connections beyond the limit on which one request is read and refused.
 REFUSED_CONNECTIONS = 64
 TOO_MANY = Problem(
@@ -115,7 +117,7 @@
         self._is_refusing = False
         #: Seconds for which each connection that was closed as idle had been idle.
         self._closed_idle_seconds: list[float] = []
-        self._crossed_connections = 0
+        self._crossed_requests: list[str] = []
         #: Requests that were refused because the server is stopping.
         self.refused_requests = 0
         self.port = 0
@@ -191,7 +193,8 @@
             len(closed),
             round(min(closed, default=0.0), 3),
             round(max(closed, default=0.0), 3),
-            self._crossed_connections,
+            len(self._crossed_requests),
+            tuple(self._crossed_requests[:NAMED_REQUESTS]),
         )
 
     def refuse_requests(self) -> None:
@@ -261,8 +264,9 @@
             return
         finally:
             if connection.is_closed_as_idle and connection.peek():
-                connection.note_arrival()
-            self._crossed_connections += connection.is_crossed
+                connection.note_arrival(connection.peek())
+            if connection.crossed_line:
+                self._crossed_requests.append(connection.crossed_line)
             self._connection_by_task.pop(await curio.current_task(), None)
             await connection.client.close()
 
@@ -382,7 +386,7 @@
             # A late process finds the timeout expired although bytes have arrived in time.
             received = await connection.client.recv(READ_SIZE)
         if received:
-            connection.note_arrival()
+            connection.note_arrival(received)
         return received
 
     async def _read_request_body(self, client: Any, http: Any, body: bytearray) -> None:
--- a/dandelionreel/life.py
+++ b/dandelionreel/life.py
@@ -8,7 +8,7 @@
 
 from dandelionreel.backing import LogError, StreamReader, StreamWriter
 from dandelionreel.contracts import ContractProjection
-from dandelionreel.http import Server, drain_server
+from dandelionreel.http import DrainResult, Server, drain_server
 from dandelionreel.kernel import Clock, Journal, Part, Settings
 from dandelionreel.ownership import Left, ShardClaimer
 
@@ -102,9 +102,14 @@
         # Peers may have forwarded requests before they read the leave records.
         while in_flight.count() and self._clock.monotonic() < self._drain_deadline:
             await curio.sleep(POLL_SECONDS)
+        self._log_end(callers, drained)
+
+    def _log_end(self, callers: Server, drained: DrainResult) -> None:
+        for request in drained.idle.crossed_requests:
+            self._journal.log(Part.LIFE, f'refuses {request}, sent as its connection was closed.')
         for request in callers.list_open_requests():
             self._journal.log(Part.LIFE, f'stops without an answer to {request}.')
-        self._log_load('has stopped.', callers, refused=drained.refused, **asdict(drained.idle))
+        self._log_load('has stopped.', callers, refused=drained.refused, **drained.idle.counts())
 
     def _log_load(self, sentence: str, callers: Server, **fields: float) -> None:
         self._journal.log(Part.LIFE, sentence, **fields, **asdict(callers.measure_load()))
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -71,6 +71,12 @@
     When 2 clients are served, 3 more are refused, the first 2 leave and another one sends a request
     Then the caller gets the status 200 and the verdict none
 
+  # Guards against a close of idle connections that leaves no trace of the request that crosses it.
+  Scenario: A request that crosses the close of its connection is in the log
+    Given a server that stops within 2.5 seconds, 0.4 of them until the balancer has noticed
+    When a client sends a request as bytes that are held up until their idle connection has been closed
+    Then the log names the request POST /a that has crossed the close of its connection
+
   # Guards against a request that is cut as it crosses the close of an idle connection.
   Scenario: A request arrives as its connection has been idle for too long
     Given a server that closes connections after 0.3 idle seconds
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -1,5 +1,6 @@
 """Steps on a server that stops while clients still use it."""
 
+import io
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -14,7 +15,7 @@
 from dandelionreel import entry_stop
 from dandelionreel.entry_stop import HostStop
 from dandelionreel.http import Request, Response, Server, ServerLimits, problem_response
-from dandelionreel.kernel import Problem, SystemClock, Verdict
+from dandelionreel.kernel import Journal, Problem, SystemClock, Verdict
 from dandelionreel.peers import (
     Forward,
     ForwardAnswer,
@@ -40,6 +41,7 @@
         self.response = Response(200)
         self.deletion_seconds = 0
         self.stop_seconds = None
+        self.log = io.StringIO()
         self.peer_port = 0
         self.is_stopping = False
         self._limits = limits
@@ -76,7 +78,10 @@
                 await curio.sleep(0.005)
             self.is_stopping = True
             began = time.monotonic()
-            stop = HostStop(server, peers, self.grace, SystemClock(), journal())
+            log = Journal(self.log, 'test')
+            log.open()
+            stack.callback(log.close)
+            stop = HostStop(server, peers, self.grace, SystemClock(), log)
             await stop.run(self._be_late, self._delete_member_record)
             self.stop_seconds = time.monotonic() - began
 
@@ -389,6 +394,13 @@
     assert context.answer == (status, verdict), context.answer
 
 
+@then('the log names the request {request} that has crossed the close of its connection')
+def check_log(context, request):
+    context.server.close()
+    assert f'refuses {request}, sent as its connection' in context.server.log.getvalue()
+    assert '"crossed":1' in context.server.log.getvalue(), context.server.log.getvalue()
+
+
 @then('the stop has taken between {least:g} and {most:g} seconds')
 def check_stop_time(context, least, most):
     context.server.close()
