Proofs of crashes: pending starts of the same job do not stand in the way

Cause: a crash was proven only if no other start was pending on the runner. Members of a gang may start on one runner together, so a gang whose tasks crash their runners was never given up. It is the job that is given up, so it does not matter which of its tasks has crashed the runner. Change: only pending starts of other jobs leave it open which start caused the crash.

--- a/dandelionreel/cell/decisions/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -4,7 +4,7 @@
 only failed runs were counted, the task would be restarted forever. Most tasks on a crashed runner
 are not the cause, and runners also crash by chance, so no number of crashes alone shows the
 culprit. A proven crash does: the runner answered on the same connection right before the start was
-sent, the connection closed without an answer, and nothing else was starting there.
+sent, the connection closed without an answer, and no other job was starting anything there.
 """
 
 from dataclasses import dataclass
--- a/dandelionreel/cell/decisions/_runner_losses.py
+++ b/dandelionreel/cell/decisions/_runner_losses.py
@@ -160,13 +160,16 @@
     """Return whether the start of a run has crashed its runner, whose process has ended.
 
     An answer after the connection broke shows that the runner outlived the start, and of two starts
-    that were pending it is unknown which one caused the crash.
+    that were pending it is unknown which one caused the crash. Those of one job may both count: a
+    gang starts together, and it is the job that is given up.
     """
     if run.crash_seen_at is None or run.started_at is not None:
         return False
     if max(runner.known_at, run.order_answered_at or NEVER) > run.crash_seen_at:
         return False
-    return not any(other.is_start_pending for other in runner.runs if other is not run)
+    return not any(
+        other.is_start_pending for other in runner.runs if other.task.job != run.task.job
+    )
 
 
 def _task_name(job: str, start: StoredStart) -> TaskName:
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -71,6 +71,7 @@
       | w1 answers another start            | 0      |
       | the start is confirmed by a repeat  | 0      |
       | another start was pending on w1     | 0      |
+      | another task of its job was starting | 1     |
 
   # Guards against proofs that are lost with the owner, and against rows of earlier builds as proofs.
   Scenario Outline: A successor relies on stored proofs only
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -191,13 +191,16 @@
 
 @when('it is seen that {what}, and then that w1 has ended')
 def see_then_replace(context, what):
-    small = context.small
+    small, start = context.small, context.start
     small.now += 1
     if 'leases' in what:
         lapse_then_next(context)
         return
     if 'poll' in what:
         small.poll('w1')
+    elif 'of its job' in what:
+        other = replace(start, task=task('j1', 1), crash_seen_at=None)
+        small.cell.runner_by_id['w1'].add_allocation(other)
     elif 'another start was' in what:
         small.add_job('j2', [step()])
         assert [other.runner for other in small.plan(start=False).starts] == ['w1']
