Soak: machines go dark in series, and no job fails whose tasks crash no runner

Cause: the soak excused a job that was shown as failed once two of its runs were lost with their runners, whoever crashed them, and its runners broke all connections at once when they crashed. A job whose tasks neither fail nor crash a runner is never shown as failed, at any host and at any time, without an excuse.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,13 +1,13 @@
 """Seeded random faults on entry hosts and their platform: ``make platform-soak``.
 
 Jobs are submitted, queried and cancelled while hosts are killed, paused and stopped (clients use
-kept connections of a stopping host until its process is gone), links to
-the store and to runners are cut in one or both directions, the store is down, slow or loses
-replies, runners crash and come back (under other ids, or under the same ids with
-``--restarts``), runners change their capacity or are crashed by tasks, another writer fills
-the topic of the runners with invalid entries, and keys and quotas of client accounts change
-(with ``--accounts``). Faults overlap. Then all faults end, every accepted job must end, and
-the guarantees are checked against the runners' own records and the replies to the clients.
+kept connections of a stopping host until its process is gone), links to the store and to runners
+are cut in one or both directions, the store is down, slow or loses replies, runners crash and come
+back (under other ids, or under the same ids with ``--restarts``; then several at once also go dark,
+in series), runners change their capacity or are crashed by tasks, another writer fills the topic of
+the runners with invalid entries, and keys and quotas of client accounts change (with
+``--accounts``). Faults overlap. Then all faults end, every accepted job must end, and the
+guarantees are checked against the runners' own records and the replies to the clients.
 """
 
 import argparse
@@ -46,6 +46,14 @@
 RUNNER_CPUS = (3000, 5000, 8000)
 #: Seconds between two jobs whose tasks crash their runners.
 CRASHING_JOB_GAP = (1.0, 4.0)
+#: Seconds between two series of restarts in the dark, and their number in a series; seconds for
+#: which machines are dark, and after which they write their entries again.
+DARK_GAP = (1.0, 4.0)
+DARK_SERIES = (2, 4)
+DARK_LENGTH = (0.1, 0.9)
+DARK_ENTRY_DELAY = (0.05, 0.4)
+#: Share of the runners that go dark together.
+DARK_SHARE = 0.7
 #: Most runners that one task may crash, and fewest crashes before a task is given up.
 MAX_CRASHES = 5
 MIN_CRASHES = 2
@@ -130,6 +138,7 @@
         self._links += [f'relay-{runner.name}' for runner in self._platform.runners]
         self._stops = SoakStops(self._hosts, seed)
         self._is_planned = planned
+        self._has_restarts = restarts
         self._has_accounts = accounts
         self._accounts: SoakAccounts | None = None
         self._cuts: list[Cut] = []
@@ -149,7 +158,7 @@
             for name in self._hosts.names:
                 self._hosts.start(name)
             self._hosts.wait_ready()
-            with ThreadPoolExecutor(CLIENT_COUNT + 4) as pool:
+            with ThreadPoolExecutor(CLIENT_COUNT + 5) as pool:
                 seeds = [self._random.random() for _ in range(CLIENT_COUNT)]
                 for number, seed in enumerate(seeds):
                     pool.submit(self._run_client, number, random.Random(seed))
@@ -157,6 +166,8 @@
                     pool.submit(self._write_foreign_entries)
                     pool.submit(self._change_capacities)
                     pool.submit(self._submit_crashing_jobs)
+                if self._has_restarts and not self._is_planned:
+                    pool.submit(self._restart_in_the_dark)
                 if self._accounts is not None:
                     pool.submit(self._accounts.change_until_stopped, self._stopping)
                 self._inject_faults()
@@ -229,6 +240,10 @@
                 self.tally.violations.append(
                     f'{record.path} was completed and is {state} at {host}'
                 )
+        if state == 'failed' and not record.crashes_runners:
+            self.tally.violations.append(
+                f'{record.path} is shown as failed at {host}, and its tasks neither fail nor crash'
+            )
         age = asked_at - record.accepted_at
         is_kept = record.accepted and 0 < age < STATUS_SECONDS
         if reply.status == HTTP_GONE and is_kept:
@@ -310,6 +325,32 @@
             self.tally.jobs.append(record)
             self._submit(record, rng)
 
+    def _restart_in_the_dark(self) -> None:
+        """Let machines lose power and come back while starts are sent to them.
+
+        Times come from a generator of their own.
+        """
+        rng = random.Random(f'{self._seed}/dark')
+        while not self._stopping.wait(rng.uniform(*DARK_GAP)):
+            for _ in range(rng.randint(*DARK_SERIES)):
+                with self._lock:
+                    dark = [
+                        runner
+                        for runner in self._platform.runners
+                        if not runner.is_down and rng.random() < DARK_SHARE
+                    ]
+                    for runner in dark:
+                        runner.crash(is_dark=True)
+                time.sleep(rng.uniform(*DARK_LENGTH))
+                with self._lock:
+                    for runner in dark:
+                        runner.restart()
+                time.sleep(rng.uniform(*DARK_ENTRY_DELAY))
+                with self._lock:
+                    for runner in dark:
+                        self._platform.register(runner)
+                self.tally.faults['restart_in_the_dark'] += len(dark)
+
     def _schedule(self, seconds: float, callback: object, *args: object) -> None:
         timer = Timer(seconds, callback, args)
         self._timers.append(timer)
@@ -456,7 +497,6 @@
             }
             # The end of one task counts for its whole gang.
             expected = 1 if record.gang else record.tasks
-            # A job may be given up once its tasks have crashed MIN_CRASHES runners.
             must_be_done = record.accepted and not record.cancelled and not given_up
             missing = must_be_done and len(done) < expected
             if missing and record.cancel_in_doubt:
