An owner without a configuration uses the terms that its jobs were accepted with

Cause: queue_of returned no queue while there is no configuration, although the job's submission has its terms. One failed run then ended a job of a queue with three attempts, and its task would have started without advice. Change: the terms of the submission are used there, too, as for queues that a later version has removed.

--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -86,7 +86,7 @@
     def queue_of(self, job: JobRun) -> Queue | None:
         """Return the job's queue, ``None`` if neither configurations nor the job have its terms."""
         if self.configuration is None:
-            return None
+            return job.accepted_queue
         return self.configuration.find_job_queue(job.submission.queue) or job.accepted_queue
 
     def quota_of(self, job: JobRun) -> Demand | None:
--- a/features/removed_queues.feature
+++ b/features/removed_queues.feature
@@ -17,6 +17,8 @@
       | changes the queue to one attempt             | the owner stays                        | 1 run  | failed      |
       | removes the queue                            | a host that has never read it owns     | 2 runs | not failed  |
       | removes the queue                            | a host that has never read it owns     | 3 runs | failed      |
+      | removes the queue                            | a host without any configuration owns  | 2 runs | not failed  |
+      | removes the queue                            | a host without any configuration owns  | 3 runs | failed      |
 
   # Guards against starts without a ticket, which runners reject, and against jobs that wait for good.
   Scenario Outline: Tasks wait while their queue, which needs advice, is away
--- a/features/steps/removed_queue_steps.py
+++ b/features/steps/removed_queue_steps.py
@@ -94,6 +94,8 @@
     submission = msgspec.structs.replace(context.job.submission, terms=make_terms(queue))
     context.versions = later
     successor = make_cell(context, epoch=2)
+    if 'without any' in owner:
+        successor.cell.configuration = None
     take_job(context, successor, submission)
     if queue.advice is None:
         assert successor.plan().starts
