Timeouts of the kernel are silence, not a broken connection

Cause: when sent bytes stay unacknowledged for the limit of a call, the kernel ends the connection with ETIMEDOUT (or the network reports an unreachable host) at about the time at which the call itself times out. That counted as a broken connection, so a network cut could count as a crash during a start, and even as a proven one. Change: ETIMEDOUT, EHOSTUNREACH and ENETUNREACH end a call like its own timeout.

--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -1,5 +1,6 @@
 """HTTP client with one request at a time per connection."""
 
+import errno
 from collections.abc import Awaitable, Callable
 from functools import lru_cache
 from typing import Any
@@ -15,6 +16,8 @@
 _CLOCK = SystemClock()
 #: Number of request heads that are kept for further requests: a few for each of 1,000 runners.
 REPEATED_HEADS = 4096
+#: Errors of the kernel after a time without a sign of the peer, whose process may be alive.
+SILENCE_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH))
 #: Called right before a request is sent; returns whether the request may be sent.
 SendCheck = Callable[[], bool]
 HOP_BY_HOP_HEADERS = frozenset(
@@ -119,7 +122,9 @@
             raise
         except (OSError, h11.ProtocolError) as error:
             await self._abandon(progress)
-            raise ConnectionBrokenError(
+            number = error.errno if isinstance(error, OSError) else None
+            failure = ExchangeError if number in SILENCE_ERRORS else ConnectionBrokenError
+            raise failure(
                 f'broken answer: {error}', sent=progress.sent, received=progress.received
             ) from error
         except BaseException:
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -94,6 +94,19 @@
       | the start is never answered   | checks        | may have arrived | is not known to live |
       | the check is never answered   | checks        | was not sent    | is not known to live |
 
+  # Guards against taking a network cut for the end of a runner's process.
+  Scenario Outline: Errors of the kernel while an answer is awaited
+    Given a connection on which the kernel reports <error> to a request
+    Then its peer <was>
+
+    Examples:
+      | error        | was                   |
+      | ECONNRESET   | has broken it         |
+      | EPIPE        | has broken it         |
+      | ETIMEDOUT    | was silent            |
+      | EHOSTUNREACH | was silent            |
+      | ENETUNREACH  | was silent            |
+
   # Guards against treating tasks of a former process as tasks of the process that answers.
   Scenario Outline: A worker with the native worker API restarts
     Given an owner that has listed a worker with one task, at revision 1
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -1,11 +1,13 @@
 """Steps for incarnations of runners: calls, entries and ids."""
 
+import errno
 import json
 import time
 from contextlib import AsyncExitStack
 from types import SimpleNamespace
 
 import curio
+import h11
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings, strategies
@@ -27,7 +29,15 @@
 from dandelionreel.cell.model._model import JobState
 from dandelionreel.cell.model._records import CrashedRun, Progress, StoredStart
 from dandelionreel.cell.store._runner_projection import RunnerProjection
-from dandelionreel.http import Response, Server, json_response
+from dandelionreel.http import (
+    Connection,
+    ConnectionBrokenError,
+    ExchangeError,
+    Request,
+    Response,
+    Server,
+    json_response,
+)
 from dandelionreel.kernel import ManualClock, Verdict
 from dandelionreel.ownership import Grant, GrantLevel
 from dandelionreel.platform import Address, HttpAdvice, HttpRunner, JsonRecordCodec
@@ -176,6 +186,40 @@
     assert not runs or error.verdict is Verdict.UNKNOWN, runs
 
 
+class FailingSocket:
+    """Socket that accepts a request and reports an error in place of the answer."""
+
+    def __init__(self, number):
+        self.number = number
+
+    async def sendall(self, payload):
+        """Accept the request."""
+
+    async def recv(self, size):
+        """Report the error."""
+        raise OSError(self.number, 'error')
+
+    async def close(self):
+        """Close the socket."""
+
+
+@given('a connection on which the kernel reports {name} to a request')
+def kernel_error(context, name):
+    connection = Connection('127.0.0.1', 1, 100)
+    connection._sock = FailingSocket(getattr(errno, name))
+    connection._http = h11.Connection(h11.CLIENT)
+    try:
+        curio.run(connection.exchange, Request('POST', '/v1/run-start'), 1.0)
+    except ExchangeError as error:
+        context.result = error
+
+
+@then('its peer {was}')
+def check_kernel_error(context, was):
+    assert context.result.sent
+    assert isinstance(context.result, ConnectionBrokenError) is (was == 'has broken it')
+
+
 @then('the caller learns that the runner was replaced')
 def check_replaced(context):
     assert context.result is StartReply.REPLACED or isinstance(context.result, RunnerReplaced), (
