Read the host list entry by entry

Cause: the host list was decoded as one document. An entry that cannot be decoded raised msgspec.ValidationError, DecodeError or RecursionError out of fetch_hosts, which may raise HostListError only. At start that ended the process, later it restarted the polling loop every second, and no change of the list was read any more. A port above 65535, a number of hundreds of digits or a name instead of an address passed.

Change: each entry is decoded by itself and its ranges are checked. Where one is nested so deeply that the decoder rejects the whole document, the list is split without recursion. A host whose entry cannot be used keeps its last known entry, as a missing one counts as removed and its tasks start elsewhere. The entries that cannot be used are logged when they change (10 at most) and counted in dandelionreel_unusable_hosts. The stand-in of the host list can hold raw entries of another writer.

--- a/dandelionreel/backing/_host_watch.py
+++ b/dandelionreel/backing/_host_watch.py
@@ -5,6 +5,10 @@
 from dandelionreel.backing._hosts import HostEntry, HostList, HostListError
 from dandelionreel.kernel import ChangeNotifier, Clock, Journal, Part
 
+#: Entries that cannot be used are named up to here, with so many characters each.
+MAX_LOGGED_ENTRIES = 10
+MAX_LOGGED_CHARACTERS = 120
+
 
 class HostWatch:
     """The host list as last read.
@@ -19,6 +23,7 @@
         self._clock = clock
         self._journal = journal
         self._missing_since_by_name: dict[str, float] = {}
+        self._unusable_entries: frozenset[str] = frozenset()
         self.entry_by_name: dict[str, HostEntry] = {}
         self.read_at = float('-inf')
         self.changed = ChangeNotifier()
@@ -43,6 +48,7 @@
         for name in entry_by_name:
             self._missing_since_by_name.pop(name, None)
         self.read_at = requested_at
+        self._log_unusable_entries()
         if entry_by_name != self.entry_by_name:
             self._log_changes(entry_by_name)
             self.entry_by_name = entry_by_name
@@ -68,6 +74,28 @@
             return 0
         return self._clock.monotonic() - missing_since
 
+    @property
+    def unusable_count(self) -> int:
+        """Return the number of entries of the last list that cannot be used."""
+        return len(self._unusable_entries)
+
+    def _log_unusable_entries(self) -> None:
+        """Log which entries cannot be used, when these change."""
+        problems = self._hosts.problem_by_entry
+        if problems.keys() == self._unusable_entries:
+            return
+        self._unusable_entries = frozenset(problems)
+        logged = list(problems.items())[:MAX_LOGGED_ENTRIES]
+        self._journal.log(
+            Part.LIFE,
+            f'{len(problems)} of the entries of the host list cannot be used.',
+            entries=len(problems),
+            problems=[
+                f'{entry[:MAX_LOGGED_CHARACTERS]}: {problem[:MAX_LOGGED_CHARACTERS]}'
+                for entry, problem in logged
+            ],
+        )
+
     def _log_changes(self, entry_by_name: dict[str, HostEntry]) -> None:
         for name, entry in entry_by_name.items():
             previous = self.entry_by_name.get(name)
--- a/dandelionreel/backing/_hosts.py
+++ b/dandelionreel/backing/_hosts.py
@@ -4,15 +4,26 @@
 """
 
 import abc
+from collections.abc import Sequence
+from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
 
 from dandelionreel.backing._resources import NO_RESOURCES, Resources
+from dandelionreel.backing._rows import find_member, split_parts
 from dandelionreel.http import Channel, ExchangeError, Request
 from dandelionreel.kernel import Endpoint, PluginKind, StaticHost, plugins
 
 HTTP_OK = 200
 HTTP_NOT_MODIFIED = 304
+MAX_PORT = 65_535
+#: More slots or connections than any host has, and more of any resource.
+MAX_COUNT = 1_000_000
+MAX_AMOUNT = 1e9
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 class HostEntry(msgspec.Struct, frozen=True):
@@ -22,13 +33,13 @@
     kind: str
     availability_zone: str
     address: str
-    port: int
+    port: Port
     state: str = 'live'
     rack: str = ''
     capacity: Resources = NO_RESOURCES
     service: str = ''
-    slots: int = 0
-    connections: int = 0
+    slots: Count = 0
+    connections: Count = 0
 
     @property
     def is_live(self) -> bool:
@@ -42,6 +53,14 @@
     hosts: tuple[HostEntry, ...]
 
 
+class _HostRows(msgspec.Struct):
+    hosts: tuple[msgspec.Raw, ...]
+
+
+_HOST_DECODER = msgspec.json.Decoder(HostEntry)
+_ROWS_DECODER = msgspec.json.Decoder(_HostRows)
+
+
 class HostListError(Exception):
     """The host list could not be read."""
 
@@ -49,6 +68,9 @@
 class HostList(abc.ABC):
     """Interface to the list of live and leaving hosts."""
 
+    #: Why entries of the last list cannot be used, by the host's name or the entry's position.
+    problem_by_entry: dict[str, str] = {}
+
     @abc.abstractmethod
     async def fetch_hosts(self) -> tuple[HostEntry, ...]:
         """Return all hosts; raises ``HostListError``."""
@@ -93,7 +115,7 @@
             return self._last_hosts
         if response.status != HTTP_OK:
             raise HostListError(f'the host list service returned status {response.status}')
-        self._last_hosts = msgspec.json.decode(response.body, type=HostsResult).hosts
+        self._decode_hosts(response.body)
         self._etag = response.header('etag')
         return self._last_hosts
 
@@ -101,6 +123,58 @@
         """Close the connection."""
         await self._channel.close()
 
+    def _decode_hosts(self, body: bytes) -> None:
+        """Decode the list; a host whose entry cannot be used keeps its last known one.
+
+        A host that is missing from the list counts as removed, and its tasks start elsewhere.
+        """
+        known_by_name = {entry.name: entry for entry in self._last_hosts}
+        hosts = []
+        problem_by_entry = {}
+        for position, row in enumerate(_split_hosts(body)):
+            try:
+                hosts.append(decode_host(row))
+            except (ValueError, RecursionError) as error:
+                name = _find_name(row)
+                problem_by_entry[name or f'#{position}'] = f'{error}'
+                known = known_by_name.get(name)
+                if known is not None:
+                    hosts.append(known)
+        self._last_hosts = tuple(hosts)
+        self.problem_by_entry = problem_by_entry
+
+
+def decode_host(row: bytes) -> HostEntry:
+    """Decode one entry; raises ``ValueError`` or ``RecursionError``."""
+    entry = _HOST_DECODER.decode(row)
+    # A name would be looked up, which blocks the process.
+    IPv4Address(entry.address)
+    if not entry.name:
+        raise ValueError('the name is empty')
+    amounts = (entry.capacity.processors, entry.capacity.memory_mb, entry.capacity.accelerators)
+    if not all(0 <= amount <= MAX_AMOUNT for amount in amounts):
+        raise ValueError('the capacity is out of range')
+    return entry
+
+
+def _split_hosts(body: bytes) -> Sequence[bytes]:
+    try:
+        return [bytes(row) for row in _ROWS_DECODER.decode(body).hosts]
+    except (ValueError, RecursionError):
+        pass
+    try:
+        return split_parts(find_member(body, 'hosts'))
+    except ValueError as error:
+        raise HostListError(f'the host list cannot be read: {error}') from error
+
+
+def _find_name(row: bytes) -> str:
+    """Return the name in an entry that cannot be used, empty without one."""
+    try:
+        return msgspec.json.decode(find_member(row, 'name'), type=str)
+    except ValueError:
+        return ''
+
 
 @plugins.register(PluginKind.HOSTS, 'static')
 class StaticHostList(HostList):
--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -543,6 +543,7 @@
                 self._jobs,
                 self._dispatcher.planner,
                 self._claimer,
+                self._hosts,
             )
             await curio.sleep(1)
 
--- a/dandelionreel/metrics.py
+++ b/dandelionreel/metrics.py
@@ -7,7 +7,7 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
-from dandelionreel.backing import StreamReader, StreamWriter
+from dandelionreel.backing import HostWatch, StreamReader, StreamWriter
 from dandelionreel.http import control_bytes_by_kind
 from dandelionreel.jobs import JobProjection, JobState
 from dandelionreel.ownership import ShardClaimer
@@ -57,6 +57,9 @@
         self._decisions = self._add_gauge(
             'decisions', 'Placement decisions since dispatching began.'
         )
+        self._unusable_hosts = self._add_gauge(
+            'unusable_hosts', 'Entries of the host list that cannot be used.'
+        )
         self._used = self._add_gauge('used', 'Use of the zone by resource.', 'resource')
         self._capacity = self._add_gauge('capacity', 'What the zone has.', 'resource')
         self._cpu_seconds = self._add_gauge('cpu_seconds', 'Processor time of this process.')
@@ -70,8 +73,10 @@
         jobs: JobProjection,
         planner: Planner,
         claimer: ShardClaimer,
+        hosts: HostWatch,
     ) -> None:
         """Set all gauges."""
+        self._unusable_hosts.set(hosts.unusable_count)
         self._log_outage.set(reader.outage_seconds)
         self._log_read.set(reader.read_seconds)
         self._log_append.set(writer.append_seconds)
--- /dev/null
+++ b/features/steps/odd_entry_steps.py
@@ -0,0 +1,104 @@
+"""Steps on odd entries that another writer has left in lists of the platform."""
+
+import json
+from contextlib import AsyncExitStack
+
+import curio
+import msgspec
+from behave import given, then, when
+
+from dandelionreel.backing import HostEntry, HttpHostList, Resources
+from dandelionreel.http import Server
+from dandelionreel.kernel import Endpoint
+from features.cells import contract, job
+from standins import Cluster, Layout
+from standins._cluster import wait_until
+from standins._hosts import HostsStandIn
+
+ZONE = 'ub-east'
+DAEMON_NAME = f'{ZONE}-d0'
+WORKER = HostEntry('odd-1', 'worker', ZONE, '127.0.0.1', 7000, capacity=Resources(4, 4096, 0))
+
+
+def nest(levels):
+    return b'[' * levels + b']' * levels
+
+
+def make_odd_entry(odd):
+    """Return the entry of a worker with one odd field."""
+    if odd == 'null':
+        return b'null'
+    field, odd_value = {
+        'a value nested 400 deep': ('rack', nest(400)),
+        'a value nested 100000 deep': ('more', nest(100_000)),
+        'port 99999': ('port', b'99999'),
+        'a port of 400 digits': ('port', b'9' * 400),
+        'a port of 5000 digits': ('port', b'9' * 5000),
+        'an address that is a name': ('address', b'"worker.example"'),
+        'a capacity of 1e308': ('capacity', b'{"processors":1e308}'),
+        'text that is not UTF-8': ('rack', b'"\xff"'),
+    }[odd]
+    fields = {**msgspec.to_builtins(WORKER), field: '@'}
+    return json.dumps(fields).encode().replace(b'"@"', odd_value)
+
+
+@given('a daemon whose host list has an odd entry: {odd}')
+def start_daemon_with_odd_entry(context, odd):
+    cell = Cluster(Layout(zones=(ZONE,)))
+    context.stack.push(cell.__exit__)
+    cell.start_standins()
+    cell.set_other_entries(make_odd_entry(odd))
+    cell.start(DAEMON_NAME)
+    context.odd_cell = cell
+
+
+@then('it is ready, runs a job and counts 1 unusable host')
+def check_daemon_works(context):
+    cell = context.odd_cell
+    cell.wait_ready(DAEMON_NAME)
+    cell.wait_ownership_stable()
+    assert cell.publish(contract()).status == 200
+    assert cell.submit(DAEMON_NAME, job()).status == 202
+    assert wait_until(lambda: any(run['outcome'] == 'succeeded' for run in cell.runs()))
+    assert wait_until(lambda: b'unusable_hosts 1.0' in read_metrics(cell))
+    assert cell.log_of(DAEMON_NAME).count('of the entries of the host list cannot be used') == 1
+
+
+def read_metrics(cell):
+    return cell.try_get(cell.daemons[DAEMON_NAME], '/metrics').body
+
+
+@then('it learns that another host leaves')
+def check_list_followed(context):
+    cell = context.odd_cell
+    leaving = msgspec.structs.replace(cell.hosts[0], state='leaving')
+    cell.replace_hosts([leaving, *cell.hosts[1:]])
+    assert wait_until(lambda: f'{leaving.name} is leaving' in cell.log_of(DAEMON_NAME))
+
+
+@when('the entry of a listed worker becomes odd, and then valid: {odd}')
+def change_entry(context, odd):
+    other = msgspec.structs.replace(WORKER, name='w2')
+    changed = msgspec.structs.replace(WORKER, port=7007)
+    entries = (msgspec.json.encode(WORKER), make_odd_entry(odd), msgspec.json.encode(changed))
+    context.known_ports = []
+
+    async def run():
+        async with AsyncExitStack() as stack:
+            standin = HostsStandIn((other,))
+            server = Server(standin.handle)
+            await server.start(stack, '127.0.0.1', 0)
+            hosts = HttpHostList(Endpoint('127.0.0.1', server.port), 5.0)
+            stack.push_async_callback(hosts.close)
+            for entry in entries:
+                standin.other_entries = [entry]
+                found = {host.name: host for host in await hosts.fetch_hosts()}
+                assert found[other.name] == other, found
+                context.known_ports.append(found[WORKER.name].port)
+
+    curio.run(run)
+
+
+@then('its last known entry is kept in between')
+def check_entry_kept(context):
+    assert context.known_ports == [WORKER.port, WORKER.port, 7007], context.known_ports
--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -331,6 +331,11 @@
         body = msgspec.to_builtins({'hosts': hosts})
         exchange(LOOPBACK, self.hosts_port, 'POST', '/control/hosts', body)
 
+    def set_other_entries(self, *entries: bytes) -> None:
+        """Replace the raw entries that another writer has added to the list of hosts."""
+        body = b'\n'.join(entries)
+        exchange(LOOPBACK, self.hosts_port, 'POST', '/control/other-entries', body)
+
     def host(self, name: str) -> HostEntry:
         """Return the host with this name."""
         return next(entry for entry in self.hosts if entry.name == name)
--- a/standins/_hosts.py
+++ b/standins/_hosts.py
@@ -9,6 +9,9 @@
 
 FAULTS = '/control/faults'
 HOSTS = '/control/hosts'
+#: Adds raw entries to the list, as another writer may: ``POST`` them, one on each line.
+OTHER_ENTRIES = '/control/other-entries'
+HTTP_OK = 200
 HTTP_NOT_MODIFIED = 304
 
 
@@ -19,6 +22,7 @@
         """Start with ``hosts``."""
         super().__init__()
         self.hosts = hosts
+        self.other_entries: list[bytes] = []
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
@@ -27,6 +31,9 @@
         if request.path == HOSTS:
             self.hosts = msgspec.json.decode(request.body, type=HostsResult).hosts
             return json_response(HostsResult(self.hosts))
+        if request.path == OTHER_ENTRIES:
+            self.other_entries = request.body.splitlines()
+            return json_response({})
         await self.faults.apply_before()
         return self._list(request)
 
@@ -37,8 +44,10 @@
             for host in self.hosts
             if host.kind == 'entry' or zone in {'', host.availability_zone}
         )
-        body = msgspec.json.encode(HostsResult(listed))
+        entries = [*map(msgspec.json.encode, listed), *self.other_entries]
+        body = b'{"hosts":[%b]}' % b','.join(entries)
         entity_tag = f'"{xxhash.xxh64_hexdigest(body)}"'
         if request.header('if-none-match') == entity_tag:
             return Response(HTTP_NOT_MODIFIED, (('etag', entity_tag),))
-        return json_response(HostsResult(listed), headers=(('etag', entity_tag),))
+        headers = (('content-type', 'application/json'), ('etag', entity_tag))
+        return Response(HTTP_OK, headers, body)
