Read on in a log stream past a record that is nested too deeply

Cause: the decoder raises RecursionError for deep nesting, which is no MsgspecError and was not caught. In HttpLog.read one such record made the whole response undecodable, in StreamReader one such body ended the reading loop. The supervisor started it again at the same offset each second, so the daemon stopped following the stream.

Change: HttpLog splits a response that cannot be decoded without recursion, and raises LogError where that fails too. StreamReader counts records that are nested too deeply as unreadable and goes on. dandelionreel_log_unreadable_records shows the count, which had no metric. The log's answers to appends are checked in the same way.

Measured: features/odd_entries.feature "Another writer appends an odd record": on the code as it was 2 of 4 ended with RecursionError (a body nested 100,000 deep, an envelope nested 1,000 deep), the number of 5,000 digits and the text that is not UTF-8 were held; now 4 of 4 pass.

--- a/dandelionreel/backing/_http_log.py
+++ b/dandelionreel/backing/_http_log.py
@@ -10,6 +10,7 @@
     LogService,
     LogTruncatedError,
 )
+from dandelionreel.backing._rows import find_member, split_parts
 from dandelionreel.http import Channel, ExchangeError, Request, Response
 from dandelionreel.kernel import Endpoint, PluginKind, Verdict, plugins
 
@@ -40,6 +41,9 @@
     records: list[msgspec.Raw]
 
 
+_READ_RESULT_DECODER = msgspec.json.Decoder(ReadResult)
+
+
 @plugins.register(PluginKind.LOG, 'http')
 class HttpLog(LogService):
     """Uses two connections for each stream: one for appends and one for reads.
@@ -66,7 +70,10 @@
             )
         if response.status != HTTP_OK:
             raise LogError(f'the log service returned status {response.status}', Verdict.UNKNOWN)
-        return msgspec.json.decode(response.body, type=AppendResult).offset
+        try:
+            return msgspec.json.decode(response.body, type=AppendResult).offset
+        except (ValueError, RecursionError) as error:
+            raise _make_answer_error(error) from error
 
     async def read(self, stream: str, offset: int, wait: float) -> LogBatch:
         """Return records from ``offset`` on, waiting up to ``wait`` seconds for the first."""
@@ -78,7 +85,7 @@
         response = await self._send_request(self._read_channel_by_stream, stream, request, wait)
         if response.status not in {HTTP_OK, HTTP_GONE}:
             raise LogError(f'the log service returned status {response.status}', Verdict.UNKNOWN)
-        decoded = msgspec.json.decode(response.body, type=ReadResult)
+        decoded = _decode_read_result(response.body)
         if response.status == HTTP_GONE:
             raise LogTruncatedError(decoded.first)
         return LogBatch(decoded.offset, decoded.tail, tuple(bytes(raw) for raw in decoded.records))
@@ -107,3 +114,27 @@
         except ExchangeError as error:
             verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
             raise LogError(f'the log service cannot be reached: {error}', verdict) from error
+
+
+def _decode_read_result(body: bytes) -> ReadResult:
+    """Decode the response to a read; raises ``LogError``.
+
+    A record that is nested too deeply makes the decoder reject the whole response.
+    """
+    try:
+        return _READ_RESULT_DECODER.decode(body)
+    except (ValueError, RecursionError):
+        pass
+    try:
+        records = [msgspec.Raw(row) for row in split_parts(find_member(body, 'records'))]
+        first, tail, offset = (
+            msgspec.json.decode(find_member(body, name), type=int)
+            for name in ('first', 'tail', 'offset')
+        )
+    except (ValueError, RecursionError) as error:
+        raise _make_answer_error(error) from error
+    return ReadResult(first, tail, offset, records)
+
+
+def _make_answer_error(error: Exception) -> LogError:
+    return LogError(f'the log service sent an unreadable answer: {error}', Verdict.UNKNOWN)
--- a/dandelionreel/backing/_stream.py
+++ b/dandelionreel/backing/_stream.py
@@ -18,6 +18,8 @@
 
 WRITE_RETRY_SECONDS = 0.25
 READ_RETRY_SECONDS = 0.25
+#: The decoder raises ``RecursionError`` for a value that is nested too deeply.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class Envelope(msgspec.Struct, frozen=True):
@@ -68,6 +70,7 @@
         self._first_offset = 0
         #: Unix time at which the record at that offset was written, ``None`` until it is read.
         self._first_written_at: float | None = None
+        #: Number of records that could not be decoded.
         self.unreadable = 0
 
     def add_handler(self, handler: RecordHandler, reset: Callable[[], None]) -> None:
@@ -125,7 +128,7 @@
     def _process_record(self, text: bytes, offset: int) -> None:
         try:
             envelope = msgspec.json.decode(text, type=Envelope)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             self.unreadable += 1
             return
         if self._first_written_at is None:
@@ -136,7 +139,7 @@
         position = Position(offset, envelope.writer, envelope.wall)
         try:
             record = self._decoder.decode(envelope.body)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             # A newer version of the daemon may write record types that this one does not know.
             self.unreadable += 1
             return
--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -545,6 +545,7 @@
                 self._claimer,
                 self._hosts,
             )
+            self._metrics.count_unreadable_records(self._cell_reader, self._zone_reader)
             await curio.sleep(1)
 
     # Gossip.
--- a/dandelionreel/metrics.py
+++ b/dandelionreel/metrics.py
@@ -60,6 +60,9 @@
         self._unusable_hosts = self._add_gauge(
             'unusable_hosts', 'Entries of the host list that cannot be used.'
         )
+        self._unreadable_records = self._add_gauge(
+            'log_unreadable_records', 'Records of the cell and zone streams that cannot be read.'
+        )
         self._used = self._add_gauge('used', 'Use of the zone by resource.', 'resource')
         self._capacity = self._add_gauge('capacity', 'What the zone has.', 'resource')
         self._cpu_seconds = self._add_gauge('cpu_seconds', 'Processor time of this process.')
@@ -94,6 +97,10 @@
         self._cpu_seconds.set(usage.ru_utime + usage.ru_stime)
         self._resident_bytes.set(resident_bytes())
 
+    def count_unreadable_records(self, *readers: StreamReader) -> None:
+        """Set the number of records that the readers could not read since they started."""
+        self._unreadable_records.set(sum(reader.unreadable for reader in readers))
+
     def _set_resource_use(self, planner: Planner) -> None:
         used = planner.cell.usage.total()
         total = planner.cell.total_capacity
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -28,3 +28,15 @@
       | a value nested 100000 deep    |
       | port 99999                    |
       | a port of 400 digits          |
+
+  # Guards against one odd record that stops the reading of a log stream.
+  Scenario Outline: Another writer appends an odd record: <odd>
+    When an odd record is read between two valid ones: <odd>
+    Then both are processed and 1 unreadable record is counted
+
+    Examples:
+      | odd                           |
+      | a body nested 100000 deep     |
+      | an envelope nested 1000 deep  |
+      | a number of 5000 digits       |
+      | text that is not UTF-8        |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -7,13 +7,22 @@
 import msgspec
 from behave import given, then, when
 
-from dandelionreel.backing import HostEntry, HttpHostList, Resources
+from dandelionreel.backing import (
+    Envelope,
+    HostEntry,
+    HttpHostList,
+    HttpLog,
+    Resources,
+    StreamReader,
+)
 from dandelionreel.http import Server
-from dandelionreel.kernel import Endpoint
+from dandelionreel.kernel import Endpoint, SystemClock
 from features.cells import contract, job
+from features.steps.interface_steps import Number
 from standins import Cluster, Layout
 from standins._cluster import wait_until
 from standins._hosts import HostsStandIn
+from standins._log import LogStandIn
 
 ZONE = 'ub-east'
 DAEMON_NAME = f'{ZONE}-d0'
@@ -102,3 +111,42 @@
 @then('its last known entry is kept in between')
 def check_entry_kept(context):
     assert context.known_ports == [WORKER.port, WORKER.port, 7007], context.known_ports
+
+
+def make_record(number, body=b'{"type":"number","number":7}'):
+    return msgspec.json.encode(Envelope('me', number, 1.0, msgspec.Raw(body)))
+
+
+ODD_RECORDS = {
+    'a body nested 100000 deep': make_record(2, nest(100_000)),
+    'an envelope nested 1000 deep': nest(1000),
+    'a number of 5000 digits': make_record(2, b'{"type":"number","number":%b}' % (b'9' * 5000)),
+    'text that is not UTF-8': make_record(2, b'{"type":"\xff"}'),
+}
+
+
+@when('an odd record is read between two valid ones: {odd}')
+def read_odd_record(context, odd):
+    context.processed = []
+
+    async def run():
+        async with AsyncExitStack() as stack:
+            standin = LogStandIn()
+            server = Server(standin.handle)
+            await server.start(stack, '127.0.0.1', 0)
+            log = HttpLog(Endpoint('127.0.0.1', server.port), 5.0)
+            stack.push_async_callback(log.close)
+            await standin.log.append('s', [make_record(1), ODD_RECORDS[odd], make_record(3)])
+            context.reader = StreamReader(log, 's', SystemClock(), Number)
+            context.reader.add_handler(
+                lambda record, position: context.processed.append(position.offset), list
+            )
+            await context.reader.read_once(0)
+
+    curio.run(run)
+
+
+@then('both are processed and 1 unreadable record is counted')
+def check_records(context):
+    assert context.processed == [0, 2], context.processed
+    assert (context.reader.unreadable, context.reader.offset) == (1, 3)
