Refuse requests that are nested too deeply as invalid

What clients saw: 500 with the verdict unknown for a contract with a value nested 1,000 deep, though the request was not read; a client then has to find out whether it took effect. The same holds for a peer's or an endpoint's answer.

Cause: each place that decodes JSON caught msgspec.MsgspecError itself; the decoder raises RecursionError for deep nesting.

Change: kernel.decode_json raises one error for all that may be wrong, and the interfaces for callers and operators, jobs, contracts, settings and routing use it. An answer of a peer that is no problem document is now "outcome unknown" instead of an internal error.

--- a/dandelionreel/admin/_admin_api.py
+++ b/dandelionreel/admin/_admin_api.py
@@ -1,6 +1,5 @@
 """The HTTP interface for operators: contracts, members, shards, workers, drain, metrics."""
 
-import msgspec
 from prometheus_client import CollectorRegistry, generate_latest
 
 from dandelionreel import __version__
@@ -28,7 +27,15 @@
 )
 from dandelionreel.http import Request, Response, json_response
 from dandelionreel.jobs import Dispatcher, JobProjection, JobState
-from dandelionreel.kernel import Clock, RequestError, Settings, clip_text, not_run_error
+from dandelionreel.kernel import (
+    Clock,
+    JsonError,
+    RequestError,
+    Settings,
+    clip_text,
+    decode_json,
+    not_run_error,
+)
 from dandelionreel.life import Lifecycle
 from dandelionreel.ownership import (
     Authority,
@@ -278,9 +285,9 @@
     async def _publish_contract(self, request: Request) -> Response:
         customer = request.path.removeprefix('/v1/contracts/')
         try:
-            body = msgspec.json.decode(request.body, type=PublishBody)
+            body = decode_json(request.body, PublishBody)
             contract = load_contract(bytes(body.contract))
-        except msgspec.MsgspecError as error:
+        except JsonError as error:
             raise not_run_error(HTTP_BAD_REQUEST, 'bad-body', f'{error}') from error
         except ContractError as error:
             raise not_run_error(HTTP_INVALID, 'bad-contract', f'{error}') from error
@@ -305,8 +312,8 @@
 
     async def _handle_drain_request(self, request: Request) -> Response:
         try:
-            body = msgspec.json.decode(request.body or b'{}', type=DrainBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(request.body or b'{}', DrainBody)
+        except JsonError as error:
             raise not_run_error(HTTP_BAD_REQUEST, 'bad-body', f'{error}') from error
         if body.endpoint:
             return self._drain_endpoint(body.endpoint)
--- a/dandelionreel/callers/_caller_api.py
+++ b/dandelionreel/callers/_caller_api.py
@@ -1,11 +1,16 @@
 """HTTP API for callers: requests to services, and jobs."""
 
-import msgspec
-
 from dandelionreel.callers._relay import ZoneRelay
 from dandelionreel.http import Request, Response, json_response, problem_response
 from dandelionreel.jobs import CancelResult, JobApi, JobMover, MoveBody, zone_of_job
-from dandelionreel.kernel import RequestError, clip_text, not_run_error, outcome_unknown_error
+from dandelionreel.kernel import (
+    JsonError,
+    RequestError,
+    clip_text,
+    decode_json,
+    not_run_error,
+    outcome_unknown_error,
+)
 from dandelionreel.life import Lifecycle
 from dandelionreel.peers import Forward, ForwardAnswer, Frame, Message, Refused
 from dandelionreel.routing import Router
@@ -127,8 +132,8 @@
 
     async def _move_jobs(self, request: Request) -> Response:
         try:
-            body = msgspec.json.decode(request.body, type=MoveBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(request.body, MoveBody)
+        except JsonError as error:
             raise not_run_error(HTTP_BAD_REQUEST, 'bad-body', f'{error}') from error
         if body.from_zone == body.to_zone:
             raise not_run_error(HTTP_BAD_REQUEST, 'bad-body', 'to_zone: is from_zone; name another')
--- a/dandelionreel/callers/_relay.py
+++ b/dandelionreel/callers/_relay.py
@@ -4,7 +4,15 @@
 
 from dandelionreel.http import Request, Response
 from dandelionreel.jobs import CancelBody, CancelResult
-from dandelionreel.kernel import Clock, Verdict, clip_text, not_run_error, outcome_unknown_error
+from dandelionreel.kernel import (
+    Clock,
+    JsonError,
+    Verdict,
+    clip_text,
+    decode_json,
+    not_run_error,
+    outcome_unknown_error,
+)
 from dandelionreel.peers import Forward, ForwardAnswer, PeerDirectory, PeerError, PeerState
 
 RELAY_TIMEOUT_SECONDS = 8.0
@@ -66,8 +74,8 @@
         body = msgspec.json.encode(CancelBody(jobs))
         response = await self.send_to_zone(zone, Request('POST', '/v1/jobs/cancel', body=body))
         try:
-            return msgspec.json.decode(response.body, type=CancelResult)
-        except msgspec.MsgspecError as error:
+            return decode_json(response.body, CancelResult)
+        except JsonError as error:
             raise outcome_unknown_error(
                 response.status,
                 'zone-refused',
--- a/dandelionreel/contracts/_document.py
+++ b/dandelionreel/contracts/_document.py
@@ -6,6 +6,7 @@
 from msgspec import Meta, Struct
 
 from dandelionreel.backing import Resources
+from dandelionreel.kernel import JsonError, decode_json
 
 Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 PositiveNumber = Annotated[float, Meta(gt=0, le=1e9)]
@@ -81,8 +82,8 @@
 def load_contract(text: bytes) -> Contract:
     """Decode and validate a contract; raises ``ContractError``."""
     try:
-        contract = msgspec.json.decode(text, type=Contract)
-    except msgspec.MsgspecError as error:
+        contract = decode_json(text, Contract)
+    except JsonError as error:
         raise ContractError(str(error)) from error
     _check_class_names(contract)
     _check_guarantee_within_quota(contract)
--- a/dandelionreel/jobs/_job_api.py
+++ b/dandelionreel/jobs/_job_api.py
@@ -21,12 +21,14 @@
 from dandelionreel.kernel import (
     Clock,
     Journal,
+    JsonError,
     Part,
     Problem,
     RequestError,
     Settings,
     Verdict,
     clip_text,
+    decode_json,
     not_run_error,
     outcome_unknown_error,
     zones_of,
@@ -145,8 +147,8 @@
     def decode_cancel_body(self, request: Request) -> CancelBody:
         """Decode a request to cancel jobs; raises ``RequestError``."""
         try:
-            body = msgspec.json.decode(request.body, type=CancelBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(request.body, CancelBody)
+        except JsonError as error:
             raise not_run_error(HTTP_BAD_REQUEST, 'bad-body', f'{error}') from error
         if not 1 <= len(body.jobs) <= MAX_CANCELLED_JOBS:
             raise not_run_error(
@@ -173,8 +175,8 @@
         """
         job = self._find_job(job_id)
         try:
-            body = msgspec.json.decode(request.body, type=ResolveBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(request.body, ResolveBody)
+        except JsonError as error:
             raise not_run_error(HTTP_BAD_REQUEST, 'bad-body', f'{error}') from error
         if body.outcome not in {'ran', 'not_run'}:
             raise not_run_error(
--- a/dandelionreel/jobs/_spec.py
+++ b/dandelionreel/jobs/_spec.py
@@ -2,11 +2,11 @@
 
 from typing import Annotated
 
-import msgspec
 from msgspec import Meta, Struct
 
 from dandelionreel.backing import Resources
 from dandelionreel.contracts import TASK_CLASSES, Amounts
+from dandelionreel.kernel import JsonError, decode_json
 
 Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 Command = Annotated[str, Meta(min_length=1, max_length=4096)]
@@ -44,8 +44,8 @@
 def load_job_spec(text: bytes) -> JobSpec:
     """Decode and validate a job; raises ``JobSpecError``."""
     try:
-        spec = msgspec.json.decode(text, type=JobSpec)
-    except msgspec.MsgspecError as error:
+        spec = decode_json(text, JobSpec)
+    except JsonError as error:
         raise JobSpecError(str(error)) from error
     if spec.task_class not in TASK_CLASSES:
         allowed = ', '.join(TASK_CLASSES)
--- a/dandelionreel/kernel/__init__.py
+++ b/dandelionreel/kernel/__init__.py
@@ -4,6 +4,7 @@
 from dandelionreel.kernel._environment import Environment
 from dandelionreel.kernel._exit_status import ExitStatus
 from dandelionreel.kernel._journal import Journal, Part, seconds_or_none
+from dandelionreel.kernel._json import JsonError, decode_json
 from dandelionreel.kernel._log_stream import LogStream
 from dandelionreel.kernel._registry import PluginKind, PluginRegistry, UnknownPlugin, plugins
 from dandelionreel.kernel._settings import (
@@ -36,6 +37,7 @@
     'Environment',
     'ExitStatus',
     'Journal',
+    'JsonError',
     'Limits',
     'LogStream',
     'Logs',
@@ -54,6 +56,7 @@
     'UnknownPlugin',
     'Verdict',
     'clip_text',
+    'decode_json',
     'load_settings',
     'not_run_error',
     'plugins',
--- a/dandelionreel/kernel/_settings.py
+++ b/dandelionreel/kernel/_settings.py
@@ -3,9 +3,10 @@
 import ipaddress
 from typing import Annotated, Literal
 
-import msgspec
 from msgspec import Meta, Struct
 
+from dandelionreel.kernel._json import JsonError, decode_json
+
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Name = Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
@@ -140,8 +141,8 @@
 def load_settings(text: bytes) -> Settings:
     """Decode and validate settings; raises ``SettingsError``."""
     try:
-        settings = msgspec.json.decode(text, type=Settings)
-    except msgspec.MsgspecError as error:
+        settings = decode_json(text, Settings)
+    except JsonError as error:
         raise SettingsError(str(error)) from error
     _check_addresses(settings)
     _check_timings(settings.timings)
--- a/dandelionreel/routing/_router.py
+++ b/dandelionreel/routing/_router.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, replace
 
 import curio
-import msgspec
 
 from dandelionreel.contracts import ContractProjection
 from dandelionreel.http import (
@@ -19,11 +18,13 @@
 from dandelionreel.kernel import (
     Clock,
     Journal,
+    JsonError,
     Part,
     Problem,
     RequestError,
     Settings,
     Verdict,
+    decode_json,
     not_run_error,
     outcome_unknown_error,
     zones_of,
@@ -525,7 +526,12 @@
     """
     if response.header(VERDICT_HEADER) in {'', Verdict.RAN.value}:
         return
-    document = msgspec.json.decode(response.body, type=ProblemDocument)
+    try:
+        document = decode_json(response.body, ProblemDocument)
+    except JsonError as error:
+        raise outcome_unknown_error(
+            response.status, 'bad-answer', f'a peer sent an unreadable answer: {error}'
+        ) from error
     raise RequestError(
         Problem(
             Verdict(document.verdict),
--- a/dandelionreel/routing/_runner.py
+++ b/dandelionreel/routing/_runner.py
@@ -15,7 +15,7 @@
     Response,
     SendForbiddenError,
 )
-from dandelionreel.kernel import Clock
+from dandelionreel.kernel import Clock, JsonError, decode_json
 from dandelionreel.ownership import Grant, GrantLevel
 
 SLOTS_PATH = '/.runner/slots'
@@ -261,10 +261,10 @@
             response = await connection.exchange(Request('GET', SLOTS_PATH), SLOT_QUERY_SECONDS)
             if response.status != HTTP_OK:
                 return None
-            return msgspec.json.decode(response.body, type=SlotUsage).busy
+            return decode_json(response.body, SlotUsage).busy
         except RefusedError:
             return 0
-        except (ExchangeError, msgspec.MsgspecError):
+        except (ExchangeError, JsonError):
             return None
         finally:
             await connection.close()
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -40,3 +40,15 @@
       | an envelope nested 1000 deep  |
       | a number of 5000 digits       |
       | text that is not UTF-8        |
+
+  # Guards against answering "unknown" to a request that was not even read, so that clients repeat it.
+  Scenario Outline: A body of <levels> levels is sent to <path>
+    Given a shared cell
+    When a body nested <levels> deep is sent to <path>
+    Then it is refused as not_run with a status of 4xx
+
+    Examples:
+      | levels | path                |
+      | 100000 | /v1/jobs            |
+      | 1000   | /v1/jobs/cancel     |
+      | 1000   | /v1/contracts/x     |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -150,3 +150,17 @@
 def check_records(context):
     assert context.processed == [0, 2], context.processed
     assert (context.reader.unreadable, context.reader.offset) == (1, 3)
+
+
+@when('a body nested {levels:d} deep is sent to {path}')
+def send_nested_body(context, levels, path):
+    cell = context.cell
+    is_for_operator = path.startswith('/v1/contracts')
+    send = cell.request_as_operator if is_for_operator else cell.request_as_caller
+    context.reply = send(DAEMON_NAME, 'POST', path, b'{"contract":%b}' % nest(levels))
+
+
+@then('it is refused as not_run with a status of 4xx')
+def check_body_refused(context):
+    assert context.reply.status // 100 == 4, context.reply
+    assert context.reply.json()['verdict'] == 'not_run', context.reply
