Treat a list of tasks that cannot be read as not received

Cause: HttpWorker.list_tasks let the decoder's errors through (ValidationError, RecursionError). They ended the agent's loop, which the supervisor started again each second, and the worker still counted as reachable. Nothing was logged but the traceback, each second.

Change: such a list raises WorkerError with the verdict unknown, as a connection that breaks does: the agent logs it once, reports the worker as unreachable and asks again.

Measured: features/odd_entries.feature "A worker lists its tasks with": on the code as it was 3 of 3 failed (errors of the decoder), now 3 of 3 pass.

--- a/dandelionreel/backing/_workers.py
+++ b/dandelionreel/backing/_workers.py
@@ -8,7 +8,7 @@
 from dandelionreel.backing._hosts import HostEntry
 from dandelionreel.backing._resources import NO_RESOURCES, Resources
 from dandelionreel.http import Channel, ExchangeError, Request, Response
-from dandelionreel.kernel import PluginKind, Verdict, plugins
+from dandelionreel.kernel import JsonError, PluginKind, Verdict, decode_json, plugins
 
 HTTP_OK = 200
 HTTP_CREATED = 201
@@ -154,7 +154,12 @@
             self._watch_channel, Request('GET', target), self._timeout + wait
         )
         self._check_status(response)
-        return msgspec.json.decode(response.body, type=TaskList)
+        try:
+            return decode_json(response.body, TaskList)
+        except JsonError as error:
+            raise WorkerError(
+                f'the worker sent an unreadable list: {error}', Verdict.UNKNOWN
+            ) from error
 
     async def renew_leases(self, renewal: LeaseRenewal) -> None:
         """Renew the leases of running tasks; unknown tasks are ignored."""
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -52,3 +52,14 @@
       | 100000 | /v1/jobs            |
       | 1000   | /v1/jobs/cancel     |
       | 1000   | /v1/contracts/x     |
+
+  # Guards against a worker that counts as reachable while its list of tasks cannot be read.
+  Scenario Outline: A worker lists its tasks with <odd>
+    When a worker lists its tasks with <odd>
+    Then the list counts as not received
+
+    Examples:
+      | odd                           |
+      | a value nested 100000 deep    |
+      | a revision of 5000 digits     |
+      | no tasks                      |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -12,11 +12,13 @@
     HostEntry,
     HttpHostList,
     HttpLog,
+    HttpWorker,
     Resources,
     StreamReader,
+    WorkerError,
 )
-from dandelionreel.http import Server
-from dandelionreel.kernel import Endpoint, SystemClock
+from dandelionreel.http import Response, Server
+from dandelionreel.kernel import Endpoint, SystemClock, Verdict
 from features.cells import contract, job
 from features.steps.interface_steps import Number
 from standins import Cluster, Layout
@@ -164,3 +166,36 @@
 def check_body_refused(context):
     assert context.reply.status // 100 == 4, context.reply
     assert context.reply.json()['verdict'] == 'not_run', context.reply
+
+
+ODD_TASK_LISTS = {
+    'a value nested 100000 deep': b'{"revision":1,"tasks":[],"more":%b}' % nest(100_000),
+    'a revision of 5000 digits': b'{"revision":%b,"tasks":[]}' % (b'9' * 5000),
+    'no tasks': b'{"revision":1}',
+}
+
+
+@when('a worker lists its tasks with {odd}')
+def list_odd_tasks(context, odd):
+    async def answer(request):
+        return Response(200, (), ODD_TASK_LISTS[odd])
+
+    async def run():
+        async with AsyncExitStack() as stack:
+            server = Server(answer)
+            await server.start(stack, '127.0.0.1', 0)
+            worker = HttpWorker(msgspec.structs.replace(WORKER, port=server.port), 5.0)
+            stack.push_async_callback(worker.close)
+            await worker.list_tasks(-1, 0)
+
+    context.attempt = lambda: curio.run(run)
+
+
+@then('the list counts as not received')
+def check_list_not_received(context):
+    try:
+        context.attempt()
+    except WorkerError as error:
+        assert error.verdict is Verdict.UNKNOWN, error
+        return
+    raise AssertionError('no WorkerError was raised')
