Accept IPv4 addresses only in entries of runners and records of hosts

Cause: an entry may have been written by another writer, and its address could be any name. Connecting to a name looks it up in the only thread of the process, for as long as the resolver takes, and again at each poll (every 0.2 s while the runner does not answer). With "name.invalid:PORT" in the runners' topic a real host logged "no connection: [Errno -2] Name or service not known" from connect, so the look-up took place. "0", "127.1" and "999.999.999.999" passed as well.

Change: the address of a runner's entry and of a host's record has to be an IPv4 address, as the published protocol has no others.

Tests: a name, three numbers and IPv6 in the outlines of features/ entries.feature; on the code as it was 3 scenarios failed (a name and three numbers in an entry, a name in a host's record), now 161 of 161 pass. The steps of members.feature used the address "a" as a placeholder, which is no address any more; it is 10.0.0.9 now, and nothing in them depends on it.

--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -38,7 +38,9 @@
 Count = Annotated[int, msgspec.Meta(ge=0, lt=MAX_EXACT_INTEGER)]
 Mask = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{1,4000}$')]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
-HostName = Annotated[str, msgspec.Meta(pattern='^[0-9A-Za-z._-]{1,253}$')]
+_OCTET = '(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
+#: Connecting to a name would look it up, which blocks the process.
+Address = Annotated[str, msgspec.Meta(pattern=rf'^({_OCTET}\.){{3}}{_OCTET}\Z')]
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Cores = Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
 UnsettledSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNSETTLED_SECONDS)]
@@ -208,7 +210,7 @@
     """
 
     zone: str
-    address: HostName
+    address: Address
     port: Port
     incarnation: str = ''
     cores: Cores = 1.0
--- a/dandelionreel/platform/_registrations.py
+++ b/dandelionreel/platform/_registrations.py
@@ -1,5 +1,6 @@
 """Decodes the entries that runners write about themselves in the store."""
 
+from ipaddress import IPv4Address
 from typing import Annotated, Literal
 
 import msgspec
@@ -12,7 +13,7 @@
     decode_json,
     incarnation_id,
 )
-from dandelionreel.platform._settings import SettingsError, parse_address
+from dandelionreel.platform._settings import parse_address
 
 MILLISECONDS_PER_SECOND = 1000
 #: Limit of a runner's amount of any resource, above that of any machine. A larger amount is an
@@ -67,7 +68,9 @@
     entry = decode_json(_DECODER, content)
     try:
         address = parse_address(entry.address)
-    except SettingsError as error:
+        # Connecting to a name would look it up, which blocks the process.
+        IPv4Address(address.host)
+    except ValueError as error:
         raise UnreadableError(UnreadableReason.RANGE, f'{error}') from error
     remaining = entry.remaining_ms
     incarnation = None if entry.born is msgspec.UNSET else entry.born
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -33,6 +33,9 @@
       | a port of superscript digits     |
       | an address without a port        |
       | an address of 300 characters     |
+      | an address that is a name        |
+      | an address of three numbers      |
+      | an IPv6 address                  |
       | an address with a zero byte      |
       | a negative remaining time        |
       | a null document                  |
@@ -78,6 +81,9 @@
       | a port of superscript digits     |
       | an address without a port        |
       | an address of 300 characters     |
+      | an address that is a name        |
+      | an address of three numbers      |
+      | an IPv6 address                  |
       | an address with a zero byte      |
       | a negative remaining time        |
       | a null document                  |
@@ -302,6 +308,7 @@
       | port 0                       |
       | port 99999                   |
       | an address of 300 characters |
+      | an address that is a name    |
       | nested deeply                |
 
   # Guards against treating a run as lost because its row in the list cannot be read.
--- a/features/steps/entry_record_steps.py
+++ b/features/steps/entry_record_steps.py
@@ -97,6 +97,7 @@
     'port 0': encode(msgspec.structs.replace(MEMBER, port=0)),
     'port 99999': encode(msgspec.structs.replace(MEMBER, port=99999)),
     'an address of 300 characters': encode(msgspec.structs.replace(MEMBER, address='a' * 300)),
+    'an address that is a name': encode(msgspec.structs.replace(MEMBER, address='host.example')),
 }
 BEFORE = {
     'nothing': (),
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -131,7 +131,7 @@
     cell_state = CellState()
     for host, port in ports.items():
         cell_state.apply(
-            [make_record(MEMBER_PREFIX + host, Member('south', 'a', port, f'{host}/1'))]
+            [make_record(MEMBER_PREFIX + host, Member('south', '10.0.0.9', port, f'{host}/1'))]
         )
     context.links = MemberLinks(clock, cell_state, behaviour)
     context.owner = make_owner_context(SmallCell(runners=()).cell, clock, context.topic)
