Do not poll a runner whose id cannot be sent in a header

Cause: the key of an entry was taken for the runner's id as it is, and each call names the runner in a header. Under a key with an umlaut the encoding of the header raised UnicodeEncodeError out of the poller; the supervisor started it again each second, with a traceback in the log each time and without limit for the number of such keys. Under a key with a line feed, a zero byte or a space each poll failed in h11 ("Illegal header value"), every 0.2 s.

Change: an entry is readable only under an id of visible ASCII characters. Others are logged and counted as unreadable (reason "key"), with the usual limits.

--- a/dandelionreel/platform/_registrations.py
+++ b/dandelionreel/platform/_registrations.py
@@ -1,5 +1,6 @@
 """Decodes the entries that runners write about themselves in the store."""
 
+import re
 from ipaddress import IPv4Address
 from typing import Annotated, Literal
 
@@ -22,6 +23,8 @@
 #: Longest time that a draining runner may report as remaining: a day.
 MAX_REMAINING_MS = 86_400_000
 MAX_NAME_LENGTH = 255
+#: Calls to a runner name it in a header, which other characters would make invalid.
+RUNNER_PATTERN = re.compile('[!-~]+')
 
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
@@ -65,6 +68,8 @@
 
 def decode_registration(runner: str, content: bytes) -> Registration:
     """Decode the entry stored under the id ``runner``; raises ``UnreadableError``."""
+    if not RUNNER_PATTERN.fullmatch(runner):
+        raise UnreadableError(UnreadableReason.KEY, 'the id is not visible ASCII')
     entry = decode_json(_DECODER, content)
     try:
         address = parse_address(entry.address)
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -151,6 +151,20 @@
     Then it is still polled at its last known address
     And no further task is started on it
 
+  # Guards against polling a runner whose id cannot be sent, which fails at each attempt.
+  Scenario Outline: A valid entry under an odd key: <key>
+    Given a host that knows two valid entries
+    When there is a valid entry under the key <key>
+    Then only the two runners are known
+    And the entry is logged once and counted
+
+    Examples:
+      | key             |
+      | with a line feed |
+      | with a space    |
+      | with a zero byte |
+      | with an umlaut  |
+
   # Guards against one record without a key that stops the reading of a topic.
   Scenario Outline: Records without a valid key
     Given a host that follows a topic
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -104,6 +104,27 @@
     read_entries(context, ('i-3', BAD_ENTRIES[bad]))
 
 
+ODD_KEYS = {
+    'with a line feed': 'i\n3',
+    'with a space': 'i 3',
+    'with a zero byte': 'i\x00',
+    'with an umlaut': 'ü',
+}
+
+
+@when('there is a valid entry under the key {key}')
+def read_entry_with_odd_key(context, key):
+    context.odd_key = ODD_KEYS[key]
+    read_entries(context, (context.odd_key, make_entry()))
+
+
+@then('the entry is logged once and counted')
+def check_odd_key_logged(context):
+    (line,) = context.projections.lines_of(context.odd_key)
+    assert 'cannot be read' in line['text'], line
+    assert context.projections.unreadable == {('runners', 'key'): 1}
+
+
 @then('only the two runners are known')
 def check_two_known(context):
     assert context.projections.runners.registration_by_id.keys() == {'i-1', 'i-2'}
