--- a/features/entry_fuzz.py
+++ b/features/entry_fuzz.py
@@ -11,12 +11,16 @@
 from collections import Counter
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from ipaddress import IPv4Address
 
 import curio
+import msgspec
 
+from dandelionreel.backing import HostEntry, HttpHostList
 from dandelionreel.cell.decisions import Cell
 from dandelionreel.cell.model import RunnerError, StoreError
 from dandelionreel.cell.store._follower import Follower
+from dandelionreel.kernel import Endpoint
 from dandelionreel.platform._views import decode_view
 from features.cell_parts import SmallCell
 from features.entry_parts import (
@@ -54,6 +58,9 @@
     '0' * 400,
     '-1',
     '10.0.0.1:0',
+    'runner.example:7000',
+    '127.1:7000',
+    '[::1]:7000',
     '\ud800',
     '\x00',
     'ready',
@@ -62,6 +69,8 @@
     {},
     {'a': {}},
 )
+#: Keys of a mutated entry: of a known runner, of an unknown one, and such that no runner has.
+MUTATED_KEYS = (b'i-1', b'i-3', b'i-3', 'i\xfc'.encode(), b'i 3', b'i\n3', b'i\x00')
 VALID_ENTRY_BYTES = json.dumps(VALID_ENTRY).encode()
 GOOD_VIEW = {
     'clock_ms': 482113,
@@ -199,6 +208,7 @@
             self.pages,
             self.raw_reads,
             self.views,
+            self.host_lists,
         )
         for number in range(cases):
             kind = kinds[number % len(kinds)]
@@ -220,10 +230,9 @@
     def runners(self):
         projections = HostProjections()
         mutated = self.mutator.content(VALID_ENTRY_BYTES)
-        if self.draw.random() < 0.3:
-            mutated_key = b'i-1'
-        else:
-            mutated_key = b'i-3'
+        if self.draw.random() < 0.1:
+            mutated = VALID_ENTRY_BYTES
+        mutated_key = self.draw.choice(MUTATED_KEYS)
         self.read_records(
             'keyed.servers',
             projections.runners,
@@ -295,6 +304,21 @@
         for member in cell_state.member_by_host.values():
             assert 0 < member.port < 65536, 'the port of a member is out of range'
 
+    def host_lists(self):
+        """One entry of the host list, which is between two valid ones, is mutated."""
+        hosts = HttpHostList(Endpoint('127.0.0.1', 1), 1.0)
+        rows = [
+            msgspec.json.encode(HostEntry(name, 'worker', 'z', '10.0.0.1', 7000, slots=1))
+            for name in ('w1', 'w2', 'w3')
+        ]
+        rows[1] = self.mutator.field(rows[1])
+        hosts._decode_hosts(b'{"hosts":[%b]}' % b','.join(rows))
+        names = [host.name for host in hosts._last_hosts]
+        assert {'w1', 'w3'} <= set(names), f'a valid entry was lost: {names}'
+        for host in hosts._last_hosts:
+            assert str(IPv4Address(host.address)) == host.address, 'the address'
+            assert 0 <= host.port < 65536 and 0 <= host.slots < 2**31, 'the port or the slots'
+
     def frames(self):
         projections = HostProjections()
         mutated = self.draw.choice(list(BAD_FRAMES.values()))
@@ -373,8 +397,9 @@
     if not getattr(registration, 'usable', True):
         return
     assert 0 < registration.port < 65536, f'port {registration.port}'
-    assert 0 < len(registration.address) < 254, 'the address is too long'
-    assert registration.address.isascii() and '\x00' not in registration.address, 'the address'
+    assert str(IPv4Address(registration.address)) == registration.address, 'the address'
+    assert registration.runner.isascii() and registration.runner.isprintable(), 'the id'
+    assert ' ' not in registration.runner, 'the id has a space'
     assert registration.service, 'no service'
     capacity = registration.capacity
     for amount in (capacity.cpu, capacity.memory_mb, capacity.gpu):
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -1,5 +1,14 @@
 Feature: Odd entries of other writers on the whole path
 
+  # Guards against one odd entry that ends a host, stops its reading or keeps jobs waiting.
+  Scenario: Another writer leaves odd entries among those of the runners
+    Given two entry hosts and a runner whose entry has become odd in many ways
+    Then jobs run on the other runners, and each host has counted the odd entries
+    When the hosts start again from a snapshot with odd entries
+    Then jobs run on the other runners, and each host has counted the odd entries
+    When the runner writes its valid entry again
+    Then jobs run on it
+
   # Guards against one odd entry that ends a daemon, or hides later changes of the host list.
   Scenario Outline: The host list has an odd entry: <odd>
     Given a daemon whose host list has an odd entry: <odd>
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -21,12 +21,16 @@
 from dandelionreel.kernel import Endpoint, SystemClock, Verdict
 from features.cells import contract, job
 from features.steps.interface_steps import Number
-from standins import Cluster, Layout
+from features.steps.platform_steps import make_job, start_hosts, submit_job, wait_for_state
+from standins import Cluster, Layout, wait_for
 from standins._cluster import wait_until
 from standins._hosts import HostsStandIn
 from standins._log import LogStandIn
+from standins._other_writer import ODD_KEYS
 
 ZONE = 'ub-east'
+#: The third part of the loopback addresses of the entry hosts.
+ADDRESS_BLOCK = 252
 DAEMON_NAME = f'{ZONE}-d0'
 WORKER = HostEntry('odd-1', 'worker', ZONE, '127.0.0.1', 7000, capacity=Resources(4, 4096, 0))
 
@@ -199,3 +203,87 @@
         assert error.verdict is Verdict.UNKNOWN, error
         return
     raise AssertionError('no WorkerError was raised')
+
+
+def make_odd_contents(entry):
+    """Return the contents of odd entries, made from the valid entry of a runner."""
+    raw_values = [
+        *(nest(levels) for levels in (500, 1000, 100_000)),
+        *(b'9' * digits for digits in (400, 5000, 100_000)),
+        *(b'1e999', b'-0', b'NaN', b'Infinity', b'18446744073709551616', b'"\xff"'),
+        *(b'"127.0.0.1:%b"' % port for port in (b'0', b'65536', b'99999', b'-1')),
+        b'"runner.example:7000"',
+    ]
+    contents = list(raw_values)
+    for field in entry:
+        fields = json.dumps({**entry, field: '@'}).encode()
+        contents.extend(fields.replace(b'"@"', raw) for raw in raw_values)
+    contents.append(b'%b,"more":%b}' % (json.dumps(entry).encode()[:-1], nest(100_000)))
+    return contents
+
+
+def put_odd_entries(context):
+    """Write odd entries under the runner's id and under others; an odd one is the newest."""
+    store, runner = context.platform.store, context.platform.runners[0]
+    entry = context.platform.entry_of(runner)
+    contents = make_odd_contents(entry)
+    records = [(runner.name, content) for content in contents]
+    records.extend((f'odd-{number}', content) for number, content in enumerate(contents))
+    records.extend((key, json.dumps(entry).encode()) for key in ODD_KEYS)
+    records.append((runner.name, nest(1000)))
+    for key, content in records:
+        store.put_raw('keyed.servers', bytes([len(key.encode())]) + key.encode() + content)
+
+
+def run_jobs(context):
+    """Run jobs, and return the names of the runners that ran their tasks."""
+    context.first_run = len(context.platform.runs)
+    for _ in range(4):
+        context.last_job += 1
+        submit_job(context, context.last_job, make_job(cpu=3000, count=3))
+    for job_number in range(context.last_job - 3, context.last_job + 1):
+        wait_for_state(context, job_number, 'completed')
+    return {run.runner for run in context.platform.collect_runs()[context.first_run :]}
+
+
+@given('two entry hosts and a runner whose entry has become odd in many ways')
+def make_runner_entry_odd(context):
+    start_hosts(context, 2, ADDRESS_BLOCK)
+    context.last_job = 0
+    put_odd_entries(context)
+
+
+@when('the hosts start again from a snapshot with odd entries')
+def restart_hosts(context):
+    for name in context.hosts.names:
+        context.hosts.kill(name)
+    for name in context.hosts.names:
+        context.hosts.start(name)
+    context.hosts.wait_ready()
+
+
+@then('jobs run on the other runners, and each host has counted the odd entries')
+def check_other_runners_used(context):
+    wait_for(lambda: all(count_unreadable(context, name) > 100 for name in context.hosts.names))
+    odd_runner = context.platform.runners[0].name
+    assert odd_runner not in run_jobs(context)
+    for name in context.hosts.names:
+        assert context.hosts.process_by_name[name].poll() is None, name
+        assert 'Traceback' not in context.hosts.log_of(name)
+
+
+def count_unreadable(context, name):
+    lines = context.hosts.metrics(name).splitlines()
+    prefix = 'dandelionreel_unreadable_records_total{'
+    return sum(float(line.rpartition(' ')[2]) for line in lines if line.startswith(prefix))
+
+
+@when('the runner writes its valid entry again')
+def write_valid_entry(context):
+    context.platform.register(context.platform.runners[0])
+
+
+@then('jobs run on it')
+def check_runner_used(context):
+    odd_runner = context.platform.runners[0].name
+    wait_for(lambda: odd_runner in run_jobs(context))
--- a/standins/_other_writer.py
+++ b/standins/_other_writer.py
@@ -13,6 +13,23 @@
 #: One in so many records has no valid key.
 KEYLESS_ONE_IN = 10
 DEEPLY_NESTED_JSON = b'[' * 5000 + b']' * 5000
+ODD_VALUES = (
+    None,
+    -1,
+    [],
+    {},
+    'elsewhere',
+    '10.0.0.1:0',
+    '10.0.0.1:99999',
+    'runner.example:7000',
+    int('9' * 400),
+    1e300,
+    float('inf'),
+)
+#: Keys that no runner has, as an id is sent in a header.
+ODD_KEYS = ('i-\xfc', 'i 3', 'i\n3', 'i\x00')
+#: One in so many records has an odd key and is valid otherwise.
+ODD_KEY_ONE_IN = 10
 
 PutRaw = Callable[[bytes], None]
 
@@ -22,7 +39,7 @@
     content = json.dumps(entry).encode()
     changed = dict(entry)
     name = rng.choice(list(entry))
-    changed[name] = rng.choice((None, -1, [], {}, 'elsewhere', '10.0.0.1:99999', int('9' * 400)))
+    changed[name] = rng.choice(ODD_VALUES)
     missing = {field: text for field, text in entry.items() if field != name}
     bad_content = rng.choice(
         (
@@ -33,6 +50,7 @@
             content[: rng.randrange(1, len(content))],
             b''.join((INVALID_UTF8, content)),
             DEEPLY_NESTED_JSON,
+            b'%b,"more":%b}' % (content[:-1], DEEPLY_NESTED_JSON),
             b'null',
         )
     )
@@ -40,7 +58,9 @@
         return rng.choice(
             (b'', b'\x00', b'\xc8short', b''.join((b'\x02', INVALID_UTF8, bad_content)))
         )
-    return bytes([len(key)]) + key.encode() + bad_content
+    if not rng.randrange(ODD_KEY_ONE_IN):
+        key, bad_content = rng.choice(ODD_KEYS), content
+    return bytes([len(key.encode())]) + key.encode() + bad_content
 
 
 class OtherWriter:
