Leave out log lines with huge numbers, odd tasks or deep nesting

Cause: explain and review checked a line's header, but used its other fields as they were. A number of 400 digits in "seconds" ended review with OverflowError, a timestamp of 1e300 or seconds of 1e308 ended explain when the time was shown as a date, a task that is no number ended it in the order of runs (ValueError), and a value nested 500 deep passed the decoder and ended the table (RecursionError). A log that is read after an incident may contain all of these, as hosts log what others have written.

Change: the header takes only timestamps that are dates; a line with a number above 2^53 or more than 8 levels is counted as bad; a task that is no number is left out. A list of lists is shown.

--- a/dandelionreel/cli/_explain.py
+++ b/dandelionreel/cli/_explain.py
@@ -117,13 +117,17 @@
     }
     for name, field_value in more.items():
         if isinstance(field_value, list) and len(field_value) > MAX_LISTED:
-            wanted = [entry for entry in field_value if entry in runners]
-            others = [entry for entry in field_value if entry not in runners]
+            wanted = [entry for entry in field_value if _is_one_of(entry, runners)]
+            others = [entry for entry in field_value if not _is_one_of(entry, runners)]
             shown = ', '.join(f'{entry}' for entry in [*wanted, *others][:MAX_LISTED])
             more[name] = f'{shown}, … ({len(field_value)})'
     return {**line, 'more': more}
 
 
+def _is_one_of(entry: Any, runners: frozenset[str]) -> bool:
+    return isinstance(entry, str) and entry in runners
+
+
 def _format_row(row: Any) -> dict[str, Any]:
     """Return a row with blanks for unknown fields, and how often a line was repeated."""
     formatted = {
--- a/dandelionreel/records/_lines.py
+++ b/dandelionreel/records/_lines.py
@@ -5,15 +5,18 @@
 the memory, or the tool would be killed while it reads the log that is needed.
 """
 
-import math
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import BinaryIO
+from typing import Annotated, BinaryIO
 
 import msgspec
 
 #: Bytes of a line that are read; the longest valid line has some 4,000.
 MAX_LINE_BYTES = 65_536
+#: A Unix time that can be shown as a date: before the year 10,000.
+MAX_TIMESTAMP = 253_402_300_799
+
+Timestamp = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIMESTAMP)]
 
 
 class LineHeader(msgspec.Struct):
@@ -21,7 +24,7 @@
 
     host: str
     text: str
-    timestamp: float
+    timestamp: Timestamp
     message_type: str = ''
     runner: object = ''
     sampled: object = 1
@@ -90,7 +93,6 @@
 
 def _decode_header(content: bytes) -> LineHeader | None:
     try:
-        line = _DECODER.decode(content)
+        return _DECODER.decode(content)
     except DECODE_ERRORS:
         return None
-    return line if math.isfinite(line.timestamp) else None
--- a/dandelionreel/records/_log_event.py
+++ b/dandelionreel/records/_log_event.py
@@ -1,5 +1,6 @@
 """One log event: a decoded log line with the fields that reports use."""
 
+import re
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -26,6 +27,13 @@
     ),
 )
 
+#: Larger than any number that hosts log, and exact as a float.
+MAX_NUMBER = 9_007_199_254_740_992
+#: More levels of lists and objects than hosts log.
+MAX_LEVELS = 8
+#: A task of a job: its occurrence, step and index.
+_TASK = re.compile('[0-9]{1,9}([.][0-9]{1,9})*')
+
 
 @dataclass(frozen=True)
 class LogEvent:
@@ -60,13 +68,15 @@
         fields = msgspec.json.decode(content)
     except DECODE_ERRORS:
         return None
+    if not _is_plausible(fields, MAX_LEVELS):
+        return None
     text = fields['text']
     return LogEvent(
         float(fields['timestamp']),
         fields['host'],
         classify_event(text),
         text,
-        _text_or_empty(fields.get('task')),
+        _task_or_empty(fields.get('task')),
         _int_or_none(fields.get('run')),
         _int_or_none(fields.get('epoch')),
         _text_or_empty(fields.get('runner')),
@@ -75,6 +85,21 @@
     )
 
 
+def _is_plausible(field_value: Any, levels: int) -> bool:
+    """Return whether a host may have logged this: no huge number, no deep nesting."""
+    if isinstance(field_value, int | float):
+        return abs(field_value) < MAX_NUMBER
+    if not isinstance(field_value, dict | list):
+        return True
+    parts = field_value.values() if isinstance(field_value, dict) else field_value
+    return levels > 0 and all(_is_plausible(part, levels - 1) for part in parts)
+
+
+def _task_or_empty(field_value: Any) -> str:
+    task = _text_or_empty(field_value)
+    return task if _TASK.fullmatch(task) else ''
+
+
 def _text_or_empty(field_value: Any) -> str:
     return field_value if isinstance(field_value, str) else ''
 
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -84,8 +84,14 @@
       | bytes that are not UTF-8      | 1     |
       | a value nested 100000 deep    | 1     |
       | a value nested 3000 deep      | 1     |
+      | a value nested 500 deep       | 1     |
+      | a list of lists               | 0     |
       | a line without a host         | 1     |
       | a timestamp that is no number | 1     |
+      | a timestamp of 1e300          | 1     |
+      | a number of 400 digits        | 1     |
+      | a number of 1e308             | 1     |
+      | a task that is no number      | 0     |
       | an infinite timestamp         | 1     |
       | fields of unexpected types    | 0     |
       | a line of 5 MB                | 1     |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -42,12 +42,20 @@
     'bytes that are not UTF-8': lambda: bytes(range(256)).replace(b'\n', b''),
     'a value nested 100000 deep': lambda: nested_line(100_000),
     'a value nested 3000 deep': lambda: nested_line(3000),
+    'a value nested 500 deep': lambda: nested_line(500),
+    'a list of lists': lambda: log_line(0.5, 'a', 'jobs: x.', {'tried': [[], [], [], []]}),
     'a line without a host': lambda: json.dumps({'text': JOB, 'timestamp': 1.0}).encode(),
     'a timestamp that is no number': lambda: b'{"host": "a", "text": "x", "timestamp": "now"}',
     'an infinite timestamp': lambda: b'{"host": "a", "text": "x", "timestamp": 1e999}',
     'fields of unexpected types': lambda: log_line(
         0.5, 'a', 'placement: a start was refused: x.', {'task': 7, 'run': 'x', 'runner': [1]}
     ),
+    'a timestamp of 1e300': lambda: b'{"host": "a", "text": "x", "timestamp": 1e300}',
+    'a number of 400 digits': lambda: log_line(0.5, 'a', 'jobs: POST ID: x.', {'seconds': 10**400}),
+    'a number of 1e308': lambda: log_line(0.5, 'a', 'jobs: POST ID: x.', {'seconds': 1e308}),
+    'a task that is no number': lambda: log_line(
+        0.5, 'a', 'placement: a start was refused: x.', {'task': '0.\x00.0', 'run': 1}
+    ),
     'a line of 5 MB': lambda: log_line(0.5, 'a', 'x' * 5_000_000, {}),
     'a field that is not UTF-8': lambda: log_line(0.5, 'a', 'jobs: x.', {'u': 'Q'}).replace(
         b'"Q"', b'"\xff"'
