--- a/features/entries.feature
+++ b/features/entries.feature
@@ -33,6 +33,9 @@
       | a port of superscript digits     |
       | an address without a port        |
       | an address of 300 characters     |
+      | an address that is a name        |
+      | an address of three numbers      |
+      | an IPv6 address                  |
       | an address with a zero byte      |
       | a negative remaining time        |
       | a null document                  |
@@ -78,6 +81,9 @@
       | a port of superscript digits     |
       | an address without a port        |
       | an address of 300 characters     |
+      | an address that is a name        |
+      | an address of three numbers      |
+      | an IPv6 address                  |
       | an address with a zero byte      |
       | a negative remaining time        |
       | a null document                  |
@@ -145,6 +151,20 @@
     Then it is still polled at its last known address
     And no further task is started on it
 
+  # Guards against polling a runner whose id cannot be sent, which fails at each attempt.
+  Scenario Outline: A valid entry under an odd key: <key>
+    Given a host that knows two valid entries
+    When there is a valid entry under the key <key>
+    Then only the two runners are known
+    And the entry is logged once and counted
+
+    Examples:
+      | key             |
+      | with a line feed |
+      | with a space    |
+      | with a zero byte |
+      | with an umlaut  |
+
   # Guards against one record without a key that stops the reading of a topic.
   Scenario Outline: Records without a valid key
     Given a host that follows a topic
@@ -302,6 +322,7 @@
       | port 0                       |
       | port 99999                   |
       | an address of 300 characters |
+      | an address that is a name    |
       | nested deeply                |
 
   # Guards against treating a run as lost because its row in the list cannot be read.
