Only crashes during starts count beside a proof

Cause: a job ended by one proven crash among five of any kind. Change: the five are crashes during starts: the connection broke before an answer, or the start was stored and its owner and runner were lost. Rows of these are kept first. Tests: two rows of losses.feature that ended as failed after four losses at work now stay running, and rows with four crashes during starts, which end as failed, stand beside them.

--- a/dandelionreel/cell/decisions/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -13,8 +13,8 @@
 
 #: Number of proven crashes after which a task is not started again.
 PROVEN_CRASH_LIMIT = 2
-#: Number of runner crashes after which a task is not started again if one of them is proven. Covers
-#: owners that are lost before they have seen the proof.
+#: Number of runner crashes during starts of a task after which it is not started again if one of
+#: them is proven. Covers owners that are lost before they have seen the proof.
 CRASH_LIMIT = 5
 #: Number of runner crashes, during the start or later, after which a task is quarantined: it then
 #: starts alone on its runner.
@@ -106,7 +106,10 @@
             proven_runs.add(run)
         if len(runs) > CRASH_LIMIT:
             # More rows change no decision, and a record of the store has a maximum size.
-            dropped = min(runs, key=lambda number: (number in proven_runs, number))
+            dropped = min(
+                runs,
+                key=lambda number: (number in proven_runs, runs[number].during_start, number),
+            )
             del runs[dropped]
             proven_runs.discard(dropped)
         return True
@@ -127,7 +130,9 @@
     def has_reached_crash_limit(self, task: TaskName) -> bool:
         """Return whether a task is proven to crash its runners."""
         proven = len(self._proven_runs_by_task.get(_task_key(task), ()))
-        return proven >= PROVEN_CRASH_LIMIT or (proven > 0 and self.count(task) >= CRASH_LIMIT)
+        return proven >= PROVEN_CRASH_LIMIT or (
+            proven > 0 and self._count_start_crashes(task) >= CRASH_LIMIT
+        )
 
     def may_crash_runners(self, task: TaskName) -> bool:
         """Return whether runners have crashed during runs of a task, or may have."""
--- a/dandelionreel/cell/decisions/_runner_losses.py
+++ b/dandelionreel/cell/decisions/_runner_losses.py
@@ -82,7 +82,8 @@
         """Count the stored starts of earlier owners on a runner that this owner never reached.
 
         The runner has ended, or its entry is gone. First starts are not stored individually, so
-        other tasks of these jobs may have run there; their starts are stored from now on.
+        other tasks of these jobs may have run there; their starts are stored from now on. Whether a
+        stored start was answered is unknown, so the crash counts as one during the start.
         """
         crashes: list[Crash] = []
         for job in self._unfinished_job_by_id.values():
@@ -91,7 +92,9 @@
                 self._dirty.add(job.id)
             for start in job.crashes.starts_on_runner(runner_id):
                 task = _task_name(job.id, start)
-                crashes.extend(self._record_crash(job, task, start.run, runner_id))
+                crashes.extend(
+                    self._record_crash(job, task, start.run, runner_id, during_start=True)
+                )
         return crashes
 
     def _count_crashes_on_lapsed_runner(self, address: Address) -> list[Crash]:
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -43,19 +43,23 @@
     Then its job is reported as <state>
 
     Examples:
-      | before                                                         | state   |
-      | nothing has crashed, and that runs on w1                       | running |
-      | nothing has crashed, and that is proven to crash w1            | running |
-      | 1 runner crashed, and that runs on w1                          | running |
-      | 1 runner crashed, and that broke w1's connection               | running |
-      | 1 runner crashed at its start, and that runs on w1             | running |
-      | 1 runner crashed, 1 of them proven, and that runs on w1        | running |
-      | 1 runner crashed, 1 of them proven, and is proven to crash w1  | failed  |
-      | 3 runners crashed, and that is proven to crash w1              | running |
-      | 3 runners crashed, 1 of them proven, and that runs on w1       | running |
-      | 4 runners crashed, and that is proven to crash w1              | failed  |
-      | 4 runners crashed, 1 of them proven, and that runs on w1       | failed  |
-      | 4 runners crashed, 1 of them proven, and ran on w1 for 30 s    | running |
+      | before                                                                           | state   |
+      | nothing has crashed, and that runs on w1                                         | running |
+      | nothing has crashed, and that is proven to crash w1                              | running |
+      | 1 runner crashed, and that runs on w1                                            | running |
+      | 1 runner crashed, and that broke w1's connection                                 | running |
+      | 1 runner crashed at its start, and that runs on w1                               | running |
+      | 1 runner crashed, 1 of them proven, and that runs on w1                          | running |
+      | 1 runner crashed, 1 of them proven, and is proven to crash w1                    | failed  |
+      | 3 runners crashed, and that is proven to crash w1                                | running |
+      | 3 runners crashed, 1 of them proven, and that runs on w1                         | running |
+      | 4 runners crashed, and that is proven to crash w1                                | running |
+      | 3 runners crashed at its start, and that is proven to crash w1                   | running |
+      | 4 runners crashed at its start, and that is proven to crash w1                   | failed  |
+      | 4 runners crashed, 1 of them proven, and that runs on w1                         | running |
+      | 4 runners crashed at its start, 1 of them proven, and that broke w1's connection | failed  |
+      | 4 runners crashed at its start, 1 of them proven, and that runs on w1            | running |
+      | 4 runners crashed, 1 of them proven, and ran on w1 for 30 s                      | running |
 
   # Guards against convicting a task for a crash that it has no part in.
   Scenario Outline: What proves that a start has crashed its runner
