--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -38,7 +38,9 @@
 Count = Annotated[int, msgspec.Meta(ge=0, lt=MAX_EXACT_INTEGER)]
 Mask = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{1,4000}$')]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
-HostName = Annotated[str, msgspec.Meta(pattern='^[0-9A-Za-z._-]{1,253}$')]
+_OCTET = '(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
+#: Connecting to a name would look it up, which blocks the process.
+Address = Annotated[str, msgspec.Meta(pattern=rf'^({_OCTET}\.){{3}}{_OCTET}\Z')]
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Cores = Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
 UnsettledSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNSETTLED_SECONDS)]
@@ -102,6 +104,15 @@
     during_start: bool = False
 
 
+class ProvenCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crashed run whose start is proven to have crashed its runner."""
+
+    occurrence: Count
+    step: Count
+    index: Count
+    run: Count
+
+
 class StoredStart(msgspec.Struct, frozen=True, array_like=True):
     """A start of a task that has, or may have, crashed runners; stored before it is sent."""
 
@@ -134,6 +145,7 @@
     before the first start there, so a successor that cannot reach some runner knows which jobs it
     must not start again. ``doubtful`` is ``JobCrashes.incomplete``. ``account`` is stored because
     no other record of a finished job has it, and the ``leftovers`` count against its quota.
+    ``proven`` names rows of ``crashed``; earlier builds neither write nor read it.
     """
 
     epoch: Count
@@ -147,6 +159,7 @@
     doubtful: bool = False
     account: str = ''
     leftovers: tuple[Leftover, ...] = ()
+    proven: tuple[ProvenCrash, ...] = ()
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -208,7 +221,7 @@
     """
 
     zone: str
-    address: HostName
+    address: Address
     port: Port
     incarnation: str = ''
     cores: Cores = 1.0
--- a/dandelionreel/daemon.py
+++ b/dandelionreel/daemon.py
@@ -548,8 +548,10 @@
                 self._jobs,
                 self._dispatcher.planner,
                 self._claimer,
+                self._hosts,
                 self._refusals.update(),
             )
+            self._metrics.count_unreadable_records(self._cell_reader, self._zone_reader)
             await curio.sleep(1)
 
     # Gossip.
--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -1,5 +1,6 @@
 """HTTP client with one request at a time per connection."""
 
+import errno
 from collections.abc import Awaitable, Callable
 from functools import lru_cache
 from typing import Any
@@ -15,6 +16,8 @@
 _CLOCK = SystemClock()
 #: Number of request heads that are kept for further requests: a few for each of 1,000 runners.
 REPEATED_HEADS = 4096
+#: Errors of the kernel after a time without a sign of the peer, whose process may be alive.
+SILENCE_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH))
 #: Called right before a request is sent; returns whether the request may be sent.
 SendCheck = Callable[[], bool]
 HOP_BY_HOP_HEADERS = frozenset(
@@ -119,7 +122,9 @@
             raise
         except (OSError, h11.ProtocolError) as error:
             await self._abandon(progress)
-            raise ConnectionBrokenError(
+            number = error.errno if isinstance(error, OSError) else None
+            failure = ExchangeError if number in SILENCE_ERRORS else ConnectionBrokenError
+            raise failure(
                 f'broken answer: {error}', sent=progress.sent, received=progress.received
             ) from error
         except BaseException:
@@ -332,17 +337,25 @@
         timeout: float,
         check: SendCheck | None = None,
         stall_timeout: float | None = None,
+        *,
+        verify_peer: PeerCheck | None = None,
     ) -> Response:
         """Send the request, opening the connection first if needed.
 
         ``timeout`` applies to the wait for other requests, to connecting and to each
-        attempt separately; ``stall_timeout`` is that of ``Connection.exchange``.
+        attempt separately; ``stall_timeout`` is that of ``Connection.exchange``. With
+        ``verify_peer``, the peer is checked right before the request, also on an open connection:
+        if that check fails, the request is not sent.
 
         The server may have closed an idle connection, so a ``GET`` that fails on a
         reused connection is tried once more on a new one.
         """
         await self._acquire_lock(timeout)
         try:
+            if verify_peer is not None:
+                if not self._connection.is_open:
+                    await self._open_connection(timeout)
+                await self._run_check(verify_peer)
             return await self._exchange_once(request, timeout, check, stall_timeout)
         finally:
             if self._closed:
@@ -393,10 +406,13 @@
 
     async def _open_connection(self, timeout: float) -> None:
         await self._connection.open(timeout, timeout)
+        await self._run_check(self._check_peer)
+
+    async def _run_check(self, check_peer: PeerCheck) -> None:
         try:
-            await self._check_peer(self._connection)
+            await check_peer(self._connection)
         except ExchangeError as error:
-            # Only bytes of the peer check may have been sent, none of the request.
+            # Only bytes of the check may have been sent, none of the request.
             error.sent = False
             raise
         except BaseException:
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -11,7 +11,13 @@
 from curio.io import Socket
 
 from dandelionreel.http._client import _decode_headers
-from dandelionreel.http._connections import Phase, ServerConnection, ServerLoad, measure_load
+from dandelionreel.http._connections import (
+    IdleCloses,
+    Phase,
+    ServerConnection,
+    ServerLoad,
+    measure_load,
+)
 from dandelionreel.http._idle_connections import find_longest_idle
 from dandelionreel.http._messages import Request, Response, problem_response
 from dandelionreel.http._request_body import READ_SIZE, BodyReader
@@ -41,6 +47,8 @@
 )
 #: Stands for the response of an idle connection, which keeps no earlier one.
 NO_RESPONSE = Response(0)
+#: Requests that crossed the close of their connection and are named in the log.
+NAMED_REQUESTS = 20
 #: Connections beyond the limit on which one request is read and refused.
 REFUSED_CONNECTIONS = 64
 TOO_MANY = Problem(
@@ -50,6 +58,13 @@
     'the host has as many connections as it may have; send the request to another one',
     RETRY_AFTER_SECONDS,
 )
+IDLE_TIMEOUT = Problem(
+    Verdict.NOT_RUN,
+    HTTP_UNAVAILABLE,
+    'idle',
+    'the connection was idle for too long; send the request on another one',
+    RETRY_AFTER_SECONDS,
+)
 UNKNOWN_END = Problem(
     Verdict.UNKNOWN,
     HTTP_GATEWAY_TIMEOUT,
@@ -99,6 +114,9 @@
         self._is_refusing = False
         #: Open connections that are refused, or give way to others.
         self._refused_connections = 0
+        #: Seconds for which each connection that was closed as idle had been idle.
+        self._closed_idle_seconds: list[float] = []
+        self._crossed_requests: list[str] = []
         #: Requests that were refused because the server is stopping.
         self.refused_requests = 0
         self.port = 0
@@ -119,9 +137,14 @@
         return measure_load(self._connection_by_task.values(), self._listener)
 
     def list_open_requests(self) -> list[str]:
-        """Return method and target of each request that is in progress, or begun, or unread."""
+        """Return method and target of each request that is in progress, or begun, or unread.
+
+        Connections that have had their last answer are left out.
+        """
         described = (
-            connection.describe_request() for connection in self._connection_by_task.values()
+            connection.describe_request()
+            for connection in self._connection_by_task.values()
+            if connection.phase is not Phase.CLOSING
         )
         return [text for text in described if text]
 
@@ -149,9 +172,29 @@
         await listener.close()
 
     def close_idle_connections(self, seconds: float) -> None:
-        """Close the connections on which no request has begun for ``seconds``."""
+        """Close the connections on which no request has begun for ``seconds``.
+
+        A request may be on its way on a connection that looks idle. So each gets a refusal as its
+        last answer, and is read until its client closes it or ``LINGER_SECONDS`` have passed.
+        """
         for connection in self._connection_by_task.values():
-            connection.close_if_idle(seconds)
+            connection.end_linger()
+            idle_seconds = connection.idle_seconds
+            if idle_seconds >= seconds:
+                self._closed_idle_seconds.append(idle_seconds)
+                connection.is_closed_as_idle = True
+                self._send_last_answer(connection, connection.refusal or REFUSAL)
+
+    def measure_idle_closes(self) -> IdleCloses:
+        """Return what is known of the connections that were closed as idle."""
+        closed = self._closed_idle_seconds
+        return IdleCloses(
+            len(closed),
+            round(min(closed, default=0.0), 3),
+            round(max(closed, default=0.0), 3),
+            len(self._crossed_requests),
+            tuple(self._crossed_requests[:NAMED_REQUESTS]),
+        )
 
     def refuse_requests(self) -> None:
         """Refuse each request that is read from now on."""
@@ -161,23 +204,30 @@
         """Answer the requests that are open; return method and target of each.
 
         One that has not been read whole has not been run. The work on the others ends, and what it
-        has done is unknown unless the request changes nothing.
+        has done is unknown unless the request changes nothing. Connections without a request get
+        an answer too, as one may be on its way.
         """
         self._is_refusing = True
         ended = []
         for task, connection in tuple(self._connection_by_task.items()):
             if not connection.is_unanswered:
                 continue
-            ended.append(connection.describe_request())
+            described = connection.describe_request()
+            if described:
+                ended.append(described)
             request = connection.request
             is_run = request is not None and request.method not in SAFE_METHODS
-            response = problem_response(UNKNOWN_END if is_run else REFUSAL)
-            connection.send_now(self._encode_response(connection, response, last=True))
-            connection.enter(Phase.CLOSING)
+            self._send_last_answer(connection, UNKNOWN_END if is_run else REFUSAL)
             if request is not None:
                 await task.cancel(blocking=False)
         return ended
 
+    def _send_last_answer(self, connection: ServerConnection, problem: Problem) -> None:
+        # The connection's task reads what arrives from now on, and handles none of it.
+        payload = self._encode_response(connection, problem_response(problem), last=True)
+        connection.send_now(payload)
+        connection.shut_down_sending()
+
     async def _accept_connections(self, sock: Any) -> None:
         while True:
             client, _ = await sock.accept()
@@ -213,13 +263,10 @@
     def _end_idle_connections(self) -> None:
         connections = self._connection_by_task.values()
         for connection in find_longest_idle(connections, time.monotonic()):
-            # A request may be on its way, so the client gets an answer.
             connection.refusal = TOO_MANY
             self._budget.refused_by_cause[TOO_MANY.cause] += 1
             self._refused_connections += 1
-            response = problem_response(TOO_MANY)
-            connection.send_now(self._encode_response(connection, response, last=True))
-            connection.enter(Phase.CLOSING)
+            self._send_last_answer(connection, TOO_MANY)
             connection.stop_receiving()
 
     async def _cancel_tasks(self) -> None:
@@ -232,6 +279,10 @@
         except (OSError, curio.TaskTimeout, CloseConnection):
             return
         finally:
+            if connection.is_closed_as_idle and connection.peek():
+                connection.note_arrival(connection.peek())
+            if connection.crossed_line:
+                self._crossed_requests.append(connection.crossed_line)
             self._connection_by_task.pop(await curio.current_task(), None)
             connection.charge.release()
             self._refused_connections -= connection.refusal is not None
@@ -255,16 +306,20 @@
                 )
                 await self._send_last_problem(connection, problem)
                 return
-            if request is None:
+            if connection.phase is Phase.CLOSING:
+                # The last answer was sent before the request was read whole.
+                await connection.discard_unread()
                 return
-            if http.our_state is not h11.SEND_RESPONSE:
-                # The end of the request has come after the answer of ``end_requests``.
+            if request is None:
                 return
             connection.enter(Phase.ANSWERING, request)
             if connection.refusal is not None:
                 await self._send_last_problem(connection, connection.refusal)
                 return
             response = await self._handle_request(request)
+            if connection.phase is Phase.CLOSING:
+                # The answer of ``end_requests`` has been sent in the meantime.
+                return
             await self._send_response(connection, response)
             if http.our_state is h11.MUST_CLOSE:
                 if connection.peek():
@@ -339,8 +394,14 @@
             if event is not h11.NEED_DATA:
                 return event
             received = await self._receive_head(connection)
+            if connection.phase is Phase.CLOSING:
+                # h11 raises errors of its own on a request that comes after the last answer.
+                return None
             if received is None and connection.phase is Phase.READING:
                 raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the head took too long')
+            if received is None:
+                # A request may be on its way to the connection that is closed.
+                self._send_last_answer(connection, connection.refusal or IDLE_TIMEOUT)
             if not received:
                 return None
             if connection.phase is Phase.IDLE:
@@ -360,6 +421,8 @@
         if received is None and connection.peek():
             # A late process finds the timeout expired although bytes have arrived in time.
             received = await connection.client.recv(READ_SIZE)
+        if received:
+            connection.note_arrival(received)
         return received
 
     async def _send_last_problem(self, connection: ServerConnection, problem: Problem) -> None:
--- a/dandelionreel/metrics.py
+++ b/dandelionreel/metrics.py
@@ -7,7 +7,7 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
-from dandelionreel.backing import StreamReader, StreamWriter
+from dandelionreel.backing import HostWatch, StreamReader, StreamWriter
 from dandelionreel.http import control_bytes_by_kind
 from dandelionreel.jobs import JobProjection, JobState
 from dandelionreel.ownership import ShardClaimer
@@ -57,6 +57,12 @@
         self._decisions = self._add_gauge(
             'decisions', 'Placement decisions since dispatching began.'
         )
+        self._unusable_hosts = self._add_gauge(
+            'unusable_hosts', 'Entries of the host list that cannot be used.'
+        )
+        self._unreadable_records = self._add_gauge(
+            'log_unreadable_records', 'Records of the cell and zone streams that cannot be read.'
+        )
         self._used = self._add_gauge('used', 'Use of the zone by resource.', 'resource')
         self._capacity = self._add_gauge('capacity', 'What the zone has.', 'resource')
         self._refused_requests = self._add_gauge(
@@ -73,9 +79,11 @@
         jobs: JobProjection,
         planner: Planner,
         claimer: ShardClaimer,
+        hosts: HostWatch,
         refused_by_cause: dict[str, int],
     ) -> None:
         """Set all gauges."""
+        self._unusable_hosts.set(hosts.unusable_count)
         for cause, count in refused_by_cause.items():
             self._refused_requests.labels(cause).set(count)
         self._log_outage.set(reader.outage_seconds)
@@ -95,6 +103,10 @@
         self._cpu_seconds.set(usage.ru_utime + usage.ru_stime)
         self._resident_bytes.set(resident_bytes())
 
+    def count_unreadable_records(self, *readers: StreamReader) -> None:
+        """Set the number of records that the readers could not read since they started."""
+        self._unreadable_records.set(sum(reader.unreadable for reader in readers))
+
     def _set_resource_use(self, planner: Planner) -> None:
         used = planner.cell.usage.total()
         total = planner.cell.total_capacity
--- a/features/steps/incarnation_steps.py
+++ b/features/steps/incarnation_steps.py
@@ -1,11 +1,13 @@
 """Steps for incarnations of runners: calls, entries and ids."""
 
+import errno
 import json
 import time
 from contextlib import AsyncExitStack
 from types import SimpleNamespace
 
 import curio
+import h11
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings, strategies
@@ -27,7 +29,15 @@
 from dandelionreel.cell.model._model import JobState
 from dandelionreel.cell.model._records import CrashedRun, Progress, StoredStart
 from dandelionreel.cell.store._runner_projection import RunnerProjection
-from dandelionreel.http import Response, Server, json_response
+from dandelionreel.http import (
+    Connection,
+    ConnectionBrokenError,
+    ExchangeError,
+    Request,
+    Response,
+    Server,
+    json_response,
+)
 from dandelionreel.kernel import ManualClock, Verdict
 from dandelionreel.ownership import Grant, GrantLevel
 from dandelionreel.platform import Address, HttpAdvice, HttpRunner, JsonRecordCodec
@@ -122,6 +132,94 @@
     curio.run(call_all)
 
 
+@when('{what} on an open connection, by a start that {checks} the runner first')
+def break_start(context, what, checks):
+    runner, silent_path = context.runner, ''
+    if 'never answered' in what:
+        silent_path = '/v1/hold' if 'check' in what else '/v1/run-start'
+    payload = '500 5 crash' if 'is crashed' in what else '500 5'
+    order = StartOrder(
+        TaskName(JOB, 0, 0, 2),
+        9,
+        payload,
+        EPOCH,
+        runner.clock() + LEASE,
+        verify_peer=checks == 'checks',
+    )
+    handle = runner.handle
+
+    async def handle_unless_silent(request):
+        if request.path == silent_path:
+            await curio.Event().wait()
+        runner.override_handler = None
+        try:
+            return await handle(request)
+        finally:
+            runner.override_handler = handle_unless_silent
+
+    async def start():
+        for _ in range(3):
+            await context.client.stop_run(TaskName(JOB, 0, 0, 7), 1, EPOCH)
+        if 'has ended' in what:
+            runner.crash(is_dark=True)
+            runner.restart()
+        if silent_path:
+            runner.override_handler = handle_unless_silent
+        try:
+            await context.client.start_task(order, lambda: True)
+        finally:
+            await context.client.close()
+
+    try:
+        context.result = curio.run(start)
+    except RunnerError as error:
+        context.result = error
+
+
+@then('the start {sent}, and the runner {lived} when it was sent')
+def check_broken_start(context, sent, lived):
+    error = context.result
+    assert isinstance(error, RunnerError), error
+    assert error.verdict is (Verdict.NOT_RUN if 'not sent' in sent else Verdict.UNKNOWN)
+    assert error.was_alive is (lived == 'lived'), error
+    runs = [run for run in context.platform.runs if run.number == 9]
+    assert not runs or error.verdict is Verdict.UNKNOWN, runs
+
+
+class FailingSocket:
+    """Socket that accepts a request and reports an error in place of the answer."""
+
+    def __init__(self, number):
+        self.number = number
+
+    async def sendall(self, payload):
+        """Accept the request."""
+
+    async def recv(self, size):
+        """Report the error."""
+        raise OSError(self.number, 'error')
+
+    async def close(self):
+        """Close the socket."""
+
+
+@given('a connection on which the kernel reports {name} to a request')
+def kernel_error(context, name):
+    connection = Connection('127.0.0.1', 1, 100)
+    connection._sock = FailingSocket(getattr(errno, name))
+    connection._http = h11.Connection(h11.CLIENT)
+    try:
+        curio.run(connection.exchange, Request('POST', '/v1/run-start'), 1.0)
+    except ExchangeError as error:
+        context.result = error
+
+
+@then('its peer {was}')
+def check_kernel_error(context, was):
+    assert context.result.sent
+    assert isinstance(context.result, ConnectionBrokenError) is (was == 'has broken it')
+
+
 @then('the caller learns that the runner was replaced')
 def check_replaced(context):
     assert context.result is StartReply.REPLACED or isinstance(context.result, RunnerReplaced), (
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -1,5 +1,6 @@
 """Steps on a server that stops while clients still use it."""
 
+import io
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -14,7 +15,7 @@
 from dandelionreel import entry_stop
 from dandelionreel.entry_stop import HostStop
 from dandelionreel.http import Request, Response, Server, ServerLimits, problem_response
-from dandelionreel.kernel import Problem, SystemClock, Verdict
+from dandelionreel.kernel import Journal, Problem, SystemClock, Verdict
 from dandelionreel.peers import (
     Forward,
     ForwardAnswer,
@@ -40,6 +41,7 @@
         self.response = Response(200)
         self.deletion_seconds = 0
         self.stop_seconds = None
+        self.log = io.StringIO()
         self.peer_port = 0
         self.is_stopping = False
         self._limits = limits
@@ -76,7 +78,10 @@
                 await curio.sleep(0.005)
             self.is_stopping = True
             began = time.monotonic()
-            stop = HostStop(server, peers, self.grace, SystemClock(), journal())
+            log = Journal(self.log, 'test')
+            log.open()
+            stack.callback(log.close)
+            stop = HostStop(server, peers, self.grace, SystemClock(), log)
             await stop.run(self._be_late, self._delete_member_record)
             self.stop_seconds = time.monotonic() - began
 
@@ -200,6 +205,16 @@
     return sock
 
 
+def _send_held_up(context):
+    # The request crosses the close, as one of which a segment was lost.
+    _begin(context)
+    sock = context.server.connect()
+    context.server.stop()
+    time.sleep(0.7)
+    sock.sendall(BODY.format(0).encode())
+    return sock
+
+
 SENDERS = {
     'a new connection that the late process has not yet accepted': _send_unaccepted,
     'bytes that the late process has not yet read': _send_unread,
@@ -211,6 +226,7 @@
     'a GET that is at work until the end of the grace': _send_long_read,
     'a POST whose end comes when the grace has nearly ended': _send_late_call,
     'a body whose end never arrives': _send_half_a_body,
+    'bytes that are held up until their idle connection has been closed': _send_held_up,
 }
 
 
@@ -237,6 +253,21 @@
     context.server.start()
 
 
+@given('a server that closes connections after {seconds:g} idle seconds')
+def use_server_of_short_idle_time(context, seconds):
+    context.server = StoppingServer(limits=ServerLimits(idle_seconds=seconds))
+    context.stack.callback(context.server.close)
+    context.server.start()
+
+
+@when('a client sends a request {seconds:g} seconds after it has connected')
+def send_after_idle_time(context, seconds):
+    sock = context.stack.enter_context(context.server.connect())
+    time.sleep(seconds)
+    sock.sendall(BODY.format(0).encode())
+    context.answer = _read_answer(sock)
+
+
 @when('a client sends a request as {way}')
 def send_request(context, way):
     sock = context.stack.enter_context(SENDERS[way](context))
@@ -292,12 +323,16 @@
     context.answer = _read_answer(sock, 'HEAD')
 
 
-@when('a client keeps a connection open and sends nothing')
-def keep_idle(context):
+@when('a client keeps a connection open, sends nothing and {end}')
+def keep_idle(context, end):
     context.server.start()
-    context.sock = context.stack.enter_context(context.server.connect())
+    sock = context.stack.enter_context(context.server.connect())
     time.sleep(0.1)
     context.server.stop()
+    context.answer = _read_answer(sock)
+    context.rest = sock.recv(1)
+    if end == 'closes it after the answer':
+        sock.close()
 
 
 @when('the store never answers the deletion of its member record')
@@ -349,9 +384,9 @@
     assert context.refusal
 
 
-@then('its connection has been closed by the server without an answer')
+@then('its connection has been closed by the server')
 def check_closed(context):
-    assert context.sock.recv(1) == b''
+    assert context.rest == b''
 
 
 @then('the caller gets the status {status:d} and the verdict {verdict}')
@@ -359,6 +394,13 @@
     assert context.answer == (status, verdict), context.answer
 
 
+@then('the log names the request {request} that has crossed the close of its connection')
+def check_log(context, request):
+    context.server.close()
+    assert f'refuses {request}, sent as its connection' in context.server.log.getvalue()
+    assert '"crossed":1' in context.server.log.getvalue(), context.server.log.getvalue()
+
+
 @then('the stop has taken between {least:g} and {most:g} seconds')
 def check_stop_time(context, least, most):
     context.server.close()
