--- a/dandelionreel/entry_host.py
+++ b/dandelionreel/entry_host.py
@@ -25,13 +25,14 @@
 from dandelionreel.cell.model import Member, Registration, Runner
 from dandelionreel.cell.owner import Dispatcher, DispatcherDependencies, PacingFigures
 from dandelionreel.cell.store import GroupWriter
+from dandelionreel.client_refusals import RefusalReport
 from dandelionreel.entry_clients import make_client_api
 from dandelionreel.entry_metrics import EntryMetrics
 from dandelionreel.entry_peers import start_peer_server
 from dandelionreel.entry_readiness import EntryReadiness
 from dandelionreel.entry_reads import EntryReads
 from dandelionreel.entry_stop import HostStop
-from dandelionreel.http import Server, ServerLimits
+from dandelionreel.http import CONTROL_LIMITS, RequestBudget, Server, ServerLimits
 from dandelionreel.kernel import (
     Environment,
     ExitStatus,
@@ -161,12 +162,15 @@
             self._journal,
             self._metrics,
         )
+        self._request_budget = RequestBudget(settings.memory_bytes)
+        self._refusals = RefusalReport(self._request_budget, self._clock, self._journal)
         self._client_server = Server(
             self._client_api.handle,
             ServerLimits(connections=settings.max_connections),
             # Closes kept connections of an unready host: its clients would otherwise go on
             # sending requests in vain to a host that the balancer has taken out.
             self._readiness.is_unready,
+            self._request_budget,
         )
 
     async def run(self) -> int:
@@ -210,9 +214,11 @@
 
     async def _start_servers(self, stack: AsyncExitStack) -> None:
         settings = self._settings
-        readiness = Server(self._readiness.answer_check)
+        readiness = Server(
+            self._readiness.answer_check, CONTROL_LIMITS, budget=self._request_budget
+        )
         await readiness.start(stack, settings.readiness.host, settings.readiness.port)
-        metrics = Server(self._metrics.handle)
+        metrics = Server(self._metrics.handle, CONTROL_LIMITS, budget=self._request_budget)
         await metrics.start(stack, settings.peers.host, METRICS_PORT)
         self._peer_server = await start_peer_server(
             stack,
@@ -313,6 +319,7 @@
                 self._reads.operator_follower.age(now),
                 self._logs.dropped,
             )
+            self._metrics.update_refused_requests(self._refusals.update())
             self._metrics.update_traffic(self._peer_links.traffic)
             figures = dispatcher.pacing_figures if dispatcher else PacingFigures()
             self._metrics.update_pacing(figures)
--- a/dandelionreel/http/__init__.py
+++ b/dandelionreel/http/__init__.py
@@ -24,16 +24,18 @@
     json_response,
     problem_response,
 )
+from dandelionreel.http._request_budget import RequestBudget
 from dandelionreel.http._server import (
     BadMessage,
     CloseConnection,
     Handler,
     Server,
-    ServerLimits,
 )
+from dandelionreel.http._server_limits import CONTROL_LIMITS, ServerLimits
 from dandelionreel.http._sockets import connect, listen, set_source_address, shut_down
 
 __all__ = (
+    'CONTROL_LIMITS',
     'JSON_TYPE',
     'PROBLEM_TYPE',
     'PROBLEM_URN',
@@ -50,6 +52,7 @@
     'ProblemDocument',
     'RefusedError',
     'Request',
+    'RequestBudget',
     'Response',
     'SendForbiddenError',
     'Server',
--- a/dandelionreel/http/_connections.py
+++ b/dandelionreel/http/_connections.py
@@ -13,14 +13,17 @@
 import h11
 
 from dandelionreel.http._messages import Request
+from dandelionreel.http._request_budget import RequestBudget
 from dandelionreel.kernel import Problem
 
 #: Bytes of unread data that are inspected: enough for the first line of a request.
 PEEK_SIZE = 512
-READ_SIZE = 65_536
+READ_SIZE = 16_384
 #: Seconds for which a server reads on after its last answer, so that the client can take it. Long
 #: enough for a request that was on its way, even if a segment of it was lost and sent again.
 LINGER_SECONDS = 1.0
+#: Bytes that a server reads on at most.
+MAX_DISCARDED_BYTES = 4_194_304
 
 
 class Phase(enum.Enum):
@@ -73,13 +76,21 @@
 class ServerConnection:
     """One connection of a client: its socket, the state of HTTP and the request in progress."""
 
-    def __init__(self, client: Any, header_bytes: int, refusal: Problem | None = None) -> None:
+    def __init__(
+        self,
+        client: Any,
+        header_bytes: int,
+        budget: RequestBudget,
+        refusal: Problem | None = None,
+    ) -> None:
         """Serve the socket ``client``; a head of over ``header_bytes`` is invalid.
 
-        ``refusal`` answers the first request in place of the handler.
+        ``budget`` has the memory of the bodies. ``refusal`` answers the first request in place of
+        the handler.
         """
         self.client = client
         self.refusal = refusal
+        self.charge = budget.open_charge(self.stop_receiving)
         self.http: Any = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
         self.request: Request | None = None
         self.phase = Phase.IDLE
@@ -95,6 +106,11 @@
         self.phase_since = time.monotonic()
         self.request = request
 
+    def stop_receiving(self) -> None:
+        """Wake the connection's task if it waits for bytes; it finds no more of them."""
+        with suppress(OSError):
+            self.client._socket.shutdown(SHUT_RD)
+
     @property
     def idle_seconds(self) -> float:
         """Return for how long no byte of a request has arrived, 0 if one has begun."""
@@ -163,9 +179,14 @@
         return self.phase_since + LINGER_SECONDS - time.monotonic()
 
     async def _read_to_end(self) -> None:
-        received = b'-'
-        while received:
+        remaining = MAX_DISCARDED_BYTES
+        while remaining > 0:
             received = await self.client.recv(READ_SIZE)
+            if not received:
+                return
+            remaining -= len(received)
+            # Without a pause, a fast sender would keep the process and never meet the timeout.
+            await curio.sleep(0)
 
 
 def _describe_bytes(received: bytes) -> str:
--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -1,8 +1,8 @@
 """HTTP server with one task per connection."""
 
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from typing import Any
 
 import curio
@@ -10,7 +10,7 @@
 import h11
 from curio.io import Socket
 
-from dandelionreel.http._client import READ_SIZE, _decode_headers
+from dandelionreel.http._client import _decode_headers
 from dandelionreel.http._connections import (
     IdleCloses,
     Phase,
@@ -18,14 +18,19 @@
     ServerLoad,
     measure_load,
 )
-from dandelionreel.http._messages import Headers, Request, Response, problem_response
+from dandelionreel.http._idle_connections import find_longest_idle
+from dandelionreel.http._messages import Request, Response, problem_response
+from dandelionreel.http._request_body import READ_SIZE, BodyReader
+from dandelionreel.http._request_budget import RequestBudget
+from dandelionreel.http._response_encoding import encode_response
+from dandelionreel.http._server_limits import RECEIVE_BUFFER_BYTES, ServerLimits
 from dandelionreel.http._sockets import listen
 from dandelionreel.kernel import Problem, RequestError, Verdict, start_task
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 HTTP_TIMEOUT = 408
-HTTP_TOO_LARGE = 413
+HTTP_HEAD_TOO_LARGE = 431
 HTTP_INTERNAL_ERROR = 500
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -40,6 +45,8 @@
     'the host is stopping; send the request to another one',
     RETRY_AFTER_SECONDS,
 )
+#: Stands for the response of an idle connection, which keeps no earlier one.
+NO_RESPONSE = Response(0)
 #: Requests that crossed the close of their connection and are named in the log.
 NAMED_REQUESTS = 20
 #: Connections beyond the limit on which one request is read and refused.
@@ -66,24 +73,12 @@
 )
 
 
-@dataclass(frozen=True)
-class ServerLimits:
-    """Limits of a server: sizes in bytes, timeouts in seconds, open connections."""
-
-    body_bytes: int = 1_048_576
-    header_bytes: int = 16_384
-    read_seconds: float = 5
-    idle_seconds: float = 60
-    connections: int = 512
-
-
-class BadMessage(Exception):
+class BadMessage(RequestError):
     """The client sent an invalid request or one that exceeds a limit."""
 
     def __init__(self, status: int, cause: str, detail: str) -> None:
         """Set the HTTP status, the cause code and the error text."""
-        super().__init__(detail)
-        self.problem = Problem(Verdict.NOT_RUN, status, cause, detail)
+        super().__init__(Problem(Verdict.NOT_RUN, status, cause, detail))
 
 
 class CloseConnection(Exception):
@@ -102,19 +97,23 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         is_draining: Callable[[], bool] = _never_draining,
+        budget: RequestBudget | None = None,
     ) -> None:
-        """Call ``handler`` for every request.
+        """Call ``handler`` for every request; ``budget`` has the memory of all of them.
 
         While ``is_draining()`` is true, each connection is closed after its current response.
         """
         self._handler = handler
         self._is_draining = is_draining
         self._limits = limits or ServerLimits()
+        self._budget = budget or RequestBudget(largest_body=self._limits.body_bytes)
         self._keep_alive_disabled = False
         self._listener: Any = None
         self._accept_task: Any = None
         self._connection_by_task: dict[Any, ServerConnection] = {}
         self._is_refusing = False
+        #: Open connections that are refused, or give way to others.
+        self._refused_connections = 0
         #: Seconds for which each connection that was closed as idle had been idle.
         self._closed_idle_seconds: list[float] = []
         self._crossed_requests: list[str] = []
@@ -151,7 +150,7 @@
 
     async def start(self, stack: AsyncExitStack, address: str, port: int) -> None:
         """Bind at once and accept connections in the background until ``stack`` closes."""
-        sock = listen(address, port)
+        sock = listen(address, port, RECEIVE_BUFFER_BYTES)
         self._listener = sock
         stack.push_async_callback(sock.close)
         self.port = sock.getsockname()[1]
@@ -233,6 +232,8 @@
         while True:
             client, _ = await sock.accept()
             await self._open_connection(client)
+            # Accepting does not wait while connections are queued.
+            await curio.sleep(0)
 
     async def _accept_queued_connections(self) -> None:
         while True:
@@ -243,16 +244,31 @@
             await self._open_connection(Socket(accepted[0]))
 
     async def _open_connection(self, client: Any) -> None:
-        connections = self._connection_by_task.values()
-        served = sum(connection.refusal is None for connection in connections)
-        refusal = None if served < self._limits.connections else TOO_MANY
-        if refusal is not None and len(connections) - served >= REFUSED_CONNECTIONS:
+        if self._served_connections >= self._limits.connections:
+            self._end_idle_connections()
+        is_refused = self._served_connections >= self._limits.connections
+        if is_refused and self._refused_connections >= REFUSED_CONNECTIONS:
             await client.close()
             return
-        connection = ServerConnection(client, self._limits.header_bytes, refusal)
+        self._refused_connections += is_refused
+        refusal = TOO_MANY if is_refused else None
+        connection = ServerConnection(client, self._limits.header_bytes, self._budget, refusal)
         task = await curio.spawn(self._serve_connection, connection, daemon=True)
         self._connection_by_task[task] = connection
 
+    @property
+    def _served_connections(self) -> int:
+        return len(self._connection_by_task) - self._refused_connections
+
+    def _end_idle_connections(self) -> None:
+        connections = self._connection_by_task.values()
+        for connection in find_longest_idle(connections, time.monotonic()):
+            connection.refusal = TOO_MANY
+            self._budget.refused_by_cause[TOO_MANY.cause] += 1
+            self._refused_connections += 1
+            self._send_last_answer(connection, TOO_MANY)
+            connection.stop_receiving()
+
     async def _cancel_tasks(self) -> None:
         for task in tuple(self._connection_by_task):
             await task.cancel()
@@ -268,6 +284,8 @@
             if connection.crossed_line:
                 self._crossed_requests.append(connection.crossed_line)
             self._connection_by_task.pop(await curio.current_task(), None)
+            connection.charge.release()
+            self._refused_connections -= connection.refusal is not None
             await connection.client.close()
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
@@ -276,7 +294,7 @@
             connection.enter(Phase.IDLE)
             try:
                 request = await self._read_request(connection)
-            except BadMessage as error:
+            except RequestError as error:
                 await self._send_last_problem(connection, error.problem)
                 return
             except h11.RemoteProtocolError as error:
@@ -308,6 +326,8 @@
                     await connection.discard_unread()
                 return
             http.start_next_cycle()
+            # An idle connection keeps neither its last request nor the response.
+            request, response = None, NO_RESPONSE
 
     async def _handle_request(self, request: Request) -> Response:
         if self._is_refusing:
@@ -317,8 +337,6 @@
             return await self._handler(request)
         except RequestError as error:
             return problem_response(error.problem)
-        except BadMessage as error:
-            return problem_response(error.problem)
         except CloseConnection:
             raise
         except Exception as error:
@@ -333,29 +351,44 @@
 
     async def _read_request(self, connection: ServerConnection) -> Request | None:
         """Return the next complete request, ``None`` if the client closed the connection."""
-        client, http = connection.client, connection.http
+        try:
+            return await self._read_whole_request(connection)
+        except RequestError as error:
+            problem = error.problem
+        # Raised here without the traceback, which keeps what was read of the request.
+        raise RequestError(problem)
+
+    async def _read_whole_request(self, connection: ServerConnection) -> Request | None:
+        connection.charge.begin()
+        # Requests that have arrived together are read without waiting.
+        await curio.sleep(0)
         first = await self._read_request_head(connection)
         if not isinstance(first, h11.Request):
             return None
+        if len(first.headers) > self._limits.header_fields:
+            raise BadMessage(
+                HTTP_HEAD_TOO_LARGE,
+                'too-many-fields',
+                f'the head has over {self._limits.header_fields} fields',
+            )
         headers = _decode_headers(first.headers)
-        self._check_request_headers(headers)
-        body = bytearray()
+        reader = BodyReader(
+            connection.client, connection.http, connection.charge, self._limits.body_bytes
+        )
         try:
             async with curio.timeout_after(self._limits.read_seconds):
-                await self._read_request_body(client, http, body)
+                body = await reader.read(headers)
         except curio.TaskTimeout as error:
             raise BadMessage(HTTP_TIMEOUT, 'slow-sender', 'the body took too long') from error
         return Request(
             first.method.decode('ascii'),
             first.target.decode('latin-1'),
             headers,
-            bytes(body),
+            body,
         )
 
     async def _read_request_head(self, connection: ServerConnection) -> Any:
-        # An idle connection may wait for its next request for ``idle_seconds``. Once a
-        # request has begun, each read has ``read_seconds``, so that a client that stops
-        # in the middle of its headers cannot keep the connection forever.
+        # A request may begin within ``idle_seconds``; its head must end within ``read_seconds``.
         while True:
             event = connection.http.next_event()
             if event is not h11.NEED_DATA:
@@ -378,7 +411,10 @@
     async def _receive_head(self, connection: ServerConnection) -> bytes | None:
         """Return the next bytes, ``b''`` at the end and ``None`` after a timeout."""
         is_idle = connection.phase is Phase.IDLE and connection.refusal is None
-        timeout = self._limits.idle_seconds if is_idle else self._limits.read_seconds
+        timeout = self._limits.idle_seconds
+        if not is_idle:
+            read_until = connection.phase_since + self._limits.read_seconds
+            timeout = max(0.0, read_until - time.monotonic())
         received: bytes | None = await curio.ignore_after(
             timeout, connection.client.recv, READ_SIZE
         )
@@ -389,37 +425,9 @@
             connection.note_arrival(received)
         return received
 
-    async def _read_request_body(self, client: Any, http: Any, body: bytearray) -> None:
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                if http.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(status_code=100, headers=[])
-                    await client.sendall(http.send(continue_response))
-                http.receive_data(await client.recv(READ_SIZE))
-                continue
-            if isinstance(event, h11.Data):
-                body.extend(event.data)
-                if len(body) > self._limits.body_bytes:
-                    raise BadMessage(
-                        HTTP_TOO_LARGE,
-                        'body-too-large',
-                        f'the body is over {self._limits.body_bytes} bytes',
-                    )
-                continue
-            return
-
-    def _check_request_headers(self, headers: Headers) -> None:
-        lengths = [content for name, content in headers if name == 'content-length']
-        if lengths and int(lengths[0]) > self._limits.body_bytes:
-            raise BadMessage(
-                HTTP_TOO_LARGE,
-                'body-too-large',
-                f'the body is over {self._limits.body_bytes} bytes',
-            )
-
     async def _send_last_problem(self, connection: ServerConnection, problem: Problem) -> None:
         """Answer a request that is not read to its end, and close the connection."""
+        self._budget.refused_by_cause[problem.cause] += 1
         if connection.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await self._send_response(connection, problem_response(problem), last=True)
         await connection.discard_unread()
@@ -438,16 +446,5 @@
     def _encode_response(
         self, connection: ServerConnection, response: Response, *, last: bool
     ) -> bytes:
-        http, request = connection.http, connection.request
-        headers = [
-            (name, content)
-            for name, content in response.headers
-            if name not in {'connection', 'transfer-encoding', 'content-length'}
-        ]
-        headers.append(('content-length', str(len(response.body))))
-        if last or self._keep_alive_disabled or self._is_draining():
-            headers.append(('connection', 'close'))
-        payload: bytes = http.send(h11.Response(status_code=response.status, headers=headers))
-        if response.body and (request is None or request.method != 'HEAD'):
-            payload += http.send(h11.Data(data=response.body))
-        return payload + http.send(h11.EndOfMessage())
+        is_last = last or self._keep_alive_disabled or self._is_draining()
+        return encode_response(connection.http, connection.request, response, is_last=is_last)
