Let a connection that gives way at the limit take what was on its way

Cause: at the limit of connections, idle ones get a last answer and were closed at once. A request that crosses the close meets a closed socket; the reset may destroy the answer. Change: it is read until its client closes, for a second at most, like other refused connections; beyond 64 of them it is closed at once, so that descriptors stay bounded. The new scenario passes with and without the change on Linux, which keeps what was received before a reset; it guards the answer, not the reset.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -267,7 +267,9 @@
             self._budget.refused_by_cause[TOO_MANY.cause] += 1
             self._refused_connections += 1
             self._send_last_answer(connection, TOO_MANY)
-            connection.stop_receiving()
+            if self._refused_connections > REFUSED_CONNECTIONS:
+                # Too many to read each until its client closes it.
+                connection.stop_receiving()
 
     async def _cancel_tasks(self) -> None:
         for task in tuple(self._connection_by_task):
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -83,6 +83,12 @@
     When a client sends a request 0.6 seconds after it has connected
     Then the caller gets the status 503 and the verdict not_run
 
+  # Guards against a request that is on its way as its idle connection gives way to another one.
+  Scenario: A request crosses the close of a connection that gives way
+    Given a server with a limit of 2 connections
+    When 2 clients are idle for 1.2 seconds, a third one connects and the first one sends a request
+    Then the caller gets the status 503 and the verdict not_run
+
   # Guards against a request that gets no answer, as the answer may not have its body.
   Scenario: A request for the headers of an answer only
     Given a server with a limit of 2 connections
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -4,7 +4,7 @@
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from http.client import HTTPResponse
 from threading import Event, Thread
 from unittest.mock import patch
@@ -274,6 +274,21 @@
     context.answer = _read_answer(sock)
 
 
+@when(
+    '{count:d} clients are idle for {seconds:g} seconds, a third one connects '
+    'and the first one sends a request'
+)
+def send_on_connection_that_gives_way(context, count, seconds):
+    socks = [context.stack.enter_context(context.server.connect()) for _ in range(count)]
+    time.sleep(seconds)
+    context.stack.enter_context(context.server.connect())
+    time.sleep(0.2)
+    with suppress(OSError):
+        socks[0].sendall(BODY.format(0).encode())
+        time.sleep(0.2)
+    context.answer = _read_answer(socks[0])
+
+
 @when('a client sends a body of {size:d} bytes')
 def send_large_body(context, size):
     sock = context.stack.enter_context(context.server.connect())
