A crash is proven only right after the check of its runner

Cause: nothing limited the time between the answer to a check and the start. Change: the connection has to end within 0.1 s of the check, by the clock that counts suspensions.

--- a/dandelionreel/platform/_runners.py
+++ b/dandelionreel/platform/_runners.py
@@ -35,7 +35,7 @@
     Request,
     Response,
 )
-from dandelionreel.kernel import Verdict
+from dandelionreel.kernel import SystemClock, Verdict
 from dandelionreel.platform._views import decode_view
 
 #: Timeout in seconds for a start or a stop. A runner answers within milliseconds, over a slow
@@ -47,6 +47,11 @@
 #: after it.
 ORDER_CONNECTIONS = 3
 
+#: Seconds from the check of a connection within which its end shows that a start ended it. A
+#: runner answers within milliseconds.
+PROOF_SECONDS = 0.1
+_CLOCK = SystemClock()
+
 #: Path of a poll: lists runs and ends; also renews leases and acknowledges ends if the request
 #: says so.
 POLL_PATH = '/v1/hold'
@@ -234,21 +239,30 @@
         verify_peer: bool = False,
     ) -> Response:
         self._epoch = fields['fencing_token']
+        verified_at = float('-inf')
+
+        async def check_now(connection: Connection) -> None:
+            nonlocal verified_at
+            verified_at = _CLOCK.monotonic()
+            await self._check_peer(connection)
+
         try:
             return await channel.exchange(
                 self._make_request(path, fields),
                 timeout,
                 check,
-                verify_peer=self._check_peer if verify_peer else None,
+                verify_peer=check_now if verify_peer else None,
             )
         except ExchangeError as error:
             verdict = Verdict.UNKNOWN if error.sent else Verdict.NOT_RUN
             broken = isinstance(error, ConnectionBrokenError)
+            # A process that was paused after the check finds an old answer and a dead connection.
+            is_recent = _CLOCK.monotonic() - verified_at < PROOF_SECONDS
             raise RunnerError(
                 f'{error}',
                 verdict,
                 connection_broken=broken,
-                was_alive=verify_peer and broken and error.sent and not error.received,
+                was_alive=is_recent and broken and error.sent and not error.received,
             ) from error
 
 
--- a/features/incarnations.feature
+++ b/features/incarnations.feature
@@ -137,3 +137,9 @@
     Given a policy service that allows every runner that it is asked about
     When it is asked about i-1@7 and i-2
     Then it was asked about i-1 and i-2, and permits i-1@7 and i-2
+
+  # Guards against an old answer as the proof that a process was alive when a start was sent.
+  Scenario: An owner is paused between its check of a runner and the start
+    Given a runner whose process ends 0.1 s after it has answered a check
+    When an owner is paused for 0.5 s between the check and the start
+    Then the start may have arrived, and nothing is known of the process at that time
