A host or network that is down is silence, too

Cause: left out EHOSTDOWN and ENETDOWN. Change: both errors end a call like its own timeout. Measured: features/incarnations.feature 49 passed.

--- a/dandelionreel/http/_client.py
+++ b/dandelionreel/http/_client.py
@@ -17,7 +17,9 @@
 #: Number of request heads that are kept for further requests: a few for each of 1,000 runners.
 REPEATED_HEADS = 4096
 #: Errors of the kernel after a time without a sign of the peer, whose process may be alive.
-SILENCE_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH))
+SILENCE_ERRORS = frozenset(
+    (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EHOSTDOWN, errno.ENETDOWN)
+)
 #: Called right before a request is sent; returns whether the request may be sent.
 SendCheck = Callable[[], bool]
 HOP_BY_HOP_HEADERS = frozenset(
