Answer a request whose handler lets a timeout escape

Cause: curio's TaskTimeout is no Exception. A handler that let one escape ended its connection without an answer and without a line in the log. No path of the hosts is known that does so. Change: it is answered 500 with the verdict unknown and logged, like other errors of a handler.

--- a/dandelionreel/http/_server.py
+++ b/dandelionreel/http/_server.py
@@ -341,7 +341,7 @@
             return problem_response(error.problem)
         except CloseConnection:
             raise
-        except Exception as error:
+        except (Exception, curio.TaskTimeout) as error:
             eliot.write_traceback()
             problem = Problem(
                 Verdict.UNKNOWN,
--- a/features/server_stops.feature
+++ b/features/server_stops.feature
@@ -95,6 +95,12 @@
     When a client sends a HEAD request, and the answer of the server has a body
     Then the caller gets the status 405 and the verdict not_run
 
+  # Guards against a request that gets no answer as a timeout within its handler ends its connection.
+  Scenario: A timeout escapes from the handler of a request
+    Given a server with a limit of 2 connections
+    When a client sends a request whose handler lets a timeout escape
+    Then the caller gets the status 500 and the verdict unknown
+
   # Guards against requests that a stopping daemon cuts as it has not read them whole.
   Scenario: A request reaches a stopping daemon
     Given a server of a daemon that drains for up to 3 s
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -87,6 +87,8 @@
 
     async def _answer(self, request):
         await curio.sleep(self.work_seconds)
+        if self.response is None:
+            raise curio.TaskTimeout(self.work_seconds)
         return self.response
 
     async def _answer_forward(self, frame):
@@ -329,6 +331,14 @@
     context.answer = send_request()[1]
 
 
+@when('a client sends a request whose handler lets a timeout escape')
+def send_with_escaping_timeout(context):
+    context.server.response = None
+    sock = context.stack.enter_context(context.server.connect())
+    sock.sendall(BODY.format(0).encode())
+    context.answer = _read_answer(sock)
+
+
 @when('a client sends a HEAD request, and the answer of the server has a body')
 def send_head(context):
     problem = Problem(Verdict.NOT_RUN, 405, 'bad-method', 'use another method')
