No crash is proven while other runners are lost too

Change: a runner that is lost at about that time without a start that broke its connection withdraws the proof, before and after the crash is counted. Runners that are lost during starts of their own do not: several tasks may crash their runners at once. A row that is dropped at once is not reported as counted.

--- a/dandelionreel/cell/decisions/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -112,6 +112,14 @@
             )
             del runs[dropped]
             proven_runs.discard(dropped)
+        return run in runs
+
+    def withdraw_proof(self, task: TaskName, run: int) -> bool:
+        """Count a proven crash as one by chance; return whether it was proven."""
+        proven_runs = self._proven_runs_by_task.get(_task_key(task), set())
+        if run not in proven_runs:
+            return False
+        proven_runs.discard(run)
         return True
 
     def clear(self, task: TaskName) -> bool:
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -229,6 +229,10 @@
             self.state = JobState.FAILED
         return True
 
+    def withdraw_proof(self, name: TaskName, run: int) -> None:
+        """Count a proven crash as one by chance."""
+        self.dirty = self.crashes.withdraw_proof(name, run) or self.dirty
+
     def mark_crashes_incomplete(self) -> None:
         """Note that runners may have crashed during its tasks without a record of it."""
         self.dirty = self.dirty or not self.crashes.incomplete
--- a/dandelionreel/cell/decisions/_runner_losses.py
+++ b/dandelionreel/cell/decisions/_runner_losses.py
@@ -4,6 +4,7 @@
 runner had not announced a drain. Until then a silent runner may just be unreachable.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -13,6 +14,11 @@
 from dandelionreel.cell.model import JobState, Registration, StoredStart, TaskName
 
 Address = tuple[str, int]
+#: Seconds before a crash within which another runner may have answered last that is lost too: a
+#: runner without work is polled this often, also by an owner that is late.
+COINCIDENCE_SECONDS = 3.0
+#: Number of recent losses and proofs that are compared.
+MAX_COMPARED = 512
 
 
 @dataclass(frozen=True)
@@ -28,6 +34,15 @@
     runs: tuple[Allocation, ...]
 
 
+@dataclass(frozen=True)
+class _Proof:
+    """A proven crash, seen at a time in monotonic seconds."""
+
+    task: TaskName
+    run: int
+    seen_at: float
+
+
 class RunnerLosses:
     """Counts runner crashes during runs of unfinished jobs."""
 
@@ -40,6 +55,9 @@
         self._unfinished_job_by_id = unfinished_job_by_id
         self._dirty = dirty
         self._lapsed_by_address: dict[Address, _LostRunner] = {}
+        #: When runners were last heard that were lost while no start broke their connection.
+        self._unexplained_losses: deque[float] = deque(maxlen=MAX_COMPARED)
+        self._proofs: deque[_Proof] = deque(maxlen=MAX_COMPARED)
 
     def count_crashes_on_ended_runner(self, runner: RunnerState) -> list[Crash]:
         """Count the runs that were lost with a runner whose process is proven to have ended."""
@@ -101,6 +119,8 @@
         return self._count_crashes(self._lapsed_by_address.pop(address))
 
     def _count_crashes(self, runner: _LostRunner) -> list[Crash]:
+        if not any(run.connection_broken for run in runner.runs):
+            self._record_unexplained_loss(runner.known_at)
         crashes: list[Crash] = []
         for run in runner.runs:
             job = self._unfinished_job_by_id.get(run.task.job)
@@ -120,11 +140,33 @@
                     run.run,
                     runner.runner,
                     during_start=run.connection_broken,
-                    proven=_is_proven_crash(run, runner),
+                    proven=self._is_proven(run, runner),
                 )
             )
         return crashes
 
+    def _is_proven(self, run: Allocation, runner: _LostRunner) -> bool:
+        """Return whether a crash is proven, and remember it if it is."""
+        seen_at = run.crash_seen_at
+        if seen_at is None or not _is_proven_crash(run, runner):
+            return False
+        if any(_is_coincidence(known_at, seen_at) for known_at in self._unexplained_losses):
+            return False
+        self._proofs.append(_Proof(run.task, run.run, seen_at))
+        return True
+
+    def _record_unexplained_loss(self, known_at: float) -> None:
+        """Withdraw the proofs of crashes at which another runner was lost too.
+
+        A cause that takes several runners at once is none of their tasks.
+        """
+        self._unexplained_losses.append(known_at)
+        for proof in self._proofs:
+            job = self._unfinished_job_by_id.get(proof.task.job)
+            if job is not None and _is_coincidence(known_at, proof.seen_at):
+                job.withdraw_proof(proof.task, proof.run)
+                self._dirty.add(job.id)
+
     def _record_crash(
         self,
         job: JobRun,
@@ -175,6 +217,10 @@
     )
 
 
+def _is_coincidence(known_at: float, seen_at: float) -> bool:
+    return seen_at - COINCIDENCE_SECONDS < known_at <= seen_at
+
+
 def _task_name(job: str, start: StoredStart) -> TaskName:
     return TaskName(job, start.occurrence, start.step, start.index)
 
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -68,14 +68,17 @@
     Then <proven> crashes of the task are proven
 
     Examples:
-      | then                                | proven |
-      | nothing else happens                | 1      |
-      | the leases on w1 expire             | 1      |
-      | w1 answers a poll                   | 0      |
-      | w1 answers another start            | 0      |
-      | the start is confirmed by a repeat  | 0      |
-      | another start was pending on w1     | 0      |
-      | another task of its job was starting | 1     |
+      | then                                 | proven |
+      | nothing else happens                 | 1      |
+      | the leases on w1 expire              | 1      |
+      | w1 answers a poll                    | 0      |
+      | w1 answers another start             | 0      |
+      | the start is confirmed by a repeat   | 0      |
+      | another start was pending on w1      | 0      |
+      | another task of its job was starting | 1      |
+      | w2 is lost too, without a start      | 0      |
+      | w2 is lost later, without a start    | 0      |
+      | w2 is lost too, with a start         | 1      |
 
   # Guards against proofs that are lost with the owner, and against rows of earlier builds as proofs.
   Scenario Outline: A successor relies on stored proofs only
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -185,13 +185,16 @@
 
 @given('an owner with a start on w1 that breaks its connection right after an answer')
 def broken_after_answer(context):
-    make_owner(context)
+    make_owner(context, runners=('w1', 'w2'))
     crash_at_start(context)
 
 
 @when('it is seen that {what}, and then that w1 has ended')
 def see_then_replace(context, what):
     small, start = context.small, context.start
+    if 'w2 is lost' in what:
+        lose_both(context, what)
+        return
     small.now += 1
     if 'leases' in what:
         lapse_then_next(context)
@@ -212,6 +215,17 @@
     replace_runner(context)
 
 
+def lose_both(context, what):
+    small = context.small
+    if 'with a start' in what:
+        other = replace(context.start, task=task('j1', 1), runner='w2', crash_seen_at=None)
+        small.cell.runner_by_id['w2'].add_allocation(other)
+    lost = ('w1', 'w2') if 'later' in what else ('w2', 'w1')
+    for runner in lost:
+        small.now += 1
+        small.cell.handle_ended_runner(runner, proven=True)
+
+
 @then('{count:d} crashes of the task are proven')
 def check_proofs(context, count):
     crashes = context.job.crashes
