Bound the crashes that are stored for one job

Cause: five rows a task and its proofs made the record of a job grow to 132 KB for 1,000 tasks; beyond about 2,290 it would outgrow the 262,144 bytes that the store takes, and no owner could store anything. Change: crashes of 512 tasks of a job are kept; tasks without a proof give way, and are not checked at their next start.

--- a/dandelionreel/cell/decisions/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -19,6 +19,8 @@
 #: Number of runner crashes, during the start or later, after which a task is quarantined: it then
 #: starts alone on its runner.
 QUARANTINE_CRASHES = 2
+#: Number of tasks of a job whose crashes are kept: a record of the store has a maximum size.
+MAX_CRASHED_TASKS = 512
 #: Seconds after which a run is not blamed for a crash of its runner, and earlier crashes of its
 #: task are cleared.
 HEALTHY_SECONDS = 20.0
@@ -112,6 +114,7 @@
             )
             del runs[dropped]
             proven_runs.discard(dropped)
+        self._drop_excess_task(key)
         return run in runs
 
     def withdraw_proof(self, task: TaskName, run: int) -> bool:
@@ -124,8 +127,7 @@
 
     def clear(self, task: TaskName) -> bool:
         """Clear the crashes of a task that did not cause them; return whether there were any."""
-        self._proven_runs_by_task.pop(_task_key(task), None)
-        return bool(self._runs_by_task.pop(_task_key(task), None))
+        return self._clear(_task_key(task))
 
     def count(self, task: TaskName) -> int:
         """Return the number of runner crashes during runs of a task."""
@@ -171,6 +173,18 @@
         """Return the recorded starts on a runner."""
         return [start for start in self._start_by_task.values() if start.runner == runner]
 
+    def _clear(self, key: _TaskKey) -> bool:
+        self._proven_runs_by_task.pop(key, None)
+        return bool(self._runs_by_task.pop(key, None))
+
+    def _drop_excess_task(self, latest: _TaskKey) -> None:
+        if len(self._runs_by_task) <= MAX_CRASHED_TASKS:
+            return
+        for key in self._runs_by_task:
+            if key != latest and not self._proven_runs_by_task.get(key):
+                self._clear(key)
+                return
+
     def _count_start_crashes(self, task: TaskName) -> int:
         runs = self._runs_by_task.get(_task_key(task), {})
         return sum(run.during_start for run in runs.values())
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -92,6 +92,11 @@
       | with a proof of another run | 0      |
       | with a proof                | 1      |
 
+  # Guards against a record that outgrows what the store takes.
+  Scenario: Runners are lost under each of many tasks
+    Given a job of 2000 tasks, each with 5 lost runs and one task with a proof
+    Then the record of its crashes has under 100000 bytes, and still the proof
+
   # Guards against records that grow with every runner that is lost.
   Scenario: Many runners are lost by chance
     Given an owner with a task during whose runs 1 runner crashed, 1 of them proven, and that runs on w1
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -267,6 +267,23 @@
     assert (len(stored.crashed), len(stored.proven)) == (count, proven), stored
 
 
+@given('a job of {tasks:d} tasks, each with {runs:d} lost runs and one task with a proof')
+def lose_runs_of_many_tasks(context, tasks, runs):
+    small = SmallCell(('w1',))
+    context.job = small.add_job('j1', [step(count=tasks)])
+    for run in range(runs):
+        for index in range(tasks):
+            name = task('j1', index)
+            context.job.record_crashed_run(name, EARLIER_RUN + run, proven=not index and not run)
+
+
+@then('the record of its crashes has under {size:d} bytes, and still the proof')
+def check_record_size(context, size):
+    stored = context.job.progress(1, 0.0)
+    assert len(msgspec.json.encode(stored)) < size, len(msgspec.json.encode(stored))
+    assert len(stored.proven) == 1, stored.proven
+
+
 @then('none once the task is done')
 def check_no_rows(context):
     context.job.mark_task_done(task('j1'))
