--- a/features/losses.feature
+++ b/features/losses.feature
@@ -68,14 +68,17 @@
     Then <proven> crashes of the task are proven
 
     Examples:
-      | then                                | proven |
-      | nothing else happens                | 1      |
-      | the leases on w1 expire             | 1      |
-      | w1 answers a poll                   | 0      |
-      | w1 answers another start            | 0      |
-      | the start is confirmed by a repeat  | 0      |
-      | another start was pending on w1     | 0      |
-      | another task of its job was starting | 1     |
+      | then                                 | proven |
+      | nothing else happens                 | 1      |
+      | the leases on w1 expire              | 1      |
+      | w1 answers a poll                    | 0      |
+      | w1 answers another start             | 0      |
+      | the start is confirmed by a repeat   | 0      |
+      | another start was pending on w1      | 0      |
+      | another task of its job was starting | 1      |
+      | w2 is lost too, without a start      | 0      |
+      | w2 is lost later, without a start    | 0      |
+      | w2 is lost too, with a start         | 1      |
 
   # Guards against proofs that are lost with the owner, and against rows of earlier builds as proofs.
   Scenario Outline: A successor relies on stored proofs only
@@ -89,6 +92,11 @@
       | with a proof of another run | 0      |
       | with a proof                | 1      |
 
+  # Guards against a record that outgrows what the store takes.
+  Scenario: Runners are lost under each of many tasks
+    Given a job of 2000 tasks, each with 5 lost runs and one task with a proof
+    Then the record of its crashes has under 100000 bytes, and still the proof
+
   # Guards against records that grow with every runner that is lost.
   Scenario: Many runners are lost by chance
     Given an owner with a task during whose runs 1 runner crashed, 1 of them proven, and that runs on w1
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -4,7 +4,7 @@
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from http.client import HTTPResponse
 from threading import Event, Thread
 from unittest.mock import patch
@@ -87,6 +87,8 @@
 
     async def _answer(self, request):
         await curio.sleep(self.work_seconds)
+        if self.response is None:
+            raise curio.TaskTimeout(self.work_seconds)
         return self.response
 
     async def _answer_forward(self, frame):
@@ -274,6 +276,21 @@
     context.answer = _read_answer(sock)
 
 
+@when(
+    '{count:d} clients are idle for {seconds:g} seconds, a third one connects '
+    'and the first one sends a request'
+)
+def send_on_connection_that_gives_way(context, count, seconds):
+    socks = [context.stack.enter_context(context.server.connect()) for _ in range(count)]
+    time.sleep(seconds)
+    context.stack.enter_context(context.server.connect())
+    time.sleep(0.2)
+    with suppress(OSError):
+        socks[0].sendall(BODY.format(0).encode())
+        time.sleep(0.2)
+    context.answer = _read_answer(socks[0])
+
+
 @when('a client sends a body of {size:d} bytes')
 def send_large_body(context, size):
     sock = context.stack.enter_context(context.server.connect())
@@ -314,6 +331,14 @@
     context.answer = send_request()[1]
 
 
+@when('a client sends a request whose handler lets a timeout escape')
+def send_with_escaping_timeout(context):
+    context.server.response = None
+    sock = context.stack.enter_context(context.server.connect())
+    sock.sendall(BODY.format(0).encode())
+    context.answer = _read_answer(sock)
+
+
 @when('a client sends a HEAD request, and the answer of the server has a body')
 def send_head(context):
     problem = Problem(Verdict.NOT_RUN, 405, 'bad-method', 'use another method')
