--- a/spec/crashes.py
+++ b/spec/crashes.py
@@ -4,8 +4,8 @@
 last append of a lost owner may have been stored or not: the owner is lost before or after
 each append. Only one start of a task is in progress at a time, as in the implementation.
 
-A runner crashes by chance at any time, also before a start reaches it, but not within the few
-milliseconds between its answer to a check and that to the start which follows it.
+A runner crashes by chance at any time, also before a start reaches it, but not between
+its answer to a check and the start that follows within 0.1 s, while no other runner is lost.
 """
 
 from dataclasses import dataclass
