Review, case 12: overdue times take more memory than the hosts have

Cause: all tasks of all times that are due are made at once and kept; nothing limits them. Case: a scheduled job that can never be done, with 10,000 overdue times, beside 19 small jobs; hosts above 300 MB are killed and restarted.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 export PYTHONPATH="target/deps:."
-python3 -m compileall -q standins review/crash_loop.py review/blocked_jobs.py
-python3 -c 'import review.crash_loop, review.blocked_jobs'
+python3 -m compileall -q standins review/crash_loop.py review/blocked_jobs.py \
+    review/overdue_times.py
+python3 -c 'import review.crash_loop, review.blocked_jobs, review.overdue_times'
--- /dev/null
+++ b/review/overdue_times.py
@@ -0,0 +1,190 @@
+"""Case 12: a scheduled job that can never be done, all of whose times are due at once.
+
+``python3 -m review.overdue_times FOLDER`` plays it. The exit status is 1 if the rule was broken, 0
+if it held and 2 if the case could not be played.
+"""
+
+import os
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from review.crash_loop import (
+    BROKEN,
+    CPU_LIMIT,
+    FAIL_SECONDS,
+    FINISH_SECONDS,
+    HELD,
+    HTTP_OK,
+    IDLE_SECONDS,
+    NOT_PLAYED,
+    Hosts,
+    Play,
+    deployment,
+    make_job,
+    never,
+    share_in_use,
+    was_working,
+)
+
+#: Of the settings: a process that exceeds it is killed, and restarted after a short delay.
+MEMORY_MB = 300
+KILOBYTES = 1024
+RESTART_SECONDS = 0.5
+WATCH_SECONDS = 0.1
+#: The job: a week of minutes, all of them past, with two steps as wide as the site's widest.
+TIMES = 10_000
+INTERVAL_MS = 60_000
+WIDTH = 60
+STEPS = 2
+TASK_CPU = 100
+TASK_SECONDS = 0.5
+NO_KIND = 'z'
+SCHEDULED_JOB = '5c4e000000000001'
+CLIENT_RETRIES = 4
+#: The other jobs. The first ones are handed in before it, so that it is one in 20.
+FIRST_JOBS = 9
+JOBS = 20
+PAUSE_SECONDS = 0.25
+
+
+class MemoryWatch:
+    """Kills a host that exceeds its memory and restarts it, as the platform does."""
+
+    def __init__(self, play: Play) -> None:
+        """Watch the hosts of a play, once started."""
+        self.kills: Counter[str] = Counter()
+        self._play = play
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Watch in a thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        hosts = self._play.hosts
+        while not self._stop.wait(WATCH_SECONDS):
+            for name in hosts.names:
+                used = read_memory_mb(hosts, name)
+                if used > MEMORY_MB:
+                    hosts.kill(name)
+                    self.kills[name] += 1
+                    self._play.note(f'{name} has {used} MB and is killed')
+                    time.sleep(RESTART_SECONDS)
+                    hosts.start(name)
+
+
+def read_memory_mb(hosts: Hosts, name: str) -> int:
+    """Return the resident memory of a host's process, 0 if it has ended."""
+    try:
+        lines = Path(f'/proc/{hosts.process_by_name[name].pid}/status').read_text().splitlines()
+    except OSError:
+        return 0
+    sizes = [int(line.split()[1]) for line in lines if line.startswith('VmRSS')]
+    return sum(sizes) // KILOBYTES
+
+
+@contextmanager
+def memory_watch(play: Play) -> Iterator[MemoryWatch]:
+    """Watch the memory of the hosts of a play."""
+    watch = MemoryWatch(play)
+    watch.start()
+    try:
+        yield watch
+    finally:
+        watch.stop()
+
+
+def submit_patiently(play: Play, job: str, body: dict, first: int) -> bool:
+    """Hand a job in as a client does: again at another host, some retries in all."""
+    names = play.hosts.names
+    for attempt in range(1 + CLIENT_RETRIES):
+        name = names[(first + attempt) % len(names)]
+        reply = play.hosts.request(name, 'POST', f'/plain/{job}', body, wait=3)
+        play.note(f'POST {job} at {name}: {reply.status or "no answer"}')
+        if reply.status == HTTP_OK:
+            return True
+        time.sleep(PAUSE_SECONDS)
+    return False
+
+
+def make_scheduled_job() -> dict:
+    """Return a job whose last time has just been due, for a kind of runner that there is not."""
+    body = make_job(TASK_SECONDS, WIDTH, TASK_CPU, requires=NO_KIND)
+    body['steps'] *= STEPS
+    now_ms = int(time.time() * 1000)
+    return body | {
+        'repeat_count': TIMES,
+        'interval_ms': INTERVAL_MS,
+        'first_run_ms': now_ms - TIMES * INTERVAL_MS,
+    }
+
+
+def submit_jobs(play: Play, numbers: range) -> list[str]:
+    """Hand small jobs in, and return those that were accepted."""
+    accepted = []
+    for number in numbers:
+        job = f'{number:016x}'
+        if submit_patiently(play, job, make_job(TASK_SECONDS, 1, TASK_CPU), number):
+            accepted.append(job)
+        time.sleep(PAUSE_SECONDS)
+    return accepted
+
+
+def play_schedule(play: Play, watch: MemoryWatch, *, trouble: bool) -> int:
+    """Hand in some jobs, the scheduled one, and some more."""
+    accepted = submit_jobs(play, range(FIRST_JOBS))
+    if trouble:
+        owner = play.hosts.names.index(play.hosts.owner())
+        submit_patiently(play, SCHEDULED_JOB, make_scheduled_job(), owner + 1)
+    accepted += submit_jobs(play, range(FIRST_JOBS, JOBS - 1))
+    play.note('the traffic has ended')
+    play.wait(FINISH_SECONDS, FINISH_SECONDS, never)
+    play.note(f'hosts killed for their memory: {dict(watch.kills)}')
+    return judge(play, accepted)
+
+
+def judge(play: Play, accepted: list[str]) -> int:
+    """Judge LOST for the accepted jobs."""
+    now = time.monotonic()
+    runs = play.platform.collect_runs()
+    in_use = share_in_use(play.platform, now)
+    play.note(f'{in_use:.2f} of the capacity is in use')
+    lost = 0
+    for job in accepted:
+        of_job = [run for run in runs if run.task.startswith(job)]
+        is_done = any(run.outcome == 'done' and run.ended is not None for run in of_job)
+        if not is_done and not was_working(of_job, now - IDLE_SECONDS, now):
+            lost += 1
+            play.note(f'job {job} was accepted and has nothing running')
+    play.note(f'{lost} of {len(accepted)} accepted jobs wait')
+    return BROKEN if lost and in_use < CPU_LIMIT else HELD
+
+
+def main(folder: str) -> int:
+    """Play the case and write its record."""
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    with (Path(folder) / 'record.txt').open('w') as record:
+        try:
+            with deployment(FAIL_SECONDS, record) as (play, _), memory_watch(play) as watch:
+                status = play_schedule(play, watch, trouble=trouble)
+        except (OSError, TimeoutError) as error:
+            record.write(f'the case could not be played: {type(error).__name__}\n')
+            return NOT_PLAYED
+        verdict = {BROKEN: 'LOST is broken', HELD: 'LOST held'}.get(status, 'not played')
+        record.write(f'trouble {trouble}: {verdict}\n')
+    return status
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1]))
