Review, case 9: overdue times take more memory than the hosts have

Cause: all tasks of all times that are due are made at once and kept; nothing limits them. Case: the former case 12. A scheduled job that can never be done, with 10,000 overdue times, beside 19 small jobs; hosts above 300 MB are killed and restarted. The harness of the scripts is review/loopback_deployment.py.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 export PYTHONPATH="target/deps:."
-python3 -m compileall -q standins review/crash_loop.py review/blocked_jobs.py \
-    review/overdue_times.py
-python3 -c 'import review.crash_loop, review.blocked_jobs, review.overdue_times'
+python3 -m compileall -q standins review/loopback_deployment.py review/overdue_times.py \
+    review/blocked_jobs.py review/cancelled_in_doubt.py
+for module in loopback_deployment overdue_times blocked_jobs cancelled_in_doubt; do
+    python3 -c "import review.$module"
+done
--- a/review/overdue_times.py
+++ b/review/overdue_times.py
@@ -1,10 +1,9 @@
-"""Case 12: a scheduled job that can never be done, all of whose times are due at once.
+"""Case 9: a scheduled job that can never be done, all of whose times are due at once.
 
 ``python3 -m review.overdue_times FOLDER`` plays it. The exit status is 1 if the rule was broken, 0
 if it held and 2 if the case could not be played.
 """
 
-import os
 import sys
 import threading
 import time
@@ -13,21 +12,16 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-from review.crash_loop import (
+from review.loopback_deployment import (
     BROKEN,
-    FAIL_SECONDS,
-    FINISH_SECONDS,
     HELD,
     HTTP_OK,
-    IDLE_SECONDS,
-    NOT_PLAYED,
     Hosts,
     Play,
-    deployment,
+    is_lost,
     make_job,
-    never,
+    play_case,
     share_in_use,
-    was_working,
 )
 
 #: Of the settings: a process that exceeds it is killed, and restarted after a short delay.
@@ -143,52 +137,32 @@
     return accepted
 
 
-def play_schedule(play: Play, watch: MemoryWatch, *, trouble: bool) -> int:
-    """Hand in some jobs, the scheduled one, and some more."""
-    accepted = submit_jobs(play, range(FIRST_JOBS))
-    if trouble:
-        owner = play.hosts.names.index(play.hosts.owner())
-        submit_patiently(play, SCHEDULED_JOB, make_scheduled_job(), owner + 1)
-    accepted += submit_jobs(play, range(FIRST_JOBS, JOBS - 1))
-    play.note('the traffic has ended')
-    play.wait(FINISH_SECONDS, FINISH_SECONDS, never)
-    note_lost_jobs(play, accepted)
+def play_schedule(play: Play, trouble: bool) -> int:
+    """Hand in some jobs, the scheduled one, and some more, under a watch on memory."""
+    with memory_watch(play) as watch:
+        hand_in_and_finish(play, trouble)
     play.note(f'hosts killed for their memory: {dict(watch.kills)}')
     faulty = sum(count >= ENDS_ON_EACH for count in watch.kills.values())
     return BROKEN if faulty >= FAULTY_MACHINES else HELD
 
 
-def note_lost_jobs(play: Play, accepted: list[str]) -> None:
-    """Write which accepted jobs break LOST, and what hosts say of the first one."""
+def hand_in_and_finish(play: Play, trouble: bool) -> None:
+    """Play the clients, and write which accepted jobs are lost."""
+    accepted = submit_jobs(play, range(FIRST_JOBS))
+    if trouble:
+        owner = play.hosts.names.index(play.hosts.owner())
+        submit_patiently(play, SCHEDULED_JOB, make_scheduled_job(), owner + 1)
+    accepted += submit_jobs(play, range(FIRST_JOBS, JOBS - 1))
+    play.wait_to_finish()
     now = time.monotonic()
     runs = play.platform.collect_runs()
-    in_use = share_in_use(play.platform, now)
-    play.note(f'{in_use:.2f} of the capacity is in use')
-    lost = 0
-    for job in accepted:
-        of_job = [run for run in runs if run.task.startswith(job)]
-        is_done = any(run.outcome == 'done' and run.ended is not None for run in of_job)
-        if not is_done and not was_working(of_job, now - IDLE_SECONDS, now):
-            lost += 1
-            play.note(f'job {job} was accepted and has nothing running')
-    play.note(f'{lost} of {len(accepted)} accepted jobs wait')
+    play.note(f'{share_in_use(play.platform, now):.2f} of the capacity is in use')
+    lost = [job for job in accepted if is_lost(runs, job, now)]
+    for job in lost:
+        play.note(f'job {job} was accepted and has nothing running')
+    play.note(f'{len(lost)} of {len(accepted)} accepted jobs wait')
     play.note(f'the first job: {play.ask(accepted[0])}' if accepted else 'none was accepted')
 
 
-def main(folder: str) -> int:
-    """Play the case and write its record."""
-    trouble = os.environ.get('TROUBLE', '1') != '0'
-    with (Path(folder) / 'record.txt').open('w') as record:
-        try:
-            with deployment(FAIL_SECONDS, record) as (play, _), memory_watch(play) as watch:
-                status = play_schedule(play, watch, trouble=trouble)
-        except (OSError, TimeoutError) as error:
-            record.write(f'the case could not be played: {type(error).__name__}\n')
-            return NOT_PLAYED
-        verdict = {BROKEN: 'Fault is broken', HELD: 'Fault held'}.get(status, 'not played')
-        record.write(f'trouble {trouble}: {verdict}\n')
-    return status
-
-
 if __name__ == '__main__':
-    sys.exit(main(sys.argv[1]))
+    sys.exit(play_case(sys.argv[1], 'Fault', play_schedule))
