Review, case 10: a gang without room stops what is less urgent

Cause: a task that lasts is expected to end by its estimate, so a gang that fits nowhere beside such tasks reserves all runners from now on, in each plan. Case: the former case 11. One gang beside a service that takes 38% of the processors, then 20 small jobs of a less urgent queue.

--- a/review/blocked_jobs.py
+++ b/review/blocked_jobs.py
@@ -1,33 +1,24 @@
-"""Case 11: a gang for which there is never room, in a service that is mostly idle.
+"""Case 10: a gang for which there is never room, in a service that is mostly idle.
 
 ``python3 -m review.blocked_jobs FOLDER`` plays it. The exit status is 1 if the rule was broken,
 0 if it held and 2 if the case could not be played.
 """
 
-import os
 import sys
 import time
-from pathlib import Path
 
-from review.crash_loop import (
+from review.loopback_deployment import (
     BROKEN,
-    CPU_LIMIT,
-    FAIL_SECONDS,
-    FINISH_SECONDS,
     HELD,
     HTTP_OK,
-    IDLE_SECONDS,
     NOT_PLAYED,
     RUNNERS,
-    SERVICE_JOB,
-    SERVICE_SECONDS,
     Play,
-    ServicePlatform,
-    deployment,
+    SmallPlatform,
+    is_lost,
     make_job,
-    never,
+    play_case,
     share_in_use,
-    was_working,
 )
 from standins._users_platform import Run
 
@@ -37,6 +28,9 @@
 #: Of the 8 processors of a runner, in thousandths: those of the service, of a member of the gang
 #: and of an ordinary task.
 SERVICE_CPU = 3000
+CPU_LIMIT = 0.5
+SERVICE_JOB = '5e121ce000000001'
+SERVICE_SECONDS = 3600
 MEMBER_CPU = 6000
 TASK_CPU = 1000
 MEMBER_SECONDS = 12.0
@@ -48,7 +42,7 @@
 SETTLE_SECONDS = 2.0
 
 
-def configure(platform: ServicePlatform) -> None:
+def configure(platform: SmallPlatform) -> None:
     """Write a configuration with an urgent queue and one that is less urgent."""
     routes = [
         {
@@ -80,7 +74,7 @@
     return reply.status == HTTP_OK
 
 
-def play_gang(play: Play, *, trouble: bool) -> int:
+def play_gang(play: Play, trouble: bool) -> int:
     """Start the service, hand in the gang, then the other jobs."""
     configure(play.platform)
     time.sleep(CONFIGURATION_SECONDS)
@@ -88,7 +82,8 @@
     service['steps'][0].pop('estimate_ms')
     if not play.submit(SERVICE_JOB, service):
         return NOT_PLAYED
-    play.wait(SETTLE_SECONDS, SETTLE_SECONDS, never)
+    time.sleep(SETTLE_SECONDS)
+    play.note_counts()
     gang = make_job(MEMBER_SECONDS, RUNNERS, MEMBER_CPU, gang=True)
     gang['steps'][0]['estimate_ms'] = int(MEMBER_SECONDS * MILLISECONDS)
     if trouble and not play.submit(GANG_JOB, gang):
@@ -98,12 +93,11 @@
         if submit_batch_job(play, number):
             accepted.append(f'{number:016x}')
         time.sleep(PAUSE_SECONDS)
-    play.note('the traffic has ended')
-    play.wait(FINISH_SECONDS, FINISH_SECONDS, never)
+    play.wait_to_finish()
     return judge(play, accepted)
 
 
-def free_cpu(platform: ServicePlatform, runs: list[Run]) -> list[int]:
+def free_cpu(platform: SmallPlatform, runs: list[Run]) -> list[int]:
     """Return the free processors of each runner, in thousandths."""
     return [
         runner.cpu - sum(run.cpu for run in runs if run.runner == runner.name and run.ended is None)
@@ -118,16 +112,12 @@
     in_use = share_in_use(play.platform, now)
     slots = sum(max(0, free) // TASK_CPU for free in free_cpu(play.platform, runs))
     play.note(f'{in_use:.2f} of the capacity is in use; {slots} more such tasks fit now')
-    lost = []
-    for job in accepted:
-        of_job = [run for run in runs if run.task.startswith(job)]
-        is_done = any(run.outcome == 'done' and run.ended is not None for run in of_job)
-        if is_done or was_working(of_job, now - IDLE_SECONDS, now):
-            continue
-        lost.append(job)
+    lost = [job for job in accepted if is_lost(runs, job, now)]
+    for job in lost:
+        had = sum(run.task.startswith(job) for run in runs)
         reply = play.hosts.request(play.hosts.names[0], 'GET', f'/batch/{job}')
         play.note(
-            f'job {job} has nothing running and has had {len(of_job)} runs: '
+            f'job {job} has nothing running and has had {had} runs: '
             f'{reply.status} {reply.body.get("state", "")}'
         )
     play.note(f'{len(lost)} of {len(accepted)} accepted jobs wait')
@@ -135,20 +125,5 @@
     return BROKEN if lost and has_room else HELD
 
 
-def main(folder: str) -> int:
-    """Play the case and write its record."""
-    trouble = os.environ.get('TROUBLE', '1') != '0'
-    with (Path(folder) / 'record.txt').open('w') as record:
-        try:
-            with deployment(FAIL_SECONDS, record) as (play, _):
-                status = play_gang(play, trouble=trouble)
-        except (OSError, TimeoutError) as error:
-            record.write(f'the case could not be played: {type(error).__name__}\n')
-            return NOT_PLAYED
-        verdict = {BROKEN: 'LOST is broken', HELD: 'LOST held'}.get(status, 'not played')
-        record.write(f'trouble {trouble}: {verdict}\n')
-    return status
-
-
 if __name__ == '__main__':
-    sys.exit(main(sys.argv[1]))
+    sys.exit(play_case(sys.argv[1], 'LOST', play_gang))
