Reservations of gangs without room no longer block other queues

Cause: a run that lasts counted as ending at its estimate, and one that had overrun its estimate as ending in a moment, in each plan anew. So the gang found slots "soon", reserved all runners, and never started; nothing bounded how often the start was postponed.

Change: a long-running run has no end in any forecast. A run overdue by four times its estimate is expected to take as long again.

--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -332,6 +332,7 @@
             now,
             ticket,
             expected=expected,
+            long_running=step.step.long_running,
             checkpoint=task.checkpoint,
             quarantined=task.quarantined,
             account=job.account,
--- a/dandelionreel/cell/decisions/_load_forecast.py
+++ b/dandelionreel/cell/decisions/_load_forecast.py
@@ -13,6 +13,7 @@
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._reservations import Rank
 from dandelionreel.cell.decisions._runner_state import RunnerState, expected_end
+from dandelionreel.cell.decisions._step_run import occupied_seconds
 from dandelionreel.cell.decisions._waiting_steps import (
     TOO_LATE,
     Candidate,
@@ -179,7 +180,7 @@
         job.account,
         step.step.counted_demand.cpu,
         step.waiting,
-        cell.run_times.expected_seconds(queue, step.step.estimate),
+        occupied_seconds(step, cell.run_times.expected_seconds(queue, step.step.estimate)),
         job.accepted_at,
         candidate.lateness == TOO_LATE,
     )
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -24,6 +24,7 @@
     VictimCost,
 )
 from dandelionreel.cell.decisions._quota_gate import QuotaGate
+from dandelionreel.cell.decisions._reservation_slips import ReservationSlips
 from dandelionreel.cell.decisions._reservations import (
     BACKFILL_MARGIN,
     Reservation,
@@ -39,7 +40,12 @@
 from dandelionreel.cell.decisions._runner_state import Allocation, RunnerState
 from dandelionreel.cell.decisions._speed_preference import URGENT_PRIORITY, make_speed_preference
 from dandelionreel.cell.decisions._start_delays import GangDelay, StartDelays, WaitReason
-from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, counted_demand
+from dandelionreel.cell.decisions._step_run import (
+    StepRun,
+    TaskPhase,
+    counted_demand,
+    occupied_seconds,
+)
 from dandelionreel.cell.decisions._waiting_steps import (
     TOO_LATE,
     Candidate,
@@ -136,6 +142,7 @@
         self._start_delays = StartDelays()
         self._escalation = Escalation(cell, self._start_delays)
         self._reservations = Reservations()
+        self._reservation_slips = ReservationSlips()
         self._reserved_at = float('-inf')
         self._reserved_for: list[_GangVersion] = []
 
@@ -195,6 +202,7 @@
             candidates, [runner for runners in usable.values() for runner in runners.values()]
         )
         self._preemption.begin_plan(self._victim_cost())
+        self._reservation_slips.begin_plan(candidates)
 
     def _add_new_waits(self, plan: Plan) -> None:
         """Add the jobs and gangs that have begun to wait in this plan."""
@@ -374,9 +382,10 @@
     ) -> set[str]:
         """Return the runners on which no reservation keeps a task from starting."""
         run_times = self._cell.run_times
-        seconds = BACKFILL_MARGIN * run_times.expected_seconds(
+        expected = run_times.expected_seconds(
             candidate.job.submission.queue, candidate.step.step.estimate
         )
+        seconds = BACKFILL_MARGIN * occupied_seconds(candidate.step, expected)
         may_start, rank = state.reservations.may_start_task, candidate.rank
         passed_from = self._escalation.passes_reservations_from(candidate, state.now)
         if not run_times.is_uneven:
@@ -453,7 +462,7 @@
             return
         # Until its members are chosen, the gang may turn out to be as slow as the slowest level.
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
-        ends_by = state.now + seconds * BACKFILL_MARGIN
+        ends_by = state.now + occupied_seconds(step, seconds) * BACKFILL_MARGIN
         rank = candidate.rank
         passed_from = self._escalation.passes_reservations_from(candidate, state.now)
         free = [
@@ -601,9 +610,22 @@
             sooner = self._reserve_by_preemption(search, queue, reservation, (ready, free), state)
             reservation = sooner or reservation
         if reservation is not None:
+            reservation = self._let_overdue_steps_pass(reservation, runners, now)
             reservations.add(reservation)
         return reservation
 
+    def _let_overdue_steps_pass(
+        self, reservation: Reservation, runners: list[RunnerState], now: float
+    ) -> Reservation:
+        """Return a reservation that yields to overdue steps if it was postponed too often."""
+        step = reservation.step
+        step_slots = StepSlots(step)
+        free_slots = sum(
+            step_slots.on_runner(runner) for runner in runners if runner.id in reservation.runners
+        )
+        yields = self._reservation_slips.record_plan(step.name, reservation.at, free_slots, now)
+        return replace(reservation, yields=yields)
+
     def _reserve_by_preemption(
         self,
         search: SlotSearch,
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 import sys
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -66,6 +67,8 @@
     #: Level of the slowest of the runners, and when the gang should end if it starts at ``at``.
     level: int = 0
     end: float = 0.0
+    #: Whether overdue steps may start on the runners, as the start was postponed too often.
+    yields: bool = False
 
 
 @dataclass(frozen=True)
@@ -102,7 +105,8 @@
     ) -> bool:
         """Return whether a task that ends at ``until`` may start despite a reservation.
 
-        Reservations that start later than ``passed_from`` do not keep it from starting.
+        Reservations that start later than ``passed_from`` do not keep it from starting. One that
+        yields keeps only steps from starting that pass none (``NEVER_PASSED``).
 
         Steps that rank before the gang may always start: they can arrive after the reservation
         was made, as it is kept for several plans.
@@ -110,6 +114,8 @@
         held = self._by_runner.get(runner)
         if held is None or held.at > passed_from:
             return True
+        if held.yields and passed_from < NEVER_PASSED:
+            return True
         return rank <= held.rank or until <= held.at
 
     def holds(self, step: StepRun) -> bool:
@@ -226,6 +232,7 @@
         (expected_end(allocation, now), allocation.demand)
         for allocation in runner.allocation_by_run.values()
     ]
+    ends = [entry for entry in ends if math.isfinite(entry[0])]
     ends.sort(key=_expected_end_time)
     freed = []
     cpu = memory_mb = gpu = 0
--- a/dandelionreel/cell/decisions/_runner_state.py
+++ b/dandelionreel/cell/decisions/_runner_state.py
@@ -11,9 +11,14 @@
 from dandelionreel.cell.model import Demand, Registration, StepName, TaskName
 
 NEVER = float('-inf')
+#: Expected end of a run that lasts until its job is cancelled.
+NO_END = float('inf')
 #: Estimates are guesses: a task that exceeds its estimate is expected to run for at least this
 #: fraction of the estimate from now on.
 OVERRUN_FRACTION = 0.25
+#: A task that is overdue by more than this many times its estimate is expected to take as long
+#: again as it is overdue: the estimate says nothing about it.
+MAX_OVERRUN_FACTOR = 4.0
 #: A run whose projected end has passed is expected to take as long again as it is overdue, and at
 #: least this long: the poll that lists its end takes about as long.
 MIN_REMAINING_SECONDS = 0.05
@@ -53,6 +58,8 @@
     gauge: float = 0.0
     #: Expected duration of the run in seconds.
     expected: float = 0.0
+    #: Whether the run lasts until its job is cancelled, whatever its estimate says.
+    long_running: bool = False
     #: Expected end by the reported progress; ``None`` if unknown, or while speeds are even.
     projected_end: float | None = None
     #: Progress in percent when the end was last projected.
@@ -294,12 +301,16 @@
 
 
 def expected_end(allocation: Allocation, now: float) -> float:
-    """Return the expected end of a run in monotonic seconds."""
+    """Return the expected end of a run in monotonic seconds, infinite for a long-running one."""
     if allocation.phase is AllocationPhase.STOPPING:
         return now
     if allocation.projected_end is not None:
         overdue = now - allocation.projected_end
         return now + max(-overdue, overdue, MIN_REMAINING_SECONDS)
+    if allocation.long_running:
+        return NO_END
     started_at = allocation.started_at or allocation.placed_at
-    estimated_end = started_at + allocation.expected
-    return max(estimated_end, now + OVERRUN_FRACTION * allocation.expected)
+    overdue = now - started_at - allocation.expected
+    if overdue > MAX_OVERRUN_FACTOR * allocation.expected:
+        return now + overdue
+    return max(now - overdue, now + OVERRUN_FRACTION * allocation.expected)
--- a/dandelionreel/cell/decisions/_runner_views.py
+++ b/dandelionreel/cell/decisions/_runner_views.py
@@ -233,6 +233,7 @@
         gauge=running.gauge,
         checkpoint=running.checkpoint,
         expected=0.0 if found is None else found[0].step.estimate,
+        long_running=found is not None and found[0].step.long_running,
         demand_known=found is not None,
         account=account,
     )
--- a/dandelionreel/cell/decisions/_step_run.py
+++ b/dandelionreel/cell/decisions/_step_run.py
@@ -84,3 +84,8 @@
 def counted_demand(step: StepRun) -> Demand:
     """Return the capacity that a task of the step uses on a runner."""
     return step.step.counted_demand
+
+
+def occupied_seconds(step: StepRun, expected: float) -> float:
+    """Return for how many seconds a run of the step uses its capacity, infinite if it lasts."""
+    return float('inf') if step.step.long_running else expected
--- a/features/start_delays.feature
+++ b/features/start_delays.feature
@@ -37,6 +37,15 @@
       | 12      | two requests for the first tickets of a gang fail            |
       | 12      | a wide step that fits nowhere comes before a small one       |
 
+    # Guards against a gang without room that holds up a less urgent queue for good.
+    Examples: Gangs without room
+      | seconds | situation                                                   |
+      | 20      | a gang has no room beside a service without an estimate     |
+      | 20      | a gang has no room beside a service with an estimate of 1 s |
+      | 40      | a gang has no room beside runs that overrun their estimates |
+      | 40      | a gang has no room beside runs that take far more than 4 s  |
+      | 40      | a gang has no room beside urgent runs that are replaced     |
+
     # Some gangs never end, some requests fail, and idle runners are replaced all the while.
     Examples: Many gangs
       | seconds | situation                                                                           |
@@ -52,6 +61,12 @@
     When a gang that needs the memory of six runners joins them
     Then it starts within 14 s
 
+  # Guards against a wide gang that short tasks keep from starting although it fits.
+  Scenario: Short tasks arrive while a gang fits beside a service
+    Given a service and short tasks on all runners, with 20 processors free on each
+    When a gang with a task of 18 processors for each runner joins them
+    Then it starts within 1 s
+
   # Guards against overdue gangs that take the time of the policy service in a full cell.
   Scenario: Overdue gangs that cannot fit request nothing
     Given a cell in which ten gangs are too wide for what is free
--- a/features/start_simulation.py
+++ b/features/start_simulation.py
@@ -69,7 +69,8 @@
         if allowed is not None:
             self.allowed_by_job[job] = set(allowed)
         self.seconds_by_job[job] = seconds
-        step = Step(count, demand, estimate or min(seconds, 30.0), **fields)
+        estimate = min(seconds, 30.0) if estimate is None else estimate
+        step = Step(count, demand, estimate, **fields)
         return self.add_job(job, [step], queue)
 
     def replace_runner(self, runner, new):
--- a/features/steps/start_simulation_steps.py
+++ b/features/steps/start_simulation_steps.py
@@ -13,6 +13,9 @@
 MAX_GANG = 40
 REPLACEMENT_SECONDS = 1.0
 SINGLE_TASK_INTERVAL_SECONDS = 0.13
+SHORT_TASK = type(CAPACITY)(4000, 1000, 0)
+#: More than a run of 12 of 32 processors leaves on a runner.
+NO_ROOM_CPU = 24_000
 #: A quarter of the processors and half of the memory of a runner.
 HALF_OF_MEMORY = type(CAPACITY)(8000, CAPACITY.memory_mb // 2, 0)
 
@@ -112,6 +115,89 @@
     return simulation
 
 
+class ShortTasks:
+    """Submits a task each half second, on a queue that ranks behind the gangs."""
+
+    def __init__(self, simulation, seconds=0.5):
+        self._simulation, self._seconds = simulation, seconds
+        self._arrives_at = simulation.now
+
+    def add_task(self):
+        """Add the task that is due."""
+        simulation = self._simulation
+        if simulation.now >= self._arrives_at:
+            self._arrives_at += 0.5
+            name = f's{len(simulation.seconds_by_job)}'
+            simulation.submit(name, SHORT_TASK, 1, self._seconds, 'plain')
+
+
+def occupied_cell(estimate, seconds=0.5, **fields):
+    """Return a cell with a run on each runner that takes three eighths of its processors."""
+    simulation = StartSimulation(20)
+    simulation.submit(
+        'o', type(CAPACITY)(12_000, 1000, 0), 20, ENDLESS, 'urgent', estimate=estimate, **fields
+    )
+    simulation.advance(1.0)
+    simulation.on_tick = ShortTasks(simulation, seconds).add_task
+    return simulation
+
+
+def add_wide_gang(simulation, cpu):
+    demand = type(CAPACITY)(cpu, 1000, 0)
+    return simulation.submit('g', demand, 20, 12.0, 'urgent', gang=True)
+
+
+def gang_beside_service():
+    simulation = occupied_cell(0.0, long_running=True, max_per_runner=1)
+    add_wide_gang(simulation, NO_ROOM_CPU)
+    return simulation
+
+
+def gang_beside_short_service():
+    simulation = occupied_cell(1.0, long_running=True, max_per_runner=1)
+    add_wide_gang(simulation, NO_ROOM_CPU)
+    return simulation
+
+
+def gang_beside_overruns():
+    simulation = occupied_cell(1.0)
+    add_wide_gang(simulation, NO_ROOM_CPU)
+    return simulation
+
+
+def gang_beside_long_overruns():
+    simulation = occupied_cell(4.0, 4.0)
+    add_wide_gang(simulation, NO_ROOM_CPU)
+    return simulation
+
+
+def gang_beside_urgent_tasks():
+    simulation = StartSimulation(20)
+    simulation.on_tick = UrgentRuns(simulation).add_tasks
+    simulation.advance(1.0)
+    add_wide_gang(simulation, NO_ROOM_CPU)
+    return simulation
+
+
+class UrgentRuns:
+    """Keeps a run on each runner that ranks before a gang, and submits short tasks."""
+
+    def __init__(self, simulation):
+        self._simulation = simulation
+        self._short_tasks = ShortTasks(simulation)
+        self._renewed_at = simulation.now
+
+    def add_tasks(self):
+        """Add the tasks that are due."""
+        self._short_tasks.add_task()
+        simulation = self._simulation
+        if simulation.now >= self._renewed_at:
+            self._renewed_at += 1.0
+            name = f'a{len(simulation.seconds_by_job)}'
+            demand = type(CAPACITY)(12_000, 1000, 0)
+            simulation.submit(name, demand, 20, 1.0, 'urgent', max_per_runner=1)
+
+
 def gangs_too_wide():
     simulation = StartSimulation(60)
     fill(simulation, names(0, 56), ENDLESS)
@@ -130,6 +216,11 @@
     'idle runners are reserved for a gang that starts much later': distant_reservation,
     'two requests for the first tickets of a gang fail': failed_requests,
     'a wide step that fits nowhere comes before a small one': wide_step_first,
+    'a gang has no room beside a service without an estimate': gang_beside_service,
+    'a gang has no room beside a service with an estimate of 1 s': gang_beside_short_service,
+    'a gang has no room beside runs that overrun their estimates': gang_beside_overruns,
+    'a gang has no room beside runs that take far more than 4 s': gang_beside_long_overruns,
+    'a gang has no room beside urgent runs that are replaced': gang_beside_urgent_tasks,
 }
 
 
@@ -224,6 +315,18 @@
     context.simulation.advance(6.0)
 
 
+@given('a service and short tasks on all runners, with {cpu:d} processors free on each')
+def service_and_short_tasks(context, cpu):
+    context.simulation = occupied_cell(0.0, long_running=True, max_per_runner=1)
+    assert cpu * 1000 == CAPACITY.cpu - 12_000
+    context.simulation.advance(5.0)
+
+
+@when('a gang with a task of {cpu:d} processors for each runner joins them')
+def wide_gang_joins(context, cpu):
+    context.job = add_wide_gang(context.simulation, cpu * 1000)
+
+
 @when('a gang that needs the memory of six runners joins them')
 def gang_joins(context):
     demand = type(CAPACITY)(8000, CAPACITY.memory_mb, 0)
