A cancelled job whose submission is in doubt no longer runs

Cause: a job that is not in the store was taken for one that does not exist, while an append with its submission could still be executed. No host can know of all such appends; the host that sent one may be gone.

Change: the cancellation of an unknown job is stored before it is answered, and applies to a submission of the same account that arrives later. An owner asks for a stored cancellation before it stores a submission, and no longer forgets a job that it is storing. GET answers 503 instead of 410 while this host's or the owner's append is in doubt.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -63,6 +63,8 @@
 #: Statuses that say that the job was not accepted.
 REFUSED_STATUSES = frozenset((400, 401, 403, 404, 409, 413, 429, 503))
 #: Seconds after its acceptance for which a job's state is kept (status_s), and seconds after it was
+#: Seconds after a cancellation within which a host that was paused may still start a task.
+CANCELLED_START_SECONDS = 8.0
 #: shown as completed from which on no task of it may start.
 STATUS_SECONDS = 120.0
 LATE_START_SECONDS = 1.0
@@ -90,6 +92,8 @@
     #: A submission had no clear reply: the job may have been accepted.
     in_doubt: bool = False
     cancelled: bool = False
+    #: When the cancellation of a job in doubt was answered, in monotonic seconds.
+    cancelled_at: float | None = None
     #: A cancellation had no clear reply: it may have taken effect.
     cancel_in_doubt: bool = False
 
@@ -201,6 +205,8 @@
                 status = self._request(host, 'DELETE', record).status
                 record.cancelled = status == 200
                 record.cancel_in_doubt = status in UNKNOWN_STATUSES
+            if record.in_doubt and not record.accepted:
+                self._cancel_in_doubt(record, rng)
             records.append(record)
             for shown in rng.sample(records, min(len(records), MAX_STATES_ASKED)):
                 self._ask_for_state(rng.choice(self._hosts.names), shown)
@@ -228,6 +234,15 @@
             record.in_doubt = record.in_doubt or reply.status not in REFUSED_STATUSES
             time.sleep(0.3)
 
+    def _cancel_in_doubt(self, record: JobRecord, rng: random.Random) -> None:
+        """Cancel a job that may have been accepted, until a host answers that it is gone."""
+        for _ in range(4):
+            status = self._request(rng.choice(self._hosts.names), 'DELETE', record).status
+            if status in {200, HTTP_GONE}:
+                record.cancelled_at = time.monotonic()
+                return
+            time.sleep(0.3)
+
     def _ask_for_state(self, host: str, record: JobRecord) -> Reply:
         """Ask a host for the state of a job, and check the reply against earlier ones."""
         asked_at = time.monotonic()
@@ -487,6 +502,13 @@
                 and record.completed_at is not None
                 and run.began > record.completed_at + LATE_START_SECONDS
             )
+            violations.extend(
+                f'{run.task} was started after its job in doubt was cancelled'
+                for run in runs
+                if run.task.startswith(job)
+                and record.cancelled_at is not None
+                and run.began > record.cancelled_at + CANCELLED_START_SECONDS
+            )
             if not record.accepted and not record.in_doubt and job in jobs:
                 violations.append(f'{record.path} was refused but ran')
             # An end that the runner lost in a crash (unread) may have been noted by the owner.
--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -8,6 +8,7 @@
 from dandelionreel.cell.clients._access import AccessControl, DenialReason
 from dandelionreel.cell.clients._client_call import (
     CAUSE_HEADER,
+    DOUBT_CAUSE,
     STORE_UNAVAILABLE_CAUSE,
     ClientCall,
     not_run_response,
@@ -20,6 +21,7 @@
 )
 from dandelionreel.cell.clients._queue_lookup import MissingQueue, QueueLookup
 from dandelionreel.cell.clients._relay import Relay
+from dandelionreel.cell.clients._write_attempts import HTTP_TIMEOUT
 from dandelionreel.cell.membership import PartitionDetector
 from dandelionreel.cell.model import (
     CANCELLATION_PREFIX,
@@ -60,11 +62,20 @@
 #: operator has to raise first.
 QUOTA_RETRY_AFTER_SECONDS = 60.0
 
+#: Seconds for which a job is in doubt after the outcome of its submission was unknown: longer than
+#: the store delays an append.
+DOUBT_SECONDS = 10.0
+#: Most jobs in doubt that a host remembers, and most cancellations in the store with which one
+#: more is stored for an unknown job.
+MAX_DOUBTFUL_JOBS = 10_000
+MAX_STORED_CANCELLATIONS = 10_000
+
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
 HTTP_NOT_ALLOWED = 405
 HTTP_CONFLICT = 409
+HTTP_GONE = 410
 HTTP_TOO_LARGE = 413
 HTTP_TOO_MANY = 429
 #: Header of the response to a call without a known API key (RFC 6750).
@@ -112,6 +123,8 @@
         self._journal = journal
         self._record_response = record_response
         self._count_refusal = count_refusal
+        #: Until when the outcome of a submission is in doubt, in monotonic seconds.
+        self._doubtful_until_by_id: dict[str, float] = {}
 
     async def handle(self, request: Request) -> Response:
         """Answer one request of a client."""
@@ -256,7 +269,7 @@
                 make_terms(queue),
             )
 
-        return await self._writes.store_record(
+        response = await self._writes.store_record(
             call,
             lambda: make_record(SUBMISSION_PREFIX + job_id, make_submission()),
             lambda owner, timeout: owner.accept_job(
@@ -266,6 +279,24 @@
             queue=queue.name,
             account=call.caller.account,
         )
+        self._record_doubt(job_id, is_doubtful=response.status == HTTP_TIMEOUT)
+        return response
+
+    def _record_doubt(self, job_id: str, *, is_doubtful: bool) -> None:
+        """Remember that a submission may still be stored, or forget it."""
+        self._doubtful_until_by_id.pop(job_id, None)
+        if not is_doubtful:
+            return
+        if len(self._doubtful_until_by_id) >= MAX_DOUBTFUL_JOBS:
+            self._doubtful_until_by_id.pop(next(iter(self._doubtful_until_by_id)))
+        self._doubtful_until_by_id[job_id] = self._clock.monotonic() + DOUBT_SECONDS
+
+    def _is_doubtful(self, job_id: str) -> bool:
+        """Return whether an append with the submission of an unknown job may be under way."""
+        dispatcher = self._get_dispatcher()
+        if dispatcher is not None and dispatcher.is_storing_job(job_id):
+            return True
+        return self._clock.monotonic() < self._doubtful_until_by_id.get(job_id, 0.0)
 
     def _acceptance_time(self, call: ClientCall, job_id: str, arrived_at: float) -> float:
         """Return the time to store with a submission that is accepted now.
@@ -329,6 +360,9 @@
         stored_job = self._find_visible_job(call, job_id)
         if stored_job is not None:
             return self._codec.answer_state(stored_job.state)
+        is_cancelled = self._jobs.state.is_cancelled(job_id, call.caller.account)
+        if self._is_doubtful(job_id) and not is_cancelled and self._may_see_job(call, job_id):
+            return unavailable_response(DOUBT_CAUSE, 'whether the job is stored is not known yet')
         return self._answer_unknown_job(call, job_id)
 
     async def _get_state_from_peers(self, call: ClientCall, timeout: float) -> Response | None:
@@ -344,14 +378,39 @@
             await self._follower.wait_until_fresh(call.received_at, LOOKUP_TIMEOUT_SECONDS)
             stored_job = self._find_visible_job(call, job_id)
         if stored_job is None:
-            return self._answer_unknown_job(call, job_id)
+            return await self._cancel_unknown_job(call, job_id)
         if stored_job.cancelled or stored_job.state in FINAL_STATES:
             return self._codec.answer_accepted()
-        record = make_record(CANCELLATION_PREFIX + job_id, Cancellation(self._clock.unix_time()))
+        return await self._store_cancellation(call, job_id, None)
+
+    async def _cancel_unknown_job(self, call: ClientCall, job_id: str) -> Response:
+        """Store the cancellation of a job whose submission may still be stored.
+
+        An append of any host may be executed after its client was told that its outcome is unknown.
+        """
+        account = call.caller.account
+        answer = self._answer_unknown_job(call, job_id)
+        state = self._jobs.state
+        if answer.status != HTTP_GONE or not self._may_see_job(call, job_id):
+            return answer
+        if state.is_cancelled(job_id, account):
+            return answer
+        if len(state.cancellation_by_id) >= MAX_STORED_CANCELLATIONS:
+            return unavailable_response(
+                'too-many-cancellations', 'too many cancelled jobs are not stored yet'
+            )
+        stored = await self._store_cancellation(call, job_id, account)
+        return answer if stored.status < HTTP_BAD_REQUEST else stored
+
+    async def _store_cancellation(
+        self, call: ClientCall, job_id: str, account: str | None
+    ) -> Response:
+        cancellation = Cancellation(self._clock.unix_time(), account)
+        record = make_record(CANCELLATION_PREFIX + job_id, cancellation)
         return await self._writes.store_record(
             call,
             lambda: record,
-            lambda owner, timeout: owner.cancel_job(job_id, timeout),
+            lambda owner, timeout: owner.cancel_job(job_id, timeout, account),
             partial(self._log_request_outcome, call.request, job_id),
         )
 
--- a/dandelionreel/cell/clients/_client_call.py
+++ b/dandelionreel/cell/clients/_client_call.py
@@ -22,6 +22,7 @@
 CAUSE_HEADER = 'dandelionreel-cause'
 STORE_UNAVAILABLE_CAUSE = 'store-out-of-reach'
 OVERLOAD_CAUSE = 'overload'
+DOUBT_CAUSE = 'submission-in-doubt'
 
 
 @dataclass(frozen=True)
--- a/dandelionreel/cell/clients/_relay.py
+++ b/dandelionreel/cell/clients/_relay.py
@@ -9,7 +9,12 @@
 from dataclasses import dataclass, replace
 
 from dandelionreel.accounts import AUTHORIZATION
-from dandelionreel.cell.clients._client_call import CAUSE_HEADER, OVERLOAD_CAUSE, ClientCall
+from dandelionreel.cell.clients._client_call import (
+    CAUSE_HEADER,
+    DOUBT_CAUSE,
+    OVERLOAD_CAUSE,
+    ClientCall,
+)
 from dandelionreel.cell.membership import OWNER_QUERY_TIMEOUT, PeerLinks, find_zone_writer
 from dandelionreel.cell.model import Member
 from dandelionreel.cell.store import CellState
@@ -26,6 +31,8 @@
 IDEMPOTENT_METHODS = frozenset(('GET',))
 #: Statuses that are valid from any host: done, bad input, an unknown key, no such job.
 FINAL_STATUSES = frozenset((200, 400, 401, 409, 410, 413))
+#: Causes of refusals that hold for all hosts.
+DECIDED_CAUSES = frozenset((OVERLOAD_CAUSE, DOUBT_CAUSE))
 #: Other statuses by which a peer says that it has done nothing.
 NOT_RUN_STATUSES = frozenset((403, 404, 405, 429, 503))
 #: Seconds for which a peer is skipped that did not reply or cannot use the store either. The time
@@ -143,7 +150,7 @@
         if not isinstance(reply, ForwardAnswer) or reply.no_room:
             self._skip_peer_for(host, 'it cannot use the store either', PEER_BACKOFF_SECONDS)
             return RelayResult(None)
-        if reply.response.status in FINAL_STATUSES or is_overload_refusal(reply.response):
+        if reply.response.status in FINAL_STATUSES or is_decided_refusal(reply.response):
             return RelayResult(reply.response)
         # The peer's configuration may be older, or the outcome of its append may be unknown:
         # neither is a response for the client.
@@ -193,9 +200,13 @@
         )
 
 
-def is_overload_refusal(response: Response) -> bool:
-    """Return whether the owner refuses a job: no host may store it, and its client is told."""
-    return response.header(CAUSE_HEADER) == OVERLOAD_CAUSE
+def is_decided_refusal(response: Response) -> bool:
+    """Return whether a refusal holds for all hosts.
+
+    That of a job for overload does: no host may store it. So does the answer that a submission is
+    in doubt: a host that knows of no append cannot tell that there is none.
+    """
+    return response.header(CAUSE_HEADER) in DECIDED_CAUSES
 
 
 def _strip_key(request: Request) -> Request:
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -73,10 +73,19 @@
     terms: QueueTerms | None = None
 
 
-class Cancellation(msgspec.Struct, frozen=True):
-    """A client has cancelled the job."""
+class Cancellation(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A client has cancelled the job at a Unix time.
+
+    ``account`` is the client's, set only if its submission was not stored yet: the record then
+    applies to a submission that arrives later, but not to that of another account.
+    """
 
     at: float
+    account: str | None = None
+
+    def applies_to(self, account: str) -> bool:
+        """Return whether it cancels a job that belongs to ``account``, empty for none."""
+        return self.account is None or account in {'', self.account}
 
 
 class FailedRun(msgspec.Struct, frozen=True, array_like=True):
--- a/dandelionreel/cell/owner/_dispatcher.py
+++ b/dandelionreel/cell/owner/_dispatcher.py
@@ -179,9 +179,15 @@
             submission = self._renew_submission(job_id, submission)
         return await self._store_job(job_id, submission, timeout)
 
-    async def cancel_job(self, job_id: str, timeout: float) -> WriteOutcome:
-        """Store a client's cancellation of a job, then stop its tasks."""
-        record = make_record(CANCELLATION_PREFIX + job_id, Cancellation(self._clock.unix_time()))
+    async def cancel_job(
+        self, job_id: str, timeout: float, account: str | None = None
+    ) -> WriteOutcome:
+        """Store a client's cancellation of a job, then stop its tasks.
+
+        ``account`` is the client's if the submission is not stored yet.
+        """
+        cancellation = Cancellation(self._clock.unix_time(), account)
+        record = make_record(CANCELLATION_PREFIX + job_id, cancellation)
         write_task = await curio.spawn(self._store_cancellation, job_id, record, daemon=True)
         return await curio.ignore_after(timeout, write_task.join) or WriteOutcome.UNKNOWN
 
@@ -190,6 +196,11 @@
         job = self.cell.job_by_id.get(job_id)
         return None if job is None or not job.stored else job.reported_state
 
+    def is_storing_job(self, job_id: str) -> bool:
+        """Return whether the outcome of an append with the job's submission is still unknown."""
+        job = self.cell.job_by_id.get(job_id)
+        return job is not None and not job.stored
+
     def account_of_job(self, job_id: str) -> str:
         """Return the client account of a job, empty if the job is unknown or has none."""
         job = self.cell.job_by_id.get(job_id)
@@ -199,7 +210,8 @@
         known = self.cell.job_by_id.get(job_id)
         if known is not None and known.stored:
             return WriteOutcome.STORED
-        stored_job = StoredJob(job_id, submission, cancelled=False, progress=None)
+        is_cancelled = self._dependencies.jobs.state.is_cancelled(job_id, submission.account)
+        stored_job = StoredJob(job_id, submission, cancelled=is_cancelled, progress=None)
         self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
         job = self.cell.job_by_id[job_id]
         self._log_rate_exceeded(job)
@@ -407,6 +419,10 @@
         if stored_job is not None and stored_job.unreadable:
             self.cell.update_job(stored_job, self._clock.monotonic(), self._clock.unix_time())
             return
+        if stored_job is None and self.is_storing_job(job_id):
+            if cell_state.is_cancelled(job_id, self.account_of_job(job_id)):
+                self.cell.cancel_job(job_id)
+            return
         if stored_job is None or stored_job.submission is None:
             self._forget_job(job_id, stored_job)
             return
--- a/dandelionreel/cell/owner/_periodic_checks.py
+++ b/dandelionreel/cell/owner/_periodic_checks.py
@@ -28,6 +28,7 @@
     find_unreached_runners,
 )
 from dandelionreel.cell.owner._runner_poller import RunnerPoller
+from dandelionreel.cell.owner._stale_cancellations import StaleCancellations
 from dandelionreel.cell.owner._succession import Succession
 from dandelionreel.kernel import Part, seconds_or_none, start_task
 
@@ -66,6 +67,7 @@
             find_unreached_runners(context.term, dependencies.jobs.state),
         )
         self._last_deletion_at = float('-inf')
+        self._stale_cancellations = StaleCancellations()
         self._runner_list_was_fresh = True
 
     async def request_takeover(self) -> bool:
@@ -247,7 +249,7 @@
             await start_task(stack, self._runner_poller.poll_runner, state, runner)
 
     async def _delete_old_jobs(self) -> None:
-        """Delete the stored records of jobs that ended long ago."""
+        """Delete the records of jobs that ended long ago, and cancellations that met no job."""
         now = self._clock.monotonic()
         if now < self._last_deletion_at + DELETION_CHECK_SECONDS:
             return
@@ -259,6 +261,11 @@
                 make_tombstone(key + job_id)
                 for key in (SUBMISSION_PREFIX, CANCELLATION_PREFIX, PROGRESS_PREFIX)
             )
+        records.extend(
+            make_tombstone(CANCELLATION_PREFIX + job_id)
+            for job_id in self._stale_cancellations.find(self._dependencies.jobs.state, now)
+            if job_id not in self._cell.job_by_id
+        )
         if records:
             await curio.spawn(
                 self._owner_context.writer.write, records, AUTHORITY_SECONDS, daemon=True
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -160,10 +160,11 @@
         progress = self.progress_by_id.get(job)
         if self.has_refused_submission(job):
             submission = None
+        owned = submission or progress
         stored = StoredJob(
             job,
             submission,
-            job in self.cancellation_by_id,
+            self.is_cancelled(job, '' if owned is None else owned.account),
             progress,
             submission is None and SUBMISSION_PREFIX + job in self.unreadable_keys,
             progress is None and PROGRESS_PREFIX + job in self.unreadable_keys,
@@ -172,6 +173,20 @@
             return stored
         return stored if progress is not None and progress.state in FINAL_STATES else None
 
+    def is_cancelled(self, job: str, account: str) -> bool:
+        """Return whether a cancellation is stored that applies to a job of ``account``."""
+        cancellation = self.cancellation_by_id.get(job)
+        return cancellation is not None and cancellation.applies_to(account)
+
+    def unmatched_cancellations(self) -> list[str]:
+        """Return the ids with a cancellation and without a submission."""
+        return [
+            job
+            for job in self.cancellation_by_id
+            if job not in self.submission_by_id
+            and SUBMISSION_PREFIX + job not in self.unreadable_keys
+        ]
+
     def is_accepted(self, job: str) -> bool:
         """Return whether a job is stored and its client's retry must not overwrite it."""
         stored_job = self.find_job(job)
@@ -241,7 +256,7 @@
         """Return how many accepted jobs of a queue have not started."""
         count = 0
         for job, submission in self.submission_by_id.items():
-            if submission.queue != queue or job in self.cancellation_by_id:
+            if submission.queue != queue or self.is_cancelled(job, submission.account):
                 continue
             progress = self.progress_by_id.get(job)
             if progress is None or progress.state is JobState.QUEUED:
