One job with far more tasks than the cell can run no longer takes its memory

Cause: all tasks of all due occurrences became objects in the first plan, some 540 bytes each, and stayed. Steps, tasks and occurrences had limits of their own, but their product and the sum over all jobs had none.

Change: a task is an object only once it was started or looked at, and a digit once it is done. At most 100 waiting steps of a job are open, the earliest occurrences first; done occurrences are closed, and the stored progress names them by one number. A job has 100,000 tasks an occurrence at most, and all unfinished jobs 50,000 steps; more is refused as not run.

--- a/dandelionreel/cell/clients/_client_api.py
+++ b/dandelionreel/cell/clients/_client_api.py
@@ -253,6 +253,11 @@
         except SubmissionError as error:
             self._log_request_outcome(request, job_id, f'not a job: {error}')
             return not_run_response(HTTP_BAD_REQUEST, 'bad-job', f'{error}')
+        if not self._jobs.state.may_add_steps(len(spec.steps)):
+            self._log_request_outcome(request, job_id, 'too many steps of unfinished jobs')
+            return unavailable_response(
+                'too-many-steps', 'the unfinished jobs have too many steps; it was not accepted'
+            )
         if not self._steps_fit_quota(call, configuration, spec):
             return self._answer_over_quota(call, job_id)
         arrived_at = self._clock.unix_time()
--- a/dandelionreel/cell/decisions/_allocation_table.py
+++ b/dandelionreel/cell/decisions/_allocation_table.py
@@ -103,7 +103,7 @@
 
     def stop_gang_members(self, step: StepRun) -> None:
         """Stop all placed members of a gang."""
-        for task in step.tasks:
+        for task in step.tasks.active():
             allocation = self.find_allocation(task) if task.phase is TaskPhase.PLACED else None
             if allocation is not None:
                 self.stop_run(allocation)
--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -3,7 +3,7 @@
 The dispatcher passes events in and sends the starts and stops that are decided here.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from dandelionreel.accounts import Account
 from dandelionreel.cell.decisions._allocation_table import AllocationTable
@@ -32,6 +32,7 @@
     Registration,
     RunnerView,
     StartReply,
+    StepName,
     Submission,
     find_later_incarnations,
 )
@@ -432,6 +433,7 @@
         effect = self._runner_views.apply(runner, view, polled_at, now)
         self._run_observer.record_view(runner, effect.ended, now, was_silent=was_silent)
         self._handle_crashes(effect.crashes)
+        self.tickets.drop_steps(_complete_steps(effect, self.job_by_id))
         if view.complete:
             self.unseen_runners.discard(runner.id)
         return effect
@@ -466,3 +468,12 @@
         for crash in crashes:
             if crash.given_up:
                 self._allocations.stop_job(crash.task.job)
+
+
+def _complete_steps(effect: PollEffect, job_by_id: dict[str, JobRun]) -> Iterator[StepName]:
+    """Yield the steps whose last task has ended."""
+    for ended, _ in effect.ended:
+        job = job_by_id.get(ended.task.job)
+        step = None if job is None else job.find_step(ended.task)
+        if step is not None and step.is_complete:
+            yield step.name
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -1,10 +1,15 @@
 """State of one job: which of its tasks are done, running or waiting. No I/O."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 from dandelionreel.cell.decisions._crashes import JobCrashes
 from dandelionreel.cell.decisions._objectives import compute_latency_objective
-from dandelionreel.cell.decisions._step_run import StepRun, TaskPhase, TaskRun, counted_demand
+from dandelionreel.cell.decisions._step_run import (
+    StepRun,
+    TaskPhase,
+    TaskRun,
+    counted_demand,
+)
 from dandelionreel.cell.model import (
     FINAL_STATES,
     Demand,
@@ -22,6 +27,13 @@
 )
 
 HEX_BASE = 16
+#: Number of steps with waiting tasks from which on no further occurrence of a job is opened.
+MAX_WAITING_STEPS = 100
+#: Digits of the done tasks in the stored progress of a job, at most; digits of a row beside those
+#: of its tasks, and tasks for which a digit stands.
+MAX_PROGRESS_DIGITS = 100_000
+ROW_DIGITS = 24
+TASKS_PER_DIGIT = 4
 #: Entry in a job's set of runners which says that its tasks may have been started on any runner.
 ANY_RUNNER = '*'
 
@@ -43,8 +55,13 @@
         self.has_started = False
         self.state = JobState.QUEUED
         self.ended_at = 0.0
+        #: The occurrences that may have waiting or placed tasks. Of earlier ones all tasks are
+        #: done, and later ones have not been opened yet.
         self._steps_by_occurrence: dict[int, list[StepRun]] = {}
         self._done_occurrences = 0
+        self._next_occurrence = 0
+        #: How many times tasks of closed occurrences have changed.
+        self._closed_changes = 0
         self._failed_runs: set[FailedRun] = set()
         self.crashes = JobCrashes()
         self._objective: tuple[Queue | None, Demand | None, float] | None = None
@@ -94,14 +111,19 @@
         return self.cancelled or self.state is JobState.COMPLETED or self.state is JobState.FAILED
 
     def steps(self, occurrence: int) -> list[StepRun]:
-        """Return the steps of one occurrence, created on first use."""
+        """Return the steps of one occurrence, created on first use.
+
+        Those of a closed occurrence, of which all tasks are done, are made anew each time.
+        """
         cached = self._steps_by_occurrence.get(occurrence)
         if cached is None:
+            is_closed = occurrence < self._done_occurrences
             cached = [
-                StepRun(StepName(self.id, occurrence, number), step)
+                StepRun(StepName(self.id, occurrence, number), step, done=is_closed)
                 for number, step in enumerate(self.spec.steps)
             ]
-            self._steps_by_occurrence[occurrence] = cached
+            if not is_closed:
+                self._steps_by_occurrence[occurrence] = cached
         return cached
 
     def find_step(self, name: TaskName | StepName) -> StepRun | None:
@@ -133,9 +155,17 @@
     def remaining_demand(self, unix_time: float) -> Demand:
         """Return the total demand of the waiting tasks of all due occurrences."""
         total = Demand()
-        for occurrence in range(self._done_occurrences, self.due_occurrences(unix_time)):
-            for step in self.steps(occurrence):
+        due = self.due_occurrences(unix_time)
+        open_count = 0
+        for occurrence, steps in self._steps_by_occurrence.items():
+            if occurrence >= due:
+                continue
+            open_count += 1
+            for step in steps:
                 total += counted_demand(step).times(step.waiting)
+        unopened_count = due - self._done_occurrences - open_count
+        for unopened in self.spec.steps if unopened_count > 0 else ():
+            total += unopened.counted_demand.times(unopened.count * unopened_count)
         return total
 
     def due_occurrences(self, unix_time: float) -> int:
@@ -150,10 +180,12 @@
         return min(self.spec.occurrences, int(since / self.spec.interval) + 1)
 
     def ready_steps(self, unix_time: float) -> list[StepRun]:
-        """Return the due steps with waiting tasks whose dependencies are complete."""
+        """Return the due steps with waiting tasks whose dependencies are complete.
+
+        Of a scheduled job with many due occurrences, only the earliest ones are opened.
+        """
         ready = []
-        for occurrence in range(self._done_occurrences, self.due_occurrences(unix_time)):
-            steps = self.steps(occurrence)
+        for steps in self._open_due_occurrences(unix_time):
             for step in steps:
                 if not step.waiting:
                     continue
@@ -163,7 +195,8 @@
 
     def count_changes(self) -> int:
         """Return how many times any task has been placed, released or finished."""
-        return sum(step.changes for steps in self._steps_by_occurrence.values() for step in steps)
+        open_steps = (step for steps in self._steps_by_occurrence.values() for step in steps)
+        return self._closed_changes + sum(step.changes for step in open_steps)
 
     def unfinished_steps(self, unix_time: float) -> list[StepRun]:
         """Return the due incomplete steps whose dependencies are complete.
@@ -171,8 +204,7 @@
         A long-running step is left out once all its tasks are placed.
         """
         unfinished = []
-        for occurrence in range(self._done_occurrences, self.due_occurrences(unix_time)):
-            steps = self.steps(occurrence)
+        for steps in self._open_due_occurrences(unix_time):
             for step in steps:
                 if step.is_complete or (step.step.long_running and not step.waiting):
                     continue
@@ -300,12 +332,12 @@
         # submission that arrives late would revive the job.
         self.cancelled = progress.state is JobState.CANCELLED
         self.ended_at = progress.ended_at
+        self._done_occurrences = progress.done_before
         for entry in progress.done:
             mask = int(entry.mask, HEX_BASE)
             step = self.steps(entry.occurrence)[entry.step]
-            for index, task in enumerate(step.tasks):
-                if mask >> index & 1:
-                    step.finish_task(task)
+            for index in _find_set_bits(mask):
+                step.finish_task(step.tasks[index])
         for failed in progress.failed:
             self._failed_runs.add(failed)
             step = self.steps(failed.occurrence)[failed.step]
@@ -341,12 +373,7 @@
             for step in steps:
                 if not step.done:
                     continue
-                mask = sum(
-                    1 << index
-                    for index, task in enumerate(step.tasks)
-                    if task.phase is TaskPhase.DONE
-                )
-                done.append(DoneTasks(occurrence, step.name.step, f'{mask:x}'))
+                done.append(DoneTasks(occurrence, step.name.step, step.tasks.done_mask))
         failed = () if self.is_finished else tuple(sorted(self._failed_runs, key=_failed_sort_key))
         state = JobState.CANCELLED if self._is_stored_as_cancelled() else self.state
         if self.is_finished:
@@ -371,6 +398,7 @@
             self.crashes.incomplete,
             self.account,
             proven=self.crashes.proven,
+            done_before=self._done_occurrences,
         )
 
     def _restore_crashes(self, progress: Progress) -> None:
@@ -393,7 +421,44 @@
             steps = self._steps_by_occurrence.get(self._done_occurrences)
             if steps is None or not all(step.is_complete for step in steps):
                 return
-            self._done_occurrences += 1
+            self._close_occurrence(self._done_occurrences, steps)
+
+    def _close_occurrence(self, occurrence: int, steps: list[StepRun]) -> None:
+        """Drop what is kept of an occurrence whose tasks are all done."""
+        self._closed_changes += sum(step.changes for step in steps)
+        self._steps_by_occurrence.pop(occurrence)
+        self._failed_runs = {row for row in self._failed_runs if row.occurrence != occurrence}
+        self._done_occurrences = occurrence + 1
+
+    def _open_due_occurrences(self, unix_time: float) -> list[list[StepRun]]:
+        """Return the steps of the due occurrences that are open, and open more if few wait."""
+        due = self.due_occurrences(unix_time)
+        end = min(due, self._done_occurrences + self._max_open_occurrences)
+        self._next_occurrence = max(self._next_occurrence, self._done_occurrences)
+        waiting = sum(
+            step.waiting > 0 for steps in self._steps_by_occurrence.values() for step in steps
+        )
+        while self._next_occurrence < end and waiting < MAX_WAITING_STEPS:
+            waiting += len(self.steps(self._next_occurrence))
+            self._next_occurrence += 1
+        opened = self._steps_by_occurrence
+        return [opened[occurrence] for occurrence in sorted(opened) if occurrence < due]
+
+    @property
+    def _max_open_occurrences(self) -> int:
+        """Return in how many occurrences tasks may be done or waiting, by the size of the record.
+
+        The record has a row for each step, with a digit for four tasks.
+        """
+        digits = sum(ROW_DIGITS + step.count // TASKS_PER_DIGIT for step in self.spec.steps)
+        return max(1, MAX_PROGRESS_DIGITS // digits)
+
+
+def _find_set_bits(mask: int) -> Iterator[int]:
+    """Yield the numbers of the set bits, the lowest first."""
+    for index, digit in enumerate(reversed(f'{mask:b}')):
+        if digit == '1':
+            yield index
 
 
 def _failed_sort_key(failed: FailedRun) -> tuple[int, int, int, int]:
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -42,7 +42,6 @@
 from dandelionreel.cell.decisions._start_delays import GangDelay, StartDelays, WaitReason
 from dandelionreel.cell.decisions._step_run import (
     StepRun,
-    TaskPhase,
     counted_demand,
     occupied_seconds,
 )
@@ -422,9 +421,7 @@
             return not step.waiting
         ticketed = [entry for entry in ticketed if entry[0].id in startable]
         preference = make_speed_preference(self._cell, candidate, state.now)
-        for task in step.tasks:
-            if task.phase is not TaskPhase.WAITING:
-                continue
+        for task in step.tasks.waiting():
             if not allowed or state.starts_left <= 0:
                 return True
             chosen = choose_runner(
--- a/dandelionreel/cell/decisions/_preemption.py
+++ b/dandelionreel/cell/decisions/_preemption.py
@@ -141,7 +141,7 @@
         heapq.heapify(slot_heap)
         chosen_runners: set[str] = set()
         victims: list[Allocation] = []
-        for _ in step.tasks:
+        for _ in range(step.step.count):
             if not slot_heap:
                 return None
             _, runner_id, slot_index = heapq.heappop(slot_heap)
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -292,8 +292,9 @@
         self._name = step.name
         self._demand = counted_demand(step)
         self._limit = step.step.max_per_runner
-        are_quarantined = (task.quarantined for task in step.tasks)
-        self._quarantined = any(are_quarantined) if step.step.gang else all(are_quarantined)
+        quarantined = sum(task.quarantined for task in step.tasks.active())
+        needed = 1 if step.step.gang else len(step.tasks) - step.done
+        self._quarantined = 0 < needed <= quarantined
 
     def on_runner(self, runner: RunnerState) -> int:
         """Return how many more tasks could start on a runner."""
--- a/dandelionreel/cell/decisions/_stalled_jobs.py
+++ b/dandelionreel/cell/decisions/_stalled_jobs.py
@@ -121,7 +121,7 @@
     def _describe_step(self, job: JobRun, step: StepRun, now: float) -> str:
         tickets = self._cell.tickets.of(step.name)
         wait = self._start_waits.describe(job, step, now)
-        placed = sum(task.phase is TaskPhase.PLACED for task in step.tasks)
+        placed = sum(task.phase is TaskPhase.PLACED for task in step.tasks.active())
         return (
             f'{step.name.occurrence}.{step.name.step}: {step.waiting} waiting, {placed} placed, '
             f'{step.done} done; {len(tickets.allowed)} of {len(tickets.asked_runners)} runners '
--- a/dandelionreel/cell/decisions/_tickets.py
+++ b/dandelionreel/cell/decisions/_tickets.py
@@ -104,6 +104,11 @@
         """Invalidate a ticket that the runner refused."""
         self.of(step).expires_at_by_runner[runner] = 0.0
 
+    def drop_steps(self, steps: Iterable[StepName]) -> None:
+        """Remove steps of which no task will start again."""
+        for step in steps:
+            self._tickets_by_step.pop(step, None)
+
     def drop_job(self, job: str) -> None:
         """Remove all steps of a job."""
         steps = [name for name in self._tickets_by_step if name.job == job]
--- a/dandelionreel/cell/model/__init__.py
+++ b/dandelionreel/cell/model/__init__.py
@@ -1,6 +1,7 @@
 """Model of a cell: jobs and runners, stored records, and interfaces of external services."""
 
 from dandelionreel.cell.model._checks import (
+    MAX_STEPS,
     check_job_spec,
     check_leftovers,
     check_progress,
@@ -129,6 +130,7 @@
     'LoadDigest',
     'MAX_DIGEST_REFUSALS',
     'MAX_DIGEST_ROWS',
+    'MAX_STEPS',
     'QueueLoad',
     'QueueTerms',
     'RefusedJob',
--- a/dandelionreel/cell/model/_checks.py
+++ b/dandelionreel/cell/model/_checks.py
@@ -17,6 +17,8 @@
 MAX_STEPS = 100
 MAX_TASKS = 10_000
 MAX_OCCURRENCES = 10_000
+#: Tasks of one occurrence, over all steps: the stored progress has a digit for four of them.
+MAX_TASKS_OF_JOB = 100_000
 #: More than any machine has of any resource.
 MAX_DEMAND = 2_147_483_648
 #: 31 years: longer than any task.
@@ -46,6 +48,8 @@
         raise _range_error('the first run or the interval is too far away')
     for number, step in enumerate(spec.steps):
         _check_step(number, step)
+    if sum(step.count for step in spec.steps) > MAX_TASKS_OF_JOB:
+        raise _range_error(f'the steps have more than {MAX_TASKS_OF_JOB} tasks together')
 
 
 def _check_step(number: int, step: Step) -> None:
@@ -65,6 +69,8 @@
 
 def check_progress(progress: Progress, spec: JobSpec) -> None:
     """Raise ``UnreadableError`` for progress of tasks that the job does not have."""
+    if progress.done_before > spec.occurrences:
+        raise _range_error('more occurrences are done than the job has')
     for done in progress.done:
         step = _get_step(spec, done.occurrence, done.step)
         if int(done.mask, HEX_BASE) >> step.count:
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -154,7 +154,8 @@
     before the first start there, so a successor that cannot reach some runner knows which jobs it
     must not start again. ``doubtful`` is ``JobCrashes.incomplete``. ``account`` is stored because
     no other record of a finished job has it, and the ``leftovers`` count against its quota.
-    ``proven`` names rows of ``crashed``; earlier builds neither write nor read it.
+    ``proven`` names rows of ``crashed``; earlier builds neither write nor read it. All tasks of the
+    occurrences before ``done_before`` are done, and have no row in ``done``.
     """
 
     epoch: Count
@@ -169,6 +170,7 @@
     account: str = ''
     leftovers: tuple[Leftover, ...] = ()
     proven: tuple[ProvenCrash, ...] = ()
+    done_before: Count = 0
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -15,6 +15,7 @@
 from dandelionreel.cell.model import (
     CANCELLATION_PREFIX,
     FINAL_STATES,
+    MAX_STEPS,
     MEMBER_PREFIX,
     OWNER_KEY,
     PROGRESS_PREFIX,
@@ -50,6 +51,9 @@
 _RUNNER_SPEEDS = msgspec.json.Decoder(RunnerSpeeds)
 _MEMBER = msgspec.json.Decoder(Member)
 
+#: Steps of all unfinished jobs together: each host has them in its memory, and the owner plans
+#: them.
+MAX_UNFINISHED_STEPS = 50_000
 #: Stands for an owner whose record cannot be read: it may be acting, and may have succeeded
 #: another one. Its heartbeats are waited for like those of any owner.
 UNKNOWN_OWNER = Owner(0, '', '', unsettled=UNKNOWN_LEASES_END_SECONDS)
@@ -252,6 +256,13 @@
             return False
         return member.read_from > owner.read_from
 
+    def may_add_steps(self, count: int) -> bool:
+        """Return whether a job of ``count`` steps fits beside the unfinished jobs."""
+        submissions = self.submission_by_id.values()
+        if len(submissions) * MAX_STEPS + count <= MAX_UNFINISHED_STEPS:
+            return True
+        return sum(len(one.spec.steps) for one in submissions) + count <= MAX_UNFINISHED_STEPS
+
     def count_waiting_jobs(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not started."""
         count = 0
