Tasks that crash their runners after the start was answered are given up

What the users saw (BUDGET): tasks were started many times more after three runners had crashed under them.

Cause: since losses by chance end no job, every crash after the answer to a start counted as one by chance, and such a task was retried without a limit.

Change: each such crash has odds, the probability that a run which crashes no runner meets it: from the rate of losses and the time since the answer, 1 where a runner without a suspect was lost or silent at that moment, and at least the odds that a common cause took only suspects. The odds are stored. A task with five undecided crashes pauses before each further start.

--- a/dandelionreel/cell/decisions/_cell.py
+++ b/dandelionreel/cell/decisions/_cell.py
@@ -77,7 +77,9 @@
         self.crashed_runs = 0
         self.quotas = QuotaLedger(self._allocations, self.unseen_runners)
         self._rates = JobRates()
-        self._losses = RunnerLosses(self.unfinished_job_by_id, self._allocations.dirty)
+        self._losses = RunnerLosses(
+            self.unfinished_job_by_id, self._allocations.dirty, self.runner_by_id
+        )
         self._runner_views = RunnerViewHandler(
             self._allocations, self._losses, self.unreadable_jobs, self.queue_of
         )
--- a/dandelionreel/cell/decisions/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -4,11 +4,15 @@
 only failed runs were counted, the task would be restarted forever. Most tasks on a crashed runner
 are not the cause, and runners also crash by chance, so no number of crashes alone shows the
 culprit. A proven crash does: the runner answered on the same connection right before the start was
-sent, the connection closed without an answer, and no other job was starting anything there.
+sent, the connection closed without an answer, and no other job was starting anything there. Of a
+task that crashes its runners later, the odds that its crashes are by chance tell the same.
 """
 
+import math
 from dataclasses import dataclass
 
+import msgspec
+
 from dandelionreel.cell.model import CrashedRun, ProvenCrash, StoredStart, TaskName
 
 #: Number of proven crashes after which a task is not started again.
@@ -16,6 +20,9 @@
 #: Number of runner crashes during starts of a task after which it is not started again if one of
 #: them is proven. Covers owners that are lost before they have seen the proof.
 CRASH_LIMIT = 5
+#: Number of runner crashes during runs of a task from which on it is not started again if they are
+#: hardly by chance.
+MIN_UNLIKELY_CRASHES = 3
 #: Number of runner crashes, during the start or later, after which a task is quarantined: it then
 #: starts alone on its runner.
 QUARANTINE_CRASHES = 2
@@ -24,6 +31,8 @@
 #: Seconds after which a run is not blamed for a crash of its runner, and earlier crashes of its
 #: task are cleared.
 HEALTHY_SECONDS = 20.0
+#: Decimals of the odds that are stored.
+ODDS_DIGITS = 6
 
 _TaskKey = tuple[int, int, int]
 
@@ -32,7 +41,8 @@
 class Crash:
     """A runner crash during a run; ``during_start`` as in ``CrashedRun``.
 
-    If ``proven``, the start of the run has crashed the runner. ``count`` is the number of crashes
+    If ``proven``, the start of the run has crashed the runner. ``odds`` is the probability that a
+    run that crashes no runner was met by such a loss by chance. ``count`` is the number of crashes
     during runs of the task, ``CRASH_LIMIT`` at most. If ``given_up``, the job has failed.
     """
 
@@ -41,6 +51,7 @@
     runner: str
     during_start: bool
     proven: bool
+    odds: float
     count: int
     given_up: bool
 
@@ -95,14 +106,23 @@
             self._start_by_task[_task_key(start)] = start
 
     def record_crash(
-        self, task: TaskName, run: int, *, during_start: bool = False, proven: bool = False
+        self,
+        task: TaskName,
+        run: int,
+        *,
+        during_start: bool = False,
+        proven: bool = False,
+        odds: float = 1.0,
     ) -> bool:
-        """Count a runner crash during a run; return whether it was not counted before."""
+        """Count a runner crash during a run; return whether it was not counted before.
+
+        ``odds`` is the probability that a run which crashes no runner is met by such a loss.
+        """
         key = _task_key(task)
         runs = self._runs_by_task.setdefault(key, {})
         if run in runs:
             return False
-        runs[run] = CrashedRun(*key, run, during_start)
+        runs[run] = CrashedRun(*key, run, during_start, round(odds, ODDS_DIGITS))
         proven_runs = self._proven_runs_by_task.setdefault(key, set())
         if proven:
             proven_runs.add(run)
@@ -110,7 +130,12 @@
             # More rows change no decision, and a record of the store has a maximum size.
             dropped = min(
                 runs,
-                key=lambda number: (number in proven_runs, runs[number].during_start, number),
+                key=lambda number: (
+                    number in proven_runs,
+                    -runs[number].odds,
+                    runs[number].during_start,
+                    number,
+                ),
             )
             del runs[dropped]
             proven_runs.discard(dropped)
@@ -125,6 +150,14 @@
         proven_runs.discard(run)
         return True
 
+    def withdraw_odds(self, task: TaskName, run: int) -> bool:
+        """Count a crash as one that says nothing; return whether it said something."""
+        runs = self._runs_by_task.get(_task_key(task), {})
+        if run not in runs or runs[run].odds >= 1:
+            return False
+        runs[run] = msgspec.structs.replace(runs[run], odds=1.0)
+        return True
+
     def clear(self, task: TaskName) -> bool:
         """Clear the crashes of a task that did not cause them; return whether there were any."""
         return self._clear(_task_key(task))
@@ -135,14 +168,20 @@
 
     def is_quarantined(self, task: TaskName) -> bool:
         """Return whether a task must start alone, since it may crash the next runner too."""
-        return self._count_start_crashes(task) > 0 or self.count(task) >= QUARANTINE_CRASHES
+        runs = self._runs_by_task.get(_task_key(task), {}).values()
+        if len(runs) >= QUARANTINE_CRASHES:
+            return True
+        return any(run.during_start or run.odds < 1 for run in runs)
+
+    def has_reached_crash_limit(self, task: TaskName, max_odds: float = 0.0) -> bool:
+        """Return whether a task is proven to crash its runners.
 
-    def has_reached_crash_limit(self, task: TaskName) -> bool:
-        """Return whether a task is proven to crash its runners."""
+        If the odds of all its crashes together are at most ``max_odds``, they are not by chance.
+        """
         proven = len(self._proven_runs_by_task.get(_task_key(task), ()))
-        return proven >= PROVEN_CRASH_LIMIT or (
-            proven > 0 and self._count_start_crashes(task) >= CRASH_LIMIT
-        )
+        if proven >= PROVEN_CRASH_LIMIT or self._are_crashes_unlikely(task, max_odds):
+            return True
+        return proven > 0 and self._count_start_crashes(task) >= CRASH_LIMIT
 
     def may_crash_runners(self, task: TaskName) -> bool:
         """Return whether runners have crashed during runs of a task, or may have."""
@@ -173,6 +212,12 @@
         """Return the recorded starts on a runner."""
         return [start for start in self._start_by_task.values() if start.runner == runner]
 
+    def _are_crashes_unlikely(self, task: TaskName, max_odds: float) -> bool:
+        """Return whether a task that crashes no runner is hardly met by so many losses."""
+        runs = self._runs_by_task.get(_task_key(task), {}).values()
+        odds = math.prod(run.odds for run in runs)
+        return len(runs) >= MIN_UNLIKELY_CRASHES and odds <= max_odds
+
     def _clear(self, key: _TaskKey) -> bool:
         self._proven_runs_by_task.pop(key, None)
         return bool(self._runs_by_task.pop(key, None))
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterable, Iterator
 
-from dandelionreel.cell.decisions._crashes import JobCrashes
+from dandelionreel.cell.decisions._crashes import CRASH_LIMIT, JobCrashes
 from dandelionreel.cell.decisions._objectives import compute_latency_objective
 from dandelionreel.cell.decisions._step_run import (
     StepRun,
@@ -33,6 +33,10 @@
 #: of its tasks, and tasks for which a digit stands.
 MAX_PROGRESS_DIGITS = 100_000
 ROW_DIGITS = 24
+#: Pauses in seconds before further starts of a task whose runners have crashed ``CRASH_LIMIT``
+#: times without a sign that the task is the cause.
+MIN_PAUSE_SECONDS = 2.0
+MAX_PAUSE_SECONDS = 8.0
 TASKS_PER_DIGIT = 4
 #: Entry in a job's set of runners which says that its tasks may have been started on any runner.
 ANY_RUNNER = '*'
@@ -243,21 +247,36 @@
             self.state = JobState.FAILED
 
     def record_crashed_run(
-        self, name: TaskName, run: int, *, during_start: bool = False, proven: bool = False
+        self,
+        name: TaskName,
+        run: int,
+        *,
+        during_start: bool = False,
+        proven: bool = False,
+        odds: float = 1.0,
+        max_odds: float = 0.0,
+        lost_at: float = 0.0,
     ) -> bool:
         """Count a runner crash during a run once; return whether it was not counted before.
 
+        ``odds`` and ``max_odds`` are as for ``JobCrashes``. ``lost_at`` is when the runner was
+        lost, in monotonic seconds.
+
         Once a task is proven to crash its runners, the job has failed. A task of a long-running
         step has no such limit and stays quarantined.
         """
         found = self.find_task(name)
         if found is None or self.is_finished or found[1].phase is TaskPhase.DONE:
             return False
-        if not self.crashes.record_crash(name, run, during_start=during_start, proven=proven):
+        if not self.crashes.record_crash(
+            name, run, during_start=during_start, proven=proven, odds=odds
+        ):
             return False
         self.dirty = True
         found[1].quarantined = self.crashes.is_quarantined(name)
-        if self.crashes.has_reached_crash_limit(name) and not found[0].step.long_running:
+        if self.crashes.count(name) >= CRASH_LIMIT and not found[0].step.long_running:
+            _pause_starts(found[1], lost_at)
+        if self.crashes.has_reached_crash_limit(name, max_odds) and not found[0].step.long_running:
             self.state = JobState.FAILED
         return True
 
@@ -265,6 +284,10 @@
         """Count a proven crash as one by chance."""
         self.dirty = self.crashes.withdraw_proof(name, run) or self.dirty
 
+    def withdraw_odds(self, name: TaskName, run: int) -> None:
+        """Count a crash as one that says nothing about its task."""
+        self.dirty = self.crashes.withdraw_odds(name, run) or self.dirty
+
     def mark_crashes_incomplete(self) -> None:
         """Note that runners may have crashed during its tasks without a record of it."""
         self.dirty = self.dirty or not self.crashes.incomplete
@@ -461,5 +484,12 @@
             yield index
 
 
+def _pause_starts(task: TaskRun, since: float) -> None:
+    """Let a task wait, for longer each time: what its runners are lost to may pass."""
+    doubled = max(MIN_PAUSE_SECONDS, 2 * task.pause_seconds)
+    task.pause_seconds = min(doubled, MAX_PAUSE_SECONDS)
+    task.not_before = since + task.pause_seconds
+
+
 def _failed_sort_key(failed: FailedRun) -> tuple[int, int, int, int]:
     return (failed.occurrence, failed.step, failed.index, failed.run)
--- a/dandelionreel/cell/decisions/_planner.py
+++ b/dandelionreel/cell/decisions/_planner.py
@@ -424,6 +424,8 @@
         for task in step.tasks.waiting():
             if not allowed or state.starts_left <= 0:
                 return True
+            if state.now < task.not_before:
+                continue
             chosen = choose_runner(
                 step, task, demand, ticketed, candidate.job.submission.zone, preference
             )
@@ -457,6 +459,9 @@
         if step.waiting < len(step.tasks):
             self._report_delay(candidate, WaitReason.FORMER_RUN, state)
             return
+        if any(state.now < task.not_before for task in step.tasks.active()):
+            self._report_delay(candidate, WaitReason.CRASHES, state)
+            return
         # Until its members are chosen, the gang may turn out to be as slow as the slowest level.
         seconds = self._gang_starts.seconds_by_level(candidate)[-1]
         ends_by = state.now + occupied_seconds(step, seconds) * BACKFILL_MARGIN
--- a/dandelionreel/cell/decisions/_runner_losses.py
+++ b/dandelionreel/cell/decisions/_runner_losses.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from dandelionreel.cell.decisions._crash_evidence import CrashEvidence, LostRunner
 from dandelionreel.cell.decisions._crashes import HEALTHY_SECONDS, Crash
 from dandelionreel.cell.decisions._job_run import JobRun
 from dandelionreel.cell.decisions._runner_state import NEVER, Allocation, RunnerState
@@ -21,19 +22,6 @@
 MAX_COMPARED = 512
 
 
-@dataclass(frozen=True)
-class _LostRunner:
-    """A runner that has ended or whose leases have expired, with the runs that it may have lost.
-
-    ``answered_at`` is when it last answered a poll, ``known_at`` a poll or an order.
-    """
-
-    runner: str
-    answered_at: float
-    known_at: float
-    runs: tuple[Allocation, ...]
-
-
 @dataclass(frozen=True)
 class _Proof:
     """A proven crash, seen at a time in monotonic seconds."""
@@ -46,15 +34,24 @@
 class RunnerLosses:
     """Counts runner crashes during runs of unfinished jobs."""
 
-    def __init__(self, unfinished_job_by_id: dict[str, JobRun], dirty: set[str]) -> None:
-        """Count crashes for the jobs of ``unfinished_job_by_id``.
+    def __init__(
+        self,
+        unfinished_job_by_id: dict[str, JobRun],
+        dirty: set[str],
+        runner_by_id: dict[str, RunnerState] | None = None,
+    ) -> None:
+        """Count crashes for the jobs of ``unfinished_job_by_id`` on ``runner_by_id``.
 
-        The ids of jobs that must be stored are added to ``dirty``. The caller owns both
+        The ids of jobs that must be stored are added to ``dirty``. The caller owns these
         collections, and updates them too.
         """
+        self._runner_by_id = {} if runner_by_id is None else runner_by_id
+        self._evidence = CrashEvidence(self._runner_by_id)
+        #: Crashed runs that are hardly by chance, with the time of each crash.
+        self._weighed: deque[_Proof] = deque(maxlen=MAX_COMPARED)
         self._unfinished_job_by_id = unfinished_job_by_id
         self._dirty = dirty
-        self._lapsed_by_address: dict[Address, _LostRunner] = {}
+        self._lapsed_by_address: dict[Address, LostRunner] = {}
         #: When runners were last heard that were lost while no start broke their connection.
         self._unexplained_losses: deque[float] = deque(maxlen=MAX_COMPARED)
         self._proofs: deque[_Proof] = deque(maxlen=MAX_COMPARED)
@@ -65,7 +62,7 @@
             return []
         runs = tuple(runner.allocation_by_run.values())
         crashes = self._count_crashes(
-            _LostRunner(runner.id, runner.answered_at, runner.known_at, runs)
+            LostRunner(runner.id, runner.answered_at, runner.known_at, runs, runner.broken_at)
         )
         lapsed = self._lapsed_by_address.get(_runner_address(runner))
         if lapsed is not None and lapsed.runner == runner.id:
@@ -78,8 +75,8 @@
         """Keep the runs of a silent runner until it is known whether the runner has crashed."""
         if not runner.draining:
             runs = tuple(runner.allocation_by_run.values())
-            self._lapsed_by_address[_runner_address(runner)] = _LostRunner(
-                runner.id, runner.answered_at, runner.known_at, runs
+            self._lapsed_by_address[_runner_address(runner)] = LostRunner(
+                runner.id, runner.answered_at, runner.known_at, runs, runner.broken_at
             )
 
     def handle_first_answer(self, runner: RunnerState) -> list[Crash]:
@@ -118,9 +115,10 @@
     def _count_crashes_on_lapsed_runner(self, address: Address) -> list[Crash]:
         return self._count_crashes(self._lapsed_by_address.pop(address))
 
-    def _count_crashes(self, runner: _LostRunner) -> list[Crash]:
-        if not any(run.connection_broken for run in runner.runs):
-            self._record_unexplained_loss(runner.known_at)
+    def _count_crashes(self, runner: LostRunner) -> list[Crash]:
+        is_explained = self._is_explained(runner)
+        if not is_explained:
+            self._record_unexplained_loss(runner)
         crashes: list[Crash] = []
         for run in runner.runs:
             job = self._unfinished_job_by_id.get(run.task.job)
@@ -141,11 +139,35 @@
                     runner.runner,
                     during_start=run.connection_broken,
                     proven=self._is_proven(run, runner),
+                    odds=self._weigh(run, runner),
+                    lost_at=runner.broken_at or runner.known_at,
                 )
             )
+        self._evidence.record_loss(runner, is_explained=is_explained)
         return crashes
 
-    def _is_proven(self, run: Allocation, runner: _LostRunner) -> bool:
+    def _is_explained(self, runner: LostRunner) -> bool:
+        """Return whether a run may have caused the loss of a runner."""
+        return any(run.connection_broken or self._is_suspect(run) for run in runner.runs)
+
+    def _is_suspect(self, run: Allocation) -> bool:
+        """Return whether a runner was lost during an earlier run of the same task."""
+        job = self._unfinished_job_by_id.get(run.task.job)
+        return job is not None and job.crashes.count(run.task) > 0
+
+    def _weigh(self, run: Allocation, runner: LostRunner) -> float:
+        """Return the odds that a run was met by the loss by chance, and remember them."""
+        suspects = [
+            state.id
+            for state in self._runner_by_id.values()
+            if any(self._is_suspect(held) for held in state.allocation_by_run.values())
+        ]
+        odds = self._evidence.odds_of(run, runner, suspects)
+        if odds < 1 and runner.broken_at is not None:
+            self._weighed.append(_Proof(run.task, run.run, runner.broken_at))
+        return odds
+
+    def _is_proven(self, run: Allocation, runner: LostRunner) -> bool:
         """Return whether a crash is proven, and remember it if it is."""
         seen_at = run.crash_seen_at
         if seen_at is None or not _is_proven_crash(run, runner):
@@ -155,11 +177,15 @@
         self._proofs.append(_Proof(run.task, run.run, seen_at))
         return True
 
-    def _record_unexplained_loss(self, known_at: float) -> None:
+    def _record_unexplained_loss(self, lost: LostRunner) -> None:
         """Withdraw the proofs of crashes at which another runner was lost too.
 
         A cause that takes several runners at once is none of their tasks.
         """
+        for weighed in self._weighed:
+            if lost.may_be_lost_at(weighed.seen_at):
+                self._withdraw_odds(weighed)
+        known_at = lost.known_at
         self._unexplained_losses.append(known_at)
         for proof in self._proofs:
             job = self._unfinished_job_by_id.get(proof.task.job)
@@ -167,6 +193,12 @@
                 job.withdraw_proof(proof.task, proof.run)
                 self._dirty.add(job.id)
 
+    def _withdraw_odds(self, weighed: _Proof) -> None:
+        job = self._unfinished_job_by_id.get(weighed.task.job)
+        if job is not None:
+            job.withdraw_odds(weighed.task, weighed.run)
+            self._dirty.add(job.id)
+
     def _record_crash(
         self,
         job: JobRun,
@@ -176,13 +208,24 @@
         *,
         during_start: bool = False,
         proven: bool = False,
+        odds: float = 1.0,
+        lost_at: float = 0.0,
     ) -> list[Crash]:
-        if not job.record_crashed_run(task, run, during_start=during_start, proven=proven):
+        max_odds = self._evidence.max_chance_odds(task, lost_at)
+        if not job.record_crashed_run(
+            task,
+            run,
+            during_start=during_start,
+            proven=proven,
+            odds=odds,
+            max_odds=max_odds,
+            lost_at=lost_at,
+        ):
             return []
         self._dirty.add(job.id)
         count = job.crashes.count(task)
         given_up = job.state is JobState.FAILED
-        return [Crash(task, run, runner, during_start, proven, count, given_up)]
+        return [Crash(task, run, runner, during_start, proven, odds, count, given_up)]
 
 
 def apply_last_registrations(
@@ -201,7 +244,7 @@
             runner.apply_registration(last, now)
 
 
-def _is_proven_crash(run: Allocation, runner: _LostRunner) -> bool:
+def _is_proven_crash(run: Allocation, runner: LostRunner) -> bool:
     """Return whether the start of a run has crashed its runner, whose process has ended.
 
     An answer after the connection broke shows that the runner outlived the start, and of two starts
--- a/dandelionreel/cell/decisions/_runner_state.py
+++ b/dandelionreel/cell/decisions/_runner_state.py
@@ -117,6 +117,8 @@
         self.suspect = False
         #: Whether the last poll was unanswered.
         self.missed_last_poll = False
+        #: When the connection broke during a poll, ``None`` if the runner has answered since.
+        self.broken_at: float | None = None
         #: Earliest time at which a draining runner may be gone (monotonic seconds).
         self.may_leave_at = float('inf')
         #: No start is sent before this time, after the runner refused one.
--- a/dandelionreel/cell/decisions/_runner_views.py
+++ b/dandelionreel/cell/decisions/_runner_views.py
@@ -75,6 +75,7 @@
         runner.answered_at = now
         runner.suspect = False
         runner.missed_last_poll = False
+        runner.broken_at = None
         runner.readable_through = view.readable_through
         for ended in view.ended:
             if ended.number <= runner.processed_end:
--- a/dandelionreel/cell/decisions/_start_delays.py
+++ b/dandelionreel/cell/decisions/_start_delays.py
@@ -32,6 +32,7 @@
     NOT_STORED = 'its job to be stored'
     START_LIMIT = 'other starts to be sent'
     FORMER_RUN = 'former runs of its members'
+    CRASHES = 'a pause after crashes of its runners'
     NO_RUNNER = 'a usable runner'
     NO_ADVICE = 'an answer of the policy service'
     NO_TICKETS = 'new tickets for allowed runners'
--- a/dandelionreel/cell/decisions/_step_run.py
+++ b/dandelionreel/cell/decisions/_step_run.py
@@ -33,6 +33,10 @@
     avoid: set[str] = field(default_factory=set)
     #: Whether the task starts alone on a runner, since it may have caused crashes of its runners.
     quarantined: bool = False
+    #: Earliest time of the next start (monotonic seconds), and the seconds that the pause before it
+    #: lasts, after many crashes of its runners.
+    not_before: float = float('-inf')
+    pause_seconds: float = 0.0
 
 
 class TaskList:
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -43,6 +43,7 @@
 Address = Annotated[str, msgspec.Meta(pattern=rf'^({_OCTET}\.){{3}}{_OCTET}\Z')]
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Cores = Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
+Odds = Annotated[float, msgspec.Meta(ge=0, le=1)]
 UnsettledSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNSETTLED_SECONDS)]
 
 
@@ -103,7 +104,8 @@
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
     """A run during which its runner crashed; keyed by run so that each loss counts once.
 
-    ``during_start`` says that the connection broke while the start was unanswered.
+    ``during_start`` says that the connection broke while the start was unanswered. ``odds`` is the
+    probability that a run that crashes no runner was met by such a loss by chance, 1 if unknown.
     """
 
     occurrence: Count
@@ -111,6 +113,7 @@
     index: Count
     run: Count
     during_start: bool = False
+    odds: Odds = 1.0
 
 
 class ProvenCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/dandelionreel/cell/owner/_owner_context.py
+++ b/dandelionreel/cell/owner/_owner_context.py
@@ -224,6 +224,7 @@
                 **self.make_run_fields(crash.runner, crash.task, crash.run),
                 close=crash.during_start,
                 proven=crash.proven,
+                odds=crash.odds,
                 crashes=crash.count,
             )
 
--- a/dandelionreel/cell/owner/_runner_poller.py
+++ b/dandelionreel/cell/owner/_runner_poller.py
@@ -179,6 +179,8 @@
         now = self._owner_context.clock.monotonic()
         first = not state.missed_last_poll
         state.missed_last_poll = True
+        if error.connection_broken and state.broken_at is None:
+            state.broken_at = now
         if not state.suspect and (
             error.connection_broken or now - state.answered_at > SUSPECT_SECONDS
         ):
--- a/standins/_users_platform.py
+++ b/standins/_users_platform.py
@@ -249,9 +249,10 @@
 class PlatformRunner:
     """Runs tasks under a fencing token and one lease for all of them.
 
-    A task's payload says what it does: ``cpu seconds [fail | crash]``. One that crashes
-    its runner ends all tasks there and breaks all connections; the runner restarts some
-    time later, under another name or as another incarnation of the same name.
+    A task's payload says what it does: ``cpu seconds [fail | crash | crash-after=SECONDS]``, where
+    the last one crashes its runner after the answer to its start. A crash ends all tasks there and
+    breaks all connections; the runner restarts some time later, under another name or as another
+    incarnation of the same name.
     """
 
     def __init__(self, name: str, runs: list[Run], *, reports_incarnation: bool = False) -> None:
@@ -314,6 +315,7 @@
         if request.path == '/v1/run-start':
             answer = self._start(order)
             await self._crash_if_requested(order)
+            await self._schedule_crash(order)
             return answer
         if request.path == '/v1/run-stop':
             return self._stop(order)
@@ -386,12 +388,29 @@
         if 'crash' not in order['spec'].split() or order['task'] not in self._run_by_task:
             return
         await curio.sleep(CRASH_DELAY_SECONDS)
-        if not self.is_down:
-            self.crash()
-            if self.on_crash is not None:
-                await curio.spawn(self.on_crash, self, daemon=True)
+        await self._crash_and_restart()
         raise CloseConnection
 
+    async def _schedule_crash(self, order: dict) -> None:
+        """Crash some time after the answer if the started task asks for it."""
+        for argument in order['spec'].split():
+            name, _, seconds = argument.partition('=')
+            run = self._run_by_task.get(order['task'])
+            if name == 'crash-after' and run is not None and run.number == order['run']:
+                await curio.spawn(self._crash_after, float(seconds), run, daemon=True)
+
+    async def _crash_after(self, seconds: float, run: Run) -> None:
+        await curio.sleep(seconds)
+        if self._run_by_task.get(run.task) is run:
+            await self._crash_and_restart()
+
+    async def _crash_and_restart(self) -> None:
+        if self.is_down:
+            return
+        self.crash()
+        if self.on_crash is not None:
+            await curio.spawn(self.on_crash, self, daemon=True)
+
     def _start(self, order: dict) -> Response:
         self._extend_lease(order['deadline_ms'])
         task, number = order['task'], order['run']
