Weigh crashes without a look at all runners where many are lost at once

The odds of a crash were computed from the runs on all runners for each lost run, and the tasks that lost runners lately were counted each time. In a wave that takes all runners of a large site, that would keep the owner busy for seconds. Losses at the same moment are looked for first now, and the rest only if there is none.

--- a/dandelionreel/cell/decisions/_crash_evidence.py
+++ b/dandelionreel/cell/decisions/_crash_evidence.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from dandelionreel.cell.decisions._runner_state import Allocation, RunnerState
@@ -77,27 +77,34 @@
         elif lost.broken_at is not None:
             self._explained.append(lost.broken_at)
 
-    def max_chance_odds(self, task: TaskName, at: float) -> float:
+    def record_losing_task(self, task: TaskName, at: float) -> None:
+        """Record that a task has lost its runner."""
+        self._losing_tasks.append((at, task))
+
+    def max_chance_odds(self, at: float) -> float:
         """Return the odds up to which the losses of a task are not taken for chance.
 
         The more tasks lose their runners, the more likely it is that one of them meets several
         losses by chance.
         """
-        self._losing_tasks.append((at, task))
         losing = {known for since, known in self._losing_tasks if since > at - RATE_SECONDS}
         return MAX_FALSE_ODDS / max(1, len(losing))
 
-    def odds_of(self, run: Allocation, lost: LostRunner, suspects: Iterable[str]) -> float:
-        """Return the odds that the run was met by this loss by chance, 1 if they are unknown.
-
-        ``suspects`` are the other runners that run a suspect.
-        """
+    def odds_of(
+        self, run: Allocation, lost: LostRunner, is_suspect: Callable[[Allocation], bool]
+    ) -> float:
+        """Return the odds that the run was met by this loss by chance, 1 if they are unknown."""
         broken_at = lost.broken_at
         if broken_at is None or run.started_at is None:
             return UNKNOWN_ODDS
+        # Most runs are lost together with others, which is found without a look at all runners.
+        if any(other.may_be_lost_at(broken_at) for other in self._unexplained):
+            return UNKNOWN_ODDS
         others = [state for state in self.runner_by_id.values() if state.id != lost.runner]
-        without_suspects = [state for state in others if state.id not in set(suspects)]
-        if self._may_have_common_cause(without_suspects, broken_at):
+        without_suspects = [
+            state for state in others if not any(map(is_suspect, state.allocation_by_run.values()))
+        ]
+        if _may_any_be_lost_at(without_suspects, broken_at):
             return UNKNOWN_ODDS
         if not _is_only_new_run(run, lost.runs):
             return SHARED_ODDS
@@ -137,14 +144,13 @@
         own = sum(at > until - seconds and known == task for at, known in self._losing_tasks)
         return (max(0, recent - own) + 1) / (seconds * max(1, len(self.runner_by_id)))
 
-    def _may_have_common_cause(self, others: Iterable[RunnerState], at: float) -> bool:
-        """Return whether runners without suspects were lost at that time, or may have been."""
-        if any(lost.may_be_lost_at(at) for lost in self._unexplained):
-            return True
-        return any(
-            state.missed_last_poll and _may_be_lost_at(state.known_at, state.broken_at, at)
-            for state in others
-        )
+
+def _may_any_be_lost_at(runners: Iterable[RunnerState], at: float) -> bool:
+    """Return whether any of the runners is silent and may have been lost at that time."""
+    return any(
+        state.missed_last_poll and _may_be_lost_at(state.known_at, state.broken_at, at)
+        for state in runners
+    )
 
 
 def _may_be_lost_at(known_at: float, broken_at: float | None, at: float) -> bool:
--- a/dandelionreel/cell/decisions/_runner_losses.py
+++ b/dandelionreel/cell/decisions/_runner_losses.py
@@ -157,12 +157,7 @@
 
     def _weigh(self, run: Allocation, runner: LostRunner) -> float:
         """Return the odds that a run was met by the loss by chance, and remember them."""
-        suspects = [
-            state.id
-            for state in self._runner_by_id.values()
-            if any(self._is_suspect(held) for held in state.allocation_by_run.values())
-        ]
-        odds = self._evidence.odds_of(run, runner, suspects)
+        odds = self._evidence.odds_of(run, runner, self._is_suspect)
         if odds < 1 and runner.broken_at is not None:
             self._weighed.append(_Proof(run.task, run.run, runner.broken_at))
         return odds
@@ -211,7 +206,8 @@
         odds: float = 1.0,
         lost_at: float = 0.0,
     ) -> list[Crash]:
-        max_odds = self._evidence.max_chance_odds(task, lost_at)
+        self._evidence.record_losing_task(task, lost_at)
+        max_odds = self._evidence.max_chance_odds(lost_at) if odds < 1 else 0.0
         if not job.record_crashed_run(
             task,
             run,
