--- a/dandelionreel/cell/decisions/_gang_delays.py
+++ b/dandelionreel/cell/decisions/_gang_delays.py
@@ -85,4 +85,5 @@
         ticketed_slots=slots.count(slots.ticketed),
         unasked_slots=slots.count_unasked(tickets),
         reserved_in=None if reserved_at is None else reserved_at - slots.now,
+        yields=reservations.does_yield(step),
     )
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -33,11 +33,11 @@
 #: of its tasks, and tasks for which a digit stands.
 MAX_PROGRESS_DIGITS = 100_000
 ROW_DIGITS = 24
+TASKS_PER_DIGIT = 4
 #: Pauses in seconds before further starts of a task whose runners have crashed ``CRASH_LIMIT``
 #: times without a sign that the task is the cause.
 MIN_PAUSE_SECONDS = 2.0
 MAX_PAUSE_SECONDS = 8.0
-TASKS_PER_DIGIT = 4
 #: Entry in a job's set of runners which says that its tasks may have been started on any runner.
 ANY_RUNNER = '*'
 
--- a/dandelionreel/cell/decisions/_reservations.py
+++ b/dandelionreel/cell/decisions/_reservations.py
@@ -122,6 +122,10 @@
         """Return whether a gang holds a reservation."""
         return step.name in self._reserving_steps
 
+    def does_yield(self, step: StepRun) -> bool:
+        """Return whether overdue steps may start on the runners reserved for a gang."""
+        return any(held.yields for held in self._by_runner.values() if held.step is step)
+
     def start_of(self, step: StepRun) -> float | None:
         """Return when the reservation of a gang starts, ``None`` if it has none."""
         starts = (held.at for held in self._by_runner.values() if held.step is step)
--- a/dandelionreel/cell/decisions/_start_delays.py
+++ b/dandelionreel/cell/decisions/_start_delays.py
@@ -48,7 +48,8 @@
     """A gang that is ready and has not started, with what is known for it.
 
     ``seconds`` counts from when it became ready. ``reserved_in`` are the seconds until its
-    reservation starts, ``None`` without one.
+    reservation starts, ``None`` without one. If it ``yields``, it was postponed too often,
+    and overdue steps may start on its runners.
     """
 
     step: StepName
@@ -64,6 +65,7 @@
     ticketed_slots: int = 0
     unasked_slots: int = 0
     reserved_in: float | None = None
+    yields: bool = False
 
 
 @dataclass
--- a/dandelionreel/cell/owner/_load_report.py
+++ b/dandelionreel/cell/owner/_load_report.py
@@ -120,6 +120,7 @@
                 ticketed_slots=delay.ticketed_slots,
                 unasked_slots=delay.unasked_slots,
                 reserved_in=delay.reserved_in and round(delay.reserved_in, 3),
+                yields=delay.yields,
             )
 
     def _log_stalled_jobs(self, now: float, unix_time: float, epoch: int) -> None:
