Bound the steps that all jobs together have in memory

Cause: the bound on open steps held for each job by itself. Thousands of scheduled jobs, each within the limits of one, would have had 100 steps each in memory.

Change: more than one occurrence of a job is opened only while all jobs together have fewer than 5,000 open steps; all unfinished jobs have 30,000 steps at most.

--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -183,13 +183,19 @@
             return self.spec.occurrences
         return min(self.spec.occurrences, int(since / self.spec.interval) + 1)
 
-    def ready_steps(self, unix_time: float) -> list[StepRun]:
+    @property
+    def open_steps(self) -> int:
+        """Return the number of steps that are kept in memory."""
+        return len(self._steps_by_occurrence) * len(self.spec.steps)
+
+    def ready_steps(self, unix_time: float, spare_steps: int = 0) -> list[StepRun]:
         """Return the due steps with waiting tasks whose dependencies are complete.
 
-        Of a scheduled job with many due occurrences, only the earliest ones are opened.
+        Of a scheduled job with many due occurrences, only the earliest ones are opened, and more
+        than one only as long as there are ``spare_steps``.
         """
         ready = []
-        for steps in self._open_due_occurrences(unix_time):
+        for steps in self._open_due_occurrences(unix_time, spare_steps):
             for step in steps:
                 if not step.waiting:
                     continue
@@ -453,7 +459,7 @@
         self._failed_runs = {row for row in self._failed_runs if row.occurrence != occurrence}
         self._done_occurrences = occurrence + 1
 
-    def _open_due_occurrences(self, unix_time: float) -> list[list[StepRun]]:
+    def _open_due_occurrences(self, unix_time: float, spare_steps: int = 0) -> list[list[StepRun]]:
         """Return the steps of the due occurrences that are open, and open more if few wait."""
         due = self.due_occurrences(unix_time)
         end = min(due, self._done_occurrences + self._max_open_occurrences)
@@ -461,7 +467,10 @@
         waiting = sum(
             step.waiting > 0 for steps in self._steps_by_occurrence.values() for step in steps
         )
+        max_open = max(1, self.open_steps + spare_steps)
         while self._next_occurrence < end and waiting < MAX_WAITING_STEPS:
+            if self.open_steps >= max_open:
+                break
             waiting += len(self.steps(self._next_occurrence))
             self._next_occurrence += 1
         opened = self._steps_by_occurrence
--- a/dandelionreel/cell/decisions/_waiting_steps.py
+++ b/dandelionreel/cell/decisions/_waiting_steps.py
@@ -1,7 +1,7 @@
 """Ranks the waiting steps of a cell. No I/O."""
 
 import abc
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from dandelionreel.cell.decisions._cell import Cell
@@ -17,6 +17,8 @@
 #: Seconds after which a job is no longer ranked behind others for being too late or beyond its
 #: account's rate, so that load of other accounts cannot starve it.
 MAX_DEFERRAL_SECONDS = 60.0
+#: Steps of all jobs together that are kept in memory before jobs have only one occurrence each.
+MAX_OPEN_STEPS = 5000
 
 
 @dataclass(frozen=True)
@@ -81,13 +83,11 @@
     """Return the steps that are ready to start, the most urgent first."""
     candidates = []
     cell.drop_finished_jobs(unix_time)
-    for job in cell.unfinished_job_by_id.values():
-        if job.is_finished or cell.is_blocked(job):
-            continue
+    for job, ready_steps in _list_ready_steps(cell, unix_time):
         queue = cell.queue_of(job)
         priority = queue.priority if queue else 0
         objective = cell.objective_of(job)
-        for step in job.ready_steps(unix_time):
+        for step in ready_steps:
             if now < step.not_before:
                 continue
             seconds = cell.run_times.best_seconds(job.submission.queue, step.step.estimate)
@@ -98,6 +98,19 @@
     return candidates
 
 
+def _list_ready_steps(cell: Cell, unix_time: float) -> Iterator[tuple[JobRun, list[StepRun]]]:
+    """Yield the jobs that may start tasks with their ready steps, as far as memory allows."""
+    jobs = cell.unfinished_job_by_id.values()
+    spare_steps = MAX_OPEN_STEPS - sum(job.open_steps for job in jobs)
+    for job in jobs:
+        if job.is_finished or cell.is_blocked(job):
+            continue
+        open_steps = job.open_steps
+        ready_steps = job.ready_steps(unix_time, max(0, spare_steps))
+        spare_steps -= job.open_steps - open_steps
+        yield job, ready_steps
+
+
 def _candidate_rank(candidate: Candidate) -> Rank:
     return candidate.rank
 
--- a/dandelionreel/cell/store/_cell_state.py
+++ b/dandelionreel/cell/store/_cell_state.py
@@ -53,7 +53,7 @@
 
 #: Steps of all unfinished jobs together: each host has them in its memory, and the owner plans
 #: them.
-MAX_UNFINISHED_STEPS = 50_000
+MAX_UNFINISHED_STEPS = 30_000
 #: Stands for an owner whose record cannot be read: it may be acting, and may have succeeded
 #: another one. Its heartbeats are waited for like those of any owner.
 UNKNOWN_OWNER = Owner(0, '', '', unsettled=UNKNOWN_LEASES_END_SECONDS)
--- a/features/overdue_jobs.feature
+++ b/features/overdue_jobs.feature
@@ -13,6 +13,12 @@
       | 1 overdue times of 100 steps of 1000 tasks      |
       | 1000 overdue times of 100 steps of 1000 tasks   |
 
+  # Guards against many such jobs, each within the limits of one.
+  Scenario: Many jobs that no runner can take
+    Given a cell in which no runner has the label of 2000 jobs of 1000 overdue times
+    When it is planned ten times
+    Then that takes less than 30 MB of memory, and no plan takes longer than a heartbeat
+
   # Guards against a job whose later times are forgotten, run twice, or outgrow a record of the store.
   Scenario Outline: All times of a job that can be done
     Given a cell with 20 runners and a job of <count> overdue times of 2 steps, the second after the first
@@ -36,6 +42,6 @@
     Given a job of 100 steps of 1001 tasks
     When a client submits it
     Then it is told that this is not a job, and which limit it exceeds
-    Given unfinished jobs with 50000 steps
+    Given unfinished jobs with 30000 steps
     When a client submits a job of one step
     Then it is told to retry later, as the jobs have too many steps
--- a/features/steps/overdue_job_steps.py
+++ b/features/steps/overdue_job_steps.py
@@ -31,12 +31,12 @@
 MEGABYTE = 1_000_000
 
 
-def add_overdue_job(small, times, steps, progress=None):
+def add_overdue_job(small, times, steps, progress=None, job='j1'):
     """Add a job of which all times are due."""
     spec = JobSpec('x', tuple(steps), times, small.now - times * INTERVAL_SECONDS, INTERVAL_SECONDS)
     submission = Submission('urgent', 'desk', small.now, spec)
-    small.cell.update_job(StoredJob('j1', submission, False, progress), small.now, small.now)
-    return small.cell.job_by_id['j1']
+    small.cell.update_job(StoredJob(job, submission, False, progress), small.now, small.now)
+    return small.cell.job_by_id[job]
 
 
 @given(
@@ -45,6 +45,14 @@
 def job_without_runner(context, times, steps, tasks):
     context.small = SmallCell([f'w{number}' for number in range(20)])
     context.job_shape = (times, [step(100, tasks, required_label='z')] * steps)
+    context.job_count = 1
+
+
+@given('a cell in which no runner has the label of {jobs:d} jobs of {times:d} overdue times')
+def jobs_without_runner(context, jobs, times):
+    context.small = SmallCell([f'w{number}' for number in range(20)])
+    context.job_shape = (times, [step(100, 60, required_label='z')] * 2)
+    context.job_count = jobs
 
 
 @when('it is planned ten times')
@@ -52,7 +60,8 @@
     small = context.small
     tracemalloc.start()
     try:
-        add_overdue_job(small, *context.job_shape)
+        for number in range(context.job_count):
+            add_overdue_job(small, *context.job_shape, job=f'j{number}')
         for _ in range(10):
             small.now += 0.1
             assert not small.plan().starts
