--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -59,3 +59,23 @@
       | 1     | 0.3     |
       | 6     | 0.05    |
       | 6     | 0.3     |
+
+  # Guards against tasks that are started more than twice after three crashes in a cell that also
+  # loses many runners by chance, or where half of the runners run such a task.
+  Scenario Outline: Several tasks crash runners beside many other losses
+    Given a simulated cell of 24 runners with <count> tasks that crash theirs after 0.3 s, which loses <lost>
+    When it is played for 40 s with 6 seeds
+    Then each of these tasks has crashed 3 to 5 runners, and no other job is shown as failed
+
+    Examples:
+      | count | lost                                        |
+      | 12    | no others                                   |
+      | 4     | one each 2 s                                |
+      | 4     | half of them in three series of three waves |
+
+  # Guards against a job that is shown as failed although its tasks crash no runner, in a small cell
+  # whose runners last for 16 s each.
+  Scenario: Runners of a small cell are lost by chance only
+    Given a simulated cell of 8 runners that loses one each 2 s
+    When it is played for 40 s with seed 27
+    Then no job is shown as failed
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -139,6 +139,7 @@
         'share': 0.25,
     },
     'one each 2 s': {'rate': 0.5},
+    'no others': {},
 }
 
 
@@ -154,10 +155,27 @@
     context.simulated = {'runners': runners, 'harmful': count, 'delay': seconds}
 
 
+@given(
+    'a simulated cell of {runners:d} runners with {count:d} tasks that crash theirs after {seconds:g} s, which loses {lost}'
+)
+def simulated_crashes_and_losses(context, runners, count, seconds, lost):
+    simulated_crashes(context, runners, count, seconds)
+    context.simulated.update(LOSSES[lost])
+
+
 @when('it is played for {seconds:d} s with {seeds:d} seeds')
 def play_seeds(context, seconds, seeds):
+    play_simulations(context, seconds, range(seeds))
+
+
+@when('it is played for {seconds:d} s with seed {seed:d}')
+def play_seed(context, seconds, seed):
+    play_simulations(context, seconds, [seed])
+
+
+def play_simulations(context, seconds, seeds):
     context.simulations = []
-    for seed in range(seeds):
+    for seed in seeds:
         simulation = CrashSimulation(seed=seed, **context.simulated)
         simulation.advance(seconds)
         context.simulations.append(simulation)
