--- a/dandelionreel/cell/decisions/_crashes.py
+++ b/dandelionreel/cell/decisions/_crashes.py
@@ -11,9 +11,13 @@
 import math
 from dataclasses import dataclass
 
-import msgspec
-
-from dandelionreel.cell.model import CrashedRun, ProvenCrash, StoredStart, TaskName
+from dandelionreel.cell.model import (
+    CrashedRun,
+    ProvenCrash,
+    StoredStart,
+    TaskName,
+    WeighedCrash,
+)
 
 #: Number of proven crashes after which a task is not started again.
 PROVEN_CRASH_LIMIT = 2
@@ -64,6 +68,8 @@
         self._runs_by_task: dict[_TaskKey, dict[int, CrashedRun]] = {}
         #: The runs of these whose crash is proven.
         self._proven_runs_by_task: dict[_TaskKey, set[int]] = {}
+        #: The odds of those that are hardly by chance.
+        self._odds_by_task: dict[_TaskKey, dict[int, float]] = {}
         self._start_by_task: dict[_TaskKey, StoredStart] = {}
         #: Set when a runner of the job was lost together with an earlier owner. Which tasks that
         #: owner had started there, and whether the runner crashed during them, is unknown.
@@ -85,6 +91,16 @@
         ]
         return tuple(sorted(found, key=_run_sort_key))
 
+    @property
+    def weighed(self) -> tuple[WeighedCrash, ...]:
+        """Return the odds of the counted runs that are hardly by chance."""
+        found = [
+            WeighedCrash(*key, run, odds)
+            for key, odds_by_run in self._odds_by_task.items()
+            for run, odds in odds_by_run.items()
+        ]
+        return tuple(sorted(found, key=_run_sort_key))
+
     @property
     def starts(self) -> tuple[StoredStart, ...]:
         """Return the starts in progress that are recorded individually."""
@@ -95,6 +111,7 @@
         crashed: tuple[CrashedRun, ...],
         starts: tuple[StoredStart, ...],
         proven: tuple[ProvenCrash, ...] = (),
+        weighed: tuple[WeighedCrash, ...] = (),
     ) -> None:
         """Restore the history that an earlier owner stored."""
         for run in crashed:
@@ -102,6 +119,9 @@
         for proof in proven:
             if proof.run in self._runs_by_task.get(_task_key(proof), {}):
                 self._proven_runs_by_task.setdefault(_task_key(proof), set()).add(proof.run)
+        for row in weighed:
+            if row.run in self._runs_by_task.get(_task_key(row), {}):
+                self._odds_by_task.setdefault(_task_key(row), {})[row.run] = row.odds
         for start in starts:
             self._start_by_task[_task_key(start)] = start
 
@@ -122,7 +142,10 @@
         runs = self._runs_by_task.setdefault(key, {})
         if run in runs:
             return False
-        runs[run] = CrashedRun(*key, run, during_start, round(odds, ODDS_DIGITS))
+        runs[run] = CrashedRun(*key, run, during_start)
+        odds_by_run = self._odds_by_task.setdefault(key, {})
+        if odds < 1:
+            odds_by_run[run] = round(odds, ODDS_DIGITS)
         proven_runs = self._proven_runs_by_task.setdefault(key, set())
         if proven:
             proven_runs.add(run)
@@ -132,13 +155,14 @@
                 runs,
                 key=lambda number: (
                     number in proven_runs,
-                    -runs[number].odds,
+                    -odds_by_run.get(number, 1.0),
                     runs[number].during_start,
                     number,
                 ),
             )
             del runs[dropped]
             proven_runs.discard(dropped)
+            odds_by_run.pop(dropped, None)
         self._drop_excess_task(key)
         return run in runs
 
@@ -152,11 +176,7 @@
 
     def withdraw_odds(self, task: TaskName, run: int) -> bool:
         """Count a crash as one that says nothing; return whether it said something."""
-        runs = self._runs_by_task.get(_task_key(task), {})
-        if run not in runs or runs[run].odds >= 1:
-            return False
-        runs[run] = msgspec.structs.replace(runs[run], odds=1.0)
-        return True
+        return self._odds_by_task.get(_task_key(task), {}).pop(run, None) is not None
 
     def clear(self, task: TaskName) -> bool:
         """Clear the crashes of a task that did not cause them; return whether there were any."""
@@ -168,10 +188,9 @@
 
     def is_quarantined(self, task: TaskName) -> bool:
         """Return whether a task must start alone, since it may crash the next runner too."""
-        runs = self._runs_by_task.get(_task_key(task), {}).values()
-        if len(runs) >= QUARANTINE_CRASHES:
+        if self.count(task) >= QUARANTINE_CRASHES or self._count_start_crashes(task):
             return True
-        return any(run.during_start or run.odds < 1 for run in runs)
+        return bool(self._odds_by_task.get(_task_key(task)))
 
     def has_reached_crash_limit(self, task: TaskName, max_odds: float = 0.0) -> bool:
         """Return whether a task is proven to crash its runners.
@@ -214,12 +233,12 @@
 
     def _are_crashes_unlikely(self, task: TaskName, max_odds: float) -> bool:
         """Return whether a task that crashes no runner is hardly met by so many losses."""
-        runs = self._runs_by_task.get(_task_key(task), {}).values()
-        odds = math.prod(run.odds for run in runs)
-        return len(runs) >= MIN_UNLIKELY_CRASHES and odds <= max_odds
+        odds = math.prod(self._odds_by_task.get(_task_key(task), {}).values())
+        return self.count(task) >= MIN_UNLIKELY_CRASHES and odds <= max_odds
 
     def _clear(self, key: _TaskKey) -> bool:
         self._proven_runs_by_task.pop(key, None)
+        self._odds_by_task.pop(key, None)
         return bool(self._runs_by_task.pop(key, None))
 
     def _drop_excess_task(self, latest: _TaskKey) -> None:
@@ -235,9 +254,11 @@
         return sum(run.during_start for run in runs.values())
 
 
-def _task_key(row: TaskName | CrashedRun | ProvenCrash | StoredStart) -> _TaskKey:
+def _task_key(row: TaskName | CrashedRun | ProvenCrash | WeighedCrash | StoredStart) -> _TaskKey:
     return row.occurrence, row.step, row.index
 
 
-def _run_sort_key(row: CrashedRun | ProvenCrash | StoredStart) -> tuple[int, int, int, int]:
+def _run_sort_key(
+    row: CrashedRun | ProvenCrash | WeighedCrash | StoredStart,
+) -> tuple[int, int, int, int]:
     return row.occurrence, row.step, row.index, row.run
--- a/dandelionreel/cell/decisions/_job_run.py
+++ b/dandelionreel/cell/decisions/_job_run.py
@@ -428,10 +428,11 @@
             self.account,
             proven=self.crashes.proven,
             done_before=self._done_occurrences,
+            weighed=self.crashes.weighed,
         )
 
     def _restore_crashes(self, progress: Progress) -> None:
-        self.crashes.restore(progress.crashed, progress.starts, progress.proven)
+        self.crashes.restore(progress.crashed, progress.starts, progress.proven, progress.weighed)
         self.crashes.incomplete = progress.doubtful
         for crashed in progress.crashed:
             task = self.steps(crashed.occurrence)[crashed.step].tasks[crashed.index]
--- a/dandelionreel/cell/model/_checks.py
+++ b/dandelionreel/cell/model/_checks.py
@@ -11,6 +11,7 @@
     Progress,
     ProvenCrash,
     StoredStart,
+    WeighedCrash,
 )
 from dandelionreel.cell.model._unreadable import UnreadableError, UnreadableReason
 
@@ -75,10 +76,11 @@
         step = _get_step(spec, done.occurrence, done.step)
         if int(done.mask, HEX_BASE) >> step.count:
             raise _range_error(f'more tasks of step {done.step} are done than it has')
-    rows: tuple[FailedRun | CrashedRun | ProvenCrash | StoredStart, ...] = (
+    rows: tuple[FailedRun | CrashedRun | ProvenCrash | WeighedCrash | StoredStart, ...] = (
         *progress.failed,
         *progress.crashed,
         *progress.proven,
+        *progress.weighed,
         *progress.starts,
     )
     for row in rows:
--- a/dandelionreel/cell/model/_records.py
+++ b/dandelionreel/cell/model/_records.py
@@ -104,8 +104,7 @@
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
     """A run during which its runner crashed; keyed by run so that each loss counts once.
 
-    ``during_start`` says that the connection broke while the start was unanswered. ``odds`` is the
-    probability that a run that crashes no runner was met by such a loss by chance, 1 if unknown.
+    ``during_start`` says that the connection broke while the start was unanswered.
     """
 
     occurrence: Count
@@ -113,7 +112,16 @@
     index: Count
     run: Count
     during_start: bool = False
-    odds: Odds = 1.0
+
+
+class WeighedCrash(msgspec.Struct, frozen=True, array_like=True):
+    """The odds of a crashed run: the probability that a run that crashes no runner meets it."""
+
+    occurrence: Count
+    step: Count
+    index: Count
+    run: Count
+    odds: Odds
 
 
 class ProvenCrash(msgspec.Struct, frozen=True, array_like=True):
@@ -157,7 +165,8 @@
     before the first start there, so a successor that cannot reach some runner knows which jobs it
     must not start again. ``doubtful`` is ``JobCrashes.incomplete``. ``account`` is stored because
     no other record of a finished job has it, and the ``leftovers`` count against its quota.
-    ``proven`` names rows of ``crashed``; earlier builds neither write nor read it. All tasks of the
+    ``proven`` and ``weighed`` name rows of ``crashed``; earlier builds neither write nor read them.
+    All tasks of the
     occurrences before ``done_before`` are done, and have no row in ``done``.
     """
 
@@ -174,6 +183,7 @@
     leftovers: tuple[Leftover, ...] = ()
     proven: tuple[ProvenCrash, ...] = ()
     done_before: Count = 0
+    weighed: tuple[WeighedCrash, ...] = ()
 
 
 class Owner(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -188,3 +188,15 @@
     Given an owner that polls w1
     When the connection of the poll breaks
     Then nothing is placed on w1 until a poll is answered
+
+  # Guards against a successor that starts anew with a task that crashes its runners.
+  Scenario Outline: Odds of crashes that an owner has stored
+    Given a task with 2 crashes whose odds are 0.01, stored <how>
+    When a successor counts one more
+    Then its job is reported as <state>
+
+    Examples:
+      | how                    | state   |
+      | with their odds        | failed  |
+      | as earlier builds do   | running |
+      | after another was lost | running |
--- a/features/steps/loss_steps.py
+++ b/features/steps/loss_steps.py
@@ -538,3 +538,23 @@
     assert not context.small.plan().starts
     context.small.poll('w1')
     assert len(context.small.plan().starts) == 1
+
+
+@given('a task with 2 crashes whose odds are 0.01, stored {how}')
+def stored_odds(context, how):
+    make_owner(context)
+    for run in (EARLIER_RUN, EARLIER_RUN + 1):
+        context.job.record_crashed_run(task('j1'), run, odds=0.01, max_odds=1e-5)
+    if how == 'after another was lost':
+        for run in (EARLIER_RUN, EARLIER_RUN + 1):
+            context.job.withdraw_odds(task('j1'), run)
+    progress = context.job.progress(1, context.small.now)
+    if how == 'as earlier builds do':
+        progress = msgspec.structs.replace(progress, weighed=())
+    progress = msgspec.json.decode(msgspec.json.encode(progress), type=Progress)
+    make_owner(context, progress=msgspec.structs.replace(progress, state=JobState.RUNNING))
+
+
+@when('a successor counts one more')
+def count_one_more(context):
+    context.job.record_crashed_run(task('j1'), EARLIER_RUN + 2, odds=0.01, max_odds=1e-5)
